--- /dev/null
+++ b/crates/core/src/claims.rs
@@ -0,0 +1,163 @@
+//! Who owns which cell, as the log's order decides it.
+//!
+//! Readers of the stream `claims` all reach the same table, since a record takes
+//! effect or not by what stands before it. A plain append is enough: a claim of a
+//! cell that has an owner simply has no effect.
+
+use crate::ids::Cell;
+use crate::ids::Member;
+use crate::ids::Seat;
+use crate::ids::Term;
+use crate::record::Record;
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+
+/// The owner of a cell and since which claim.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Owner {
+    /// The member.
+    pub member: Member,
+    /// Fencing token of its ownership.
+    pub term: Term,
+}
+
+/// The table of claims up to a position in the stream.
+#[derive(Debug, Clone, Default)]
+pub struct ClaimTable {
+    owners: BTreeMap<Cell, Owner>,
+    deposed: HashMap<Seat, u64>,
+    former: HashMap<Cell, Term>,
+}
+
+impl ClaimTable {
+    /// Applies the record at `offset`; gives the cells whose owner changed.
+    pub fn apply(&mut self, offset: u64, record: &Record) -> Vec<Cell> {
+        match record {
+            Record::Depose { target, .. } => self.depose(*target),
+            Record::Claim { member, cells } => self.claim(offset, *member, cells),
+            Record::Release {
+                member,
+                cells,
+                heir,
+            } => self.release(offset, *member, cells, *heir),
+            _ => Vec::new(),
+        }
+    }
+
+    /// Gives the owner of `cell`.
+    pub fn owner(&self, cell: Cell) -> Option<Owner> {
+        self.owners.get(&cell).copied()
+    }
+
+    /// Tells whether `cell` ever had an owner, so that acts of it may linger.
+    pub fn had_owner(&self, cell: Cell) -> bool {
+        self.former.contains_key(&cell)
+    }
+
+    /// Tells whether `member` is deposed.
+    pub fn is_deposed(&self, member: Member) -> bool {
+        let deposed = self.deposed.get(&member.seat);
+        deposed.is_some_and(|incarnation| member.incarnation <= *incarnation)
+    }
+
+    /// Lists the cells with their owners.
+    pub fn owners(&self) -> impl Iterator<Item = (Cell, Owner)> + '_ {
+        self.owners.iter().map(|(cell, owner)| (*cell, *owner))
+    }
+
+    /// Gives the whole table as a record that stands for all before `as_of`.
+    pub fn carry(&self, as_of: u64) -> Record {
+        let mut deposed: Vec<Member> = Vec::new();
+        for (seat, incarnation) in &self.deposed {
+            deposed.push(Member {
+                seat: *seat,
+                incarnation: *incarnation,
+            });
+        }
+        deposed.sort_unstable();
+        Record::ClaimsCarried {
+            as_of,
+            owners: self
+                .owners()
+                .map(|(cell, owner)| (cell, owner.member, owner.term))
+                .collect(),
+            deposed: deposed.into(),
+        }
+    }
+
+    fn depose(&mut self, target: Member) -> Vec<Cell> {
+        let deposed = self.deposed.entry(target.seat).or_default();
+        *deposed = (*deposed).max(target.incarnation);
+        let limit = *deposed;
+        let mut freed = Vec::new();
+        for (cell, owner) in &self.owners {
+            if owner.member.seat == target.seat && owner.member.incarnation <= limit {
+                freed.push(*cell);
+            }
+        }
+        for cell in &freed {
+            self.free(*cell);
+        }
+        freed
+    }
+
+    fn free(&mut self, cell: Cell) {
+        if let Some(owner) = self.owners.remove(&cell) {
+            self.former.insert(cell, owner.term);
+        }
+    }
+
+    fn claim(&mut self, offset: u64, member: Member, cells: &[Cell]) -> Vec<Cell> {
+        let mut changed = Vec::new();
+        if self.is_deposed(member) {
+            return changed;
+        }
+        for cell in cells {
+            if self.owners.contains_key(cell) {
+                continue;
+            }
+            let term = Term(offset + 1);
+            self.owners.insert(*cell, Owner { member, term });
+            changed.push(*cell);
+        }
+        changed
+    }
+
+    fn release(
+        &mut self,
+        offset: u64,
+        member: Member,
+        cells: &[Cell],
+        heir: Option<Member>,
+    ) -> Vec<Cell> {
+        let mut changed = Vec::new();
+        for cell in cells {
+            if self.owner(*cell).is_none_or(|owner| owner.member != member) {
+                continue;
+            }
+            self.free(*cell);
+            if let Some(heir) = heir.filter(|heir| !self.is_deposed(*heir)) {
+                let term = Term(offset + 1);
+                self.owners.insert(*cell, Owner { member: heir, term });
+            }
+            changed.push(*cell);
+        }
+        changed
+    }
+
+    /// Replaces the table by one that was carried forward.
+    pub fn replace(&mut self, owners: &[(Cell, Member, Term)], deposed: &[Member]) {
+        self.owners.clear();
+        for (cell, member, term) in owners {
+            let owner = Owner {
+                member: *member,
+                term: *term,
+            };
+            self.owners.insert(*cell, owner);
+            self.former.insert(*cell, *term);
+        }
+        for member in deposed {
+            self.deposed.insert(member.seat, member.incarnation);
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/lib.rs
@@ -0,0 +1,124 @@
+//! The decisions of goldcrestway: who may act, where requests and jobs go, and
+//! what happens when hosts, links and the log fail.
+//!
+//! Nothing here does input or output, reads a clock or starts a thread. Events and
+//! a time go into a [`Node`], actions come out, and whoever embeds it carries them
+//! out. Times are milliseconds of any monotonic clock.
+//!
+//! ```
+//! use goldcrestway_core::{Action, Event, Limits, Member, Node, Seat};
+//!
+//! let me = Member { seat: Seat(0), incarnation: 1 };
+//! let mut node = Node::new(me, &[Seat(0)], Limits::default(), 0);
+//! // A lone member votes for itself once its former life's promises have ended.
+//! let mut now_ms = 0;
+//! let mut is_ready = false;
+//! while !is_ready && now_ms < 10_000 {
+//!     now_ms += 100;
+//!     let actions = node.handle(now_ms, Event::Tick);
+//!     is_ready = actions.contains(&Action::Ready(true));
+//! }
+//! assert!(is_ready);
+//! ```
+
+mod claims;
+mod config;
+mod event;
+mod guard;
+mod identity;
+mod ids;
+mod jobs;
+mod layout;
+mod lease;
+mod limits;
+mod macros;
+mod message;
+mod node;
+mod notes;
+mod placement;
+mod record;
+mod retry;
+mod slots;
+mod writer;
+
+pub use claims::ClaimTable;
+pub use claims::Owner;
+pub use config::Config;
+pub use config::Fate;
+pub use event::Action;
+pub use event::Answer;
+pub use event::AttemptEnd;
+pub use event::Event;
+pub use event::Part;
+pub use event::PlatformHost;
+pub use event::Request;
+pub use guard::CALM_PERMILLE;
+pub use guard::Guard;
+pub use guard::HARM_PERMILLE;
+pub use guard::Measure;
+pub use identity::Admission;
+pub use identity::IdentityTable;
+pub use identity::State;
+pub use ids::Cell;
+pub use ids::Member;
+pub use ids::Seat;
+pub use ids::Stream;
+pub use ids::Term;
+pub use ids::hash;
+pub use ids::weight;
+pub use ids::wide_hash;
+pub use jobs::Job;
+pub use jobs::JobKey;
+pub use jobs::JobState;
+pub use jobs::JobTable;
+pub use jobs::Submission;
+pub use jobs::TeamKey;
+pub use layout::Group;
+pub use layout::Layout;
+pub use lease::Lease;
+pub use lease::MOST_VOTERS;
+pub use lease::Standing;
+pub use lease::Voter;
+pub use limits::Limits;
+pub use message::GrantVerdict;
+pub use message::IntentVerdict;
+pub use message::JobVerdict;
+pub use message::Message;
+pub use node::Node;
+pub use node::Status;
+pub use notes::Code;
+pub use notes::Note;
+pub use placement::AttemptId;
+pub use placement::HostKey;
+pub use placement::ListedHost;
+pub use placement::ListedState;
+pub use placement::ListedTask;
+pub use placement::Listing;
+pub use placement::Pace;
+pub use placement::Report;
+pub use placement::Reservation;
+pub use placement::StartAnswer;
+pub use placement::Task;
+pub use placement::TaskEnd;
+pub use placement::TaskKey;
+pub use placement::TaskOrder;
+pub use placement::TaskState;
+pub use placement::WorkerCall;
+pub use placement::WorkerCell;
+pub use record::Batch;
+pub use record::BatchFilter;
+pub use record::ConfigChange;
+pub use record::JobEnd;
+pub use record::JobSpec;
+pub use record::Outcome;
+pub use record::Record;
+pub use retry::Budget;
+pub use slots::Ask;
+pub use slots::Bounds;
+pub use slots::Ended;
+pub use slots::GrantKey;
+pub use slots::InstanceKey;
+pub use slots::UpstreamCell;
+pub use slots::Verdict;
+pub use writer::Step;
+pub use writer::Writer;
--- /dev/null
+++ b/crates/core/src/message.rs
@@ -0,0 +1,114 @@
+//! Messages between entry hosts.
+
+use crate::ids::Cell;
+use crate::ids::Member;
+use crate::jobs::JobState;
+use crate::macros::plain;
+use crate::placement::AttemptId;
+use crate::placement::TaskEnd;
+use crate::placement::TaskOrder;
+use crate::record::JobSpec;
+use crate::record::Outcome;
+use crate::slots::Ended;
+
+plain! {
+    /// What the owner of an identity tells the entry host that asked.
+    #[derive(Copy)]
+    pub enum IntentVerdict {
+        /// The intent stands in the log: run it, once.
+        Go,
+        /// A request with this identity is under way or its fate is not known.
+        Begun,
+        /// A request with this identity has ended.
+        Ended {
+            /// How.
+            outcome: Outcome,
+            /// HTTP status that its caller got.
+            status: u16,
+        },
+        /// The identity was used for a different request.
+        Conflict,
+        /// The intent can't be recorded now.
+        Refused {
+            /// When asking again makes sense.
+            retry_after_ms: u64,
+        },
+    }
+
+    /// What a submission is told.
+    #[derive(Copy)]
+    pub enum JobVerdict {
+        /// It is accepted, or was before, and stands here.
+        Accepted(JobState),
+        /// It can't be accepted now.
+        Refused {
+            /// When submitting again makes sense.
+            retry_after_ms: u64,
+        },
+    }
+
+    /// What an entry host with a free slot, or none, answers.
+    pub enum GrantVerdict {
+        /// A slot is held.
+        Granted {
+            /// Names the grant.
+            grant: u64,
+            /// Address of the instance.
+            address: Box<str>,
+        },
+        /// No slot comes free in time.
+        Refused {
+            /// When asking again makes sense.
+            retry_after_ms: u64,
+        },
+    }
+
+    /// A message from one entry host to another.
+    #[expect(missing_docs, reason = "The comment of each variant covers its fields.")]
+    pub enum Message {
+        /// A member lives and asks a voter for a promise.
+        Heartbeat { sent_ms: u64, config_version: u64, is_leaving: bool },
+        /// A voter's answer: whether it promises, and a digest of who lives.
+        Promise { sent_ms: u64, is_granted: bool, config_version: u64, alive: u64 },
+        /// Asks a voter who lives, since the digest is not known.
+        AliveAsk,
+        /// Who lives, with their digest.
+        Alive { digest: u64, members: Box<[Member]> },
+        /// Asks a voter to consent to deposing a member.
+        ConsentAsk { target: Member, asked_ms: u64 },
+        /// A voter consents.
+        Consent { target: Member, asked_ms: u64 },
+        /// The sender does not own the cell, or may not act for it now.
+        NotOwner { cell: Cell, request: u64 },
+        /// Asks for a slot; an attempt must begin within the given time.
+        GrantAsk { cell: Cell, request: u64, begin_in_ms: u64 },
+        /// Answers; `free` is a hint for the next request.
+        GrantAnswer { cell: Cell, request: u64, verdict: GrantVerdict, free: u32 },
+        /// The request no longer wants a slot.
+        GrantCancel { cell: Cell, request: u64 },
+        /// An attempt under a grant has ended.
+        Release { cell: Cell, grant: u64, ended: Ended },
+        /// Asks to record the intent of a non-idempotent request.
+        IntentAsk { cell: Cell, request: u64, identity: u128, fingerprint: u64 },
+        /// Answers.
+        IntentAnswer { request: u64, verdict: IntentVerdict },
+        /// Such a request has ended.
+        IntentEnd { cell: Cell, identity: u128, outcome: Outcome, status: u16 },
+        /// Submits a job.
+        JobAsk { cell: Cell, request: u64, spec: JobSpec },
+        /// Answers.
+        JobAnswer { request: u64, verdict: JobVerdict },
+        /// Asks for room for an attempt of a job.
+        Reserve { home: Cell, cell: Cell, order: TaskOrder, is_urgent: bool },
+        /// Answers; `free_millicores` is a hint.
+        Reserved { home: Cell, cell: Cell, attempt: AttemptId, is_held: bool, free_millicores: u32 },
+        /// Gives room back.
+        Unreserve { cell: Cell, attempt: AttemptId },
+        /// Orders an attempt to start, or asks what became of it.
+        Start { home: Cell, cell: Cell, order: TaskOrder, is_urgent: bool },
+        /// An attempt runs (`end` is `None`) or has ended.
+        Report { home: Cell, cell: Cell, attempt: AttemptId, end: Option<TaskEnd> },
+        /// The end of an attempt stands in the log.
+        ReportNoted { cell: Cell, attempt: AttemptId },
+    }
+}
--- /dev/null
+++ b/crates/core/src/node/claiming.rs
@@ -0,0 +1,180 @@
+//! Claiming free cells, giving cells to a better owner, and a planned stop.
+
+use super::Node;
+use crate::event::Action;
+use crate::ids::Cell;
+use crate::ids::Member;
+use crate::ids::weight;
+use crate::notes::Code;
+use crate::record::Record;
+
+/// Most cells in one claim, so that a record stays small.
+const CLAIM_CELLS: usize = 500;
+/// How long a member has been alive before cells move to it.
+const SETTLED_MS: u64 = 5_000;
+/// Cells that move to a better owner per heartbeat.
+const MOVES: usize = 1;
+/// How long a stopping host still takes requests, until the balancer has noticed.
+const GRACE_MS: u64 = 3_000;
+/// How long a stopping host tries to pass on its cells through the log.
+const RELEASE_MS: u64 = 10_000;
+
+impl Node {
+    /// Gives the member that should own `cell`.
+    fn best_owner(&self, cell: Cell) -> Option<Member> {
+        let members = self.alive().iter().copied();
+        members.max_by_key(|member| weight(cell, member.seat))
+    }
+
+    /// Claims free cells of which this member is the best owner, and passes on
+    /// cells of which another is.
+    pub(super) fn claim_free(&mut self) {
+        let is_current = self.claims_log.is_current(self.now_ms, &self.limits);
+        if !is_current || self.claims_writer.waiting() > 0 || self.is_stopping {
+            return;
+        }
+        let mut free = Vec::new();
+        for cell in &self.layout.cells {
+            if self.claims.owner(*cell).is_some() || self.best_owner(*cell) != Some(self.me) {
+                continue;
+            }
+            free.push(*cell);
+            if free.len() == CLAIM_CELLS {
+                break;
+            }
+        }
+        if !free.is_empty() {
+            let member = self.me;
+            let cells = free.into();
+            self.claims_writer
+                .push(self.now_ms, Record::Claim { member, cells });
+            return;
+        }
+        self.pass_on_misplaced();
+    }
+
+    fn pass_on_misplaced(&mut self) {
+        let mut moved = 0;
+        for cell in self.owned_cells() {
+            let Some(best) = self.best_owner(cell).filter(|best| *best != self.me) else {
+                continue;
+            };
+            let since_ms = self.alive_since_ms(best);
+            let is_settled = since_ms.is_some_and(|since| self.now_ms >= since + SETTLED_MS);
+            if !is_settled || !self.may_let_go(cell) {
+                continue;
+            }
+            self.let_go(&[cell], Some(best));
+            moved += 1;
+            if moved == MOVES {
+                return;
+            }
+        }
+    }
+
+    /// Lists the cells that this member serves or is about to.
+    pub(super) fn owned_cells(&self) -> Vec<Cell> {
+        let keys = self.keys.keys().map(|number| Cell::Keys(*number));
+        let workers = self.workers.keys().map(|number| Cell::Workers(*number));
+        let upstreams = self.upstreams.keys().map(|number| Cell::Upstreams(*number));
+        keys.chain(workers).chain(upstreams).collect()
+    }
+
+    /// Tells whether nothing of `cell` is half written.
+    fn may_let_go(&self, cell: Cell) -> bool {
+        match cell {
+            Cell::Keys(number) => self.keys.get(&number).is_some_and(|cell| cell.may_let_go()),
+            _ => true,
+        }
+    }
+
+    /// Stops acting for `cells` and then says so in the log. The order matters:
+    /// the heir may act as soon as the record stands.
+    fn let_go(&mut self, cells: &[Cell], heir: Option<Member>) {
+        for cell in cells {
+            self.drop_cell(*cell);
+        }
+        let release = Record::Release {
+            member: self.me,
+            cells: cells.into(),
+            heir,
+        };
+        self.claims_writer.push(self.now_ms, release);
+    }
+
+    /// Begins or ends ownership of cells whose owner has changed in the log.
+    pub(super) fn owners_changed(&mut self, cells: &[Cell]) {
+        for cell in cells {
+            let owner = self.claims.owner(*cell);
+            let Some(owner) = owner.filter(|owner| owner.member == self.me) else {
+                self.drop_cell(*cell);
+                continue;
+            };
+            self.note(
+                Code::CellClaimed,
+                cell.to_string(),
+                format!("term {}", owner.term.0),
+            );
+            match cell {
+                Cell::Keys(number) => self.open_keys(*number, owner.term),
+                Cell::Workers(number) => self.open_workers(*number, owner.term),
+                Cell::Upstreams(number) => self.open_upstreams(*number),
+            }
+        }
+    }
+
+    fn drop_cell(&mut self, cell: Cell) {
+        let had = match cell {
+            Cell::Keys(number) => self.keys.remove(&number).is_some(),
+            Cell::Workers(number) => self.workers.remove(&number).is_some(),
+            Cell::Upstreams(number) => self.upstreams.remove(&number).is_some(),
+        };
+        if had {
+            self.note(Code::CellGone, cell.to_string(), self.me.to_string());
+        }
+    }
+
+    pub(super) fn drop_all_cells(&mut self) {
+        for cell in self.owned_cells() {
+            self.drop_cell(cell);
+        }
+    }
+
+    pub(super) fn begin_stop(&mut self) {
+        if self.is_stopping {
+            return;
+        }
+        self.is_stopping = true;
+        self.stop_began_ms = self.now_ms;
+        self.note(Code::Stopping, self.me.to_string(), "");
+        self.out.push(Action::Ready(false));
+    }
+
+    /// Goes on with a planned stop: first the requests in flight end, then the
+    /// cells go to their heirs, then the process may end.
+    pub(super) fn tick_stop(&mut self) {
+        if !self.is_stopping || self.now_ms < self.stop_began_ms + GRACE_MS {
+            return;
+        }
+        if !self.flights.is_empty() || !self.submissions.is_empty() || !self.publishing.is_empty() {
+            return;
+        }
+        let may_write = self.acts_until_ms().is_some()
+            && self.claims_log.is_current(self.now_ms, &self.limits)
+            && self.now_ms < self.stop_began_ms + RELEASE_MS;
+        let owned = self.owned_cells();
+        if may_write {
+            for cell in &owned {
+                if self.may_let_go(*cell) {
+                    let heir = self.best_owner(*cell).filter(|best| *best != self.me);
+                    self.let_go(&[*cell], heir);
+                }
+            }
+            if !owned.is_empty() || self.claims_writer.waiting() > 0 {
+                return;
+            }
+        }
+        self.note(Code::Stopped, self.me.to_string(), "");
+        self.out.push(Action::Stopped);
+    }
+}
--- /dev/null
+++ b/crates/core/src/node/members.rs
@@ -0,0 +1,352 @@
+//! Heartbeats, promises, consents, and who lives.
+
+use super::Node;
+use crate::event::Action;
+use crate::ids::Member;
+use crate::ids::Seat;
+use crate::lease::Lease;
+use crate::lease::MOST_VOTERS;
+use crate::lease::Standing;
+use crate::message::Message;
+use crate::notes::Code;
+use crate::record::Record;
+use std::collections::BTreeSet;
+use std::collections::HashMap;
+use xxhash_rust::xxh3::xxh3_64;
+
+/// How long a consent counts, from when it was asked for.
+const CONSENT_MS: u64 = 1_000;
+
+/// What a member knows of the others.
+#[derive(Debug, Clone, Default)]
+pub(super) struct Peers {
+    /// As a voter: when each member was heard last.
+    heard: HashMap<Seat, Heard>,
+    /// As a member: who lives, by each voter's account.
+    accounts: HashMap<Seat, Account>,
+    /// Union of the voters' accounts.
+    alive: BTreeSet<Member>,
+    /// Since when each of them has been alive.
+    alive_since_ms: HashMap<Member, u64>,
+    next_heartbeat_ms: u64,
+    /// Newest configuration that each voter has in force.
+    pub(super) versions: HashMap<Seat, u64>,
+}
+
+#[derive(Debug, Clone)]
+struct Heard {
+    incarnation: u64,
+    at_ms: u64,
+    is_leaving: bool,
+}
+
+#[derive(Debug, Clone, Default)]
+struct Account {
+    at_ms: u64,
+    digest: u64,
+    members: Box<[Member]>,
+}
+
+/// An attempt to depose a member.
+#[derive(Debug, Clone, Default)]
+pub(super) struct Deposing {
+    /// Consents with the time at which they were asked for.
+    consents: HashMap<Member, u64>,
+    since_ms: u64,
+    is_written: bool,
+}
+
+/// Gives a digest of a list of members.
+fn digest_of(members: &[Member]) -> u64 {
+    let mut bytes = Vec::with_capacity(members.len() * 10);
+    for member in members {
+        bytes.extend(member.seat.0.to_le_bytes());
+        bytes.extend(member.incarnation.to_le_bytes());
+    }
+    xxh3_64(&bytes)
+}
+
+impl Node {
+    /// Lists the seats that vote.
+    pub(super) fn voters(&self) -> &[Seat] {
+        &self.seats[..self.seats.len().min(MOST_VOTERS)]
+    }
+
+    fn is_quorum(&self, count: usize) -> bool {
+        count > self.voters().len() / 2
+    }
+
+    /// Lists the members that are taken to live.
+    pub(super) fn alive(&self) -> &BTreeSet<Member> {
+        &self.peers.alive
+    }
+
+    /// Since when `member` has been alive in this member's eyes.
+    pub(super) fn alive_since_ms(&self, member: Member) -> Option<u64> {
+        self.peers.alive_since_ms.get(&member).copied()
+    }
+
+    /// Counts the voters that have a configuration of at least `version` in force.
+    pub(super) fn has_majority_in_force(&self, version: u64) -> bool {
+        let count = self
+            .peers
+            .versions
+            .values()
+            .filter(|voter| **voter >= version)
+            .count();
+        self.is_quorum(count)
+    }
+
+    /// Ends this life if its lease has lapsed, and notes when one is gained.
+    pub(super) fn check_lease(&mut self) {
+        match self.lease.standing(self.now_ms) {
+            Standing::Joining => {}
+            Standing::InForce { .. } => {
+                if !self.was_in_force {
+                    self.was_in_force = true;
+                    self.note(Code::LeaseGained, self.me.to_string(), "");
+                    self.out.push(Action::Ready(!self.is_stopping));
+                }
+            }
+            Standing::Over => self.begin_new_life(),
+        }
+    }
+
+    /// Starts another life without cells. Requests in flight go on: what is on
+    /// its way to an instance still gets its caller the answer.
+    fn begin_new_life(&mut self) {
+        let former = self.me;
+        self.me.incarnation += 1;
+        self.life_began_ms = self.now_ms;
+        self.lease = Lease::new(self.voters().len());
+        self.was_in_force = false;
+        self.drop_all_cells();
+        self.deposing.clear();
+        self.peers.next_heartbeat_ms = self.now_ms;
+        self.note(
+            Code::LeaseLost,
+            former.to_string(),
+            "acts for nothing any more",
+        );
+        self.out.push(Action::Ready(false));
+    }
+
+    pub(super) fn tick_members(&mut self) {
+        if self.now_ms < self.peers.next_heartbeat_ms {
+            return;
+        }
+        self.peers.next_heartbeat_ms = self.now_ms + self.limits.heartbeat_ms;
+        let heartbeat = Message::Heartbeat {
+            sent_ms: self.now_ms,
+            config_version: self.config.version(),
+            is_leaving: self.is_stopping,
+        };
+        for voter in self.voters().to_vec() {
+            self.send(voter, heartbeat.clone());
+        }
+        self.join_accounts();
+        if self.acts_until_ms().is_none() {
+            return;
+        }
+        self.depose_dead();
+        self.claim_free();
+    }
+
+    pub(super) fn receive_membership(&mut self, from: Member, message: Message) {
+        match message {
+            Message::Heartbeat {
+                sent_ms,
+                config_version,
+                is_leaving,
+            } => self.heartbeat(from, sent_ms, config_version, is_leaving),
+            Message::Promise {
+                sent_ms,
+                is_granted,
+                config_version,
+                alive,
+            } => self.promised(from, sent_ms, is_granted, config_version, alive),
+            Message::AliveAsk => {
+                let members = self.heard_alive();
+                let digest = digest_of(&members);
+                let members = members.into();
+                self.send(from.seat, Message::Alive { digest, members });
+            }
+            Message::Alive { digest, members } => {
+                let account = Account {
+                    at_ms: self.now_ms,
+                    digest,
+                    members,
+                };
+                self.peers.accounts.insert(from.seat, account);
+                self.join_accounts();
+            }
+            Message::ConsentAsk { target, asked_ms } => self.consent_asked(from, target, asked_ms),
+            Message::Consent { target, asked_ms } => self.consented(from, target, asked_ms),
+            _ => {}
+        }
+    }
+
+    /// As a voter: somebody wants to depose `target`.
+    fn consent_asked(&mut self, from: Member, target: Member, asked_ms: u64) {
+        if !self.voter.consent(self.now_ms, target) {
+            return;
+        }
+        self.note(Code::Consented, target.to_string(), from.to_string());
+        self.send(from.seat, Message::Consent { target, asked_ms });
+    }
+
+    /// As a voter: a member is heard and asks for a promise.
+    ///
+    /// A member whose configuration is older than this voter's gets none until it
+    /// has caught up. Once a majority of voters has a version in force, a process
+    /// that does not have it loses its lease and stops acting under the old one.
+    fn heartbeat(&mut self, from: Member, sent_ms: u64, config_version: u64, is_leaving: bool) {
+        let heard = Heard {
+            incarnation: from.incarnation,
+            at_ms: self.now_ms,
+            is_leaving,
+        };
+        self.peers.heard.insert(from.seat, heard);
+        let is_current = config_version >= self.config.version();
+        let is_granted = is_current && self.voter.promise(self.now_ms, from, &self.limits);
+        let promise = Message::Promise {
+            sent_ms,
+            is_granted,
+            config_version: self.config.version(),
+            alive: digest_of(&self.heard_alive()),
+        };
+        self.send(from.seat, promise);
+    }
+
+    fn heard_alive(&self) -> Vec<Member> {
+        let mut members = Vec::new();
+        for (seat, heard) in &self.peers.heard {
+            if heard.is_leaving || self.now_ms >= heard.at_ms + self.limits.suspect_ms {
+                continue;
+            }
+            members.push(Member {
+                seat: *seat,
+                incarnation: heard.incarnation,
+            });
+        }
+        members.sort_unstable();
+        members
+    }
+
+    fn promised(
+        &mut self,
+        voter: Member,
+        sent_ms: u64,
+        is_granted: bool,
+        config_version: u64,
+        alive: u64,
+    ) {
+        if sent_ms < self.life_began_ms {
+            // The promise was given to a life that is over.
+            return;
+        }
+        if is_granted {
+            self.lease
+                .promised(voter.seat, sent_ms, self.limits.lease_ms);
+        }
+        self.peers.versions.insert(voter.seat, config_version);
+        if config_version > self.config.version() {
+            self.config_log.hurry();
+        }
+        let account = self.peers.accounts.entry(voter.seat).or_default();
+        account.at_ms = self.now_ms;
+        if account.digest != alive {
+            self.send(voter.seat, Message::AliveAsk);
+        }
+        self.check_lease();
+    }
+
+    /// Joins what the voters say of who lives. A voter that is silent itself says
+    /// nothing.
+    fn join_accounts(&mut self) {
+        let mut alive = BTreeSet::new();
+        for account in self.peers.accounts.values() {
+            if self.now_ms >= account.at_ms + self.limits.suspect_ms {
+                continue;
+            }
+            alive.extend(account.members.iter().copied());
+        }
+        // Of two lives at one seat only the later one lives.
+        let newest: HashMap<Seat, u64> = alive
+            .iter()
+            .map(|member| (member.seat, member.incarnation))
+            .collect();
+        alive.retain(|member| newest.get(&member.seat) == Some(&member.incarnation));
+        let now_ms = self.now_ms;
+        let since = &mut self.peers.alive_since_ms;
+        since.retain(|member, _| alive.contains(member));
+        for member in &alive {
+            since.entry(*member).or_insert(now_ms);
+        }
+        self.peers.alive = alive;
+    }
+
+    /// Asks for consents to depose owners that are not alive. Members take turns
+    /// by rank, so that usually only one writes the record.
+    fn depose_dead(&mut self) {
+        const TURN_MS: u64 = 1_000;
+        if self.peers.alive.is_empty() || !self.claims_log.is_current(self.now_ms, &self.limits) {
+            return;
+        }
+        let rank = self
+            .peers
+            .alive
+            .iter()
+            .position(|member| *member == self.me);
+        let Some(rank) = rank else {
+            return;
+        };
+        let owners: BTreeSet<Member> = self
+            .claims
+            .owners()
+            .map(|(_, owner)| owner.member)
+            .collect();
+        self.deposing.retain(|target, _| owners.contains(target));
+        for target in owners {
+            if target == self.me || self.peers.alive.contains(&target) {
+                self.deposing.remove(&target);
+                continue;
+            }
+            let now_ms = self.now_ms;
+            let entry = self.deposing.entry(target).or_insert_with(|| Deposing {
+                since_ms: now_ms,
+                ..Deposing::default()
+            });
+            if entry.is_written || now_ms < entry.since_ms + rank as u64 * TURN_MS {
+                continue;
+            }
+            let asked_ms = now_ms;
+            for voter in self.voters().to_vec() {
+                self.send(voter, Message::ConsentAsk { target, asked_ms });
+            }
+        }
+    }
+
+    fn consented(&mut self, voter: Member, target: Member, asked_ms: u64) {
+        let now_ms = self.now_ms;
+        let Some(entry) = self.deposing.get_mut(&target) else {
+            return;
+        };
+        entry.consents.insert(voter, asked_ms);
+        // A voter that restarts forgets its consent but abstains for longer than
+        // a consent counts, so the majority below held at one moment.
+        entry
+            .consents
+            .retain(|_, asked_ms| now_ms < *asked_ms + CONSENT_MS);
+        let count = entry.consents.len();
+        if entry.is_written || count <= self.seats.len().min(MOST_VOTERS) / 2 {
+            return;
+        }
+        entry.is_written = true;
+        let mut voters: Vec<Member> = entry.consents.keys().copied().collect();
+        voters.sort_unstable();
+        let voters = voters.into();
+        self.claims_writer
+            .push(now_ms, Record::Depose { target, voters });
+    }
+}
--- /dev/null
+++ b/crates/core/src/node/mod.rs
@@ -0,0 +1,269 @@
+//! One entry host: all decisions of one process, driven by events and time.
+//!
+//! Every entry host runs the same node. It takes requests and jobs, follows the
+//! log, votes on leases, and owns the cells that the log's order gives it.
+
+mod claiming;
+mod keys;
+mod logs;
+mod members;
+mod publishing;
+mod requests;
+mod status;
+mod upstreams;
+mod workers;
+
+use crate::claims::ClaimTable;
+use crate::config::Config;
+use crate::event::Action;
+use crate::event::Answer;
+use crate::event::Event;
+use crate::event::PlatformHost;
+use crate::ids::Cell;
+use crate::ids::Member;
+use crate::ids::Seat;
+use crate::ids::Term;
+use crate::layout::Layout;
+use crate::lease::Lease;
+use crate::lease::MOST_VOTERS;
+use crate::lease::Standing;
+use crate::lease::Voter;
+use crate::limits::Limits;
+use crate::message::Message;
+use crate::notes::Code;
+use crate::notes::Note;
+use crate::placement::WorkerCell;
+use crate::retry::Budget;
+use crate::slots::UpstreamCell;
+use crate::writer::Writer;
+use keys::KeyCell;
+use logs::Follower;
+use members::Peers;
+use rand::SeedableRng;
+use rand_pcg::Pcg32;
+use requests::Flight;
+pub use status::Status;
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::collections::VecDeque;
+
+/// How often things that are not urgent are looked at.
+const SLOW_TICK_MS: u64 = 100;
+
+/// The decisions of one entry host.
+pub struct Node {
+    me: Member,
+    seats: Vec<Seat>,
+    limits: Limits,
+    now_ms: u64,
+    life_began_ms: u64,
+    next_slow_tick_ms: u64,
+    random: Pcg32,
+
+    lease: Lease,
+    voter: Voter,
+    was_in_force: bool,
+    peers: Peers,
+    claims: ClaimTable,
+    claims_log: Follower,
+    claims_writer: Writer,
+    deposing: HashMap<Member, members::Deposing>,
+
+    config: Config,
+    config_log: Follower,
+    config_writer: Writer,
+    layout: Layout,
+    runnable: publishing::Runnable,
+    publishing: Vec<publishing::Pending>,
+    platform: HashMap<Box<str>, PlatformHost>,
+
+    keys: BTreeMap<u16, KeyCell>,
+    workers: BTreeMap<u64, WorkerCell>,
+    upstreams: BTreeMap<u64, UpstreamCell>,
+
+    flights: HashMap<u64, Flight>,
+    budgets: HashMap<Box<str>, Budget>,
+    hints: HashMap<Cell, requests::Hint>,
+    submissions: HashMap<u64, keys::Submission>,
+
+    is_stopping: bool,
+    stop_began_ms: u64,
+    local: VecDeque<Message>,
+    out: Vec<Action>,
+}
+
+impl Node {
+    /// Starts the node of `me` among the processes at `seats`.
+    ///
+    /// `now_ms` is any monotonic clock; all later times must come from it.
+    pub fn new(me: Member, seats: &[Seat], limits: Limits, now_ms: u64) -> Self {
+        let voters = seats.len().min(MOST_VOTERS);
+        let seed = u64::from(me.seat.0) ^ me.incarnation;
+        Self {
+            me,
+            seats: seats.to_vec(),
+            now_ms,
+            life_began_ms: now_ms,
+            next_slow_tick_ms: now_ms,
+            random: Pcg32::seed_from_u64(seed),
+            lease: Lease::new(voters),
+            voter: Voter::new(now_ms, &limits),
+            was_in_force: false,
+            peers: Peers::default(),
+            claims: ClaimTable::default(),
+            claims_log: Follower::new(),
+            claims_writer: Writer::new(Term(0), 0),
+            deposing: HashMap::new(),
+            config: Config::default(),
+            config_log: Follower::new(),
+            config_writer: Writer::new(Term(0), 0),
+            layout: Layout::build(Config::default().inventory(), limits.key_cells),
+            runnable: publishing::Runnable::default(),
+            publishing: Vec::new(),
+            platform: HashMap::new(),
+            keys: BTreeMap::new(),
+            workers: BTreeMap::new(),
+            upstreams: BTreeMap::new(),
+            flights: HashMap::new(),
+            budgets: HashMap::new(),
+            hints: HashMap::new(),
+            submissions: HashMap::new(),
+            is_stopping: false,
+            stop_began_ms: 0,
+            local: VecDeque::new(),
+            out: Vec::new(),
+            limits,
+        }
+    }
+
+    /// Gives the life that this process is in.
+    pub fn me(&self) -> Member {
+        self.me
+    }
+
+    /// Gives the configuration in force here.
+    pub fn config(&self) -> &Config {
+        &self.config
+    }
+
+    /// Gives the table of claims as far as it was read.
+    pub fn claims(&self) -> &ClaimTable {
+        &self.claims
+    }
+
+    /// Takes in an event at `now_ms` and gives what is to be done.
+    pub fn handle(&mut self, now_ms: u64, event: Event) -> Vec<Action> {
+        // A paused process wakes here: its lease is looked at before anything
+        // else, so that nothing is done on the strength of an old one.
+        self.now_ms = self.now_ms.max(now_ms);
+        self.check_lease();
+        self.take_in(event);
+        while let Some(message) = self.local.pop_front() {
+            self.receive(self.me, message);
+        }
+        std::mem::take(&mut self.out)
+    }
+
+    fn take_in(&mut self, event: Event) {
+        match event {
+            Event::Tick => self.tick(),
+            Event::Peer { from, message } => self.receive(from, message),
+            Event::Request(request) => self.request(request),
+            Event::CallerGone { request } => self.caller_gone(request),
+            Event::AttemptEnded { request, end } => self.attempt_ended(request, end),
+            Event::Submit { request, spec } => self.submit(request, spec),
+            Event::Publish { request, change } => self.publish(request, change),
+            Event::Appended {
+                stream,
+                sequence,
+                offset,
+            } => self.appended(stream, sequence, offset),
+            Event::Read { stream, part } => self.read(stream, part),
+            Event::Worker {
+                cell,
+                host,
+                token,
+                listing,
+            } => self.worker_answered(cell, host, token, listing),
+            Event::Hosts(list) => self.platform_listed(&list),
+            Event::Stop => self.begin_stop(),
+        }
+    }
+
+    fn tick(&mut self) {
+        self.tick_members();
+        self.tick_logs();
+        self.tick_upstreams();
+        self.tick_requests();
+        self.tick_keys();
+        let is_slow = self.now_ms >= self.next_slow_tick_ms;
+        if is_slow {
+            self.next_slow_tick_ms = self.now_ms + SLOW_TICK_MS;
+            self.tick_keys_slow();
+            self.tick_publishing();
+            self.tick_stop();
+        }
+        self.tick_workers(is_slow);
+    }
+
+    fn receive(&mut self, from: Member, message: Message) {
+        match message {
+            Message::Heartbeat { .. }
+            | Message::Promise { .. }
+            | Message::AliveAsk
+            | Message::Alive { .. }
+            | Message::ConsentAsk { .. }
+            | Message::Consent { .. } => self.receive_membership(from, message),
+            Message::GrantAsk { .. } | Message::GrantCancel { .. } | Message::Release { .. } => {
+                self.receive_as_upstream_owner(from, message)
+            }
+            Message::GrantAnswer { .. }
+            | Message::IntentAnswer { .. }
+            | Message::NotOwner { .. }
+            | Message::JobAnswer { .. } => self.receive_as_entry(message),
+            Message::IntentAsk { .. }
+            | Message::IntentEnd { .. }
+            | Message::JobAsk { .. }
+            | Message::Reserved { .. }
+            | Message::Report { .. } => self.receive_as_key_owner(from, message),
+            Message::Reserve { .. }
+            | Message::Unreserve { .. }
+            | Message::Start { .. }
+            | Message::ReportNoted { .. } => self.receive_as_worker_owner(from, message),
+        }
+    }
+
+    /// Gives the end of the lease if this member may act now.
+    fn acts_until_ms(&mut self) -> Option<u64> {
+        match self.lease.standing(self.now_ms) {
+            Standing::InForce { until_ms } => Some(until_ms),
+            _ => None,
+        }
+    }
+
+    fn send(&mut self, to: Seat, message: Message) {
+        if to == self.me.seat {
+            self.local.push_back(message);
+            return;
+        }
+        self.out.push(Action::Send { to, message });
+    }
+
+    /// Sends to the owner of `cell`; tells whether one is known.
+    fn send_to_owner(&mut self, cell: Cell, message: Message) -> bool {
+        let Some(owner) = self.claims.owner(cell) else {
+            return false;
+        };
+        self.send(owner.member.seat, message);
+        true
+    }
+
+    fn note(&mut self, code: Code, subject: impl Into<String>, detail: impl Into<String>) {
+        self.out
+            .push(Action::Note(Note::new(code, subject, detail)));
+    }
+
+    fn answer(&mut self, request: u64, answer: Answer) {
+        self.out.push(Action::Answer { request, answer });
+    }
+}
--- /dev/null
+++ b/crates/core/src/node/publishing.rs
@@ -0,0 +1,137 @@
+//! Publishing configuration, and what follows when one is in force.
+
+use super::Node;
+use crate::config::Fate;
+use crate::event::Answer;
+use crate::ids::Cell;
+use crate::layout::Layout;
+use crate::notes::Code;
+use crate::record::ConfigChange;
+use crate::record::Record;
+use goldcrestway_inventory::Inventory;
+use std::collections::BTreeSet;
+use std::collections::HashMap;
+
+/// How long an operator waits for a verdict.
+const PATIENCE_MS: u64 = 10_000;
+
+/// A change whose operator waits.
+#[derive(Debug, Clone)]
+pub(super) struct Pending {
+    request: u64,
+    id: Box<str>,
+    deadline_ms: u64,
+}
+
+/// Where each job of the inventory could run at all.
+#[derive(Debug, Clone, Default)]
+pub(super) struct Runnable {
+    cells: HashMap<Box<str>, Vec<Cell>>,
+    reasons: HashMap<Box<str>, Box<str>>,
+}
+
+impl Runnable {
+    /// Works out for each job the cells with a host that could hold it.
+    fn build(inventory: &Inventory) -> Self {
+        let mut runnable = Self::default();
+        for (name, job) in &inventory.jobs {
+            if let Some(reason) = inventory.never_runs(name, job) {
+                runnable.reasons.insert(name.clone(), reason.into());
+                continue;
+            }
+            let mut cells = BTreeSet::new();
+            for (host_name, host) in &inventory.hosts {
+                if job
+                    .need
+                    .fits(host.need.minus(inventory.reserved(host_name)))
+                {
+                    cells.insert(Cell::workers(&host.rack));
+                }
+            }
+            runnable
+                .cells
+                .insert(name.clone(), cells.into_iter().collect());
+        }
+        runnable
+    }
+
+    /// Lists the cells in which `job` could run.
+    pub(super) fn cells(&self, job: &str) -> &[Cell] {
+        self.cells
+            .get(job)
+            .map(|cells| &**cells)
+            .unwrap_or_default()
+    }
+
+    /// Says why `job` could run nowhere.
+    pub(super) fn reason(&self, job: &str) -> Option<Box<str>> {
+        self.reasons.get(job).cloned()
+    }
+}
+
+impl Node {
+    pub(super) fn publish(&mut self, request: u64, change: ConfigChange) {
+        if let Some(fate) = self.config.fate(&change.id)
+            && !matches!(fate, Fate::Accepted { .. })
+        {
+            let fate = fate.clone();
+            self.answer(request, Answer::Published(fate));
+            return;
+        }
+        let is_known = self.config.fate(&change.id).is_some();
+        if !is_known && self.acts_until_ms().is_none() {
+            let reason = "this entry host may not act now";
+            let retry_after_ms = 1_000;
+            self.answer(
+                request,
+                Answer::NotRun {
+                    reason,
+                    retry_after_ms,
+                },
+            );
+            return;
+        }
+        self.publishing.push(Pending {
+            request,
+            id: change.id.clone(),
+            deadline_ms: self.now_ms + PATIENCE_MS,
+        });
+        if !is_known {
+            self.config_writer.push(self.now_ms, Record::Config(change));
+        }
+    }
+
+    /// Answers operators. A change is accepted once it stands in the log as the
+    /// current version and a majority of voters has it in force: from then on any
+    /// process without it loses its lease within seconds.
+    pub(super) fn tick_publishing(&mut self) {
+        let mut waiting = Vec::new();
+        for pending in std::mem::take(&mut self.publishing) {
+            let is_late = self.now_ms >= pending.deadline_ms;
+            let answer = match self.config.fate(&pending.id) {
+                Some(Fate::Accepted { version }) if !self.has_majority_in_force(*version) => None,
+                Some(fate) => Some(Answer::Published(fate.clone())),
+                None => None,
+            };
+            match answer {
+                Some(answer) => self.answer(pending.request, answer),
+                None if is_late => {
+                    let reason = "no verdict yet; ask again with the same identity";
+                    self.answer(pending.request, Answer::Unknown { reason });
+                }
+                None => waiting.push(pending),
+            }
+        }
+        self.publishing = waiting;
+    }
+
+    /// Puts the new configuration into force in this process.
+    pub(super) fn config_changed(&mut self) {
+        let version = self.config.version();
+        let detail = format!("by {}", self.config.author());
+        self.note(Code::ConfigInForce, version.to_string(), detail);
+        self.layout = Layout::build(self.config.inventory(), self.limits.key_cells);
+        self.runnable = Runnable::build(self.config.inventory());
+        self.list_all();
+    }
+}
--- /dev/null
+++ b/crates/core/src/node/upstreams.rs
@@ -0,0 +1,160 @@
+//! Owner of cells of upstreams: slots are granted and released here.
+
+use super::Node;
+use crate::ids::Cell;
+use crate::ids::Member;
+use crate::message::GrantVerdict;
+use crate::message::Message;
+use crate::notes::Code;
+use crate::slots::Ask;
+use crate::slots::Bounds;
+use crate::slots::GrantKey;
+use crate::slots::UpstreamCell;
+use crate::slots::Verdict;
+use slotmap::Key;
+use slotmap::KeyData;
+
+impl Node {
+    /// Starts to own a cell of upstreams. If it had an owner before, nothing is
+    /// granted until every attempt under the former owner's grants has ended.
+    pub(super) fn open_upstreams(&mut self, number: u64) {
+        let Some(group) = self.layout.groups.get(&number) else {
+            return;
+        };
+        let Some(service) = self.config.inventory().services.get(&group.service) else {
+            return;
+        };
+        let bounds = Bounds {
+            timeout_ms: service.timeout_ms,
+            start_ms: self.limits.grant_start_ms,
+            waiting_per_slot: self.limits.waiting_per_slot,
+        };
+        let cell = Cell::Upstreams(number);
+        let linger_ms = bounds.timeout_ms + bounds.start_ms;
+        let opens_ms = match self.claims.had_owner(cell) {
+            true => self.now_ms + linger_ms,
+            false => self.now_ms,
+        };
+        self.upstreams
+            .insert(number, UpstreamCell::new(bounds, opens_ms));
+        self.note(
+            Code::CellOpened,
+            cell.to_string(),
+            format!("grants from {opens_ms} ms"),
+        );
+        self.list_upstreams(number);
+    }
+
+    /// Brings a cell's instances in line with the inventory and the platform.
+    pub(super) fn list_upstreams(&mut self, number: u64) {
+        let Some(cell) = self.upstreams.get_mut(&number) else {
+            return;
+        };
+        let group = self.layout.groups.get(&number).cloned().unwrap_or_default();
+        for name in cell.names() {
+            if !group.upstreams.contains(&name) {
+                cell.unlist(&name);
+            }
+        }
+        let inventory = self.config.inventory();
+        let service = inventory.services.get(&group.service);
+        for name in &group.upstreams {
+            let Some(listed) = self.platform.get(name) else {
+                cell.unlist(name);
+                continue;
+            };
+            let host = inventory.upstreams.get(name).map(|upstream| &upstream.host);
+            let is_host_leaving = host
+                .is_some_and(|host| self.platform.get(host).is_some_and(|host| host.is_leaving));
+            let slots = service.map_or(0, |service| service.slots.min(service.connections));
+            let is_leaving = listed.is_leaving || is_host_leaving;
+            cell.list(name, &listed.address, slots, is_leaving);
+        }
+    }
+
+    pub(super) fn receive_as_upstream_owner(&mut self, from: Member, message: Message) {
+        let may_act = self.acts_until_ms().is_some();
+        let now_ms = self.now_ms;
+        match message {
+            Message::GrantAsk {
+                cell,
+                request,
+                begin_in_ms,
+            } => {
+                let owned = self.owned_upstreams(cell).filter(|_| may_act);
+                let Some(owned) = owned else {
+                    self.send(from.seat, Message::NotOwner { cell, request });
+                    return;
+                };
+                let ask = Ask {
+                    asker: from,
+                    request,
+                    begin_by_ms: now_ms + begin_in_ms,
+                };
+                let verdict = owned.ask(now_ms, ask);
+                if let Some(verdict) = verdict {
+                    self.send_verdict(cell, ask, verdict);
+                }
+            }
+            Message::GrantCancel { cell, request } => {
+                if let Some(owned) = self.owned_upstreams(cell) {
+                    owned.cancel(from, request);
+                    self.serve_waiting(cell);
+                }
+            }
+            Message::Release { cell, grant, ended } => {
+                let grant = GrantKey::from(KeyData::from_ffi(grant));
+                if let Some(owned) = self.owned_upstreams(cell) {
+                    owned.release(now_ms, grant, ended);
+                    self.serve_waiting(cell);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn owned_upstreams(&mut self, cell: Cell) -> Option<&mut UpstreamCell> {
+        let Cell::Upstreams(number) = cell else {
+            return None;
+        };
+        self.upstreams.get_mut(&number)
+    }
+
+    fn send_verdict(&mut self, cell: Cell, ask: Ask, verdict: Verdict) {
+        let free = self.owned_upstreams(cell).map_or(0, |owned| owned.free());
+        let verdict = match verdict {
+            Verdict::Granted { grant, address } => GrantVerdict::Granted {
+                grant: grant.data().as_ffi(),
+                address,
+            },
+            Verdict::Refused { retry_after_ms } => GrantVerdict::Refused { retry_after_ms },
+        };
+        let answer = Message::GrantAnswer {
+            cell,
+            request: ask.request,
+            verdict,
+            free,
+        };
+        self.send(ask.asker.seat, answer);
+    }
+
+    /// Serves requests that wait for slots of `cell`.
+    fn serve_waiting(&mut self, cell: Cell) {
+        let now_ms = self.now_ms;
+        if self.acts_until_ms().is_none() {
+            return;
+        }
+        let Some(owned) = self.owned_upstreams(cell) else {
+            return;
+        };
+        for (ask, verdict) in owned.tick(now_ms) {
+            self.send_verdict(cell, ask, verdict);
+        }
+    }
+
+    pub(super) fn tick_upstreams(&mut self) {
+        for number in self.upstreams.keys().copied().collect::<Vec<u64>>() {
+            self.serve_waiting(Cell::Upstreams(number));
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/node/workers.rs
@@ -0,0 +1,244 @@
+//! Owner of cells of workers: room is held and tasks are started here.
+
+use super::Node;
+use crate::event::Action;
+use crate::event::PlatformHost;
+use crate::ids::Cell;
+use crate::ids::Member;
+use crate::ids::Term;
+use crate::message::Message;
+use crate::notes::Code;
+use crate::placement::HostKey;
+use crate::placement::ListedHost;
+use crate::placement::Listing;
+use crate::placement::Pace;
+use crate::placement::Report;
+use crate::placement::Reservation;
+use crate::placement::StartAnswer;
+use crate::placement::TaskOrder;
+use crate::placement::WorkerCell;
+
+/// How long a report of an end waits for its acknowledgement.
+const REPORT_PATIENCE_MS: u64 = 1_000;
+
+/// Gives the team in the identity of a job, `team/name`.
+pub(super) fn team_of(id: &str) -> &str {
+    id.split_once('/').map_or(id, |(team, _)| team)
+}
+
+impl Node {
+    pub(super) fn open_workers(&mut self, number: u64, term: Term) {
+        let pace = Pace {
+            lease_ms: self.limits.worker_lease_ms,
+            poll_ms: self.limits.worker_poll_ms,
+            reserve_ms: self.limits.reserve_ms,
+            skew_permille: self.limits.skew_permille,
+        };
+        self.workers.insert(number, WorkerCell::new(term, pace));
+        let cell = Cell::Workers(number);
+        self.note(
+            Code::CellOpened,
+            cell.to_string(),
+            format!("term {}", term.0),
+        );
+        self.list_workers(number);
+    }
+
+    /// Brings a cell's hosts in line with the inventory and the platform.
+    pub(super) fn list_workers(&mut self, number: u64) {
+        let now_ms = self.now_ms;
+        let Some(cell) = self.workers.get_mut(&number) else {
+            return;
+        };
+        let hosts = self.layout.racks.get(&number).cloned().unwrap_or_default();
+        for name in cell.names() {
+            if !hosts.contains(&name) {
+                cell.unlist(&name);
+            }
+        }
+        let inventory = self.config.inventory();
+        for name in hosts {
+            let Some(host) = inventory.hosts.get(&name) else {
+                continue;
+            };
+            let listed = self.platform.get(&name);
+            let is_leaving = listed.is_some_and(|host| host.is_leaving) || inventory.drains(&name);
+            cell.list(
+                now_ms,
+                ListedHost {
+                    address: listed.map(|host| host.address.clone()).unwrap_or_default(),
+                    total: host.need,
+                    reserved: inventory.reserved(&name),
+                    barred: inventory.barred_on(&name),
+                    is_leaving,
+                    name,
+                },
+            );
+        }
+    }
+
+    pub(super) fn platform_listed(&mut self, list: &[PlatformHost]) {
+        self.platform.clear();
+        for host in list {
+            self.platform.insert(host.name.clone(), host.clone());
+        }
+        self.list_all();
+    }
+
+    pub(super) fn list_all(&mut self) {
+        for number in self.workers.keys().copied().collect::<Vec<u64>>() {
+            self.list_workers(number);
+        }
+        for number in self.upstreams.keys().copied().collect::<Vec<u64>>() {
+            self.list_upstreams(number);
+        }
+    }
+
+    pub(super) fn receive_as_worker_owner(&mut self, from: Member, message: Message) {
+        let now_ms = self.now_ms;
+        let may_act = self.acts_until_ms().is_some();
+        match message {
+            Message::Reserve {
+                home,
+                cell,
+                order,
+                is_urgent,
+            } => {
+                let attempt = order.attempt.clone();
+                let owned = self.owned_workers(cell).filter(|_| may_act);
+                let held = owned.map(|owned| owned.reserve(now_ms, order, is_urgent));
+                let free = self.owned_workers(cell).map(|owned| owned.free());
+                let answer = Message::Reserved {
+                    home,
+                    cell,
+                    attempt,
+                    is_held: held == Some(Reservation::Held),
+                    free_millicores: free.unwrap_or_default().millicores,
+                };
+                self.send(from.seat, answer);
+            }
+            Message::Unreserve { cell, attempt } => {
+                if let Some(owned) = self.owned_workers(cell) {
+                    owned.release(&attempt);
+                }
+            }
+            Message::Start {
+                home,
+                cell,
+                order,
+                is_urgent,
+            } => self.order_start(from, home, cell, order, is_urgent),
+            Message::ReportNoted { cell, attempt } => {
+                if let Some(owned) = self.owned_workers(cell) {
+                    owned.acknowledge(now_ms, &attempt);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn order_start(
+        &mut self,
+        from: Member,
+        home: Cell,
+        cell: Cell,
+        order: TaskOrder,
+        is_urgent: bool,
+    ) {
+        // An order from a member that no longer owns the job's cell is stale: the
+        // job may have moved on since.
+        let is_home = self
+            .claims
+            .owner(home)
+            .is_some_and(|owner| owner.member == from);
+        if !is_home || self.acts_until_ms().is_none() {
+            return;
+        }
+        let now_ms = self.now_ms;
+        let attempt = order.attempt.clone();
+        let Some(owned) = self.owned_workers(cell) else {
+            return;
+        };
+        let end = match owned.start(now_ms, order, is_urgent) {
+            StartAnswer::Starting | StartAnswer::Wait => return,
+            StartAnswer::Running => None,
+            StartAnswer::Ended(end) => Some(end),
+        };
+        let report = Message::Report {
+            home,
+            cell,
+            attempt,
+            end,
+        };
+        self.send(from.seat, report);
+    }
+
+    fn owned_workers(&mut self, cell: Cell) -> Option<&mut WorkerCell> {
+        let Cell::Workers(number) = cell else {
+            return None;
+        };
+        self.workers.get_mut(&number)
+    }
+
+    pub(super) fn worker_answered(
+        &mut self,
+        number: u64,
+        host: HostKey,
+        token: u64,
+        listing: Option<Listing>,
+    ) {
+        let now_ms = self.now_ms;
+        let inventory = self.config.inventory();
+        let Some(cell) = self.workers.get_mut(&number) else {
+            return;
+        };
+        match listing {
+            Some(listing) => {
+                let is_urgent = |job: &str| inventory.jobs.get(job).is_some_and(|job| job.urgent);
+                cell.listed(now_ms, host, token, &listing, is_urgent);
+            }
+            None => cell.unanswered(now_ms, host, token),
+        }
+        self.call_workers(number, true);
+    }
+
+    pub(super) fn tick_workers(&mut self, is_slow: bool) {
+        for number in self.workers.keys().copied().collect::<Vec<u64>>() {
+            self.call_workers(number, is_slow);
+        }
+    }
+
+    /// Sends what is due to the workers of a cell, and reports to homes.
+    fn call_workers(&mut self, number: u64, reports: bool) {
+        let Some(begin_by_ms) = self.acts_until_ms() else {
+            return;
+        };
+        let now_ms = self.now_ms;
+        let Some(cell) = self.workers.get_mut(&number) else {
+            return;
+        };
+        for (host, address, call) in cell.tick(now_ms) {
+            self.out.push(Action::CallWorker {
+                cell: number,
+                host,
+                address,
+                call,
+                begin_by_ms,
+            });
+        }
+        if !reports {
+            return;
+        }
+        for Report { attempt, end } in cell.take_reports(now_ms, REPORT_PATIENCE_MS) {
+            let home = Cell::keys(team_of(&attempt.id), self.limits.key_cells);
+            let cell = Cell::Workers(number);
+            let report = Message::Report {
+                home,
+                cell,
+                attempt,
+                end,
+            };
+            self.send_to_owner(home, report);
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/slots.rs
@@ -0,0 +1,384 @@
+//! The slots of a service's instances in one failure domain, exactly counted by
+//! the one owner of their cell.
+//!
+//! What goes wrong without one owner: several entry hosts each see a free slot
+//! and together send an instance more than it can work on. A slot is therefore
+//! granted, held and released here. It stays taken while the fate of an attempt
+//! is unknown, until the instance must have ended it.
+
+use crate::ids::Member;
+use crate::macros::plain;
+use slotmap::SlotMap;
+use std::collections::HashMap;
+use std::collections::VecDeque;
+
+slotmap::new_key_type! {
+    /// Key of an instance within its cell.
+    pub struct InstanceKey;
+    /// Key of a grant within its cell.
+    pub struct GrantKey;
+}
+
+/// How an attempt under a grant ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Ended {
+    /// The instance gave a whole answer after `latency_ms`.
+    Answered {
+        /// Time from sending to the whole answer.
+        latency_ms: u64,
+    },
+    /// The instance gave a whole answer that says it failed.
+    Failed {
+        /// Time from sending to the whole answer.
+        latency_ms: u64,
+    },
+    /// Nothing reached the instance.
+    NotStarted,
+    /// The instance may still be working on it.
+    Unknown,
+}
+
+/// A request that asks for a slot.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Ask {
+    /// Entry host that will send the attempt.
+    pub asker: Member,
+    /// Its number there.
+    pub request: u64,
+    /// Latest time at which an attempt may still begin.
+    pub begin_by_ms: u64,
+}
+
+plain! {
+    /// What the owner of the cell answers.
+    pub enum Verdict {
+        /// A slot is held for the asker.
+        Granted {
+            /// Names the grant when it is released.
+            grant: GrantKey,
+            /// Address of the instance.
+            address: Box<str>,
+        },
+        /// No slot comes free in time.
+        Refused {
+            /// When asking again makes sense.
+            retry_after_ms: u64,
+        },
+    }
+}
+
+#[derive(Debug, Clone)]
+struct Instance {
+    name: Box<str>,
+    address: Box<str>,
+    slots: u32,
+    in_use: u32,
+    is_leaving: bool,
+    /// Smoothed time of an answer, in microseconds; 0 before the first one.
+    latency_us: u64,
+    failures: u32,
+    shunned_until_ms: u64,
+}
+
+#[derive(Debug, Clone)]
+struct Grant {
+    instance: InstanceKey,
+    asker: Member,
+    request: u64,
+    ends_by_ms: u64,
+}
+
+/// Bounds of one cell of upstreams.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Bounds {
+    /// Time within which an instance ends any request.
+    pub timeout_ms: u64,
+    /// Time within which a granted attempt begins.
+    pub start_ms: u64,
+    /// Requests that may wait per slot.
+    pub waiting_per_slot: u32,
+}
+
+/// The instances of one service in one failure domain, as their owner sees them.
+#[derive(Debug, Clone)]
+pub struct UpstreamCell {
+    bounds: Bounds,
+    opens_ms: u64,
+    instances: SlotMap<InstanceKey, Instance>,
+    by_name: HashMap<Box<str>, InstanceKey>,
+    grants: SlotMap<GrantKey, Grant>,
+    by_request: HashMap<(Member, u64), GrantKey>,
+    waiting: VecDeque<Ask>,
+}
+
+/// One failure in a row more than this and an instance is shunned.
+const FAILURES_BORNE: u32 = 3;
+/// How long an instance is shunned at first; doubles up to eight times as long.
+const SHUN_MS: u64 = 500;
+
+impl UpstreamCell {
+    /// Starts with no instances; nothing is granted before `opens_ms`, since a
+    /// former owner's grants may be in use until then.
+    pub fn new(bounds: Bounds, opens_ms: u64) -> Self {
+        Self {
+            bounds,
+            opens_ms,
+            instances: SlotMap::with_key(),
+            by_name: HashMap::new(),
+            grants: SlotMap::with_key(),
+            by_request: HashMap::new(),
+            waiting: VecDeque::new(),
+        }
+    }
+
+    /// Lists or updates an instance.
+    pub fn list(&mut self, name: &str, address: &str, slots: u32, is_leaving: bool) {
+        if let Some(key) = self.by_name.get(name) {
+            let instance = &mut self.instances[*key];
+            instance.slots = slots;
+            instance.is_leaving = is_leaving;
+            if &*instance.address != address {
+                // A new process at another address: its record starts afresh,
+                // while slots of the old one stay taken until released.
+                instance.address = address.into();
+                instance.failures = 0;
+                instance.shunned_until_ms = 0;
+            }
+            return;
+        }
+        let key = self.instances.insert(Instance {
+            name: name.into(),
+            address: address.into(),
+            slots,
+            in_use: 0,
+            is_leaving,
+            latency_us: 0,
+            failures: 0,
+            shunned_until_ms: 0,
+        });
+        self.by_name.insert(name.into(), key);
+    }
+
+    /// Stops granting slots of an instance that is no longer listed.
+    pub fn unlist(&mut self, name: &str) {
+        if let Some(key) = self.by_name.get(name) {
+            self.instances[*key].is_leaving = true;
+        }
+    }
+
+    /// Names the instances that are listed and not leaving.
+    pub fn names(&self) -> Vec<Box<str>> {
+        let staying = self
+            .instances
+            .values()
+            .filter(|instance| !instance.is_leaving);
+        staying.map(|instance| instance.name.clone()).collect()
+    }
+
+    /// Counts the slots in use and those there are on staying instances.
+    pub fn load(&self) -> (u32, u32) {
+        let used = self
+            .instances
+            .values()
+            .map(|instance| instance.in_use)
+            .sum();
+        let staying = self
+            .instances
+            .values()
+            .filter(|instance| !instance.is_leaving);
+        (used, staying.map(|instance| instance.slots).sum())
+    }
+
+    /// Gives the free slots in sight of new requests.
+    pub fn free(&self) -> u32 {
+        let (used, all) = self.load();
+        all.saturating_sub(used + self.waiting.len() as u32)
+    }
+
+    /// Counts the requests that wait.
+    pub fn waiting(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Asks for a slot; `None` means that the request waits for one.
+    pub fn ask(&mut self, now_ms: u64, ask: Ask) -> Option<Verdict> {
+        if let Some(grant) = self.by_request.get(&(ask.asker, ask.request)) {
+            // The asker did not hear the first answer and asks again.
+            return Some(self.granted(*grant));
+        }
+        if self
+            .waiting
+            .iter()
+            .any(|other| (other.asker, other.request) == (ask.asker, ask.request))
+        {
+            return None;
+        }
+        if now_ms < self.opens_ms {
+            let retry_after_ms = self.opens_ms - now_ms;
+            return Some(Verdict::Refused { retry_after_ms });
+        }
+        if self.waiting.is_empty()
+            && let Some(instance) = self.choose(now_ms)
+        {
+            return Some(self.grant(now_ms, instance, ask));
+        }
+        let wait_ms = self.expected_wait_ms();
+        let (_, slots) = self.load();
+        let is_full = self.waiting.len() as u32 >= slots * self.bounds.waiting_per_slot;
+        if is_full || slots == 0 || now_ms + wait_ms > ask.begin_by_ms {
+            let retry_after_ms = wait_ms.max(1);
+            return Some(Verdict::Refused { retry_after_ms });
+        }
+        self.waiting.push_back(ask);
+        None
+    }
+
+    /// Drops a request that waits, or that was granted and never sent.
+    pub fn cancel(&mut self, asker: Member, request: u64) {
+        self.waiting
+            .retain(|ask| (ask.asker, ask.request) != (asker, request));
+        if let Some(grant) = self.by_request.get(&(asker, request)).copied() {
+            self.free_slot(grant);
+        }
+    }
+
+    /// Notes how an attempt ended.
+    pub fn release(&mut self, now_ms: u64, grant: GrantKey, ended: Ended) {
+        let Some(held) = self.grants.get(grant) else {
+            return;
+        };
+        let key = held.instance;
+        match ended {
+            Ended::Answered { latency_ms } => self.note_answer(key, latency_ms),
+            Ended::Failed { .. } | Ended::NotStarted => self.note_failure(now_ms, key),
+            Ended::Unknown => {
+                self.note_failure(now_ms, key);
+                return;
+            }
+        }
+        self.free_slot(grant);
+    }
+
+    /// Ends what has run out and serves those that wait; gives their verdicts.
+    pub fn tick(&mut self, now_ms: u64) -> Vec<(Ask, Verdict)> {
+        let ended = self
+            .grants
+            .iter()
+            .filter(|(_, grant)| now_ms >= grant.ends_by_ms);
+        let ended: Vec<GrantKey> = ended.map(|(key, _)| key).collect();
+        for grant in ended {
+            self.free_slot(grant);
+        }
+        let mut verdicts = Vec::new();
+        while let Some(ask) = self.waiting.front().copied() {
+            if now_ms > ask.begin_by_ms {
+                self.waiting.pop_front();
+                let retry_after_ms = self.expected_wait_ms().max(1);
+                verdicts.push((ask, Verdict::Refused { retry_after_ms }));
+                continue;
+            }
+            let Some(instance) = self.choose(now_ms) else {
+                break;
+            };
+            self.waiting.pop_front();
+            verdicts.push((ask, self.grant(now_ms, instance, ask)));
+        }
+        verdicts
+    }
+
+    /// Picks the free slot where an answer is expected soonest.
+    ///
+    /// An instance that has become slow is passed over while its answer would
+    /// come later than waiting for a slot of a fast one; see `docs/DESIGN.md`.
+    fn choose(&self, now_ms: u64) -> Option<InstanceKey> {
+        let mut best: Option<(u64, InstanceKey)> = None;
+        for (key, instance) in &self.instances {
+            let is_open = !instance.is_leaving && now_ms >= instance.shunned_until_ms;
+            let is_on_probation = instance.failures >= FAILURES_BORNE;
+            let slots = if is_on_probation { 1 } else { instance.slots };
+            if !is_open || instance.in_use >= slots {
+                continue;
+            }
+            let expected = self.expected_us(instance);
+            if best.is_none_or(|(least, _)| expected < least) {
+                best = Some((expected, key));
+            }
+        }
+        best.map(|(_, key)| key)
+    }
+
+    fn expected_us(&self, instance: &Instance) -> u64 {
+        let busy = u64::from(instance.in_use) * 1_000 / u64::from(instance.slots.max(1));
+        instance.latency_us.max(1) * (1_000 + busy)
+    }
+
+    fn grant(&mut self, now_ms: u64, instance: InstanceKey, ask: Ask) -> Verdict {
+        self.instances[instance].in_use += 1;
+        let grant = self.grants.insert(Grant {
+            instance,
+            asker: ask.asker,
+            request: ask.request,
+            ends_by_ms: now_ms + self.bounds.start_ms + self.bounds.timeout_ms,
+        });
+        self.by_request.insert((ask.asker, ask.request), grant);
+        self.granted(grant)
+    }
+
+    fn granted(&self, grant: GrantKey) -> Verdict {
+        let instance = self.grants[grant].instance;
+        Verdict::Granted {
+            grant,
+            address: self.instances[instance].address.clone(),
+        }
+    }
+
+    fn free_slot(&mut self, grant: GrantKey) {
+        let Some(held) = self.grants.remove(grant) else {
+            return;
+        };
+        self.by_request.remove(&(held.asker, held.request));
+        let instance = &mut self.instances[held.instance];
+        instance.in_use -= 1;
+    }
+
+    fn note_answer(&mut self, key: InstanceKey, latency_ms: u64) {
+        const WEIGHT: u64 = 8;
+        let instance = &mut self.instances[key];
+        let latest_us = latency_ms.max(1) * 1_000;
+        if instance.latency_us == 0 {
+            instance.latency_us = latest_us;
+        }
+        instance.latency_us = (instance.latency_us * (WEIGHT - 1) + latest_us) / WEIGHT;
+        instance.failures = 0;
+    }
+
+    /// Counts a failure. An instance that fails everything at once would look
+    /// the fastest of all and draw all load; its failures shun it for a while,
+    /// after which one request probes it.
+    fn note_failure(&mut self, now_ms: u64, key: InstanceKey) {
+        let instance = &mut self.instances[key];
+        instance.failures += 1;
+        if instance.failures < FAILURES_BORNE {
+            return;
+        }
+        let doublings = (instance.failures - FAILURES_BORNE).min(3);
+        instance.shunned_until_ms = now_ms + (SHUN_MS << doublings);
+    }
+
+    fn expected_wait_ms(&self) -> u64 {
+        const UNKNOWN_US: u64 = 10_000;
+        let (_, slots) = self.load();
+        if slots == 0 {
+            return SHUN_MS;
+        }
+        let known = self
+            .instances
+            .values()
+            .filter(|instance| instance.latency_us > 0);
+        let (count, sum) = known.fold((0_u64, 0_u64), |(count, sum), instance| {
+            (count + 1, sum + instance.latency_us)
+        });
+        let mean_us = sum.checked_div(count).unwrap_or(UNKNOWN_US);
+        (self.waiting.len() as u64 + 1) * mean_us / u64::from(slots) / 1_000
+    }
+}
--- /dev/null
+++ b/crates/core/src/writer.rs
@@ -0,0 +1,189 @@
+//! Group commit to one stream of the log, with one append under way at a time.
+//!
+//! What goes wrong without it: the acknowledgement of an append is lost, the
+//! writer appends again, and the records stand twice. One notices by a batch with
+//! a sequence already seen. The writer therefore reads on from where it was and
+//! appends again, under the same sequence, only if the batch is not there;
+//! [`crate::record::BatchFilter`] drops the second copy should the first one
+//! surface later all the same.
+
+use crate::ids::Term;
+use crate::limits::Limits;
+use crate::record::Batch;
+use crate::record::Record;
+
+/// What the writer wants done.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Step {
+    /// Append this batch.
+    Append(Batch),
+    /// Read the stream on to learn whether the last batch took effect.
+    ReadOn,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Phase {
+    Idle,
+    Appending { sent_ms: u64 },
+    Unresolved { retry_ms: u64 },
+}
+
+/// Writer of one stream in one term.
+#[derive(Debug, Clone)]
+pub struct Writer {
+    term: Term,
+    sequence: u64,
+    phase: Phase,
+    pending: Vec<Record>,
+    pending_since_ms: u64,
+    under_way: Vec<Record>,
+    failures: u32,
+}
+
+impl Writer {
+    /// Starts a writer whose last batch, if any, had number `sequence`.
+    pub fn new(term: Term, sequence: u64) -> Self {
+        Self {
+            term,
+            sequence,
+            phase: Phase::Idle,
+            pending: Vec::new(),
+            pending_since_ms: 0,
+            under_way: Vec::new(),
+            failures: 0,
+        }
+    }
+
+    /// Gives the term of this writer.
+    pub fn term(&self) -> Term {
+        self.term
+    }
+
+    /// Queues a record.
+    pub fn push(&mut self, now_ms: u64, record: Record) {
+        if self.pending.is_empty() {
+            self.pending_since_ms = now_ms;
+        }
+        self.pending.push(record);
+    }
+
+    /// Counts the records that are not yet known to be in the log.
+    pub fn waiting(&self) -> usize {
+        self.pending.len() + self.under_way.len()
+    }
+
+    /// Tells whether the log has failed to answer lately.
+    pub fn is_stalled(&self) -> bool {
+        self.failures > 0
+    }
+
+    /// Gives back the records that were never sent; for refusing their callers.
+    pub fn take_unsent(&mut self) -> Vec<Record> {
+        std::mem::take(&mut self.pending)
+    }
+
+    /// Tells what to do now.
+    pub fn step(&mut self, now_ms: u64, limits: &Limits) -> Option<Step> {
+        match self.phase {
+            Phase::Idle => self.begin(now_ms, limits),
+            Phase::Appending { sent_ms } => {
+                // An append that hangs is resolved like one whose answer is lost.
+                if now_ms < sent_ms + limits.append_timeout_ms * 4 {
+                    return None;
+                }
+                self.lost(now_ms, limits);
+                None
+            }
+            Phase::Unresolved { retry_ms } => {
+                if now_ms < retry_ms {
+                    return None;
+                }
+                self.phase = Phase::Unresolved {
+                    retry_ms: now_ms + limits.append_timeout_ms,
+                };
+                Some(Step::ReadOn)
+            }
+        }
+    }
+
+    fn begin(&mut self, now_ms: u64, limits: &Limits) -> Option<Step> {
+        if self.pending.is_empty() {
+            return None;
+        }
+        let is_full = self.pending.len() >= limits.batch_records;
+        if !is_full && now_ms < self.pending_since_ms + limits.commit_ms {
+            return None;
+        }
+        // State that is carried forward must stand in one batch, or a reader
+        // could find a part of it.
+        let is_carried = self.pending.first() == Some(&Record::Carried);
+        let most = if is_carried {
+            usize::MAX
+        } else {
+            limits.batch_records
+        };
+        let count = self.pending.len().min(most);
+        self.under_way = self.pending.drain(..count).collect();
+        self.pending_since_ms = now_ms;
+        self.sequence += 1;
+        Some(self.send(now_ms))
+    }
+
+    fn send(&mut self, now_ms: u64) -> Step {
+        self.phase = Phase::Appending { sent_ms: now_ms };
+        Step::Append(Batch {
+            term: self.term,
+            sequence: self.sequence,
+            records: self.under_way.clone().into(),
+        })
+    }
+
+    /// Notes that the append of batch `sequence` took effect; gives its records.
+    pub fn committed(&mut self, sequence: u64) -> Vec<Record> {
+        if sequence != self.sequence || self.phase == Phase::Idle {
+            return Vec::new();
+        }
+        self.phase = Phase::Idle;
+        self.failures = 0;
+        std::mem::take(&mut self.under_way)
+    }
+
+    /// Notes that the answer to an append was lost or was no answer.
+    pub fn lost(&mut self, now_ms: u64, limits: &Limits) {
+        if !matches!(self.phase, Phase::Appending { .. }) {
+            return;
+        }
+        const FASTEST_MS: u64 = 50;
+        self.failures = (self.failures + 1).min(5);
+        let pause_ms = (FASTEST_MS << self.failures).min(limits.append_timeout_ms);
+        self.phase = Phase::Unresolved {
+            retry_ms: now_ms + pause_ms,
+        };
+    }
+
+    /// Notes a batch that was read from the stream; gives its records if it was
+    /// the unresolved one.
+    pub fn seen(&mut self, batch: &Batch) -> Vec<Record> {
+        if batch.term != self.term || batch.sequence != self.sequence {
+            return Vec::new();
+        }
+        self.committed(batch.sequence)
+    }
+
+    /// Does as [`Writer::seen`] in a stream with many writers, where a batch is
+    /// known by its records.
+    pub fn seen_records(&mut self, records: &[Record]) -> Vec<Record> {
+        if self.under_way.is_empty() || *self.under_way != *records {
+            return Vec::new();
+        }
+        self.committed(self.sequence)
+    }
+
+    /// Notes that the stream was read to its end without the unresolved batch.
+    pub fn absent(&mut self, now_ms: u64) -> Option<Step> {
+        match self.phase {
+            Phase::Unresolved { .. } => Some(self.send(now_ms)),
+            _ => None,
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/answers.rs
@@ -0,0 +1,180 @@
+//! Answers to callers: outcome header, problem details, when to come back.
+
+use goldcrestway_core::Answer;
+use goldcrestway_core::Fate;
+use goldcrestway_core::JobEnd;
+use goldcrestway_core::JobState;
+use goldcrestway_core::Outcome;
+use serde::Serialize;
+use std::io::Cursor;
+use tiny_http::Header;
+use tiny_http::Response;
+
+/// Header in which a caller is told what became of its request.
+pub(crate) const OUTCOME: &str = "Goldcrestway-Outcome";
+
+/// Problem details as of RFC 9457.
+#[derive(Debug, Serialize)]
+struct Problem<'a> {
+    r#type: &'a str,
+    title: &'a str,
+    status: u16,
+    detail: String,
+}
+
+/// An answer on its way to a caller.
+pub(crate) type Reply = Response<Cursor<Vec<u8>>>;
+
+/// Makes a header; `None` if it holds what a header may not.
+pub(crate) fn header(name: &str, value: &str) -> Option<Header> {
+    Header::from_bytes(name, value).ok()
+}
+
+/// Makes a reply with a body of a type.
+pub(crate) fn reply(status: u16, kind: &str, body: impl Into<Vec<u8>>) -> Reply {
+    let mut response = Response::from_data(body.into()).with_status_code(status);
+    response.add_header_if(header("Content-Type", kind));
+    response
+}
+
+/// Adds a header if there is one.
+pub(crate) trait AddHeader {
+    /// Adds `header` if there is one.
+    fn add_header_if(&mut self, header: Option<Header>);
+}
+
+impl AddHeader for Reply {
+    fn add_header_if(&mut self, header: Option<Header>) {
+        if let Some(header) = header {
+            self.add_header(header);
+        }
+    }
+}
+
+/// Makes a refusal with problem details.
+pub(crate) fn problem(status: u16, name: &str, title: &str, detail: impl Into<String>) -> Reply {
+    let kind = format!("urn:goldcrestway:problem:{name}");
+    let body = Problem {
+        r#type: &kind,
+        title,
+        status,
+        detail: detail.into(),
+    };
+    let body = serde_json::to_vec(&body).unwrap_or_default();
+    reply(status, "application/problem+json", body)
+}
+
+/// Makes a refusal that says when to come back.
+pub(crate) fn not_run(reason: &str, retry_after_ms: u64) -> Reply {
+    let mut reply = problem(503, "not-run", "The request did not run", reason);
+    let seconds = retry_after_ms.div_ceil(1_000).max(1);
+    reply.add_header_if(header("Retry-After", &seconds.to_string()));
+    reply.add_header_if(header(OUTCOME, "not-run"));
+    reply
+}
+
+/// Makes the reply for an answer that carries no body of an instance, with the
+/// outcome it stands for.
+pub(crate) fn reply_of(answer: &Answer) -> (&'static str, Reply) {
+    let (outcome, mut reply) = match answer {
+        Answer::Whole => ("answered", reply(200, "text/plain", "")),
+        Answer::NotRun {
+            reason,
+            retry_after_ms,
+        } => return ("not-run", not_run(reason, *retry_after_ms)),
+        Answer::Unknown { reason } => (
+            "unknown",
+            problem(
+                504,
+                "unknown",
+                "Whether the request ran is not known",
+                *reason,
+            ),
+        ),
+        Answer::Repeated { outcome, status } => repeated(*outcome, *status),
+        Answer::Conflict => (
+            "not-run",
+            problem(
+                422,
+                "identity-conflict",
+                "The identity was used for a different request",
+                "Give each request an Idempotency-Key of its own.",
+            ),
+        ),
+        Answer::NotListed => (
+            "not-run",
+            problem(
+                404,
+                "not-listed",
+                "No such service or job",
+                "The inventory in force lists none.",
+            ),
+        ),
+        Answer::Job { state } => ("answered", reply(200, "application/json", job_json(*state))),
+        Answer::NeverRuns { reason } => (
+            "not-run",
+            problem(422, "never-runs", "The job could never run", &**reason),
+        ),
+        Answer::Published(fate) => ("answered", published(fate)),
+    };
+    reply.add_header_if(header(OUTCOME, outcome));
+    (outcome, reply)
+}
+
+fn repeated(outcome: Outcome, status: u16) -> (&'static str, Reply) {
+    let (name, detail) = match outcome {
+        Outcome::Answered => (
+            "answered",
+            format!("It ran once and was answered with status {status}."),
+        ),
+        Outcome::NotRun => ("not-run", "It did not run.".to_owned()),
+        Outcome::Unknown => ("unknown", "Whether it ran is not known.".to_owned()),
+    };
+    (
+        name,
+        problem(
+            409,
+            "repeated",
+            "A request with this identity came before",
+            detail,
+        ),
+    )
+}
+
+/// Gives the word for a job's state.
+pub(crate) fn job_word(state: JobState) -> &'static str {
+    match state {
+        JobState::Ended { end, .. } => match end {
+            JobEnd::Finished => "finished",
+            JobEnd::Failed => "failed",
+            JobEnd::Unknown => "unknown",
+            JobEnd::Cancelled => "cancelled",
+        },
+        JobState::Running { .. } => "running",
+        _ => "accepted",
+    }
+}
+
+fn job_json(state: JobState) -> String {
+    serde_json::json!({ "state": job_word(state) }).to_string()
+}
+
+fn published(fate: &Fate) -> Reply {
+    match fate {
+        Fate::Accepted { version } => {
+            let body = serde_json::json!({ "version": version }).to_string();
+            reply(200, "application/json", body)
+        }
+        Fate::Overtaken { version, author } => problem(
+            409,
+            "overtaken",
+            "Another change came first",
+            format!(
+                "Version {version} by {author} is in force. Compare with `goldcrestway diff FILE`, then publish again."
+            ),
+        ),
+        Fate::Faulty { faults } => {
+            problem(422, "faulty", "The inventory would be faulty", &**faults)
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/chronicle.rs
@@ -0,0 +1,74 @@
+//! The events of one process: stamped, logged and kept for the time line.
+
+use goldcrestway_core::Note;
+use goldcrestway_events::Clock;
+use goldcrestway_events::Entry;
+use goldcrestway_events::Recorder;
+use goldcrestway_events::Stamp;
+use goldcrestway_events::write_event;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
+
+/// Gives the wall clock in milliseconds; only for stamps and incarnations.
+pub(crate) fn wall_ms() -> u64 {
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .map_or(0, |since| since.as_millis() as u64)
+}
+
+/// Clock and events of one process.
+pub(crate) struct Chronicle {
+    process: Box<str>,
+    logs: bool,
+    inner: Mutex<(Clock, Recorder)>,
+}
+
+impl Chronicle {
+    /// Starts without events, keeping the latest `most`.
+    pub(crate) fn new(process: &str, most: usize, logs: bool) -> Self {
+        Self {
+            process: process.into(),
+            logs,
+            inner: Mutex::new((Clock::default(), Recorder::new(most))),
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, (Clock, Recorder)> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Stamps a message that is sent now.
+    pub(crate) fn stamp(&self) -> Stamp {
+        self.lock().0.tick(wall_ms())
+    }
+
+    /// Takes in the stamp of a message that has arrived.
+    pub(crate) fn arrived(&self, sent: Stamp) {
+        self.lock().0.receive(wall_ms(), sent);
+    }
+
+    /// Writes down what happened.
+    pub(crate) fn note(&self, note: &Note) {
+        let mut inner = self.lock();
+        let entry = Entry {
+            stamp: inner.0.tick(wall_ms()),
+            process: self.process.clone(),
+            code: note.code.number(),
+            name: note.code.name().into(),
+            subject: note.subject.clone(),
+            detail: note.detail.clone(),
+        };
+        if self.logs {
+            write_event(&entry);
+        }
+        inner.1.add(entry);
+    }
+
+    /// Lists the events that are kept.
+    pub(crate) fn list(&self) -> Vec<Entry> {
+        self.lock().1.list()
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/operator.rs
@@ -0,0 +1,320 @@
+//! The side of operators: status, explanations, publishing, jobs, events.
+
+use crate::answers::Reply;
+use crate::answers::problem;
+use crate::answers::reply;
+use crate::answers::reply_of;
+use crate::chronicle::Chronicle;
+use crate::front::Desk;
+use crate::front::Step;
+use crate::metrics::Metrics;
+use goldcrestway_core::Answer;
+use goldcrestway_core::ConfigChange;
+use goldcrestway_core::Event;
+use goldcrestway_core::JobSpec;
+use goldcrestway_core::Node;
+use goldcrestway_inventory::Change;
+use goldcrestway_inventory::render;
+use serde::Deserialize;
+use serde::Serialize;
+use std::collections::BTreeMap;
+use std::io::Read;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::sync::mpsc::Sender;
+use std::sync::mpsc::channel;
+use std::thread;
+use std::time::Duration;
+use tiny_http::Method;
+use tiny_http::Request;
+use tiny_http::Server;
+
+/// A look at the node, carried to the thread that has it.
+pub(crate) type Look = Box<dyn FnOnce(&mut Node) + Send>;
+
+/// How long an operator waits for a verdict.
+const PATIENCE: Duration = Duration::from_secs(15);
+/// How long a look at the node may take.
+const LOOK: Duration = Duration::from_secs(2);
+/// Threads that serve operators.
+const THREADS: usize = 8;
+/// Largest body that an operator may send.
+const MOST_BYTES: u64 = 64 * 1024 * 1024;
+
+/// A section that is published.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct SectionChange {
+    /// Kind of the section.
+    pub kind: String,
+    /// Name of the section.
+    pub name: String,
+    /// Its values, or nothing if it goes.
+    pub values: Option<BTreeMap<String, String>>,
+}
+
+/// What the tool sends to publish.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct PublishRequest {
+    /// Version on which the change was made.
+    pub base: u64,
+    /// Identity of the change.
+    pub id: String,
+    /// Who publishes.
+    pub author: String,
+    /// The sections that differ.
+    pub changes: Vec<SectionChange>,
+}
+
+/// What the tool is told when a change is accepted.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct PublishReply {
+    /// The version in force.
+    pub version: u64,
+}
+
+/// What the tool sends to submit a job.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct JobRequest {
+    /// Name of the job in the inventory.
+    pub job: String,
+    /// Identity of this submission within its team.
+    pub id: String,
+}
+
+/// Where an entry host stands.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct StatusReply {
+    /// Its seat and life.
+    pub member: String,
+    /// Whether it may act.
+    pub acts: bool,
+    /// Whether it is stopping.
+    pub is_stopping: bool,
+    /// Version of the configuration in force.
+    pub config_version: u64,
+    /// Members that it takes to live.
+    pub alive: Vec<String>,
+    /// Cells that it owns, with a description.
+    pub cells: Vec<(String, String)>,
+    /// Requests in flight.
+    pub requests: usize,
+}
+
+/// Turns changes into what is sent.
+pub fn changes_out(changes: &[Change]) -> Vec<SectionChange> {
+    let text = |text: &str| text.to_owned();
+    changes
+        .iter()
+        .map(|change| SectionChange {
+            kind: text(&change.kind),
+            name: text(&change.name),
+            values: change.values.as_ref().map(|values| {
+                values
+                    .iter()
+                    .map(|(key, value)| (text(key), text(value)))
+                    .collect()
+            }),
+        })
+        .collect()
+}
+
+/// Turns what was sent into changes.
+pub fn changes_in(changes: &[SectionChange]) -> Vec<Change> {
+    changes
+        .iter()
+        .map(|change| Change {
+            kind: change.kind.as_str().into(),
+            name: change.name.as_str().into(),
+            values: change.values.as_ref().map(|values| {
+                let pairs = values.iter();
+                pairs
+                    .map(|(key, value)| (key.as_str().into(), value.as_str().into()))
+                    .collect()
+            }),
+        })
+        .collect()
+}
+
+/// What the threads that serve operators share.
+pub(crate) struct Operators {
+    pub(crate) desk: Arc<Desk>,
+    pub(crate) events: Sender<Event>,
+    pub(crate) looks: Sender<Look>,
+    pub(crate) chronicle: Arc<Chronicle>,
+    pub(crate) metrics: Arc<Metrics>,
+    pub(crate) is_ready: Arc<AtomicBool>,
+    pub(crate) is_over: Arc<AtomicBool>,
+}
+
+impl Operators {
+    /// Serves operators until the daemon is over.
+    pub(crate) fn serve(self: Arc<Self>, server: Server) {
+        const IDLE: Duration = Duration::from_millis(100);
+        let server = Arc::new(server);
+        for _ in 0..THREADS {
+            let (operators, server) = (self.clone(), server.clone());
+            thread::spawn(move || {
+                while !operators.is_over.load(Ordering::Relaxed) {
+                    if let Ok(Some(mut request)) = server.recv_timeout(IDLE) {
+                        let reply = operators.reply(&mut request);
+                        // An operator who has gone needs no answer.
+                        let _ = request.respond(reply);
+                    }
+                }
+            });
+        }
+    }
+
+    fn reply(&self, request: &mut Request) -> Reply {
+        let url = request.url().to_owned();
+        let path = url.split('?').next().unwrap_or_default().to_owned();
+        let is_post = request.method() == &Method::Post;
+        match path.as_str() {
+            "/healthz" => reply(200, "text/plain", "ok\n"),
+            "/readyz" if self.is_ready.load(Ordering::Relaxed) => {
+                reply(200, "text/plain", "ready\n")
+            }
+            "/readyz" => reply(503, "text/plain", "not ready\n"),
+            "/metrics" => reply(200, "text/plain; version=0.0.4", self.metrics.render()),
+            "/v1/timeline" => json(&self.chronicle.list()),
+            "/v1/status" => self.look(status_of),
+            "/v1/config" if is_post => self.publish(request),
+            "/v1/config" => self.look(config_of),
+            "/v1/jobs" if is_post => self.submit(request),
+            "/v1/stop" if is_post => {
+                let _ = self.events.send(Event::Stop);
+                reply(202, "text/plain", "stopping\n")
+            }
+            _ => match path.strip_prefix("/v1/explain/") {
+                Some(name) => {
+                    let name = name.to_owned();
+                    self.look(move |node| serde_json::json!(node.explain(&name)).to_string())
+                }
+                None => problem(404, "no-such-path", "No such path", path.clone()),
+            },
+        }
+    }
+
+    /// Has the thread of the decisions look at the node.
+    fn look(&self, look: impl FnOnce(&mut Node) -> String + Send + 'static) -> Reply {
+        let (sender, seen) = channel();
+        let look: Look = Box::new(move |node| {
+            let _ = sender.send(look(node));
+        });
+        if self.looks.send(look).is_err() {
+            return problem(
+                503,
+                "ending",
+                "The daemon is ending",
+                "Ask another entry host.",
+            );
+        }
+        match seen.recv_timeout(LOOK) {
+            Ok(text) => reply(200, "application/json", text),
+            Err(_) => problem(503, "busy", "The daemon is busy", "Ask again."),
+        }
+    }
+
+    fn publish(&self, request: &mut Request) -> Reply {
+        let Some(publish) = body_of::<PublishRequest>(request) else {
+            return problem(
+                400,
+                "unreadable",
+                "The change can't be read",
+                "Use `goldcrestway publish`.",
+            );
+        };
+        let change = ConfigChange {
+            base: publish.base,
+            id: publish.id.into(),
+            author: publish.author.into(),
+            changes: changes_in(&publish.changes).into(),
+        };
+        self.ask(|request| Event::Publish { request, change })
+    }
+
+    fn submit(&self, request: &mut Request) -> Reply {
+        let Some(job) = body_of::<JobRequest>(request) else {
+            let detail = "Send {\"job\": NAME, \"id\": IDENTITY}.";
+            return problem(400, "unreadable", "The job can't be read", detail);
+        };
+        let (sender, seen) = channel();
+        let name = job.job.clone();
+        let look: Look = Box::new(move |node| {
+            let job = node.config().inventory().jobs.get(name.as_str());
+            let _ = sender.send(job.map(|job| job.team.clone()));
+        });
+        let _ = self.looks.send(look);
+        let Ok(Some(team)) = seen.recv_timeout(LOOK) else {
+            return reply_of(&Answer::NotListed).1;
+        };
+        let spec = JobSpec {
+            id: format!("{team}/{}", job.id).into(),
+            job: job.job.into(),
+            team,
+        };
+        self.ask(|request| Event::Submit { request, spec })
+    }
+
+    /// Asks the decisions and waits for their answer.
+    fn ask(&self, event: impl FnOnce(u64) -> Event) -> Reply {
+        let place = self.desk.take();
+        let _ = self.events.send(event(place.number));
+        match place.steps.recv_timeout(PATIENCE) {
+            Ok(Step::Answer(answer)) => reply_of(&answer).1,
+            _ => {
+                let reason = "no verdict in time; ask again with the same identity";
+                reply_of(&Answer::Unknown { reason }).1
+            }
+        }
+    }
+}
+
+fn body_of<T: for<'a> Deserialize<'a>>(request: &mut Request) -> Option<T> {
+    let mut body = Vec::new();
+    request
+        .as_reader()
+        .take(MOST_BYTES)
+        .read_to_end(&mut body)
+        .ok()?;
+    serde_json::from_slice(&body).ok()
+}
+
+fn json<T: Serialize>(value: &T) -> Reply {
+    reply(
+        200,
+        "application/json",
+        serde_json::to_vec(value).unwrap_or_default(),
+    )
+}
+
+fn status_of(node: &mut Node) -> String {
+    let status = node.status();
+    let text = |text: &str| text.to_owned();
+    let reply = StatusReply {
+        member: text(&status.member),
+        acts: status.acts,
+        is_stopping: status.is_stopping,
+        config_version: status.config_version,
+        alive: status.alive.iter().map(|member| text(member)).collect(),
+        cells: status
+            .cells
+            .iter()
+            .map(|(cell, line)| (text(cell), text(line)))
+            .collect(),
+        requests: status.requests,
+    };
+    serde_json::to_string(&reply).unwrap_or_default()
+}
+
+fn config_of(node: &mut Node) -> String {
+    let config = node.config();
+    let text = render(config.sections());
+    let reply = serde_json::json!({
+        "version": config.version(),
+        "author": config.author(),
+        "inventory": text,
+    });
+    reply.to_string()
+}
--- /dev/null
+++ b/crates/events/src/lib.rs
@@ -0,0 +1,29 @@
+//! Events over all processes: a clock that orders them, logs that carry them, and
+//! a time line that merges them.
+//!
+//! ```
+//! use goldcrestway_events::Clock;
+//!
+//! let mut first = Clock::default();
+//! let mut second = Clock::default();
+//! let sent = first.tick(1_000);
+//! // The second process's wall clock runs behind, yet its event comes later.
+//! let received = second.receive(990, sent);
+//! assert!(received > sent);
+//! ```
+
+mod clock;
+mod logging;
+mod page;
+mod timeline;
+
+pub use clock::Clock;
+pub use clock::Stamp;
+pub use logging::Style;
+pub use logging::start_logging;
+pub use logging::write_event;
+pub use page::render_page;
+pub use timeline::Entry;
+pub use timeline::Recorder;
+pub use timeline::follow;
+pub use timeline::merge;
--- /dev/null
+++ b/crates/inventory/src/change.rs
@@ -0,0 +1,108 @@
+//! Differences between two inventories: what is published and kept in the log.
+
+use crate::build::build;
+use crate::check::check;
+use crate::fault::Faults;
+use crate::model::Inventory;
+use crate::sections::Section;
+use crate::sections::Sections;
+use std::collections::BTreeMap;
+
+/// One section that differs; without values it is removed.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Change {
+    /// Kind of the section.
+    pub kind: Box<str>,
+    /// Name of the section.
+    pub name: Box<str>,
+    /// All values of the section after the change, or `None` if it goes.
+    pub values: Option<BTreeMap<Box<str>, Box<str>>>,
+}
+
+/// Lists the sections in which `new` differs from `old`.
+pub fn compare(old: &Sections, new: &Sections) -> Vec<Change> {
+    let mut changes = Vec::new();
+    for (kind, name) in old.keys() {
+        if new.contains_key(&(kind.clone(), name.clone())) {
+            continue;
+        }
+        changes.push(Change {
+            kind: kind.clone(),
+            name: name.clone(),
+            values: None,
+        });
+    }
+    for ((kind, name), section) in new {
+        let before = old.get(&(kind.clone(), name.clone()));
+        if before.is_some_and(|before| before.values == section.values) {
+            continue;
+        }
+        changes.push(Change {
+            kind: kind.clone(),
+            name: name.clone(),
+            values: Some(section.values.clone()),
+        });
+    }
+    changes
+}
+
+/// Applies `changes` to `sections` and checks the whole again.
+///
+/// # Errors
+///
+/// The faults of the result; `sections` is then left as it was.
+pub fn apply(sections: &mut Sections, changes: &[Change]) -> Result<Inventory, Faults> {
+    let mut next = sections.clone();
+    for change in changes {
+        let identity = (change.kind.clone(), change.name.clone());
+        match &change.values {
+            None => drop(next.remove(&identity)),
+            Some(values) => {
+                let section = Section {
+                    values: values.clone(),
+                    ..Section::default()
+                };
+                next.insert(identity, section);
+            }
+        }
+    }
+    let inventory = build(&next);
+    let mut faults = Faults::new("published inventory");
+    check(&next, &inventory, &mut faults);
+    if !faults.is_empty() {
+        return Err(faults);
+    }
+    *sections = next;
+    Ok(inventory)
+}
+
+/// Explains the changes that may stop running work, one sentence each.
+pub fn dangers(old: &Inventory, new: &Inventory) -> Vec<String> {
+    let mut list = Vec::new();
+    for name in old.hosts.keys() {
+        if !new.hosts.contains_key(name) {
+            list.push(format!(
+                "host `{name}` goes: its tasks are evicted and run elsewhere"
+            ));
+        }
+    }
+    for name in old.upstreams.keys() {
+        if !new.upstreams.contains_key(name) {
+            list.push(format!("upstream `{name}` goes: it gets no new requests"));
+        }
+    }
+    for (name, team) in &new.teams {
+        let before = old.teams.get(name).and_then(|team| team.quota);
+        let shrinks = match (before, team.quota) {
+            (Some(before), Some(after)) => !before.fits(after),
+            (None, Some(_)) => old.teams.contains_key(name),
+            _ => false,
+        };
+        if shrinks {
+            list.push(format!(
+                "the quota of team `{name}` shrinks: its queued jobs wait longer"
+            ));
+        }
+    }
+    list
+}
--- /dev/null
+++ b/crates/inventory/src/schema.rs
@@ -0,0 +1,211 @@
+//! Which sections and keys a file may hold, and how their values are written.
+
+/// How a value is written.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Value {
+    /// Any non-empty text.
+    Text,
+    /// A whole number in the given range.
+    Whole {
+        /// Smallest accepted number.
+        least: u64,
+        /// Largest accepted number.
+        most: u64,
+    },
+    /// A number of processor cores with up to three decimals, such as `0.5`.
+    Cores,
+    /// One of a few words.
+    OneOf(&'static [&'static str]),
+}
+
+/// One key of a section.
+#[derive(Debug, Clone, Copy)]
+pub struct Field {
+    /// The key as written in the file; its suffix names the unit.
+    pub key: &'static str,
+    /// How the value is written.
+    pub value: Value,
+    /// What holds when the key is left out; `None` means the key is required.
+    pub default: Option<&'static str>,
+}
+
+impl Field {
+    /// A key that must be present.
+    pub const fn required(key: &'static str, value: Value) -> Self {
+        Self {
+            key,
+            value,
+            default: None,
+        }
+    }
+
+    /// A key that may be left out.
+    pub const fn optional(key: &'static str, value: Value, default: &'static str) -> Self {
+        Self {
+            key,
+            value,
+            default: Some(default),
+        }
+    }
+}
+
+/// What a section of one kind may hold.
+#[derive(Debug, Clone, Copy)]
+pub struct SectionSchema {
+    /// First word of the section's heading, such as `host`.
+    pub kind: &'static str,
+    /// The keys.
+    pub fields: &'static [Field],
+    /// Whether there is one such section, whose heading has no name.
+    pub is_single: bool,
+}
+
+/// The kinds of section in an inventory.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Kind;
+
+const COUNT: Value = Value::Whole {
+    least: 1,
+    most: 1_000_000,
+};
+const MEGABYTES: Value = Value::Whole {
+    least: 1,
+    most: 64_000_000,
+};
+const FEW: Value = Value::Whole {
+    least: 0,
+    most: 1_024,
+};
+
+/// The words that the key `kind` of a rule accepts.
+pub(crate) const RULE_KINDS: &[&str] = &[
+    "may-share",
+    "never-share",
+    "never-twice",
+    "spread",
+    "quota",
+    "urgent",
+    "drain",
+];
+
+impl Kind {
+    /// The schema of an inventory.
+    pub const ALL: &'static [SectionSchema] = &[
+        SectionSchema {
+            kind: "failure-domain",
+            is_single: false,
+            fields: &[],
+        },
+        SectionSchema {
+            kind: "host",
+            is_single: false,
+            fields: &[
+                Field::required("failure_domain", Value::Text),
+                Field::required("rack", Value::Text),
+                Field::required("cores", Value::Cores),
+                Field::required("memory_mb", MEGABYTES),
+                Field::optional("accelerators", FEW, "0"),
+            ],
+        },
+        SectionSchema {
+            kind: "service",
+            is_single: false,
+            fields: &[
+                Field::required("team", Value::Text),
+                Field::required("cores", Value::Cores),
+                Field::required("memory_mb", MEGABYTES),
+                Field::optional("accelerators", FEW, "0"),
+                Field::optional("slots", COUNT, "8"),
+                Field::optional("connections", COUNT, "64"),
+                Field::optional(
+                    "timeout_ms",
+                    Value::Whole {
+                        least: 10,
+                        most: 600_000,
+                    },
+                    "2000",
+                ),
+                Field::optional(
+                    "response_max_bytes",
+                    Value::Whole {
+                        least: 1,
+                        most: 67_108_864,
+                    },
+                    "1048576",
+                ),
+            ],
+        },
+        SectionSchema {
+            kind: "upstream",
+            is_single: false,
+            fields: &[
+                Field::required("service", Value::Text),
+                Field::required("host", Value::Text),
+            ],
+        },
+        SectionSchema {
+            kind: "team",
+            is_single: false,
+            fields: &[],
+        },
+        SectionSchema {
+            kind: "job",
+            is_single: false,
+            fields: &[
+                Field::required("team", Value::Text),
+                Field::required("cores", Value::Cores),
+                Field::required("memory_mb", MEGABYTES),
+                Field::optional("accelerators", FEW, "0"),
+                Field::optional(
+                    "run_time_s",
+                    Value::Whole {
+                        least: 1,
+                        most: 2_592_000,
+                    },
+                    "60",
+                ),
+            ],
+        },
+        SectionSchema {
+            kind: "rule",
+            is_single: false,
+            fields: &[
+                Field::required("kind", Value::OneOf(RULE_KINDS)),
+                Field::optional("service", Value::Text, ""),
+                Field::optional("job", Value::Text, ""),
+                Field::optional("team", Value::Text, ""),
+                Field::optional("host", Value::Text, ""),
+                Field::optional("cores", Value::Cores, "0"),
+                Field::optional("memory_mb", MEGABYTES, "0"),
+                Field::optional("accelerators", FEW, "0"),
+                Field::optional("failure_domains", Value::Whole { least: 2, most: 20 }, "2"),
+            ],
+        },
+    ];
+}
+
+/// Finds the candidate that looks most like `word`, for a remedy.
+pub fn closest<'a>(word: &str, candidates: impl Iterator<Item = &'a str>) -> Option<&'a str> {
+    const TOO_FAR: usize = 4;
+    candidates
+        .map(|candidate| (edits(word, candidate), candidate))
+        .filter(|(distance, _)| *distance < TOO_FAR)
+        .min()
+        .map(|(_, candidate)| candidate)
+}
+
+/// Counts the single-letter edits between two words.
+fn edits(first: &str, second: &str) -> usize {
+    let second: Vec<char> = second.chars().collect();
+    let mut row: Vec<usize> = (0..=second.len()).collect();
+    for (line, left) in first.chars().enumerate() {
+        let mut diagonal = row[0];
+        row[0] = line + 1;
+        for (column, right) in second.iter().enumerate() {
+            let replaced = diagonal + usize::from(left != *right);
+            diagonal = row[column + 1];
+            row[column + 1] = replaced.min(row[column] + 1).min(diagonal + 1);
+        }
+    }
+    row[second.len()]
+}
--- /dev/null
+++ b/crates/platform/src/lib.rs
@@ -0,0 +1,30 @@
+//! Clients for the platform. Nothing outside these modules knows a URL or a field
+//! name of the platform's interfaces; `docs/dev/PLATFORM.md` says what is assumed.
+//!
+//! ```no_run
+//! use goldcrestway_platform::LogClient;
+//!
+//! let log = LogClient::new("http://127.0.0.1:7000", 1_000);
+//! let offset = log.append("claims", b"record").unwrap();
+//! println!("stands at {offset}");
+//! ```
+
+mod fault;
+mod hosts;
+mod log;
+mod worker;
+
+pub use fault::PlatformFault;
+pub use hosts::HostListClient;
+pub use hosts::HostReply;
+pub use hosts::Listed;
+pub use log::AppendReply;
+pub use log::LogClient;
+pub use log::LogPart;
+pub use log::LogRecord;
+pub use log::ReadReply;
+pub use worker::WorkerClient;
+pub use worker::WorkerOrder;
+pub use worker::WorkerReply;
+pub use worker::WorkerRequest;
+pub use worker::WorkerTask;
--- /dev/null
+++ b/crates/standin/src/server.rs
@@ -0,0 +1,293 @@
+//! The stand-ins served over HTTP on loopback.
+
+use crate::log::LogState;
+use crate::upstream::UpstreamState;
+use crate::worker::WorkerState;
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use goldcrestway_platform::AppendReply;
+use goldcrestway_platform::HostReply;
+use goldcrestway_platform::Listed;
+use goldcrestway_platform::LogRecord;
+use goldcrestway_platform::ReadReply;
+use goldcrestway_platform::WorkerRequest;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+use tiny_http::Header;
+use tiny_http::Request;
+use tiny_http::Response;
+use tiny_http::Server;
+
+/// A server whose threads end when it is dropped.
+#[derive(Debug)]
+struct Running {
+    address: SocketAddr,
+    is_over: Arc<AtomicBool>,
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.is_over.store(true, Ordering::Relaxed);
+    }
+}
+
+/// What serves one request.
+type Handler = dyn Fn(Request) + Send + Sync;
+
+/// Threads that serve each stand-in.
+const THREADS: usize = 8;
+/// How often an idle thread looks whether it is over.
+const IDLE: Duration = Duration::from_millis(50);
+
+fn serve(threads: usize, handler: Arc<Handler>) -> std::io::Result<Running> {
+    let server = Server::http("127.0.0.1:0").map_err(std::io::Error::other)?;
+    let address = server
+        .server_addr()
+        .to_ip()
+        .ok_or_else(|| std::io::Error::other("no address"))?;
+    let server = Arc::new(server);
+    let is_over = Arc::new(AtomicBool::new(false));
+    for _ in 0..threads {
+        let (server, is_over, handler) = (server.clone(), is_over.clone(), handler.clone());
+        thread::spawn(move || {
+            while !is_over.load(Ordering::Relaxed) {
+                if let Ok(Some(request)) = server.recv_timeout(IDLE) {
+                    handler(request);
+                }
+            }
+        });
+    }
+    Ok(Running { address, is_over })
+}
+
+fn lock<T>(state: &Mutex<T>) -> MutexGuard<'_, T> {
+    state.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+fn answer_json<T: serde::Serialize>(request: Request, value: &T) {
+    let text = serde_json::to_string(value).unwrap_or_default();
+    // A caller that has gone needs no answer.
+    let _ = request.respond(Response::from_string(text));
+}
+
+fn refuse(request: Request, status: u16) {
+    let _ = request.respond(Response::from_string("").with_status_code(status));
+}
+
+fn body_of(request: &mut Request) -> Vec<u8> {
+    let mut body = Vec::new();
+    let _ = request.as_reader().read_to_end(&mut body);
+    body
+}
+
+/// The log over HTTP.
+#[derive(Debug)]
+pub struct LogServer {
+    running: Running,
+    /// Its state.
+    pub state: Arc<Mutex<LogState>>,
+    /// Whether it answers nothing.
+    pub is_down: Arc<AtomicBool>,
+}
+
+impl LogServer {
+    /// Starts an empty log whose appends take `append_ms`.
+    ///
+    /// # Errors
+    ///
+    /// When no socket can be opened.
+    pub fn start(append_ms: u64) -> std::io::Result<Self> {
+        let state = Arc::new(Mutex::new(LogState::default()));
+        let is_down = Arc::new(AtomicBool::new(false));
+        let (served, down) = (state.clone(), is_down.clone());
+        let handler = move |request: Request| {
+            if down.load(Ordering::Relaxed) {
+                refuse(request, 503);
+                return;
+            }
+            serve_log(request, &served, append_ms);
+        };
+        Ok(Self {
+            running: serve(THREADS * 4, Arc::new(handler))?,
+            state,
+            is_down,
+        })
+    }
+
+    /// Gives its URL.
+    pub fn url(&self) -> String {
+        format!("http://{}", self.running.address)
+    }
+}
+
+fn serve_log(mut request: Request, state: &Mutex<LogState>, append_ms: u64) {
+    let url = request.url().to_owned();
+    let stream = url.split('/').nth(3).unwrap_or_default().to_owned();
+    if request.method() == &tiny_http::Method::Post {
+        let body = body_of(&mut request);
+        let Ok(payload) = STANDARD.decode(body) else {
+            refuse(request, 400);
+            return;
+        };
+        thread::sleep(Duration::from_millis(append_ms));
+        let offset = lock(state).append(&stream, payload);
+        answer_json(request, &AppendReply { offset });
+        return;
+    }
+    let number = |key: &str| {
+        let query = url.split_once('?').map_or("", |(_, query)| query);
+        let pair = query.split('&').find_map(|pair| pair.strip_prefix(key));
+        pair.and_then(|value| value.parse::<u64>().ok())
+            .unwrap_or(0)
+    };
+    let part = lock(state).read(&stream, number("from="), number("most=") as usize);
+    let records = part.records.into_iter().map(|(offset, payload)| LogRecord {
+        offset,
+        payload: STANDARD.encode(payload),
+    });
+    let reply = ReadReply {
+        oldest: part.oldest,
+        end: part.end,
+        records: records.collect(),
+    };
+    answer_json(request, &reply);
+}
+
+/// The list of hosts over HTTP.
+#[derive(Debug)]
+pub struct HostListServer {
+    running: Running,
+    /// The list.
+    pub hosts: Arc<Mutex<Vec<Listed>>>,
+}
+
+impl HostListServer {
+    /// Starts with an empty list.
+    ///
+    /// # Errors
+    ///
+    /// When no socket can be opened.
+    pub fn start() -> std::io::Result<Self> {
+        let hosts = Arc::new(Mutex::new(Vec::new()));
+        let served = hosts.clone();
+        let handler = move |request: Request| {
+            let hosts = lock(&served).clone();
+            answer_json(request, &HostReply { hosts });
+        };
+        Ok(Self {
+            running: serve(THREADS, Arc::new(handler))?,
+            hosts,
+        })
+    }
+
+    /// Gives its URL.
+    pub fn url(&self) -> String {
+        format!("http://{}", self.running.address)
+    }
+}
+
+/// A worker over HTTP.
+#[derive(Debug)]
+pub struct WorkerServer {
+    running: Running,
+    /// Its state.
+    pub state: Arc<Mutex<WorkerState>>,
+    is_dead: Arc<AtomicBool>,
+    began: Instant,
+}
+
+impl WorkerServer {
+    /// Starts a worker; its clock counts from `began`.
+    ///
+    /// # Errors
+    ///
+    /// When no socket can be opened.
+    pub fn start(state: WorkerState, began: Instant) -> std::io::Result<Self> {
+        let state = Arc::new(Mutex::new(state));
+        let is_dead = Arc::new(AtomicBool::new(false));
+        let (served, dead) = (state.clone(), is_dead.clone());
+        let handler = move |mut request: Request| {
+            let body = body_of(&mut request);
+            let call: Option<WorkerRequest> = serde_json::from_slice(&body).ok();
+            let Some(call) = call.filter(|_| !dead.load(Ordering::Relaxed)) else {
+                refuse(request, 503);
+                return;
+            };
+            let now_ms = began.elapsed().as_millis() as u64;
+            let reply = lock(&served).call(now_ms, &call);
+            match reply {
+                Some(reply) => answer_json(request, &reply),
+                None => refuse(request, 409),
+            }
+        };
+        Ok(Self {
+            running: serve(2, Arc::new(handler))?,
+            state,
+            is_dead,
+            began,
+        })
+    }
+
+    /// Gives its address.
+    pub fn address(&self) -> String {
+        self.running.address.to_string()
+    }
+
+    /// Ends the host: its tasks stop and it answers nothing more.
+    pub fn die(&self) {
+        self.is_dead.store(true, Ordering::Relaxed);
+        let now_ms = self.began.elapsed().as_millis() as u64;
+        lock(&self.state).die(now_ms);
+    }
+}
+
+/// An instance of a service over HTTP.
+#[derive(Debug)]
+pub struct UpstreamServer {
+    running: Running,
+    /// Its state.
+    pub state: Arc<Mutex<UpstreamState>>,
+}
+
+impl UpstreamServer {
+    /// Starts an instance that works `work_ms` on each request.
+    ///
+    /// # Errors
+    ///
+    /// When no socket can be opened.
+    pub fn start(work_ms: u64, began: Instant) -> std::io::Result<Self> {
+        let state = Arc::new(Mutex::new(UpstreamState::default()));
+        let served = state.clone();
+        let handler = move |mut request: Request| {
+            let body = body_of(&mut request);
+            let identity = String::from_utf8_lossy(&body).into_owned();
+            let now_ms = || began.elapsed().as_millis() as u64;
+            let run = lock(&served).begin(&identity, now_ms(), now_ms() + work_ms);
+            thread::sleep(Duration::from_millis(work_ms));
+            lock(&served).end(run, now_ms());
+            let mut response = Response::from_string(format!("answer to {identity}"));
+            if let Ok(close) = Header::from_bytes("Connection", "close") {
+                response.add_header(close);
+            }
+            let _ = request.respond(response);
+        };
+        Ok(Self {
+            // More threads than slots, so that more work than was granted shows.
+            running: serve(THREADS * 3, Arc::new(handler))?,
+            state,
+        })
+    }
+
+    /// Gives its address.
+    pub fn address(&self) -> String {
+        self.running.address.to_string()
+    }
+}
--- /dev/null
+++ b/crates/standin/src/worker.rs
@@ -0,0 +1,212 @@
+//! A worker: runs tasks under the lease of whoever holds the highest token.
+
+use goldcrestway_platform::WorkerOrder;
+use goldcrestway_platform::WorkerReply;
+use goldcrestway_platform::WorkerRequest;
+use goldcrestway_platform::WorkerTask;
+use std::collections::VecDeque;
+
+/// Listings whose times are remembered.
+const LISTINGS: usize = 64;
+
+#[derive(Debug, Clone)]
+struct TaskState {
+    order: WorkerOrder,
+    state: &'static str,
+    progress_ms: u64,
+    run_time_ms: u64,
+}
+
+/// One stretch of a task's running, as the verdict sees it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct TaskRun {
+    /// Identity of the job.
+    pub id: String,
+    /// Number of the attempt.
+    pub attempt: u32,
+    /// When it began.
+    pub from_ms: u64,
+    /// When it ended, if it has.
+    pub to_ms: Option<u64>,
+    /// Whether the job finished then.
+    pub is_finished: bool,
+    /// What it used.
+    pub order: WorkerOrder,
+}
+
+/// One worker.
+#[derive(Debug, Clone)]
+pub struct WorkerState {
+    /// What it holds beside its services: millicores, megabytes, accelerators.
+    pub room: (u32, u32, u32),
+    /// How long each job runs, in milliseconds.
+    pub run_time_ms: u64,
+    /// Whether everything it starts fails.
+    pub fails_all: bool,
+    /// Slowdown of its services, as measured late.
+    pub slowdown_permille: u32,
+    token: u64,
+    number: u64,
+    listings: VecDeque<(u64, u64)>,
+    lease_until_ms: u64,
+    tasks: Vec<TaskState>,
+    now_ms: u64,
+    /// All stretches of running so far.
+    pub runs: Vec<TaskRun>,
+}
+
+impl WorkerState {
+    /// Makes an idle worker whose jobs run for `run_time_ms`.
+    pub fn new(room: (u32, u32, u32), run_time_ms: u64) -> Self {
+        Self {
+            room,
+            run_time_ms,
+            fails_all: false,
+            slowdown_permille: 0,
+            token: 0,
+            number: 0,
+            listings: VecDeque::new(),
+            lease_until_ms: 0,
+            tasks: Vec::new(),
+            now_ms: 0,
+            runs: Vec::new(),
+        }
+    }
+
+    /// Moves time on: tasks progress, finish, or stop because the lease lapsed.
+    pub fn advance(&mut self, now_ms: u64) {
+        let until_ms = now_ms.min(self.lease_until_ms);
+        let passed_ms = until_ms.saturating_sub(self.now_ms);
+        for task in &mut self.tasks {
+            if task.state != "running" {
+                continue;
+            }
+            task.progress_ms += passed_ms;
+            if self.fails_all {
+                task.state = "failed";
+                end_run(&mut self.runs, &task.order, until_ms, false);
+            } else if task.progress_ms >= task.run_time_ms {
+                task.state = "finished";
+                end_run(&mut self.runs, &task.order, until_ms, true);
+            }
+        }
+        if now_ms >= self.lease_until_ms {
+            for task in self.tasks.iter().filter(|task| task.state == "running") {
+                end_run(&mut self.runs, &task.order, self.lease_until_ms, false);
+            }
+            self.tasks.retain(|task| task.state != "running");
+        }
+        self.now_ms = self.now_ms.max(now_ms);
+    }
+
+    /// The host dies at `now_ms` and comes back empty.
+    pub fn die(&mut self, now_ms: u64) {
+        self.advance(now_ms);
+        for task in self.tasks.iter().filter(|task| task.state == "running") {
+            end_run(&mut self.runs, &task.order, now_ms, false);
+        }
+        self.tasks.clear();
+        self.listings.clear();
+        self.lease_until_ms = 0;
+    }
+
+    /// Takes a call; `None` refuses its token.
+    pub fn call(&mut self, now_ms: u64, call: &WorkerRequest) -> Option<WorkerReply> {
+        self.advance(now_ms);
+        if call.token < self.token {
+            return None;
+        }
+        self.token = call.token;
+        let listed = self
+            .listings
+            .iter()
+            .find(|(number, _)| *number == call.answers);
+        if let Some((_, listed_ms)) = listed
+            && now_ms < listed_ms + call.lease_ms
+        {
+            self.lease_until_ms = self.lease_until_ms.max(listed_ms + call.lease_ms);
+            self.apply(now_ms, call);
+        }
+        self.number += 1;
+        self.listings.push_back((self.number, now_ms));
+        if self.listings.len() > LISTINGS {
+            self.listings.pop_front();
+        }
+        Some(self.reply())
+    }
+
+    fn apply(&mut self, now_ms: u64, call: &WorkerRequest) {
+        let is_named = |task: &TaskState, names: &[(String, u32)]| {
+            names
+                .iter()
+                .any(|(id, attempt)| *id == task.order.id && *attempt == task.order.attempt)
+        };
+        self.tasks
+            .retain(|task| task.state == "running" || !is_named(task, &call.forget));
+        for task in &mut self.tasks {
+            if task.state == "running" && is_named(task, &call.stop) {
+                task.state = "stopped";
+                end_run(&mut self.runs, &task.order, now_ms, false);
+            }
+        }
+        for order in &call.start {
+            self.start(now_ms, order);
+        }
+    }
+
+    fn start(&mut self, now_ms: u64, order: &WorkerOrder) {
+        let same =
+            |task: &TaskState| task.order.id == order.id && task.order.attempt == order.attempt;
+        if self.tasks.iter().any(same) {
+            return;
+        }
+        let (mut cores, mut memory, mut accelerators) =
+            (order.millicores, order.memory_mb, order.accelerators);
+        for task in self.tasks.iter().filter(|task| task.state == "running") {
+            cores += task.order.millicores;
+            memory += task.order.memory_mb;
+            accelerators += task.order.accelerators;
+        }
+        let fits = cores <= self.room.0 && memory <= self.room.1 && accelerators <= self.room.2;
+        let state = if fits { "running" } else { "refused" };
+        self.tasks.push(TaskState {
+            order: order.clone(),
+            state,
+            progress_ms: order.checkpoint,
+            run_time_ms: self.run_time_ms,
+        });
+        if fits {
+            self.runs.push(TaskRun {
+                id: order.id.clone(),
+                attempt: order.attempt,
+                from_ms: now_ms,
+                to_ms: None,
+                is_finished: false,
+                order: order.clone(),
+            });
+        }
+    }
+
+    fn reply(&self) -> WorkerReply {
+        let tasks = self.tasks.iter().map(|task| WorkerTask {
+            order: task.order.clone(),
+            state: task.state.into(),
+            checkpoint: task.progress_ms,
+        });
+        WorkerReply {
+            number: self.number,
+            tasks: tasks.collect(),
+            service_slowdown_permille: self.slowdown_permille,
+        }
+    }
+}
+
+fn end_run(runs: &mut [TaskRun], order: &WorkerOrder, at_ms: u64, is_finished: bool) {
+    let same = |run: &&mut TaskRun| run.id == order.id && run.attempt == order.attempt;
+    if let Some(run) = runs.iter_mut().rev().find(same)
+        && run.to_ms.is_none()
+    {
+        run.to_ms = Some(at_ms);
+        run.is_finished = is_finished;
+    }
+}
--- /dev/null
+++ b/crates/wire/src/codec.rs
@@ -0,0 +1,102 @@
+//! Framing of a link: a length, then one prost frame.
+
+use crate::fault::WireFault;
+use crate::message::decode_message;
+use crate::message::encode_message;
+use crate::parts::member_in;
+use crate::parts::member_out;
+use crate::parts::need;
+use crate::proto;
+use bytes::Bytes;
+use bytes::BytesMut;
+use goldcrestway_core::Member;
+use goldcrestway_core::Message;
+use prost::Message as _;
+use tokio_util::codec::Decoder;
+use tokio_util::codec::Encoder;
+use tokio_util::codec::LengthDelimitedCodec;
+
+/// Version of the messages between entry hosts.
+pub const VERSION: u32 = 1;
+/// Largest frame that is sent or accepted.
+pub const MOST_FRAME_BYTES: usize = 256 * 1024;
+
+/// A message with its sender and the sender's clock.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Envelope {
+    /// The sender.
+    pub from: Member,
+    /// Its hybrid logical clock.
+    pub clock: u64,
+    /// The message.
+    pub message: Message,
+}
+
+/// Reads and writes the frames of one link.
+///
+/// Frames of another cluster or version, and frames too large, are refused with a
+/// fault upon which the link must be closed: what follows can't be trusted.
+#[derive(Debug)]
+pub struct LinkCodec {
+    cluster: Box<str>,
+    frames: LengthDelimitedCodec,
+}
+
+impl LinkCodec {
+    /// Makes the codec of a link within `cluster`.
+    pub fn new(cluster: &str) -> Self {
+        let mut builder = LengthDelimitedCodec::builder();
+        builder.max_frame_length(MOST_FRAME_BYTES);
+        Self {
+            cluster: cluster.into(),
+            frames: builder.new_codec(),
+        }
+    }
+}
+
+impl Decoder for LinkCodec {
+    type Item = Envelope;
+    type Error = WireFault;
+
+    fn decode(&mut self, bytes: &mut BytesMut) -> Result<Option<Envelope>, WireFault> {
+        let frame = match self.frames.decode(bytes) {
+            Ok(Some(frame)) => frame,
+            Ok(None) => return Ok(None),
+            Err(_) => return Err(WireFault::TooLarge),
+        };
+        let frame = proto::Frame::decode(frame)
+            .map_err(|error| WireFault::Malformed("reading a frame", error))?;
+        if frame.version != VERSION {
+            return Err(WireFault::OtherVersion(frame.version));
+        }
+        if *frame.cluster != *self.cluster {
+            return Err(WireFault::OtherCluster(frame.cluster.into()));
+        }
+        let message = decode_message(need(frame.kind.as_ref(), "kind of message")?)?;
+        Ok(Some(Envelope {
+            from: member_in(need(frame.from.as_ref(), "sender")?)?,
+            clock: frame.clock,
+            message,
+        }))
+    }
+}
+
+impl Encoder<&Envelope> for LinkCodec {
+    type Error = WireFault;
+
+    fn encode(&mut self, envelope: &Envelope, bytes: &mut BytesMut) -> Result<(), WireFault> {
+        let frame = proto::Frame {
+            version: VERSION,
+            cluster: self.cluster.to_string(),
+            from: Some(member_out(envelope.from)),
+            clock: envelope.clock,
+            kind: Some(encode_message(&envelope.message)),
+        };
+        let frame = frame.encode_to_vec();
+        if frame.len() > MOST_FRAME_BYTES {
+            return Err(WireFault::TooLarge);
+        }
+        self.frames.encode(Bytes::from(frame), bytes)?;
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,32 @@
+//! The border between processes and towards the log: prost types, their
+//! conversion, and the framing of links.
+//!
+//! The types under [`proto`] are what travels. Nothing but this crate knows them.
+//!
+//! ```
+//! use goldcrestway_core::{Batch, Record, Term, Member, Seat};
+//!
+//! let member = Member { seat: Seat(1), incarnation: 7 };
+//! let records = Box::new([Record::Open { member }]);
+//! let batch = Batch { term: Term(3), sequence: 1, records };
+//! let bytes = goldcrestway_wire::encode_batch(&batch);
+//! assert_eq!(goldcrestway_wire::decode_batch(&bytes).unwrap(), batch);
+//! ```
+
+mod codec;
+mod fault;
+mod message;
+mod parts;
+mod record;
+
+pub mod proto;
+
+pub use codec::Envelope;
+pub use codec::LinkCodec;
+pub use codec::MOST_FRAME_BYTES;
+pub use codec::VERSION;
+pub use fault::WireFault;
+pub use message::decode_message;
+pub use message::encode_message;
+pub use record::decode_batch;
+pub use record::encode_batch;
--- /dev/null
+++ b/crates/wire/src/parts.rs
@@ -0,0 +1,185 @@
+//! Conversion of the small parts that messages and records share.
+
+use crate::fault::WireFault;
+use crate::proto;
+use goldcrestway_core::AttemptId;
+use goldcrestway_core::Cell;
+use goldcrestway_core::JobEnd;
+use goldcrestway_core::JobSpec;
+use goldcrestway_core::Member;
+use goldcrestway_core::Outcome;
+use goldcrestway_core::Seat;
+use goldcrestway_core::TaskOrder;
+
+/// Result of reading a part.
+pub(crate) type Read<T> = Result<T, WireFault>;
+
+const STEP: &str = "reading a message or record";
+
+/// Makes the fault for a part that is missing.
+pub(crate) fn missing(what: &'static str) -> WireFault {
+    WireFault::Missing(STEP, what)
+}
+
+/// Unwraps a part that must be present.
+pub(crate) fn need<T>(part: Option<T>, what: &'static str) -> Read<T> {
+    part.ok_or_else(|| missing(what))
+}
+
+pub(crate) fn member_out(member: Member) -> proto::Member {
+    proto::Member {
+        seat: u32::from(member.seat.0),
+        incarnation: member.incarnation,
+    }
+}
+
+pub(crate) fn member_in(member: &proto::Member) -> Read<Member> {
+    let seat = u16::try_from(member.seat).map_err(|_| missing("seat"))?;
+    Ok(Member {
+        seat: Seat(seat),
+        incarnation: member.incarnation,
+    })
+}
+
+pub(crate) fn members_in(members: &[proto::Member]) -> Read<Box<[Member]>> {
+    members.iter().map(member_in).collect()
+}
+
+pub(crate) fn members_out(members: &[Member]) -> Vec<proto::Member> {
+    members.iter().copied().map(member_out).collect()
+}
+
+pub(crate) fn cell_out(cell: Cell) -> proto::Cell {
+    let (kind, number) = match cell {
+        Cell::Keys(number) => (1, u64::from(number)),
+        Cell::Workers(number) => (2, number),
+        Cell::Upstreams(number) => (3, number),
+    };
+    proto::Cell { kind, number }
+}
+
+pub(crate) fn cell_in(cell: &Option<proto::Cell>) -> Read<Cell> {
+    let cell = need(cell.as_ref(), "cell")?;
+    match cell.kind {
+        1 => u16::try_from(cell.number)
+            .map(Cell::Keys)
+            .map_err(|_| missing("cell")),
+        2 => Ok(Cell::Workers(cell.number)),
+        3 => Ok(Cell::Upstreams(cell.number)),
+        _ => Err(missing("kind of cell")),
+    }
+}
+
+pub(crate) fn attempt_out(attempt: &AttemptId) -> proto::Attempt {
+    proto::Attempt {
+        id: attempt.id.to_string(),
+        attempt: attempt.attempt,
+    }
+}
+
+pub(crate) fn attempt_in(attempt: &Option<proto::Attempt>) -> Read<AttemptId> {
+    let attempt = need(attempt.as_ref(), "attempt")?;
+    Ok(AttemptId {
+        id: attempt.id.as_str().into(),
+        attempt: attempt.attempt,
+    })
+}
+
+pub(crate) fn order_out(order: &TaskOrder) -> proto::Order {
+    proto::Order {
+        attempt: Some(attempt_out(&order.attempt)),
+        job: order.job.to_string(),
+        millicores: order.need.millicores,
+        memory_mb: order.need.memory_mb,
+        accelerators: order.need.accelerators,
+        checkpoint: order.checkpoint,
+    }
+}
+
+pub(crate) fn order_in(order: &Option<proto::Order>) -> Read<TaskOrder> {
+    let order = need(order.as_ref(), "order")?;
+    Ok(TaskOrder {
+        attempt: attempt_in(&order.attempt)?,
+        job: order.job.as_str().into(),
+        need: goldcrestway_inventory::Resources {
+            millicores: order.millicores,
+            memory_mb: order.memory_mb,
+            accelerators: order.accelerators,
+        },
+        checkpoint: order.checkpoint,
+    })
+}
+
+pub(crate) fn spec_out(spec: &JobSpec) -> proto::Spec {
+    proto::Spec {
+        id: spec.id.to_string(),
+        job: spec.job.to_string(),
+        team: spec.team.to_string(),
+    }
+}
+
+pub(crate) fn spec_in(spec: &proto::Spec) -> JobSpec {
+    JobSpec {
+        id: spec.id.as_str().into(),
+        job: spec.job.as_str().into(),
+        team: spec.team.as_str().into(),
+    }
+}
+
+pub(crate) fn tagged(kind: u32, value: u64) -> proto::Tagged {
+    proto::Tagged { kind, value }
+}
+
+pub(crate) fn outcome_out(outcome: Outcome) -> u32 {
+    match outcome {
+        Outcome::Answered => 1,
+        Outcome::NotRun => 2,
+        Outcome::Unknown => 3,
+    }
+}
+
+pub(crate) fn outcome_in(outcome: u32) -> Read<Outcome> {
+    match outcome {
+        1 => Ok(Outcome::Answered),
+        2 => Ok(Outcome::NotRun),
+        3 => Ok(Outcome::Unknown),
+        _ => Err(missing("outcome")),
+    }
+}
+
+pub(crate) fn job_end_out(end: JobEnd) -> u64 {
+    match end {
+        JobEnd::Finished => 1,
+        JobEnd::Failed => 2,
+        JobEnd::Unknown => 3,
+        JobEnd::Cancelled => 4,
+    }
+}
+
+pub(crate) fn job_end_in(end: u64) -> Read<JobEnd> {
+    match end {
+        1 => Ok(JobEnd::Finished),
+        2 => Ok(JobEnd::Failed),
+        3 => Ok(JobEnd::Unknown),
+        4 => Ok(JobEnd::Cancelled),
+        _ => Err(missing("end of a job")),
+    }
+}
+
+pub(crate) fn intent_out(identity: u128, fingerprint: u64) -> proto::Intent {
+    proto::Intent {
+        identity: identity.to_le_bytes().to_vec(),
+        fingerprint,
+        outcome: 0,
+        status: 0,
+    }
+}
+
+pub(crate) fn identity_in(intent: &proto::Intent) -> Read<u128> {
+    let bytes = <[u8; 16]>::try_from(&*intent.identity).map_err(|_| missing("identity"))?;
+    Ok(u128::from_le_bytes(bytes))
+}
+
+pub(crate) fn status_in(status: u32) -> Read<u16> {
+    u16::try_from(status).map_err(|_| missing("status"))
+}
--- /dev/null
+++ b/crates/wire/src/proto.rs
@@ -0,0 +1,376 @@
+//! The prost types. Field numbers never change their meaning; new ones are added.
+#![expect(
+    missing_docs,
+    reason = "The core types that these mirror are documented."
+)]
+
+use prost::Message;
+use prost::Oneof;
+
+#[derive(Clone, PartialEq, Message)]
+pub struct Member {
+    #[prost(uint32, tag = "1")]
+    pub seat: u32,
+    #[prost(uint64, tag = "2")]
+    pub incarnation: u64,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub struct Cell {
+    #[prost(uint32, tag = "1")]
+    pub kind: u32,
+    #[prost(fixed64, tag = "2")]
+    pub number: u64,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub struct Attempt {
+    #[prost(string, tag = "1")]
+    pub id: String,
+    #[prost(uint32, tag = "2")]
+    pub attempt: u32,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub struct Order {
+    #[prost(message, optional, tag = "1")]
+    pub attempt: Option<Attempt>,
+    #[prost(string, tag = "2")]
+    pub job: String,
+    #[prost(uint32, tag = "3")]
+    pub millicores: u32,
+    #[prost(uint32, tag = "4")]
+    pub memory_mb: u32,
+    #[prost(uint32, tag = "5")]
+    pub accelerators: u32,
+    #[prost(uint64, tag = "6")]
+    pub checkpoint: u64,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub struct Spec {
+    #[prost(string, tag = "1")]
+    pub id: String,
+    #[prost(string, tag = "2")]
+    pub job: String,
+    #[prost(string, tag = "3")]
+    pub team: String,
+}
+
+/// A kind of end with one number, such as a checkpoint or a latency.
+#[derive(Clone, PartialEq, Message)]
+pub struct Tagged {
+    #[prost(uint32, tag = "1")]
+    pub kind: u32,
+    #[prost(uint64, tag = "2")]
+    pub value: u64,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub struct Section {
+    #[prost(string, tag = "1")]
+    pub kind: String,
+    #[prost(string, tag = "2")]
+    pub name: String,
+    #[prost(bool, tag = "3")]
+    pub is_removed: bool,
+    #[prost(btree_map = "string, string", tag = "4")]
+    pub values: std::collections::BTreeMap<String, String>,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub struct Ownership {
+    #[prost(message, optional, tag = "1")]
+    pub cell: Option<Cell>,
+    #[prost(message, optional, tag = "2")]
+    pub member: Option<Member>,
+    #[prost(uint64, tag = "3")]
+    pub term: u64,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub struct Cells {
+    #[prost(message, optional, tag = "1")]
+    pub member: Option<Member>,
+    #[prost(message, repeated, tag = "2")]
+    pub cells: Vec<Cell>,
+    #[prost(message, optional, tag = "3")]
+    pub heir: Option<Member>,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub struct Depose {
+    #[prost(message, optional, tag = "1")]
+    pub target: Option<Member>,
+    #[prost(message, repeated, tag = "2")]
+    pub voters: Vec<Member>,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub struct ClaimsCarried {
+    #[prost(uint64, tag = "1")]
+    pub as_of: u64,
+    #[prost(message, repeated, tag = "2")]
+    pub owners: Vec<Ownership>,
+    #[prost(message, repeated, tag = "3")]
+    pub deposed: Vec<Member>,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub struct Config {
+    #[prost(uint64, tag = "1")]
+    pub base: u64,
+    #[prost(string, tag = "2")]
+    pub id: String,
+    #[prost(string, tag = "3")]
+    pub author: String,
+    #[prost(message, repeated, tag = "4")]
+    pub changes: Vec<Section>,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub struct ConfigCarried {
+    #[prost(uint64, tag = "1")]
+    pub as_of: u64,
+    #[prost(uint64, tag = "2")]
+    pub version: u64,
+    #[prost(message, repeated, tag = "3")]
+    pub changes: Vec<Section>,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub struct Intent {
+    #[prost(bytes = "vec", tag = "1")]
+    pub identity: Vec<u8>,
+    #[prost(fixed64, tag = "2")]
+    pub fingerprint: u64,
+    #[prost(uint32, tag = "3")]
+    pub outcome: u32,
+    #[prost(uint32, tag = "4")]
+    pub status: u32,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub struct Step {
+    #[prost(message, optional, tag = "1")]
+    pub attempt: Option<Attempt>,
+    #[prost(message, optional, tag = "2")]
+    pub cell: Option<Cell>,
+    #[prost(uint64, tag = "3")]
+    pub value: u64,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub struct Empty {}
+
+#[derive(Clone, PartialEq, Oneof)]
+pub enum RecordKind {
+    #[prost(message, tag = "1")]
+    Depose(Depose),
+    #[prost(message, tag = "2")]
+    Claim(Cells),
+    #[prost(message, tag = "3")]
+    Release(Cells),
+    #[prost(message, tag = "4")]
+    ClaimsCarried(ClaimsCarried),
+    #[prost(message, tag = "5")]
+    Config(Config),
+    #[prost(message, tag = "6")]
+    ConfigCarried(ConfigCarried),
+    #[prost(message, tag = "7")]
+    Open(Member),
+    #[prost(message, tag = "8")]
+    Intent(Intent),
+    #[prost(message, tag = "9")]
+    IntentEnded(Intent),
+    #[prost(message, tag = "10")]
+    Accepted(Spec),
+    #[prost(message, tag = "11")]
+    Assigned(Step),
+    #[prost(message, tag = "12")]
+    Evicted(Step),
+    #[prost(message, tag = "13")]
+    Ended(Step),
+    #[prost(message, tag = "14")]
+    Carried(Empty),
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub struct Record {
+    #[prost(
+        oneof = "RecordKind",
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14"
+    )]
+    pub kind: Option<RecordKind>,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub struct Batch {
+    #[prost(uint64, tag = "1")]
+    pub term: u64,
+    #[prost(uint64, tag = "2")]
+    pub sequence: u64,
+    #[prost(message, repeated, tag = "3")]
+    pub records: Vec<Record>,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub struct Heartbeat {
+    #[prost(uint64, tag = "1")]
+    pub sent_ms: u64,
+    #[prost(uint64, tag = "2")]
+    pub config_version: u64,
+    #[prost(bool, tag = "3")]
+    pub flag: bool,
+    #[prost(fixed64, tag = "4")]
+    pub alive: u64,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub struct Alive {
+    #[prost(fixed64, tag = "1")]
+    pub digest: u64,
+    #[prost(message, repeated, tag = "2")]
+    pub members: Vec<Member>,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub struct Consent {
+    #[prost(message, optional, tag = "1")]
+    pub target: Option<Member>,
+    #[prost(uint64, tag = "2")]
+    pub asked_ms: u64,
+}
+
+/// Everything about a slot of an instance.
+#[derive(Clone, PartialEq, Message)]
+pub struct Slot {
+    #[prost(message, optional, tag = "1")]
+    pub cell: Option<Cell>,
+    #[prost(uint64, tag = "2")]
+    pub request: u64,
+    #[prost(uint64, tag = "3")]
+    pub grant: u64,
+    #[prost(uint64, tag = "4")]
+    pub value: u64,
+    #[prost(string, tag = "5")]
+    pub address: String,
+    #[prost(uint32, tag = "6")]
+    pub free: u32,
+    #[prost(message, optional, tag = "7")]
+    pub ended: Option<Tagged>,
+}
+
+/// Everything about the intent of a request.
+#[derive(Clone, PartialEq, Message)]
+pub struct IntentTalk {
+    #[prost(message, optional, tag = "1")]
+    pub cell: Option<Cell>,
+    #[prost(uint64, tag = "2")]
+    pub request: u64,
+    #[prost(message, optional, tag = "3")]
+    pub intent: Option<Intent>,
+    #[prost(message, optional, tag = "4")]
+    pub verdict: Option<Tagged>,
+}
+
+/// Everything about the submission of a job.
+#[derive(Clone, PartialEq, Message)]
+pub struct JobTalk {
+    #[prost(message, optional, tag = "1")]
+    pub cell: Option<Cell>,
+    #[prost(uint64, tag = "2")]
+    pub request: u64,
+    #[prost(message, optional, tag = "3")]
+    pub spec: Option<Spec>,
+    #[prost(message, optional, tag = "4")]
+    pub verdict: Option<Tagged>,
+}
+
+/// Everything about an attempt of a job, between its home and its workers.
+#[derive(Clone, PartialEq, Message)]
+pub struct TaskTalk {
+    #[prost(message, optional, tag = "1")]
+    pub home: Option<Cell>,
+    #[prost(message, optional, tag = "2")]
+    pub cell: Option<Cell>,
+    #[prost(message, optional, tag = "3")]
+    pub order: Option<Order>,
+    #[prost(message, optional, tag = "4")]
+    pub attempt: Option<Attempt>,
+    #[prost(bool, tag = "5")]
+    pub flag: bool,
+    #[prost(uint32, tag = "6")]
+    pub free: u32,
+    #[prost(message, optional, tag = "7")]
+    pub end: Option<Tagged>,
+}
+
+#[derive(Clone, PartialEq, Oneof)]
+pub enum Kind {
+    #[prost(message, tag = "10")]
+    Heartbeat(Heartbeat),
+    #[prost(message, tag = "11")]
+    Promise(Heartbeat),
+    #[prost(message, tag = "12")]
+    AliveAsk(Empty),
+    #[prost(message, tag = "13")]
+    Alive(Alive),
+    #[prost(message, tag = "14")]
+    ConsentAsk(Consent),
+    #[prost(message, tag = "15")]
+    Consent(Consent),
+    #[prost(message, tag = "16")]
+    NotOwner(Slot),
+    #[prost(message, tag = "17")]
+    GrantAsk(Slot),
+    #[prost(message, tag = "18")]
+    Granted(Slot),
+    #[prost(message, tag = "19")]
+    Refused(Slot),
+    #[prost(message, tag = "20")]
+    GrantCancel(Slot),
+    #[prost(message, tag = "21")]
+    Release(Slot),
+    #[prost(message, tag = "22")]
+    IntentAsk(IntentTalk),
+    #[prost(message, tag = "23")]
+    IntentAnswer(IntentTalk),
+    #[prost(message, tag = "24")]
+    IntentEnd(IntentTalk),
+    #[prost(message, tag = "25")]
+    JobAsk(JobTalk),
+    #[prost(message, tag = "26")]
+    JobAnswer(JobTalk),
+    #[prost(message, tag = "27")]
+    Reserve(TaskTalk),
+    #[prost(message, tag = "28")]
+    Reserved(TaskTalk),
+    #[prost(message, tag = "29")]
+    Unreserve(TaskTalk),
+    #[prost(message, tag = "30")]
+    Start(TaskTalk),
+    #[prost(message, tag = "31")]
+    Report(TaskTalk),
+    #[prost(message, tag = "32")]
+    ReportNoted(TaskTalk),
+}
+
+/// One frame of a link.
+#[derive(Clone, PartialEq, Message)]
+pub struct Frame {
+    #[prost(uint32, tag = "1")]
+    pub version: u32,
+    #[prost(string, tag = "2")]
+    pub cluster: String,
+    #[prost(message, optional, tag = "3")]
+    pub from: Option<Member>,
+    /// Hybrid logical clock of the sender.
+    #[prost(fixed64, tag = "4")]
+    pub clock: u64,
+    #[prost(
+        oneof = "Kind",
+        tags = "10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24, 25, 26, 27, 28, 29, 30, 31, 32"
+    )]
+    pub kind: Option<Kind>,
+}
--- /dev/null
+++ b/examples/first_week.rs
@@ -0,0 +1,44 @@
+//! The whole path on loopback: three entry hosts, the stand-ins for the platform,
+//! nine workers, six instances. Publishes an inventory, sends requests and jobs,
+//! kills an entry host and a worker half way, and judges the outcome by what the
+//! stand-ins recorded. Exits with 1 where a promise broke.
+
+#[path = "first_week/callers.rs"]
+mod callers;
+#[path = "first_week/fleet.rs"]
+mod fleet;
+#[path = "first_week/verdict.rs"]
+mod verdict;
+
+use fleet::Fleet;
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    let seed = std::env::args()
+        .nth(1)
+        .and_then(|text| text.parse().ok())
+        .unwrap_or(1);
+    let mut fleet = match Fleet::start() {
+        Ok(fleet) => fleet,
+        Err(error) => {
+            eprintln!("the example can't start: {error}");
+            return ExitCode::FAILURE;
+        }
+    };
+    println!("3 entry hosts, 9 workers, 6 instances are up; publishing the inventory");
+    if let Err(error) = fleet.publish() {
+        eprintln!("publishing failed: {error}");
+        return ExitCode::FAILURE;
+    }
+    println!("published; sending 2000 requests and 200 jobs, killing e2 and w3 half way");
+    let told = callers::run(&mut fleet, seed);
+    let broken = verdict::judge(&fleet, &told);
+    for line in &broken {
+        println!("BROKEN: {line}");
+    }
+    if broken.is_empty() {
+        println!("all promises were kept");
+        return ExitCode::SUCCESS;
+    }
+    ExitCode::FAILURE
+}
--- /dev/null
+++ b/examples/first_week/callers.rs
@@ -0,0 +1,247 @@
+//! Callers: requests and jobs, each repeated under its identity until its fate is
+//! known, as a careful client would.
+
+use crate::fleet::Fleet;
+use goldcrestway_daemon::JobRequest;
+use hdrhistogram::Histogram;
+use std::collections::BTreeMap;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+const REQUESTS: usize = 2_000;
+const JOBS: usize = 200;
+/// Callers at a time.
+const CALLERS: usize = 24;
+/// How long a caller goes on asking.
+const PATIENCE: Duration = Duration::from_secs(40);
+
+/// What a caller was told last of one request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Told {
+    /// Answered, whole.
+    Answered,
+    /// Not run, and the caller has given up.
+    NotRun,
+    /// Not known.
+    Unknown,
+}
+
+/// What callers were told of everything.
+pub(crate) struct Report {
+    /// Requests by identity; `true` marks a non-idempotent one.
+    pub(crate) requests: BTreeMap<String, (bool, Told)>,
+    /// Jobs that were accepted.
+    pub(crate) jobs: Vec<String>,
+    /// Time to the final answer, in microseconds.
+    pub(crate) latency_us: Histogram<u64>,
+    /// Answers "not run" on the way, after which the caller asked again.
+    pub(crate) refusals: usize,
+    /// Answers that did not belong to the request, or were not whole.
+    pub(crate) wrong: Vec<String>,
+}
+
+/// Sends everything; kills e2 and w3 half way.
+pub(crate) fn run(fleet: &mut Fleet, seed: usize) -> Report {
+    let next = AtomicUsize::new(0);
+    let report = Mutex::new(Report {
+        requests: BTreeMap::new(),
+        jobs: Vec::new(),
+        latency_us: new_histogram(),
+        refusals: 0,
+        wrong: Vec::new(),
+    });
+    let addresses: Vec<String> = fleet
+        .settings
+        .values()
+        .map(|settings| settings.own().caller_address.to_string())
+        .collect();
+    let operators: Vec<String> = fleet
+        .settings
+        .values()
+        .map(|settings| settings.own().operator_address.to_string())
+        .collect();
+    let victim = fleet.daemons.remove("e2");
+    let worker = &fleet.workers["w3"];
+    thread::scope(|scope| {
+        for _ in 0..CALLERS {
+            scope.spawn(|| {
+                loop {
+                    let number = next.fetch_add(1, Ordering::Relaxed);
+                    if number >= REQUESTS {
+                        return;
+                    }
+                    if number.is_multiple_of(REQUESTS / JOBS) {
+                        submit(&operators, number, &report);
+                    }
+                    ask(&addresses, number, seed, &report);
+                }
+            });
+        }
+        scope.spawn(|| {
+            while next.load(Ordering::Relaxed) < REQUESTS / 2 {
+                thread::sleep(Duration::from_millis(2));
+            }
+            drop(victim);
+            worker.die();
+        });
+    });
+    wait_for_jobs(fleet, &report);
+    report.into_inner().unwrap_or_else(PoisonError::into_inner)
+}
+
+fn new_histogram() -> Histogram<u64> {
+    const DIGITS: u8 = 3;
+    // Up to a minute in microseconds, to three digits.
+    Histogram::new_with_bounds(1, 60_000_000, DIGITS).unwrap_or_else(|_| unreachable!("the bounds are valid"))
+}
+
+fn agent() -> ureq::Agent {
+    const TIMEOUT: Duration = Duration::from_secs(4);
+    ureq::Agent::config_builder()
+        .timeout_global(Some(TIMEOUT))
+        .http_status_as_error(false)
+        .build()
+        .new_agent()
+}
+
+/// What one try brought.
+enum Try {
+    Whole(String),
+    Header(String),
+    Nothing,
+}
+
+fn ask(addresses: &[String], number: usize, seed: usize, report: &Mutex<Report>) {
+    let identity = format!("r{seed}-{number}");
+    let is_once = number.is_multiple_of(3);
+    let agent = agent();
+    let began = Instant::now();
+    let mut told = Told::NotRun;
+    let mut refusals = 0;
+    let mut turn = number;
+    while began.elapsed() < PATIENCE {
+        // The balancer sends each try to some entry host.
+        turn += 1;
+        let url = format!(
+            "http://{}/services/booking/slot",
+            addresses[turn % addresses.len()]
+        );
+        match try_once(&agent, &url, &identity, is_once) {
+            Try::Whole(body) => {
+                if body != format!("answer to {identity}") {
+                    let mut report = report.lock().unwrap_or_else(PoisonError::into_inner);
+                    report
+                        .wrong
+                        .push(format!("request {identity} got `{body}`"));
+                }
+                told = Told::Answered;
+                break;
+            }
+            Try::Header(outcome) if outcome == "answered" => {
+                told = Told::Answered;
+                break;
+            }
+            Try::Header(outcome) if outcome == "unknown" => {
+                told = Told::Unknown;
+                if is_once {
+                    break;
+                }
+            }
+            Try::Header(_) => {
+                refusals += 1;
+                if told != Told::Unknown {
+                    told = Told::NotRun;
+                }
+            }
+            Try::Nothing => told = Told::Unknown,
+        }
+        thread::sleep(Duration::from_millis(50));
+    }
+    let mut report = report.lock().unwrap_or_else(PoisonError::into_inner);
+    let micros = began.elapsed().as_micros() as u64;
+    report.latency_us.saturating_record(micros);
+    report.refusals += refusals;
+    report.requests.insert(identity, (is_once, told));
+}
+
+fn try_once(agent: &ureq::Agent, url: &str, identity: &str, is_once: bool) -> Try {
+    let sent = match is_once {
+        true => agent
+            .post(url)
+            .header("Idempotency-Key", identity)
+            .send(identity),
+        false => agent
+            .post(url)
+            .header("Goldcrestway-Idempotent", "true")
+            .send(identity),
+    };
+    let Ok(mut response) = sent else {
+        return Try::Nothing;
+    };
+    let outcome = response.headers().get("goldcrestway-outcome");
+    let Some(outcome) = outcome
+        .and_then(|value| value.to_str().ok())
+        .map(str::to_owned)
+    else {
+        return Try::Nothing;
+    };
+    let status = response.status().as_u16();
+    match response.body_mut().read_to_string() {
+        Ok(body) if status == 200 && outcome == "answered" => Try::Whole(body),
+        Ok(_) => Try::Header(outcome),
+        Err(_) => Try::Nothing,
+    }
+}
+
+/// Submits a job under one identity until it is accepted.
+fn submit(operators: &[String], number: usize, report: &Mutex<Report>) {
+    let agent = agent();
+    let is_urgent = number.is_multiple_of(50);
+    let job = if is_urgent { "replan" } else { "roster" };
+    let team = if is_urgent { "desk" } else { "night" };
+    let request = JobRequest {
+        job: job.into(),
+        id: format!("j{number}"),
+    };
+    let began = Instant::now();
+    let mut turn = number;
+    while began.elapsed() < PATIENCE {
+        turn += 1;
+        let url = format!("http://{}/v1/jobs", operators[turn % operators.len()]);
+        let is_accepted = agent
+            .post(&url)
+            .send_json(&request)
+            .is_ok_and(|response| response.status() == 200);
+        if is_accepted {
+            let mut report = report.lock().unwrap_or_else(PoisonError::into_inner);
+            report.jobs.push(format!("{team}/j{number}"));
+            return;
+        }
+        thread::sleep(Duration::from_millis(100));
+    }
+    let mut report = report.lock().unwrap_or_else(PoisonError::into_inner);
+    report
+        .wrong
+        .push(format!("job j{number} was never accepted"));
+}
+
+/// Waits until the workers have finished every accepted job.
+fn wait_for_jobs(fleet: &Fleet, report: &Mutex<Report>) {
+    let began = Instant::now();
+    while began.elapsed() < PATIENCE {
+        let jobs = report
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .jobs
+            .len();
+        if crate::verdict::finished(fleet).len() >= jobs {
+            return;
+        }
+        thread::sleep(Duration::from_millis(50));
+    }
+}
--- /dev/null
+++ b/examples/first_week/fleet.rs
@@ -0,0 +1,209 @@
+//! Everything that runs: daemons, stand-ins, workers, instances.
+
+use goldcrestway_daemon::Daemon;
+use goldcrestway_daemon::PublishRequest;
+use goldcrestway_daemon::Settings;
+use goldcrestway_daemon::StatusReply;
+use goldcrestway_daemon::changes_out;
+use goldcrestway_daemon::load_settings;
+use goldcrestway_inventory::Sections;
+use goldcrestway_inventory::compare;
+use goldcrestway_inventory::load_sections;
+use goldcrestway_platform::Listed;
+use goldcrestway_standin::HostListServer;
+use goldcrestway_standin::LogServer;
+use goldcrestway_standin::UpstreamServer;
+use goldcrestway_standin::WorkerServer;
+use goldcrestway_standin::WorkerState;
+use std::collections::BTreeMap;
+use std::error::Error;
+use std::net::TcpListener;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+/// How long an append to the log takes.
+const APPEND_MS: u64 = 5;
+/// How long an instance works on a request.
+const WORK_MS: u64 = 8;
+/// How long a job runs.
+const RUN_TIME_MS: u64 = 400;
+
+/// Result of a step of the example.
+pub(crate) type Step<T> = Result<T, Box<dyn Error>>;
+
+/// The whole fleet.
+pub(crate) struct Fleet {
+    /// The log.
+    pub(crate) log: LogServer,
+    /// The platform's list.
+    pub(crate) _hosts: HostListServer,
+    /// Workers by name.
+    pub(crate) workers: BTreeMap<String, WorkerServer>,
+    /// Instances by name.
+    pub(crate) upstreams: BTreeMap<String, UpstreamServer>,
+    /// Daemons by seat; a killed one is gone.
+    pub(crate) daemons: BTreeMap<String, Daemon>,
+    /// Settings by seat.
+    pub(crate) settings: BTreeMap<String, Settings>,
+}
+
+impl Fleet {
+    /// Starts everything on loopback, on ports that the system picks.
+    pub(crate) fn start() -> Step<Self> {
+        let began = Instant::now();
+        let log = LogServer::start(APPEND_MS)?;
+        let hosts = HostListServer::start()?;
+        let mut workers = BTreeMap::new();
+        for number in 1..=9 {
+            let has_service = ![3, 6, 9].contains(&number);
+            let room = match has_service {
+                true => (28_000, 117_000, 0),
+                false => (32_000, 125_000, 0),
+            };
+            let worker = WorkerServer::start(WorkerState::new(room, RUN_TIME_MS), began)?;
+            workers.insert(format!("w{number}"), worker);
+        }
+        let mut upstreams = BTreeMap::new();
+        for number in 1..=6 {
+            upstreams.insert(format!("b{number}"), UpstreamServer::start(WORK_MS, began)?);
+        }
+        let mut list = Vec::new();
+        let addresses = workers
+            .iter()
+            .map(|(name, worker)| (name, worker.address()));
+        let instances = upstreams
+            .iter()
+            .map(|(name, instance)| (name, instance.address()));
+        for (name, address) in addresses.chain(instances) {
+            list.push(Listed {
+                name: name.clone(),
+                address,
+                leaving: false,
+            });
+        }
+        if let Ok(mut hosts) = hosts.hosts.lock() {
+            *hosts = list;
+        }
+        let settings = settings(&log, &hosts)?;
+        let mut daemons = BTreeMap::new();
+        for (name, settings) in &settings {
+            daemons.insert(name.clone(), Daemon::start(settings.clone())?);
+        }
+        let fleet = Self {
+            log,
+            _hosts: hosts,
+            workers,
+            upstreams,
+            daemons,
+            settings,
+        };
+        fleet.wait_until_ready()?;
+        Ok(fleet)
+    }
+
+    fn wait_until_ready(&self) -> Step<()> {
+        const PATIENCE: Duration = Duration::from_secs(30);
+        let began = Instant::now();
+        for settings in self.settings.values() {
+            let url = format!("http://{}/readyz", settings.own().operator_address);
+            while ureq::get(&url).call().is_err() {
+                if began.elapsed() > PATIENCE {
+                    return Err("the entry hosts did not get ready within 30 s".into());
+                }
+                thread::sleep(Duration::from_millis(50));
+            }
+        }
+        Ok(())
+    }
+
+    /// Publishes the inventory and waits until all cells are served.
+    pub(crate) fn publish(&self) -> Step<()> {
+        let file = concat!(env!("CARGO_MANIFEST_DIR"), "/examples/spa/inventory.ini");
+        let text = std::fs::read_to_string(file)?;
+        let (sections, _) = load_sections("examples/spa/inventory.ini", &text)?;
+        let request = PublishRequest {
+            base: 0,
+            id: "first-week".into(),
+            author: "example".into(),
+            changes: changes_out(&compare(&Sections::new(), &sections)),
+        };
+        let url = format!(
+            "http://{}/v1/config",
+            self.settings["e1"].own().operator_address
+        );
+        let began = Instant::now();
+        ureq::post(&url).send_json(&request)?;
+        println!("accepted after {} ms", began.elapsed().as_millis());
+        self.wait_until_served()
+    }
+
+    /// Waits until each of the 16 + 3 + 3 cells has an owner that serves it.
+    fn wait_until_served(&self) -> Step<()> {
+        const PATIENCE: Duration = Duration::from_secs(30);
+        const CELLS: usize = 16 + 3 + 3;
+        let began = Instant::now();
+        while began.elapsed() < PATIENCE {
+            let mut cells = 0;
+            for settings in self.settings.values() {
+                let url = format!("http://{}/v1/status", settings.own().operator_address);
+                let status: StatusReply = ureq::get(&url).call()?.body_mut().read_json()?;
+                let open = status
+                    .cells
+                    .iter()
+                    .filter(|(_, line)| !line.contains("reading"));
+                cells += open.count();
+            }
+            if cells == CELLS {
+                return Ok(());
+            }
+            thread::sleep(Duration::from_millis(50));
+        }
+        Err("the cells were not all served within 30 s".into())
+    }
+}
+
+/// Writes the settings of three seats on addresses that are free now.
+fn settings(log: &LogServer, hosts: &HostListServer) -> Step<BTreeMap<String, Settings>> {
+    const SEATS: [(&str, &str, &str); 3] = [
+        ("e1", "127.0.0.1", "espoo"),
+        ("e2", "127.0.0.2", "vantaa"),
+        ("e3", "127.0.0.3", "kerava"),
+    ];
+    let mut seats = String::new();
+    for (index, (name, address, domain)) in SEATS.iter().enumerate() {
+        // All three listeners live at once, so the three ports differ.
+        let ports = [
+            free_port(address)?,
+            free_port(address)?,
+            free_port(address)?,
+        ];
+        let port = |listener: &TcpListener| listener.local_addr().map(|address| address.port());
+        seats.push_str(&format!(
+            "[seat {name}]\nnumber = {index}\nfailure_domain = {domain}\n\
+             caller_address = {address}:{}\noperator_address = {address}:{}\n\
+             peer_address = {address}:{}\n",
+            port(&ports[0])?,
+            port(&ports[1])?,
+            port(&ports[2])?
+        ));
+    }
+    let mut all = BTreeMap::new();
+    for (name, _, _) in SEATS {
+        let text = format!(
+            "[daemon]\ncluster = spa\nseat = {name}\nlog_url = {}\nhost_list_url = {}\n\
+             log_style = off\n{seats}",
+            log.url(),
+            hosts.url()
+        );
+        all.insert(
+            name.to_owned(),
+            load_settings("settings of the example", &text)?,
+        );
+    }
+    Ok(all)
+}
+
+fn free_port(address: &str) -> Step<TcpListener> {
+    Ok(TcpListener::bind((address, 0))?)
+}
--- /dev/null
+++ b/examples/first_week/verdict.rs
@@ -0,0 +1,146 @@
+//! The verdict, by what the stand-ins recorded.
+
+use crate::callers::Report;
+use crate::callers::Told;
+use crate::fleet::Fleet;
+use goldcrestway_standin::TaskRun;
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::sync::PoisonError;
+
+/// Names the jobs that finished.
+pub(crate) fn finished(fleet: &Fleet) -> BTreeSet<String> {
+    let runs = task_runs(fleet);
+    runs.into_iter()
+        .filter(|(_, run)| run.is_finished)
+        .map(|(_, run)| run.id)
+        .collect()
+}
+
+fn task_runs(fleet: &Fleet) -> Vec<(String, TaskRun)> {
+    let mut runs = Vec::new();
+    for (name, worker) in &fleet.workers {
+        let state = worker.state.lock().unwrap_or_else(PoisonError::into_inner);
+        runs.extend(state.runs.iter().map(|run| (name.clone(), run.clone())));
+    }
+    runs
+}
+
+/// Prints the table and lists what broke.
+pub(crate) fn judge(fleet: &Fleet, told: &Report) -> Vec<String> {
+    let mut broken = told.wrong.clone();
+    let mut executions: BTreeMap<String, Vec<(u64, u64)>> = BTreeMap::new();
+    for (name, upstream) in &fleet.upstreams {
+        let state = upstream
+            .state
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        if state.most_in_use > 8 {
+            broken.push(format!(
+                "instance {name} worked on {} requests at once",
+                state.most_in_use
+            ));
+        }
+        for run in &state.runs {
+            executions
+                .entry(run.identity.clone())
+                .or_default()
+                .push((run.from_ms, run.to_ms));
+        }
+    }
+    let mut counts = [0_usize; 3];
+    let (mut twice, mut lost) = (0, 0);
+    for (identity, (is_once, outcome)) in &told.requests {
+        let runs = executions
+            .get(identity)
+            .map(|runs| &**runs)
+            .unwrap_or_default();
+        counts[*outcome as usize] += 1;
+        if *is_once && runs.len() > 1 {
+            twice += 1;
+            broken.push(format!("request {identity} ran {} times", runs.len()));
+        }
+        if overlaps(runs) {
+            twice += 1;
+            broken.push(format!("request {identity} ran in two places at once"));
+        }
+        if *outcome == Told::Answered && runs.is_empty() {
+            lost += 1;
+            broken.push(format!("request {identity} was answered but never ran"));
+        }
+        if *outcome == Told::NotRun && !runs.is_empty() {
+            broken.push(format!("request {identity} was told not run but ran"));
+        }
+        if !*is_once && *outcome != Told::Answered {
+            lost += 1;
+            broken.push(format!("request {identity} was never answered"));
+        }
+    }
+    let (jobs_twice, evictions) = judge_jobs(fleet, told, &mut broken);
+    let done = finished(fleet);
+    for id in told.jobs.iter().filter(|id| !done.contains(*id)) {
+        lost += 1;
+        broken.push(format!("job {id} did not finish"));
+    }
+    let at = |quantile: f64| told.latency_us.value_at_quantile(quantile) as f64 / 1_000.0;
+    let log = fleet
+        .log
+        .state
+        .lock()
+        .unwrap_or_else(PoisonError::into_inner);
+    println!("asked              {}", told.requests.len());
+    println!("answered           {}", counts[Told::Answered as usize]);
+    println!(
+        "not run            {} (and {} times on the way)",
+        counts[Told::NotRun as usize],
+        told.refusals
+    );
+    println!("unknown            {}", counts[Told::Unknown as usize]);
+    println!("run twice          {}", twice + jobs_twice);
+    println!("lost               {lost}");
+    println!(
+        "p50/p99/p99.9      {:.1} / {:.1} / {:.1} ms",
+        at(0.5),
+        at(0.99),
+        at(0.999)
+    );
+    println!("jobs finished      {} of {}", done.len(), told.jobs.len());
+    println!("evictions          {evictions}");
+    println!("appends to the log {} ({} bytes)", log.appends, log.bytes);
+    broken
+}
+
+/// Judges the jobs: never two places at once, finished once.
+fn judge_jobs(fleet: &Fleet, told: &Report, broken: &mut Vec<String>) -> (usize, usize) {
+    let mut by_job: BTreeMap<String, Vec<TaskRun>> = BTreeMap::new();
+    for (_, run) in task_runs(fleet) {
+        by_job.entry(run.id.clone()).or_default().push(run);
+    }
+    let (mut twice, mut evictions) = (0, 0);
+    for (id, runs) in &by_job {
+        evictions += runs.len() - 1;
+        let spans: Vec<(u64, u64)> = runs
+            .iter()
+            .map(|run| (run.from_ms, run.to_ms.unwrap_or(u64::MAX)))
+            .collect();
+        if overlaps(&spans) {
+            twice += 1;
+            broken.push(format!("job {id} ran in two places at once"));
+        }
+        if runs.iter().filter(|run| run.is_finished).count() > 1 {
+            twice += 1;
+            broken.push(format!("job {id} finished twice"));
+        }
+        if !told.jobs.contains(id) {
+            broken.push(format!("job {id} ran but was never accepted"));
+        }
+    }
+    (twice, evictions)
+}
+
+/// Tells whether two of the spans overlap.
+fn overlaps(spans: &[(u64, u64)]) -> bool {
+    let mut sorted = spans.to_vec();
+    sorted.sort_unstable();
+    sorted.windows(2).any(|pair| pair[1].0 < pair[0].1)
+}
