--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -94,6 +94,7 @@
 pub use placement::ListedState;
 pub use placement::ListedTask;
 pub use placement::Listing;
+pub use placement::Manner;
 pub use placement::Pace;
 pub use placement::Report;
 pub use placement::Reservation;
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -104,8 +104,9 @@
         Reserved { home: Cell, cell: Cell, attempt: AttemptId, is_held: bool, free_millicores: u32 },
         /// Gives room back.
         Unreserve { cell: Cell, attempt: AttemptId },
-        /// Orders an attempt to start, or asks what became of it.
-        Start { home: Cell, cell: Cell, order: TaskOrder, is_urgent: bool },
+        /// Orders an attempt to start. A repeated order may have been carried out
+        /// before, by an owner of the cell whom the present one knows nothing of.
+        Start { home: Cell, cell: Cell, order: TaskOrder, is_urgent: bool, is_repeat: bool },
         /// An attempt runs (`end` is `None`) or has ended.
         Report { home: Cell, cell: Cell, attempt: AttemptId, end: Option<TaskEnd> },
         /// The end of an attempt stands in the log.
--- a/crates/core/src/node/keys.rs
+++ b/crates/core/src/node/keys.rs
@@ -158,10 +158,8 @@
             return;
         }
         let records = cell.writer.committed(sequence);
-        if !records.is_empty() {
-            cell.position = cell.position.max(offset + 1);
-            cell.filter.sequence = cell.filter.sequence.max(sequence);
-        }
+        cell.position = cell.position.max(offset + 1);
+        cell.filter.sequence = cell.filter.sequence.max(sequence);
         self.take_effect(number, records);
     }
 
@@ -186,8 +184,8 @@
             };
             let is_admitted = cell.filter.admit(batch);
             if batch.term == cell.term {
+                is_found |= cell.writer.is_latest(batch);
                 committed.extend(cell.writer.seen(batch));
-                is_found = true;
             } else if is_admitted && !cell.is_open {
                 apply_batch(now_ms, cell, &batch.records);
             }
@@ -352,7 +350,7 @@
             id,
             format!("attempt {attempt}, {workers}"),
         );
-        self.order_start_of(number, key, workers);
+        self.order_start_of(number, key, workers, false);
     }
 
     fn job_key(&self, number: u16, id: &str) -> Option<JobKey> {
@@ -360,7 +358,7 @@
         cell.jobs.find(id).map(|(key, _)| key)
     }
 
-    fn order_start_of(&mut self, number: u16, key: JobKey, workers: Cell) {
+    fn order_start_of(&mut self, number: u16, key: JobKey, workers: Cell, is_repeat: bool) {
         let now_ms = self.now_ms;
         let Some((order, is_urgent)) = self.order_of(number, key, 0) else {
             return;
@@ -377,6 +375,7 @@
             cell: workers,
             order,
             is_urgent,
+            is_repeat,
         };
         self.send_to_owner(workers, start);
     }
@@ -852,7 +851,7 @@
             let state = self.keys.get(&number).and_then(|cell| cell.jobs.get(key));
             match state.map(|job| (job.state, job.spec.job.clone())) {
                 Some((JobState::Starting { cell, .. }, _)) => {
-                    self.order_start_of(number, key, cell);
+                    self.order_start_of(number, key, cell, true);
                 }
                 Some((JobState::Reserving { .. }, job)) => {
                     let is_urgent = self.is_urgent(&job);
@@ -880,29 +879,22 @@
         }
         cell.since_carried = 0;
         cell.carried_ms = now_ms;
-        cell.writer.push(now_ms, Record::Carried);
+        let mut records = vec![Record::Carried];
         for (identity, fingerprint, state) in cell.identities.list() {
-            cell.writer.push(
-                now_ms,
-                Record::Intent {
-                    identity,
-                    fingerprint,
-                },
-            );
+            records.push(Record::Intent {
+                identity,
+                fingerprint,
+            });
             if let State::Ended { outcome, status } = state {
-                cell.writer.push(
-                    now_ms,
-                    Record::IntentEnded {
-                        identity,
-                        outcome,
-                        status,
-                    },
-                );
+                records.push(Record::IntentEnded {
+                    identity,
+                    outcome,
+                    status,
+                });
             }
         }
-        for record in cell.jobs.carry() {
-            cell.writer.push(now_ms, record);
-        }
+        records.extend(cell.jobs.carry());
+        cell.writer.push_alone(records);
         self.note(Code::StateCarried, format!("keys-{number}"), "");
     }
 
--- a/crates/core/src/node/requests.rs
+++ b/crates/core/src/node/requests.rs
@@ -58,8 +58,20 @@
     phase: Phase,
     tried: Vec<Cell>,
     has_intent: bool,
-    caller_is_gone: bool,
     wait_hint_ms: u64,
+    /// What became of the attempts so far, for when no further one succeeds.
+    past: Past,
+}
+
+/// What is known of a request's former attempts.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Past {
+    /// None has reached an instance.
+    Nothing,
+    /// One may have run and brought no answer.
+    MayHaveRun,
+    /// One brought a whole answer that says it failed; the edge holds it.
+    Whole,
 }
 
 impl Node {
@@ -96,8 +108,8 @@
             },
             tried: Vec::new(),
             has_intent: false,
-            caller_is_gone: false,
             wait_hint_ms: 0,
+            past: Past::Nothing,
         };
         self.flights.insert(number, flight);
         if needs_intent {
@@ -353,10 +365,11 @@
 
     fn whole(&mut self, number: u64, status: u16) {
         let is_failure = matches!(status, 502..=504);
-        let is_idempotent = self
-            .flights
-            .get(&number)
-            .is_some_and(|f| f.request.is_idempotent);
+        let mut is_idempotent = false;
+        if let Some(flight) = self.flights.get_mut(&number) {
+            flight.past = Past::Whole;
+            is_idempotent = flight.request.is_idempotent;
+        }
         if is_failure && is_idempotent && self.try_again(number) {
             return;
         }
@@ -373,6 +386,9 @@
         let Some(flight) = self.flights.get_mut(&number) else {
             return;
         };
+        if flight.past == Past::Nothing {
+            flight.past = Past::MayHaveRun;
+        }
         let service = self
             .config
             .inventory()
@@ -384,6 +400,16 @@
             flight.phase = Phase::Lingering { until_ms };
             return;
         }
+        self.end_after_attempt(number);
+    }
+
+    /// Ends a request by what its attempts so far amount to.
+    fn end_after_attempt(&mut self, number: u64) {
+        let past = self.flights.get(&number).map(|flight| flight.past);
+        if past == Some(Past::Whole) {
+            self.end(number, Answer::Whole);
+            return;
+        }
         self.end_intent_of(number, Outcome::Unknown, 0);
         let reason = "an instance gave no whole answer";
         self.end(number, Answer::Unknown { reason });
@@ -409,11 +435,8 @@
     }
 
     pub(super) fn caller_gone(&mut self, number: u64) {
-        let Some(flight) = self.flights.get_mut(&number) else {
-            return;
-        };
-        flight.caller_is_gone = true;
-        if matches!(flight.phase, Phase::Slot { .. } | Phase::Lingering { .. }) {
+        let phase = self.flights.get(&number).map(|flight| flight.phase);
+        if matches!(phase, Some(Phase::Slot { .. } | Phase::Lingering { .. })) {
             self.end_not_run(number, "its caller has gone", 1);
         }
     }
@@ -443,8 +466,7 @@
     fn go_on(&mut self, number: u64, phase: Phase, is_late: bool) {
         match phase {
             Phase::Lingering { .. } if is_late || !self.try_again(number) => {
-                let reason = "an instance gave no whole answer";
-                self.end(number, Answer::Unknown { reason });
+                self.end_after_attempt(number);
             }
             Phase::Lingering { .. } | Phase::Attempt { .. } => {}
             _ if is_late => {
@@ -477,7 +499,8 @@
         }
     }
 
-    /// Ends a request that truly did not run.
+    /// Ends a request that gets no further attempt. It is told "not run" only if
+    /// no attempt has reached an instance.
     fn end_not_run(&mut self, number: u64, reason: &'static str, retry_after_ms: u64) {
         if let Some(flight) = self.flights.get(&number)
             && let Phase::Slot { cell, .. } = flight.phase
@@ -490,6 +513,14 @@
                 },
             );
         }
+        if self
+            .flights
+            .get(&number)
+            .is_some_and(|flight| flight.past != Past::Nothing)
+        {
+            self.end_after_attempt(number);
+            return;
+        }
         self.end_intent_of(number, Outcome::NotRun, 0);
         let answer = Answer::NotRun {
             reason,
--- a/crates/core/src/node/upstreams.rs
+++ b/crates/core/src/node/upstreams.rs
@@ -121,7 +121,10 @@
     }
 
     fn send_verdict(&mut self, cell: Cell, ask: Ask, verdict: Verdict) {
-        let free = self.owned_upstreams(cell).map_or(0, |owned| owned.free());
+        let now_ms = self.now_ms;
+        let free = self
+            .owned_upstreams(cell)
+            .map_or(0, |owned| owned.free(now_ms));
         let verdict = match verdict {
             Verdict::Granted { grant, address } => GrantVerdict::Granted {
                 grant: grant.data().as_ffi(),
--- a/crates/core/src/node/workers.rs
+++ b/crates/core/src/node/workers.rs
@@ -11,6 +11,7 @@
 use crate::placement::HostKey;
 use crate::placement::ListedHost;
 use crate::placement::Listing;
+use crate::placement::Manner;
 use crate::placement::Pace;
 use crate::placement::Report;
 use crate::placement::Reservation;
@@ -127,7 +128,19 @@
                 cell,
                 order,
                 is_urgent,
-            } => self.order_start(from, home, cell, order, is_urgent),
+                is_repeat,
+            } => {
+                self.order_start(
+                    from,
+                    home,
+                    cell,
+                    order,
+                    Manner {
+                        is_urgent,
+                        is_repeat,
+                    },
+                );
+            }
             Message::ReportNoted { cell, attempt } => {
                 if let Some(owned) = self.owned_workers(cell) {
                     owned.acknowledge(now_ms, &attempt);
@@ -143,7 +156,7 @@
         home: Cell,
         cell: Cell,
         order: TaskOrder,
-        is_urgent: bool,
+        manner: Manner,
     ) {
         // An order from a member that no longer owns the job's cell is stale: the
         // job may have moved on since.
@@ -159,7 +172,7 @@
         let Some(owned) = self.owned_workers(cell) else {
             return;
         };
-        let end = match owned.start(now_ms, order, is_urgent) {
+        let end = match owned.start(now_ms, order, manner) {
             StartAnswer::Starting | StartAnswer::Wait => return,
             StartAnswer::Running => None,
             StartAnswer::Ended(end) => Some(end),
--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -226,6 +226,15 @@
     NoRoom,
 }
 
+/// How an order to start is given.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Manner {
+    /// It overtakes other work.
+    pub is_urgent: bool,
+    /// It may have been given before, to a former owner of the cell.
+    pub is_repeat: bool,
+}
+
 /// What an order to start is told.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum StartAnswer {
@@ -543,37 +552,44 @@
     }
 
     /// Orders an attempt to start; safe to repeat.
-    pub fn start(&mut self, now_ms: u64, order: TaskOrder, is_urgent: bool) -> StartAnswer {
+    ///
+    /// What goes wrong without the last check: a former owner of the cell started
+    /// the attempt on a host that has since restarted and remembers nothing; a
+    /// repeated order would run it again. An attempt that this owner knows nothing
+    /// of therefore counts as lost if the order may have been given before. By then
+    /// every host was listed or its lease has lapsed, so it no longer runs.
+    pub fn start(&mut self, now_ms: u64, order: TaskOrder, manner: Manner) -> StartAnswer {
         if let Some(end) = self.buried.get(&order.attempt) {
             return StartAnswer::Ended(*end);
         }
         if let Some(key) = self.by_attempt.get(&order.attempt).copied() {
             return self.start_known(key, order);
         }
-        if self
-            .hosts
-            .values()
-            .any(|host| host.contact == Contact::Unlisted)
-        {
-            return StartAnswer::Wait;
-        }
-        if self
-            .hosts
-            .values()
-            .any(|host| host.contact == Contact::Lost)
-        {
-            // It may have run on the host that was lost.
-            return StartAnswer::Ended(TaskEnd::Lost);
+        let is_unlisted = |host: &Host| host.contact == Contact::Unlisted;
+        if manner.is_repeat {
+            return match self.hosts.values().any(is_unlisted) {
+                true => StartAnswer::Wait,
+                false => StartAnswer::Ended(TaskEnd::Lost),
+            };
         }
-        match self.reserve(now_ms, order.clone(), is_urgent) {
+        match self.reserve(now_ms, order.clone(), manner.is_urgent) {
             Reservation::Held => {
                 let key = self.by_attempt[&order.attempt];
                 self.start_known(key, order)
             }
-            Reservation::NoRoom => StartAnswer::Ended(TaskEnd::NotStarted),
+            Reservation::NoRoom => {
+                self.bury(now_ms, order.attempt, TaskEnd::NotStarted);
+                StartAnswer::Ended(TaskEnd::NotStarted)
+            }
         }
     }
 
+    /// Remembers how an attempt ended, for orders and reports that come late.
+    fn bury(&mut self, now_ms: u64, attempt: AttemptId, end: TaskEnd) {
+        self.buried.insert(attempt.clone(), end);
+        self.tombstones.push_back((now_ms, attempt));
+    }
+
     fn start_known(&mut self, key: TaskKey, order: TaskOrder) -> StartAnswer {
         let task = &mut self.tasks[key];
         match task.state {
@@ -608,8 +624,7 @@
         let TaskState::Ended { end, .. } = self.tasks[key].state else {
             return;
         };
-        self.buried.insert(attempt.clone(), end);
-        self.tombstones.push_back((now_ms, attempt.clone()));
+        self.bury(now_ms, attempt.clone(), end);
         let host = self.tasks[key].host;
         if self.hosts[host].contact == Contact::Lost {
             self.remove(key);
@@ -725,6 +740,8 @@
             }
         }
         for key in stale {
+            let attempt = self.tasks[key].order.attempt.clone();
+            self.bury(now_ms, attempt, TaskEnd::NotStarted);
             self.remove(key);
         }
         let silence_ms = self.pace.lease_ms + self.pace.lease_ms * self.pace.skew_permille / 1_000;
--- a/crates/core/src/slots.rs
+++ b/crates/core/src/slots.rs
@@ -80,6 +80,16 @@
     shunned_until_ms: u64,
 }
 
+impl Instance {
+    /// Gives the slots that may be used; one that failed often is only probed.
+    fn usable_slots(&self) -> u32 {
+        match self.failures >= FAILURES_BORNE {
+            true => self.slots.min(1),
+            false => self.slots,
+        }
+    }
+}
+
 #[derive(Debug, Clone)]
 struct Grant {
     instance: InstanceKey,
@@ -189,10 +199,30 @@
         (used, staying.map(|instance| instance.slots).sum())
     }
 
+    /// Counts the slots of instances that take requests now. One that is shunned
+    /// counts for nothing, and one on probation for a single slot, so that a broken
+    /// cell does not look idle and draw the requests of the whole service.
+    fn open_slots(&self, now_ms: u64) -> u32 {
+        let mut sum = 0;
+        for instance in self.instances.values() {
+            if instance.is_leaving || now_ms < instance.shunned_until_ms {
+                continue;
+            }
+            sum += instance.usable_slots();
+        }
+        sum
+    }
+
     /// Gives the free slots in sight of new requests.
-    pub fn free(&self) -> u32 {
-        let (used, all) = self.load();
-        all.saturating_sub(used + self.waiting.len() as u32)
+    pub fn free(&self, now_ms: u64) -> u32 {
+        let mut free = 0;
+        for instance in self.instances.values() {
+            if instance.is_leaving || now_ms < instance.shunned_until_ms {
+                continue;
+            }
+            free += instance.usable_slots().saturating_sub(instance.in_use);
+        }
+        free.saturating_sub(self.waiting.len() as u32)
     }
 
     /// Counts the requests that wait.
@@ -222,8 +252,8 @@
         {
             return Some(self.grant(now_ms, instance, ask));
         }
-        let wait_ms = self.expected_wait_ms();
-        let (_, slots) = self.load();
+        let wait_ms = self.expected_wait_ms(now_ms);
+        let slots = self.open_slots(now_ms);
         let is_full = self.waiting.len() as u32 >= slots * self.bounds.waiting_per_slot;
         if is_full || slots == 0 || now_ms + wait_ms > ask.begin_by_ms {
             let retry_after_ms = wait_ms.max(1);
@@ -273,7 +303,7 @@
         while let Some(ask) = self.waiting.front().copied() {
             if now_ms > ask.begin_by_ms {
                 self.waiting.pop_front();
-                let retry_after_ms = self.expected_wait_ms().max(1);
+                let retry_after_ms = self.expected_wait_ms(now_ms).max(1);
                 verdicts.push((ask, Verdict::Refused { retry_after_ms }));
                 continue;
             }
@@ -294,9 +324,7 @@
         let mut best: Option<(u64, InstanceKey)> = None;
         for (key, instance) in &self.instances {
             let is_open = !instance.is_leaving && now_ms >= instance.shunned_until_ms;
-            let is_on_probation = instance.failures >= FAILURES_BORNE;
-            let slots = if is_on_probation { 1 } else { instance.slots };
-            if !is_open || instance.in_use >= slots {
+            if !is_open || instance.in_use >= instance.usable_slots() {
                 continue;
             }
             let expected = self.expected_us(instance);
@@ -365,9 +393,9 @@
         instance.shunned_until_ms = now_ms + (SHUN_MS << doublings);
     }
 
-    fn expected_wait_ms(&self) -> u64 {
+    fn expected_wait_ms(&self, now_ms: u64) -> u64 {
         const UNKNOWN_US: u64 = 10_000;
-        let (_, slots) = self.load();
+        let slots = self.open_slots(now_ms);
         if slots == 0 {
             return SHUN_MS;
         }
--- a/crates/core/src/writer.rs
+++ b/crates/core/src/writer.rs
@@ -37,6 +37,8 @@
     pending: Vec<Record>,
     pending_since_ms: u64,
     under_way: Vec<Record>,
+    alone: Option<Vec<Record>>,
+    is_alone: bool,
     failures: u32,
 }
 
@@ -50,6 +52,8 @@
             pending: Vec::new(),
             pending_since_ms: 0,
             under_way: Vec::new(),
+            alone: None,
+            is_alone: false,
             failures: 0,
         }
     }
@@ -67,9 +71,18 @@
         self.pending.push(record);
     }
 
+    /// Queues records that must stand in a batch of their own, before all that are
+    /// queued later, and that nothing follows from: state carried forward. A
+    /// reader could otherwise find a part of it, and the writer would take the
+    /// records for new ones and act on them again.
+    pub fn push_alone(&mut self, records: Vec<Record>) {
+        self.alone = Some(records);
+    }
+
     /// Counts the records that are not yet known to be in the log.
     pub fn waiting(&self) -> usize {
-        self.pending.len() + self.under_way.len()
+        let alone = self.alone.as_ref().map_or(0, Vec::len);
+        self.pending.len() + self.under_way.len() + alone
     }
 
     /// Tells whether the log has failed to answer lately.
@@ -107,6 +120,12 @@
     }
 
     fn begin(&mut self, now_ms: u64, limits: &Limits) -> Option<Step> {
+        if let Some(records) = self.alone.take() {
+            self.under_way = records;
+            self.is_alone = true;
+            self.sequence += 1;
+            return Some(self.send(now_ms));
+        }
         if self.pending.is_empty() {
             return None;
         }
@@ -114,15 +133,7 @@
         if !is_full && now_ms < self.pending_since_ms + limits.commit_ms {
             return None;
         }
-        // State that is carried forward must stand in one batch, or a reader
-        // could find a part of it.
-        let is_carried = self.pending.first() == Some(&Record::Carried);
-        let most = if is_carried {
-            usize::MAX
-        } else {
-            limits.batch_records
-        };
-        let count = self.pending.len().min(most);
+        let count = self.pending.len().min(limits.batch_records);
         self.under_way = self.pending.drain(..count).collect();
         self.pending_since_ms = now_ms;
         self.sequence += 1;
@@ -138,14 +149,19 @@
         })
     }
 
-    /// Notes that the append of batch `sequence` took effect; gives its records.
+    /// Notes that the append of batch `sequence` took effect; gives the records that
+    /// something follows from.
     pub fn committed(&mut self, sequence: u64) -> Vec<Record> {
         if sequence != self.sequence || self.phase == Phase::Idle {
             return Vec::new();
         }
         self.phase = Phase::Idle;
         self.failures = 0;
-        std::mem::take(&mut self.under_way)
+        let records = std::mem::take(&mut self.under_way);
+        if std::mem::take(&mut self.is_alone) {
+            return Vec::new();
+        }
+        records
     }
 
     /// Notes that the answer to an append was lost or was no answer.
@@ -161,10 +177,15 @@
         };
     }
 
+    /// Tells whether `batch` is the one sent last.
+    pub fn is_latest(&self, batch: &Batch) -> bool {
+        batch.term == self.term && batch.sequence == self.sequence
+    }
+
     /// Notes a batch that was read from the stream; gives its records if it was
     /// the unresolved one.
     pub fn seen(&mut self, batch: &Batch) -> Vec<Record> {
-        if batch.term != self.term || batch.sequence != self.sequence {
+        if !self.is_latest(batch) {
             return Vec::new();
         }
         self.committed(batch.sequence)
--- a/crates/daemon/src/front.rs
+++ b/crates/daemon/src/front.rs
@@ -271,7 +271,7 @@
                         true => (AttemptEnd::NotStarted, None),
                         false => attempt(ask, &address, timeout_ms, response_max_bytes),
                     };
-                    held = whole;
+                    held = whole.or(held);
                     let request = place.number;
                     let _ = self.events.send(Event::AttemptEnded { request, end });
                 }
--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -224,7 +224,10 @@
             let now_ms = began.elapsed().as_millis() as u64;
             let reply = lock(&served).call(now_ms, &call);
             match reply {
-                Some(reply) => answer_json(request, &reply),
+                Some(reply) => {
+                    answer_json(request, &reply);
+                    lock(&served).note_heard();
+                }
                 None => refuse(request, 409),
             }
         };
--- a/crates/standin/src/worker.rs
+++ b/crates/standin/src/worker.rs
@@ -30,6 +30,8 @@
     pub to_ms: Option<u64>,
     /// Whether the job finished then.
     pub is_finished: bool,
+    /// When an answer first told of that.
+    pub heard_ms: Option<u64>,
     /// What it used.
     pub order: WorkerOrder,
 }
@@ -53,6 +55,8 @@
     now_ms: u64,
     /// All stretches of running so far.
     pub runs: Vec<TaskRun>,
+    /// Orders to start that it had no room for.
+    pub refusals: u32,
 }
 
 impl WorkerState {
@@ -70,6 +74,7 @@
             tasks: Vec::new(),
             now_ms: 0,
             runs: Vec::new(),
+            refusals: 0,
         }
     }
 
@@ -135,6 +140,18 @@
         Some(self.reply())
     }
 
+    /// Notes that the answer to the latest call arrives, so that the ends it tells
+    /// of are known from now on.
+    pub fn note_heard(&mut self) {
+        for task in self.tasks.iter().filter(|task| task.state == "finished") {
+            let same =
+                |run: &&mut TaskRun| run.id == task.order.id && run.attempt == task.order.attempt;
+            if let Some(run) = self.runs.iter_mut().find(same) {
+                run.heard_ms.get_or_insert(self.now_ms);
+            }
+        }
+    }
+
     fn apply(&mut self, now_ms: u64, call: &WorkerRequest) {
         let is_named = |task: &TaskState, names: &[(String, u32)]| {
             names
@@ -168,6 +185,7 @@
             accelerators += task.order.accelerators;
         }
         let fits = cores <= self.room.0 && memory <= self.room.1 && accelerators <= self.room.2;
+        self.refusals += u32::from(!fits);
         let state = if fits { "running" } else { "refused" };
         self.tasks.push(TaskState {
             order: order.clone(),
@@ -182,6 +200,7 @@
                 from_ms: now_ms,
                 to_ms: None,
                 is_finished: false,
+                heard_ms: None,
                 order: order.clone(),
             });
         }
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -124,11 +124,13 @@
             cell,
             order,
             is_urgent,
+            is_repeat,
         } => Kind::Start(proto::TaskTalk {
             home: Some(cell_out(*home)),
             cell: Some(cell_out(*cell)),
             order: Some(order_out(order)),
             flag: *is_urgent,
+            is_repeat: *is_repeat,
             ..proto::TaskTalk::default()
         }),
         Message::Reserved {
@@ -278,6 +280,7 @@
             cell: cell_in(&task.cell)?,
             order: order_in(&task.order)?,
             is_urgent: task.flag,
+            is_repeat: task.is_repeat,
         },
         Kind::Reserved(task) => Message::Reserved {
             home: cell_in(&task.home)?,
--- a/crates/wire/src/proto.rs
+++ b/crates/wire/src/proto.rs
@@ -304,6 +304,8 @@
     pub free: u32,
     #[prost(message, optional, tag = "7")]
     pub end: Option<Tagged>,
+    #[prost(bool, tag = "8")]
+    pub is_repeat: bool,
 }
 
 #[derive(Clone, PartialEq, Oneof)]
--- a/tests/lib.rs
+++ b/tests/lib.rs
@@ -1,1 +1,15 @@
-//! Placeholder.
+//! Tests of the whole: scenarios, inventories, events, and random faults.
+//!
+//! The daemon's actor runs as in production; only the edge around it is a small
+//! fake, in [`world`], with virtual time.
+#![cfg(test)]
+
+mod border;
+mod catalogue;
+mod faults;
+mod inventories;
+mod ownership;
+mod parts;
+mod scenarios;
+mod settings;
+mod world;
--- /dev/null
+++ b/tests/scenarios.rs
@@ -0,0 +1,464 @@
+//! The scenario language: commands of `docs/dev/SCENARIOS.md` over a [`World`].
+
+use crate::world::LogMode;
+use crate::world::Told;
+use crate::world::UpstreamMode;
+use crate::world::World;
+use datadriven::TestCase;
+use goldcrestway_core::Answer;
+use goldcrestway_core::ConfigChange;
+use goldcrestway_core::Event;
+use goldcrestway_core::Fate;
+use goldcrestway_core::JobSpec;
+use goldcrestway_core::Limits;
+use goldcrestway_core::Request;
+use goldcrestway_core::Seat;
+use goldcrestway_core::wide_hash;
+use goldcrestway_inventory::Sections;
+use goldcrestway_inventory::compare;
+use goldcrestway_inventory::load_sections;
+use std::collections::BTreeMap;
+
+/// The inventory that scenarios publish unless they say otherwise.
+pub(crate) const SPA: &str = include_str!("../examples/spa/inventory.ini");
+
+#[test]
+fn scenarios_keep_their_promises() {
+    datadriven::walk("scenarios", |file| {
+        let mut world = None;
+        file.run(|case| {
+            let mut script = Script { case };
+            script.run(&mut world)
+        });
+    });
+}
+
+/// Makes the usual world: entry hosts, nine workers, six instances.
+pub(crate) fn usual_world(seats: u16, limits: Limits, run_time_ms: u64, seed: u64) -> World {
+    let mut world = World::new(seats, limits, seed);
+    for number in 1..=9 {
+        let room = if [3, 6, 9].contains(&number) {
+            (32_000, 125_000, 0)
+        } else {
+            (28_000, 117_000, 0)
+        };
+        world
+            .edges
+            .add_worker(&format!("w{number}"), room, run_time_ms);
+    }
+    for number in 1..=6 {
+        world.edges.add_upstream(&format!("b{number}"), 20);
+    }
+    for seat in 0..seats {
+        world.start(Seat(seat));
+    }
+    world
+}
+
+/// Publishes `text` at a seat, as a change of `base`.
+pub(crate) fn publish(
+    world: &mut World,
+    seat: Seat,
+    id: &str,
+    base: u64,
+    old: &Sections,
+    text: &str,
+) -> u64 {
+    let (sections, _) = load_sections("inventory.ini", text).expect("the inventory is sound");
+    let request = world.next_request();
+    world.edges.published.insert(request, None);
+    let change = ConfigChange {
+        base,
+        id: id.into(),
+        author: format!("operator-{id}").into(),
+        changes: compare(old, &sections).into(),
+    };
+    world.give(seat, Event::Publish { request, change });
+    request
+}
+
+/// Sends a request with an identity.
+pub(crate) fn send(world: &mut World, seat: Seat, identity: &str, is_once: bool, patience_ms: u64) {
+    let number = world.next_request();
+    let request = Request {
+        request: number,
+        service: "booking".into(),
+        identity: Some(wide_hash(identity.as_bytes())),
+        fingerprint: 7,
+        is_idempotent: !is_once,
+        deadline_ms: world.now_ms + patience_ms,
+    };
+    let told = Told {
+        identity: identity.into(),
+        is_once,
+        answer: None,
+        has_whole: false,
+        attempts: 0,
+        told_ms: 0,
+    };
+    world.edges.told.insert(number, told);
+    world.give(seat, Event::Request(request));
+}
+
+/// Submits a job.
+pub(crate) fn submit(world: &mut World, seat: Seat, job: &str, name: &str) {
+    let request = world.next_request();
+    let team = if job == "roster" { "night" } else { "desk" };
+    let id = format!("{team}/{name}");
+    world.edges.jobs.insert(request, (id.clone(), None));
+    let spec = JobSpec {
+        id: id.into(),
+        job: job.into(),
+        team: team.into(),
+    };
+    world.give(seat, Event::Submit { request, spec });
+}
+
+impl World {
+    /// Numbers a request.
+    pub(crate) fn next_request(&self) -> u64 {
+        let counts = self.edges.told.len() + self.edges.jobs.len() + self.edges.published.len();
+        counts as u64 + 1
+    }
+}
+
+/// One command of a scenario.
+struct Script<'a> {
+    case: &'a mut TestCase,
+}
+
+impl Script<'_> {
+    fn text(&mut self, key: &str) -> Option<String> {
+        self.case
+            .args
+            .remove(key)
+            .and_then(|values| values.into_iter().next())
+    }
+
+    fn flag(&mut self, key: &str) -> bool {
+        self.case.args.remove(key).is_some()
+    }
+
+    fn number(&mut self, key: &str, default: u64) -> u64 {
+        match self.text(key) {
+            Some(text) => text
+                .parse()
+                .unwrap_or_else(|_| panic!("`{key}={text}` is no number")),
+            None => default,
+        }
+    }
+
+    /// Reads a seat written as `e1`.
+    fn seat(&mut self, key: &str) -> Seat {
+        let text = self.text(key).unwrap_or_else(|| "e1".into());
+        let number = text.trim_start_matches('e').parse::<u16>();
+        Seat(number.unwrap_or_else(|_| panic!("`{key}={text}` is no seat")) - 1)
+    }
+
+    fn run(&mut self, world: &mut Option<World>) -> String {
+        let command = self.case.directive.clone();
+        let output = match &*command {
+            "start" => {
+                let limits = Limits {
+                    carry_records: self.number("carry_records", 2_000),
+                    ..Limits::default()
+                };
+                let hosts = self.number("hosts", 3) as u16;
+                let run_time_ms = self.number("run_time_ms", 500);
+                let seed = self.number("seed", 1);
+                *world = Some(usual_world(hosts, limits, run_time_ms, seed));
+                String::new()
+            }
+            _ => {
+                let world = world.as_mut().expect("a scenario begins with `start`");
+                self.command(&command, world)
+            }
+        };
+        let unused: Vec<&String> = self.case.args.keys().collect();
+        assert!(unused.is_empty(), "`{command}` does not know {unused:?}");
+        output
+    }
+
+    fn command(&mut self, command: &str, world: &mut World) -> String {
+        match command {
+            "run" => world.run(self.number("ms", 1_000)),
+            "publish" => return self.publish(world),
+            "send" => self.send(world),
+            "submit" => self.submit(world),
+            "kill" => world.kill(self.seat("host")),
+            "restart" => {
+                let seat = self.seat("host");
+                world.kill(seat);
+                world.start(seat);
+            }
+            "stop" => {
+                let seat = self.seat("host");
+                world.give(seat, Event::Stop);
+            }
+            "pause" => world.pause(self.seat("host"), true),
+            "resume" => world.pause(self.seat("host"), false),
+            "cut" | "join" => self.cut(command == "cut", world),
+            "log" => self.log(world),
+            "worker" => self.worker(world),
+            "upstream" => self.upstream(world),
+            "requests" => return requests(world),
+            "jobs" => return jobs(world),
+            "cells" => return cells(world),
+            "versions" => return versions(world),
+            "promises" => return promises(world),
+            other => panic!("unknown command `{other}`; see docs/dev/SCENARIOS.md"),
+        }
+        String::new()
+    }
+
+    fn publish(&mut self, world: &mut World) -> String {
+        let seat = self.seat("via");
+        let id = self.text("id").unwrap_or_else(|| "first".into());
+        let base = self.number("base", 0);
+        let wait_ms = self.number("wait_ms", 12_000);
+        let add = self.case.input.clone();
+        let text = match self.flag("only") {
+            true => add,
+            false => format!("{SPA}\n{add}"),
+        };
+        let old = match base {
+            0 => Sections::new(),
+            _ => {
+                load_sections("inventory.ini", SPA)
+                    .expect("the inventory is sound")
+                    .0
+            }
+        };
+        let request = publish(world, seat, &id, base, &old, &text);
+        let end_ms = world.now_ms + wait_ms;
+        while world.edges.published[&request].is_none() && world.now_ms < end_ms {
+            world.run(10);
+        }
+        match &world.edges.published[&request] {
+            Some(Answer::Published(Fate::Accepted { version })) => format!("accepted {version}\n"),
+            Some(Answer::Published(Fate::Overtaken { author, version })) => {
+                format!("overtaken by {author}, version {version}\n")
+            }
+            Some(Answer::Published(Fate::Faulty { .. })) => "faulty\n".into(),
+            Some(Answer::Unknown { .. }) => "unknown\n".into(),
+            Some(Answer::NotRun { .. }) => "not run\n".into(),
+            other => format!("{other:?}\n"),
+        }
+    }
+
+    fn send(&mut self, world: &mut World) {
+        let seat = self.seat("via");
+        let id = self.text("id").unwrap_or_else(|| "r".into());
+        let count = self.number("count", 1);
+        let patience_ms = self.number("patience_ms", 3_000);
+        let every_ms = self.number("every_ms", 0);
+        let is_once = self.flag("once");
+        for number in 0..count {
+            let identity = if count == 1 {
+                id.clone()
+            } else {
+                format!("{id}{number}")
+            };
+            send(world, seat, &identity, is_once, patience_ms);
+            world.run(every_ms);
+        }
+    }
+
+    fn submit(&mut self, world: &mut World) {
+        let seat = self.seat("via");
+        let job = self.text("job").unwrap_or_else(|| "roster".into());
+        let count = self.number("count", 1);
+        let prefix = self.text("id").unwrap_or_else(|| job.clone());
+        for number in 0..count {
+            submit(world, seat, &job, &format!("{prefix}{number}"));
+        }
+    }
+
+    fn cut(&mut self, is_cut: bool, world: &mut World) {
+        let seat = self.seat("host");
+        let from_log = self.flag("log");
+        if from_log {
+            match is_cut {
+                true => drop(world.edges.log_cuts.insert(seat)),
+                false => drop(world.edges.log_cuts.remove(&seat)),
+            }
+            return;
+        }
+        let others: Vec<Seat> = match self.case.args.contains_key("from") {
+            true => vec![self.seat("from")],
+            false => (0..9).map(Seat).filter(|other| *other != seat).collect(),
+        };
+        for other in others {
+            for link in [(seat, other), (other, seat)] {
+                match is_cut {
+                    true => drop(world.cuts.insert(link)),
+                    false => drop(world.cuts.remove(&link)),
+                }
+            }
+        }
+    }
+
+    fn log(&mut self, world: &mut World) {
+        if let Some(stream) = self.text("expire") {
+            let keep = self.number("keep", 0) as usize;
+            world.edges.log.expire(&stream, keep);
+            return;
+        }
+        let mode = self.text("mode").unwrap_or_default();
+        world.edges.log_mode = match &*mode {
+            "up" => LogMode::Up,
+            "down" => LogMode::Down,
+            "loses-answers" => LogMode::LosesAnswers,
+            "slow" => LogMode::Slow(self.number("ms", 2_000)),
+            other => panic!("unknown mode of the log `{other}`"),
+        };
+    }
+
+    fn worker(&mut self, world: &mut World) {
+        let name = self.text("name").expect("`worker` takes `name`");
+        let now_ms = world.now_ms;
+        let wakes = self.flag("wakes");
+        let worker = world.edges.workers.get_mut(&*name).expect("such a worker");
+        if self.flag("dies") {
+            worker.state.die(now_ms);
+            worker.is_dead = true;
+        }
+        if self.flag("returns") {
+            worker.is_dead = false;
+        }
+        if self.flag("cut") {
+            worker.is_cut = true;
+        }
+        if self.flag("joined") {
+            worker.is_cut = false;
+        }
+        if self.flag("pauses") {
+            worker.is_paused = true;
+        }
+        if self.flag("fails") {
+            worker.state.fails_all = true;
+        }
+        if self.flag("leaves") {
+            worker.is_leaving = true;
+        }
+        let slowdown = self.number("slowdown_permille", 0);
+        let worker = world.edges.workers.get_mut(&*name).expect("such a worker");
+        if slowdown > 0 {
+            worker.state.slowdown_permille = slowdown as u32;
+        }
+        if wakes {
+            world.edges.wake_worker(now_ms, &name);
+        }
+        world.list_hosts();
+    }
+
+    fn upstream(&mut self, world: &mut World) {
+        let name = self.text("name").expect("`upstream` takes `name`");
+        let now_ms = world.now_ms;
+        let work_ms = self.number("work_ms", 0);
+        let mode = self.text("mode");
+        let leaves = self.flag("leaves");
+        let upstream = world
+            .edges
+            .upstreams
+            .get_mut(&*name)
+            .expect("such an upstream");
+        if work_ms > 0 {
+            upstream.work_ms = work_ms;
+        }
+        if let Some(mode) = mode {
+            upstream.mode = match &*mode {
+                "answers" => UpstreamMode::Answers,
+                "fails" => UpstreamMode::Fails,
+                "cuts" => UpstreamMode::Cuts,
+                "refuses" => UpstreamMode::Refuses,
+                other => panic!("unknown mode of an instance `{other}`"),
+            };
+        }
+        if leaves {
+            upstream.is_leaving = true;
+            upstream.left_ms = now_ms;
+        }
+        world.list_hosts();
+    }
+}
+
+/// Names what a caller was told, in a word.
+pub(crate) fn word(answer: &Option<Answer>) -> &'static str {
+    match answer {
+        None => "open",
+        Some(Answer::Whole) => "answered",
+        Some(Answer::NotRun { .. }) => "not-run",
+        Some(Answer::Unknown { .. }) => "unknown",
+        Some(Answer::Repeated { .. }) => "repeated",
+        Some(Answer::Conflict) => "conflict",
+        Some(Answer::NotListed) => "not-listed",
+        Some(Answer::Job { .. }) => "accepted",
+        Some(Answer::NeverRuns { .. }) => "never-runs",
+        Some(Answer::Published(_)) => "published",
+    }
+}
+
+fn tally<'a>(words: impl Iterator<Item = &'a str>) -> String {
+    let mut counts: BTreeMap<&str, usize> = BTreeMap::new();
+    for word in words {
+        *counts.entry(word).or_default() += 1;
+    }
+    let parts: Vec<String> = counts
+        .iter()
+        .map(|(word, count)| format!("{count} {word}"))
+        .collect();
+    format!("{}\n", parts.join(", "))
+}
+
+fn requests(world: &World) -> String {
+    tally(world.edges.told.values().map(|told| word(&told.answer)))
+}
+
+fn jobs(world: &World) -> String {
+    let told = tally(world.edges.jobs.values().map(|(_, told)| word(told)));
+    format!("{}finished: {}\n", told, world.finished().len())
+}
+
+/// Counts the cells that each entry host serves and may act for.
+fn cells(world: &mut World) -> String {
+    let mut lines = String::new();
+    let mut all = 0;
+    for seat in 0..9 {
+        if !world.runs(Seat(seat)) {
+            continue;
+        }
+        let Some(status) = world.look(Seat(seat), |node| node.status()) else {
+            continue;
+        };
+        let count = if status.acts { status.cells.len() } else { 0 };
+        all += count;
+        let acts = if status.acts { "acts" } else { "does not act" };
+        lines.push_str(&format!("e{} {acts}\n", seat + 1));
+    }
+    format!("{lines}{all} cells served\n")
+}
+
+fn versions(world: &mut World) -> String {
+    let mut lines = String::new();
+    for seat in 0..9 {
+        if !world.runs(Seat(seat)) {
+            continue;
+        }
+        if let Some(status) = world.look(Seat(seat), |node| node.status()) {
+            let acts = if status.acts { "acts" } else { "does not act" };
+            lines.push_str(&format!("e{} {} {acts}\n", seat + 1, status.config_version));
+        }
+    }
+    lines
+}
+
+fn promises(world: &World) -> String {
+    let broken = world.broken();
+    if broken.is_empty() {
+        return "kept\n".into();
+    }
+    const SHOWN: usize = 6;
+    let shown: Vec<&str> = broken.iter().take(SHOWN).map(String::as_str).collect();
+    format!("BROKEN, {} times\n{}\n", broken.len(), shown.join("\n"))
+}
--- /dev/null
+++ b/tests/world/edges.rs
@@ -0,0 +1,486 @@
+//! The fakes: messages, log, workers, instances, callers.
+
+use goldcrestway_core::Action;
+use goldcrestway_core::Answer;
+use goldcrestway_core::AttemptEnd;
+use goldcrestway_core::AttemptId;
+use goldcrestway_core::Event;
+use goldcrestway_core::ListedState;
+use goldcrestway_core::ListedTask;
+use goldcrestway_core::Listing;
+use goldcrestway_core::Member;
+use goldcrestway_core::Message;
+use goldcrestway_core::Part;
+use goldcrestway_core::PlatformHost;
+use goldcrestway_core::Seat;
+use goldcrestway_core::TaskOrder;
+use goldcrestway_core::WorkerCall;
+use goldcrestway_inventory::Resources;
+use goldcrestway_platform::WorkerOrder;
+use goldcrestway_platform::WorkerReply;
+use goldcrestway_platform::WorkerRequest;
+use goldcrestway_standin::LogState;
+use goldcrestway_standin::UpstreamState;
+use goldcrestway_standin::WorkerState;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_pcg::Pcg32;
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+/// How the log behaves.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum LogMode {
+    /// Answers within a few milliseconds.
+    Up,
+    /// Takes that long for each call.
+    Slow(u64),
+    /// Answers nothing and takes nothing.
+    Down,
+    /// Takes appends, but their answers are lost.
+    LosesAnswers,
+}
+
+/// How an instance behaves.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum UpstreamMode {
+    /// Answers after its time.
+    Answers,
+    /// Answers 503 at once.
+    Fails,
+    /// Works, and its answer never arrives.
+    Cuts,
+    /// Refuses connections.
+    Refuses,
+}
+
+/// A caller's request and what its caller was told.
+#[derive(Debug, Clone)]
+pub(crate) struct Told {
+    pub(crate) identity: String,
+    pub(crate) is_once: bool,
+    pub(crate) answer: Option<Answer>,
+    pub(crate) has_whole: bool,
+    /// Attempts that reached an instance.
+    pub(crate) attempts: u32,
+    pub(crate) told_ms: u64,
+}
+
+/// An instance with its behaviour.
+#[derive(Debug, Clone)]
+pub(crate) struct Upstream {
+    pub(crate) state: UpstreamState,
+    pub(crate) mode: UpstreamMode,
+    pub(crate) work_ms: u64,
+    pub(crate) is_leaving: bool,
+    pub(crate) left_ms: u64,
+}
+
+/// A worker with its reachability.
+#[derive(Debug, Clone)]
+pub(crate) struct Worker {
+    pub(crate) state: WorkerState,
+    pub(crate) is_dead: bool,
+    pub(crate) is_cut: bool,
+    pub(crate) is_leaving: bool,
+    /// A paused worker takes calls in only when it wakes.
+    pub(crate) is_paused: bool,
+    held: Vec<(Seat, Action)>,
+}
+
+enum Due {
+    Event(Seat, Event),
+    Append(Seat, Action),
+    EndRun(Box<str>, usize),
+}
+
+/// All fakes.
+pub(crate) struct Edges {
+    random: Pcg32,
+    due: BTreeMap<(u64, u64), Due>,
+    next: u64,
+    pub(crate) log: LogState,
+    pub(crate) log_mode: LogMode,
+    /// Seats that can't reach the log.
+    pub(crate) log_cuts: BTreeSet<Seat>,
+    pub(crate) workers: BTreeMap<Box<str>, Worker>,
+    pub(crate) upstreams: BTreeMap<Box<str>, Upstream>,
+    pub(crate) told: BTreeMap<u64, Told>,
+    pub(crate) jobs: BTreeMap<u64, (String, Option<Answer>)>,
+    pub(crate) published: BTreeMap<u64, Option<Answer>>,
+    pub(crate) ready: BTreeMap<Seat, bool>,
+    pub(crate) broken: Vec<String>,
+    delayed_until_ms: BTreeMap<(Seat, Seat), u64>,
+}
+
+impl Edges {
+    pub(crate) fn new(seed: u64) -> Self {
+        Self {
+            random: Pcg32::seed_from_u64(seed),
+            due: BTreeMap::new(),
+            next: 0,
+            log: LogState::default(),
+            log_mode: LogMode::Up,
+            log_cuts: BTreeSet::new(),
+            workers: BTreeMap::new(),
+            upstreams: BTreeMap::new(),
+            told: BTreeMap::new(),
+            jobs: BTreeMap::new(),
+            published: BTreeMap::new(),
+            ready: BTreeMap::new(),
+            broken: Vec::new(),
+            delayed_until_ms: BTreeMap::new(),
+        }
+    }
+
+    pub(crate) fn add_worker(&mut self, name: &str, room: (u32, u32, u32), run_time_ms: u64) {
+        let worker = Worker {
+            state: WorkerState::new(room, run_time_ms),
+            is_dead: false,
+            is_cut: false,
+            is_leaving: false,
+            is_paused: false,
+            held: Vec::new(),
+        };
+        self.workers.insert(name.into(), worker);
+    }
+
+    pub(crate) fn add_upstream(&mut self, name: &str, work_ms: u64) {
+        let upstream = Upstream {
+            state: UpstreamState::default(),
+            mode: UpstreamMode::Answers,
+            work_ms,
+            is_leaving: false,
+            left_ms: 0,
+        };
+        self.upstreams.insert(name.into(), upstream);
+    }
+
+    /// Lists hosts and instances as the platform does; names serve as addresses.
+    pub(crate) fn hosts(&self) -> Box<[PlatformHost]> {
+        let workers = self
+            .workers
+            .iter()
+            .map(|(name, worker)| (name, worker.is_leaving));
+        let upstreams = self
+            .upstreams
+            .iter()
+            .map(|(name, upstream)| (name, upstream.is_leaving));
+        let listed = workers
+            .chain(upstreams)
+            .map(|(name, is_leaving)| PlatformHost {
+                name: name.clone(),
+                address: name.clone(),
+                is_leaving,
+            });
+        listed.collect()
+    }
+
+    fn put(&mut self, at_ms: u64, due: Due) {
+        self.next += 1;
+        self.due.insert((at_ms, self.next), due);
+    }
+
+    /// Takes what is due by `now_ms`.
+    pub(crate) fn due(&mut self, now_ms: u64) -> Vec<(Seat, Event)> {
+        let mut events = Vec::new();
+        while let Some(entry) = self.due.first_entry() {
+            if entry.key().0 > now_ms {
+                break;
+            }
+            match entry.remove() {
+                Due::Event(seat, event) => events.push((seat, event)),
+                Due::Append(seat, action) => self.finish_append(now_ms, seat, action),
+                Due::EndRun(name, run) => {
+                    if let Some(upstream) = self.upstreams.get_mut(&name) {
+                        upstream.state.end(run, now_ms);
+                    }
+                }
+            }
+        }
+        events
+    }
+
+    /// Lets the workers go on.
+    pub(crate) fn advance(&mut self, now_ms: u64) {
+        for worker in self.workers.values_mut() {
+            if !worker.is_dead {
+                worker.state.advance(now_ms);
+            }
+        }
+    }
+
+    /// Drops what was on its way to a process that ended.
+    pub(crate) fn forget_process(&mut self, seat: Seat) {
+        self.due
+            .retain(|_, due| !matches!(due, Due::Event(to, _) if *to == seat));
+        self.ready.insert(seat, false);
+    }
+
+    /// Sends a message; one link keeps its order, as TCP does.
+    pub(crate) fn send(&mut self, now_ms: u64, from: Member, to: Seat, message: Message) {
+        let delay_ms = self.random.random_range(1..=5);
+        let link = self.delayed_until_ms.entry((from.seat, to)).or_default();
+        *link = (now_ms + delay_ms).max(*link);
+        let at_ms = *link;
+        self.put(at_ms, Due::Event(to, Event::Peer { from, message }));
+    }
+
+    pub(crate) fn perform(&mut self, now_ms: u64, seat: Seat, action: Action) {
+        match action {
+            Action::Append { .. } => self.append(now_ms, seat, action),
+            Action::Read { stream, from } => self.read(now_ms, seat, stream, from),
+            Action::Attempt { .. } => self.attempt(now_ms, seat, action),
+            Action::CallWorker { .. } => self.call_worker(now_ms, seat, action),
+            Action::Answer { request, answer } => self.answer(now_ms, request, answer),
+            Action::Ready(is_ready) => drop(self.ready.insert(seat, is_ready)),
+            Action::Send { .. } | Action::Note(_) | Action::Stopped => {}
+        }
+    }
+
+    fn append(&mut self, now_ms: u64, seat: Seat, action: Action) {
+        const HANGS_MS: u64 = 1_000;
+        let Action::Append { stream, ref batch } = action else {
+            return;
+        };
+        let sequence = batch.sequence;
+        let lost = Event::Appended {
+            stream,
+            sequence,
+            offset: None,
+        };
+        let delay_ms = match self.log_mode {
+            LogMode::Slow(delay_ms) => delay_ms,
+            _ => self.random.random_range(2..=12),
+        };
+        if self.log_mode == LogMode::Down || self.log_cuts.contains(&seat) {
+            self.put(now_ms + HANGS_MS, Due::Event(seat, lost));
+            return;
+        }
+        self.put(now_ms + delay_ms, Due::Append(seat, action));
+    }
+
+    fn finish_append(&mut self, now_ms: u64, seat: Seat, action: Action) {
+        const ANSWER_MS: u64 = 2;
+        let Action::Append { stream, batch } = action else {
+            return;
+        };
+        let bytes = goldcrestway_wire::encode_batch(&batch);
+        let offset = self.log.append(&stream.to_string(), bytes);
+        let offset = Some(offset).filter(|_| self.log_mode != LogMode::LosesAnswers);
+        let sequence = batch.sequence;
+        let event = Event::Appended {
+            stream,
+            sequence,
+            offset,
+        };
+        self.put(now_ms + ANSWER_MS, Due::Event(seat, event));
+    }
+
+    fn read(&mut self, now_ms: u64, seat: Seat, stream: goldcrestway_core::Stream, from: u64) {
+        const RECORDS: usize = 200;
+        let delay_ms = match self.log_mode {
+            LogMode::Slow(delay_ms) => delay_ms,
+            _ => 3,
+        };
+        let is_down = self.log_mode == LogMode::Down || self.log_cuts.contains(&seat);
+        let part = (!is_down).then(|| {
+            let part = self.log.read(&stream.to_string(), from, RECORDS);
+            let next = part
+                .records
+                .last()
+                .map_or(part.oldest.max(from), |(at, _)| at + 1);
+            let decode =
+                |(at, bytes): &(u64, Vec<u8>)| (*at, goldcrestway_wire::decode_batch(bytes).ok());
+            Part {
+                oldest: part.oldest,
+                next,
+                is_end: next >= part.end,
+                batches: part.records.iter().map(decode).collect(),
+            }
+        });
+        self.put(
+            now_ms + delay_ms,
+            Due::Event(seat, Event::Read { stream, part }),
+        );
+    }
+
+    fn attempt(&mut self, now_ms: u64, seat: Seat, action: Action) {
+        let Action::Attempt {
+            request,
+            address,
+            timeout_ms,
+            ..
+        } = action
+        else {
+            return;
+        };
+        let Some(told) = self.told.get_mut(&request) else {
+            return;
+        };
+        let identity = told.identity.clone();
+        let Some(upstream) = self.upstreams.get_mut(&address) else {
+            return;
+        };
+        const LEAVING_BORNE_MS: u64 = 3_000;
+        if upstream.is_leaving && now_ms > upstream.left_ms + LEAVING_BORNE_MS {
+            self.broken
+                .push(format!("{address} is leaving and got request {identity}"));
+        }
+        let mode = upstream.mode;
+        let work_ms = if mode == UpstreamMode::Fails {
+            1
+        } else {
+            upstream.work_ms
+        };
+        let end = match mode {
+            UpstreamMode::Refuses => AttemptEnd::NotStarted,
+            UpstreamMode::Fails => AttemptEnd::Whole {
+                status: 503,
+                latency_ms: work_ms,
+            },
+            UpstreamMode::Answers if work_ms <= timeout_ms => AttemptEnd::Whole {
+                status: 200,
+                latency_ms: work_ms,
+            },
+            _ => AttemptEnd::Cut,
+        };
+        let answered_ms = match end {
+            AttemptEnd::NotStarted => now_ms + 1,
+            AttemptEnd::Cut => now_ms + timeout_ms,
+            AttemptEnd::Whole { .. } => now_ms + work_ms,
+        };
+        if end != AttemptEnd::NotStarted {
+            told.attempts += 1;
+            let until_ms = now_ms + work_ms;
+            let run = upstream.state.begin(&identity, now_ms, until_ms);
+            self.put(until_ms, Due::EndRun(address, run));
+        }
+        let event = Event::AttemptEnded { request, end };
+        self.put(answered_ms, Due::Event(seat, event));
+        if let (Some(told), AttemptEnd::Whole { .. }) = (self.told.get_mut(&request), end) {
+            told.has_whole = true;
+        }
+    }
+
+    fn call_worker(&mut self, now_ms: u64, seat: Seat, action: Action) {
+        const TIMEOUT_MS: u64 = 1_000;
+        let Action::CallWorker {
+            cell,
+            host,
+            ref address,
+            ref call,
+            ..
+        } = action
+        else {
+            return;
+        };
+        let token = call.token;
+        let Some(worker) = self.workers.get_mut(address) else {
+            return;
+        };
+        let mut listing = None;
+        let mut delay_ms = TIMEOUT_MS;
+        if worker.is_paused {
+            worker.held.push((seat, action.clone()));
+        } else if !worker.is_dead && !worker.is_cut {
+            delay_ms = 3;
+            listing = worker.state.call(now_ms, &request_of(call)).map(listing_of);
+            worker.state.note_heard();
+        }
+        let event = Event::Worker {
+            cell,
+            host,
+            token,
+            listing,
+        };
+        self.put(now_ms + delay_ms, Due::Event(seat, event));
+    }
+
+    /// Wakes a paused worker: calls that were waiting at it take effect late.
+    pub(crate) fn wake_worker(&mut self, now_ms: u64, name: &str) {
+        let Some(worker) = self.workers.get_mut(name) else {
+            return;
+        };
+        worker.is_paused = false;
+        for (_, action) in std::mem::take(&mut worker.held) {
+            if let Action::CallWorker { call, .. } = action {
+                worker.state.call(now_ms, &request_of(&call));
+            }
+        }
+    }
+
+    fn answer(&mut self, now_ms: u64, request: u64, answer: Answer) {
+        if let Some(told) = self.told.get_mut(&request) {
+            if told.answer.is_some() {
+                self.broken
+                    .push(format!("request {} was answered twice", told.identity));
+            }
+            told.told_ms = now_ms;
+            told.answer = Some(answer);
+        } else if let Some((_, told)) = self.jobs.get_mut(&request) {
+            *told = Some(answer);
+        } else if let Some(told) = self.published.get_mut(&request) {
+            *told = Some(answer);
+        }
+    }
+}
+
+fn request_of(call: &WorkerCall) -> WorkerRequest {
+    let names = |attempts: &[AttemptId]| {
+        attempts
+            .iter()
+            .map(|attempt| (attempt.id.to_string(), attempt.attempt))
+            .collect()
+    };
+    let start = call.start.iter().map(|order| WorkerOrder {
+        id: order.attempt.id.to_string(),
+        attempt: order.attempt.attempt,
+        job: order.job.to_string(),
+        millicores: order.need.millicores,
+        memory_mb: order.need.memory_mb,
+        accelerators: order.need.accelerators,
+        checkpoint: order.checkpoint,
+    });
+    WorkerRequest {
+        token: call.token,
+        answers: call.answers,
+        lease_ms: call.lease_ms,
+        start: start.collect(),
+        stop: names(&call.stop),
+        forget: names(&call.forget),
+        batch_permille: call.batch_permille,
+    }
+}
+
+fn listing_of(reply: WorkerReply) -> Listing {
+    let tasks = reply.tasks.into_iter().map(|task| ListedTask {
+        state: match &*task.state {
+            "running" => ListedState::Running,
+            "finished" => ListedState::Finished,
+            "failed" => ListedState::Failed,
+            "refused" => ListedState::Refused,
+            _ => ListedState::Stopped {
+                checkpoint: task.checkpoint,
+            },
+        },
+        order: TaskOrder {
+            attempt: AttemptId {
+                id: task.order.id.into(),
+                attempt: task.order.attempt,
+            },
+            job: task.order.job.into(),
+            need: Resources {
+                millicores: task.order.millicores,
+                memory_mb: task.order.memory_mb,
+                accelerators: task.order.accelerators,
+            },
+            checkpoint: task.order.checkpoint,
+        },
+    });
+    Listing {
+        number: reply.number,
+        tasks: tasks.collect(),
+        service_slowdown_permille: reply.service_slowdown_permille,
+    }
+}
--- /dev/null
+++ b/tests/world/promises.rs
@@ -0,0 +1,178 @@
+//! What must always hold, judged by what the fakes recorded.
+
+use super::World;
+use goldcrestway_core::Answer;
+use goldcrestway_core::Outcome;
+use std::collections::BTreeMap;
+
+impl World {
+    /// Looks at what must hold at every moment: one owner a cell, and versions
+    /// that never go back.
+    pub(super) fn watch(&mut self) {
+        let mut owners: BTreeMap<Box<str>, Vec<Box<str>>> = BTreeMap::new();
+        for seat in self.seats.clone() {
+            let is_paused = self
+                .processes
+                .get(&seat)
+                .is_some_and(|process| process.is_paused);
+            if is_paused || !self.runs(seat) {
+                continue;
+            }
+            let Some(status) = self.look(seat, |node| node.status()) else {
+                continue;
+            };
+            if let Some(process) = self.processes.get_mut(&seat) {
+                if status.config_version < process.highest_config {
+                    self.broken
+                        .push(format!("seat {} reverted its configuration", seat.0));
+                }
+                process.highest_config = status.config_version;
+            }
+            if !status.acts {
+                continue;
+            }
+            for (cell, _) in status.cells {
+                owners.entry(cell).or_default().push(status.member.clone());
+            }
+        }
+        for (cell, members) in owners {
+            if members.len() > 1 {
+                self.broken.push(format!(
+                    "{cell} has owners {members:?} at {} ms",
+                    self.now_ms
+                ));
+            }
+        }
+    }
+
+    /// Lists the promises that were broken so far.
+    pub(crate) fn broken(&self) -> Vec<String> {
+        let mut broken = self.broken.clone();
+        broken.extend(self.edges.broken.clone());
+        self.judge_requests(&mut broken);
+        self.judge_jobs(&mut broken);
+        broken.sort();
+        broken.dedup();
+        broken
+    }
+
+    fn judge_requests(&self, broken: &mut Vec<String>) {
+        let mut runs: BTreeMap<&str, Vec<(u64, u64)>> = BTreeMap::new();
+        for (name, upstream) in &self.edges.upstreams {
+            const SLOTS: u32 = 8;
+            if upstream.state.most_in_use > SLOTS {
+                broken.push(format!(
+                    "{name} worked on {} at once",
+                    upstream.state.most_in_use
+                ));
+            }
+            for run in &upstream.state.runs {
+                runs.entry(&run.identity)
+                    .or_default()
+                    .push((run.from_ms, run.to_ms));
+            }
+        }
+        let mut not_run: BTreeMap<&str, bool> = BTreeMap::new();
+        for told in self.edges.told.values() {
+            let ran = runs
+                .get(&*told.identity)
+                .map(|runs| runs.len())
+                .unwrap_or(0);
+            if told.is_once && ran > 1 {
+                broken.push(format!("{} ran {ran} times", told.identity));
+            }
+            if told.answer == Some(Answer::Whole) && !told.has_whole {
+                broken.push(format!("{} got no whole answer", told.identity));
+            }
+            let is_not_run = matches!(
+                told.answer,
+                Some(
+                    Answer::NotRun { .. }
+                        | Answer::Repeated {
+                            outcome: Outcome::NotRun,
+                            ..
+                        }
+                )
+            );
+            if is_not_run && told.attempts > 0 {
+                broken.push(format!("{} was told not run but ran", told.identity));
+            }
+            let all = not_run.entry(&told.identity).or_insert(true);
+            *all &= is_not_run;
+        }
+        for (identity, all_not_run) in not_run {
+            if all_not_run && runs.contains_key(identity) {
+                broken.push(format!("{identity} was only ever told not run but ran"));
+            }
+        }
+        for (identity, spans) in &runs {
+            if overlaps(spans) {
+                broken.push(format!("{identity} ran in two places at once"));
+            }
+        }
+    }
+
+    fn judge_jobs(&self, broken: &mut Vec<String>) {
+        let mut by_job: BTreeMap<&str, Vec<&goldcrestway_standin::TaskRun>> = BTreeMap::new();
+        for (name, worker) in &self.edges.workers {
+            if worker.state.refusals > 0 {
+                broken.push(format!("{name} was given more than it holds"));
+            }
+            for run in &worker.state.runs {
+                by_job.entry(&run.id).or_default().push(run);
+            }
+        }
+        for (id, mut runs) in by_job {
+            runs.sort_by_key(|run| run.from_ms);
+            let spans: Vec<(u64, u64)> = runs
+                .iter()
+                .map(|run| (run.from_ms, run.to_ms.unwrap_or(u64::MAX)))
+                .collect();
+            if overlaps(&spans) {
+                broken.push(format!("job {id} ran in two places at once: {spans:?}"));
+            }
+            let heard_ms = runs.iter().filter_map(|run| run.heard_ms).min();
+            if runs
+                .iter()
+                .any(|run| heard_ms.is_some_and(|heard| run.from_ms > heard))
+            {
+                broken.push(format!("job {id} ran again after its end was known"));
+            }
+            if id.contains("/confirm") && repeats_work(&runs) {
+                broken.push(format!("never-twice job {id} did a part of its work twice"));
+            }
+        }
+    }
+
+    /// Names the jobs that finished.
+    pub(crate) fn finished(&self) -> Vec<String> {
+        let runs = self
+            .edges
+            .workers
+            .values()
+            .flat_map(|worker| &worker.state.runs);
+        let finished = runs.filter(|run| run.is_finished).map(|run| run.id.clone());
+        let set: std::collections::BTreeSet<String> = finished.collect();
+        set.into_iter().collect()
+    }
+}
+
+/// Tells whether a run begins before the point that a former one had reached. One
+/// that was checkpointed and resumes there repeats nothing.
+fn repeats_work(runs: &[&goldcrestway_standin::TaskRun]) -> bool {
+    let mut reached_ms = 0;
+    for run in runs {
+        if run.order.checkpoint < reached_ms {
+            return true;
+        }
+        let ran_ms = run.to_ms.unwrap_or(u64::MAX).saturating_sub(run.from_ms);
+        reached_ms = run.order.checkpoint.saturating_add(ran_ms);
+    }
+    false
+}
+
+fn overlaps(spans: &[(u64, u64)]) -> bool {
+    let mut sorted = spans.to_vec();
+    sorted.sort_unstable();
+    sorted.windows(2).any(|pair| pair[1].0 < pair[0].1)
+}
