Pass slots on at once and leave slow instances alone

Cause: with exact counts at one owner, a slot stood idle for four hops between two requests (answer, release, grant, request). A slow instance was used whenever its slots were the free ones. Reading the code for this showed a fault as well: grants of different owners have the same names, so a late release after a change of owner could free somebody else's slot.

Change: an entry host goes on to use a slot for its next waiting request and says so in the release, within the time of use that the owner counts from the grant; a release names its request and is passed over if that is not the grant's; a slow instance waits for its turn unless fast ones are expected to be later; two may wait per slot instead of four; slots that were not used no longer count as failures.

Conclusion: strict slots cost two hops a request. Tried and left: 1 and 4 waiting per slot.

--- /dev/null
+++ b/crates/bench/benches/decisions.rs
@@ -0,0 +1,2 @@
+//! Placeholder.
+fn main() {}
--- /dev/null
+++ b/crates/bench/src/fleet.rs
@@ -0,0 +1,78 @@
+//! Inventories of any size, for measuring growth.
+
+use goldcrestway_inventory::Inventory;
+use goldcrestway_inventory::Sections;
+use goldcrestway_inventory::load_sections;
+
+/// The shape of an inventory.
+#[derive(Debug, Clone, Copy)]
+pub struct Fleet {
+    /// Hosts that run tasks.
+    pub hosts: usize,
+    /// Instances of services.
+    pub upstreams: usize,
+    /// Services among which they are split.
+    pub services: usize,
+}
+
+/// Hosts of one rack.
+pub const HOSTS_PER_RACK: usize = 11;
+/// Failure domains over which racks are spread.
+pub const DOMAINS: usize = 20;
+
+impl Fleet {
+    /// Describes a fleet of the given sizes.
+    pub fn sized(hosts: usize, upstreams: usize, services: usize) -> Self {
+        Self {
+            hosts,
+            upstreams,
+            services,
+        }
+    }
+
+    /// Writes the inventory as its operators would.
+    pub fn text(&self) -> String {
+        let racks = self.hosts.div_ceil(HOSTS_PER_RACK);
+        let domains = DOMAINS.min(racks).max(1);
+        let mut text = String::new();
+        for domain in 0..domains {
+            text.push_str(&format!("[failure-domain d{domain}]\n"));
+        }
+        for host in 0..self.hosts {
+            let rack = host / HOSTS_PER_RACK;
+            text.push_str(&format!(
+                "[host w{host}]\nfailure_domain = d{}\nrack = r{rack}\ncores = 64\nmemory_mb = 250000\naccelerators = 1\n",
+                rack % domains
+            ));
+        }
+        text.push_str("[team desk]\n[team night]\n");
+        for service in 0..self.services {
+            text.push_str(&format!(
+                "[service s{service}]\nteam = desk\ncores = 1\nmemory_mb = 2000\ntimeout_ms = 1000\n"
+            ));
+        }
+        for upstream in 0..self.upstreams {
+            text.push_str(&format!(
+                "[upstream u{upstream}]\nservice = s{}\nhost = w{}\n",
+                upstream % self.services.max(1),
+                upstream % self.hosts
+            ));
+        }
+        text.push_str(
+            "[job roster]\nteam = night\ncores = 2\nmemory_mb = 4000\n\
+             [job replan]\nteam = desk\ncores = 1\nmemory_mb = 1000\n\
+             [rule quick]\nkind = urgent\njob = replan\n",
+        );
+        text
+    }
+
+    /// Gives its sections and the typed inventory.
+    pub fn load(&self) -> (Sections, Inventory) {
+        load_sections("fleet", &self.text()).unwrap_or_else(|faults| panic!("{faults}"))
+    }
+
+    /// Gives the typed inventory.
+    pub fn inventory(&self) -> Inventory {
+        self.load().1
+    }
+}
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -1,1 +1,16 @@
-//! Placeholder.
+//! Measurements of the real decisions, in virtual time, against named baselines.
+//!
+//! ```
+//! use goldcrestway_bench::fleet::Fleet;
+//!
+//! let fleet = Fleet::sized(50, 50, 1);
+//! assert_eq!(fleet.inventory().hosts.len(), 50);
+//! ```
+
+pub mod capacity;
+pub mod fleet;
+pub mod plots;
+pub mod rig;
+pub mod routing;
+pub mod sharing;
+pub mod slopes;
--- /dev/null
+++ b/crates/bench/src/main.rs
@@ -0,0 +1,74 @@
+//! Measurements as commands.
+
+use argh::FromArgs;
+use goldcrestway_bench::routing;
+use goldcrestway_bench::routing::Setting;
+use goldcrestway_bench::routing::Trouble;
+
+/// Measures goldcrestway's decisions.
+#[derive(FromArgs)]
+struct Arguments {
+    #[argh(subcommand)]
+    command: Command,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+enum Command {
+    Routing(Routing),
+}
+
+/// Compare choices of an instance.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "routing")]
+struct Routing {
+    /// requests of each run; default 60000
+    #[argh(option, default = "60000")]
+    requests: usize,
+    /// seed of arrivals; default 1
+    #[argh(option, default = "1")]
+    seed: u64,
+}
+
+fn main() {
+    let arguments: Arguments = argh::from_env();
+    match arguments.command {
+        Command::Routing(arguments) => compare_routing(&arguments),
+    }
+}
+
+fn compare_routing(arguments: &Routing) {
+    let settings = [
+        (50, Trouble::None),
+        (80, Trouble::None),
+        (95, Trouble::None),
+        (80, Trouble::OneSlow),
+        (80, Trouble::Waves),
+        (130, Trouble::None),
+    ];
+    println!(
+        "| Load | Trouble | Policy | p50 ms | p99 ms | p99.9 ms | p99 to omniscient | refused % | refusal p50 ms | goodput % |"
+    );
+    println!("| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |");
+    for (load_percent, trouble) in settings {
+        let setting = Setting {
+            load_percent,
+            trouble,
+        };
+        let outcomes = routing::compare(setting, arguments.requests, arguments.seed);
+        let bound = outcomes[0].p99_ms;
+        for outcome in &outcomes {
+            println!(
+                "| {load_percent}% | {trouble:?} | {} | {:.1} | {:.1} | {:.1} | {:.2} | {:.2} | {:.1} | {:.1} |",
+                outcome.policy,
+                outcome.p50_ms,
+                outcome.p99_ms,
+                outcome.p999_ms,
+                outcome.p99_ms / bound,
+                outcome.refused_percent,
+                outcome.refusal_p50_ms,
+                outcome.goodput_percent
+            );
+        }
+    }
+}
--- /dev/null
+++ b/crates/bench/src/rig.rs
@@ -0,0 +1,301 @@
+//! Many nodes of the real decision code, exchanging messages directly in virtual
+//! time, with a log that answers after a fixed time and instances that work for a
+//! given time. A loop for measuring, not a simulator: nothing fails in it but by
+//! the caller's hand.
+
+use goldcrestway_core::Action;
+use goldcrestway_core::Answer;
+use goldcrestway_core::AttemptEnd;
+use goldcrestway_core::Batch;
+use goldcrestway_core::ConfigChange;
+use goldcrestway_core::Event;
+use goldcrestway_core::Limits;
+use goldcrestway_core::Member;
+use goldcrestway_core::Node;
+use goldcrestway_core::Part;
+use goldcrestway_core::PlatformHost;
+use goldcrestway_core::Request;
+use goldcrestway_core::Seat;
+use goldcrestway_core::Stream;
+use goldcrestway_inventory::Sections;
+use goldcrestway_inventory::compare;
+use goldcrestway_wire::Envelope;
+use goldcrestway_wire::encode_batch;
+use goldcrestway_wire::frame_length;
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::time::Duration;
+use std::time::Instant;
+
+/// Time of one message between entry hosts, in microseconds.
+pub const HOP_US: u64 = 500;
+/// Time of one append, in microseconds.
+const APPEND_US: u64 = 5_000;
+/// Time between two ticks, in microseconds.
+const TICK_US: u64 = 10_000;
+/// Bytes of TCP and IP around a message or call.
+const PACKET_BYTES: u64 = 60;
+
+/// What was counted since the last reset.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Counts {
+    /// Messages between entry hosts.
+    pub messages: u64,
+    /// Their bytes, packets included.
+    pub message_bytes: u64,
+    /// Appends to the log.
+    pub appends: u64,
+    /// Bytes of their payloads.
+    pub append_bytes: u64,
+    /// Reads of the log.
+    pub reads: u64,
+    /// Bytes that reads brought.
+    pub read_bytes: u64,
+    /// Processor time of all nodes together.
+    pub busy: Duration,
+    /// Messages that the busiest node sent or received.
+    pub busiest_messages: u64,
+}
+
+enum Due {
+    Tick(usize),
+    Give(usize, Event),
+}
+
+/// What an attempt does: its number, the instance, and when it was sent. Gives the
+/// time of its work in microseconds.
+pub type Work = Box<dyn FnMut(u64, &str, u64) -> u64>;
+
+/// The nodes and their surroundings.
+pub struct Rig {
+    /// The nodes; one that was killed is gone.
+    pub nodes: Vec<Option<Node>>,
+    /// Virtual time in microseconds.
+    pub now_us: u64,
+    due: BTreeMap<(u64, u64), Due>,
+    next: u64,
+    log: HashMap<Stream, Vec<(u64, Batch, u64)>>,
+    /// What was counted.
+    pub counts: Counts,
+    per_node: Vec<u64>,
+    /// Answers to requests: when, and what.
+    pub answers: HashMap<u64, (u64, Answer)>,
+    /// How instances work.
+    pub work: Work,
+    weighs: bool,
+}
+
+impl Rig {
+    /// Starts `members` nodes; `weighs` has the bytes of messages counted, which
+    /// costs time.
+    pub fn new(members: usize, limits: &Limits, weighs: bool) -> Self {
+        let seats: Vec<Seat> = (0..members as u16).map(Seat).collect();
+        let mut rig = Self {
+            nodes: Vec::new(),
+            now_us: 0,
+            due: BTreeMap::new(),
+            next: 0,
+            log: HashMap::new(),
+            counts: Counts::default(),
+            per_node: vec![0; members],
+            answers: HashMap::new(),
+            work: Box::new(|_, _, _| 10_000),
+            weighs,
+        };
+        for (index, seat) in seats.iter().enumerate() {
+            let me = Member {
+                seat: *seat,
+                incarnation: 1_000,
+            };
+            rig.nodes
+                .push(Some(Node::new(me, &seats, limits.clone(), 0)));
+            // Ticks of different hosts do not fall on the same moment.
+            let offset_us = index as u64 * TICK_US / members as u64;
+            rig.put(offset_us, Due::Tick(index));
+        }
+        rig
+    }
+
+    fn put(&mut self, at_us: u64, due: Due) {
+        self.next += 1;
+        self.due.insert((at_us, self.next), due);
+    }
+
+    /// Lets time pass.
+    pub fn run(&mut self, duration_us: u64) {
+        let end_us = self.now_us + duration_us;
+        while let Some(entry) = self.due.first_entry() {
+            let at_us = entry.key().0;
+            if at_us > end_us {
+                break;
+            }
+            let due = entry.remove();
+            self.now_us = at_us;
+            match due {
+                Due::Tick(node) => {
+                    if self.nodes[node].is_some() {
+                        self.put(at_us + TICK_US, Due::Tick(node));
+                    }
+                    self.handle(node, Event::Tick);
+                }
+                Due::Give(node, event) => self.handle(node, event),
+            }
+        }
+        self.now_us = end_us;
+    }
+
+    /// Ends a node as a crash would.
+    pub fn kill(&mut self, node: usize) {
+        self.nodes[node] = None;
+    }
+
+    /// Forgets what was counted.
+    pub fn reset_counts(&mut self) {
+        self.counts = Counts::default();
+        self.per_node.fill(0);
+    }
+
+    /// Gives what was counted.
+    pub fn counted(&self) -> Counts {
+        Counts {
+            busiest_messages: self.per_node.iter().copied().max().unwrap_or(0),
+            ..self.counts
+        }
+    }
+
+    /// Hands an event to a node at once.
+    pub fn handle(&mut self, node: usize, event: Event) {
+        let now_ms = self.now_us / 1_000;
+        let Some(deciding) = self.nodes[node].as_mut() else {
+            return;
+        };
+        let began = Instant::now();
+        let actions = deciding.handle(now_ms, event);
+        self.counts.busy += began.elapsed();
+        let me = deciding.me();
+        for action in actions {
+            self.perform(node, me, action);
+        }
+    }
+
+    fn perform(&mut self, node: usize, me: Member, action: Action) {
+        match action {
+            Action::Send { to, message } => {
+                self.counts.messages += 1;
+                self.per_node[node] += 1;
+                self.per_node[usize::from(to.0)] += 1;
+                if self.weighs {
+                    self.counts.message_bytes += weigh(me, &message);
+                }
+                let event = Event::Peer { from: me, message };
+                self.put(self.now_us + HOP_US, Due::Give(usize::from(to.0), event));
+            }
+            Action::Append { stream, batch } => {
+                let bytes = encode_batch(&batch).len() as u64;
+                self.counts.appends += 1;
+                self.counts.append_bytes += bytes;
+                let records = self.log.entry(stream).or_default();
+                let offset = records.len() as u64;
+                let sequence = batch.sequence;
+                records.push((offset, batch, bytes));
+                let event = Event::Appended {
+                    stream,
+                    sequence,
+                    offset: Some(offset),
+                };
+                self.put(self.now_us + APPEND_US, Due::Give(node, event));
+            }
+            Action::Read { stream, from } => self.read(node, stream, from),
+            Action::Attempt {
+                request, address, ..
+            } => {
+                let work_us = (self.work)(request, &address, self.now_us);
+                let latency_ms = work_us / 1_000;
+                let end = AttemptEnd::Whole {
+                    status: 200,
+                    latency_ms,
+                };
+                let event = Event::AttemptEnded { request, end };
+                self.put(self.now_us + 2 * HOP_US + work_us, Due::Give(node, event));
+            }
+            Action::Answer { request, answer } => {
+                self.answers.insert(request, (self.now_us, answer));
+            }
+            _ => {}
+        }
+    }
+
+    fn read(&mut self, node: usize, stream: Stream, from: u64) {
+        let records = self.log.entry(stream).or_default();
+        let start = (from as usize).min(records.len());
+        let bytes: u64 = records[start..].iter().map(|(_, _, bytes)| bytes).sum();
+        let batches = records[start..].iter();
+        let part = Part {
+            oldest: 0,
+            next: records.len() as u64,
+            is_end: true,
+            batches: batches
+                .map(|(offset, batch, _)| (*offset, Some(batch.clone())))
+                .collect(),
+        };
+        self.counts.reads += 1;
+        self.counts.read_bytes += bytes;
+        let part = Some(part);
+        self.put(
+            self.now_us + HOP_US,
+            Due::Give(node, Event::Read { stream, part }),
+        );
+    }
+
+    /// Publishes an inventory and lists all its upstreams as live.
+    pub fn publish(&mut self, sections: &Sections) {
+        let changes = compare(&Sections::new(), sections);
+        let change = ConfigChange {
+            base: 0,
+            id: "bench".into(),
+            author: "bench".into(),
+            changes: changes.into(),
+        };
+        self.handle(0, Event::Publish { request: 1, change });
+        let names = sections.keys().filter(|(kind, _)| &**kind == "upstream");
+        let hosts: Box<[PlatformHost]> = names
+            .map(|(_, name)| PlatformHost {
+                name: name.clone(),
+                address: name.clone(),
+                is_leaving: false,
+            })
+            .collect();
+        for node in 0..self.nodes.len() {
+            self.handle(node, Event::Hosts(hosts.clone()));
+        }
+    }
+
+    /// Counts the cells that living nodes serve.
+    pub fn served(&mut self) -> usize {
+        let nodes = self.nodes.iter_mut().flatten();
+        nodes.map(|node| node.status().cells.len()).sum()
+    }
+
+    /// Sends a request at a node.
+    pub fn ask(&mut self, node: usize, request: u64, service: &str, patience_ms: u64) {
+        let request = Request {
+            request,
+            service: service.into(),
+            identity: None,
+            fingerprint: 0,
+            is_idempotent: true,
+            deadline_ms: self.now_us / 1_000 + patience_ms,
+        };
+        self.handle(node, Event::Request(request));
+    }
+}
+
+/// Weighs a message as it travels.
+fn weigh(from: Member, message: &goldcrestway_core::Message) -> u64 {
+    let envelope = Envelope {
+        from,
+        clock: u64::MAX / 3,
+        message: message.clone(),
+    };
+    frame_length("spa", &envelope) as u64 + PACKET_BYTES
+}
--- /dev/null
+++ b/crates/bench/src/sharing.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -43,8 +43,10 @@
             /// Time from sending to the whole answer.
             latency_ms: u64,
         },
-        /// Nothing reached the instance.
+        /// Nothing reached the instance, though it was tried.
         NotStarted,
+        /// It was too late to try.
+        Late,
         /// No whole answer came; the instance may still be working.
         Cut,
     }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -119,6 +119,7 @@
 pub use slots::Ended;
 pub use slots::GrantKey;
 pub use slots::InstanceKey;
+pub use slots::Released;
 pub use slots::UpstreamCell;
 pub use slots::Verdict;
 pub use writer::Step;
--- a/crates/core/src/limits.rs
+++ b/crates/core/src/limits.rs
@@ -31,8 +31,8 @@
         pub worker_lease_ms: u64,
         /// Time between two calls to a worker.
         pub worker_poll_ms: u64,
-        /// Time within which a granted attempt must have begun.
-        pub grant_start_ms: u64,
+        /// Time within which attempts under a grant must have begun.
+        pub grant_use_ms: u64,
         /// Retries per thousand requests.
         pub retry_permille: u32,
         /// Requests that may wait per slot.
@@ -63,9 +63,9 @@
             identity_window_ms: 600_000,
             worker_lease_ms: 10_000,
             worker_poll_ms: 1_000,
-            grant_start_ms: 250,
+            grant_use_ms: 250,
             retry_permille: 100,
-            waiting_per_slot: 4,
+            waiting_per_slot: 2,
             reserve_ms: 3_000,
             carry_records: 2_000,
             carry_ms: 600_000,
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -55,6 +55,8 @@
             grant: u64,
             /// Address of the instance.
             address: Box<str>,
+            /// How long the request had waited at the owner.
+            waited_ms: u64,
         },
         /// No slot comes free in time.
         Refused {
@@ -86,8 +88,8 @@
         GrantAnswer { cell: Cell, request: u64, verdict: GrantVerdict, free: u32 },
         /// The request no longer wants a slot.
         GrantCancel { cell: Cell, request: u64 },
-        /// An attempt under a grant has ended.
-        Release { cell: Cell, grant: u64, ended: Ended },
+        /// An attempt under a grant has ended; the slot goes on to `next` if given.
+        Release { cell: Cell, grant: u64, request: u64, ended: Ended, next: Option<u64> },
         /// Asks to record the intent of a non-idempotent request.
         IntentAsk { cell: Cell, request: u64, identity: u128, fingerprint: u64 },
         /// Answers.
--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -82,6 +82,7 @@
     upstreams: BTreeMap<u64, UpstreamCell>,
 
     flights: BTreeMap<u64, Flight>,
+    waiting: HashMap<Cell, VecDeque<u64>>,
     budgets: HashMap<Box<str>, Budget>,
     hints: HashMap<Cell, requests::Hint>,
     submissions: BTreeMap<u64, keys::Submission>,
@@ -125,6 +126,7 @@
             workers: BTreeMap::new(),
             upstreams: BTreeMap::new(),
             flights: BTreeMap::new(),
+            waiting: HashMap::new(),
             budgets: HashMap::new(),
             hints: HashMap::new(),
             submissions: BTreeMap::new(),
--- a/crates/core/src/node/requests.rs
+++ b/crates/core/src/node/requests.rs
@@ -44,13 +44,30 @@
     /// Its intent is being recorded.
     Intent { asked_ms: u64 },
     /// A slot is asked for.
-    Slot { cell: Cell, asked_ms: u64 },
-    /// It is at an instance.
-    Attempt { cell: Cell, grant: u64 },
+    Slot {
+        cell: Cell,
+        first_ms: u64,
+        asked_ms: u64,
+    },
+    /// It is at an instance, in a slot that may be used again until `use_by_ms`.
+    Attempt {
+        cell: Cell,
+        grant: u64,
+        use_by_ms: u64,
+    },
     /// An attempt's fate is unknown; it must have ended by the given time.
     Lingering { until_ms: u64 },
 }
 
+/// A slot that is held for this entry host.
+#[derive(Debug, Clone)]
+struct Held {
+    cell: Cell,
+    grant: u64,
+    address: Box<str>,
+    use_by_ms: u64,
+}
+
 /// A request that this entry host has taken.
 #[derive(Debug, Clone)]
 pub(super) struct Flight {
@@ -59,6 +76,8 @@
     tried: Vec<Cell>,
     has_intent: bool,
     wait_hint_ms: u64,
+    /// Instance of the latest attempt.
+    address: Box<str>,
     /// What became of the attempts so far, for when no further one succeeds.
     past: Past,
 }
@@ -109,6 +128,7 @@
             tried: Vec::new(),
             has_intent: false,
             wait_hint_ms: 0,
+            address: Box::default(),
             past: Past::Nothing,
         };
         self.flights.insert(number, flight);
@@ -174,6 +194,7 @@
         };
         flight.phase = Phase::Slot {
             cell,
+            first_ms: now_ms,
             asked_ms: now_ms,
         };
         let begin_in_ms = flight.request.deadline_ms.saturating_sub(now_ms);
@@ -182,6 +203,7 @@
             request: number,
             begin_in_ms,
         };
+        self.waiting.entry(cell).or_default().push_back(number);
         self.send_to_owner(cell, ask);
     }
 
@@ -275,40 +297,73 @@
             const LONGEST_MS: u64 = 100;
             hint.refuses_until_ms = now_ms + retry_after_ms.min(LONGEST_MS) / 4;
         }
-        let awaited = self.flights.get(&number).is_some_and(
-            |flight| matches!(flight.phase, Phase::Slot { cell: asked, .. } if asked == cell),
-        );
-        match verdict {
-            GrantVerdict::Granted { grant, .. } if !awaited => {
-                self.release(cell, grant, Ended::NotStarted);
+        let awaited_since_ms = self.waits_for_slot(number, cell);
+        match (verdict, awaited_since_ms) {
+            (
+                GrantVerdict::Granted {
+                    grant,
+                    address,
+                    waited_ms,
+                },
+                Some(first_ms),
+            ) => {
+                // The owner counts the grant's time from when it gave it, which is
+                // no earlier than this, however long the message was under way.
+                let use_by_ms = first_ms + waited_ms + self.limits.grant_use_ms;
+                self.begin_attempt(
+                    number,
+                    Held {
+                        cell,
+                        grant,
+                        address,
+                        use_by_ms,
+                    },
+                );
             }
-            GrantVerdict::Granted { grant, address } => {
-                self.begin_attempt(number, cell, grant, address);
+            (GrantVerdict::Granted { grant, .. }, None) => {
+                self.release(cell, grant, number, Ended::Unused, None);
             }
-            GrantVerdict::Refused { retry_after_ms } if awaited => {
+            (GrantVerdict::Refused { retry_after_ms }, Some(_)) => {
                 if let Some(flight) = self.flights.get_mut(&number) {
                     flight.tried.push(cell);
                     flight.wait_hint_ms = retry_after_ms;
                 }
                 self.ask_slot(number);
             }
-            GrantVerdict::Refused { .. } => {}
+            (GrantVerdict::Refused { .. }, None) => {}
+        }
+    }
+
+    /// Tells since when a request has waited for a slot of `cell`, if it does.
+    fn waits_for_slot(&self, number: u64, cell: Cell) -> Option<u64> {
+        match self.flights.get(&number)?.phase {
+            Phase::Slot {
+                cell: asked,
+                first_ms,
+                ..
+            } if asked == cell => Some(first_ms),
+            _ => None,
         }
     }
 
-    fn release(&mut self, cell: Cell, grant: u64, ended: Ended) {
-        self.send_to_owner(cell, Message::Release { cell, grant, ended });
+    fn release(&mut self, cell: Cell, grant: u64, request: u64, ended: Ended, next: Option<u64>) {
+        let release = Message::Release {
+            cell,
+            grant,
+            request,
+            ended,
+            next,
+        };
+        self.send_to_owner(cell, release);
     }
 
-    fn begin_attempt(&mut self, number: u64, cell: Cell, grant: u64, address: Box<str>) {
+    /// Sends a request to the instance whose slot is held for it.
+    fn begin_attempt(&mut self, number: u64, held: Held) {
         let now_ms = self.now_ms;
         let acts_until_ms = self.acts_until_ms();
         let Some(flight) = self.flights.get_mut(&number) else {
             return;
         };
-        let Phase::Slot { asked_ms, .. } = flight.phase else {
-            return;
-        };
         let deadline_ms = flight.request.deadline_ms;
         let service = self
             .config
@@ -316,44 +371,89 @@
             .services
             .get(&flight.request.service);
         let (Some(service), Some(acts_until_ms)) = (service, acts_until_ms) else {
-            self.release(cell, grant, Ended::NotStarted);
+            self.release(held.cell, held.grant, number, Ended::Unused, None);
             self.end_not_run(number, "this entry host may not act now", NO_OWNER_RETRY_MS);
             return;
         };
-        flight.phase = Phase::Attempt { cell, grant };
-        // The owner frees the slot by itself after the time to begin and the
+        flight.phase = Phase::Attempt {
+            cell: held.cell,
+            grant: held.grant,
+            use_by_ms: held.use_by_ms,
+        };
+        flight.address = held.address.clone();
+        // The owner frees the slot by itself after the time of use and the
         // service's timeout; an attempt that began later would use a slot twice.
-        let begin_by_ms = acts_until_ms.min(now_ms + self.limits.grant_start_ms / 2);
-        let _ = asked_ms;
         self.out.push(Action::Attempt {
             request: number,
-            address,
+            address: held.address,
             timeout_ms: service.timeout_ms.min(deadline_ms.saturating_sub(now_ms)),
-            begin_by_ms,
+            begin_by_ms: acts_until_ms.min(held.use_by_ms),
             response_max_bytes: service.response_max_bytes,
         });
-        self.note(Code::RequestGranted, number.to_string(), cell.to_string());
+        self.note(
+            Code::RequestGranted,
+            number.to_string(),
+            held.cell.to_string(),
+        );
+    }
+
+    /// Finds a request of this host that waits for a slot of `cell`.
+    fn next_waiting(&mut self, cell: Cell) -> Option<u64> {
+        let mut queue = self.waiting.remove(&cell)?;
+        while let Some(number) = queue.pop_front() {
+            if self.waits_for_slot(number, cell).is_some() {
+                self.waiting.insert(cell, queue);
+                return Some(number);
+            }
+        }
+        None
+    }
+
+    /// Gives back the slot of an attempt that has ended, or goes on to use it.
+    fn pass_on_slot(&mut self, number: u64, held: Held, ended: Ended) {
+        let is_free = matches!(ended, Ended::Answered { .. });
+        let may_use = is_free && self.now_ms < held.use_by_ms && self.acts_until_ms().is_some();
+        let next = match may_use {
+            true => self.next_waiting(held.cell),
+            false => None,
+        };
+        self.release(held.cell, held.grant, number, ended, next);
+        if let Some(next) = next {
+            self.begin_attempt(next, held);
+        }
     }
 
     pub(super) fn attempt_ended(&mut self, number: u64, end: AttemptEnd) {
         let Some(flight) = self.flights.get(&number) else {
             return;
         };
-        let Phase::Attempt { cell, grant } = flight.phase else {
+        let Phase::Attempt {
+            cell,
+            grant,
+            use_by_ms,
+        } = flight.phase
+        else {
             return;
         };
+        let held = Held {
+            cell,
+            grant,
+            address: flight.address.clone(),
+            use_by_ms,
+        };
         let ended = match end {
             AttemptEnd::Whole { status, latency_ms } if status < 500 => {
                 Ended::Answered { latency_ms }
             }
             AttemptEnd::Whole { latency_ms, .. } => Ended::Failed { latency_ms },
             AttemptEnd::NotStarted => Ended::NotStarted,
+            AttemptEnd::Late => Ended::Unused,
             AttemptEnd::Cut => Ended::Unknown,
         };
-        self.release(cell, grant, ended);
+        self.pass_on_slot(number, held, ended);
         match end {
             AttemptEnd::Whole { status, .. } => self.whole(number, status),
-            AttemptEnd::NotStarted => {
+            AttemptEnd::NotStarted | AttemptEnd::Late => {
                 if !self.try_again(number) {
                     let reason = "no instance could be reached";
                     self.end_not_run(number, reason, NO_OWNER_RETRY_MS);
@@ -484,10 +584,9 @@
         let Some(flight) = self.flights.get_mut(&number) else {
             return;
         };
-        flight.phase = Phase::Slot {
-            cell,
-            asked_ms: now_ms,
-        };
+        if let Phase::Slot { asked_ms, .. } = &mut flight.phase {
+            *asked_ms = now_ms;
+        }
         let begin_in_ms = flight.request.deadline_ms.saturating_sub(now_ms);
         let ask = Message::GrantAsk {
             cell,
--- a/crates/core/src/node/upstreams.rs
+++ b/crates/core/src/node/upstreams.rs
@@ -9,6 +9,7 @@
 use crate::slots::Ask;
 use crate::slots::Bounds;
 use crate::slots::GrantKey;
+use crate::slots::Released;
 use crate::slots::UpstreamCell;
 use crate::slots::Verdict;
 use slotmap::Key;
@@ -26,11 +27,11 @@
         };
         let bounds = Bounds {
             timeout_ms: service.timeout_ms,
-            start_ms: self.limits.grant_start_ms,
+            use_ms: self.limits.grant_use_ms,
             waiting_per_slot: self.limits.waiting_per_slot,
         };
         let cell = Cell::Upstreams(number);
-        let linger_ms = bounds.timeout_ms + bounds.start_ms;
+        let linger_ms = bounds.timeout_ms + bounds.use_ms;
         let opens_ms = match self.claims.had_owner(cell) {
             true => self.now_ms + linger_ms,
             false => self.now_ms,
@@ -89,6 +90,7 @@
                 let ask = Ask {
                     asker: from,
                     request,
+                    asked_ms: now_ms,
                     begin_by_ms: now_ms + begin_in_ms,
                 };
                 let verdict = owned.ask(now_ms, ask);
@@ -102,10 +104,22 @@
                     self.serve_waiting(cell);
                 }
             }
-            Message::Release { cell, grant, ended } => {
-                let grant = GrantKey::from(KeyData::from_ffi(grant));
+            Message::Release {
+                cell,
+                grant,
+                request,
+                ended,
+                next,
+            } => {
+                let released = Released {
+                    grant: GrantKey::from(KeyData::from_ffi(grant)),
+                    asker: from,
+                    request,
+                    ended,
+                    next,
+                };
                 if let Some(owned) = self.owned_upstreams(cell) {
-                    owned.release(now_ms, grant, ended);
+                    owned.release(now_ms, released);
                     self.serve_waiting(cell);
                 }
             }
@@ -126,7 +140,12 @@
             .owned_upstreams(cell)
             .map_or(0, |owned| owned.free(now_ms));
         let verdict = match verdict {
-            Verdict::Granted { grant, address } => GrantVerdict::Granted {
+            Verdict::Granted {
+                grant,
+                address,
+                waited_ms,
+            } => GrantVerdict::Granted {
+                waited_ms,
                 grant: grant.data().as_ffi(),
                 address,
             },
--- a/crates/core/src/slots.rs
+++ b/crates/core/src/slots.rs
@@ -32,12 +32,29 @@
         /// Time from sending to the whole answer.
         latency_ms: u64,
     },
-    /// Nothing reached the instance.
+    /// Nothing reached the instance, though it was tried.
     NotStarted,
+    /// The slot was not used.
+    Unused,
     /// The instance may still be working on it.
     Unknown,
 }
 
+/// The end of an attempt under a grant.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Released {
+    /// The grant.
+    pub grant: GrantKey,
+    /// Who held it.
+    pub asker: Member,
+    /// The request that it was used for.
+    pub request: u64,
+    /// How the attempt ended.
+    pub ended: Ended,
+    /// Request for which the asker goes on to use the slot.
+    pub next: Option<u64>,
+}
+
 /// A request that asks for a slot.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Ask {
@@ -45,6 +62,8 @@
     pub asker: Member,
     /// Its number there.
     pub request: u64,
+    /// When its owner was first asked for it.
+    pub asked_ms: u64,
     /// Latest time at which an attempt may still begin.
     pub begin_by_ms: u64,
 }
@@ -58,6 +77,8 @@
             grant: GrantKey,
             /// Address of the instance.
             address: Box<str>,
+            /// How long the request had waited when the slot was granted.
+            waited_ms: u64,
         },
         /// No slot comes free in time.
         Refused {
@@ -78,6 +99,8 @@
     latency_us: u64,
     failures: u32,
     shunned_until_ms: u64,
+    /// When a slot of it was granted last.
+    used_ms: u64,
 }
 
 impl Instance {
@@ -95,6 +118,7 @@
     instance: InstanceKey,
     asker: Member,
     request: u64,
+    waited_ms: u64,
     ends_by_ms: u64,
 }
 
@@ -103,8 +127,8 @@
 pub struct Bounds {
     /// Time within which an instance ends any request.
     pub timeout_ms: u64,
-    /// Time within which a granted attempt begins.
-    pub start_ms: u64,
+    /// Time within which attempts under a grant begin.
+    pub use_ms: u64,
     /// Requests that may wait per slot.
     pub waiting_per_slot: u32,
 }
@@ -123,6 +147,10 @@
 
 /// One failure in a row more than this and an instance is shunned.
 const FAILURES_BORNE: u32 = 3;
+/// An instance that takes this many times as long as the fastest one is slow.
+const SLOW_FACTOR: u64 = 3;
+/// Time after which a slow instance gets a request all the same.
+const PROBE_MS: u64 = 1_000;
 /// How long an instance is shunned at first; doubles up to eight times as long.
 const SHUN_MS: u64 = 500;
 
@@ -165,6 +193,7 @@
             latency_us: 0,
             failures: 0,
             shunned_until_ms: 0,
+            used_ms: 0,
         });
         self.by_name.insert(name.into(), key);
     }
@@ -273,20 +302,41 @@
     }
 
     /// Notes how an attempt ended.
-    pub fn release(&mut self, now_ms: u64, grant: GrantKey, ended: Ended) {
-        let Some(held) = self.grants.get(grant) else {
+    ///
+    /// A release that names another request than the grant's comes from a time
+    /// before this owner, whose grants had the same names; it is passed over. With
+    /// `next` the asker goes on to use the slot for a request of its own that
+    /// waits, which saves the two messages in which the slot would stand idle. The
+    /// grant's end stays where it was, so that it is safe even if this message is
+    /// lost.
+    pub fn release(&mut self, now_ms: u64, released: Released) {
+        let Some(held) = self.grants.get_mut(released.grant) else {
             return;
         };
+        if (held.asker.seat, held.request) != (released.asker.seat, released.request) {
+            return;
+        }
         let key = held.instance;
-        match ended {
+        match released.ended {
             Ended::Answered { latency_ms } => self.note_answer(key, latency_ms),
             Ended::Failed { .. } | Ended::NotStarted => self.note_failure(now_ms, key),
+            Ended::Unused => {}
             Ended::Unknown => {
                 self.note_failure(now_ms, key);
                 return;
             }
         }
-        self.free_slot(grant);
+        let Some(next) = released.next else {
+            self.free_slot(released.grant);
+            return;
+        };
+        let asker = released.asker;
+        self.waiting
+            .retain(|ask| (ask.asker.seat, ask.request) != (asker.seat, next));
+        if let Some(held) = self.grants.get_mut(released.grant) {
+            self.by_request.remove(&(held.asker, held.request));
+            held.request = next;
+        }
     }
 
     /// Ends what has run out and serves those that wait; gives their verdicts.
@@ -318,13 +368,20 @@
 
     /// Picks the free slot where an answer is expected soonest.
     ///
-    /// An instance that has become slow is passed over while its answer would
-    /// come later than waiting for a slot of a fast one; see `docs/DESIGN.md`.
+    /// An instance that has become slow is passed over while a slot of a fast one
+    /// is expected to come free early enough. One request a second still goes
+    /// there, so that one notices when it has recovered.
     fn choose(&self, now_ms: u64) -> Option<InstanceKey> {
         let mut best: Option<(u64, InstanceKey)> = None;
+        let mut fastest_us = u64::MAX;
         for (key, instance) in &self.instances {
-            let is_open = !instance.is_leaving && now_ms >= instance.shunned_until_ms;
-            if !is_open || instance.in_use >= instance.usable_slots() {
+            if instance.is_leaving || now_ms < instance.shunned_until_ms {
+                continue;
+            }
+            if instance.failures == 0 && instance.latency_us > 0 {
+                fastest_us = fastest_us.min(instance.latency_us);
+            }
+            if instance.in_use >= instance.usable_slots() {
                 continue;
             }
             let expected = self.expected_us(instance);
@@ -332,7 +389,14 @@
                 best = Some((expected, key));
             }
         }
-        best.map(|(_, key)| key)
+        let (_, key) = best?;
+        let instance = &self.instances[key];
+        let is_slow = instance.latency_us / SLOW_FACTOR > fastest_us;
+        if !is_slow || now_ms >= instance.used_ms + PROBE_MS {
+            return Some(key);
+        }
+        let wait_us = self.expected_wait_ms(now_ms) * 1_000;
+        (fastest_us + wait_us >= instance.latency_us).then_some(key)
     }
 
     fn expected_us(&self, instance: &Instance) -> u64 {
@@ -341,22 +405,26 @@
     }
 
     fn grant(&mut self, now_ms: u64, instance: InstanceKey, ask: Ask) -> Verdict {
-        self.instances[instance].in_use += 1;
+        let held = &mut self.instances[instance];
+        held.in_use += 1;
+        held.used_ms = now_ms;
         let grant = self.grants.insert(Grant {
             instance,
             asker: ask.asker,
             request: ask.request,
-            ends_by_ms: now_ms + self.bounds.start_ms + self.bounds.timeout_ms,
+            waited_ms: now_ms.saturating_sub(ask.asked_ms),
+            ends_by_ms: now_ms + self.bounds.use_ms + self.bounds.timeout_ms,
         });
         self.by_request.insert((ask.asker, ask.request), grant);
         self.granted(grant)
     }
 
     fn granted(&self, grant: GrantKey) -> Verdict {
-        let instance = self.grants[grant].instance;
+        let held = &self.grants[grant];
         Verdict::Granted {
             grant,
-            address: self.instances[instance].address.clone(),
+            address: self.instances[held.instance].address.clone(),
+            waited_ms: held.waited_ms,
         }
     }
 
@@ -364,7 +432,10 @@
         let Some(held) = self.grants.remove(grant) else {
             return;
         };
-        self.by_request.remove(&(held.asker, held.request));
+        let request = (held.asker, held.request);
+        if self.by_request.get(&request) == Some(&grant) {
+            self.by_request.remove(&request);
+        }
         let instance = &mut self.instances[held.instance];
         instance.in_use -= 1;
     }
--- a/crates/daemon/src/front.rs
+++ b/crates/daemon/src/front.rs
@@ -236,7 +236,7 @@
                     // A thread that was paused must not send on a grant or lease
                     // that has run out meanwhile.
                     let (end, whole) = match self.now_ms() > begin_by_ms {
-                        true => (AttemptEnd::NotStarted, None),
+                        true => (AttemptEnd::Late, None),
                         false => attempt(ask, &address, timeout_ms, response_max_bytes),
                     };
                     held = whole.or(held);
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -89,7 +89,7 @@
                 },
                 "100",
             ),
-            Field::optional("waiting_per_slot", COUNT, "4"),
+            Field::optional("waiting_per_slot", COUNT, "2"),
             Field::optional("carry_ms", MILLISECONDS, "600000"),
         ],
     },
--- a/crates/wire/src/codec.rs
+++ b/crates/wire/src/codec.rs
@@ -54,6 +54,15 @@
     }
 }
 
+/// Gives the bytes that an envelope takes on a link.
+pub fn frame_length(cluster: &str, envelope: &Envelope) -> usize {
+    let mut bytes = BytesMut::new();
+    match LinkCodec::new(cluster).encode(envelope, &mut bytes) {
+        Ok(()) => bytes.len(),
+        Err(_) => 0,
+    }
+}
+
 impl Decoder for LinkCodec {
     type Item = Envelope;
     type Error = WireFault;
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -25,6 +25,7 @@
 pub use codec::LinkCodec;
 pub use codec::MOST_FRAME_BYTES;
 pub use codec::VERSION;
+pub use codec::frame_length;
 pub use fault::WireFault;
 pub use message::decode_message;
 pub use message::encode_message;
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -57,10 +57,17 @@
             free,
         } => grant_out(*cell, *request, verdict, *free),
         Message::GrantCancel { cell, request } => Kind::GrantCancel(slot(*cell, *request)),
-        Message::Release { cell, grant, ended } => Kind::Release(proto::Slot {
+        Message::Release {
+            cell,
+            grant,
+            request,
+            ended,
+            next,
+        } => Kind::Release(proto::Slot {
             grant: *grant,
             ended: Some(ended_out(*ended)),
-            ..slot(*cell, 0)
+            next: *next,
+            ..slot(*cell, *request)
         }),
         Message::IntentAsk {
             cell,
@@ -219,6 +226,7 @@
             verdict: GrantVerdict::Granted {
                 grant: slot.grant,
                 address: slot.address.as_str().into(),
+                waited_ms: slot.value,
             },
         },
         Kind::Refused(slot) => Message::GrantAnswer {
@@ -236,6 +244,8 @@
         Kind::Release(slot) => Message::Release {
             cell: cell_in(&slot.cell)?,
             grant: slot.grant,
+            request: slot.request,
+            next: slot.next,
             ended: ended_in(need(slot.ended.as_ref(), "end of an attempt")?)?,
         },
         Kind::IntentAsk(talk) => {
@@ -330,8 +340,13 @@
         ..slot(cell, request)
     };
     match verdict {
-        GrantVerdict::Granted { grant, address } => Kind::Granted(proto::Slot {
+        GrantVerdict::Granted {
+            grant,
+            address,
+            waited_ms,
+        } => Kind::Granted(proto::Slot {
             grant: *grant,
+            value: *waited_ms,
             address: address.to_string(),
             ..base
         }),
@@ -348,6 +363,7 @@
         Ended::Failed { latency_ms } => tagged(2, latency_ms),
         Ended::NotStarted => tagged(3, 0),
         Ended::Unknown => tagged(4, 0),
+        Ended::Unused => tagged(5, 0),
     }
 }
 
@@ -361,6 +377,7 @@
         }),
         3 => Ok(Ended::NotStarted),
         4 => Ok(Ended::Unknown),
+        5 => Ok(Ended::Unused),
         _ => Err(missing("end of an attempt")),
     }
 }
--- a/crates/wire/src/proto.rs
+++ b/crates/wire/src/proto.rs
@@ -259,6 +259,8 @@
     pub free: u32,
     #[prost(message, optional, tag = "7")]
     pub ended: Option<Tagged>,
+    #[prost(uint64, optional, tag = "8")]
+    pub next: Option<u64>,
 }
 
 /// Everything about the intent of a request.
--- a/tests/border.rs
+++ b/tests/border.rs
@@ -111,6 +111,7 @@
             free: 8,
             verdict: GrantVerdict::Granted {
                 grant: 9,
+                waited_ms: 3,
                 address: "1.2.3.4:5".into(),
             },
         },
@@ -178,11 +179,14 @@
         Ended::Failed { latency_ms: 0 },
         Ended::NotStarted,
         Ended::Unknown,
+        Ended::Unused,
     ];
     messages.extend(ends.map(|ended| Message::Release {
         cell,
         grant: 4,
+        request: 8,
         ended,
+        next: Some(9),
     }));
     let verdicts = [
         IntentVerdict::Go,
--- a/tests/world/edges.rs
+++ b/tests/world/edges.rs
@@ -346,7 +346,7 @@
             _ => AttemptEnd::Cut,
         };
         let answered_ms = match end {
-            AttemptEnd::NotStarted => now_ms + 1,
+            AttemptEnd::NotStarted | AttemptEnd::Late => now_ms + 1,
             AttemptEnd::Cut => now_ms + timeout_ms,
             AttemptEnd::Whole { .. } => now_ms + work_ms,
         };
