Learn which kinds of job harm a service, and place by it

Cause: the first guard halved a host's batch share on harm and gave it back step by step, without learning which kind of job did the harm.

Change: the guard learns per host and kind of job the slowdown that one core adds, from late measurements, up fast and down slowly, the middle one of three; it refuses kinds that would bring a service near the bound, tries unknown kinds one at a time, throttles by what it expects, and has the worst kind evicted only when little share has not helped.

The world got waves of the service's own noise, so that no sharing has violations too.

--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -4,6 +4,7 @@
 use goldcrestway_bench::routing;
 use goldcrestway_bench::routing::Setting;
 use goldcrestway_bench::routing::Trouble;
+use goldcrestway_bench::sharing;
 
 /// Measures goldcrestway's decisions.
 #[derive(FromArgs)]
@@ -16,6 +17,7 @@
 #[argh(subcommand)]
 enum Command {
     Routing(Routing),
+    Sharing(Sharing),
 }
 
 /// Compare choices of an instance.
@@ -30,10 +32,23 @@
     seed: u64,
 }
 
+/// Compare ways to keep batch work from harming services.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "sharing")]
+struct Sharing {
+    /// first seed; default 100
+    #[argh(option, default = "100")]
+    first: u64,
+    /// number of seeds; default 20
+    #[argh(option, default = "20")]
+    seeds: u64,
+}
+
 fn main() {
     let arguments: Arguments = argh::from_env();
     match arguments.command {
         Command::Routing(arguments) => compare_routing(&arguments),
+        Command::Sharing(arguments) => compare_sharing(&arguments),
     }
 }
 
@@ -72,3 +87,31 @@
         }
     }
 }
+
+fn compare_sharing(arguments: &Sharing) {
+    let all = sharing::compare(arguments.first..arguments.first + arguments.seeds);
+    println!(
+        "| Policy | violations % median | worst | batch core-s median | worst | evictions median | worst |"
+    );
+    println!("| --- | --- | --- | --- | --- | --- | --- |");
+    for (name, outcomes) in all {
+        let sorted = |value: fn(&sharing::Outcome) -> f64| {
+            let mut values: Vec<f64> = outcomes.iter().map(value).collect();
+            values.sort_by(f64::total_cmp);
+            values
+        };
+        let violations = sorted(|outcome| outcome.violation_percent);
+        let batch = sorted(|outcome| outcome.batch_core_s);
+        let evictions = sorted(|outcome| outcome.evictions as f64);
+        let middle = violations.len() / 2;
+        println!(
+            "| {name} | {:.2} | {:.2} | {:.0} | {:.0} | {:.0} | {:.0} |",
+            violations[middle],
+            violations[violations.len() - 1],
+            batch[middle],
+            batch[0],
+            evictions[middle],
+            evictions[evictions.len() - 1]
+        );
+    }
+}
--- a/crates/bench/src/sharing.rs
+++ b/crates/bench/src/sharing.rs
@@ -1,1 +1,386 @@
-//! Placeholder.
+//! Placement with interference: services' latency, batch throughput and evictions
+//! on small fake hosts with hidden pair effects, for the chosen policy and
+//! baselines. The effects are drawn from seeds that no policy is tuned on.
+//!
+//! The policy under test is the real [`WorkerCell`] with its guards; the baselines
+//! use the same cell and leave the guard out, or keep batch off hosts of services.
+
+use goldcrestway_core::AttemptId;
+use goldcrestway_core::ListedHost;
+use goldcrestway_core::ListedState;
+use goldcrestway_core::ListedTask;
+use goldcrestway_core::Listing;
+use goldcrestway_core::Manner;
+use goldcrestway_core::Pace;
+use goldcrestway_core::Reservation;
+use goldcrestway_core::TEMPER;
+use goldcrestway_core::TaskEnd;
+use goldcrestway_core::TaskOrder;
+use goldcrestway_core::Temper;
+use goldcrestway_core::Term;
+use goldcrestway_core::WorkerCall;
+use goldcrestway_core::WorkerCell;
+use goldcrestway_inventory::Resources;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_pcg::Pcg32;
+use serde::Serialize;
+use std::collections::BTreeMap;
+use std::collections::VecDeque;
+
+/// Hosts of the cell.
+const HOSTS: usize = 11;
+/// Hosts that carry an instance of a service.
+const WITH_SERVICE: usize = 8;
+/// Kinds of jobs, each with its own effect on each service.
+const KINDS: usize = 6;
+/// Length of a run, in seconds.
+const SPAN_S: u64 = 1_800;
+/// How late a measurement arrives, in seconds.
+const LAG_S: usize = 3;
+/// Service latency above this multiple of the usual one is a violation.
+const VIOLATION: f64 = 1.3;
+
+/// How batch work is kept from harming services.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+pub enum Policy {
+    /// The guard: throttle, then evict, with hysteresis.
+    Guard,
+    /// First fit: batch work goes wherever it fits.
+    FirstFit,
+    /// Batch work goes only to hosts without services.
+    NoSharing,
+    /// One task is evicted on each harmful measurement, without hysteresis.
+    EvictAtOnce,
+}
+
+/// What a policy reached in one run.
+#[derive(Debug, Clone, Copy, Serialize)]
+pub struct Outcome {
+    /// The policy.
+    pub policy: Policy,
+    /// Seconds in which a service's latency was over the bound, in percent.
+    pub violation_percent: f64,
+    /// Core-seconds of batch work done.
+    pub batch_core_s: f64,
+    /// Tasks evicted.
+    pub evictions: u64,
+}
+
+/// The hidden world of one seed.
+struct Hidden {
+    /// Slowdown that one running core of each kind adds to each host's service.
+    effect: Vec<[f64; KINDS]>,
+    random: Pcg32,
+}
+
+impl Hidden {
+    fn draw(seed: u64) -> Self {
+        let mut random = Pcg32::seed_from_u64(seed);
+        let mut effect = Vec::new();
+        for _ in 0..HOSTS {
+            let mut row = [0.0; KINDS];
+            for cell in &mut row {
+                // Most pairs get on; some do not; a few are bad.
+                *cell = match random.random_range(0..10) {
+                    0..6 => random.random::<f64>() * 0.003,
+                    6..9 => random.random::<f64>() * 0.03,
+                    _ => 0.03 + random.random::<f64>() * 0.07,
+                };
+            }
+            effect.push(row);
+        }
+        Self { effect, random }
+    }
+
+    /// Gives the load of services at a time: a slow swing.
+    fn load(&self, now_s: u64) -> f64 {
+        const SWING_S: f64 = 400.0;
+        let phase = now_s as f64 * std::f64::consts::TAU / SWING_S;
+        0.6 + 0.4 * phase.sin()
+    }
+
+    /// Gives a service's true latency, as a multiple of its usual one.
+    fn latency(&self, host: usize, cores_by_kind: &[f64; KINDS], now_s: u64) -> f64 {
+        let pressure: f64 = (0..KINDS)
+            .map(|kind| self.effect[host][kind] * cores_by_kind[kind])
+            .sum();
+        1.0 + pressure * (0.4 + self.load(now_s)) + 0.05 * self.load(now_s)
+    }
+
+    /// Adds the service's own noise: a little always, much in waves. It harms
+    /// callers whether batch work shares the host or not.
+    fn noisy(&mut self, latency: f64, now_s: u64) -> f64 {
+        const WAVE_S: u64 = 97;
+        let in_wave = now_s % WAVE_S < 12;
+        let noise = if in_wave { 0.4 } else { 0.04 };
+        latency * (1.0 + (self.random.random::<f64>() - 0.5) * 2.0 * noise)
+    }
+}
+
+/// One task on a fake host.
+#[derive(Debug, Clone)]
+struct Running {
+    order: TaskOrder,
+    kind: usize,
+    left_core_s: f64,
+    state: ListedState,
+}
+
+/// One fake host.
+#[derive(Debug, Clone, Default)]
+struct FakeHost {
+    tasks: Vec<Running>,
+    share: f64,
+    lagging: VecDeque<u32>,
+    listings: u64,
+}
+
+const CORES_PER_TASK: u32 = 4;
+
+fn order(number: u64, kind: usize) -> TaskOrder {
+    TaskOrder {
+        attempt: AttemptId {
+            id: format!("night/j{number}").into(),
+            attempt: 1,
+        },
+        job: format!("kind{kind}").into(),
+        need: Resources {
+            millicores: CORES_PER_TASK * 1_000,
+            memory_mb: 4_000,
+            accelerators: 0,
+        },
+        checkpoint: 0,
+    }
+}
+
+fn listed_host(index: usize, policy: Policy) -> ListedHost {
+    let has_service = index < WITH_SERVICE;
+    let service = Resources {
+        millicores: 8_000,
+        memory_mb: 16_000,
+        accelerators: 0,
+    };
+    let total = Resources {
+        millicores: 32_000,
+        memory_mb: 125_000,
+        accelerators: 0,
+    };
+    let keeps_off = policy == Policy::NoSharing && has_service;
+    ListedHost {
+        name: format!("w{index}").into(),
+        address: format!("{index}").into(),
+        total,
+        reserved: match (keeps_off, has_service) {
+            (true, _) => total,
+            (false, true) => service,
+            (false, false) => Resources::default(),
+        },
+        barred: Vec::new(),
+        is_leaving: false,
+    }
+}
+
+/// Runs one policy in the hidden world of `seed`.
+pub fn run(policy: Policy, seed: u64) -> Outcome {
+    let mut hidden = Hidden::draw(seed);
+    let pace = Pace {
+        lease_ms: 10_000,
+        poll_ms: 1_000,
+        reserve_ms: 3_000,
+        skew_permille: 20,
+    };
+    let mut cell = WorkerCell::new(Term(1), pace);
+    if policy == Policy::EvictAtOnce {
+        cell.set_temper(Temper {
+            least_share: 1.0,
+            patience: 1,
+            learns: false,
+            ..TEMPER
+        });
+    }
+    for index in 0..HOSTS {
+        cell.list(0, listed_host(index, policy));
+    }
+    let mut hosts = vec![
+        FakeHost {
+            share: 1.0,
+            ..FakeHost::default()
+        };
+        HOSTS
+    ];
+    let mut backlog: VecDeque<TaskOrder> = VecDeque::new();
+    let mut kinds = Pcg32::seed_from_u64(seed + 1_000);
+    let mut number = 0;
+    let (mut harmed, mut watched, mut done, mut evictions) = (0_u64, 0_u64, 0.0, 0_u64);
+    for now_s in 0..SPAN_S {
+        let now_ms = now_s * 1_000;
+        // There is always more batch work than room.
+        while backlog.len() < 24 {
+            number += 1;
+            backlog.push_back(order(number, kinds.random_range(0..KINDS)));
+        }
+        start_backlog(&mut cell, &mut backlog, now_ms);
+        for (key, address, call) in cell.tick(now_ms) {
+            let index: usize = address.parse().unwrap_or(0);
+            let listing = take_call(&mut hosts[index], index, &call, policy, kinds.random());
+            cell.listed(now_ms, key, call.token, &listing, |_| false);
+        }
+        for report in cell.take_reports(now_ms, 1_000) {
+            if let Some(TaskEnd::Evicted { checkpoint }) = report.end {
+                evictions += 1;
+                let kind = kind_of(&report.attempt.id, &hosts);
+                let mut again = order(0, kind);
+                again.attempt.id = report.attempt.id.clone();
+                again.attempt.attempt = report.attempt.attempt + 1;
+                again.checkpoint = checkpoint;
+                backlog.push_front(again);
+            }
+            if report.end.is_some() {
+                cell.acknowledge(now_ms, &report.attempt);
+            }
+        }
+        for (index, host) in hosts.iter_mut().enumerate() {
+            done += work(host);
+            if index >= WITH_SERVICE {
+                continue;
+            }
+            let latency = hidden.latency(index, &cores_by_kind(host), now_s);
+            let latency = hidden.noisy(latency, now_s);
+            watched += 1;
+            harmed += u64::from(latency > VIOLATION);
+            host.lagging.push_back((latency * 1_000.0) as u32);
+        }
+    }
+    Outcome {
+        policy,
+        violation_percent: harmed as f64 * 100.0 / watched as f64,
+        batch_core_s: done,
+        evictions,
+    }
+}
+
+fn start_backlog(cell: &mut WorkerCell, backlog: &mut VecDeque<TaskOrder>, now_ms: u64) {
+    let manner = Manner {
+        is_urgent: false,
+        is_repeat: false,
+    };
+    for _ in 0..backlog.len() {
+        let Some(order) = backlog.pop_front() else {
+            return;
+        };
+        if cell.reserve(now_ms, order.clone(), false) == Reservation::Held {
+            cell.start(now_ms, order, manner);
+        } else {
+            backlog.push_back(order);
+        }
+    }
+}
+
+fn kind_of(id: &str, hosts: &[FakeHost]) -> usize {
+    let tasks = hosts.iter().flat_map(|host| &host.tasks);
+    let found = tasks.into_iter().find(|task| &*task.order.attempt.id == id);
+    found.map_or(0, |task| task.kind)
+}
+
+/// Plays a worker: takes a call and lists its tasks and a late measurement.
+fn take_call(
+    host: &mut FakeHost,
+    index: usize,
+    call: &WorkerCall,
+    policy: Policy,
+    draw: u32,
+) -> Listing {
+    let named = |attempts: &[AttemptId], task: &Running| attempts.contains(&task.order.attempt);
+    host.tasks.retain(|task| !named(&call.forget, task));
+    for task in &mut host.tasks {
+        if task.state == ListedState::Running && named(&call.stop, task) {
+            task.state = ListedState::Stopped {
+                checkpoint: (task.left_core_s * 1_000.0) as u64,
+            };
+        }
+    }
+    for order in &call.start {
+        if host
+            .tasks
+            .iter()
+            .any(|task| task.order.attempt == order.attempt)
+        {
+            continue;
+        }
+        let kind = order.job.trim_start_matches("kind").parse().unwrap_or(0);
+        let left_core_s = match order.checkpoint {
+            0 => f64::from(40 + draw % 800),
+            left => left as f64 / 1_000.0,
+        };
+        host.tasks.push(Running {
+            order: order.clone(),
+            kind,
+            left_core_s,
+            state: ListedState::Running,
+        });
+    }
+    host.share = f64::from(call.batch_permille) / 1_000.0;
+    host.listings += 1;
+    let late = match host.lagging.len() > LAG_S {
+        true => host.lagging.pop_front().unwrap_or(0),
+        false => 0,
+    };
+    let is_seen = index < WITH_SERVICE && matches!(policy, Policy::Guard | Policy::EvictAtOnce);
+    Listing {
+        number: host.listings,
+        tasks: host
+            .tasks
+            .iter()
+            .map(|task| ListedTask {
+                order: task.order.clone(),
+                state: task.state,
+            })
+            .collect(),
+        service_slowdown_permille: if is_seen { late } else { 0 },
+    }
+}
+
+fn cores_by_kind(host: &FakeHost) -> [f64; KINDS] {
+    let mut cores = [0.0; KINDS];
+    for task in host
+        .tasks
+        .iter()
+        .filter(|task| task.state == ListedState::Running)
+    {
+        cores[task.kind] += f64::from(CORES_PER_TASK) * host.share;
+    }
+    cores
+}
+
+/// Lets a host's tasks work for a second; gives the core-seconds done.
+fn work(host: &mut FakeHost) -> f64 {
+    let mut done = 0.0;
+    for task in &mut host.tasks {
+        if task.state != ListedState::Running {
+            continue;
+        }
+        let step = (f64::from(CORES_PER_TASK) * host.share).min(task.left_core_s);
+        task.left_core_s -= step;
+        done += step;
+        if task.left_core_s <= 0.0 {
+            task.state = ListedState::Finished;
+        }
+    }
+    done
+}
+
+/// Worst and median of each policy over `seeds`.
+pub fn compare(seeds: std::ops::Range<u64>) -> BTreeMap<&'static str, Vec<Outcome>> {
+    let policies = [
+        ("guard", Policy::Guard),
+        ("first fit", Policy::FirstFit),
+        ("no sharing", Policy::NoSharing),
+        ("evict at once", Policy::EvictAtOnce),
+    ];
+    let mut all = BTreeMap::new();
+    for (name, policy) in policies {
+        all.insert(name, seeds.clone().map(|seed| run(policy, seed)).collect());
+    }
+    all
+}
--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -11,7 +11,11 @@
 //! makes the worker itself the final reference for what runs on it.
 
 use crate::guard::Guard;
+use crate::guard::Load;
+use crate::guard::TEMPER;
+use crate::guard::Temper;
 use crate::ids::Term;
+use crate::ids::hash;
 use crate::macros::plain;
 use goldcrestway_inventory::Resources;
 use slotmap::SlotMap;
@@ -275,6 +279,7 @@
 pub struct WorkerCell {
     term: Term,
     pace: Pace,
+    temper: Temper,
     calls: u64,
     hosts: SlotMap<HostKey, Host>,
     by_name: HashMap<Box<str>, HostKey>,
@@ -300,6 +305,7 @@
         Self {
             term,
             pace,
+            temper: TEMPER,
             calls: 0,
             hosts: SlotMap::with_key(),
             by_name: HashMap::new(),
@@ -311,6 +317,11 @@
         }
     }
 
+    /// Gives the hosts listed from now on guards of another temper.
+    pub fn set_temper(&mut self, temper: Temper) {
+        self.temper = temper;
+    }
+
     /// Gives the term under which the owner acts.
     pub fn term(&self) -> Term {
         self.term
@@ -340,7 +351,7 @@
                     is_dirty: false,
                     failures: 0,
                     set_aside_until_ms: 0,
-                    guard: Guard::default(),
+                    guard: Guard::new(self.temper),
                     promise: None,
                 });
                 self.by_name.insert(listed.name.clone(), key);
@@ -401,7 +412,7 @@
                 Reservation::NoRoom
             };
         }
-        let Some(host) = self.choose(now_ms, &order) else {
+        let Some(host) = self.choose(now_ms, &order, is_urgent) else {
             if is_urgent {
                 self.make_room(now_ms, &order);
             }
@@ -443,13 +454,18 @@
 
     /// Picks the host whose remaining room fits the order most tightly, so that
     /// large jobs still find room elsewhere.
-    fn choose(&self, now_ms: u64, order: &TaskOrder) -> Option<HostKey> {
+    fn choose(&self, now_ms: u64, order: &TaskOrder, is_urgent: bool) -> Option<HostKey> {
+        let kind = hash(&order.job);
+        let cores = cores_of(order.need);
         let mut best: Option<(u64, HostKey)> = None;
         for (key, host) in &self.hosts {
             let room = self.room_for(now_ms, host, &order.attempt);
             if !self.is_open(now_ms, host, &order.job) || !order.need.fits(room) {
                 continue;
             }
+            if !is_urgent && !host.guard.accepts(kind, cores) {
+                continue;
+            }
             let left = room.minus(order.need);
             let score = u64::from(left.millicores)
                 + u64::from(left.memory_mb) / 4
@@ -468,7 +484,6 @@
             && !host.is_leaving
             && !is_probing
             && now_ms >= host.set_aside_until_ms
-            && host.guard.accepts(now_ms)
             && !host.barred.iter().any(|barred| &**barred == job)
     }
 
@@ -799,10 +814,6 @@
         host.contact = Contact::Listed;
         host.listing = listing.number;
         host.renewed_ms = now_ms;
-        let share = host.guard.note(now_ms, listing.service_slowdown_permille);
-        if share.evicts_one {
-            self.evict_youngest(key);
-        }
         let mut seen = Vec::new();
         for listed in &listing.tasks {
             let task = match self.by_attempt.get(&listed.order.attempt) {
@@ -813,6 +824,35 @@
             self.reconcile(now_ms, task, listed.state);
         }
         self.settle_absent(now_ms, key, &pending, &seen);
+        self.guard_services(now_ms, key, listing.service_slowdown_permille);
+    }
+
+    /// Has the host's guard look at a measurement of its services.
+    fn guard_services(&mut self, now_ms: u64, key: HostKey, slowdown_permille: u32) {
+        let loads = self.loads(key);
+        let host = &mut self.hosts[key];
+        if let Some(kind) = host.guard.note(now_ms, slowdown_permille, &loads) {
+            self.evict_youngest(key, kind);
+        }
+    }
+
+    /// Sums the cores that batch tasks of each kind hold on a host.
+    fn loads(&self, key: HostKey) -> Vec<Load> {
+        let mut loads: Vec<Load> = Vec::new();
+        for task in &self.hosts[key].tasks {
+            let task = &self.tasks[*task];
+            if task.state != TaskState::Running || task.is_urgent {
+                continue;
+            }
+            let kind = hash(&task.order.job);
+            let cores = cores_of(task.order.need);
+            match loads.iter_mut().find(|load| load.kind == kind) {
+                Some(load) => load.cores += cores,
+                None => loads.push(Load { kind, cores }),
+            }
+        }
+        loads.sort_by_key(|load| load.kind);
+        loads
     }
 
     /// Takes in a task that a former owner of the cell started.
@@ -865,11 +905,11 @@
         }
     }
 
-    /// Evicts the batch task that started last on a host.
-    fn evict_youngest(&mut self, host: HostKey) {
+    /// Evicts the batch task of a kind that started last on a host.
+    fn evict_youngest(&mut self, host: HostKey, kind: u64) {
         let running = self.hosts[host].tasks.iter().copied().filter(|key| {
             let task = &self.tasks[*key];
-            task.state == TaskState::Running && !task.is_urgent
+            task.state == TaskState::Running && !task.is_urgent && hash(&task.order.job) == kind
         });
         if let Some(key) = running.max_by_key(|key| self.tasks[*key].since_ms) {
             self.evict(key);
@@ -968,3 +1008,9 @@
         pub is_leaving: bool,
     }
 }
+
+/// Gives an amount of processors in cores.
+fn cores_of(need: Resources) -> f64 {
+    const PER_CORE: f64 = 1_000.0;
+    f64::from(need.millicores) / PER_CORE
+}
