--- a/crates/bench/src/capacity.rs
+++ b/crates/bench/src/capacity.rs
@@ -1,1 +1,565 @@
-//! Placeholder.
+//! The capacity page, worked out from the measured slopes alone, so that page and
+//! measurement can't drift apart.
+
+use crate::edges::HTTP_BYTES;
+use crate::edges::PACKET_BYTES;
+use crate::slopes::Series;
+use crate::slopes::TASKS;
+use minijinja::Environment;
+use minijinja::Value;
+use minijinja::syntax::SyntaxConfig;
+use minijinja::value::Serde;
+use serde::Serialize;
+use std::collections::BTreeMap;
+
+const TEMPLATE: &str = include_str!("capacity.md.jinja");
+
+/// What the users allow for control on each node.
+const ALLOWED_CPU_US: f64 = 37_000.0;
+const ALLOWED_BYTES: f64 = 14_000.0;
+const ALLOWED_MEMORY: f64 = 128e6;
+/// Appends that the log takes, of several hundred.
+const LOG_APPENDS: f64 = 300.0;
+/// Base64 around records.
+const BASE64: f64 = 4.0 / 3.0;
+const DAY_S: f64 = 86_400.0;
+
+/// The sizes of a fleet.
+#[derive(Debug, Clone, Copy, Serialize)]
+struct Sizes {
+    workers: f64,
+    tasks: f64,
+    upstreams: f64,
+    starts_per_s: f64,
+    changes_per_day: f64,
+    restarts_per_day: f64,
+    entries: f64,
+}
+
+/// How often things are done; settings of the daemon.
+#[derive(Debug, Clone, Copy, Serialize)]
+struct Pace {
+    heartbeats_per_s: f64,
+    polls_per_s: f64,
+    worker_polls_per_s: f64,
+    carry_s: f64,
+    lists_per_s: f64,
+    lists_changes_only: bool,
+    own_voters: bool,
+}
+
+/// One line of control traffic.
+#[derive(Debug, Clone, Serialize)]
+struct Line {
+    role: &'static str,
+    messages: String,
+    cpu_us: f64,
+    bytes: f64,
+    memory: f64,
+    appends: f64,
+    slopes: &'static str,
+}
+
+/// Sums over all entry hosts, and what one of them gets.
+#[derive(Debug, Clone, Serialize)]
+struct Sum {
+    name: &'static str,
+    lines: Vec<Row>,
+    cpu_share: String,
+    bytes_share: String,
+    memory_share: String,
+    voter: String,
+    appends: String,
+    entries: String,
+    by_cpu: String,
+    by_bytes: String,
+    by_memory: String,
+}
+
+#[derive(Debug, Clone, Serialize)]
+struct Row {
+    role: &'static str,
+    messages: String,
+    cpu: String,
+    bytes: String,
+    memory: String,
+    appends: String,
+    slopes: &'static str,
+}
+
+#[derive(Debug, Serialize)]
+struct SeriesRow {
+    name: String,
+    unit: String,
+    size_of: String,
+    points: String,
+    line: String,
+    growth: String,
+}
+
+#[derive(Debug, Serialize)]
+struct Page {
+    sums: Vec<Sum>,
+    series: Vec<SeriesRow>,
+    facts: BTreeMap<&'static str, String>,
+}
+
+/// The measured series by name.
+struct Slopes<'a>(BTreeMap<&'a str, &'a Series>);
+
+impl Slopes<'_> {
+    /// Gives a series' value at its largest measured size.
+    fn last(&self, name: &str) -> f64 {
+        self.0.get(name).map_or(0.0, |series| series.last())
+    }
+
+    /// Gives a value on the straight line through a series.
+    fn at(&self, name: &str, size: f64) -> f64 {
+        let Some(series) = self.0.get(name) else {
+            return 0.0;
+        };
+        let (zero, slope) = series.fit();
+        zero + slope * size
+    }
+
+    /// Gives the slope of a series.
+    fn slope(&self, name: &str) -> f64 {
+        self.0.get(name).map_or(0.0, |series| series.fit().1)
+    }
+}
+
+/// Bytes of one start in the log: accepted, assigned, ended.
+fn start_record_bytes(slopes: &Slopes) -> f64 {
+    let kinds = [
+        "record_accepted_bytes",
+        "record_assigned_bytes",
+        "record_ended_bytes",
+    ];
+    kinds.iter().map(|kind| slopes.last(kind)).sum()
+}
+
+fn start_record_us(slopes: &Slopes) -> f64 {
+    let kinds = [
+        "record_accepted_us",
+        "record_assigned_us",
+        "record_ended_us",
+    ];
+    kinds.iter().map(|kind| slopes.last(kind)).sum()
+}
+
+/// All control traffic of the fleet, summed over its entry hosts.
+fn lines(slopes: &Slopes, sizes: Sizes, pace: Pace) -> Vec<Line> {
+    let measured_heartbeats = 4.0;
+    let beat = pace.heartbeats_per_s / measured_heartbeats;
+    let per_worker = sizes.tasks / sizes.workers;
+    let calls = sizes.workers * pace.worker_polls_per_s;
+    let changes_per_call = 3.0 * sizes.starts_per_s / calls;
+    let call_bytes = match pace.lists_changes_only {
+        true => slopes.at("worker_change_bytes", changes_per_call),
+        false => slopes.at("worker_call_bytes", per_worker),
+    };
+    let polls = 2.0 * pace.polls_per_s * sizes.entries;
+    const EMPTY_ANSWER: f64 = 45.0;
+    let change_rate = sizes.changes_per_day / DAY_S;
+    let config_bytes = slopes.slope("config_bytes") * sizes.workers;
+    let start_appends =
+        (sizes.starts_per_s * 3.0 / 500.0).max(LOG_APPENDS.min(sizes.starts_per_s * 3.0));
+    let entry_restarts = sizes.restarts_per_day * sizes.entries / (sizes.workers + sizes.entries);
+    vec![
+        Line {
+            role: "membership: heartbeats and promises",
+            messages: format!(
+                "{:.0}/s",
+                slopes.last("member_messages") * beat * sizes.entries
+            ),
+            cpu_us: slopes.at("member_cpu", sizes.entries) * beat * sizes.entries,
+            bytes: slopes.last("member_bytes") * beat * sizes.entries,
+            memory: 0.0,
+            appends: 0.0,
+            slopes: "member_messages, member_bytes, member_cpu",
+        },
+        Line {
+            role: "following claims and configuration",
+            messages: format!("{polls:.0} reads/s"),
+            cpu_us: polls * slopes.at("append_edge_us", 0.0)
+                + change_rate * slopes.at("change_us", sizes.workers) * sizes.entries,
+            bytes: polls * (HTTP_BYTES + EMPTY_ANSWER)
+                + change_rate * slopes.last("change_bytes") * BASE64 * sizes.entries,
+            memory: slopes.slope("config_memory") * sizes.workers * sizes.entries,
+            appends: change_rate,
+            slopes: "append_edge_us, change_us, change_bytes, config_memory",
+        },
+        Line {
+            role: "carrying the configuration forward",
+            messages: format!("1 record in {:.0} s", pace.carry_s),
+            cpu_us: 0.0,
+            bytes: config_bytes * BASE64 / pace.carry_s * (sizes.entries + 1.0),
+            memory: 0.0,
+            appends: 2.0 / pace.carry_s,
+            slopes: "config_bytes",
+        },
+        Line {
+            role: "fresh entry hosts loading the configuration",
+            messages: format!("{entry_restarts:.0}/day"),
+            cpu_us: entry_restarts / DAY_S * slopes.at("config_load_us", sizes.workers),
+            bytes: entry_restarts / DAY_S * config_bytes * BASE64,
+            memory: 0.0,
+            appends: entry_restarts * 3.0 / DAY_S,
+            slopes: "config_bytes, config_load_us",
+        },
+        Line {
+            role: "following the list of hosts",
+            messages: format!("{:.0} lists/s", pace.lists_per_s * sizes.entries),
+            cpu_us: 0.0,
+            bytes: match pace.lists_changes_only {
+                true => {
+                    let changes = 2.0 * sizes.restarts_per_day / DAY_S;
+                    sizes.entries
+                        * (pace.lists_per_s * HTTP_BYTES
+                            + changes * slopes.slope("host_list_bytes"))
+                }
+                false => {
+                    let listed = sizes.workers + sizes.upstreams;
+                    pace.lists_per_s * sizes.entries * slopes.at("host_list_bytes", listed)
+                }
+            },
+            memory: 0.0,
+            appends: 0.0,
+            slopes: "host_list_bytes",
+        },
+        Line {
+            role: "owning cells of workers: calls",
+            messages: format!("{calls:.0} calls/s"),
+            cpu_us: calls
+                * (slopes.at("worker_edge_us", per_worker) + slopes.at("listing_us", per_worker)),
+            bytes: calls * call_bytes,
+            memory: slopes.last("task_bytes") * sizes.tasks,
+            appends: 0.0,
+            slopes: "worker_edge_us, listing_us, worker_call_bytes, task_bytes",
+        },
+        Line {
+            role: "starting tasks: home and cell of workers",
+            messages: format!("{:.0}/s", sizes.starts_per_s * 6.0),
+            cpu_us: sizes.starts_per_s
+                * (slopes.last("job_home_us")
+                    + slopes.last("start_decision_us")
+                    + start_record_us(slopes))
+                + start_appends * slopes.at("append_edge_us", 4_000.0),
+            bytes: sizes.starts_per_s
+                * (slopes.last("task_message_bytes") * 2.0 + start_record_bytes(slopes) * BASE64)
+                + start_appends * HTTP_BYTES,
+            memory: slopes.last("job_bytes") * sizes.tasks,
+            appends: start_appends,
+            slopes: "job_home_us, start_decision_us, record_*, task_message_bytes, append_edge_us",
+        },
+        Line {
+            role: "owning cells of upstreams: state",
+            messages: "see requests below".into(),
+            cpu_us: 0.0,
+            bytes: 0.0,
+            memory: slopes.last("instance_bytes") * sizes.upstreams,
+            appends: 0.0,
+            slopes: "instance_bytes",
+        },
+    ]
+}
+
+fn number(value: f64) -> String {
+    match value.abs() {
+        size if size >= 1e6 => format!("{:.1} M", value / 1e6),
+        size if size >= 1e4 => format!("{:.1} k", value / 1e3),
+        size if size >= 10.0 => format!("{value:.0}"),
+        size if size >= 0.1 => format!("{value:.1}"),
+        0.0 => "0".into(),
+        _ => format!("{value:.4}"),
+    }
+}
+
+/// Says what share of an allowance is used: a factor above 1 is too much.
+fn share(used: f64, allowed: f64) -> String {
+    let factor = used / allowed;
+    match factor > 1.0 {
+        true => format!("**{factor:.1} times the allowance**"),
+        false => format!("{:.0}% of the allowance", factor * 100.0),
+    }
+}
+
+fn sum(slopes: &Slopes, name: &'static str, sizes: Sizes, pace: Pace) -> Sum {
+    let lines = lines(slopes, sizes, pace);
+    let total = |pick: fn(&Line) -> f64| lines.iter().map(pick).sum::<f64>();
+    let (cpu, bytes) = (total(|line| line.cpu_us), total(|line| line.bytes));
+    let memory = total(|line| line.memory);
+    let beat = pace.heartbeats_per_s / 4.0;
+    let voter_bytes = match pace.own_voters {
+        // Each member has voters of its own, so a host hears five on average.
+        true => slopes.last("member_bytes") * beat * 2.0,
+        false => slopes.at("voter_bytes", sizes.entries) * beat,
+    };
+    // What every host carries whatever their number, and what is shared.
+    let fixed = |role: &str| {
+        role.starts_with("membership")
+            || role.starts_with("following")
+            || role.starts_with("carrying")
+            || role.starts_with("following the list")
+    };
+    let split = |pick: fn(&Line) -> f64| {
+        let own: f64 = lines.iter().filter(|line| fixed(line.role)).map(pick).sum();
+        let shared: f64 = lines
+            .iter()
+            .filter(|line| !fixed(line.role))
+            .map(pick)
+            .sum();
+        (own / sizes.entries, shared)
+    };
+    let needed = |pick: fn(&Line) -> f64, allowed: f64| {
+        let (own, shared) = split(pick);
+        match own < allowed {
+            true => format!("{:.0}", (shared / (allowed - own)).ceil().max(1.0)),
+            false => "no number is enough".into(),
+        }
+    };
+    let rows = lines.iter().map(|line| Row {
+        role: line.role,
+        messages: line.messages.clone(),
+        cpu: number(line.cpu_us / 1e4),
+        bytes: number(line.bytes),
+        memory: number(line.memory),
+        appends: number(line.appends),
+        slopes: line.slopes,
+    });
+    Sum {
+        name,
+        lines: rows.collect(),
+        cpu_share: share(cpu / sizes.entries, ALLOWED_CPU_US),
+        bytes_share: share(bytes / sizes.entries, ALLOWED_BYTES),
+        memory_share: share(memory / sizes.entries, ALLOWED_MEMORY),
+        voter: share(voter_bytes, ALLOWED_BYTES),
+        appends: number(total(|line| line.appends)),
+        entries: format!("{:.0}", sizes.entries),
+        by_cpu: needed(|line| line.cpu_us, ALLOWED_CPU_US),
+        by_bytes: needed(|line| line.bytes, ALLOWED_BYTES),
+        by_memory: needed(|line| line.memory, ALLOWED_MEMORY),
+    }
+}
+
+const TODAY: Sizes = Sizes {
+    workers: 65.0,
+    tasks: 1_330.0,
+    upstreams: 65.0,
+    starts_per_s: 21.7,
+    changes_per_day: 108.0,
+    restarts_per_day: 18.0,
+    entries: 8.0,
+};
+
+const PLAN: Sizes = Sizes {
+    workers: 8_400.0,
+    tasks: TASKS as f64,
+    upstreams: 22_000.0,
+    starts_per_s: 2_800.0,
+    changes_per_day: 14_000.0,
+    restarts_per_day: 2_300.0,
+    entries: 62.0,
+};
+
+const SHIPPED: Pace = Pace {
+    heartbeats_per_s: 4.0,
+    polls_per_s: 1_000.0 / 150.0,
+    worker_polls_per_s: 1.0,
+    carry_s: 600.0,
+    lists_per_s: 2.0,
+    lists_changes_only: false,
+    own_voters: false,
+};
+
+const TUNED: Pace = Pace {
+    heartbeats_per_s: 2.0,
+    polls_per_s: 1.0,
+    worker_polls_per_s: 0.2,
+    carry_s: 7_200.0,
+    lists_per_s: 0.2,
+    lists_changes_only: false,
+    own_voters: false,
+};
+
+const BECOMES: Pace = Pace {
+    lists_changes_only: true,
+    own_voters: true,
+    ..TUNED
+};
+
+/// Renders the page from the measured series.
+///
+/// # Errors
+///
+/// When the template can't be filled in, which is a fault of the program.
+pub fn render(series: &[Series]) -> Result<String, minijinja::Error> {
+    let slopes = Slopes(
+        series
+            .iter()
+            .map(|series| (&*series.name, series))
+            .collect(),
+    );
+    let at = |entries: f64| Sizes { entries, ..PLAN };
+    let sums = vec![
+        sum(
+            &slopes,
+            "today's sizes, settings as shipped",
+            TODAY,
+            SHIPPED,
+        ),
+        sum(
+            &slopes,
+            "the plan's sizes, settings as shipped, 62 entry hosts",
+            PLAN,
+            SHIPPED,
+        ),
+        sum(
+            &slopes,
+            "the plan's sizes, settings for the size, 62 entry hosts",
+            PLAN,
+            TUNED,
+        ),
+        sum(
+            &slopes,
+            "the plan's sizes, with what three mechanisms must become, 62 entry hosts",
+            PLAN,
+            BECOMES,
+        ),
+        sum(
+            &slopes,
+            "the plan's sizes, with what three mechanisms must become, 300 entry hosts",
+            at(300.0),
+            BECOMES,
+        ),
+    ];
+    let rows = series.iter().map(|series| {
+        let (zero, slope) = series.fit();
+        let points = series
+            .points
+            .iter()
+            .map(|(size, value)| format!("{size}: {}", number(*value)));
+        let exponent = series.exponent();
+        SeriesRow {
+            name: series.name.clone(),
+            unit: series.unit.clone(),
+            size_of: series.size_of.clone(),
+            points: points.collect::<Vec<_>>().join(", "),
+            line: format!("{} + {} x", number(zero), number(slope)),
+            growth: match exponent {
+                growth if growth.abs() < 0.1 => "flat".into(),
+                growth if (0.9..1.1).contains(&growth) => "linear".into(),
+                growth => format!("not linear: grows as size^{growth:.2}"),
+            },
+        }
+    });
+    let page = Page {
+        sums,
+        series: rows.collect(),
+        facts: facts(&slopes),
+    };
+    let mut environment = Environment::new();
+    let syntax = SyntaxConfig::builder()
+        .trim_blocks(true)
+        .lstrip_blocks(true)
+        .keep_trailing_newline(true)
+        .build()?;
+    environment.set_syntax(syntax);
+    environment.add_template("capacity", TEMPLATE)?;
+    environment
+        .get_template("capacity")?
+        .render(Value::from(Serde(&page)))
+}
+
+/// Single figures with their arithmetic.
+fn facts(slopes: &Slopes) -> BTreeMap<&'static str, String> {
+    let records = PLAN.starts_per_s * 3.0;
+    let share = records / LOG_APPENDS;
+    let bytes = start_record_bytes(slopes);
+    let cells = LOG_APPENDS / 2.0;
+    let domain_tasks = PLAN.tasks / 20.0;
+    let config = slopes.slope("config_bytes") * PLAN.workers;
+    let per_thousand = |name: &str| slopes.last(name) * 1_000.0;
+    BTreeMap::from([
+        ("records_per_s", number(records)),
+        ("records_per_append", number(share)),
+        (
+            "log_bytes_per_s",
+            number(PLAN.starts_per_s * bytes * BASE64),
+        ),
+        ("start_bytes", number(bytes)),
+        ("batch_bytes", number(share * bytes / 3.0)),
+        ("cell_wait_ms", number(1_000.0 * cells / LOG_APPENDS / 2.0)),
+        ("cells", number(cells)),
+        (
+            "one_reader_bytes",
+            number(PLAN.starts_per_s * bytes * BASE64 / cells),
+        ),
+        ("decision_us", number(slopes.last("start_decision_us"))),
+        ("first_fit_us", number(slopes.last("start_first_fit_us"))),
+        ("takeover_s", number(slopes.last("takeover_ms") / 1_000.0)),
+        ("takeover_appends", number(slopes.last("takeover_appends"))),
+        (
+            "takeover_3s",
+            number(slopes.at("takeover_by_lease_ms", 3_000.0) / 1_000.0),
+        ),
+        ("domain_s", number(slopes.last("domain_loss_ms") / 1_000.0)),
+        ("domain_appends", number(slopes.last("domain_loss_appends"))),
+        ("domain_tasks", number(domain_tasks)),
+        ("domain_place_s", number(domain_tasks / PLAN.starts_per_s)),
+        ("config_mb", number(config / 1e6)),
+        ("config_load_s", number(config * BASE64 / ALLOWED_BYTES)),
+        (
+            "config_load_ms",
+            number(slopes.last("config_load_us") / 1_000.0),
+        ),
+        ("change_ms", number(slopes.last("change_us") / 1_000.0)),
+        (
+            "change_cpu",
+            number(slopes.last("change_us") * PLAN.changes_per_day / DAY_S / 1e4),
+        ),
+        ("change_bytes", number(slopes.last("change_bytes"))),
+        ("voter_300", number(slopes.last("voter_bytes"))),
+        (
+            "voter_factor",
+            number(slopes.last("voter_bytes") / ALLOWED_BYTES),
+        ),
+        ("member_bytes", number(slopes.last("member_bytes"))),
+        (
+            "call_bytes",
+            number(slopes.at("worker_call_bytes", PLAN.tasks / PLAN.workers)),
+        ),
+        (
+            "change_call_bytes",
+            number(slopes.at("worker_change_bytes", 0.2)),
+        ),
+        ("request_messages", number(slopes.last("request_messages"))),
+        (
+            "request_kb",
+            number(per_thousand("request_bytes") / 1_000.0 * 2.0),
+        ),
+        (
+            "request_cpu_percent",
+            number(per_thousand("request_cpu") / 1e4),
+        ),
+        (
+            "identity_mb",
+            number(slopes.last("identity_bytes") * 1_000.0 * 600.0 / 1e6),
+        ),
+        (
+            "identity_records_kb",
+            number(
+                (slopes.last("record_intent_bytes") + slopes.last("record_intent_ended_bytes"))
+                    * BASE64,
+            ),
+        ),
+        (
+            "task_message_bytes",
+            number(slopes.last("task_message_bytes")),
+        ),
+        (
+            "packet_percent",
+            number(6.0 * PACKET_BYTES * 100.0 / slopes.last("task_message_bytes").max(1.0)),
+        ),
+    ])
+}
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -8,6 +8,7 @@
 //! ```
 
 pub mod capacity;
+pub mod edges;
 pub mod fleet;
 pub mod plots;
 pub mod rig;
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -1,10 +1,21 @@
 //! Measurements as commands.
 
 use argh::FromArgs;
+use goldcrestway_bench::capacity;
+use goldcrestway_bench::plots;
 use goldcrestway_bench::routing;
 use goldcrestway_bench::routing::Setting;
 use goldcrestway_bench::routing::Trouble;
 use goldcrestway_bench::sharing;
+use goldcrestway_bench::slopes;
+use goldcrestway_bench::slopes::Series;
+use std::alloc::GlobalAlloc;
+use std::alloc::Layout;
+use std::alloc::System;
+use std::error::Error;
+use std::path::Path;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 
 /// Measures goldcrestway's decisions.
 #[derive(FromArgs)]
@@ -18,6 +29,8 @@
 enum Command {
     Routing(Routing),
     Sharing(Sharing),
+    Slopes(Slopes),
+    Capacity(Capacity),
 }
 
 /// Compare choices of an instance.
@@ -44,11 +57,63 @@
     seeds: u64,
 }
 
+/// Measure all slopes and write them to a file.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "slopes")]
+struct Slopes {
+    /// file to write; default docs/dev/slopes.json
+    #[argh(option, default = "String::from(\"docs/dev/slopes.json\")")]
+    out: String,
+}
+
+/// Write the capacity page and the plots from measured slopes.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "capacity")]
+struct Capacity {
+    /// file with the slopes; default docs/dev/slopes.json
+    #[argh(option, default = "String::from(\"docs/dev/slopes.json\")")]
+    slopes: String,
+    /// folder of the docs; default docs
+    #[argh(option, default = "String::from(\"docs\")")]
+    docs: String,
+}
+
+/// Counts the bytes that are allocated, so that state can be weighed.
+struct Counting;
+
+static HELD: AtomicUsize = AtomicUsize::new(0);
+
+// SAFETY: Every call is passed on unchanged to the system's allocator; only a
+// counter beside it is kept.
+unsafe impl GlobalAlloc for Counting {
+    unsafe fn alloc(&self, layout: Layout) -> *mut u8 {
+        HELD.fetch_add(layout.size(), Ordering::Relaxed);
+        // SAFETY: The caller keeps to the contract of `alloc`.
+        unsafe { System.alloc(layout) }
+    }
+
+    unsafe fn dealloc(&self, pointer: *mut u8, layout: Layout) {
+        HELD.fetch_sub(layout.size(), Ordering::Relaxed);
+        // SAFETY: The caller keeps to the contract of `dealloc`.
+        unsafe { System.dealloc(pointer, layout) }
+    }
+}
+
+#[global_allocator]
+static ALLOCATOR: Counting = Counting;
+
 fn main() {
     let arguments: Arguments = argh::from_env();
     match arguments.command {
         Command::Routing(arguments) => compare_routing(&arguments),
         Command::Sharing(arguments) => compare_sharing(&arguments),
+        Command::Slopes(arguments) => measure_slopes(&arguments),
+        Command::Capacity(arguments) => {
+            if let Err(error) = write_capacity(&arguments) {
+                eprintln!("the page was not written: {error}. Run `slopes` first");
+                std::process::exit(1);
+            }
+        }
     }
 }
 
@@ -115,3 +180,43 @@
         );
     }
 }
+
+fn measure_slopes(arguments: &Slopes) {
+    let all = slopes::measure(|| HELD.load(Ordering::Relaxed));
+    println!("| Series | Unit | Sizes and values | Growth |");
+    println!("| --- | --- | --- | --- |");
+    for series in &all {
+        let points = series
+            .points
+            .iter()
+            .map(|(size, value)| format!("{size}: {value:.2}"));
+        let points: Vec<String> = points.collect();
+        println!(
+            "| {} | {} | {} ({}) | {:.2} |",
+            series.name,
+            series.unit,
+            points.join(", "),
+            series.size_of,
+            series.exponent()
+        );
+    }
+    let text = serde_json::to_string_pretty(&all).unwrap_or_default();
+    match std::fs::write(&arguments.out, text + "\n") {
+        Ok(()) => println!("written to {}", arguments.out),
+        Err(error) => eprintln!("while writing {}: {error}. Check the folder", arguments.out),
+    }
+}
+
+fn write_capacity(arguments: &Capacity) -> Result<(), Box<dyn Error>> {
+    let all: Vec<Series> = serde_json::from_str(&std::fs::read_to_string(&arguments.slopes)?)?;
+    let docs = Path::new(&arguments.docs);
+    std::fs::write(docs.join("CAPACITY.md"), capacity::render(&all)?)?;
+    let folder = docs.join("dev/plots");
+    std::fs::create_dir_all(&folder)?;
+    for series in &all {
+        plots::draw(series, &folder)?;
+    }
+    std::fs::write(docs.join("dev/plots.md"), plots::page(&all))?;
+    println!("written {}", docs.join("CAPACITY.md").display());
+    Ok(())
+}
--- a/crates/bench/src/slopes.rs
+++ b/crates/bench/src/slopes.rs
@@ -1,1 +1,715 @@
-//! Placeholder.
+//! Slopes: what one more member, host, task, request or record costs, measured at
+//! three sizes or more each.
+
+use crate::fleet::Fleet;
+use crate::fleet::HOSTS_PER_RACK;
+use crate::rig::Rig;
+use goldcrestway_core::Ask;
+use goldcrestway_core::AttemptId;
+use goldcrestway_core::Batch;
+use goldcrestway_core::Bounds;
+use goldcrestway_core::Cell;
+use goldcrestway_core::Config;
+use goldcrestway_core::ConfigChange;
+use goldcrestway_core::Ended;
+use goldcrestway_core::IdentityTable;
+use goldcrestway_core::JobSpec;
+use goldcrestway_core::JobState;
+use goldcrestway_core::JobTable;
+use goldcrestway_core::Limits;
+use goldcrestway_core::ListedHost;
+use goldcrestway_core::ListedState;
+use goldcrestway_core::ListedTask;
+use goldcrestway_core::Listing;
+use goldcrestway_core::Member;
+use goldcrestway_core::Outcome;
+use goldcrestway_core::Pace;
+use goldcrestway_core::Record;
+use goldcrestway_core::Released;
+use goldcrestway_core::Reservation;
+use goldcrestway_core::Seat;
+use goldcrestway_core::Submission;
+use goldcrestway_core::TaskOrder;
+use goldcrestway_core::Term;
+use goldcrestway_core::UpstreamCell;
+use goldcrestway_core::Verdict;
+use goldcrestway_core::WorkerCell;
+use goldcrestway_inventory::Change;
+use goldcrestway_inventory::Resources;
+use goldcrestway_inventory::Sections;
+use goldcrestway_inventory::compare;
+use goldcrestway_wire::decode_batch;
+use goldcrestway_wire::encode_batch;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_pcg::Pcg32;
+use serde::Deserialize;
+use serde::Serialize;
+use std::hint::black_box;
+use std::time::Instant;
+
+/// One measured series.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Series {
+    /// Name by which the page refers to it.
+    pub name: String,
+    /// What the size counts.
+    pub size_of: String,
+    /// Unit of the values.
+    pub unit: String,
+    /// Size and value.
+    pub points: Vec<(f64, f64)>,
+}
+
+impl Series {
+    /// Starts a series without points.
+    pub fn new(name: &str, size_of: &str, unit: &str) -> Self {
+        Self {
+            name: name.into(),
+            size_of: size_of.into(),
+            unit: unit.into(),
+            points: Vec::new(),
+        }
+    }
+
+    /// Fits a straight line by least squares: value at zero, and slope.
+    pub fn fit(&self) -> (f64, f64) {
+        let count = self.points.len() as f64;
+        let mean = |pick: fn(&(f64, f64)) -> f64| self.points.iter().map(pick).sum::<f64>() / count;
+        let (mean_x, mean_y) = (mean(|point| point.0), mean(|point| point.1));
+        let (mut above, mut below) = (0.0, 0.0);
+        for (x, y) in &self.points {
+            above += (x - mean_x) * (y - mean_y);
+            below += (x - mean_x) * (x - mean_x);
+        }
+        let slope = if below == 0.0 { 0.0 } else { above / below };
+        (mean_y - slope * mean_x, slope)
+    }
+
+    /// Gives the exponent of growth between the smallest and the largest size: 0 is
+    /// flat, 1 is linear, 2 is quadratic.
+    pub fn exponent(&self) -> f64 {
+        let (Some(first), Some(last)) = (self.points.first(), self.points.last()) else {
+            return 0.0;
+        };
+        let is_usable = first.0 > 0.0 && last.0 > first.0 && first.1 > 0.0 && last.1 > 0.0;
+        if !is_usable {
+            return 0.0;
+        }
+        (last.1 / first.1).ln() / (last.0 / first.0).ln()
+    }
+
+    /// Gives the value at the largest size.
+    pub fn last(&self) -> f64 {
+        self.points.last().map_or(0.0, |point| point.1)
+    }
+}
+
+/// How memory is read; the program installs a counting allocator.
+pub type Memory = fn() -> usize;
+
+/// Times `operation`, in microseconds each: the median of several rounds.
+fn time_us(rounds: usize, each: usize, mut operation: impl FnMut(usize)) -> f64 {
+    let mut times: Vec<f64> = Vec::new();
+    let mut number = 0;
+    for _ in 0..rounds {
+        let began = Instant::now();
+        for _ in 0..each {
+            operation(number);
+            number += 1;
+        }
+        times.push(began.elapsed().as_secs_f64() * 1e6 / each as f64);
+    }
+    times.sort_by(f64::total_cmp);
+    times[times.len() / 2]
+}
+
+/// Measures all series.
+pub fn measure(memory: Memory) -> Vec<Series> {
+    let mut all = membership();
+    all.extend(takeover());
+    all.extend(placement(memory));
+    all.extend(teams(memory));
+    all.extend(slots(memory));
+    all.extend(identities(memory));
+    all.extend(configuration(memory));
+    all.extend(records());
+    all.extend(requests());
+    all.extend(crate::edges::measure());
+    all
+}
+
+/// Idle members: messages, bytes, processor time.
+fn membership() -> Vec<Series> {
+    let mut messages = Series::new("member_messages", "members", "messages/s per member");
+    let mut bytes = Series::new("member_bytes", "members", "bytes/s per member");
+    let mut voter = Series::new("voter_bytes", "members", "bytes/s at a voter");
+    let mut busy = Series::new("member_cpu", "members", "us/s per member");
+    for members in [8, 62, 300] {
+        const SPAN_S: f64 = 4.0;
+        let mut rig = Rig::new(members, &Limits::default(), true);
+        rig.run(8_000_000);
+        rig.reset_counts();
+        rig.run((SPAN_S * 1e6) as u64);
+        let counts = rig.counted();
+        let size = members as f64;
+        let per_message = counts.message_bytes as f64 / counts.messages.max(1) as f64;
+        messages
+            .points
+            .push((size, counts.messages as f64 / SPAN_S / size));
+        // Each message is sent by one host and received by another.
+        bytes
+            .points
+            .push((size, 2.0 * counts.message_bytes as f64 / SPAN_S / size));
+        voter
+            .points
+            .push((size, counts.busiest_messages as f64 * per_message / SPAN_S));
+        busy.points
+            .push((size, counts.busy.as_secs_f64() * 1e6 / SPAN_S / size));
+    }
+    vec![messages, bytes, voter, busy]
+}
+
+/// Members die: how long until all cells are served, and with how many appends.
+fn takeover() -> Vec<Series> {
+    let mut time = Series::new("takeover_ms", "hosts", "ms until all cells are served");
+    let mut appends = Series::new("takeover_appends", "hosts", "appends");
+    for hosts in [55, 550, 8_400] {
+        let (took_ms, count) = lose_members(8, 1, hosts, &Limits::default());
+        time.points.push((hosts as f64, took_ms));
+        appends.points.push((hosts as f64, count));
+    }
+    let mut by_lease = Series::new(
+        "takeover_by_lease_ms",
+        "ms of lease",
+        "ms until all cells are served",
+    );
+    for lease_ms in [1_500, 3_000, 5_000] {
+        let limits = Limits {
+            lease_ms,
+            heartbeat_ms: lease_ms / 6,
+            suspect_ms: lease_ms * 2 / 3,
+            ..Limits::default()
+        };
+        by_lease
+            .points
+            .push((lease_ms as f64, lose_members(8, 1, 550, &limits).0));
+    }
+    let mut domain = Series::new(
+        "domain_loss_ms",
+        "members, 5% of them lost",
+        "ms until all cells are served",
+    );
+    let mut domain_appends =
+        Series::new("domain_loss_appends", "members, 5% of them lost", "appends");
+    for members in [20, 60, 200] {
+        let (took_ms, count) = lose_members(members, members / 20, 8_400, &Limits::default());
+        domain.points.push((members as f64, took_ms));
+        domain_appends.points.push((members as f64, count));
+    }
+    vec![time, appends, by_lease, domain, domain_appends]
+}
+
+/// Lets `lost` of `members` die at once in a fleet of `hosts`.
+fn lose_members(members: usize, lost: usize, hosts: usize, limits: &Limits) -> (f64, f64) {
+    const LONGEST_US: u64 = 60_000_000;
+    let mut rig = Rig::new(members, limits, false);
+    rig.run(limits.lease_ms * 3_000);
+    rig.publish(&Fleet::sized(hosts, hosts / 4, 10).load().0);
+    rig.run(20_000_000 + limits.lease_ms * 2_000);
+    let all = rig.served();
+    rig.reset_counts();
+    let began_us = rig.now_us;
+    for number in 0..lost {
+        rig.kill(members - 1 - number);
+    }
+    rig.run(100_000);
+    while rig.served() < all && rig.now_us < began_us + LONGEST_US {
+        rig.run(50_000);
+    }
+    (
+        (rig.now_us - began_us) as f64 / 1_000.0,
+        rig.counted().appends as f64,
+    )
+}
+
+fn order(number: usize, attempt: u32) -> TaskOrder {
+    TaskOrder {
+        attempt: AttemptId {
+            id: format!("night/roster-{number}").into(),
+            attempt,
+        },
+        job: "roster".into(),
+        need: Resources {
+            millicores: 500,
+            memory_mb: 1_000,
+            accelerators: 0,
+        },
+        checkpoint: 0,
+    }
+}
+
+const PACE: Pace = Pace {
+    lease_ms: 10_000,
+    poll_ms: 1_000,
+    reserve_ms: 3_000,
+    skew_permille: 20,
+};
+
+/// Cells of workers with `tasks` running tasks in all.
+pub fn worker_cells(hosts: usize, tasks: usize) -> Vec<WorkerCell> {
+    let racks = hosts.div_ceil(HOSTS_PER_RACK);
+    let per_host = tasks / hosts;
+    let mut number = 0;
+    let mut cells = Vec::new();
+    for _ in 0..racks {
+        let mut cell = WorkerCell::new(Term(1), PACE);
+        for host in 0..HOSTS_PER_RACK {
+            cell.list(
+                0,
+                ListedHost {
+                    name: format!("w{host}").into(),
+                    address: format!("{host}").into(),
+                    total: Resources {
+                        millicores: 64_000,
+                        memory_mb: 250_000,
+                        accelerators: 1,
+                    },
+                    reserved: Resources::default(),
+                    barred: Vec::new(),
+                    is_leaving: false,
+                },
+            );
+        }
+        for (key, _, call) in cell.tick(0) {
+            let mut listed = Vec::new();
+            for _ in 0..per_host {
+                number += 1;
+                listed.push(ListedTask {
+                    order: order(number, 1),
+                    state: ListedState::Running,
+                });
+            }
+            let listing = Listing {
+                number: 1,
+                tasks: listed.into(),
+                service_slowdown_permille: 1_050,
+            };
+            cell.listed(0, key, call.token, &listing, |_| false);
+        }
+        cells.push(cell);
+    }
+    cells
+}
+
+/// Tasks that run on the fleet of the plan.
+pub const TASKS: usize = 172_000;
+
+/// Decides a start: a cell of workers at random, then the host; and takes it back.
+pub fn decide_start(cells: &mut [WorkerCell], random: &mut Pcg32, number: usize) {
+    let cell = random.random_range(0..cells.len());
+    let cell = &mut cells[cell];
+    let order = order(10_000_000 + number, 1);
+    let attempt = order.attempt.clone();
+    if black_box(cell.reserve(1, order, false)) == Reservation::Held {
+        cell.release(&attempt);
+    }
+}
+
+/// Baseline: the first host of the whole fleet that has room.
+pub fn first_fit(free: &[Resources], need: Resources) -> Option<usize> {
+    free.iter().position(|room| need.fits(*room))
+}
+
+fn placement(memory: Memory) -> Vec<Series> {
+    let mut decide = Series::new("start_decision_us", "hosts", "us per start");
+    let mut baseline = Series::new("start_first_fit_us", "hosts", "us per start");
+    let mut bytes = Series::new("task_bytes", "tasks per host", "bytes of state per task");
+    let mut listing_us = Series::new("listing_us", "tasks per host", "us per answer of a worker");
+    let mut random = Pcg32::seed_from_u64(5);
+    for hosts in [50, 500, 8_400] {
+        let tasks = TASKS * hosts / 8_400;
+        let mut cells = worker_cells(hosts, tasks);
+        let took = time_us(9, 2_000, |number| {
+            decide_start(&mut cells, &mut random, number)
+        });
+        decide.points.push((hosts as f64, took));
+        // First fit finds room only far down the list once the fleet is busy.
+        let need = order(0, 1).need;
+        let mut free = vec![Resources::default(); hosts];
+        free[hosts * 9 / 10] = need.plus(need);
+        let took = time_us(9, 200, |_| {
+            black_box(first_fit(black_box(&free), need));
+        });
+        baseline.points.push((hosts as f64, took));
+    }
+    for per_host in [5, 20, 80] {
+        let before = memory();
+        let hosts = 10 * HOSTS_PER_RACK;
+        let mut cells = worker_cells(hosts, hosts * per_host);
+        let used = memory() - before;
+        bytes
+            .points
+            .push((per_host as f64, used as f64 / (hosts * per_host) as f64));
+        let cell = &mut cells[0];
+        let mut now_ms = 10_000;
+        let took = time_us(5, 20, |_| {
+            now_ms += 1_000;
+            for (key, address, call) in cell.tick(now_ms) {
+                let host: usize = address.parse().unwrap_or(0);
+                let first = host * per_host;
+                let tasks = (first + 1..=first + per_host).map(|number| ListedTask {
+                    order: order(number, 1),
+                    state: ListedState::Running,
+                });
+                let listing = Listing {
+                    number: now_ms,
+                    tasks: tasks.collect(),
+                    service_slowdown_permille: 1_050,
+                };
+                cell.listed(now_ms, key, call.token, &listing, |_| false);
+            }
+        });
+        listing_us
+            .points
+            .push((per_host as f64, took / HOSTS_PER_RACK as f64));
+    }
+    vec![decide, baseline, bytes, listing_us]
+}
+
+fn spec(team: usize, number: usize) -> JobSpec {
+    JobSpec {
+        id: format!("team{team}/roster-{number}").into(),
+        job: "roster".into(),
+        team: format!("team{team}").into(),
+    }
+}
+
+/// A job's way through its home: submitted, queued, taken, started, ended.
+fn teams(memory: Memory) -> Vec<Series> {
+    let mut took = Series::new("job_home_us", "teams", "us per job at its home");
+    let mut bytes = Series::new("job_bytes", "jobs", "bytes of state per job");
+    let inventory = Fleet::sized(50, 50, 1).inventory();
+    for teams in [5, 50, 490] {
+        let mut table = JobTable::default();
+        // Every team has a backlog, as at the peak.
+        for team in 0..teams {
+            for number in 0..20 {
+                if let Submission::New(key) = table.submit(0, &spec(team, number)) {
+                    table.queue(0, key, false, false);
+                }
+            }
+        }
+        let us = time_us(9, 1_000, |number| {
+            let job = spec(number % teams, 1_000 + number);
+            if let Submission::New(key) = table.submit(1, &job) {
+                table.queue(1, key, false, false);
+            }
+            if let Some(key) = table.next(1, &inventory) {
+                table.begin_attempt(key);
+                let cell = Cell::Workers(1);
+                table.set_state(key, JobState::Starting { cell, asked_ms: 1 });
+                table.set_state(key, JobState::Running { cell });
+                table.end(1, key, goldcrestway_core::JobEnd::Finished);
+            }
+            table.forget(2, 0);
+            black_box(table.overdue(1, 1_000));
+        });
+        took.points.push((teams as f64, us));
+    }
+    for jobs in [1_000, 10_000, 100_000] {
+        let before = memory();
+        let mut table = JobTable::default();
+        for number in 0..jobs {
+            if let Submission::New(key) = table.submit(0, &spec(number % 490, number)) {
+                table.queue(0, key, false, false);
+            }
+        }
+        bytes
+            .points
+            .push((jobs as f64, (memory() - before) as f64 / jobs as f64));
+        black_box(&table);
+    }
+    vec![took, bytes]
+}
+
+/// A slot asked for and released again.
+pub fn grant_and_release(cell: &mut UpstreamCell, number: u64) {
+    let me = Member {
+        seat: Seat(1),
+        incarnation: 1,
+    };
+    let ask = Ask {
+        asker: me,
+        request: number,
+        asked_ms: 1,
+        begin_by_ms: 1_000,
+    };
+    if let Some(Verdict::Granted { grant, .. }) = cell.ask(1, ask) {
+        cell.release(
+            1,
+            Released {
+                grant,
+                asker: me,
+                request: number,
+                ended: Ended::Answered { latency_ms: 10 },
+                next: None,
+            },
+        );
+    }
+}
+
+/// A cell of upstreams with some instances.
+pub fn upstream_cell(instances: usize) -> UpstreamCell {
+    let bounds = Bounds {
+        timeout_ms: 1_000,
+        use_ms: 250,
+        waiting_per_slot: 2,
+    };
+    let mut cell = UpstreamCell::new(bounds, 0);
+    for instance in 0..instances {
+        cell.list(&format!("u{instance}"), "10.0.0.1:8000", 8, false);
+    }
+    cell
+}
+
+fn slots(memory: Memory) -> Vec<Series> {
+    let mut took = Series::new(
+        "slot_us",
+        "instances in a cell",
+        "us per slot granted and released",
+    );
+    let mut bytes = Series::new(
+        "instance_bytes",
+        "instances in a cell",
+        "bytes per instance",
+    );
+    for instances in [8, 60, 500] {
+        let before = memory();
+        let mut cell = upstream_cell(instances);
+        bytes.points.push((
+            instances as f64,
+            (memory() - before) as f64 / instances as f64,
+        ));
+        let us = time_us(9, 2_000, |number| {
+            grant_and_release(&mut cell, number as u64)
+        });
+        took.points.push((instances as f64, us));
+    }
+    vec![took, bytes]
+}
+
+fn identities(memory: Memory) -> Vec<Series> {
+    let mut took = Series::new("identity_us", "identities", "us per identity");
+    let mut bytes = Series::new("identity_bytes", "identities", "bytes per identity");
+    for count in [1_000_u64, 30_000, 300_000] {
+        let before = memory();
+        let mut table = IdentityTable::default();
+        for number in 0..u128::from(count) {
+            table.admit(0, number, 1);
+            table.begin(0, number, 1);
+            table.end(number, Outcome::Answered, 200);
+        }
+        bytes
+            .points
+            .push((count as f64, (memory() - before) as f64 / count as f64));
+        let us = time_us(9, 1_000, |number| {
+            let identity = u128::from(count) + number as u128;
+            black_box(table.admit(1, identity, 1));
+            table.begin(1, identity, 1);
+            table.end(identity, Outcome::Answered, 200);
+        });
+        took.points.push((count as f64, us));
+    }
+    vec![took, bytes]
+}
+
+/// One operator's change of one host.
+fn change_of(sections: &Sections, base: u64) -> ConfigChange {
+    let identity: (Box<str>, Box<str>) = ("host".into(), "w0".into());
+    let mut values = sections[&identity].values.clone();
+    values.insert("memory_mb".into(), format!("{}", 200_000 + base).into());
+    let change = Change {
+        kind: identity.0,
+        name: identity.1,
+        values: Some(values),
+    };
+    ConfigChange {
+        base,
+        id: format!("aino-{base}-0123456789abcdef").into(),
+        author: "aino".into(),
+        changes: Box::new([change]),
+    }
+}
+
+fn bytes_of(record: Record) -> f64 {
+    let batch = Batch {
+        term: Term(1_000),
+        sequence: 1_000,
+        records: Box::new([record]),
+    };
+    encode_batch(&batch).len() as f64
+}
+
+fn configuration(memory: Memory) -> Vec<Series> {
+    let mut change_bytes = Series::new("change_bytes", "hosts", "bytes per change");
+    let mut change_us = Series::new("change_us", "hosts", "us per change and process");
+    let mut whole_bytes = Series::new("config_bytes", "hosts", "bytes of the whole configuration");
+    let mut whole_us = Series::new("config_load_us", "hosts", "us to load the whole");
+    let mut held = Series::new("config_memory", "hosts", "bytes held per process");
+    for hosts in [55, 550, 8_400] {
+        let fleet = Fleet::sized(hosts, hosts * 22 / 8, hosts.div_ceil(40));
+        let sections = fleet.load().0;
+        let before = memory();
+        let mut config = Config::default();
+        let first = ConfigChange {
+            base: 0,
+            id: "first".into(),
+            author: "aino".into(),
+            changes: compare(&Sections::new(), &sections).into(),
+        };
+        let record = Record::Config(first);
+        whole_bytes
+            .points
+            .push((hosts as f64, bytes_of(record.clone())));
+        let began = Instant::now();
+        config.apply(0, &record);
+        whole_us
+            .points
+            .push((hosts as f64, began.elapsed().as_secs_f64() * 1e6));
+        drop(record);
+        held.points.push((hosts as f64, (memory() - before) as f64));
+        let mut offset = 0;
+        let us = time_us(3, 3, |_| {
+            offset += 1;
+            let change = Record::Config(change_of(&sections, config.version()));
+            config.apply(offset, &change);
+        });
+        change_us.points.push((hosts as f64, us));
+        change_bytes.points.push((
+            hosts as f64,
+            bytes_of(Record::Config(change_of(&sections, 7))),
+        ));
+    }
+    vec![change_bytes, change_us, whole_bytes, whole_us, held]
+}
+
+/// Records that share a batch: bytes each, and time to encode and decode.
+fn records() -> Vec<Series> {
+    let id = |number: usize| -> Box<str> { format!("team17/roster-2027-05-{number:05}").into() };
+    type Make = Box<dyn Fn(usize) -> Record>;
+    let kinds: Vec<(&str, Make)> = vec![
+        (
+            "intent",
+            Box::new(|number| Record::Intent {
+                identity: u128::MAX - number as u128,
+                fingerprint: u64::MAX,
+            }),
+        ),
+        (
+            "intent_ended",
+            Box::new(|number| Record::IntentEnded {
+                identity: u128::MAX - number as u128,
+                outcome: Outcome::Answered,
+                status: 200,
+            }),
+        ),
+        (
+            "accepted",
+            Box::new(move |number| {
+                Record::Accepted(JobSpec {
+                    id: id(number),
+                    job: "roster".into(),
+                    team: "team17".into(),
+                })
+            }),
+        ),
+        (
+            "assigned",
+            Box::new(move |number| Record::Assigned {
+                id: id(number),
+                attempt: 1,
+                cell: Cell::Workers(u64::MAX),
+            }),
+        ),
+        (
+            "ended",
+            Box::new(move |number| Record::Ended {
+                id: id(number),
+                attempt: 1,
+                end: goldcrestway_core::JobEnd::Finished,
+            }),
+        ),
+    ];
+    let mut all = Vec::new();
+    for (kind, make) in kinds {
+        let mut bytes = Series::new(
+            &format!("record_{kind}_bytes"),
+            "records in a batch",
+            "bytes per record",
+        );
+        let mut took = Series::new(
+            &format!("record_{kind}_us"),
+            "records in a batch",
+            "us per record, both ways",
+        );
+        for count in [1, 30, 500] {
+            let batch = Batch {
+                term: Term(1_000_000),
+                sequence: 1_000_000,
+                records: (0..count).map(&make).collect(),
+            };
+            let encoded = encode_batch(&batch);
+            bytes
+                .points
+                .push((count as f64, encoded.len() as f64 / count as f64));
+            let us = time_us(9, 2_000 / count, |_| {
+                black_box(decode_batch(&encode_batch(black_box(&batch))).is_ok());
+            });
+            took.points.push((count as f64, us / count as f64));
+        }
+        all.push(bytes);
+        all.push(took);
+    }
+    all
+}
+
+/// A request through the real nodes: messages, bytes and processor time of all.
+fn requests() -> Vec<Series> {
+    let mut messages = Series::new("request_messages", "requests/s", "messages per request");
+    let mut bytes = Series::new("request_bytes", "requests/s", "bytes per request");
+    let mut busy = Series::new("request_cpu", "requests/s", "us per request, all hosts");
+    let mut rig = Rig::new(8, &Limits::default(), true);
+    rig.run(5_000_000);
+    rig.publish(&Fleet::sized(33, 48, 1).load().0);
+    rig.run(10_000_000);
+    let mut number = 1_000;
+    for rate in [500_u64, 5_000, 20_000] {
+        const SPAN_US: u64 = 1_000_000;
+        rig.reset_counts();
+        rig.run(SPAN_US);
+        let idle = rig.counted();
+        rig.reset_counts();
+        for _ in 0..rate {
+            number += 1;
+            rig.ask((number % 8) as usize, number, "s0", 1_000);
+            rig.run(SPAN_US / rate);
+        }
+        let counts = rig.counted();
+        let per = |all: f64, idle: f64| (all - idle).max(0.0) / rate as f64;
+        messages.points.push((
+            rate as f64,
+            per(counts.messages as f64, idle.messages as f64),
+        ));
+        bytes.points.push((
+            rate as f64,
+            per(counts.message_bytes as f64, idle.message_bytes as f64),
+        ));
+        let spent = per(
+            counts.busy.as_secs_f64() * 1e6,
+            idle.busy.as_secs_f64() * 1e6,
+        );
+        busy.points.push((rate as f64, spent));
+    }
+    vec![messages, bytes, busy]
+}
--- a/crates/core/src/lease.rs
+++ b/crates/core/src/lease.rs
@@ -17,9 +17,6 @@
 use std::collections::HashMap;
 use std::collections::HashSet;
 
-/// The most seats that vote, so that promises stay linear in the members.
-pub const MOST_VOTERS: usize = 9;
-
 /// Where a member's own lease stands.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Standing {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -78,7 +78,6 @@
 pub use layout::Group;
 pub use layout::Layout;
 pub use lease::Lease;
-pub use lease::MOST_VOTERS;
 pub use lease::Standing;
 pub use lease::Voter;
 pub use limits::Limits;
--- a/crates/core/src/limits.rs
+++ b/crates/core/src/limits.rs
@@ -5,6 +5,9 @@
 plain! {
     /// Settings of the decisions; the defaults suit today's sizes.
     pub struct Limits {
+        /// Seats that vote on leases, the first ones of those given; odd. A majority
+        /// of them must be reachable for anybody to act.
+        pub voters: usize,
         /// How long one promise of a voter holds.
         pub lease_ms: u64,
         /// Time between two heartbeats of a member.
@@ -53,6 +56,7 @@
 impl Default for Limits {
     fn default() -> Self {
         Self {
+            voters: 5,
             lease_ms: 1_500,
             heartbeat_ms: 250,
             skew_permille: 20,
--- a/crates/core/src/node/members.rs
+++ b/crates/core/src/node/members.rs
@@ -5,7 +5,6 @@
 use crate::ids::Member;
 use crate::ids::Seat;
 use crate::lease::Lease;
-use crate::lease::MOST_VOTERS;
 use crate::lease::Standing;
 use crate::message::Message;
 use crate::notes::Code;
@@ -69,7 +68,7 @@
 impl Node {
     /// Lists the seats that vote.
     pub(super) fn voters(&self) -> &[Seat] {
-        &self.seats[..self.seats.len().min(MOST_VOTERS)]
+        &self.seats[..self.seats.len().min(self.limits.voters)]
     }
 
     fn is_quorum(&self, count: usize) -> bool {
@@ -329,6 +328,7 @@
 
     fn consented(&mut self, voter: Member, target: Member, asked_ms: u64) {
         let now_ms = self.now_ms;
+        let quorum = self.voters().len() / 2 + 1;
         let Some(entry) = self.deposing.get_mut(&target) else {
             return;
         };
@@ -339,7 +339,7 @@
             .consents
             .retain(|_, asked_ms| now_ms < *asked_ms + CONSENT_MS);
         let count = entry.consents.len();
-        if entry.is_written || count <= self.seats.len().min(MOST_VOTERS) / 2 {
+        if entry.is_written || count < quorum {
             return;
         }
         entry.is_written = true;
--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -25,7 +25,6 @@
 use crate::ids::Term;
 use crate::layout::Layout;
 use crate::lease::Lease;
-use crate::lease::MOST_VOTERS;
 use crate::lease::Standing;
 use crate::lease::Voter;
 use crate::limits::Limits;
@@ -100,7 +99,7 @@
     ///
     /// `now_ms` is any monotonic clock; all later times must come from it.
     pub fn new(me: Member, seats: &[Seat], limits: Limits, now_ms: u64) -> Self {
-        let voters = seats.len().min(MOST_VOTERS);
+        let voters = seats.len().min(limits.voters);
         let seed = u64::from(me.seat.0) ^ me.incarnation;
         Self {
             me,
--- a/crates/daemon/src/process.rs
+++ b/crates/daemon/src/process.rs
@@ -23,7 +23,6 @@
 use goldcrestway_core::Member;
 use goldcrestway_core::Node;
 use goldcrestway_core::Note;
-use goldcrestway_core::Seat;
 use goldcrestway_events::Style;
 use goldcrestway_events::start_logging;
 use stakker::Stakker;
@@ -152,7 +151,7 @@
             seat: settings.own().seat,
             incarnation,
         };
-        let seats: Vec<Seat> = settings.seats.iter().map(|seat| seat.seat).collect();
+        let seats = settings.seats_by_vote();
         let limits = settings.limits.clone();
         edge.note(&Note::new(
             Code::Started,
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -8,6 +8,7 @@
 use goldcrestway_inventory::SectionSchema;
 use goldcrestway_inventory::Value;
 use goldcrestway_inventory::read;
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 const MILLISECONDS: Value = Value::Whole {
@@ -64,6 +65,7 @@
         kind: "limits",
         is_single: true,
         fields: &[
+            Field::optional("voters", Value::Whole { least: 1, most: 9 }, "5"),
             Field::optional("lease_ms", MILLISECONDS, "1500"),
             Field::optional("heartbeat_ms", MILLISECONDS, "250"),
             Field::optional("suspect_ms", MILLISECONDS, "1000"),
@@ -147,6 +149,20 @@
 }
 
 impl Settings {
+    /// Lists the seats in the order in which they vote: one of each failure domain
+    /// in turn, so that losing a failure domain does not lose the majority.
+    pub fn seats_by_vote(&self) -> Vec<Seat> {
+        let mut taken: BTreeMap<&str, usize> = BTreeMap::new();
+        let mut order = Vec::new();
+        for seat in &self.seats {
+            let turn = taken.entry(&seat.failure_domain).or_default();
+            order.push((*turn, seat.seat));
+            *turn += 1;
+        }
+        order.sort_unstable();
+        order.into_iter().map(|(_, seat)| seat).collect()
+    }
+
     /// Gives the daemon's own seat.
     pub fn own(&self) -> &SeatSettings {
         &self.seats[self.own]
@@ -292,6 +308,7 @@
 fn limits(section: &Section) -> Limits {
     let default = Limits::default();
     Limits {
+        voters: number(section, "voters", default.voters as u64) as usize,
         lease_ms: number(section, "lease_ms", default.lease_ms),
         heartbeat_ms: number(section, "heartbeat_ms", default.heartbeat_ms),
         suspect_ms: number(section, "suspect_ms", default.suspect_ms),
--- a/tests/lib.rs
+++ b/tests/lib.rs
@@ -5,6 +5,7 @@
 #![cfg(test)]
 
 mod border;
+mod capacity;
 mod catalogue;
 mod edge;
 mod faults;
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -95,3 +95,22 @@
         }
     }
 }
+
+/// Symptom: losing one failure domain leaves no majority. Cause: the seats of one
+/// domain have the lowest numbers, and voters were taken in that order.
+#[gtest]
+fn voters_are_spread_over_failure_domains() {
+    let mut text = String::from(
+        "[daemon]\ncluster = x\nseat = s0\nlog_url = http://a\nhost_list_url = http://b\n",
+    );
+    for (number, domain) in ["a", "a", "a", "b", "b", "c", "c"].iter().enumerate() {
+        let address = format!("127.0.0.1:{}", 9_000 + number);
+        text.push_str(&format!(
+            "[seat s{number}]\nnumber = {number}\nfailure_domain = {domain}\n\
+             caller_address = {address}\noperator_address = {address}\npeer_address = {address}\n"
+        ));
+    }
+    let settings = load_settings("seats.ini", &text).expect("sound");
+    let order: Vec<u16> = settings.seats_by_vote().iter().map(|seat| seat.0).collect();
+    expect_that!(order, eq(&vec![0, 3, 5, 1, 4, 6, 2]));
+}
