Let jobs start under a slow log; prove urgency, quotas, draining, cancelling

Cause: with appends of two seconds no job ever started. A job's assignment waits for two batches, its reservation had run out by then, the order to start was told "not started", and the job began anew for ever. Ruled out: the log's budget and the owner's lease, which both held.

Change: an attempt whose reservation ran out may still be placed by the first order to start it, unless its home was told otherwise. Six scenarios: urgent work and quotas on a full fleet, a worker that fails everything, draining and a list that flaps, a slow log, catching up after an hour, hundreds of callers that cancel. Wider lanes on the time line.

Conclusion: reservations bound what is held, not what may start.

--- a/crates/core/src/node/keys.rs
+++ b/crates/core/src/node/keys.rs
@@ -174,6 +174,7 @@
         if part.next < cell.position {
             return;
         }
+        let was_open = cell.is_open;
         let is_gap = part.oldest > cell.position && cell.position > 0;
         let mut committed = Vec::new();
         let mut is_found = false;
@@ -197,7 +198,7 @@
                 "records have expired",
             );
         }
-        if !committed.is_empty() {
+        if was_open && !committed.is_empty() {
             self.note(Code::BatchResolved, format!("keys-{number}"), "");
         }
         self.go_on_after_read(number, committed, is_found, part.is_end);
--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -20,6 +20,7 @@
 use goldcrestway_inventory::Resources;
 use slotmap::SlotMap;
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::collections::VecDeque;
 
 slotmap::new_key_type! {
@@ -287,6 +288,8 @@
     by_attempt: HashMap<AttemptId, TaskKey>,
     tombstones: VecDeque<(u64, AttemptId)>,
     buried: HashMap<AttemptId, TaskEnd>,
+    /// Attempts whose reservation ran out, and whose homes were not told.
+    expired: HashSet<AttemptId>,
     reports: Vec<Report>,
 }
 
@@ -313,6 +316,7 @@
             by_attempt: HashMap::new(),
             tombstones: VecDeque::new(),
             buried: HashMap::new(),
+            expired: HashSet::new(),
             reports: Vec::new(),
         }
     }
@@ -574,8 +578,19 @@
     /// of therefore counts as lost if the order may have been given before. By then
     /// every host was listed or its lease has lapsed, so it no longer runs.
     pub fn start(&mut self, now_ms: u64, order: TaskOrder, manner: Manner) -> StartAnswer {
-        if let Some(end) = self.buried.get(&order.attempt) {
-            return StartAnswer::Ended(*end);
+        let is_first = !manner.is_repeat;
+        match self.buried.get(&order.attempt) {
+            // Its reservation ran out, since the log was slow. It was never started,
+            // nor was its home told so: a first order may still find room.
+            Some(TaskEnd::NotStarted) if is_first && self.expired.remove(&order.attempt) => {
+                self.buried.remove(&order.attempt);
+            }
+            Some(end) => {
+                let end = *end;
+                self.expired.remove(&order.attempt);
+                return StartAnswer::Ended(end);
+            }
+            None => {}
         }
         if let Some(key) = self.by_attempt.get(&order.attempt).copied() {
             return self.start_known(key, order);
@@ -756,6 +771,7 @@
         }
         for key in stale {
             let attempt = self.tasks[key].order.attempt.clone();
+            self.expired.insert(attempt.clone());
             self.bury(now_ms, attempt, TaskEnd::NotStarted);
             self.remove(key);
         }
@@ -781,6 +797,7 @@
             }
             self.tombstones.pop_front();
             self.buried.remove(&attempt);
+            self.expired.remove(&attempt);
         }
     }
 
--- a/crates/events/src/page.rs
+++ b/crates/events/src/page.rs
@@ -10,7 +10,10 @@
 use std::collections::BTreeSet;
 
 const TEMPLATE: &str = include_str!("timeline.html");
-const LANE_WIDTH_PX: u64 = 190;
+/// Width that all lanes share, and the least that one gets.
+const BOARD_WIDTH_PX: u64 = 1_080;
+const LEAST_LANE_PX: u64 = 190;
+const WIDEST_LANE_PX: u64 = 360;
 const ROW_HEIGHT_PX: u64 = 16;
 
 /// Numbers of the events that begin and end a band.
@@ -66,13 +69,15 @@
     let followed = subject
         .map(|subject| follow(entries, subject))
         .unwrap_or_default();
+    let lane_px = BOARD_WIDTH_PX / lanes.len().max(1) as u64;
+    let lane_px = lane_px.clamp(LEAST_LANE_PX, WIDEST_LANE_PX);
     let start_ms = entries.first().map_or(0, |entry| entry.stamp.wall_ms());
     let rows: Vec<Row> = entries
         .iter()
         .enumerate()
         .map(|(index, entry)| Row {
             top_px: index as u64 * ROW_HEIGHT_PX,
-            left_px: left_of(&lanes, entry),
+            left_px: left_of(&lanes, lane_px, entry),
             family: entry.code / 100,
             is_followed: followed.contains(entry),
             entry,
@@ -83,26 +88,26 @@
     environment.add_template("page.html", TEMPLATE)?;
     let page = Page {
         rows,
-        bands: bands(entries, &lanes),
+        bands: bands(entries, &lanes, lane_px),
         subject,
         count: entries.len(),
         followed: followed.len(),
-        lane_width_px: LANE_WIDTH_PX,
+        lane_width_px: lane_px,
         height_px: entries.len() as u64 * ROW_HEIGHT_PX + 40,
-        width_px: lanes.len() as u64 * LANE_WIDTH_PX + 80,
+        width_px: lanes.len() as u64 * lane_px + 80,
         lanes,
     };
     let context = Value::from(Serde(&page));
     environment.get_template("page.html")?.render(context)
 }
 
-fn left_of(lanes: &[&str], entry: &Entry) -> u64 {
+fn left_of(lanes: &[&str], lane_px: u64, entry: &Entry) -> u64 {
     let lane = lanes.iter().position(|lane| **lane == *entry.process);
-    lane.unwrap_or(0) as u64 * LANE_WIDTH_PX
+    lane.unwrap_or(0) as u64 * lane_px
 }
 
 /// Finds outages of the log, leases and terms of cells as bands of their lanes.
-fn bands(entries: &[Entry], lanes: &[&str]) -> Vec<Band> {
+fn bands(entries: &[Entry], lanes: &[&str], lane_px: u64) -> Vec<Band> {
     let pairs = [
         (LOG_AWAY, LOG_BACK, "outage"),
         (LEASE_GAINED, LEASE_LOST, "lease"),
@@ -122,7 +127,7 @@
             let top_px = index as u64 * ROW_HEIGHT_PX;
             if entry.code == begin {
                 open.entry(identity)
-                    .or_insert((top_px, left_of(lanes, entry)));
+                    .or_insert((top_px, left_of(lanes, lane_px, entry)));
             } else if entry.code == end
                 && let Some((from_px, left_px)) = open.remove(&identity)
             {
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -103,7 +103,11 @@
 /// Submits a job.
 pub(crate) fn submit(world: &mut World, seat: Seat, job: &str, name: &str) {
     let request = world.next_request();
-    let team = if job == "roster" { "night" } else { "desk" };
+    let team = match job {
+        "roster" => "night",
+        "filler" => "bulk",
+        _ => "desk",
+    };
     let id = format!("{team}/{name}");
     world.edges.jobs.insert(request, (id.clone(), None));
     let spec = JobSpec {
@@ -201,6 +205,10 @@
             "log" => self.log(world),
             "worker" => self.worker(world),
             "upstream" => self.upstream(world),
+            "gone" => callers_go(world, self.seat("via")),
+            "running" => return running(world),
+            "runs" => return self.runs(world),
+            "appends" => return format!("{}\n", world.edges.log.appends),
             "requests" => return requests(world),
             "jobs" => return jobs(world),
             "cells" => return cells(world),
@@ -341,6 +349,12 @@
         if self.flag("leaves") {
             worker.is_leaving = true;
         }
+        if self.flag("stays") {
+            worker.is_leaving = false;
+        }
+        if self.flag("recovers") {
+            worker.state.fails_all = false;
+        }
         let slowdown = self.number("slowdown_permille", 0);
         let worker = world.edges.workers.get_mut(&*name).expect("such a worker");
         if slowdown > 0 {
@@ -352,6 +366,12 @@
         world.list_hosts();
     }
 
+    /// Counts what a worker has started so far.
+    fn runs(&mut self, world: &World) -> String {
+        let name = self.text("name").expect("`runs` takes `name`");
+        format!("{}\n", world.edges.workers[&*name].state.runs.len())
+    }
+
     fn upstream(&mut self, world: &mut World) {
         let name = self.text("name").expect("`upstream` takes `name`");
         let now_ms = world.now_ms;
@@ -383,6 +403,31 @@
     }
 }
 
+/// All callers of one entry host that still wait go away.
+fn callers_go(world: &mut World, via: Seat) {
+    let waiting = world
+        .edges
+        .told
+        .iter()
+        .filter(|(_, told)| told.answer.is_none());
+    for request in waiting.map(|(request, _)| *request).collect::<Vec<u64>>() {
+        world.give(via, Event::CallerGone { request });
+    }
+}
+
+/// Counts the running tasks by kind of job.
+fn running(world: &World) -> String {
+    let runs = world
+        .edges
+        .workers
+        .values()
+        .flat_map(|worker| &worker.state.runs);
+    let open = runs
+        .filter(|run| run.to_ms.is_none())
+        .map(|run| run.order.job.as_str());
+    tally(open)
+}
+
 /// Names what a caller was told, in a word.
 pub(crate) fn word(answer: &Option<Answer>) -> &'static str {
     match answer {
@@ -408,7 +453,10 @@
         .iter()
         .map(|(word, count)| format!("{count} {word}"))
         .collect();
-    format!("{}\n", parts.join(", "))
+    match parts.is_empty() {
+        true => "none\n".into(),
+        false => format!("{}\n", parts.join(", ")),
+    }
 }
 
 fn requests(world: &World) -> String {
