Split the three longest modules by job

Cause: placement, the owner of keys and the entry of requests had grown to 1016, 1051 and 692 lines.

Change: placement is types, room, orders and calls; keys is intents, jobs, room and submissions; requests is slots and attempts. Code moved, none was changed.

Conclusion: each file has one job again.

--- /dev/null
+++ b/crates/core/src/node/keys/intents.rs
@@ -0,0 +1,100 @@
+//! Identities of non-idempotent requests, at their owner.
+
+use super::super::Node;
+use super::LOG_AWAY_RETRY_MS;
+use crate::identity::Admission;
+use crate::identity::State;
+use crate::ids::Cell;
+use crate::ids::Member;
+use crate::message::IntentVerdict;
+use crate::message::Message;
+use crate::record::Outcome;
+use crate::record::Record;
+
+impl Node {
+    pub(super) fn intent_stands(&mut self, number: u16, identity: u128, fingerprint: u64) {
+        let now_ms = self.now_ms;
+        let Some(cell) = self.keys.get_mut(&number) else {
+            return;
+        };
+        let Some((asker, request)) = cell.intent_askers.get(&identity).copied() else {
+            // Its caller gave up meanwhile; the record of that follows.
+            return;
+        };
+        cell.identities.begin(now_ms, identity, fingerprint);
+        let verdict = IntentVerdict::Go;
+        self.send(asker.seat, Message::IntentAnswer { request, verdict });
+    }
+
+    pub(super) fn ask_intent(
+        &mut self,
+        number: u16,
+        from: Member,
+        request: u64,
+        identity: u128,
+        fingerprint: u64,
+    ) -> Option<IntentVerdict> {
+        let now_ms = self.now_ms;
+        let is_away = self.claims_log.is_away();
+        let cell = self.keys.get_mut(&number)?;
+        let is_same = cell.intent_askers.get(&identity) == Some(&(from, request));
+        match cell.identities.admit(now_ms, identity, fingerprint) {
+            Admission::Conflict => Some(IntentVerdict::Conflict),
+            // The asker did not hear the first answer.
+            Admission::Known(State::Recording) if is_same => None,
+            Admission::Known(State::Begun) if is_same => Some(IntentVerdict::Go),
+            Admission::Known(State::Recording | State::Begun) => Some(IntentVerdict::Begun),
+            Admission::Known(State::Ended { outcome, status }) => {
+                Some(IntentVerdict::Ended { outcome, status })
+            }
+            Admission::New if is_away => {
+                cell.identities.withdraw(identity);
+                let retry_after_ms = LOG_AWAY_RETRY_MS;
+                Some(IntentVerdict::Refused { retry_after_ms })
+            }
+            Admission::New => {
+                cell.intent_askers.insert(identity, (from, request));
+                let record = Record::Intent {
+                    identity,
+                    fingerprint,
+                };
+                cell.writer.push(now_ms, record);
+                None
+            }
+        }
+    }
+
+    /// Notes how a request with an identity ended. After a take-over the owner
+    /// does not know who asked; then whoever was let go says how it ended.
+    pub(super) fn end_intent(
+        &mut self,
+        from: Member,
+        cell: Cell,
+        identity: u128,
+        outcome: Outcome,
+        status: u16,
+    ) {
+        let (now_ms, limits) = (self.now_ms, self.limits.clone());
+        let Cell::Keys(number) = cell else {
+            return;
+        };
+        let Some(cell) = self.keys.get_mut(&number) else {
+            return;
+        };
+        let asker = cell.intent_askers.get(&identity);
+        if asker.is_some_and(|(asker, _)| *asker != from) {
+            return;
+        }
+        if asker.is_none() && cell.identities.state(identity) != Some(State::Begun) {
+            return;
+        }
+        cell.intent_askers.remove(&identity);
+        cell.identities.end(identity, outcome, status);
+        let record = Record::IntentEnded {
+            identity,
+            outcome,
+            status,
+        };
+        cell.writer.push_lazily(now_ms, record, &limits);
+    }
+}
--- /dev/null
+++ b/crates/core/src/node/keys/mod.rs
@@ -0,0 +1,464 @@
+//! Owner of cells of keys: identities of requests, and jobs.
+
+mod intents;
+mod jobs;
+mod room;
+mod submissions;
+
+use super::Node;
+use crate::event::Action;
+use crate::event::Part;
+use crate::identity::IdentityTable;
+use crate::identity::State;
+use crate::ids::Cell;
+use crate::ids::Member;
+use crate::ids::Stream;
+use crate::ids::Term;
+use crate::jobs::JobKey;
+use crate::jobs::JobTable;
+use crate::message::IntentVerdict;
+use crate::message::JobVerdict;
+use crate::message::Message;
+use crate::notes::Code;
+use crate::record::BatchFilter;
+use crate::record::JobSpec;
+use crate::record::Record;
+use crate::writer::Step;
+use crate::writer::Writer;
+use std::collections::HashMap;
+
+/// How long a cell of workers may take to answer before it is asked again.
+const ANSWER_MS: u64 = 1_000;
+/// Times a job may fail by itself before it counts as failed.
+const FAILURES: u32 = 3;
+/// When asking again makes sense while the log is away.
+const LOG_AWAY_RETRY_MS: u64 = 2_000;
+/// When asking again makes sense while a cell has no owner that may act.
+const NO_OWNER_RETRY_MS: u64 = 1_000;
+
+/// A cell of keys that this member owns.
+pub(super) struct KeyCell {
+    term: Term,
+    is_open: bool,
+    pub(super) writer: Writer,
+    filter: BatchFilter,
+    position: u64,
+    read_asked_ms: Option<u64>,
+    next_read_ms: u64,
+    identities: IdentityTable,
+    pub(super) jobs: JobTable,
+    intent_askers: HashMap<u128, (Member, u64)>,
+    job_askers: HashMap<Box<str>, (Member, u64)>,
+    reserving: usize,
+    since_carried: u64,
+    carried_ms: u64,
+    failures: HashMap<JobKey, u32>,
+    last_cell: HashMap<JobKey, Cell>,
+}
+
+impl KeyCell {
+    /// Tells whether nothing is half written.
+    pub(super) fn may_let_go(&self) -> bool {
+        self.writer.waiting() == 0
+    }
+
+    /// Describes the cell in a line, for operators.
+    pub(super) fn describe(&self) -> String {
+        format!(
+            "term {}, {}, {} identities, {} jobs, {} records on their way",
+            self.term.0,
+            if self.is_open {
+                "open"
+            } else {
+                "reading the log"
+            },
+            self.identities.len(),
+            self.jobs.len(),
+            self.writer.waiting()
+        )
+    }
+}
+
+/// A job that a caller of this entry host submits.
+#[derive(Debug, Clone)]
+pub(super) struct Submission {
+    pub(super) spec: JobSpec,
+    asked_ms: u64,
+    deadline_ms: u64,
+}
+
+impl Node {
+    /// Starts to own a cell of keys: writes that it does, then reads the stream up
+    /// to that record. What a former owner writes after it is void.
+    pub(super) fn open_keys(&mut self, number: u16, term: Term) {
+        let mut writer = Writer::new(term, 0);
+        writer.push(self.now_ms, Record::Open { member: self.me });
+        let cell = KeyCell {
+            term,
+            is_open: false,
+            writer,
+            filter: BatchFilter::default(),
+            position: 0,
+            read_asked_ms: None,
+            next_read_ms: 0,
+            identities: IdentityTable::default(),
+            jobs: JobTable::default(),
+            intent_askers: HashMap::new(),
+            job_askers: HashMap::new(),
+            reserving: 0,
+            since_carried: 0,
+            carried_ms: self.now_ms,
+            failures: HashMap::new(),
+            last_cell: HashMap::new(),
+        };
+        self.keys.insert(number, cell);
+        self.step_writer(Stream::Keys(number));
+    }
+
+    pub(super) fn read_keys(&mut self, number: u16) {
+        let now_ms = self.now_ms;
+        let patience_ms = self.limits.append_timeout_ms * 4;
+        let Some(cell) = self.keys.get_mut(&number) else {
+            return;
+        };
+        let is_reading = cell
+            .read_asked_ms
+            .is_some_and(|asked| now_ms < asked + patience_ms);
+        if is_reading || now_ms < cell.next_read_ms {
+            return;
+        }
+        cell.read_asked_ms = Some(now_ms);
+        cell.next_read_ms = now_ms + self.limits.poll_ms / 5;
+        let (stream, from) = (Stream::Keys(number), cell.position);
+        self.out.push(Action::Read { stream, from });
+    }
+
+    pub(super) fn keys_appended(&mut self, number: u16, sequence: u64, offset: Option<u64>) {
+        let (now_ms, limits) = (self.now_ms, self.limits.clone());
+        let Some(cell) = self.keys.get_mut(&number) else {
+            return;
+        };
+        let Some(offset) = offset else {
+            cell.writer.lost(now_ms, &limits);
+            return;
+        };
+        if !cell.is_open {
+            // The reader finds the record that opens the cell.
+            return;
+        }
+        let records = cell.writer.committed(sequence);
+        cell.position = cell.position.max(offset + 1);
+        cell.filter.sequence = cell.filter.sequence.max(sequence);
+        self.take_effect(number, records);
+    }
+
+    pub(super) fn keys_read(&mut self, number: u16, part: Option<Part>) {
+        let now_ms = self.now_ms;
+        let Some(cell) = self.keys.get_mut(&number) else {
+            return;
+        };
+        cell.read_asked_ms = None;
+        let Some(part) = part else {
+            return;
+        };
+        if part.next < cell.position {
+            return;
+        }
+        let was_open = cell.is_open;
+        let is_gap = part.oldest > cell.position && cell.position > 0;
+        let mut committed = Vec::new();
+        let mut is_found = false;
+        for (offset, batch) in &part.batches {
+            let Some(batch) = batch.as_ref().filter(|_| *offset >= cell.position) else {
+                continue;
+            };
+            let is_admitted = cell.filter.admit(batch);
+            if batch.term == cell.term {
+                is_found |= cell.writer.is_latest(batch);
+                committed.extend(cell.writer.seen(batch));
+            } else if is_admitted && !cell.is_open {
+                apply_batch(now_ms, cell, &batch.records);
+            }
+        }
+        cell.position = cell.position.max(part.next);
+        if is_gap {
+            self.note(
+                Code::StateMissing,
+                format!("keys-{number}"),
+                "records have expired",
+            );
+        }
+        if was_open && !committed.is_empty() {
+            self.note(Code::BatchResolved, format!("keys-{number}"), "");
+        }
+        self.go_on_after_read(number, committed, is_found, part.is_end);
+    }
+
+    fn go_on_after_read(&mut self, number: u16, found: Vec<Record>, is_found: bool, is_end: bool) {
+        let now_ms = self.now_ms;
+        let Some(cell) = self.keys.get_mut(&number) else {
+            return;
+        };
+        if !cell.is_open && is_found {
+            cell.is_open = true;
+            cell.jobs.resume(now_ms, self.config.inventory());
+            let detail = cell.describe();
+            self.note(Code::CellOpened, format!("keys-{number}"), detail);
+        }
+        self.take_effect(number, found);
+        let Some(cell) = self.keys.get_mut(&number) else {
+            return;
+        };
+        if !is_end {
+            cell.next_read_ms = now_ms;
+            if !cell.is_open {
+                self.read_keys(number);
+            }
+            return;
+        }
+        if is_found {
+            return;
+        }
+        if let Some(Step::Append(batch)) = cell.writer.absent(now_ms) {
+            let stream = Stream::Keys(number);
+            self.note(Code::BatchRepeated, stream.to_string(), "");
+            self.out.push(Action::Append { stream, batch });
+        }
+    }
+
+    /// Tells callers whose records were never sent that nothing was done. The
+    /// others wait: their record may stand in the log.
+    fn refuse_unsent(&mut self, number: u16) {
+        let now_ms = self.now_ms;
+        let Some(cell) = self.keys.get_mut(&number) else {
+            return;
+        };
+        let mut replies = Vec::new();
+        for record in cell.writer.take_unsent() {
+            match record {
+                Record::Intent { identity, .. } => {
+                    cell.identities.withdraw(identity);
+                    if let Some((asker, request)) = cell.intent_askers.remove(&identity) {
+                        let retry_after_ms = LOG_AWAY_RETRY_MS;
+                        let verdict = IntentVerdict::Refused { retry_after_ms };
+                        replies.push((asker, Message::IntentAnswer { request, verdict }));
+                    }
+                }
+                Record::Accepted(spec) => {
+                    cell.jobs.withdraw(&spec.id);
+                    if let Some((asker, request)) = cell.job_askers.remove(&spec.id) {
+                        let retry_after_ms = LOG_AWAY_RETRY_MS;
+                        let verdict = JobVerdict::Refused { retry_after_ms };
+                        replies.push((asker, Message::JobAnswer { request, verdict }));
+                    }
+                }
+                other => cell.writer.push(now_ms, other),
+            }
+        }
+        for (asker, reply) in replies {
+            self.send(asker.seat, reply);
+        }
+    }
+
+    /// Acts on records that now stand in the log, if this member still may.
+    fn take_effect(&mut self, number: u16, records: Vec<Record>) {
+        if records.is_empty() || self.acts_until_ms().is_none() {
+            return;
+        }
+        if let Some(cell) = self.keys.get_mut(&number) {
+            cell.since_carried += records.len() as u64;
+        }
+        for record in records {
+            match record {
+                Record::Intent {
+                    identity,
+                    fingerprint,
+                } => {
+                    self.intent_stands(number, identity, fingerprint);
+                }
+                Record::Accepted(spec) => self.acceptance_stands(number, &spec),
+                Record::Assigned { id, cell, attempt } => {
+                    self.assignment_stands(number, &id, attempt, cell);
+                }
+                Record::Evicted {
+                    id,
+                    attempt,
+                    checkpoint,
+                } => {
+                    self.eviction_stands(number, &id, attempt, checkpoint);
+                }
+                Record::Ended { id, attempt, end } => self.end_stands(number, &id, attempt, end),
+                _ => {}
+            }
+        }
+    }
+
+    fn is_urgent(&self, job: &str) -> bool {
+        self.config
+            .inventory()
+            .jobs
+            .get(job)
+            .is_some_and(|job| job.urgent)
+    }
+
+    fn job_key(&self, number: u16, id: &str) -> Option<JobKey> {
+        let cell = self.keys.get(&number)?;
+        cell.jobs.find(id).map(|(key, _)| key)
+    }
+
+    pub(super) fn receive_as_key_owner(&mut self, from: Member, message: Message) {
+        match message {
+            Message::IntentAsk {
+                cell,
+                request,
+                identity,
+                fingerprint,
+            } => {
+                let Some(number) = self.open_number(cell) else {
+                    self.send(from.seat, Message::NotOwner { cell, request });
+                    return;
+                };
+                if let Some(verdict) = self.ask_intent(number, from, request, identity, fingerprint)
+                {
+                    self.send(from.seat, Message::IntentAnswer { request, verdict });
+                }
+                self.step_writer(Stream::Keys(number));
+            }
+            Message::IntentEnd {
+                cell,
+                identity,
+                outcome,
+                status,
+            } => self.end_intent(from, cell, identity, outcome, status),
+            Message::JobAsk {
+                cell,
+                request,
+                spec,
+            } => {
+                let Some(number) = self.open_number(cell) else {
+                    self.send(from.seat, Message::NotOwner { cell, request });
+                    return;
+                };
+                if let Some(verdict) = self.ask_job(number, from, request, &spec) {
+                    self.send(from.seat, Message::JobAnswer { request, verdict });
+                }
+                self.step_writer(Stream::Keys(number));
+            }
+            Message::Reserved {
+                home,
+                cell,
+                attempt,
+                is_held,
+                free_millicores,
+            } => self.reserved(home, cell, &attempt, is_held, free_millicores),
+            Message::Report {
+                home,
+                cell,
+                attempt,
+                end,
+            } => self.reported(home, cell, &attempt, end),
+            _ => {}
+        }
+    }
+
+    /// Gives the number of a cell of keys that is open here and may be acted for.
+    fn open_number(&mut self, cell: Cell) -> Option<u16> {
+        let Cell::Keys(number) = cell else {
+            return None;
+        };
+        self.acts_until_ms()?;
+        self.keys.get(&number).filter(|cell| cell.is_open)?;
+        Some(number)
+    }
+
+    pub(super) fn tick_keys(&mut self) {
+        let may_act = self.acts_until_ms().is_some();
+        for number in self.keys.keys().copied().collect::<Vec<u16>>() {
+            if may_act {
+                self.look_for_room(number);
+            }
+            self.step_writer(Stream::Keys(number));
+            if self.keys.get(&number).is_some_and(|cell| !cell.is_open) {
+                self.read_keys(number);
+            }
+        }
+    }
+
+    pub(super) fn tick_keys_slow(&mut self) {
+        let now_ms = self.now_ms;
+        self.ask_again_for_jobs();
+        self.carry_shared();
+        let window_ms = self.limits.identity_window_ms;
+        for number in self.keys.keys().copied().collect::<Vec<u16>>() {
+            if self.claims_log.is_away() {
+                self.refuse_unsent(number);
+            }
+            self.chase_overdue(number);
+            let Some(cell) = self.keys.get_mut(&number) else {
+                continue;
+            };
+            cell.identities.forget(now_ms, window_ms);
+            cell.jobs.forget(now_ms, window_ms);
+            self.carry_keys(number);
+        }
+    }
+
+    /// Carries a cell's state forward, when nothing is on its way.
+    fn carry_keys(&mut self, number: u16) {
+        let (now_ms, limits) = (self.now_ms, self.limits.clone());
+        let may_act = self.acts_until_ms().is_some();
+        let Some(cell) = self.keys.get_mut(&number) else {
+            return;
+        };
+        let is_due = cell.since_carried >= limits.carry_records
+            || now_ms >= cell.carried_ms + limits.carry_ms;
+        if !may_act || !cell.is_open || !is_due || cell.writer.waiting() > 0 {
+            return;
+        }
+        cell.since_carried = 0;
+        cell.carried_ms = now_ms;
+        let mut records = vec![Record::Carried];
+        for (identity, fingerprint, state) in cell.identities.list() {
+            records.push(Record::Intent {
+                identity,
+                fingerprint,
+            });
+            if let State::Ended { outcome, status } = state {
+                records.push(Record::IntentEnded {
+                    identity,
+                    outcome,
+                    status,
+                });
+            }
+        }
+        records.extend(cell.jobs.carry());
+        cell.writer.push_alone(records);
+        self.note(Code::StateCarried, format!("keys-{number}"), "");
+    }
+}
+
+/// Applies a batch of an earlier owner.
+fn apply_batch(now_ms: u64, cell: &mut KeyCell, records: &[Record]) {
+    if records.first() == Some(&Record::Carried) {
+        cell.identities = IdentityTable::default();
+        cell.jobs = JobTable::default();
+    }
+    for record in records {
+        match record {
+            Record::Intent {
+                identity,
+                fingerprint,
+            } => {
+                cell.identities.begin(now_ms, *identity, *fingerprint);
+            }
+            Record::IntentEnded {
+                identity,
+                outcome,
+                status,
+            } => {
+                cell.identities.end(*identity, *outcome, *status);
+            }
+            other => cell.jobs.apply(now_ms, other),
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/placement/calls.rs
@@ -0,0 +1,213 @@
+//! Calls to workers, and what their answers mean.
+
+use super::CALLS_PER_TERM_BITS;
+use super::Contact;
+use super::HostKey;
+use super::Pending;
+use super::TaskKey;
+use super::WorkerCell;
+use super::cores_of;
+use super::types::ListedState;
+use super::types::ListedTask;
+use super::types::Listing;
+use super::types::Report;
+use super::types::TaskEnd;
+use super::types::TaskState;
+use super::types::WorkerCall;
+use crate::guard::Load;
+use crate::ids::hash;
+
+impl WorkerCell {
+    /// Does what is due; gives the calls to send, by host.
+    pub fn tick(&mut self, now_ms: u64) -> Vec<(HostKey, Box<str>, WorkerCall)> {
+        self.expire(now_ms);
+        let mut calls = Vec::new();
+        let due: Vec<HostKey> = self
+            .hosts
+            .iter()
+            .filter(|(_, host)| {
+                let is_due = host.is_dirty || now_ms >= host.next_call_ms;
+                host.call.is_none() && is_due && !host.address.is_empty()
+            })
+            .map(|(key, _)| key)
+            .collect();
+        for key in due {
+            let call = self.call(now_ms, key);
+            calls.push((key, self.hosts[key].address.clone(), call));
+        }
+        calls
+    }
+
+    pub(super) fn call(&mut self, now_ms: u64, key: HostKey) -> WorkerCall {
+        self.calls += 1;
+        let token = (self.term.0 << CALLS_PER_TERM_BITS) + self.calls;
+        let host = &mut self.hosts[key];
+        let mut pending = Pending {
+            token,
+            starts: Vec::new(),
+            stops: Vec::new(),
+            forgets: Vec::new(),
+        };
+        for task in &host.tasks {
+            match self.tasks[*task].state {
+                TaskState::Starting => pending.starts.push(*task),
+                TaskState::Stopping => pending.stops.push(*task),
+                TaskState::Forgetting => pending.forgets.push(*task),
+                _ => {}
+            }
+        }
+        let order = |key: &TaskKey| self.tasks[*key].order.clone();
+        let attempt = |key: &TaskKey| self.tasks[*key].order.attempt.clone();
+        let call = WorkerCall {
+            token,
+            answers: host.listing,
+            lease_ms: self.pace.lease_ms,
+            start: pending.starts.iter().map(order).collect(),
+            stop: pending.stops.iter().map(attempt).collect(),
+            forget: pending.forgets.iter().map(attempt).collect(),
+            batch_permille: host.guard.batch_permille(),
+        };
+        host.is_dirty = false;
+        host.next_call_ms = now_ms + self.pace.poll_ms;
+        host.call = Some(pending);
+        call
+    }
+
+    /// Notes that a call to a host failed or went unanswered.
+    pub fn unanswered(&mut self, now_ms: u64, key: HostKey, token: u64) {
+        let Some(host) = self.hosts.get_mut(key) else {
+            return;
+        };
+        if host.call.take_if(|call| call.token == token).is_some() {
+            host.next_call_ms = now_ms + self.pace.poll_ms;
+        }
+    }
+
+    /// Takes in what a worker answered.
+    ///
+    /// `is_urgent` tells from the name of a job whether it overtakes others.
+    pub fn listed(
+        &mut self,
+        now_ms: u64,
+        key: HostKey,
+        token: u64,
+        listing: &Listing,
+        is_urgent: impl Fn(&str) -> bool,
+    ) {
+        let Some(host) = self.hosts.get_mut(key) else {
+            return;
+        };
+        let Some(pending) = host.call.take_if(|call| call.token == token) else {
+            return;
+        };
+        host.contact = Contact::Listed;
+        host.listing = listing.number;
+        host.renewed_ms = now_ms;
+        let mut seen = Vec::new();
+        for listed in &listing.tasks {
+            let task = match self.by_attempt.get(&listed.order.attempt) {
+                Some(task) => *task,
+                None => self.adopt(now_ms, key, listed, is_urgent(&listed.order.job)),
+            };
+            seen.push(task);
+            self.reconcile(now_ms, task, listed.state);
+        }
+        self.settle_absent(now_ms, key, &pending, &seen);
+        self.guard_services(now_ms, key, listing.service_slowdown_permille);
+    }
+
+    /// Has the host's guard look at a measurement of its services.
+    pub(super) fn guard_services(&mut self, now_ms: u64, key: HostKey, slowdown_permille: u32) {
+        let loads = self.loads(key);
+        let host = &mut self.hosts[key];
+        if let Some(kind) = host.guard.note(now_ms, slowdown_permille, &loads) {
+            self.evict_youngest(key, kind);
+        }
+    }
+
+    /// Sums the cores that batch tasks of each kind hold on a host.
+    pub(super) fn loads(&self, key: HostKey) -> Vec<Load> {
+        let mut loads: Vec<Load> = Vec::new();
+        for task in &self.hosts[key].tasks {
+            let task = &self.tasks[*task];
+            if task.state != TaskState::Running || task.is_urgent {
+                continue;
+            }
+            let kind = hash(&task.order.job);
+            let cores = cores_of(task.order.need);
+            match loads.iter_mut().find(|load| load.kind == kind) {
+                Some(load) => load.cores += cores,
+                None => loads.push(Load { kind, cores }),
+            }
+        }
+        loads.sort_by_key(|load| load.kind);
+        loads
+    }
+
+    /// Takes in a task that a former owner of the cell started.
+    pub(super) fn adopt(
+        &mut self,
+        now_ms: u64,
+        host: HostKey,
+        listed: &ListedTask,
+        is_urgent: bool,
+    ) -> TaskKey {
+        let order = listed.order.clone();
+        self.book(now_ms, host, order, is_urgent, TaskState::Running)
+    }
+
+    pub(super) fn reconcile(&mut self, now_ms: u64, key: TaskKey, state: ListedState) {
+        match state {
+            ListedState::Running => {
+                if self.tasks[key].state == TaskState::Starting {
+                    self.tasks[key].state = TaskState::Running;
+                    let attempt = self.tasks[key].order.attempt.clone();
+                    self.reports.push(Report { attempt, end: None });
+                }
+            }
+            ListedState::Finished => self.end(now_ms, key, TaskEnd::Finished),
+            ListedState::Failed => self.end(now_ms, key, TaskEnd::Failed),
+            ListedState::Refused => self.end(now_ms, key, TaskEnd::NotStarted),
+            ListedState::Stopped { checkpoint } => {
+                self.end(now_ms, key, TaskEnd::Evicted { checkpoint });
+            }
+        }
+    }
+
+    /// Settles tasks that the worker no longer lists. Only those count that were
+    /// known to it, or named, when the call was sent; later ones may be absent
+    /// because the call did not speak of them.
+    pub(super) fn settle_absent(
+        &mut self,
+        now_ms: u64,
+        host: HostKey,
+        call: &Pending,
+        seen: &[TaskKey],
+    ) {
+        for key in self.hosts[host].tasks.clone() {
+            if seen.contains(&key) {
+                continue;
+            }
+            let was_named = call.starts.contains(&key) || call.stops.contains(&key);
+            match self.tasks[key].state {
+                TaskState::Forgetting if call.forgets.contains(&key) => self.remove(key),
+                TaskState::Running => self.end(now_ms, key, TaskEnd::Lost),
+                TaskState::Starting | TaskState::Stopping if was_named => {
+                    self.end(now_ms, key, TaskEnd::Lost);
+                }
+                _ => {}
+            }
+        }
+    }
+
+    /// Evicts the batch task of a kind that started last on a host.
+    pub(super) fn evict_youngest(&mut self, host: HostKey, kind: u64) {
+        let running = self.hosts[host].tasks.iter().copied().filter(|key| {
+            let task = &self.tasks[*key];
+            task.state == TaskState::Running && !task.is_urgent && hash(&task.order.job) == kind
+        });
+        if let Some(key) = running.max_by_key(|key| self.tasks[*key].since_ms) {
+            self.evict(key);
+        }
+    }
+}
