Replace all hosts while the log is away

Cause: ownership can't change without the log, so a host that was replaced during an outage left its cells without an owner, and a fresh host, which knew no configuration, could not act at all.

Change: a host that stops hands its life, and lives that it carries, over to another member, which carries them on once a majority of voters has promised, and takes the cells over in its own name when the log is back. A fresh host that has never read the log asks a peer where things stand. A job whose end is on its way into the log counts as started in what is handed over, since the cell of workers is the one to ask.

Conclusion: only crashes during an outage leave cells to wait for the log.

--- a/crates/core/src/jobs.rs
+++ b/crates/core/src/jobs.rs
@@ -56,8 +56,12 @@
         /// The cell.
         cell: Cell,
     },
-    /// It stopped or ended, and the record of that is on the way into the log.
-    Recording,
+    /// It stopped or ended, and the record of that is on the way into the log. Until
+    /// it stands there, the cell of workers is the one to ask.
+    Recording {
+        /// The cell.
+        cell: Cell,
+    },
     /// It has ended.
     Ended {
         /// How.
@@ -474,7 +478,10 @@
                 });
             }
             match job.state {
-                JobState::Starting { cell, .. } | JobState::Running { cell } => {
+                JobState::Starting { cell, .. }
+                | JobState::Running { cell }
+                | JobState::Assigning { cell }
+                | JobState::Recording { cell } => {
                     records.push(Record::Assigned { id, attempt, cell });
                 }
                 JobState::Ended { end, .. } => records.push(Record::Ended { id, attempt, end }),
--- a/crates/core/src/lease.rs
+++ b/crates/core/src/lease.rs
@@ -129,11 +129,9 @@
         if self.abstains(now_ms) || self.consented.contains(&member) {
             return false;
         }
+        // An earlier life at the seat may be carried on by another process.
         let newest = self.newest.entry(member.seat).or_insert(member.incarnation);
-        if member.incarnation < *newest {
-            return false;
-        }
-        *newest = member.incarnation;
+        *newest = (*newest).max(member.incarnation);
         let until_ms = now_ms + limits.promise_ms();
         self.promised_until_ms.insert(member, until_ms);
         self.forget_ended(now_ms);
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -85,6 +85,8 @@
 pub use message::IntentVerdict;
 pub use message::JobVerdict;
 pub use message::Message;
+pub use node::HandedKeys;
+pub use node::Handover;
 pub use node::Node;
 pub use node::Status;
 pub use notes::Code;
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -2,13 +2,16 @@
 
 use crate::ids::Cell;
 use crate::ids::Member;
+use crate::ids::Seat;
 use crate::jobs::JobState;
 use crate::macros::plain;
+use crate::node::Handover;
 use crate::placement::AttemptId;
 use crate::placement::TaskEnd;
 use crate::placement::TaskOrder;
 use crate::record::JobSpec;
 use crate::record::Outcome;
+use crate::record::Record;
 use crate::slots::Ended;
 
 plain! {
@@ -70,14 +73,21 @@
     /// A message from one entry host to another.
     #[expect(missing_docs, reason = "The comment of each variant covers its fields.")]
     pub enum Message {
-        /// A member lives and asks a voter for a promise.
-        Heartbeat { sent_ms: u64, config_version: u64, is_leaving: bool },
+        /// A member lives and asks a voter for a promise to a life, its own or one
+        /// that it carries.
+        Heartbeat { life: Member, sent_ms: u64, config_version: u64, is_leaving: bool },
         /// A voter's answer: whether it promises, and a digest of who lives.
-        Promise { sent_ms: u64, is_granted: bool, config_version: u64, alive: u64 },
+        Promise { life: Member, sent_ms: u64, is_granted: bool, config_version: u64, alive: u64 },
         /// Asks a voter who lives, since the digest is not known.
         AliveAsk,
-        /// Who lives, with their digest.
-        Alive { digest: u64, members: Box<[Member]> },
+        /// Who lives, and at which seats lives are carried on, with the digest.
+        Alive { digest: u64, members: Box<[Member]>, carried: Box<[(Member, Seat)]> },
+        /// Asks where claims and configuration stand.
+        StateAsk,
+        /// Tells, as records that carry state forward.
+        State { claims: Record, config: Record },
+        /// The sender has stopped acting; the receiver is to carry its life on.
+        Handover(Handover),
         /// Asks a voter to consent to deposing a member.
         ConsentAsk { target: Member, asked_ms: u64 },
         /// A voter consents.
--- a/crates/core/src/node/claiming.rs
+++ b/crates/core/src/node/claiming.rs
@@ -61,10 +61,11 @@
             };
             let since_ms = self.alive_since_ms(best);
             let is_settled = since_ms.is_some_and(|since| self.now_ms >= since + SETTLED_MS);
-            if !is_settled || !self.may_let_go(cell) {
+            let is_carried = self.life_of(cell) != self.me;
+            if !is_settled || is_carried || !self.may_let_go(cell) {
                 continue;
             }
-            self.let_go(&[cell], Some(best));
+            self.let_go(self.me, &[cell], Some(best));
             moved += 1;
             if moved == MOVES {
                 return;
@@ -81,7 +82,7 @@
     }
 
     /// Tells whether nothing of `cell` is half written.
-    fn may_let_go(&self, cell: Cell) -> bool {
+    pub(super) fn may_let_go(&self, cell: Cell) -> bool {
         match cell {
             Cell::Keys(number) => self.keys.get(&number).is_some_and(|cell| cell.may_let_go()),
             _ => true,
@@ -90,12 +91,12 @@
 
     /// Stops acting for `cells` and then says so in the log. The order matters:
     /// the heir may act as soon as the record stands.
-    fn let_go(&mut self, cells: &[Cell], heir: Option<Member>) {
+    pub(super) fn let_go(&mut self, member: Member, cells: &[Cell], heir: Option<Member>) {
         for cell in cells {
             self.drop_cell(*cell);
         }
         let release = Record::Release {
-            member: self.me,
+            member,
             cells: cells.into(),
             heir,
         };
@@ -106,7 +107,7 @@
     pub(super) fn owners_changed(&mut self, cells: &[Cell]) {
         for cell in cells {
             let owner = self.claims.owner(*cell);
-            let Some(owner) = owner.filter(|owner| owner.member == self.me) else {
+            let Some(owner) = owner.filter(|owner| self.is_mine(owner.member)) else {
                 self.drop_cell(*cell);
                 continue;
             };
@@ -118,12 +119,12 @@
             match cell {
                 Cell::Keys(number) => self.open_keys(*number, owner.term),
                 Cell::Workers(number) => self.open_workers(*number, owner.term),
-                Cell::Upstreams(number) => self.open_upstreams(*number),
+                Cell::Upstreams(number) => self.open_upstreams(*number, false),
             }
         }
     }
 
-    fn drop_cell(&mut self, cell: Cell) {
+    pub(super) fn drop_cell(&mut self, cell: Cell) {
         let had = match cell {
             Cell::Keys(number) => self.keys.remove(&number).is_some(),
             Cell::Workers(number) => self.workers.remove(&number).is_some(),
@@ -167,14 +168,16 @@
             for cell in &owned {
                 if self.may_let_go(*cell) {
                     let heir = self.best_owner(*cell).filter(|best| *best != self.me);
-                    self.let_go(&[*cell], heir);
+                    self.let_go(self.life_of(*cell), &[*cell], heir);
                 }
             }
             if !owned.is_empty() || self.claims_writer.waiting() > 0 {
                 return;
             }
+        } else if !owned.is_empty() && self.hand_over() {
+            // The process lives on for a moment, until the message is on its way.
+            return;
         }
-        self.note(Code::Stopped, self.me.to_string(), "");
-        self.out.push(Action::Stopped);
+        self.stopped();
     }
 }
--- a/crates/core/src/node/keys/jobs.rs
+++ b/crates/core/src/node/keys/jobs.rs
@@ -206,7 +206,7 @@
         };
         let (state, latest, name) = (job.state, job.attempt, job.spec.job.clone());
         let is_open = matches!(state, JobState::Starting { .. } | JobState::Running { .. });
-        if attempt.attempt < latest || (!is_open && state != JobState::Recording) {
+        if attempt.attempt < latest || (!is_open && !matches!(state, JobState::Recording { .. })) {
             // Its end stands in the log already: a late or repeated report.
             self.noted(workers, attempt, end.is_some());
             return;
@@ -233,7 +233,8 @@
             return;
         };
         let record = record_of(cell, key, attempt, end, is_never_twice);
-        cell.jobs.set_state(key, JobState::Recording);
+        cell.jobs
+            .set_state(key, JobState::Recording { cell: workers });
         cell.writer.push(now_ms, record);
     }
 
--- a/crates/core/src/node/keys/mod.rs
+++ b/crates/core/src/node/keys/mod.rs
@@ -5,6 +5,7 @@
 mod room;
 mod submissions;
 
+use super::HandedKeys;
 use super::Node;
 use crate::event::Action;
 use crate::event::Part;
@@ -57,11 +58,68 @@
 }
 
 impl KeyCell {
+    /// Starts a cell of which nothing is known, with the writer of its term.
+    fn new(now_ms: u64, writer: Writer) -> Self {
+        Self {
+            term: writer.term(),
+            is_open: false,
+            writer,
+            filter: BatchFilter::default(),
+            position: 0,
+            read_asked_ms: None,
+            next_read_ms: 0,
+            identities: IdentityTable::default(),
+            jobs: JobTable::default(),
+            intent_askers: HashMap::new(),
+            job_askers: HashMap::new(),
+            reserving: 0,
+            since_carried: 0,
+            carried_ms: now_ms,
+            failures: HashMap::new(),
+            last_cell: HashMap::new(),
+        }
+    }
+
     /// Tells whether nothing is half written.
     pub(super) fn may_let_go(&self) -> bool {
         self.writer.waiting() == 0
     }
 
+    /// Tells whether the cell is served.
+    pub(super) fn is_open(&self) -> bool {
+        self.is_open
+    }
+
+    /// Gives the cell as it is handed over.
+    pub(super) fn handed(&self, number: u16) -> HandedKeys {
+        HandedKeys {
+            number,
+            term: self.term,
+            sequence: self.writer.sequence(),
+            records: self.carried_records().into(),
+        }
+    }
+
+    /// Gives the cell's state as records that stand for all before.
+    fn carried_records(&self) -> Vec<Record> {
+        let mut records = vec![Record::Carried];
+        for (identity, fingerprint, state) in self.identities.list() {
+            records.push(Record::Intent {
+                identity,
+                fingerprint,
+            });
+            if let State::Ended { outcome, status } = state {
+                records.push(Record::IntentEnded {
+                    identity,
+                    outcome,
+                    status,
+                });
+            }
+        }
+        records.extend(self.jobs.carry());
+        records
+    }
+
     /// Describes the cell in a line, for operators.
     pub(super) fn describe(&self) -> String {
         format!(
@@ -93,28 +151,23 @@
     pub(super) fn open_keys(&mut self, number: u16, term: Term) {
         let mut writer = Writer::new(term, 0);
         writer.push(self.now_ms, Record::Open { member: self.me });
-        let cell = KeyCell {
-            term,
-            is_open: false,
-            writer,
-            filter: BatchFilter::default(),
-            position: 0,
-            read_asked_ms: None,
-            next_read_ms: 0,
-            identities: IdentityTable::default(),
-            jobs: JobTable::default(),
-            intent_askers: HashMap::new(),
-            job_askers: HashMap::new(),
-            reserving: 0,
-            since_carried: 0,
-            carried_ms: self.now_ms,
-            failures: HashMap::new(),
-            last_cell: HashMap::new(),
-        };
+        let cell = KeyCell::new(self.now_ms, writer);
         self.keys.insert(number, cell);
         self.step_writer(Stream::Keys(number));
     }
 
+    /// Goes on with a cell of keys that another process has handed over.
+    pub(super) fn open_handed_keys(&mut self, handed: &HandedKeys) {
+        let now_ms = self.now_ms;
+        let mut cell = KeyCell::new(now_ms, Writer::new(handed.term, handed.sequence));
+        cell.is_open = true;
+        cell.filter.term = handed.term;
+        cell.filter.sequence = handed.sequence;
+        apply_batch(now_ms, &mut cell, &handed.records);
+        cell.jobs.resume(now_ms, self.config.inventory());
+        self.keys.insert(handed.number, cell);
+    }
+
     pub(super) fn read_keys(&mut self, number: u16) {
         let now_ms = self.now_ms;
         let patience_ms = self.limits.append_timeout_ms * 4;
@@ -417,21 +470,7 @@
         }
         cell.since_carried = 0;
         cell.carried_ms = now_ms;
-        let mut records = vec![Record::Carried];
-        for (identity, fingerprint, state) in cell.identities.list() {
-            records.push(Record::Intent {
-                identity,
-                fingerprint,
-            });
-            if let State::Ended { outcome, status } = state {
-                records.push(Record::IntentEnded {
-                    identity,
-                    outcome,
-                    status,
-                });
-            }
-        }
-        records.extend(cell.jobs.carry());
+        let records = cell.carried_records();
         cell.writer.push_alone(records);
         self.note(Code::StateCarried, format!("keys-{number}"), "");
     }
--- a/crates/core/src/node/logs.rs
+++ b/crates/core/src/node/logs.rs
@@ -49,6 +49,22 @@
         self.next_ms = 0;
     }
 
+    /// Gives the offset up to which the stream was read.
+    pub(super) fn position(&self) -> u64 {
+        self.position
+    }
+
+    /// Tells whether the end of the stream was ever reached.
+    pub(super) fn was_read(&self) -> bool {
+        self.at_end_ms.is_some()
+    }
+
+    /// Goes on from an offset up to which a peer has read.
+    pub(super) fn start_at(&mut self, position: u64) {
+        self.position = position;
+        self.behind = None;
+    }
+
     /// Tells whether the log has not answered the latest read. A lost answer to an
     /// append alone says little: reading on settles it.
     pub(super) fn is_away(&self) -> bool {
@@ -319,7 +335,8 @@
     /// The owner of the first cell of keys does it for all.
     pub(super) fn carry_shared(&mut self) {
         let owner = self.claims.owner(Cell::Keys(0)).map(|owner| owner.member);
-        if owner != Some(self.me) || self.acts_until_ms().is_none() {
+        let is_mine = owner.is_some_and(|owner| self.is_mine(owner));
+        if !is_mine || self.acts_until_ms().is_none() {
             return;
         }
         for stream in [Stream::Claims, Stream::Config] {
--- a/crates/core/src/node/members.rs
+++ b/crates/core/src/node/members.rs
@@ -9,6 +9,7 @@
 use crate::message::Message;
 use crate::notes::Code;
 use crate::record::Record;
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::collections::HashMap;
 use xxhash_rust::xxh3::xxh3_64;
@@ -21,6 +22,9 @@
 pub(super) struct Peers {
     /// As a voter: when each member was heard last.
     heard: HashMap<Seat, Heard>,
+    /// As a voter: which lives are carried on by another seat, and when that was
+    /// heard last.
+    carried: BTreeMap<Member, (Seat, u64)>,
     /// As a member: who lives, by each voter's account.
     accounts: HashMap<Seat, Account>,
     /// Union of the voters' accounts.
@@ -44,6 +48,7 @@
     at_ms: u64,
     digest: u64,
     members: Box<[Member]>,
+    carried: Box<[(Member, Seat)]>,
 }
 
 /// An attempt to depose a member.
@@ -55,13 +60,18 @@
     is_written: bool,
 }
 
-/// Gives a digest of a list of members.
-fn digest_of(members: &[Member]) -> u64 {
+/// Gives a digest of who lives and which lives are carried where.
+fn digest_of(members: &[Member], carried: &[(Member, Seat)]) -> u64 {
     let mut bytes = Vec::with_capacity(members.len() * 10);
     for member in members {
         bytes.extend(member.seat.0.to_le_bytes());
         bytes.extend(member.incarnation.to_le_bytes());
     }
+    for (life, seat) in carried {
+        bytes.extend(seat.0.to_le_bytes());
+        bytes.extend(life.seat.0.to_le_bytes());
+        bytes.extend(life.incarnation.to_le_bytes());
+    }
     xxh3_64(&bytes)
 }
 
@@ -120,6 +130,7 @@
         self.lease = Lease::new(self.voters().len());
         self.was_in_force = false;
         self.drop_all_cells();
+        self.drop_all_carried();
         self.deposing.clear();
         self.peers.next_heartbeat_ms = self.now_ms;
         self.note(
@@ -135,7 +146,22 @@
             return;
         }
         self.peers.next_heartbeat_ms = self.now_ms + self.limits.heartbeat_ms;
+        self.beat(self.me);
+        self.beat_for_carried();
+        self.ask_for_state();
+        self.join_accounts();
+        if self.acts_until_ms().is_none() {
+            return;
+        }
+        self.depose_dead();
+        self.claim_free();
+        self.settle_carried();
+    }
+
+    /// Asks all voters for promises to a life.
+    pub(super) fn beat(&mut self, life: Member) {
         let heartbeat = Message::Heartbeat {
+            life,
             sent_ms: self.now_ms,
             config_version: self.config.version(),
             is_leaving: self.is_stopping,
@@ -143,38 +169,56 @@
         for voter in self.voters().to_vec() {
             self.send(voter, heartbeat.clone());
         }
-        self.join_accounts();
-        if self.acts_until_ms().is_none() {
-            return;
-        }
-        self.depose_dead();
-        self.claim_free();
+    }
+
+    /// Sends the next heartbeats at once.
+    pub(super) fn hurry_heartbeat(&mut self) {
+        self.peers.next_heartbeat_ms = self.now_ms;
     }
 
     pub(super) fn receive_membership(&mut self, from: Member, message: Message) {
         match message {
             Message::Heartbeat {
+                life,
                 sent_ms,
                 config_version,
                 is_leaving,
-            } => self.heartbeat(from, sent_ms, config_version, is_leaving),
+            } => {
+                self.heard(from, life, is_leaving);
+                self.heartbeat(from, life, sent_ms, config_version);
+            }
             Message::Promise {
+                life,
                 sent_ms,
                 is_granted,
                 config_version,
                 alive,
-            } => self.promised(from, sent_ms, is_granted, config_version, alive),
+            } => {
+                self.promised(from, life, sent_ms, is_granted);
+                self.told_alive(from, config_version, alive);
+            }
             Message::AliveAsk => {
-                let members = self.heard_alive();
-                let digest = digest_of(&members);
-                let members = members.into();
-                self.send(from.seat, Message::Alive { digest, members });
+                let (members, carried) = (self.heard_alive(), self.heard_carried());
+                let alive = Message::Alive {
+                    digest: digest_of(&members, &carried),
+                    members: members.into(),
+                    carried: carried.into(),
+                };
+                self.send(from.seat, alive);
             }
-            Message::Alive { digest, members } => {
+            Message::StateAsk => self.tell_state(from.seat),
+            Message::State { claims, config } => self.take_state(&claims, &config),
+            Message::Handover(handover) => self.take_over(handover),
+            Message::Alive {
+                digest,
+                members,
+                carried,
+            } => {
                 let account = Account {
                     at_ms: self.now_ms,
                     digest,
                     members,
+                    carried,
                 };
                 self.peers.accounts.insert(from.seat, account);
                 self.join_accounts();
@@ -194,29 +238,44 @@
         self.send(from.seat, Message::Consent { target, asked_ms });
     }
 
-    /// As a voter: a member is heard and asks for a promise.
-    ///
-    /// A member whose configuration is older than this voter's gets none until it
-    /// has caught up. Once a majority of voters has a version in force, a process
-    /// that does not have it loses its lease and stops acting under the old one.
-    fn heartbeat(&mut self, from: Member, sent_ms: u64, config_version: u64, is_leaving: bool) {
+    /// As a voter: notes who lives, and who carries on another's life.
+    fn heard(&mut self, from: Member, life: Member, is_leaving: bool) {
+        if life != from {
+            self.peers.carried.insert(life, (from.seat, self.now_ms));
+            return;
+        }
         let heard = Heard {
             incarnation: from.incarnation,
             at_ms: self.now_ms,
             is_leaving,
         };
         self.peers.heard.insert(from.seat, heard);
+    }
+
+    /// As a voter: a member asks for a promise to a life.
+    ///
+    /// A member whose configuration is older than this voter's gets none until it
+    /// has caught up. Once a majority of voters has a version in force, a process
+    /// that does not have it loses its lease and stops acting under the old one.
+    fn heartbeat(&mut self, from: Member, life: Member, sent_ms: u64, config_version: u64) {
         let is_current = config_version >= self.config.version();
-        let is_granted = is_current && self.voter.promise(self.now_ms, from, &self.limits);
+        let is_granted = is_current && self.voter.promise(self.now_ms, life, &self.limits);
         let promise = Message::Promise {
+            life,
             sent_ms,
             is_granted,
             config_version: self.config.version(),
-            alive: digest_of(&self.heard_alive()),
+            alive: digest_of(&self.heard_alive(), &self.heard_carried()),
         };
         self.send(from.seat, promise);
     }
 
+    fn heard_carried(&self) -> Vec<(Member, Seat)> {
+        let carried = self.peers.carried.iter();
+        let fresh = carried.filter(|(_, (_, at_ms))| self.now_ms < at_ms + self.limits.suspect_ms);
+        fresh.map(|(life, (seat, _))| (*life, *seat)).collect()
+    }
+
     fn heard_alive(&self) -> Vec<Member> {
         let mut members = Vec::new();
         for (seat, heard) in &self.peers.heard {
@@ -232,22 +291,26 @@
         members
     }
 
-    fn promised(
-        &mut self,
-        voter: Member,
-        sent_ms: u64,
-        is_granted: bool,
-        config_version: u64,
-        alive: u64,
-    ) {
-        if sent_ms < self.life_began_ms {
-            // The promise was given to a life that is over.
+    fn promised(&mut self, voter: Member, life: Member, sent_ms: u64, is_granted: bool) {
+        let lease_ms = self.limits.lease_ms;
+        if !is_granted {
             return;
         }
-        if is_granted {
-            self.lease
-                .promised(voter.seat, sent_ms, self.limits.lease_ms);
+        if life != self.me {
+            // A promise to a former life of this process is worth nothing.
+            if let Some(carried) = self.carried.get_mut(&life) {
+                carried.lease.promised(voter.seat, sent_ms, lease_ms);
+                self.check_carried();
+            }
+            return;
+        }
+        if sent_ms >= self.life_began_ms {
+            self.lease.promised(voter.seat, sent_ms, lease_ms);
+            self.check_lease();
         }
+    }
+
+    fn told_alive(&mut self, voter: Member, config_version: u64, alive: u64) {
         self.peers.versions.insert(voter.seat, config_version);
         if config_version > self.config.version() {
             self.config_log.hurry();
@@ -257,18 +320,19 @@
         if account.digest != alive {
             self.send(voter.seat, Message::AliveAsk);
         }
-        self.check_lease();
     }
 
     /// Joins what the voters say of who lives. A voter that is silent itself says
     /// nothing.
     fn join_accounts(&mut self) {
         let mut alive = BTreeSet::new();
+        self.carriers.clear();
         for account in self.peers.accounts.values() {
             if self.now_ms >= account.at_ms + self.limits.suspect_ms {
                 continue;
             }
             alive.extend(account.members.iter().copied());
+            self.carriers.extend(account.carried.iter().copied());
         }
         // Of two lives at one seat only the later one lives.
         let newest: HashMap<Seat, u64> = alive
@@ -307,7 +371,8 @@
             .collect();
         self.deposing.retain(|target, _| owners.contains(target));
         for target in owners {
-            if target == self.me || self.peers.alive.contains(&target) {
+            let lives = self.peers.alive.contains(&target) || self.carriers.contains_key(&target);
+            if self.is_mine(target) || lives {
                 self.deposing.remove(&target);
                 continue;
             }
--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -10,6 +10,7 @@
 mod publishing;
 mod requests;
 mod status;
+mod succession;
 mod upstreams;
 mod workers;
 
@@ -46,6 +47,8 @@
 use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::collections::VecDeque;
+pub use succession::HandedKeys;
+pub use succession::Handover;
 
 /// How often things that are not urgent are looked at.
 const SLOW_TICK_MS: u64 = 100;
@@ -69,6 +72,8 @@
     claims_writer: Writer,
     appends: Appends,
     deposing: BTreeMap<Member, members::Deposing>,
+    carried: BTreeMap<Member, succession::Carried>,
+    carriers: HashMap<Member, Seat>,
 
     config: Config,
     config_log: Follower,
@@ -117,6 +122,8 @@
             claims_writer: Writer::new(Term(0), 0),
             appends: Appends::default(),
             deposing: BTreeMap::new(),
+            carried: BTreeMap::new(),
+            carriers: HashMap::new(),
             config: Config::default(),
             config_log: Follower::new(),
             config_writer: Writer::new(Term(0), 0),
@@ -161,6 +168,7 @@
         // else, so that nothing is done on the strength of an old one.
         self.now_ms = self.now_ms.max(now_ms);
         self.check_lease();
+        self.check_carried();
         self.take_in(event);
         while let Some(message) = self.local.pop_front() {
             self.receive(self.me, message);
@@ -217,6 +225,9 @@
             | Message::AliveAsk
             | Message::Alive { .. }
             | Message::ConsentAsk { .. }
+            | Message::StateAsk
+            | Message::State { .. }
+            | Message::Handover(_)
             | Message::Consent { .. } => self.receive_membership(from, message),
             Message::GrantAsk { .. } | Message::GrantCancel { .. } | Message::Release { .. } => {
                 self.receive_as_upstream_owner(from, message)
@@ -237,12 +248,18 @@
         }
     }
 
-    /// Gives the end of the lease if this member may act now.
+    /// Gives the end of the lease if this member may act now, for itself and for
+    /// the lives that it carries.
     fn acts_until_ms(&mut self) -> Option<u64> {
-        match self.lease.standing(self.now_ms) {
-            Standing::InForce { until_ms } => Some(until_ms),
-            _ => None,
+        let Standing::InForce { mut until_ms } = self.lease.standing(self.now_ms) else {
+            return None;
+        };
+        for carried in self.carried.values_mut() {
+            if let Standing::InForce { until_ms: other_ms } = carried.lease.standing(self.now_ms) {
+                until_ms = until_ms.min(other_ms);
+            }
         }
+        Some(until_ms)
     }
 
     fn send(&mut self, to: Seat, message: Message) {
@@ -258,7 +275,7 @@
         let Some(owner) = self.claims.owner(cell) else {
             return false;
         };
-        self.send(owner.member.seat, message);
+        self.send(self.seat_of(owner.member), message);
         true
     }
 
--- a/crates/core/src/node/upstreams.rs
+++ b/crates/core/src/node/upstreams.rs
@@ -18,7 +18,7 @@
 impl Node {
     /// Starts to own a cell of upstreams. If it had an owner before, nothing is
     /// granted until every attempt under the former owner's grants has ended.
-    pub(super) fn open_upstreams(&mut self, number: u64) {
+    pub(super) fn open_upstreams(&mut self, number: u64, is_handed: bool) {
         let Some(group) = self.layout.groups.get(&number) else {
             return;
         };
@@ -32,7 +32,7 @@
         };
         let cell = Cell::Upstreams(number);
         let linger_ms = bounds.timeout_ms + bounds.use_ms;
-        let opens_ms = match self.claims.had_owner(cell) {
+        let opens_ms = match is_handed || self.claims.had_owner(cell) {
             true => self.now_ms + linger_ms,
             false => self.now_ms,
         };
--- a/crates/core/src/node/workers.rs
+++ b/crates/core/src/node/workers.rs
@@ -160,10 +160,8 @@
     ) {
         // An order from a member that no longer owns the job's cell is stale: the
         // job may have moved on since.
-        let is_home = self
-            .claims
-            .owner(home)
-            .is_some_and(|owner| owner.member == from);
+        let owner = self.claims.owner(home);
+        let is_home = owner.is_some_and(|owner| self.speaks_for(from, owner.member));
         if !is_home || self.acts_until_ms().is_none() {
             return;
         }
--- a/crates/core/src/notes.rs
+++ b/crates/core/src/notes.rs
@@ -49,6 +49,8 @@
     CellClaimed = 1105, "A cell has got this member as its owner.";
     CellOpened = 1106, "The owner knows all it must and serves the cell.";
     CellGone = 1107, "This member no longer owns the cell.";
+    LifeHanded = 1108, "A host that stops has handed its life over, since the log is away.";
+    LifeCarried = 1109, "This host carries on the life of another one.";
     LogAway = 1201, "The log does not answer.";
     LogBack = 1202, "The log answers again.";
     BatchResolved = 1203, "A batch whose answer was lost was found in the log.";
--- a/crates/core/src/placement/mod.rs
+++ b/crates/core/src/placement/mod.rs
@@ -168,6 +168,17 @@
         self.temper = temper;
     }
 
+    /// Counts the calls that were made in this term.
+    pub fn calls(&self) -> u64 {
+        self.calls
+    }
+
+    /// Goes on counting calls where a former process of the same term left off, so
+    /// that tokens keep growing.
+    pub fn set_calls(&mut self, calls: u64) {
+        self.calls = calls;
+    }
+
     /// Gives the term under which the owner acts.
     pub fn term(&self) -> Term {
         self.term
--- a/crates/core/src/writer.rs
+++ b/crates/core/src/writer.rs
@@ -84,6 +84,11 @@
         }
     }
 
+    /// Gives the number of the batch that was sent last.
+    pub fn sequence(&self) -> u64 {
+        self.sequence
+    }
+
     /// Gives the term of this writer.
     pub fn term(&self) -> Term {
         self.term
--- a/crates/wire/src/codec.rs
+++ b/crates/wire/src/codec.rs
@@ -18,8 +18,9 @@
 
 /// Version of the messages between entry hosts.
 pub const VERSION: u32 = 1;
-/// Largest frame that is sent or accepted.
-pub const MOST_FRAME_BYTES: usize = 256 * 1024;
+/// Largest frame that is sent or accepted: a configuration of the size to design
+/// for, with room to spare.
+pub const MOST_FRAME_BYTES: usize = 8 * 1024 * 1024;
 
 /// A message with its sender and the sender's clock.
 #[derive(Debug, Clone, PartialEq)]
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -5,34 +5,66 @@
 use crate::proto;
 use crate::proto::Kind;
 use crate::proto::Tagged;
+use crate::record::record_in;
+use crate::record::record_out;
 use goldcrestway_core::Cell;
 use goldcrestway_core::Ended;
 use goldcrestway_core::GrantVerdict;
+use goldcrestway_core::HandedKeys;
+use goldcrestway_core::Handover;
 use goldcrestway_core::IntentVerdict;
 use goldcrestway_core::JobState;
 use goldcrestway_core::JobVerdict;
+use goldcrestway_core::Member;
 use goldcrestway_core::Message;
+use goldcrestway_core::Seat;
 use goldcrestway_core::TaskEnd;
+use goldcrestway_core::Term;
 
 /// Turns a message into the kind that a frame carries.
 pub fn encode_message(message: &Message) -> Kind {
     match message {
         Message::Heartbeat {
+            life,
             sent_ms,
             config_version,
             is_leaving,
-        } => Kind::Heartbeat(heartbeat(*sent_ms, *config_version, *is_leaving, 0)),
+        } => Kind::Heartbeat(proto::Heartbeat {
+            life: Some(member_out(*life)),
+            ..heartbeat(*sent_ms, *config_version, *is_leaving, 0)
+        }),
         Message::Promise {
+            life,
             sent_ms,
             is_granted,
             config_version,
             alive,
-        } => Kind::Promise(heartbeat(*sent_ms, *config_version, *is_granted, *alive)),
+        } => Kind::Promise(proto::Heartbeat {
+            life: Some(member_out(*life)),
+            ..heartbeat(*sent_ms, *config_version, *is_granted, *alive)
+        }),
         Message::AliveAsk => Kind::AliveAsk(proto::Empty {}),
-        Message::Alive { digest, members } => Kind::Alive(proto::Alive {
+        Message::Alive {
+            digest,
+            members,
+            carried,
+        } => Kind::Alive(proto::Alive {
             digest: *digest,
             members: members_out(members),
+            carried: carried
+                .iter()
+                .map(|(life, seat)| proto::CarriedLife {
+                    life: Some(member_out(*life)),
+                    seat: u32::from(seat.0),
+                })
+                .collect(),
+        }),
+        Message::StateAsk => Kind::StateAsk(proto::Empty {}),
+        Message::State { claims, config } => Kind::State(proto::Batch {
+            records: vec![record_out(claims), record_out(config)],
+            ..proto::Batch::default()
         }),
+        Message::Handover(handover) => Kind::Handover(handover_out(handover)),
         Message::ConsentAsk { target, asked_ms } => Kind::ConsentAsk(proto::Consent {
             target: Some(member_out(*target)),
             asked_ms: *asked_ms,
@@ -187,11 +219,13 @@
 pub fn decode_message(kind: &Kind) -> Result<Message, WireFault> {
     let message = match kind {
         Kind::Heartbeat(heartbeat) => Message::Heartbeat {
+            life: member_in(need(heartbeat.life.as_ref(), "life")?)?,
             sent_ms: heartbeat.sent_ms,
             config_version: heartbeat.config_version,
             is_leaving: heartbeat.flag,
         },
         Kind::Promise(promise) => Message::Promise {
+            life: member_in(need(promise.life.as_ref(), "life")?)?,
             sent_ms: promise.sent_ms,
             is_granted: promise.flag,
             config_version: promise.config_version,
@@ -201,7 +235,19 @@
         Kind::Alive(alive) => Message::Alive {
             digest: alive.digest,
             members: members_in(&alive.members)?,
+            carried: alive.carried.iter().map(carried_in).collect::<Read<_>>()?,
         },
+        Kind::StateAsk(_) => Message::StateAsk,
+        Kind::State(batch) => {
+            let [claims, config] = batch.records.as_slice() else {
+                return Err(missing("claims and configuration"));
+            };
+            Message::State {
+                claims: record_in(claims)?,
+                config: record_in(config)?,
+            }
+        }
+        Kind::Handover(handover) => Message::Handover(handover_in(handover)?),
         Kind::ConsentAsk(consent) => Message::ConsentAsk {
             target: member_in(need(consent.target.as_ref(), "target")?)?,
             asked_ms: consent.asked_ms,
@@ -323,12 +369,71 @@
     Ok(message)
 }
 
+fn carried_in(carried: &proto::CarriedLife) -> Read<(Member, Seat)> {
+    let life = member_in(need(carried.life.as_ref(), "life")?)?;
+    let seat = u16::try_from(carried.seat).map_err(|_| missing("seat"))?;
+    Ok((life, Seat(seat)))
+}
+
+fn handover_out(handover: &Handover) -> proto::Handover {
+    let mut cells = Vec::new();
+    for keys in &handover.keys {
+        cells.push(proto::HandedCell {
+            cell: Some(cell_out(Cell::Keys(keys.number))),
+            term: keys.term.0,
+            count: keys.sequence,
+            records: keys.records.iter().map(record_out).collect(),
+        });
+    }
+    for (number, term, calls) in &handover.workers {
+        cells.push(proto::HandedCell {
+            cell: Some(cell_out(Cell::Workers(*number))),
+            term: term.0,
+            count: *calls,
+            records: Vec::new(),
+        });
+    }
+    for number in &handover.upstreams {
+        cells.push(proto::HandedCell {
+            cell: Some(cell_out(Cell::Upstreams(*number))),
+            ..proto::HandedCell::default()
+        });
+    }
+    proto::Handover {
+        life: Some(member_out(handover.life)),
+        cells,
+    }
+}
+
+fn handover_in(handover: &proto::Handover) -> Read<Handover> {
+    let (mut keys, mut workers, mut upstreams) = (Vec::new(), Vec::new(), Vec::new());
+    for handed in &handover.cells {
+        match cell_in(&handed.cell)? {
+            Cell::Keys(number) => keys.push(HandedKeys {
+                number,
+                term: Term(handed.term),
+                sequence: handed.count,
+                records: handed.records.iter().map(record_in).collect::<Read<_>>()?,
+            }),
+            Cell::Workers(number) => workers.push((number, Term(handed.term), handed.count)),
+            Cell::Upstreams(number) => upstreams.push(number),
+        }
+    }
+    Ok(Handover {
+        life: member_in(need(handover.life.as_ref(), "life")?)?,
+        keys: keys.into(),
+        workers: workers.into(),
+        upstreams: upstreams.into(),
+    })
+}
+
 fn heartbeat(sent_ms: u64, config_version: u64, flag: bool, alive: u64) -> proto::Heartbeat {
     proto::Heartbeat {
         sent_ms,
         config_version,
         flag,
         alive,
+        life: None,
     }
 }
 
--- a/crates/wire/src/proto.rs
+++ b/crates/wire/src/proto.rs
@@ -224,6 +224,8 @@
     pub flag: bool,
     #[prost(fixed64, tag = "4")]
     pub alive: u64,
+    #[prost(message, optional, tag = "5")]
+    pub life: Option<Member>,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -232,6 +234,38 @@
     pub digest: u64,
     #[prost(message, repeated, tag = "2")]
     pub members: Vec<Member>,
+    #[prost(message, repeated, tag = "3")]
+    pub carried: Vec<CarriedLife>,
+}
+
+/// A life that is carried on at another seat.
+#[derive(Clone, PartialEq, Message)]
+pub struct CarriedLife {
+    #[prost(message, optional, tag = "1")]
+    pub life: Option<Member>,
+    #[prost(uint32, tag = "2")]
+    pub seat: u32,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub struct HandedCell {
+    #[prost(message, optional, tag = "1")]
+    pub cell: Option<Cell>,
+    #[prost(uint64, tag = "2")]
+    pub term: u64,
+    /// Sequence of the last batch of keys, or calls to workers so far.
+    #[prost(uint64, tag = "3")]
+    pub count: u64,
+    #[prost(message, repeated, tag = "4")]
+    pub records: Vec<Record>,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub struct Handover {
+    #[prost(message, optional, tag = "1")]
+    pub life: Option<Member>,
+    #[prost(message, repeated, tag = "2")]
+    pub cells: Vec<HandedCell>,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -360,6 +394,12 @@
     ReportNoted(TaskTalk),
     #[prost(message, tag = "33")]
     Queued(Slot),
+    #[prost(message, tag = "34")]
+    StateAsk(Empty),
+    #[prost(message, tag = "35")]
+    State(Batch),
+    #[prost(message, tag = "36")]
+    Handover(Handover),
 }
 
 /// One frame of a link.
@@ -376,7 +416,7 @@
     pub clock: u64,
     #[prost(
         oneof = "Kind",
-        tags = "10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24, 25, 26, 27, 28, 29, 30, 31, 32, 33"
+        tags = "10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24, 25, 26, 27, 28, 29, 30, 31, 32, 33, 34, 35, 36"
     )]
     pub kind: Option<Kind>,
 }
--- a/crates/wire/src/record.rs
+++ b/crates/wire/src/record.rs
@@ -36,7 +36,7 @@
     })
 }
 
-fn record_out(record: &Record) -> proto::Record {
+pub(crate) fn record_out(record: &Record) -> proto::Record {
     let kind = match record {
         Record::Depose { target, voters } => RecordKind::Depose(proto::Depose {
             target: Some(member_out(*target)),
@@ -129,7 +129,7 @@
     }
 }
 
-fn record_in(record: &proto::Record) -> Read<Record> {
+pub(crate) fn record_in(record: &proto::Record) -> Read<Record> {
     let record = match need(record.kind.as_ref(), "kind of record")? {
         RecordKind::Depose(depose) => Record::Depose {
             target: member_in(need(depose.target.as_ref(), "target")?)?,
--- a/tests/border.rs
+++ b/tests/border.rs
@@ -8,6 +8,8 @@
 use goldcrestway_core::ConfigChange;
 use goldcrestway_core::Ended;
 use goldcrestway_core::GrantVerdict;
+use goldcrestway_core::HandedKeys;
+use goldcrestway_core::Handover;
 use goldcrestway_core::IntentVerdict;
 use goldcrestway_core::JobEnd;
 use goldcrestway_core::JobSpec;
@@ -72,15 +74,32 @@
 const WORKERS: Cell = Cell::Workers(u64::MAX);
 const GROUP: Cell = Cell::Upstreams(12);
 
+fn handover() -> Handover {
+    let keys = HandedKeys {
+        number: 3,
+        term: Term(8),
+        sequence: 5,
+        records: records().into(),
+    };
+    Handover {
+        life: member(),
+        keys: Box::new([keys]),
+        workers: Box::new([(7, Term(2), 44)]),
+        upstreams: Box::new([u64::MAX]),
+    }
+}
+
 fn messages() -> Vec<Message> {
     let cell = GROUP;
     let mut messages = vec![
         Message::Heartbeat {
+            life: member(),
             sent_ms: 1,
             config_version: 2,
             is_leaving: true,
         },
         Message::Promise {
+            life: member(),
             sent_ms: 1,
             is_granted: true,
             config_version: 2,
@@ -90,7 +109,14 @@
         Message::Alive {
             digest: 9,
             members: Box::new([member()]),
+            carried: Box::new([(member(), Seat(9))]),
+        },
+        Message::StateAsk,
+        Message::State {
+            claims: records()[4].clone(),
+            config: records()[6].clone(),
         },
+        Message::Handover(handover()),
         Message::ConsentAsk {
             target: member(),
             asked_ms: 5,
--- a/tests/faults.rs
+++ b/tests/faults.rs
@@ -130,6 +130,23 @@
     .boxed()
 }
 
+/// Planned stops and replacements while the log comes and goes.
+fn replacements() -> BoxedStrategy<Fault> {
+    prop_oneof![
+        3 => seat().prop_map(Fault::Stop),
+        3 => seat().prop_map(Fault::Restart),
+        1 => seat().prop_map(Fault::Kill),
+        1 => seat().prop_map(Fault::Pause),
+        2 => seat().prop_map(Fault::Resume),
+        1 => (seat(), seat()).prop_map(|(one, other)| Fault::Cut(one, other)),
+        1 => Just(Fault::JoinAll),
+        3 => Just(Fault::Log(LogMode::Down)),
+        2 => Just(Fault::Log(LogMode::Up)),
+        6 => (1_000_u64..6_000).prop_map(Fault::Wait),
+    ]
+    .boxed()
+}
+
 /// Runs sequences drawn from two kinds of faults.
 fn run_family(seed: u8, first: BoxedStrategy<Fault>, second: BoxedStrategy<Fault>) {
     const SEQUENCES: u32 = 1_000;
@@ -329,3 +346,12 @@
 fn configuration_never_reverts_under_faults() {
     run_family(4, operators(), hosts());
 }
+
+/// Symptom: a life that was handed over acts in two places, or its jobs run twice.
+/// Sequence: hosts stop, are replaced, pause and die while the log comes and goes.
+/// Cause: the one who stops must let go first, and the carrier needs promises.
+#[test]
+fn lives_are_carried_once_under_faults() {
+    let work = prop_oneof![jobs(), requests()].boxed();
+    run_family(5, replacements(), prop_oneof![replacements(), work].boxed());
+}
