Cancel waiting jobs whose kind has gone; share conversions with the tests

Cause: reading the owner of jobs for doubled logic showed that a job whose kind an operator takes out of the inventory stayed at the head of its team's queue and held up the team for ever.

Change: such jobs are cancelled with a record, at the change, at a change of owner, and when they come back from a cell of workers; publishing says so before. The urgency of a job is looked up in one place, not four; the fakes use the daemon's own conversions for the log and workers, which were written twice.

Conclusion: whatever can leave the inventory must be looked for in queues.

--- a/crates/core/src/jobs.rs
+++ b/crates/core/src/jobs.rs
@@ -284,6 +284,25 @@
         Some(key)
     }
 
+    /// Takes the waiting jobs out of the queues whose kind is no longer listed.
+    ///
+    /// Left there, the first of them would hold up its team for ever.
+    pub fn take_unlisted(&mut self, inventory: &Inventory) -> Vec<JobKey> {
+        let jobs = &self.jobs;
+        let is_listed = |key: &JobKey| {
+            jobs.get(*key)
+                .is_some_and(|job| inventory.jobs.contains_key(&job.spec.job))
+        };
+        let mut taken = Vec::new();
+        for team in self.teams.values_mut() {
+            for queue in [&mut team.urgent, &mut team.batch] {
+                taken.extend(queue.iter().copied().filter(|key| !is_listed(key)));
+                queue.retain(is_listed);
+            }
+        }
+        taken
+    }
+
     fn discharge(&mut self, key: JobKey) {
         let Some(job) = self.jobs.get_mut(key) else {
             return;
--- a/crates/core/src/node/keys/jobs.rs
+++ b/crates/core/src/node/keys/jobs.rs
@@ -21,6 +21,31 @@
 use crate::record::Record;
 
 impl Node {
+    /// Cancels waiting jobs whose kind an operator has taken out of the inventory.
+    pub(in crate::node) fn cancel_unlisted(&mut self, number: u16) {
+        let now_ms = self.now_ms;
+        let Some(cell) = self.keys.get_mut(&number).filter(|cell| cell.is_open) else {
+            return;
+        };
+        for key in cell.jobs.take_unlisted(self.config.inventory()) {
+            let Some(job) = cell.jobs.get(key) else {
+                continue;
+            };
+            let record = Record::Ended {
+                id: job.spec.id.clone(),
+                attempt: job.attempt,
+                end: JobEnd::Cancelled,
+            };
+            cell.writer.push(now_ms, record);
+        }
+    }
+
+    /// Tells whether a job of this cell overtakes others.
+    pub(super) fn is_urgent_job(&self, number: u16, key: JobKey) -> bool {
+        let job = self.keys.get(&number).and_then(|cell| cell.jobs.get(key));
+        job.is_some_and(|job| self.is_urgent(&job.spec.job))
+    }
+
     pub(super) fn acceptance_stands(&mut self, number: u16, spec: &JobSpec) {
         let now_ms = self.now_ms;
         let is_urgent = self.is_urgent(&spec.job);
@@ -103,13 +128,7 @@
         let Some(key) = self.job_key(number, id) else {
             return;
         };
-        let Some(cell) = self.keys.get_mut(&number) else {
-            return;
-        };
-        let Some(job) = cell.jobs.get(key).map(|job| job.spec.job.clone()) else {
-            return;
-        };
-        let is_urgent = self.is_urgent(&job);
+        let is_urgent = self.is_urgent_job(number, key);
         if let Some(cell) = self.keys.get_mut(&number) {
             cell.jobs.evicted(now_ms, key, checkpoint, is_urgent);
         }
@@ -254,14 +273,16 @@
         let Some(cell) = self.keys.get_mut(&number) else {
             return;
         };
-        for key in cell.jobs.overdue(now_ms, ANSWER_MS) {
-            let state = self.keys.get(&number).and_then(|cell| cell.jobs.get(key));
-            match state.map(|job| (job.state, job.spec.job.clone())) {
-                Some((JobState::Starting { cell, .. }, _)) => {
+        let overdue = cell.jobs.overdue(now_ms, ANSWER_MS);
+        let is_any_overdue = !overdue.is_empty();
+        for key in overdue {
+            let job = self.keys.get(&number).and_then(|cell| cell.jobs.get(key));
+            match job.map(|job| job.state) {
+                Some(JobState::Starting { cell, .. }) => {
                     self.order_start_of(number, key, cell, true);
                 }
-                Some((JobState::Reserving { .. }, job)) => {
-                    let is_urgent = self.is_urgent(&job);
+                Some(JobState::Reserving { .. }) => {
+                    let is_urgent = self.is_urgent_job(number, key);
                     if let Some(cell) = self.keys.get_mut(&number) {
                         cell.reserving = cell.reserving.saturating_sub(1);
                         cell.jobs.refused(now_ms, key, is_urgent);
@@ -270,6 +291,10 @@
                 _ => {}
             }
         }
+        if is_any_overdue {
+            // Its kind may have gone while a cell of workers was asked.
+            self.cancel_unlisted(number);
+        }
     }
 }
 
--- a/crates/core/src/node/keys/mod.rs
+++ b/crates/core/src/node/keys/mod.rs
@@ -257,6 +257,7 @@
             cell.jobs.resume(now_ms, self.config.inventory());
             let detail = cell.describe();
             self.note(Code::CellOpened, format!("keys-{number}"), detail);
+            self.cancel_unlisted(number);
         }
         self.take_effect(number, found);
         let Some(cell) = self.keys.get_mut(&number) else {
--- a/crates/core/src/node/keys/room.rs
+++ b/crates/core/src/node/keys/room.rs
@@ -48,12 +48,7 @@
         }
         cell.reserving = cell.reserving.saturating_sub(1);
         if !is_held {
-            let job = cell
-                .jobs
-                .get(key)
-                .map(|job| job.spec.job.clone())
-                .unwrap_or_default();
-            let is_urgent = self.is_urgent(&job);
+            let is_urgent = self.is_urgent_job(number, key);
             if let Some(cell) = self.keys.get_mut(&number) {
                 cell.jobs.refused(now_ms, key, is_urgent);
             }
--- a/crates/core/src/node/publishing.rs
+++ b/crates/core/src/node/publishing.rs
@@ -133,5 +133,8 @@
         self.layout = Layout::build(self.config.inventory(), self.limits.key_cells);
         self.runnable = Runnable::build(self.config.inventory());
         self.list_all();
+        for number in self.keys.keys().copied().collect::<Vec<u16>>() {
+            self.cancel_unlisted(number);
+        }
     }
 }
--- a/crates/daemon/src/platform.rs
+++ b/crates/daemon/src/platform.rs
@@ -187,8 +187,8 @@
     });
 }
 
-/// Turns what was read into what the decisions take.
-fn part_in(from: u64, part: &LogPart) -> Part {
+/// Turns what was read from offset `from` on into what the decisions take.
+pub fn part_in(from: u64, part: &LogPart) -> Part {
     let next = part
         .records
         .last()
@@ -204,7 +204,8 @@
     }
 }
 
-fn call_out(call: &WorkerCall) -> WorkerRequest {
+/// Turns a call into what the worker's client sends.
+pub fn call_out(call: &WorkerCall) -> WorkerRequest {
     let names = |attempts: &[AttemptId]| {
         attempts
             .iter()
@@ -235,7 +236,7 @@
 }
 
 /// Reads a worker's answer; one with an unknown state counts as no answer.
-fn listing_in(reply: WorkerReply) -> Option<Listing> {
+pub fn listing_in(reply: WorkerReply) -> Option<Listing> {
     let tasks: Option<Vec<ListedTask>> = reply.tasks.into_iter().map(task_in).collect();
     Some(Listing {
         number: reply.number,
--- a/crates/inventory/src/change.rs
+++ b/crates/inventory/src/change.rs
@@ -91,6 +91,13 @@
             list.push(format!("upstream `{name}` goes: it gets no new requests"));
         }
     }
+    for name in old.jobs.keys() {
+        if !new.jobs.contains_key(name) {
+            list.push(format!(
+                "job `{name}` goes: what waits of it is cancelled, what runs goes on"
+            ));
+        }
+    }
     for (name, team) in &new.teams {
         let before = old.teams.get(name).and_then(|team| team.quota);
         let shrinks = match (before, team.quota) {
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -14,6 +14,7 @@
 use goldcrestway_core::Request;
 use goldcrestway_core::Seat;
 use goldcrestway_core::wide_hash;
+use goldcrestway_inventory::Section;
 use goldcrestway_inventory::Sections;
 use goldcrestway_inventory::compare;
 use goldcrestway_inventory::load_sections;
@@ -105,7 +106,7 @@
     let request = world.next_request();
     let team = match job {
         "roster" => "night",
-        "filler" => "bulk",
+        "filler" | "extra" => "bulk",
         _ => "desk",
     };
     let id = format!("{team}/{name}");
@@ -229,7 +230,8 @@
             true => add,
             false => format!("{SPA}\n{add}"),
         };
-        let old = match base {
+        let without = self.text("without");
+        let mut old = match base {
             0 => Sections::new(),
             _ => {
                 load_sections("inventory.ini", SPA)
@@ -237,6 +239,10 @@
                     .0
             }
         };
+        if let Some(job) = without {
+            // A section that only the former version has, so that it goes.
+            old.insert(("job".into(), job.into()), Section::default());
+        }
         let request = publish(world, seat, &id, base, &old, &text);
         let end_ms = world.now_ms + wait_ms;
         while world.edges.published[&request].is_none() && world.now_ms < end_ms {
--- a/tests/world/edges.rs
+++ b/tests/world/edges.rs
@@ -3,22 +3,14 @@
 use goldcrestway_core::Action;
 use goldcrestway_core::Answer;
 use goldcrestway_core::AttemptEnd;
-use goldcrestway_core::AttemptId;
 use goldcrestway_core::Event;
-use goldcrestway_core::ListedState;
-use goldcrestway_core::ListedTask;
-use goldcrestway_core::Listing;
 use goldcrestway_core::Member;
 use goldcrestway_core::Message;
-use goldcrestway_core::Part;
 use goldcrestway_core::PlatformHost;
 use goldcrestway_core::Seat;
-use goldcrestway_core::TaskOrder;
-use goldcrestway_core::WorkerCall;
-use goldcrestway_inventory::Resources;
-use goldcrestway_platform::WorkerOrder;
-use goldcrestway_platform::WorkerReply;
-use goldcrestway_platform::WorkerRequest;
+use goldcrestway_daemon::call_out;
+use goldcrestway_daemon::listing_in;
+use goldcrestway_daemon::part_in;
 use goldcrestway_standin::LogState;
 use goldcrestway_standin::UpstreamState;
 use goldcrestway_standin::WorkerState;
@@ -284,21 +276,8 @@
             _ => 3,
         };
         let is_down = self.log_mode == LogMode::Down || self.log_cuts.contains(&seat);
-        let part = (!is_down).then(|| {
-            let part = self.log.read(&stream.to_string(), from, RECORDS);
-            let next = part
-                .records
-                .last()
-                .map_or(part.oldest.max(from), |(at, _)| at + 1);
-            let decode =
-                |(at, bytes): &(u64, Vec<u8>)| (*at, goldcrestway_wire::decode_batch(bytes).ok());
-            Part {
-                oldest: part.oldest,
-                next,
-                is_end: next >= part.end,
-                batches: part.records.iter().map(decode).collect(),
-            }
-        });
+        let part =
+            (!is_down).then(|| part_in(from, &self.log.read(&stream.to_string(), from, RECORDS)));
         self.put(
             now_ms + delay_ms,
             Due::Event(seat, Event::Read { stream, part }),
@@ -385,7 +364,10 @@
             worker.held.push((seat, action.clone()));
         } else if !worker.is_dead && !worker.is_cut {
             delay_ms = 3;
-            listing = worker.state.call(now_ms, &request_of(call)).map(listing_of);
+            listing = worker
+                .state
+                .call(now_ms, &call_out(call))
+                .and_then(listing_in);
             worker.state.note_heard();
         }
         let event = Event::Worker {
@@ -405,7 +387,7 @@
         worker.is_paused = false;
         for (_, action) in std::mem::take(&mut worker.held) {
             if let Action::CallWorker { call, .. } = action {
-                worker.state.call(now_ms, &request_of(&call));
+                worker.state.call(now_ms, &call_out(&call));
             }
         }
     }
@@ -425,62 +407,3 @@
         }
     }
 }
-
-fn request_of(call: &WorkerCall) -> WorkerRequest {
-    let names = |attempts: &[AttemptId]| {
-        attempts
-            .iter()
-            .map(|attempt| (attempt.id.to_string(), attempt.attempt))
-            .collect()
-    };
-    let start = call.start.iter().map(|order| WorkerOrder {
-        id: order.attempt.id.to_string(),
-        attempt: order.attempt.attempt,
-        job: order.job.to_string(),
-        millicores: order.need.millicores,
-        memory_mb: order.need.memory_mb,
-        accelerators: order.need.accelerators,
-        checkpoint: order.checkpoint,
-    });
-    WorkerRequest {
-        token: call.token,
-        answers: call.answers,
-        lease_ms: call.lease_ms,
-        start: start.collect(),
-        stop: names(&call.stop),
-        forget: names(&call.forget),
-        batch_permille: call.batch_permille,
-    }
-}
-
-fn listing_of(reply: WorkerReply) -> Listing {
-    let tasks = reply.tasks.into_iter().map(|task| ListedTask {
-        state: match &*task.state {
-            "running" => ListedState::Running,
-            "finished" => ListedState::Finished,
-            "failed" => ListedState::Failed,
-            "refused" => ListedState::Refused,
-            _ => ListedState::Stopped {
-                checkpoint: task.checkpoint,
-            },
-        },
-        order: TaskOrder {
-            attempt: AttemptId {
-                id: task.order.id.into(),
-                attempt: task.order.attempt,
-            },
-            job: task.order.job.into(),
-            need: Resources {
-                millicores: task.order.millicores,
-                memory_mb: task.order.memory_mb,
-                accelerators: task.order.accelerators,
-            },
-            checkpoint: task.order.checkpoint,
-        },
-    });
-    Listing {
-        number: reply.number,
-        tasks: tasks.collect(),
-        service_slowdown_permille: reply.service_slowdown_permille,
-    }
-}
