Check a change of configuration without copying the inventory

All sections were copied for each change, and each reference was looked up by copying two words.

Change: changes are made in place and taken back if the result is faulty; references are looked up in the typed inventory.

Conclusion: still linear in the inventory, since it is built again for each change; incremental checks stay on the list.

--- a/crates/daemon/src/platform.rs
+++ b/crates/daemon/src/platform.rs
@@ -167,9 +167,9 @@
 }
 
 /// Follows the platform's list of hosts until the daemon ends.
-pub(crate) fn follow_hosts(url: &str, timeout_ms: u64, events: Sender<Event>) {
-    const PAUSE: Duration = Duration::from_millis(500);
-    let client = HostListClient::new(url, timeout_ms);
+pub(crate) fn follow_hosts(settings: &crate::settings::Settings, events: Sender<Event>) {
+    let pause = Duration::from_millis(settings.hosts_poll_ms);
+    let client = HostListClient::new(&settings.host_list_url, settings.platform_timeout_ms);
     thread::spawn(move || {
         loop {
             if let Ok(list) = client.list() {
@@ -182,7 +182,7 @@
                     return;
                 }
             }
-            thread::sleep(PAUSE);
+            thread::sleep(pause);
         }
     });
 }
--- a/crates/daemon/src/process.rs
+++ b/crates/daemon/src/process.rs
@@ -133,11 +133,7 @@
             is_over: is_over.clone(),
         });
         serving.serve(operators);
-        follow_hosts(
-            &settings.host_list_url,
-            settings.platform_timeout_ms,
-            events.clone(),
-        );
+        follow_hosts(&settings, events.clone());
         let edge = Edge {
             platform: Platform::start(&settings, events.clone(), began),
             links,
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -41,6 +41,7 @@
             Field::optional("request_max_bytes", COUNT, "1000000"),
             Field::optional("caller_timeout_ms", MILLISECONDS, "10000"),
             Field::optional("platform_timeout_ms", MILLISECONDS, "2000"),
+            Field::optional("hosts_poll_ms", MILLISECONDS, "500"),
             Field::optional("events_kept", COUNT, "20000"),
         ],
     },
@@ -142,6 +143,8 @@
     pub caller_timeout_ms: u64,
     /// How long a call to the platform may take.
     pub platform_timeout_ms: u64,
+    /// Time between two looks at the platform's list of hosts.
+    pub hosts_poll_ms: u64,
     /// Events kept for the time line.
     pub events_kept: usize,
     /// Times and bounds of the decisions.
@@ -255,6 +258,7 @@
         request_max_bytes: number(daemon, "request_max_bytes", 1_000_000),
         caller_timeout_ms: number(daemon, "caller_timeout_ms", 10_000),
         platform_timeout_ms: number(daemon, "platform_timeout_ms", 2_000),
+        hosts_poll_ms: number(daemon, "hosts_poll_ms", 500),
         events_kept: number(daemon, "events_kept", 20_000) as usize,
         limits,
     })
--- a/crates/inventory/src/change.rs
+++ b/crates/inventory/src/change.rs
@@ -52,28 +52,40 @@
 ///
 /// The faults of the result; `sections` is then left as it was.
 pub fn apply(sections: &mut Sections, changes: &[Change]) -> Result<Inventory, Faults> {
-    let mut next = sections.clone();
+    // Changes are made in place and taken back if the result is faulty: copying a
+    // large inventory for each small change would cost far more.
+    let mut former = Vec::new();
     for change in changes {
         let identity = (change.kind.clone(), change.name.clone());
-        match &change.values {
-            None => drop(next.remove(&identity)),
-            Some(values) => {
-                let section = Section {
-                    values: values.clone(),
-                    ..Section::default()
-                };
-                next.insert(identity, section);
-            }
-        }
+        let section = change.values.as_ref().map(|values| Section {
+            values: values.clone(),
+            ..Section::default()
+        });
+        let before = put(sections, identity.clone(), section);
+        former.push((identity, before));
     }
-    let inventory = build(&next);
+    let inventory = build(sections);
     let mut faults = Faults::new("published inventory");
-    check(&next, &inventory, &mut faults);
-    if !faults.is_empty() {
-        return Err(faults);
+    check(sections, &inventory, &mut faults);
+    if faults.is_empty() {
+        return Ok(inventory);
+    }
+    for (identity, before) in former.into_iter().rev() {
+        put(sections, identity, before);
+    }
+    Err(faults)
+}
+
+/// Puts a section in place, or takes it away; gives what stood there.
+fn put(
+    sections: &mut Sections,
+    identity: (Box<str>, Box<str>),
+    section: Option<Section>,
+) -> Option<Section> {
+    match section {
+        Some(section) => sections.insert(identity, section),
+        None => sections.remove(&identity),
     }
-    *sections = next;
-    Ok(inventory)
 }
 
 /// Explains the changes that may stop running work, one sentence each.
--- a/crates/inventory/src/check.rs
+++ b/crates/inventory/src/check.rs
@@ -10,17 +10,26 @@
 
 /// Adds every fault that only shows when sections are read together.
 pub(crate) fn check(sections: &Sections, inventory: &Inventory, faults: &mut Faults) {
-    check_references(sections, faults);
+    check_references(sections, inventory, faults);
     check_rules(sections, inventory, faults);
     check_hosts(sections, inventory, faults);
     check_jobs(sections, inventory, faults);
 }
 
-fn is_known(sections: &Sections, kind: &str, name: &str) -> bool {
-    sections.contains_key(&(kind.into(), name.into()))
+/// Tells whether something is listed; looks into the typed inventory, since looking
+/// up a section would copy both words.
+fn is_known(inventory: &Inventory, kind: &str, name: &str) -> bool {
+    match kind {
+        "failure-domain" => inventory.failure_domains.contains(name),
+        "service" => inventory.services.contains_key(name),
+        "host" => inventory.hosts.contains_key(name),
+        "team" => inventory.teams.contains_key(name),
+        "job" => inventory.jobs.contains_key(name),
+        _ => false,
+    }
 }
 
-fn check_references(sections: &Sections, faults: &mut Faults) {
+fn check_references(sections: &Sections, inventory: &Inventory, faults: &mut Faults) {
     const REFERENCES: &[(&str, &str)] = &[
         ("failure_domain", "failure-domain"),
         ("service", "service"),
@@ -33,7 +42,7 @@
             let Some(value) = section.values.get(*key) else {
                 continue;
             };
-            if is_known(sections, target, value) {
+            if is_known(inventory, target, value) {
                 continue;
             }
             let names = sections.keys().filter(|(kind, _)| &**kind == *target);
@@ -153,10 +162,13 @@
 fn check_hosts(sections: &Sections, inventory: &Inventory, faults: &mut Faults) {
     let mut racks: BTreeMap<&str, &str> = BTreeMap::new();
     for (name, host) in &inventory.hosts {
-        let section = &sections[&("host".into(), name.clone())];
+        let line_of = |key: &str| {
+            let section = sections.get(&("host".into(), name.clone()));
+            section.map_or(0, |section| section.line_of(key))
+        };
         if !inventory.reserved(name).fits(host.need) {
             faults.add(
-                section.line,
+                line_of(""),
                 format!("the services on host `{name}` need more than the host has"),
                 "Move an upstream to another host or correct the sizes.",
             );
@@ -164,7 +176,7 @@
         let domain = racks.entry(&host.rack).or_insert(&host.failure_domain);
         if **domain != *host.failure_domain {
             faults.add(
-                section.line_of("rack"),
+                line_of("rack"),
                 format!("rack `{}` stands in two failure domains", host.rack),
                 "Give each rack a name of its own.",
             );
