--- a/examples/platform.rs
+++ b/examples/platform.rs
@@ -1,7 +1,8 @@
 //! The platform's stand-ins for a first day: the log at 127.0.0.1:7000, the list
 //! of hosts at 127.0.0.1:7001, and the workers and instances of
 //! `examples/spa/inventory.ini`. Runs for the given number of minutes, ten unless
-//! said otherwise, and ends by itself.
+//! said otherwise, and ends by itself with a count of what ran more than once:
+//! requests are told apart by their bodies, jobs by their identities.
 
 use goldcrestway_platform::Listed;
 use goldcrestway_standin::HostListServer;
@@ -9,7 +10,9 @@
 use goldcrestway_standin::UpstreamServer;
 use goldcrestway_standin::WorkerServer;
 use goldcrestway_standin::WorkerState;
+use std::collections::BTreeMap;
 use std::process::ExitCode;
+use std::sync::PoisonError;
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
@@ -62,9 +65,53 @@
         hosts.url()
     );
     thread::sleep(Duration::from_secs(minutes * SECONDS_PER_MINUTE));
+    report(&workers, &upstreams);
     Ok(())
 }
 
+/// Prints what the stand-ins recorded.
+fn report(workers: &[WorkerServer], upstreams: &[UpstreamServer]) {
+    const SLOTS: u32 = 8;
+    let mut requests: BTreeMap<String, usize> = BTreeMap::new();
+    let mut over_slots = 0;
+    for upstream in upstreams {
+        let state = upstream
+            .state
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        over_slots += usize::from(state.most_in_use > SLOTS);
+        for run in &state.runs {
+            *requests.entry(run.identity.clone()).or_default() += 1;
+        }
+    }
+    let mut jobs: BTreeMap<String, Vec<(u64, u64)>> = BTreeMap::new();
+    for worker in workers {
+        let state = worker.state.lock().unwrap_or_else(PoisonError::into_inner);
+        for run in &state.runs {
+            let span = (run.from_ms, run.to_ms.unwrap_or(u64::MAX));
+            jobs.entry(run.id.clone()).or_default().push(span);
+        }
+    }
+    let overlapping = jobs.values_mut().filter_map(|spans| {
+        spans.sort_unstable();
+        spans
+            .windows(2)
+            .find(|pair| pair[1].0 < pair[0].1)
+            .map(drop)
+    });
+    let overlapping = overlapping.count();
+    let twice = requests.values().filter(|count| **count > 1).count();
+    println!(
+        "requests {}, of which ran more than once {twice}",
+        requests.len()
+    );
+    println!("instances over their slots {over_slots}");
+    println!(
+        "jobs {}, of which in two places at once {overlapping}",
+        jobs.len()
+    );
+}
+
 fn listed(name: String, address: String) -> Listed {
     Listed {
         name,
