Split the modules that were still long, note refused callers

Change: jobs into queues and recovery, the owner of keys gets a module for its stream, messages into encode and decode, slopes into series and what is stored, the capacity page's single figures and the scenarios' tallies into files of their own. The gate writes event 1701, at most once in five seconds.

Conclusion: code moved, none but the gate's was changed.

--- a/crates/bench/src/capacity.rs
+++ b/crates/bench/src/capacity.rs
@@ -2,8 +2,8 @@
 //! measurement can't drift apart.
 
 use crate::edges::HTTP_BYTES;
-use crate::edges::PACKET_BYTES;
-use crate::slopes::Series;
+use crate::facts::facts;
+use crate::series::Series;
 use crate::slopes::TASKS;
 use minijinja::Environment;
 use minijinja::Value;
@@ -16,22 +16,22 @@
 
 /// What the users allow for control on each node.
 const ALLOWED_CPU_US: f64 = 37_000.0;
-const ALLOWED_BYTES: f64 = 14_000.0;
+pub(crate) const ALLOWED_BYTES: f64 = 14_000.0;
 const ALLOWED_MEMORY: f64 = 128e6;
 /// Appends that the log takes, of several hundred.
-const LOG_APPENDS: f64 = 300.0;
+pub(crate) const LOG_APPENDS: f64 = 300.0;
 /// Base64 around records.
-const BASE64: f64 = 4.0 / 3.0;
-const DAY_S: f64 = 86_400.0;
+pub(crate) const BASE64: f64 = 4.0 / 3.0;
+pub(crate) const DAY_S: f64 = 86_400.0;
 
 /// The sizes of a fleet.
 #[derive(Debug, Clone, Copy, Serialize)]
-struct Sizes {
-    workers: f64,
-    tasks: f64,
+pub(crate) struct Sizes {
+    pub(crate) workers: f64,
+    pub(crate) tasks: f64,
     upstreams: f64,
-    starts_per_s: f64,
-    changes_per_day: f64,
+    pub(crate) starts_per_s: f64,
+    pub(crate) changes_per_day: f64,
     restarts_per_day: f64,
     entries: f64,
 }
@@ -105,16 +105,16 @@
 }
 
 /// The measured series by name.
-struct Slopes<'a>(BTreeMap<&'a str, &'a Series>);
+pub(crate) struct Slopes<'a>(BTreeMap<&'a str, &'a Series>);
 
 impl Slopes<'_> {
     /// Gives a series' value at its largest measured size.
-    fn last(&self, name: &str) -> f64 {
+    pub(crate) fn last(&self, name: &str) -> f64 {
         self.0.get(name).map_or(0.0, |series| series.last())
     }
 
     /// Gives a value on the straight line through a series.
-    fn at(&self, name: &str, size: f64) -> f64 {
+    pub(crate) fn at(&self, name: &str, size: f64) -> f64 {
         let Some(series) = self.0.get(name) else {
             return 0.0;
         };
@@ -123,13 +123,13 @@
     }
 
     /// Gives the slope of a series.
-    fn slope(&self, name: &str) -> f64 {
+    pub(crate) fn slope(&self, name: &str) -> f64 {
         self.0.get(name).map_or(0.0, |series| series.fit().1)
     }
 }
 
 /// Bytes of one start in the log: accepted, assigned, ended.
-fn start_record_bytes(slopes: &Slopes) -> f64 {
+pub(crate) fn start_record_bytes(slopes: &Slopes) -> f64 {
     let kinds = [
         "record_accepted_bytes",
         "record_assigned_bytes",
@@ -264,7 +264,7 @@
     ]
 }
 
-fn number(value: f64) -> String {
+pub(crate) fn number(value: f64) -> String {
     match value.abs() {
         size if size >= 1e6 => format!("{:.1} M", value / 1e6),
         size if size >= 1e4 => format!("{:.1} k", value / 1e3),
@@ -352,7 +352,7 @@
     entries: 8.0,
 };
 
-const PLAN: Sizes = Sizes {
+pub(crate) const PLAN: Sizes = Sizes {
     workers: 8_400.0,
     tasks: TASKS as f64,
     upstreams: 22_000.0,
@@ -470,96 +470,3 @@
         .get_template("capacity")?
         .render(Value::from(Serde(&page)))
 }
-
-/// Single figures with their arithmetic.
-fn facts(slopes: &Slopes) -> BTreeMap<&'static str, String> {
-    let records = PLAN.starts_per_s * 3.0;
-    let share = records / LOG_APPENDS;
-    let bytes = start_record_bytes(slopes);
-    let cells = LOG_APPENDS / 2.0;
-    let domain_tasks = PLAN.tasks / 20.0;
-    let config = slopes.slope("config_bytes") * PLAN.workers;
-    let per_thousand = |name: &str| slopes.last(name) * 1_000.0;
-    BTreeMap::from([
-        ("records_per_s", number(records)),
-        ("records_per_append", number(share)),
-        (
-            "log_bytes_per_s",
-            number(PLAN.starts_per_s * bytes * BASE64),
-        ),
-        ("start_bytes", number(bytes)),
-        ("batch_bytes", number(share * bytes / 3.0)),
-        ("cell_wait_ms", number(1_000.0 * cells / LOG_APPENDS / 2.0)),
-        ("cells", number(cells)),
-        (
-            "one_reader_bytes",
-            number(PLAN.starts_per_s * bytes * BASE64 / cells),
-        ),
-        ("decision_us", number(slopes.last("start_decision_us"))),
-        ("first_fit_us", number(slopes.last("start_first_fit_us"))),
-        ("takeover_s", number(slopes.last("takeover_ms") / 1_000.0)),
-        ("takeover_appends", number(slopes.last("takeover_appends"))),
-        (
-            "takeover_3s",
-            number(slopes.at("takeover_by_lease_ms", 3_000.0) / 1_000.0),
-        ),
-        ("domain_s", number(slopes.last("domain_loss_ms") / 1_000.0)),
-        ("domain_appends", number(slopes.last("domain_loss_appends"))),
-        ("domain_tasks", number(domain_tasks)),
-        ("domain_place_s", number(domain_tasks / PLAN.starts_per_s)),
-        ("config_mb", number(config / 1e6)),
-        ("config_load_s", number(config * BASE64 / ALLOWED_BYTES)),
-        (
-            "config_load_ms",
-            number(slopes.last("config_load_us") / 1_000.0),
-        ),
-        ("change_ms", number(slopes.last("change_us") / 1_000.0)),
-        (
-            "change_cpu",
-            number(slopes.last("change_us") * PLAN.changes_per_day / DAY_S / 1e4),
-        ),
-        ("change_bytes", number(slopes.last("change_bytes"))),
-        ("voter_300", number(slopes.last("voter_bytes"))),
-        (
-            "voter_factor",
-            number(slopes.last("voter_bytes") / ALLOWED_BYTES),
-        ),
-        ("member_bytes", number(slopes.last("member_bytes"))),
-        (
-            "call_bytes",
-            number(slopes.at("worker_call_bytes", PLAN.tasks / PLAN.workers)),
-        ),
-        (
-            "change_call_bytes",
-            number(slopes.at("worker_change_bytes", 0.2)),
-        ),
-        ("request_messages", number(slopes.last("request_messages"))),
-        (
-            "request_kb",
-            number(per_thousand("request_bytes") / 1_000.0 * 2.0),
-        ),
-        (
-            "request_cpu_percent",
-            number(per_thousand("request_cpu") / 1e4),
-        ),
-        (
-            "identity_mb",
-            number(slopes.last("identity_bytes") * 1_000.0 * 600.0 / 1e6),
-        ),
-        (
-            "identity_records_kb",
-            number(
-                (slopes.last("record_intent_bytes") + slopes.last("record_intent_ended_bytes"))
-                    * BASE64,
-            ),
-        ),
-        (
-            "task_message_bytes",
-            number(slopes.last("task_message_bytes")),
-        ),
-        (
-            "packet_percent",
-            number(6.0 * PACKET_BYTES * 100.0 / slopes.last("task_message_bytes").max(1.0)),
-        ),
-    ])
-}
--- a/crates/bench/src/edges.rs
+++ b/crates/bench/src/edges.rs
@@ -1,7 +1,7 @@
 //! What calls and messages cost at the edge: bytes, and processor time of the
 //! thread that makes them, the stand-in's not included.
 
-use crate::slopes::Series;
+use crate::series::Series;
 use goldcrestway_core::AttemptId;
 use goldcrestway_core::Cell;
 use goldcrestway_core::Member;
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -9,9 +9,12 @@
 
 pub mod capacity;
 pub mod edges;
+mod facts;
 pub mod fleet;
 pub mod plots;
 pub mod rig;
 pub mod routing;
+pub mod series;
 pub mod sharing;
 pub mod slopes;
+mod stored;
--- a/crates/bench/src/plots.rs
+++ b/crates/bench/src/plots.rs
@@ -1,6 +1,6 @@
 //! A plot of each slope, as a file that a page can show.
 
-use crate::slopes::Series;
+use crate::series::Series;
 use plotters::prelude::BLACK;
 use plotters::prelude::ChartBuilder;
 use plotters::prelude::Circle;
--- a/crates/bench/src/slopes.rs
+++ b/crates/bench/src/slopes.rs
@@ -4,13 +4,11 @@
 use crate::fleet::Fleet;
 use crate::fleet::HOSTS_PER_RACK;
 use crate::rig::Rig;
+use crate::series::Series;
 use goldcrestway_core::Ask;
 use goldcrestway_core::AttemptId;
-use goldcrestway_core::Batch;
 use goldcrestway_core::Bounds;
 use goldcrestway_core::Cell;
-use goldcrestway_core::Config;
-use goldcrestway_core::ConfigChange;
 use goldcrestway_core::Ended;
 use goldcrestway_core::IdentityTable;
 use goldcrestway_core::JobSpec;
@@ -24,7 +22,6 @@
 use goldcrestway_core::Member;
 use goldcrestway_core::Outcome;
 use goldcrestway_core::Pace;
-use goldcrestway_core::Record;
 use goldcrestway_core::Released;
 use goldcrestway_core::Reservation;
 use goldcrestway_core::Seat;
@@ -34,82 +31,18 @@
 use goldcrestway_core::UpstreamCell;
 use goldcrestway_core::Verdict;
 use goldcrestway_core::WorkerCell;
-use goldcrestway_inventory::Change;
 use goldcrestway_inventory::Resources;
-use goldcrestway_inventory::Sections;
-use goldcrestway_inventory::compare;
-use goldcrestway_wire::decode_batch;
-use goldcrestway_wire::encode_batch;
 use rand::RngExt;
 use rand::SeedableRng;
 use rand_pcg::Pcg32;
-use serde::Deserialize;
-use serde::Serialize;
 use std::hint::black_box;
 use std::time::Instant;
 
-/// One measured series.
-#[derive(Debug, Clone, Serialize, Deserialize)]
-pub struct Series {
-    /// Name by which the page refers to it.
-    pub name: String,
-    /// What the size counts.
-    pub size_of: String,
-    /// Unit of the values.
-    pub unit: String,
-    /// Size and value.
-    pub points: Vec<(f64, f64)>,
-}
-
-impl Series {
-    /// Starts a series without points.
-    pub fn new(name: &str, size_of: &str, unit: &str) -> Self {
-        Self {
-            name: name.into(),
-            size_of: size_of.into(),
-            unit: unit.into(),
-            points: Vec::new(),
-        }
-    }
-
-    /// Fits a straight line by least squares: value at zero, and slope.
-    pub fn fit(&self) -> (f64, f64) {
-        let count = self.points.len() as f64;
-        let mean = |pick: fn(&(f64, f64)) -> f64| self.points.iter().map(pick).sum::<f64>() / count;
-        let (mean_x, mean_y) = (mean(|point| point.0), mean(|point| point.1));
-        let (mut above, mut below) = (0.0, 0.0);
-        for (x, y) in &self.points {
-            above += (x - mean_x) * (y - mean_y);
-            below += (x - mean_x) * (x - mean_x);
-        }
-        let slope = if below == 0.0 { 0.0 } else { above / below };
-        (mean_y - slope * mean_x, slope)
-    }
-
-    /// Gives the exponent of growth between the smallest and the largest size: 0 is
-    /// flat, 1 is linear, 2 is quadratic.
-    pub fn exponent(&self) -> f64 {
-        let (Some(first), Some(last)) = (self.points.first(), self.points.last()) else {
-            return 0.0;
-        };
-        let is_usable = first.0 > 0.0 && last.0 > first.0 && first.1 > 0.0 && last.1 > 0.0;
-        if !is_usable {
-            return 0.0;
-        }
-        (last.1 / first.1).ln() / (last.0 / first.0).ln()
-    }
-
-    /// Gives the value at the largest size.
-    pub fn last(&self) -> f64 {
-        self.points.last().map_or(0.0, |point| point.1)
-    }
-}
-
 /// How memory is read; the program installs a counting allocator.
 pub type Memory = fn() -> usize;
 
 /// Times `operation`, in microseconds each: the median of several rounds.
-fn time_us(rounds: usize, each: usize, mut operation: impl FnMut(usize)) -> f64 {
+pub(crate) fn time_us(rounds: usize, each: usize, mut operation: impl FnMut(usize)) -> f64 {
     let mut times: Vec<f64> = Vec::new();
     let mut number = 0;
     for _ in 0..rounds {
@@ -132,8 +65,8 @@
     all.extend(teams(memory));
     all.extend(slots(memory));
     all.extend(identities(memory));
-    all.extend(configuration(memory));
-    all.extend(records());
+    all.extend(crate::stored::configuration(memory));
+    all.extend(crate::stored::records());
     all.extend(requests());
     all.extend(crate::edges::measure());
     all
@@ -524,156 +457,6 @@
     vec![took, bytes]
 }
 
-/// One operator's change of one host.
-fn change_of(sections: &Sections, base: u64) -> ConfigChange {
-    let identity: (Box<str>, Box<str>) = ("host".into(), "w0".into());
-    let mut values = sections[&identity].values.clone();
-    values.insert("memory_mb".into(), format!("{}", 200_000 + base).into());
-    let change = Change {
-        kind: identity.0,
-        name: identity.1,
-        values: Some(values),
-    };
-    ConfigChange {
-        base,
-        id: format!("aino-{base}-0123456789abcdef").into(),
-        author: "aino".into(),
-        changes: Box::new([change]),
-    }
-}
-
-fn bytes_of(record: Record) -> f64 {
-    let batch = Batch {
-        term: Term(1_000),
-        sequence: 1_000,
-        records: Box::new([record]),
-    };
-    encode_batch(&batch).len() as f64
-}
-
-fn configuration(memory: Memory) -> Vec<Series> {
-    let mut change_bytes = Series::new("change_bytes", "hosts", "bytes per change");
-    let mut change_us = Series::new("change_us", "hosts", "us per change and process");
-    let mut whole_bytes = Series::new("config_bytes", "hosts", "bytes of the whole configuration");
-    let mut whole_us = Series::new("config_load_us", "hosts", "us to load the whole");
-    let mut held = Series::new("config_memory", "hosts", "bytes held per process");
-    for hosts in [55, 550, 8_400] {
-        let fleet = Fleet::sized(hosts, hosts * 22 / 8, hosts.div_ceil(40));
-        let sections = fleet.load().0;
-        let before = memory();
-        let mut config = Config::default();
-        let first = ConfigChange {
-            base: 0,
-            id: "first".into(),
-            author: "aino".into(),
-            changes: compare(&Sections::new(), &sections).into(),
-        };
-        let record = Record::Config(first);
-        whole_bytes
-            .points
-            .push((hosts as f64, bytes_of(record.clone())));
-        let began = Instant::now();
-        config.apply(0, &record);
-        whole_us
-            .points
-            .push((hosts as f64, began.elapsed().as_secs_f64() * 1e6));
-        drop(record);
-        held.points.push((hosts as f64, (memory() - before) as f64));
-        let mut offset = 0;
-        let us = time_us(3, 3, |_| {
-            offset += 1;
-            let change = Record::Config(change_of(&sections, config.version()));
-            config.apply(offset, &change);
-        });
-        change_us.points.push((hosts as f64, us));
-        change_bytes.points.push((
-            hosts as f64,
-            bytes_of(Record::Config(change_of(&sections, 7))),
-        ));
-    }
-    vec![change_bytes, change_us, whole_bytes, whole_us, held]
-}
-
-/// Records that share a batch: bytes each, and time to encode and decode.
-fn records() -> Vec<Series> {
-    let id = |number: usize| -> Box<str> { format!("team17/roster-2027-05-{number:05}").into() };
-    type Make = Box<dyn Fn(usize) -> Record>;
-    let kinds: Vec<(&str, Make)> = vec![
-        (
-            "intent",
-            Box::new(|number| Record::Intent {
-                identity: u128::MAX - number as u128,
-                fingerprint: u64::MAX,
-            }),
-        ),
-        (
-            "intent_ended",
-            Box::new(|number| Record::IntentEnded {
-                identity: u128::MAX - number as u128,
-                outcome: Outcome::Answered,
-                status: 200,
-            }),
-        ),
-        (
-            "accepted",
-            Box::new(move |number| {
-                Record::Accepted(JobSpec {
-                    id: id(number),
-                    job: "roster".into(),
-                    team: "team17".into(),
-                })
-            }),
-        ),
-        (
-            "assigned",
-            Box::new(move |number| Record::Assigned {
-                id: id(number),
-                attempt: 1,
-                cell: Cell::Workers(u64::MAX),
-            }),
-        ),
-        (
-            "ended",
-            Box::new(move |number| Record::Ended {
-                id: id(number),
-                attempt: 1,
-                end: goldcrestway_core::JobEnd::Finished,
-            }),
-        ),
-    ];
-    let mut all = Vec::new();
-    for (kind, make) in kinds {
-        let mut bytes = Series::new(
-            &format!("record_{kind}_bytes"),
-            "records in a batch",
-            "bytes per record",
-        );
-        let mut took = Series::new(
-            &format!("record_{kind}_us"),
-            "records in a batch",
-            "us per record, both ways",
-        );
-        for count in [1, 30, 500] {
-            let batch = Batch {
-                term: Term(1_000_000),
-                sequence: 1_000_000,
-                records: (0..count).map(&make).collect(),
-            };
-            let encoded = encode_batch(&batch);
-            bytes
-                .points
-                .push((count as f64, encoded.len() as f64 / count as f64));
-            let us = time_us(9, 2_000 / count, |_| {
-                black_box(decode_batch(&encode_batch(black_box(&batch))).is_ok());
-            });
-            took.points.push((count as f64, us / count as f64));
-        }
-        all.push(bytes);
-        all.push(took);
-    }
-    all
-}
-
 /// A request through the real nodes: messages, bytes and processor time of all.
 fn requests() -> Vec<Series> {
     let mut messages = Series::new("request_messages", "requests/s", "messages per request");
--- /dev/null
+++ b/crates/core/src/jobs/recovery.rs
@@ -0,0 +1,100 @@
+//! Jobs as records: read from the log, taken up again, carried forward.
+
+use super::JobKey;
+use super::JobState;
+use super::JobTable;
+use crate::record::Record;
+use goldcrestway_inventory::Inventory;
+
+impl JobTable {
+    /// Applies a record that was read from the log after a take-over.
+    pub fn apply(&mut self, now_ms: u64, record: &Record) {
+        match record {
+            Record::Accepted(spec) if !self.by_id.contains_key(&spec.id) => {
+                self.insert(now_ms, spec, JobState::Queued);
+            }
+            Record::Assigned { id, attempt, cell } => {
+                let Some(key) = self.by_id.get(id).copied() else {
+                    return;
+                };
+                self.jobs[key].attempt = *attempt;
+                self.jobs[key].state = JobState::Starting {
+                    cell: *cell,
+                    asked_ms: 0,
+                };
+            }
+            Record::Evicted {
+                id,
+                attempt,
+                checkpoint,
+            } => {
+                let Some(key) = self.by_id.get(id).copied() else {
+                    return;
+                };
+                let job = &mut self.jobs[key];
+                if *attempt < job.attempt {
+                    return;
+                }
+                job.attempt = *attempt;
+                job.checkpoint = job.checkpoint.max(*checkpoint);
+                job.state = JobState::Queued;
+            }
+            Record::Ended { id, end, .. } => {
+                if let Some(key) = self.by_id.get(id).copied() {
+                    self.end(now_ms, key, *end);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// After all records were applied: queues what waits, charges what may run.
+    pub fn resume(&mut self, now_ms: u64, inventory: &Inventory) {
+        let keys: Vec<JobKey> = self.jobs.keys().collect();
+        for key in keys {
+            let job = &self.jobs[key];
+            let kind = inventory.jobs.get(&job.spec.job);
+            let is_urgent = kind.is_some_and(|kind| kind.urgent);
+            match job.state {
+                JobState::Queued => self.queue(now_ms, key, is_urgent, false),
+                JobState::Starting { cell, .. } => {
+                    self.charge(key, kind.map(|kind| kind.need).unwrap_or_default());
+                    self.set_state(key, JobState::Starting { cell, asked_ms: 0 });
+                }
+                _ => {}
+            }
+        }
+    }
+
+    /// Lists what the log must keep of the jobs, for carrying it forward.
+    pub fn carry(&self) -> Vec<Record> {
+        let mut records = Vec::new();
+        for job in self.jobs.values() {
+            if job.state == JobState::Accepting {
+                continue;
+            }
+            let id = job.spec.id.clone();
+            let attempt = job.attempt;
+            records.push(Record::Accepted(job.spec.clone()));
+            if job.checkpoint > 0 || attempt > 0 {
+                let checkpoint = job.checkpoint;
+                records.push(Record::Evicted {
+                    id: id.clone(),
+                    attempt,
+                    checkpoint,
+                });
+            }
+            match job.state {
+                JobState::Starting { cell, .. }
+                | JobState::Running { cell }
+                | JobState::Assigning { cell }
+                | JobState::Recording { cell } => {
+                    records.push(Record::Assigned { id, attempt, cell });
+                }
+                JobState::Ended { end, .. } => records.push(Record::Ended { id, attempt, end }),
+                _ => {}
+            }
+        }
+        records
+    }
+}
--- /dev/null
+++ b/crates/core/src/node/keys/stream.rs
@@ -0,0 +1,192 @@
+//! The stream of a cell of keys: read at a take-over, written in batches.
+
+use super::super::Node;
+use super::LOG_AWAY_RETRY_MS;
+use super::apply_batch;
+use crate::event::Action;
+use crate::event::Part;
+use crate::ids::Stream;
+use crate::message::IntentVerdict;
+use crate::message::JobVerdict;
+use crate::message::Message;
+use crate::notes::Code;
+use crate::record::Record;
+use crate::writer::Step;
+
+impl Node {
+    pub(in crate::node) fn read_keys(&mut self, number: u16) {
+        let now_ms = self.now_ms;
+        let patience_ms = self.limits.append_timeout_ms * 4;
+        let Some(cell) = self.keys.get_mut(&number) else {
+            return;
+        };
+        let is_reading = cell
+            .read_asked_ms
+            .is_some_and(|asked| now_ms < asked + patience_ms);
+        if is_reading || now_ms < cell.next_read_ms {
+            return;
+        }
+        cell.read_asked_ms = Some(now_ms);
+        cell.next_read_ms = now_ms + self.limits.poll_ms / 5;
+        let (stream, from) = (Stream::Keys(number), cell.position);
+        self.out.push(Action::Read { stream, from });
+    }
+
+    pub(in crate::node) fn keys_appended(
+        &mut self,
+        number: u16,
+        sequence: u64,
+        offset: Option<u64>,
+    ) {
+        let (now_ms, limits) = (self.now_ms, self.limits.clone());
+        let Some(cell) = self.keys.get_mut(&number) else {
+            return;
+        };
+        let Some(offset) = offset else {
+            cell.writer.lost(now_ms, &limits);
+            return;
+        };
+        if !cell.is_open {
+            // The reader finds the record that opens the cell.
+            return;
+        }
+        let records = cell.writer.committed(sequence);
+        cell.position = cell.position.max(offset + 1);
+        cell.filter.sequence = cell.filter.sequence.max(sequence);
+        self.take_effect(number, records);
+    }
+
+    pub(in crate::node) fn keys_read(&mut self, number: u16, part: Option<Part>) {
+        let now_ms = self.now_ms;
+        let Some(cell) = self.keys.get_mut(&number) else {
+            return;
+        };
+        cell.read_asked_ms = None;
+        let Some(part) = part else {
+            return;
+        };
+        if part.next < cell.position {
+            return;
+        }
+        let was_open = cell.is_open;
+        let is_gap = part.oldest > cell.position && cell.position > 0;
+        let mut committed = Vec::new();
+        let mut is_found = false;
+        for (offset, batch) in &part.batches {
+            let Some(batch) = batch.as_ref().filter(|_| *offset >= cell.position) else {
+                continue;
+            };
+            let is_admitted = cell.filter.admit(batch);
+            if batch.term == cell.term {
+                is_found |= cell.writer.is_latest(batch);
+                committed.extend(cell.writer.seen(batch));
+            } else if is_admitted && !cell.is_open {
+                apply_batch(now_ms, cell, &batch.records);
+            }
+        }
+        cell.position = cell.position.max(part.next);
+        if is_gap {
+            self.note(
+                Code::StateMissing,
+                format!("keys-{number}"),
+                "records have expired",
+            );
+        }
+        if was_open && !committed.is_empty() {
+            self.note(Code::BatchResolved, format!("keys-{number}"), "");
+        }
+        self.go_on_after_read(number, committed, is_found, part.is_end);
+    }
+
+    pub(super) fn go_on_after_read(
+        &mut self,
+        number: u16,
+        found: Vec<Record>,
+        is_found: bool,
+        is_end: bool,
+    ) {
+        let now_ms = self.now_ms;
+        let Some(cell) = self.keys.get_mut(&number) else {
+            return;
+        };
+        if !cell.is_open && is_found {
+            cell.is_open = true;
+            cell.jobs.resume(now_ms, self.config.inventory());
+            let detail = cell.describe();
+            self.note(Code::CellOpened, format!("keys-{number}"), detail);
+            self.cancel_unlisted(number);
+        }
+        self.take_effect(number, found);
+        let Some(cell) = self.keys.get_mut(&number) else {
+            return;
+        };
+        if !is_end {
+            cell.next_read_ms = now_ms;
+            if !cell.is_open {
+                self.read_keys(number);
+            }
+            return;
+        }
+        if is_found {
+            return;
+        }
+        if let Some(Step::Append(batch)) = cell.writer.absent(now_ms) {
+            let stream = Stream::Keys(number);
+            self.note(Code::BatchRepeated, stream.to_string(), "");
+            self.out.push(Action::Append { stream, batch });
+        }
+    }
+
+    /// Tells callers whose records were never sent that nothing was done. The
+    /// others wait: their record may stand in the log.
+    pub(super) fn refuse_unsent(&mut self, number: u16) {
+        let now_ms = self.now_ms;
+        let Some(cell) = self.keys.get_mut(&number) else {
+            return;
+        };
+        let mut replies = Vec::new();
+        for record in cell.writer.take_unsent() {
+            match record {
+                Record::Intent { identity, .. } => {
+                    cell.identities.withdraw(identity);
+                    if let Some((asker, request)) = cell.intent_askers.remove(&identity) {
+                        let retry_after_ms = LOG_AWAY_RETRY_MS;
+                        let verdict = IntentVerdict::Refused { retry_after_ms };
+                        replies.push((asker, Message::IntentAnswer { request, verdict }));
+                    }
+                }
+                Record::Accepted(spec) => {
+                    cell.jobs.withdraw(&spec.id);
+                    if let Some((asker, request)) = cell.job_askers.remove(&spec.id) {
+                        let retry_after_ms = LOG_AWAY_RETRY_MS;
+                        let verdict = JobVerdict::Refused { retry_after_ms };
+                        replies.push((asker, Message::JobAnswer { request, verdict }));
+                    }
+                }
+                other => cell.writer.push(now_ms, other),
+            }
+        }
+        for (asker, reply) in replies {
+            self.send(asker.seat, reply);
+        }
+    }
+
+    /// Carries a cell's state forward, when nothing is on its way.
+    pub(super) fn carry_keys(&mut self, number: u16) {
+        let (now_ms, limits) = (self.now_ms, self.limits.clone());
+        let may_act = self.acts_until_ms().is_some();
+        let Some(cell) = self.keys.get_mut(&number) else {
+            return;
+        };
+        let is_due = cell.since_carried >= limits.carry_records
+            || now_ms >= cell.carried_ms + limits.carry_ms;
+        if !may_act || !cell.is_open || !is_due || cell.writer.waiting() > 0 {
+            return;
+        }
+        cell.since_carried = 0;
+        cell.carried_ms = now_ms;
+        let records = cell.carried_records();
+        cell.writer.push_alone(records);
+        self.note(Code::StateCarried, format!("keys-{number}"), "");
+    }
+}
--- a/crates/daemon/src/gate.rs
+++ b/crates/daemon/src/gate.rs
@@ -8,7 +8,10 @@
 //! One notices by `Error accepting new client` in the log. The gate therefore
 //! accepts by itself and passes bytes on to the server behind it.
 
+use crate::chronicle::Chronicle;
 use crate::fault::DaemonFault;
+use goldcrestway_core::Code;
+use goldcrestway_core::Note;
 use std::io::ErrorKind;
 use std::io::Read;
 use std::io::Write;
@@ -45,6 +48,8 @@
 
 /// How often a silent connection is looked at.
 const LOOK: Duration = Duration::from_millis(500);
+/// Least time between two events about refused callers.
+const NOTE_PAUSE: Duration = Duration::from_secs(5);
 /// Pause after a failed accept.
 const PAUSE: Duration = Duration::from_millis(50);
 
@@ -89,6 +94,7 @@
     step: &'static str,
     address: SocketAddr,
     bounds: Bounds,
+    chronicle: Arc<Chronicle>,
     is_over: Arc<AtomicBool>,
 ) -> Result<Server, DaemonFault> {
     let fault = |error| DaemonFault::Listen(step, address.to_string().into(), error);
@@ -104,11 +110,18 @@
     let behind = inner.local_addr().map_err(fault)?;
     let server = Server::from_listener(inner, None);
     let server = server.map_err(|error| fault(std::io::Error::other(error)))?;
-    thread::spawn(move || accept(&listener, behind, bounds, &is_over));
+    thread::spawn(move || accept(&listener, behind, bounds, &chronicle, &is_over));
     Ok(server)
 }
 
-fn accept(listener: &TcpListener, behind: SocketAddr, bounds: Bounds, is_over: &Arc<AtomicBool>) {
+fn accept(
+    listener: &TcpListener,
+    behind: SocketAddr,
+    bounds: Bounds,
+    chronicle: &Chronicle,
+    is_over: &Arc<AtomicBool>,
+) {
+    let mut noted: Option<Instant> = None;
     let open = Arc::new(AtomicUsize::new(0));
     for stream in listener.incoming() {
         if is_over.load(Ordering::Relaxed) {
@@ -129,6 +142,18 @@
         if taken >= bounds.connections {
             // A caller that does not even take this is let go.
             let _ = caller.write_all(FULL);
+            // One event a pause says it; a flood of callers must not flood the log.
+            if noted.is_none_or(|noted| noted.elapsed() > NOTE_PAUSE) {
+                noted = Some(Instant::now());
+                let peer = caller
+                    .peer_addr()
+                    .map_or_else(|_| "gone".to_owned(), |peer| peer.to_string());
+                chronicle.note(&Note::new(
+                    Code::CallerRefused,
+                    peer,
+                    "all connections are taken",
+                ));
+            }
             continue;
         }
         thread::spawn(move || join(caller, behind, &passage));
--- a/crates/daemon/src/process.rs
+++ b/crates/daemon/src/process.rs
@@ -98,12 +98,14 @@
             "listening for callers",
             settings.own().caller_address,
             gate_bounds(settings.caller_connections),
+            chronicle.clone(),
             is_over.clone(),
         )?;
         let operators = gate::open(
             "listening for operators",
             settings.own().operator_address,
             gate_bounds(OPERATORS),
+            chronicle.clone(),
             is_over.clone(),
         )?;
         let links = Links::start(
--- a/tests/capacity.rs
+++ b/tests/capacity.rs
@@ -1,7 +1,7 @@
 //! The capacity page says what the measured slopes say.
 
 use goldcrestway_bench::capacity::render;
-use goldcrestway_bench::slopes::Series;
+use goldcrestway_bench::series::Series;
 use googletest::prelude::*;
 
 const SLOPES: &str = include_str!("../docs/dev/slopes.json");
--- a/tests/lib.rs
+++ b/tests/lib.rs
@@ -12,4 +12,5 @@
 mod inventories;
 mod scenarios;
 mod settings;
+mod tallies;
 mod world;
