Outlive a deposed incarnation when the wall clock runs behind

Cause: an incarnation comes from the wall clock. A host whose clock runs behind that of its deposed predecessor came up with a lower one, and its claims had no effect for ever, while the others took it for the best owner of a share of the cells.

Change: a member that the log says is deposed begins a life with a higher incarnation than the deposed one.

--- a/crates/core/src/claims.rs
+++ b/crates/core/src/claims.rs
@@ -60,6 +60,11 @@
         deposed.is_some_and(|incarnation| member.incarnation <= *incarnation)
     }
 
+    /// Gives the highest incarnation at a seat that was deposed; 0 if none was.
+    pub fn deposed_at(&self, seat: Seat) -> u64 {
+        self.deposed.get(&seat).copied().unwrap_or(0)
+    }
+
     /// Lists the cells with their owners.
     pub fn owners(&self) -> impl Iterator<Item = (Cell, Owner)> + '_ {
         self.owners.iter().map(|(cell, owner)| (*cell, *owner))
--- a/crates/core/src/node/members.rs
+++ b/crates/core/src/node/members.rs
@@ -121,6 +121,20 @@
         }
     }
 
+    /// Starts another life if the log says that this one is deposed.
+    ///
+    /// What goes wrong without it: a replaced host's wall clock runs behind that of
+    /// its predecessor, so its incarnation is lower than one that was deposed. Its
+    /// claims have no effect, for ever. One notices by cells that nobody owns while
+    /// everybody is alive.
+    fn outlive_deposed(&mut self) {
+        if !self.claims.is_deposed(self.me) {
+            return;
+        }
+        self.me.incarnation = self.claims.deposed_at(self.me.seat);
+        self.begin_new_life();
+    }
+
     /// Starts another life without cells. Requests in flight go on: what is on
     /// its way to an instance still gets its caller the answer.
     fn begin_new_life(&mut self) {
@@ -146,6 +160,7 @@
             return;
         }
         self.peers.next_heartbeat_ms = self.now_ms + self.limits.heartbeat_ms;
+        self.outlive_deposed();
         self.beat(self.me);
         self.beat_for_carried();
         self.ask_for_state();
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -199,7 +199,10 @@
             "restart" => {
                 let seat = self.seat("host");
                 world.kill(seat);
-                world.start(seat);
+                match self.number("incarnation", 0) {
+                    0 => world.start(seat),
+                    incarnation => world.start_as(seat, incarnation),
+                }
             }
             "stop" => {
                 let seat = self.seat("host");
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -83,10 +83,12 @@
     pub(crate) fn start(&mut self, seat: Seat) {
         const LIFE: u64 = 1_000_000;
         self.lives += 1;
-        let me = Member {
-            seat,
-            incarnation: self.lives * LIFE,
-        };
+        self.start_as(seat, self.lives * LIFE);
+    }
+
+    /// Starts a process whose wall clock gives it a certain incarnation.
+    pub(crate) fn start_as(&mut self, seat: Seat, incarnation: u64) {
+        let me = Member { seat, incarnation };
         let node = Node::new(me, &self.seats, self.limits.clone(), self.now_ms);
         let outbox = Outbox::default();
         let filled = outbox.clone();
