--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -1,5 +1,5 @@
 //! Clients for the platform. Nothing outside these modules knows a URL or a field
-//! name of the platform's interfaces; `docs/dev/PLATFORM.md` says what is assumed.
+//! name of the platform's interfaces; `docs/PLATFORM.md` says what is assumed.
 //!
 //! ```no_run
 //! use goldcrestway_platform::LogClient;
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -1,4 +1,4 @@
-//! The scenario language: commands of `docs/dev/SCENARIOS.md` over a [`World`].
+//! The scenario language: commands of `docs/SCENARIOS.md` over a [`World`].
 
 use crate::tallies::cells;
 use crate::tallies::jobs;
@@ -223,7 +223,7 @@
             "cells" => return cells(world),
             "versions" => return versions(world),
             "promises" => return promises(world),
-            other => panic!("unknown command `{other}`; see docs/dev/SCENARIOS.md"),
+            other => panic!("unknown command `{other}`; see docs/SCENARIOS.md"),
         }
         String::new()
     }
