Say "not run" only of an identity that has not run; write down what was handed

Cause of the first: a caller's request had run, its entry host died, and its repeat elsewhere was told "not run" when the owner of the identity did not answer in time. The repeat truly had not run, but the work had. The repeat also had the identity freed, so that a third one could run again. Cause of the second: an assignment was under way when the log went down, its owner handed its life over, the carrier had the job started, and the next owner read a log without the assignment.

Change: without word from the owner of its identity a request is told unknown, with the time after which to repeat; only the request that was let go may free an identity. A carrier writes what it was handed into the log and orders nothing before that stands.

Conclusion: more is told as unknown while an owner is replaced; repeating under the same identity settles it.

--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -109,8 +109,9 @@
         Whole,
         /// It did not run; asking again makes sense after the given time.
         NotRun { reason: &'static str, retry_after_ms: u64 },
-        /// Whether it ran can't be told.
-        Unknown { reason: &'static str },
+        /// Whether it ran can't be told; asking again makes sense after the given
+        /// time, or not at all if that is 0.
+        Unknown { reason: &'static str, retry_after_ms: u64 },
         /// An earlier request with this identity has ended like this.
         Repeated { outcome: Outcome, status: u16 },
         /// The identity was used for a different request.
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -106,8 +106,16 @@
         IntentAsk { cell: Cell, request: u64, identity: u128, fingerprint: u64 },
         /// Answers.
         IntentAnswer { request: u64, verdict: IntentVerdict },
-        /// Such a request has ended.
-        IntentEnd { cell: Cell, identity: u128, outcome: Outcome, status: u16 },
+        /// Such a request has ended. Whoever was not told to go speaks only for its
+        /// own request.
+        IntentEnd {
+            cell: Cell,
+            request: u64,
+            identity: u128,
+            was_let_go: bool,
+            outcome: Outcome,
+            status: u16,
+        },
         /// Submits a job.
         JobAsk { cell: Cell, request: u64, spec: JobSpec },
         /// Answers.
--- a/crates/core/src/node/keys/intents.rs
+++ b/crates/core/src/node/keys/intents.rs
@@ -64,37 +64,47 @@
         }
     }
 
-    /// Notes how a request with an identity ended. After a take-over the owner
-    /// does not know who asked; then whoever was let go says how it ended.
-    pub(super) fn end_intent(
-        &mut self,
-        from: Member,
-        cell: Cell,
-        identity: u128,
-        outcome: Outcome,
-        status: u16,
-    ) {
+    /// Notes how a request with an identity ended.
+    ///
+    /// What goes wrong without the checks: a repeat that this owner's predecessor
+    /// never answered gives up and says that it did not run; the identity is freed
+    /// though the first request with it did run, and the next repeat runs again.
+    /// Only the request that was told to go may free an identity. After a take-over
+    /// the owner does not know which one that was, so it must say so itself.
+    pub(super) fn end_intent(&mut self, from: Member, ended: IntentEnded) {
         let (now_ms, limits) = (self.now_ms, self.limits.clone());
-        let Cell::Keys(number) = cell else {
+        let identity = ended.identity;
+        let Cell::Keys(number) = ended.cell else {
             return;
         };
         let Some(cell) = self.keys.get_mut(&number) else {
             return;
         };
-        let asker = cell.intent_askers.get(&identity);
-        if asker.is_some_and(|(asker, _)| *asker != from) {
-            return;
-        }
-        if asker.is_none() && cell.identities.state(identity) != Some(State::Begun) {
+        let is_let_go = match cell.intent_askers.get(&identity) {
+            Some((asker, request)) => (asker.seat, *request) == (from.seat, ended.request),
+            None => ended.was_let_go && cell.identities.state(identity) == Some(State::Begun),
+        };
+        if !is_let_go {
             return;
         }
         cell.intent_askers.remove(&identity);
-        cell.identities.end(identity, outcome, status);
+        cell.identities.end(identity, ended.outcome, ended.status);
         let record = Record::IntentEnded {
             identity,
-            outcome,
-            status,
+            outcome: ended.outcome,
+            status: ended.status,
         };
         cell.writer.push_lazily(now_ms, record, &limits);
     }
 }
+
+/// The end of a request with an identity, as its entry host tells it.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct IntentEnded {
+    pub(super) cell: Cell,
+    pub(super) request: u64,
+    pub(super) identity: u128,
+    pub(super) was_let_go: bool,
+    pub(super) outcome: Outcome,
+    pub(super) status: u16,
+}
--- a/crates/core/src/node/keys/jobs.rs
+++ b/crates/core/src/node/keys/jobs.rs
@@ -273,6 +273,9 @@
         let Some(cell) = self.keys.get_mut(&number) else {
             return;
         };
+        if cell.writer.is_carrying() {
+            return;
+        }
         let overdue = cell.jobs.overdue(now_ms, ANSWER_MS);
         let is_any_overdue = !overdue.is_empty();
         for key in overdue {
--- a/crates/core/src/node/keys/mod.rs
+++ b/crates/core/src/node/keys/mod.rs
@@ -21,6 +21,7 @@
 use crate::record::JobSpec;
 use crate::record::Record;
 use crate::writer::Writer;
+use intents::IntentEnded;
 use std::collections::HashMap;
 
 /// How long a cell of workers may take to answer before it is asked again.
@@ -152,6 +153,12 @@
     }
 
     /// Goes on with a cell of keys that another process has handed over.
+    ///
+    /// What goes wrong without writing it down first: a record of the former
+    /// process, such as an assignment, was under way when the log went down and
+    /// never stands there. The carrier has the job started, the next owner reads
+    /// the log without the assignment, and starts it again. So what was handed over
+    /// goes into the log before anything is ordered on the strength of it.
     pub(super) fn open_handed_keys(&mut self, handed: &HandedKeys) {
         let now_ms = self.now_ms;
         let mut cell = KeyCell::new(now_ms, Writer::new(handed.term, handed.sequence));
@@ -160,6 +167,8 @@
         cell.filter.sequence = handed.sequence;
         apply_batch(now_ms, &mut cell, &handed.records);
         cell.jobs.resume(now_ms, self.config.inventory());
+        let records = cell.carried_records();
+        cell.writer.push_alone(records);
         self.keys.insert(handed.number, cell);
     }
 
@@ -229,10 +238,22 @@
             }
             Message::IntentEnd {
                 cell,
+                request,
                 identity,
+                was_let_go,
                 outcome,
                 status,
-            } => self.end_intent(from, cell, identity, outcome, status),
+            } => {
+                let ended = IntentEnded {
+                    cell,
+                    request,
+                    identity,
+                    was_let_go,
+                    outcome,
+                    status,
+                };
+                self.end_intent(from, ended);
+            }
             Message::JobAsk {
                 cell,
                 request,
--- a/crates/core/src/node/keys/submissions.rs
+++ b/crates/core/src/node/keys/submissions.rs
@@ -71,7 +71,13 @@
             if is_over {
                 self.submissions.remove(&request);
                 let reason = "no owner of the job's cell has answered; submit it again under the same identity";
-                self.answer(request, Answer::Unknown { reason });
+                self.answer(
+                    request,
+                    Answer::Unknown {
+                        reason,
+                        retry_after_ms: 0,
+                    },
+                );
                 continue;
             }
             self.ask_for_job(request, &spec);
--- a/crates/core/src/node/publishing.rs
+++ b/crates/core/src/node/publishing.rs
@@ -117,7 +117,13 @@
                 Some(answer) => self.answer(pending.request, answer),
                 None if is_late => {
                     let reason = "no verdict yet; ask again with the same identity";
-                    self.answer(pending.request, Answer::Unknown { reason });
+                    self.answer(
+                        pending.request,
+                        Answer::Unknown {
+                            reason,
+                            retry_after_ms: 0,
+                        },
+                    );
                 }
                 None => waiting.push(pending),
             }
--- a/crates/core/src/node/requests/attempts.rs
+++ b/crates/core/src/node/requests/attempts.rs
@@ -101,7 +101,13 @@
         }
         self.end_intent_of(number, Outcome::Unknown, 0);
         let reason = "an instance gave no whole answer";
-        self.end(number, Answer::Unknown { reason });
+        self.end(
+            number,
+            Answer::Unknown {
+                reason,
+                retry_after_ms: 0,
+            },
+        );
     }
 
     /// Sends a request once more if its deadline and the budget allow it.
--- a/crates/core/src/node/requests/mod.rs
+++ b/crates/core/src/node/requests/mod.rs
@@ -77,6 +77,8 @@
     phase: Phase,
     tried: Vec<Cell>,
     has_intent: bool,
+    /// The owner of its identity has said that no request with it has run.
+    is_vouched: bool,
     wait_hint_ms: u64,
     /// Times its owner was asked since it answered last.
     in_vain: u32,
@@ -113,7 +115,10 @@
             } else {
                 "this entry host may not act now"
             };
-            self.not_run(number, reason, NO_OWNER_RETRY_MS);
+            match needs_intent(&request) {
+                true => self.answer(number, unvouched(NO_OWNER_RETRY_MS)),
+                false => self.not_run(number, reason, NO_OWNER_RETRY_MS),
+            }
             return;
         }
         let retry_permille = self.limits.retry_permille;
@@ -121,9 +126,7 @@
         budget.or_insert_with(|| Budget::new(retry_permille)).earn();
         let mut request = request;
         request.deadline_ms = request.deadline_ms.min(self.now_ms + 4 * timeout_ms);
-        // Without an identity no caller can repeat the request, so no intent is
-        // needed: it is simply sent once.
-        let needs_intent = !request.is_idempotent && request.identity.is_some();
+        let needs_intent = needs_intent(&request);
         let flight = Flight {
             request,
             phase: Phase::Intent {
@@ -131,6 +134,7 @@
             },
             tried: Vec::new(),
             has_intent: false,
+            is_vouched: false,
             wait_hint_ms: 0,
             in_vain: 0,
             address: Box::default(),
@@ -213,7 +217,13 @@
             IntentVerdict::Begun => {
                 self.note(Code::IntentRepeated, number.to_string(), "under way");
                 let reason = "an earlier request with this identity may have run";
-                self.end(number, Answer::Unknown { reason });
+                self.end(
+                    number,
+                    Answer::Unknown {
+                        reason,
+                        retry_after_ms: 0,
+                    },
+                );
             }
             IntentVerdict::Ended { outcome, status } => {
                 self.note(Code::IntentRepeated, number.to_string(), "ended");
@@ -221,6 +231,7 @@
             }
             IntentVerdict::Conflict => self.end(number, Answer::Conflict),
             IntentVerdict::Refused { retry_after_ms } => {
+                flight.is_vouched = true;
                 let reason = "its intent can't be recorded, because the log does not answer";
                 self.end_not_run(number, reason, retry_after_ms);
             }
@@ -273,7 +284,8 @@
     }
 
     /// Ends a request that gets no further attempt. It is told "not run" only if
-    /// no attempt has reached an instance.
+    /// no attempt has reached an instance, and no earlier request with its identity
+    /// can have run.
     fn end_not_run(&mut self, number: u64, reason: &'static str, retry_after_ms: u64) {
         if let Some(flight) = self.flights.get(&number)
             && let Phase::Slot { cell, .. } = flight.phase
@@ -295,9 +307,15 @@
             return;
         }
         self.end_intent_of(number, Outcome::NotRun, 0);
-        let answer = Answer::NotRun {
-            reason,
-            retry_after_ms,
+        let may_have_run = self.flights.get(&number).is_some_and(|flight| {
+            needs_intent(&flight.request) && !flight.has_intent && !flight.is_vouched
+        });
+        let answer = match may_have_run {
+            true => unvouched(retry_after_ms),
+            false => Answer::NotRun {
+                reason,
+                retry_after_ms,
+            },
         };
         self.end(number, answer);
     }
@@ -317,7 +335,9 @@
         let cell = self.identity_cell(identity);
         let end = Message::IntentEnd {
             cell,
+            request: number,
             identity,
+            was_let_go: flight.has_intent,
             outcome,
             status,
         };
@@ -336,3 +356,18 @@
         self.answer(number, answer);
     }
 }
+
+/// Tells whether a request's intent must be recorded before it may run. Without an
+/// identity no caller can repeat it, so it is simply sent once.
+fn needs_intent(request: &Request) -> bool {
+    !request.is_idempotent && request.identity.is_some()
+}
+
+/// Answers a request of which this entry host knows only that it did not run here:
+/// an earlier one with its identity may have run elsewhere.
+fn unvouched(retry_after_ms: u64) -> Answer {
+    Answer::Unknown {
+        reason: "the owner of its identity has not answered; repeat it under the same identity",
+        retry_after_ms,
+    }
+}
--- a/crates/core/src/writer.rs
+++ b/crates/core/src/writer.rs
@@ -115,6 +115,11 @@
         self.alone = Some(records);
     }
 
+    /// Tells whether state carried forward is not yet known to be in the log.
+    pub fn is_carrying(&self) -> bool {
+        self.alone.is_some() || self.is_alone
+    }
+
     /// Counts the records that are not yet known to be in the log.
     pub fn waiting(&self) -> usize {
         let alone = self.alone.as_ref().map_or(0, Vec::len);
--- a/crates/daemon/src/answers.rs
+++ b/crates/daemon/src/answers.rs
@@ -64,11 +64,17 @@
     reply(status, "application/problem+json", body)
 }
 
+/// Says when to come back, in whole seconds; nothing if there is no such time.
+fn retry_header(retry_after_ms: u64) -> Option<Header> {
+    const MS_PER_S: u64 = 1_000;
+    let seconds = retry_after_ms.div_ceil(MS_PER_S);
+    (seconds > 0).then(|| header("Retry-After", &seconds.to_string()))?
+}
+
 /// Makes a refusal that says when to come back.
 pub(crate) fn not_run(reason: &str, retry_after_ms: u64) -> Reply {
     let mut reply = problem(503, "not-run", "The request did not run", reason);
-    let seconds = retry_after_ms.div_ceil(1_000).max(1);
-    reply.add_header_if(header("Retry-After", &seconds.to_string()));
+    reply.add_header_if(retry_header(retry_after_ms.max(1)));
     reply.add_header_if(header(OUTCOME, "not-run"));
     reply
 }
@@ -82,15 +88,15 @@
             reason,
             retry_after_ms,
         } => return ("not-run", not_run(reason, *retry_after_ms)),
-        Answer::Unknown { reason } => (
-            "unknown",
-            problem(
-                504,
-                "unknown",
-                "Whether the request ran is not known",
-                *reason,
-            ),
-        ),
+        Answer::Unknown {
+            reason,
+            retry_after_ms,
+        } => {
+            let title = "Whether the request ran is not known";
+            let mut reply = problem(504, "unknown", title, *reason);
+            reply.add_header_if(retry_header(*retry_after_ms));
+            ("unknown", reply)
+        }
         Answer::Repeated { outcome, status } => repeated(*outcome, *status),
         Answer::Conflict => (
             "not-run",
--- a/crates/daemon/src/front.rs
+++ b/crates/daemon/src/front.rs
@@ -222,6 +222,7 @@
             let Ok(step) = place.steps.recv_timeout(Duration::from_millis(patience_ms)) else {
                 return reply_of(&Answer::Unknown {
                     reason: "the daemon gave no verdict",
+                    retry_after_ms: 0,
                 });
             };
             match step {
@@ -317,6 +318,7 @@
     let Some(whole) = held else {
         return reply_of(&Answer::Unknown {
             reason: "the answer is no longer held",
+            retry_after_ms: 0,
         })
         .1;
     };
--- a/crates/daemon/src/operator.rs
+++ b/crates/daemon/src/operator.rs
@@ -265,7 +265,11 @@
             Ok(Step::Answer(answer)) => reply_of(&answer).1,
             _ => {
                 let reason = "no verdict in time; ask again with the same identity";
-                reply_of(&Answer::Unknown { reason }).1
+                reply_of(&Answer::Unknown {
+                    reason,
+                    retry_after_ms: 0,
+                })
+                .1
             }
         }
     }
--- a/crates/wire/src/message/decode.rs
+++ b/crates/wire/src/message/decode.rs
@@ -138,6 +138,8 @@
             let intent = need(talk.intent.as_ref(), "intent")?;
             Message::IntentEnd {
                 cell: cell_in(&talk.cell)?,
+                request: talk.request,
+                was_let_go: talk.was_let_go,
                 identity: identity_in(intent)?,
                 outcome: outcome_in(intent.outcome)?,
                 status: status_in(intent.status)?,
--- a/crates/wire/src/message/encode.rs
+++ b/crates/wire/src/message/encode.rs
@@ -114,6 +114,7 @@
             request: *request,
             intent: Some(intent_out(*identity, *fingerprint)),
             verdict: None,
+            was_let_go: false,
         }),
         Message::IntentAnswer { request, verdict } => Kind::IntentAnswer(proto::IntentTalk {
             request: *request,
@@ -122,10 +123,14 @@
         }),
         Message::IntentEnd {
             cell,
+            request,
             identity,
+            was_let_go,
             outcome,
             status,
         } => Kind::IntentEnd(proto::IntentTalk {
+            request: *request,
+            was_let_go: *was_let_go,
             cell: Some(cell_out(*cell)),
             intent: Some(proto::Intent {
                 outcome: outcome_out(*outcome),
--- a/crates/wire/src/proto.rs
+++ b/crates/wire/src/proto.rs
@@ -308,6 +308,8 @@
     pub intent: Option<Intent>,
     #[prost(message, optional, tag = "4")]
     pub verdict: Option<Tagged>,
+    #[prost(bool, tag = "5")]
+    pub was_let_go: bool,
 }
 
 /// Everything about the submission of a job.
--- a/tests/border.rs
+++ b/tests/border.rs
@@ -162,6 +162,8 @@
         },
         Message::IntentEnd {
             cell: HOME,
+            request: 6,
+            was_let_go: true,
             identity: 1,
             outcome: Outcome::NotRun,
             status: 0,
--- a/tests/world/promises.rs
+++ b/tests/world/promises.rs
@@ -97,6 +97,15 @@
             if is_not_run && told.attempts > 0 {
                 broken.push(format!("{} was told not run but ran", told.identity));
             }
+            let ran_before = runs
+                .get(&*told.identity)
+                .is_some_and(|runs| runs.iter().any(|(from_ms, _)| *from_ms <= told.told_ms));
+            if is_not_run && told.is_once && ran_before {
+                broken.push(format!(
+                    "{} had run when its repeat was told not run",
+                    told.identity
+                ));
+            }
             let all = not_run.entry(&told.identity).or_insert(true);
             *all &= is_not_run;
         }
