Keep who may act on a time line that is cut

Cause: looked at in a browser with 1000 events, the page had lost its bars: leases and terms had begun before the cut, and so had the job followed.

Change: of events before the cut, those about ownership and the log, and those about what is followed, are kept.

Measured: seen before and after in a browser at 1000 events.

--- a/src/cmd/timeline.rs
+++ b/src/cmd/timeline.rs
@@ -16,7 +16,8 @@
     /// keep only what is about this request, job, cell or member
     #[argh(option)]
     follow: Option<String>,
-    /// keep only the latest so many events; default 1000
+    /// keep the latest so many events, and earlier ones that say who may act or what
+    /// is followed; default 1000
     #[argh(option, default = "1000")]
     most: usize,
     /// write a self-contained page to this file
@@ -38,8 +39,7 @@
     let entries = Entries::new(&arguments.entry, &arguments.settings)?;
     let all: Vec<(String, Vec<Entry>)> = entries.get_all("asking for events", "/v1/timeline")?;
     let mut events = merge(all.into_iter().map(|(_, list)| list).collect());
-    let surplus = events.len().saturating_sub(arguments.most);
-    events.drain(..surplus);
+    cut(&mut events, arguments.most, arguments.follow.as_deref());
     if let Some(file) = &arguments.html {
         let subject = arguments.follow.as_deref();
         let page = render_page(&events, subject)
@@ -69,3 +69,21 @@
     }
     Ok(())
 }
+
+/// Keeps the latest `most` events, and of earlier ones those that say who may act,
+/// how the log is, or what is followed: without them leases and terms that began
+/// earlier would be missing, and a job would seem to come from nowhere.
+fn cut(events: &mut Vec<Entry>, most: usize, subject: Option<&str>) {
+    const OWNERSHIP_AND_LOG: std::ops::Range<u16> = 1_100..1_300;
+    let surplus = events.len().saturating_sub(most);
+    let earlier: Vec<Entry> = events.drain(..surplus).collect();
+    let followed = subject
+        .map(|subject| follow(&earlier, subject))
+        .unwrap_or_default();
+    let kept = earlier
+        .into_iter()
+        .filter(|event| OWNERSHIP_AND_LOG.contains(&event.code) || followed.contains(event));
+    let mut kept: Vec<Entry> = kept.collect();
+    kept.append(events);
+    *events = kept;
+}
