Have the example's callers repeat what is unknown but may be repeated

Cause: a request whose owner does not answer is told unknown since the change of what "not run" means, with the time after which to repeat; the example's callers gave up on every unknown.

Change: they repeat under the same identity if the answer says when.

--- a/examples/first_week/callers.rs
+++ b/examples/first_week/callers.rs
@@ -119,7 +119,8 @@
 /// What one try brought.
 enum Try {
     Whole(String),
-    Header(String),
+    /// An outcome, and whether asking again makes sense.
+    Header(String, bool),
     Nothing,
 }
 
@@ -149,17 +150,17 @@
                 told = Told::Answered;
                 break;
             }
-            Try::Header(outcome) if outcome == "answered" => {
+            Try::Header(outcome, _) if outcome == "answered" => {
                 told = Told::Answered;
                 break;
             }
-            Try::Header(outcome) if outcome == "unknown" => {
+            Try::Header(outcome, may_repeat) if outcome == "unknown" => {
                 told = Told::Unknown;
-                if is_once {
+                if is_once && !may_repeat {
                     break;
                 }
             }
-            Try::Header(_) => {
+            Try::Header(..) => {
                 refusals += 1;
                 if told != Told::Unknown {
                     told = Told::NotRun;
@@ -201,9 +202,10 @@
         return Try::Nothing;
     };
     let status = response.status().as_u16();
+    let may_repeat = response.headers().contains_key("retry-after");
     match response.body_mut().read_to_string() {
         Ok(body) if status == 200 && outcome == "answered" => Try::Whole(body),
-        Ok(_) => Try::Header(outcome),
+        Ok(_) => Try::Header(outcome, may_repeat),
         Err(_) => Try::Nothing,
     }
 }
--- a/examples/first_week/verdict.rs
+++ b/examples/first_week/verdict.rs
@@ -110,7 +110,7 @@
     );
     println!("jobs finished      {} of {}", done.len(), told.jobs.len());
     println!(
-        "jobs of unknown end {} (never-twice, on the host that died)",
+        "jobs of unknown end {} (never-twice, their host or its owner died)",
         told.unknown_jobs.len()
     );
     println!("evictions          {evictions}");
