--- a/crates/bench/src/rig.rs
+++ b/crates/bench/src/rig.rs
@@ -107,8 +107,7 @@
                 seat: *seat,
                 incarnation: 1_000,
             };
-            rig.nodes
-                .push(Some(Node::new(me, &seats, limits.clone(), 0)));
+            rig.nodes.push(Some(Node::new(me, &seats, *limits, 0)));
             // Ticks of different hosts do not fall on the same moment.
             let offset_us = index as u64 * TICK_US / members as u64;
             rig.put(offset_us, Due::Tick(index));
--- a/crates/core/src/guard.rs
+++ b/crates/core/src/guard.rs
@@ -17,9 +17,9 @@
 //! make the guard swing.
 
 /// Slowdown of a service, in thousandths, above which batch work is held back.
-pub const HARM_PERMILLE: u32 = 1_250;
+const HARM_PERMILLE: u32 = 1_250;
 /// Slowdown below which batch work gets share back.
-pub const CALM_PERMILLE: u32 = 1_180;
+const CALM_PERMILLE: u32 = 1_180;
 
 /// Settings of a guard; the benchmarks compare others.
 #[derive(Debug, Clone, Copy, PartialEq)]
--- a/crates/core/src/lease.rs
+++ b/crates/core/src/lease.rs
@@ -103,22 +103,6 @@
         }
     }
 
-    /// Takes over what a predecessor at the same seat promised until it stopped.
-    pub fn succeed(&mut self, promises: &[(Member, u64)], consented: &[Member], now_ms: u64) {
-        for (member, left_ms) in promises {
-            self.promised_until_ms.insert(*member, now_ms + left_ms);
-        }
-        self.consented.extend(consented);
-        self.abstains_until_ms = now_ms;
-    }
-
-    /// Gives the promises in force, with the time each has left, and the consents.
-    pub fn hand_over(&self, now_ms: u64) -> (Vec<(Member, u64)>, Vec<Member>) {
-        let promises = self.promised_until_ms.iter();
-        let promises = promises.map(|(member, until)| (*member, until.saturating_sub(now_ms)));
-        (promises.collect(), self.consented.iter().copied().collect())
-    }
-
     /// Tells whether this voter still abstains.
     pub fn abstains(&self, now_ms: u64) -> bool {
         now_ms < self.abstains_until_ms
--- a/crates/core/src/limits.rs
+++ b/crates/core/src/limits.rs
@@ -4,6 +4,7 @@
 
 plain! {
     /// Settings of the decisions; the defaults suit today's sizes.
+    #[derive(Copy)]
     pub struct Limits {
         /// Seats that vote on leases, the first ones of those given; odd. A majority
         /// of them must be reachable for anybody to act.
--- a/crates/core/src/node/keys/intents.rs
+++ b/crates/core/src/node/keys/intents.rs
@@ -72,7 +72,7 @@
     /// Only the request that was told to go may free an identity. After a take-over
     /// the owner does not know which one that was, so it must say so itself.
     pub(super) fn end_intent(&mut self, from: Member, ended: IntentEnded) {
-        let (now_ms, limits) = (self.now_ms, self.limits.clone());
+        let (now_ms, limits) = (self.now_ms, self.limits);
         let identity = ended.identity;
         let Cell::Keys(number) = ended.cell else {
             return;
--- a/crates/core/src/node/keys/jobs.rs
+++ b/crates/core/src/node/keys/jobs.rs
@@ -285,11 +285,7 @@
                     self.order_start_of(number, key, cell, true);
                 }
                 Some(JobState::Reserving { .. }) => {
-                    let is_urgent = self.is_urgent_job(number, key);
-                    if let Some(cell) = self.keys.get_mut(&number) {
-                        cell.reserving = cell.reserving.saturating_sub(1);
-                        cell.jobs.refused(now_ms, key, is_urgent);
-                    }
+                    self.room_refused(number, key);
                 }
                 _ => {}
             }
--- a/crates/core/src/node/keys/room.rs
+++ b/crates/core/src/node/keys/room.rs
@@ -46,14 +46,11 @@
             self.unreserve(workers, attempt, is_held);
             return;
         }
-        cell.reserving = cell.reserving.saturating_sub(1);
         if !is_held {
-            let is_urgent = self.is_urgent_job(number, key);
-            if let Some(cell) = self.keys.get_mut(&number) {
-                cell.jobs.refused(now_ms, key, is_urgent);
-            }
+            self.room_refused(number, key);
             return;
         }
+        cell.reserving = cell.reserving.saturating_sub(1);
         let number_of_attempt = cell.jobs.begin_attempt(key);
         cell.jobs
             .set_state(key, JobState::Assigning { cell: workers });
@@ -65,6 +62,16 @@
         cell.writer.push(now_ms, record);
     }
 
+    /// Lets a job rest for which a cell of workers had no room, or no answer.
+    pub(super) fn room_refused(&mut self, number: u16, key: JobKey) {
+        let now_ms = self.now_ms;
+        let is_urgent = self.is_urgent_job(number, key);
+        if let Some(cell) = self.keys.get_mut(&number) {
+            cell.reserving = cell.reserving.saturating_sub(1);
+            cell.jobs.refused(now_ms, key, is_urgent);
+        }
+    }
+
     pub(super) fn unreserve(&mut self, cell: Cell, attempt: &AttemptId, is_held: bool) {
         if is_held {
             let attempt = attempt.clone();
--- a/crates/core/src/node/keys/stream.rs
+++ b/crates/core/src/node/keys/stream.rs
@@ -38,7 +38,7 @@
         sequence: u64,
         offset: Option<u64>,
     ) {
-        let (now_ms, limits) = (self.now_ms, self.limits.clone());
+        let (now_ms, limits) = (self.now_ms, self.limits);
         let Some(cell) = self.keys.get_mut(&number) else {
             return;
         };
@@ -173,7 +173,7 @@
 
     /// Carries a cell's state forward, when nothing is on its way.
     pub(super) fn carry_keys(&mut self, number: u16) {
-        let (now_ms, limits) = (self.now_ms, self.limits.clone());
+        let (now_ms, limits) = (self.now_ms, self.limits);
         let may_act = self.acts_until_ms().is_some();
         let Some(cell) = self.keys.get_mut(&number) else {
             return;
--- a/crates/core/src/node/logs.rs
+++ b/crates/core/src/node/logs.rs
@@ -141,7 +141,7 @@
     }
 
     pub(super) fn appended(&mut self, stream: Stream, sequence: u64, offset: Option<u64>) {
-        let (now_ms, limits) = (self.now_ms, self.limits.clone());
+        let (now_ms, limits) = (self.now_ms, self.limits);
         match stream {
             Stream::Keys(number) => self.keys_appended(number, sequence, offset),
             _ => {
--- a/crates/daemon/src/process.rs
+++ b/crates/daemon/src/process.rs
@@ -150,7 +150,7 @@
             incarnation,
         };
         let seats = settings.seats_by_vote();
-        let limits = settings.limits.clone();
+        let limits = settings.limits;
         edge.note(&Note::new(
             Code::Started,
             me.to_string(),
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -89,7 +89,7 @@
     /// Starts a process whose wall clock gives it a certain incarnation.
     pub(crate) fn start_as(&mut self, seat: Seat, incarnation: u64) {
         let me = Member { seat, incarnation };
-        let node = Node::new(me, &self.seats, self.limits.clone(), self.now_ms);
+        let node = Node::new(me, &self.seats, self.limits, self.now_ms);
         let outbox = Outbox::default();
         let filled = outbox.clone();
         let perform = Box::new(
