--- a/crates/core/src/notes.rs
+++ b/crates/core/src/notes.rs
@@ -42,6 +42,8 @@
     Started = 1001, "The daemon has started.";
     Stopping = 1002, "A planned stop has begun; readiness is off.";
     Stopped = 1003, "The last request in flight was answered; the daemon ends.";
+    SettingsRead = 1004, "The settings were read again.";
+    SettingsFaulty = 1005, "Settings that were read again are faulty; the former ones stay in force.";
     LeaseGained = 1101, "A majority of voters has promised; the member may act.";
     LeaseLost = 1102, "The lease has lapsed; the member starts another life without cells.";
     Consented = 1103, "This voter consents to deposing a member.";
@@ -74,6 +76,26 @@
     LinkClosed = 1601, "A link to a peer was closed.";
     LinkRefused = 1602, "A frame or a peer was refused.";
     CallerRefused = 1701, "A caller's connection or message was refused.";
+    StoreAway = 2001, "A call to the store had no answer or was refused.";
+    StoreBack = 2002, "The store answers again.";
+    OwnerClaimed = 2101, "This host has claimed to own the progress of all jobs.";
+    OwnerBegun = 2102, "This host has read all there is and acts as the owner.";
+    OwnerEnded = 2103, "This host no longer owns the progress of jobs.";
+    OwnerSuspected = 2104, "The owner has given no sign of life for too long, or is leaving.";
+    RulesInForce = 2201, "Rules of the operator are in force in this process.";
+    RulesUnreadable = 2202, "Rules or a worker's report can't be read and are passed over.";
+    JobStored = 2301, "A submission or a cancelling is stored; the caller was told so.";
+    JobRefused = 2302, "A submission or a cancelling was refused, and is not stored.";
+    JobUnknown = 2303, "A submission or a cancelling had no answer from the store in time.";
+    JobBegun = 2304, "The first task of a job was given to a worker.";
+    JobFailed = 2305, "A task of the job has failed too often.";
+    JobFinished = 2306, "A job has reached its final state.";
+    RunBroken = 2401, "A run of a task ended other than well.";
+    StartRefused = 2402, "A worker refused to start a run.";
+    WorkerSilent = 2501, "A worker gives no answer; its lease is no longer extended.";
+    WorkerBack = 2502, "A worker answers again.";
+    WorkerLeaving = 2503, "A worker is about to leave and gets nothing new.";
+    WorkerGone = 2504, "A worker is given up; nothing that ran there can be alive.";
 }
 
 plain! {
--- a/crates/daemon/src/bin/goldcrestwayd.rs
+++ b/crates/daemon/src/bin/goldcrestwayd.rs
@@ -16,22 +16,30 @@
 struct Arguments {
     /// file with the settings of this daemon, see docs/user/settings.md
     #[argh(option)]
-    settings: String,
+    settings: Option<String>,
+    /// run on the users' platform, which names the settings file in its own variable; see
+    /// docs/user/platform.md
+    #[argh(switch)]
+    platform: bool,
 }
 
 fn main() -> ExitCode {
     let arguments: Arguments = argh::from_env();
-    let text = match std::fs::read_to_string(&arguments.settings) {
+    if arguments.platform {
+        return run_on_platform();
+    }
+    let Some(path) = arguments.settings else {
+        eprintln!("Neither --settings nor --platform is given. Give one of them.");
+        return ExitCode::from(2);
+    };
+    let text = match std::fs::read_to_string(&path) {
         Ok(text) => text,
         Err(error) => {
-            eprintln!(
-                "{}: {error}. Name a file that can be read.",
-                arguments.settings
-            );
+            eprintln!("{path}: {error}. Name a file that can be read.");
             return ExitCode::from(2);
         }
     };
-    let settings = match load_settings(&arguments.settings, &text) {
+    let settings = match load_settings(&path, &text) {
         Ok(settings) => settings,
         Err(faults) => {
             eprint!("{faults}");
@@ -59,3 +67,13 @@
     daemon.wait();
     ExitCode::SUCCESS
 }
+
+fn run_on_platform() -> ExitCode {
+    match goldcrestway_adapter::run() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(fault) => {
+            eprintln!("{fault}");
+            ExitCode::from(2)
+        }
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/bounds.rs
@@ -0,0 +1,35 @@
+//! Times that the platform's operators have agreed on, and the project's own.
+
+/// Bounds that differ between deployments.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Bounds {
+    /// Longest lease of a task on a worker.
+    pub lease_most_ms: u64,
+    /// Time that a stop of a task may take.
+    pub stop_most_ms: u64,
+    /// Time for which the state of a finished job must be told.
+    pub status_ms: u64,
+    /// How early a scheduled occurrence may start.
+    pub early_ms: u64,
+    /// Factor by which a task far from its data takes longer, in thousandths.
+    pub far_permille: u64,
+    /// Time for which a served user may wait too long before it counts as harm.
+    pub harm_ms: u64,
+    /// Share of a core that this host has, in thousandths. Hosts with more claim first.
+    pub cpu_permille: u64,
+}
+
+impl Default for Bounds {
+    /// The values of the first deployments.
+    fn default() -> Self {
+        Self {
+            lease_most_ms: 6_000,
+            stop_most_ms: 400,
+            status_ms: 120_000,
+            early_ms: 250,
+            far_permille: 3_000,
+            harm_ms: 4_000,
+            cpu_permille: 100,
+        }
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/config.rs
@@ -0,0 +1,129 @@
+//! The operator's rules and the list of workers, in the product's words.
+
+/// Resources: what a task asks for, or what a worker has.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Room {
+    /// Processor time in thousandths of a core.
+    pub cpu_milli: u64,
+    /// Memory.
+    pub memory_mb: u64,
+    /// Accelerators.
+    pub accelerators: u64,
+}
+
+impl Room {
+    /// Tells whether `wanted` fits in.
+    pub fn holds(self, wanted: Room) -> bool {
+        self.cpu_milli >= wanted.cpu_milli
+            && self.memory_mb >= wanted.memory_mb
+            && self.accelerators >= wanted.accelerators
+    }
+
+    /// Adds up.
+    pub fn plus(self, other: Room) -> Room {
+        Room {
+            cpu_milli: self.cpu_milli + other.cpu_milli,
+            memory_mb: self.memory_mb + other.memory_mb,
+            accelerators: self.accelerators + other.accelerators,
+        }
+    }
+
+    /// Takes away, down to nothing.
+    pub fn minus(self, other: Room) -> Room {
+        Room {
+            cpu_milli: self.cpu_milli.saturating_sub(other.cpu_milli),
+            memory_mb: self.memory_mb.saturating_sub(other.memory_mb),
+            accelerators: self.accelerators.saturating_sub(other.accelerators),
+        }
+    }
+}
+
+/// A queue of jobs: where callers reach it and how its jobs are treated.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Queue {
+    /// Its name.
+    pub name: Box<str>,
+    /// Host name under which callers reach it, in lower case.
+    pub host: Box<str>,
+    /// Path under which callers reach it.
+    pub path_prefix: Box<str>,
+    /// Service whose workers run its tasks.
+    pub service: Box<str>,
+    /// 0 comes first.
+    pub priority: u32,
+    /// Runs of a task that may fail.
+    pub attempts_most: u32,
+    /// How many times its longest chain of work a job may take, in thousandths.
+    pub stretch_permille: u64,
+    /// Time on top of that.
+    pub target_latency_ms: u64,
+}
+
+/// The rules in force.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct Config {
+    /// Rises with each change, in uneven steps.
+    pub version: u64,
+    /// All queues.
+    pub queues: Box<[Queue]>,
+    /// Longest head of a caller's request.
+    pub head_most_bytes: usize,
+    /// Longest body of a caller's request.
+    pub body_most_bytes: usize,
+    /// Longest time for a caller's request to come in.
+    pub request_most_ms: u64,
+    /// Longest silence of a caller between requests.
+    pub idle_most_ms: u64,
+}
+
+impl Config {
+    /// Finds the queue of a host name and path: the one with the longest prefix.
+    pub fn find(&self, host: &str, path: &str) -> Option<&Queue> {
+        let mut best: Option<&Queue> = None;
+        for queue in &self.queues {
+            if !queue.host.eq_ignore_ascii_case(host) || !path.starts_with(&*queue.path_prefix) {
+                continue;
+            }
+            if best.is_none_or(|other| other.path_prefix.len() < queue.path_prefix.len()) {
+                best = Some(queue);
+            }
+        }
+        best
+    }
+
+    /// Finds a queue by its name.
+    pub fn queue(&self, name: &str) -> Option<&Queue> {
+        self.queues.iter().find(|queue| *queue.name == *name)
+    }
+}
+
+/// A worker as it reports itself.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct WorkerEntry {
+    /// Name of this incarnation.
+    pub id: Box<str>,
+    /// Service whose tasks it runs.
+    pub service: Box<str>,
+    /// Where it takes orders.
+    pub address: Box<str>,
+    /// Its failure domain.
+    pub failure_domain: Box<str>,
+    /// It is about to leave and must get nothing new.
+    pub is_leaving: bool,
+    /// Time after its start for which it stays slow.
+    pub cold_ms: u64,
+    /// What it has.
+    pub room: Room,
+    /// Its labels, its rack among them.
+    pub labels: Box<[Box<str>]>,
+}
+
+/// Functions that read values of the platform's streams into the product's types.
+/// They differ with the platform, so whoever embeds an entry passes them in.
+#[derive(Debug, Clone, Copy)]
+pub struct Decoders {
+    /// Reads the rules; the error says what is wrong.
+    pub config: fn(&[u8]) -> Result<Config, Box<str>>,
+    /// Reads a worker's report, given its id; the error says what is wrong.
+    pub worker: fn(&str, &[u8]) -> Result<WorkerEntry, Box<str>>,
+}
--- /dev/null
+++ b/crates/dispatch/src/election.rs
@@ -0,0 +1,117 @@
+//! Which entry host owns the progress of jobs.
+//!
+//! The store decides: a claim is an append under a higher epoch, which shuts the former
+//! owner's appends out from then on. Any host may claim at any time without harm; when
+//! it should is a matter of not disturbing an owner that is well. A host claims when it
+//! has read the stream to its end again and again and found no sign of life for a while.
+//! While the store is away nobody finds anything, so nobody claims.
+
+use crate::bounds::Bounds;
+use crate::event::Fence;
+use crate::event::Now;
+use crate::record::OwnerRecord;
+use xxhash_rust::xxh3::xxh3_64;
+
+/// Silence of the owner after which a host claims. An owner in good health writes every
+/// half second at least; a slow store delays it by a quarter of a second.
+const SILENCE_MS: u64 = 1_500;
+/// Hosts claim one after the other, in an order of their own, so that one is enough.
+const SPREAD_MS: u64 = 400;
+/// Between the claims of two hosts after an owner that leaves; it still acts meanwhile.
+const LEAVING_SPREAD_MS: u64 = 150;
+/// Pause between two reads of a follower, while the owner is well.
+const POLL_MS: u64 = 500;
+/// Pause between two reads while the owner is suspected.
+const SUSPECT_POLL_MS: u64 = 150;
+/// Bits of an epoch that tell apart hosts that claim at the same moment.
+const EPOCH_SPREAD_BITS: u32 = 16;
+
+/// What a host knows of the owner's health.
+#[derive(Debug)]
+pub(crate) struct Election {
+    /// This host's place in the order of claims.
+    spread_permille: u64,
+    salt: u64,
+    /// When the newest sign of life was read, and the sign.
+    sign_ms: Option<u64>,
+    /// When it was first known that the owner leaves.
+    leaving_ms: Option<u64>,
+    /// Epochs that this host has used.
+    claims: u64,
+}
+
+impl Election {
+    pub(crate) fn new(host: &str, bounds: &Bounds, salt: u64) -> Self {
+        let luck = xxh3_64(host.as_bytes()) % 1_000;
+        // Hosts with more of a core come first, as owning takes processor time.
+        let weakness = 1_000 - bounds.cpu_permille.min(1_000);
+        Self {
+            spread_permille: (weakness + luck) / 2,
+            salt,
+            sign_ms: None,
+            leaving_ms: None,
+            claims: 0,
+        }
+    }
+
+    /// Notes that a read found something that the owner wrote.
+    pub(crate) fn note_sign(&mut self, now_ms: u64, owner: &OwnerRecord) {
+        self.sign_ms = Some(now_ms);
+        if !owner.is_leaving {
+            self.leaving_ms = None;
+        } else if self.leaving_ms.is_none() {
+            self.leaving_ms = Some(now_ms);
+        }
+    }
+
+    /// Notes that the stream was read to its end for the first time.
+    pub(crate) fn note_loaded(&mut self, now_ms: u64) {
+        self.sign_ms.get_or_insert(now_ms);
+    }
+
+    /// Forgets the silence so far, since nobody could have been heard.
+    pub(crate) fn restart(&mut self, now_ms: u64) {
+        self.sign_ms = self.sign_ms.map(|_| now_ms);
+    }
+
+    /// Tells whether to claim. `fresh_ms` is when the newest read was sent that reached
+    /// the end of the stream.
+    pub(crate) fn should_claim(
+        &self,
+        now: Now,
+        fresh_ms: Option<u64>,
+        owner: &OwnerRecord,
+    ) -> bool {
+        let (Some(sign_ms), Some(fresh_ms)) = (self.sign_ms, fresh_ms) else {
+            return false;
+        };
+        if owner.token == 0 {
+            let wait_ms = self.spread_permille * LEAVING_SPREAD_MS / 1_000;
+            return now.steady_ms >= sign_ms + wait_ms && fresh_ms >= sign_ms;
+        }
+        if let Some(leaving_ms) = self.leaving_ms {
+            let wait_ms = self.spread_permille * LEAVING_SPREAD_MS / 1_000;
+            return now.steady_ms >= leaving_ms + wait_ms;
+        }
+        fresh_ms >= sign_ms + SILENCE_MS + self.spread_permille * SPREAD_MS / 1_000
+    }
+
+    /// Gives the pause between reads of the stream.
+    pub(crate) fn poll_ms(&self, now_ms: u64) -> u64 {
+        match self.sign_ms {
+            Some(sign_ms) if now_ms < sign_ms + 2 * POLL_MS => POLL_MS,
+            _ => SUSPECT_POLL_MS,
+        }
+    }
+
+    /// Makes an epoch above the owner's that no other host uses.
+    pub(crate) fn fence(&mut self, owner: &OwnerRecord) -> Fence {
+        self.claims += 1;
+        let mixed = xxh3_64(&[self.salt.to_le_bytes(), self.claims.to_le_bytes()].concat());
+        let spread = mixed & ((1 << EPOCH_SPREAD_BITS) - 1);
+        Fence {
+            epoch: (((owner.token >> EPOCH_SPREAD_BITS) + 1) << EPOCH_SPREAD_BITS) | spread,
+            sequence: 0,
+        }
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/entry/callers.rs
@@ -0,0 +1,518 @@
+//! Callers who await an answer: submissions, cancellations, questions.
+
+use crate::entry::Entry;
+use crate::event::Action;
+use crate::event::AppendEnd;
+use crate::event::Now;
+use crate::event::Reply;
+use crate::event::StoredRecord;
+use crate::event::Stream;
+use crate::ids::JobId;
+use crate::ledger::JobState;
+use crate::record::Key;
+use crate::record::Submission;
+use goldcrestway_core::Code;
+use goldcrestway_core::Note;
+use prost::Message;
+
+/// Time after which an append without an answer is repeated; a job stored twice remains
+/// one. The store answers in 4 ms, and in 240 ms when it is sixty times slower.
+const APPEND_TIMEOUT_MS: u64 = 700;
+/// Pause before a refused append is repeated.
+const RETRY_MS: u64 = 120;
+/// Appends of this host under way at once. Jobs that come meanwhile share the next one.
+const FLIGHTS_MOST: usize = 4;
+/// Records in one append.
+const BATCH_MOST: usize = 64;
+/// Time that the way back to the caller may take.
+const WAY_MS: u64 = 150;
+/// Time that a caller of unknown patience is made to wait at most.
+const PATIENCE_MOST_MS: u64 = 2_500;
+/// After that long a store in trouble may be better.
+const RETRY_AFTER_MS: u64 = 1_000;
+/// Time for which a question waits for a fresh read before it is answered by what is
+/// known, or told to come again.
+const QUESTION_MOST_MS: u64 = 900;
+
+/// A write that a caller awaits.
+#[derive(Debug)]
+struct Write {
+    request: u64,
+    job: JobId,
+    key: Key,
+    value: Box<[u8]>,
+    give_up_ms: u64,
+    taken_ms: u64,
+    retry_ms: u64,
+    /// The append under way.
+    ticket: Option<u64>,
+    /// An earlier append may yet be carried out.
+    is_doubtful: bool,
+    refusals: u32,
+}
+
+/// A question that awaits a read.
+#[derive(Debug)]
+struct Question {
+    request: u64,
+    about: About,
+    asked_ms: u64,
+}
+
+#[derive(Debug)]
+enum About {
+    State(JobId),
+    /// Cancelling a job that is not known yet.
+    Cancel(JobId, u64),
+    Waiting(Box<str>),
+}
+
+/// All callers who await an answer.
+#[derive(Debug, Default)]
+pub(crate) struct Callers {
+    writes: Vec<Write>,
+    questions: Vec<Question>,
+}
+
+impl Callers {
+    pub(crate) fn is_empty(&self) -> bool {
+        self.writes.is_empty() && self.questions.is_empty()
+    }
+
+    fn flights(&self) -> usize {
+        let mut tickets: Vec<u64> = self
+            .writes
+            .iter()
+            .filter_map(|write| write.ticket)
+            .collect();
+        tickets.sort_unstable();
+        tickets.dedup();
+        tickets.len()
+    }
+}
+
+impl Entry {
+    /// Takes a job in: it is stored before the caller is told so.
+    pub(crate) fn submit(
+        &mut self,
+        request: u64,
+        job: JobId,
+        submission: Submission,
+        patience_ms: u64,
+        now: Now,
+        actions: &mut Vec<Action>,
+    ) {
+        let is_known = self
+            .ledger
+            .jobs
+            .get(&job)
+            .is_some_and(|record| record.submission.is_some());
+        if is_known {
+            actions.push(Action::Answer {
+                request,
+                reply: Reply::Stored,
+            });
+            return;
+        }
+        let value = submission.encode_to_vec().into();
+        self.write(
+            request,
+            job,
+            Key::Submitted(job),
+            value,
+            patience_ms,
+            now,
+            actions,
+        );
+    }
+
+    /// Takes the cancelling of a job in.
+    pub(crate) fn cancel(
+        &mut self,
+        request: u64,
+        job: JobId,
+        patience_ms: u64,
+        now: Now,
+        actions: &mut Vec<Action>,
+    ) {
+        match self.ledger.jobs.get(&job) {
+            Some(record) if record.is_cancelled || record.phase().is_final() => {
+                actions.push(Action::Answer {
+                    request,
+                    reply: Reply::Stored,
+                });
+            }
+            Some(record) if record.submission.is_some() => {
+                self.write_cancel(request, job, patience_ms, now, actions);
+            }
+            _ => self.callers.questions.push(Question {
+                request,
+                about: About::Cancel(job, patience_ms),
+                asked_ms: now.steady_ms,
+            }),
+        }
+    }
+
+    fn write_cancel(
+        &mut self,
+        request: u64,
+        job: JobId,
+        patience_ms: u64,
+        now: Now,
+        actions: &mut Vec<Action>,
+    ) {
+        let value = Box::from(*b"1");
+        self.write(
+            request,
+            job,
+            Key::Cancelled(job),
+            value,
+            patience_ms,
+            now,
+            actions,
+        );
+    }
+
+    #[expect(
+        clippy::too_many_arguments,
+        reason = "These are the fields of one write."
+    )]
+    fn write(
+        &mut self,
+        request: u64,
+        job: JobId,
+        key: Key,
+        value: Box<[u8]>,
+        patience_ms: u64,
+        now: Now,
+        actions: &mut Vec<Action>,
+    ) {
+        // What can't be stored soon is refused at once; nothing of it was sent.
+        if self.is_store_away || self.config.is_none() {
+            actions.push(Action::Note(Note::new(
+                Code::JobRefused,
+                job.to_string(),
+                format!("why=store_away last_answer_ms={}", self.store_answered_ms),
+            )));
+            actions.push(Action::Answer {
+                request,
+                reply: Reply::NotDone {
+                    retry_after_ms: RETRY_AFTER_MS,
+                },
+            });
+            return;
+        }
+        let patience_ms = patience_ms.min(PATIENCE_MOST_MS).saturating_sub(WAY_MS);
+        self.callers.writes.push(Write {
+            request,
+            job,
+            key,
+            value,
+            give_up_ms: now.steady_ms + patience_ms,
+            taken_ms: now.steady_ms,
+            retry_ms: 0,
+            ticket: None,
+            is_doubtful: false,
+            refusals: 0,
+        });
+    }
+
+    /// Takes a question about a job in.
+    pub(crate) fn query(&mut self, request: u64, job: JobId, now: Now, actions: &mut Vec<Action>) {
+        if let Some(state) = self.certain_state(job) {
+            actions.push(Action::Answer {
+                request,
+                reply: Reply::State(state),
+            });
+            return;
+        }
+        self.callers.questions.push(Question {
+            request,
+            about: About::State(job),
+            asked_ms: now.steady_ms,
+        });
+    }
+
+    /// Gives the state of a job if no read could change it, or if this host writes it.
+    fn certain_state(&self, job: JobId) -> Option<JobState> {
+        let record = self.ledger.jobs.get(&job)?;
+        record.submission.as_ref()?;
+        let state = record.state();
+        let is_final = !matches!(state, JobState::Queued | JobState::Running);
+        (is_final || self.owner.is_some()).then_some(state)
+    }
+
+    /// Takes a question about a queue in.
+    pub(crate) fn count(&mut self, request: u64, queue: Box<str>, now: Now) {
+        self.callers.questions.push(Question {
+            request,
+            about: About::Waiting(queue),
+            asked_ms: now.steady_ms,
+        });
+    }
+
+    /// Takes in the end of an append.
+    pub(crate) fn appended(
+        &mut self,
+        ticket: u64,
+        end: AppendEnd,
+        now: Now,
+        actions: &mut Vec<Action>,
+    ) {
+        if end == AppendEnd::Fenced || matches!(end, AppendEnd::Stored { .. }) {
+            self.store_answered_ms = now.steady_ms;
+        }
+        if self.take_claim(ticket, end, now, actions) {
+            return;
+        }
+        if let Some(owner) = &mut self.owner
+            && let Some(records) = owner.take_append(ticket, end, now, &mut self.tickets, actions)
+        {
+            for record in records {
+                self.ledger.apply(&record);
+            }
+            return;
+        }
+        self.end_write(ticket, end, now, actions);
+    }
+
+    fn end_write(&mut self, ticket: u64, end: AppendEnd, now: Now, actions: &mut Vec<Action>) {
+        let mut at = 0;
+        let mut stored = 0;
+        while at < self.callers.writes.len() {
+            let write = &mut self.callers.writes[at];
+            if write.ticket != Some(ticket) {
+                at += 1;
+                continue;
+            }
+            write.ticket = None;
+            match end {
+                AppendEnd::Stored { offset } => {
+                    let write = self.callers.writes.remove(at);
+                    self.finish_write(write, offset + stored, now, actions);
+                    stored += 1;
+                }
+                AppendEnd::Unknown => {
+                    write.is_doubtful = true;
+                    at += 1;
+                }
+                AppendEnd::Refused | AppendEnd::Fenced => {
+                    write.refusals += 1;
+                    write.retry_ms = now.steady_ms + RETRY_MS;
+                    at += 1;
+                }
+            }
+        }
+    }
+
+    fn finish_write(&mut self, write: Write, offset: u64, now: Now, actions: &mut Vec<Action>) {
+        let record = StoredRecord {
+            offset,
+            key: write.key.text(),
+            value: write.value,
+        };
+        let change = self.ledger.apply(&record);
+        self.take_change(change, now);
+        actions.push(Action::Note(Note::new(
+            Code::JobStored,
+            write.job.to_string(),
+            format!(
+                "what={} offset={offset} took_ms={}",
+                if matches!(write.key, Key::Cancelled(_)) {
+                    "cancel"
+                } else {
+                    "submit"
+                },
+                now.steady_ms - write.taken_ms
+            ),
+        )));
+        actions.push(Action::Answer {
+            request: write.request,
+            reply: Reply::Stored,
+        });
+    }
+
+    /// Sends what waits, answers what can be answered, gives up what is late.
+    pub(crate) fn serve(&mut self, now: Now, actions: &mut Vec<Action>) {
+        self.send_writes(now, actions);
+        self.give_up_writes(now, actions);
+        self.answer_questions(now, actions);
+    }
+
+    fn send_writes(&mut self, now: Now, actions: &mut Vec<Action>) {
+        let mut flights = self.callers.flights();
+        while flights < FLIGHTS_MOST {
+            let mut records = Vec::new();
+            let ticket = self.tickets + 1;
+            for write in &mut self.callers.writes {
+                if write.ticket.is_some() || now.steady_ms < write.retry_ms {
+                    continue;
+                }
+                if records.len() < BATCH_MOST {
+                    write.ticket = Some(ticket);
+                    records.push((write.key.text(), write.value.clone()));
+                }
+            }
+            if records.is_empty() {
+                return;
+            }
+            self.tickets = ticket;
+            flights += 1;
+            actions.push(Action::Append {
+                ticket,
+                stream: Stream::Jobs,
+                fence: None,
+                records,
+                timeout_ms: APPEND_TIMEOUT_MS,
+            });
+        }
+    }
+
+    fn give_up_writes(&mut self, now: Now, actions: &mut Vec<Action>) {
+        let is_store_away = self.is_store_away;
+        self.callers.writes.retain(|write| {
+            // A write under way may be stored at any moment.
+            let is_certain = !write.is_doubtful && write.ticket.is_none();
+            let is_hopeless = is_store_away || write.refusals > 2;
+            let is_late = now.steady_ms >= write.give_up_ms;
+            if !(is_late || is_certain && is_hopeless) {
+                return true;
+            }
+            let (reply, code) = match is_certain {
+                true => (
+                    Reply::NotDone {
+                        retry_after_ms: RETRY_AFTER_MS,
+                    },
+                    Code::JobRefused,
+                ),
+                false => (Reply::Unknown, Code::JobUnknown),
+            };
+            actions.push(Action::Note(Note::new(
+                code,
+                write.job.to_string(),
+                format!(
+                    "waited_ms={} refusals={} doubtful={}",
+                    now.steady_ms - write.taken_ms,
+                    write.refusals,
+                    write.is_doubtful
+                ),
+            )));
+            actions.push(Action::Answer {
+                request: write.request,
+                reply,
+            });
+            false
+        });
+    }
+
+    fn answer_questions(&mut self, now: Now, actions: &mut Vec<Action>) {
+        let questions = std::mem::take(&mut self.callers.questions);
+        for question in questions {
+            if let Some(kept) = self.answer_question(question, now, actions) {
+                self.callers.questions.push(kept);
+            }
+        }
+    }
+
+    /// Answers a question, or gives it back if it must wait on.
+    fn answer_question(
+        &mut self,
+        question: Question,
+        now: Now,
+        actions: &mut Vec<Action>,
+    ) -> Option<Question> {
+        let is_late = now.steady_ms >= question.asked_ms + QUESTION_MOST_MS;
+        let asked_ms = question.asked_ms;
+        let reply = match &question.about {
+            About::State(job) => self.answer_state(*job, asked_ms, is_late, now, actions),
+            About::Waiting(queue) => {
+                let queue = queue.clone();
+                self.answer_waiting(&queue, asked_ms, is_late, now, actions)
+            }
+            About::Cancel(job, patience_ms) => {
+                let (job, patience_ms) = (*job, *patience_ms);
+                if self.ledger.jobs.contains_key(&job) {
+                    self.cancel(question.request, job, patience_ms, now, actions);
+                    return None;
+                }
+                match self.answer_state(job, asked_ms, is_late, now, actions) {
+                    Some(Reply::State(_)) => None,
+                    reply => reply,
+                }
+            }
+        };
+        let Some(reply) = reply else {
+            return Some(question);
+        };
+        actions.push(Action::Answer {
+            request: question.request,
+            reply,
+        });
+        None
+    }
+
+    fn answer_state(
+        &mut self,
+        job: JobId,
+        asked_ms: u64,
+        is_late: bool,
+        now: Now,
+        actions: &mut Vec<Action>,
+    ) -> Option<Reply> {
+        if let Some(state) = self.certain_state(job) {
+            return Some(Reply::State(state));
+        }
+        let record = self
+            .ledger
+            .jobs
+            .get(&job)
+            .filter(|record| record.submission.is_some());
+        let tail = match record {
+            Some(_) => &mut self.progress,
+            None => &mut self.jobs,
+        };
+        if tail.is_fresh_since(asked_ms) {
+            return Some(record.map_or(Reply::NoSuchJob, |record| Reply::State(record.state())));
+        }
+        if is_late {
+            // A host that is not sure of being current must not say that a job is unknown.
+            let unsure = Reply::NotDone {
+                retry_after_ms: RETRY_AFTER_MS,
+            };
+            return Some(record.map_or(unsure, |record| Reply::State(record.state())));
+        }
+        tail.prompt(asked_ms, now.steady_ms, &mut self.tickets, actions);
+        None
+    }
+
+    /// Counts waiting jobs once what is known is no older than the time between reads.
+    fn answer_waiting(
+        &mut self,
+        queue: &str,
+        asked_ms: u64,
+        is_late: bool,
+        now: Now,
+        actions: &mut Vec<Action>,
+    ) -> Option<Reply> {
+        const AGE_MOST_MS: u64 = 1_000;
+        let since_ms = asked_ms.saturating_sub(AGE_MOST_MS);
+        let is_own = self.owner.is_some();
+        let is_fresh = self.jobs.is_fresh_since(since_ms)
+            && (is_own || self.progress.is_fresh_since(since_ms));
+        if is_fresh {
+            return Some(Reply::Waiting(self.ledger.count_waiting(queue)));
+        }
+        if is_late {
+            return Some(Reply::NotDone {
+                retry_after_ms: RETRY_AFTER_MS,
+            });
+        }
+        let tickets = &mut self.tickets;
+        self.jobs.prompt(asked_ms, now.steady_ms, tickets, actions);
+        if !is_own {
+            self.progress
+                .prompt(asked_ms, now.steady_ms, tickets, actions);
+        }
+        None
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/entry/mod.rs
@@ -0,0 +1,435 @@
+//! One entry host: takes jobs in, answers for them, and owns their progress if no
+//! other host does.
+
+mod callers;
+mod owning;
+
+use crate::bounds::Bounds;
+use crate::config::Config;
+use crate::config::Decoders;
+use crate::config::WorkerEntry;
+use crate::election::Election;
+use crate::entry::callers::Callers;
+use crate::event::Action;
+use crate::event::Event;
+use crate::event::Fence;
+use crate::event::Now;
+use crate::event::Stream;
+use crate::ledger::Change;
+use crate::ledger::Ledger;
+use crate::owner::Figures;
+use crate::owner::Owner;
+use crate::tail::Progress;
+use crate::tail::Tail;
+use goldcrestway_core::Code;
+use goldcrestway_core::Note;
+use std::collections::HashMap;
+
+/// Time that the store holds a read that waits for a record. Under half of the time after
+/// which a silent connection must have been noticed.
+const LISTEN_MS: u64 = 2_000;
+/// Pause between two reads of submitted jobs by a host that does not own them; counts of
+/// waiting jobs may be 2 s old.
+const JOBS_POLL_MS: u64 = 800;
+/// Pause between two reads of the list of workers by the owner.
+const WORKERS_POLL_MS: u64 = 400;
+/// Time without an answer of the store after which a host turns unready, and refuses at
+/// once what it could not store.
+const STORE_AWAY_MS: u64 = 1_800;
+/// Time for which a job is told about after it was final, over what is asked for.
+const STATUS_SLACK_MS: u64 = 60_000;
+/// Pause between two looks for jobs that need not be told about any more.
+const PURGE_MS: u64 = 10_000;
+
+/// A claim under way.
+#[derive(Debug)]
+struct Claim {
+    fence: Fence,
+    /// The append under way.
+    ticket: Option<u64>,
+    retry_ms: u64,
+    /// Where the claim stands and when that was known.
+    stored: Option<(u64, u64)>,
+}
+
+/// The decisions of one entry host.
+#[derive(Debug)]
+pub struct Entry {
+    host: Box<str>,
+    bounds: Bounds,
+    decoders: Decoders,
+    tickets: u64,
+    jobs: Tail,
+    progress: Tail,
+    rules: Tail,
+    workers: Tail,
+    jobs_read_ms: u64,
+    progress_read_ms: u64,
+    workers_read_ms: u64,
+    purge_ms: u64,
+    ledger: Ledger,
+    config: Option<Config>,
+    worker_entries: HashMap<Box<str>, WorkerEntry>,
+    callers: Callers,
+    election: Election,
+    claim: Option<Claim>,
+    owner: Option<Owner>,
+    past_figures: Figures,
+    is_stopping: bool,
+    is_store_away: bool,
+    store_answered_ms: u64,
+}
+
+impl Entry {
+    /// Makes the decisions of the host with this name. The salt must differ between
+    /// hosts and between lives of a host.
+    pub fn new(host: &str, bounds: Bounds, decoders: Decoders, salt: u64) -> Self {
+        Self {
+            host: host.into(),
+            election: Election::new(host, &bounds, salt),
+            bounds,
+            decoders,
+            tickets: 0,
+            jobs: Tail::new(Stream::Jobs),
+            progress: Tail::new(Stream::Progress),
+            rules: Tail::new(Stream::Rules),
+            workers: Tail::new(Stream::Workers),
+            jobs_read_ms: 0,
+            progress_read_ms: 0,
+            workers_read_ms: 0,
+            purge_ms: 0,
+            ledger: Ledger::default(),
+            config: None,
+            worker_entries: HashMap::new(),
+            callers: Callers::default(),
+            claim: None,
+            owner: None,
+            past_figures: Figures::default(),
+            is_stopping: false,
+            is_store_away: false,
+            store_answered_ms: 0,
+        }
+    }
+
+    /// Gives the rules in force, if any are known.
+    pub fn config(&self) -> Option<&Config> {
+        self.config.as_ref()
+    }
+
+    /// Tells whether callers should be sent here.
+    pub fn is_ready(&self) -> bool {
+        self.config.is_some() && self.is_informed() && !self.is_stopping && !self.is_store_away
+    }
+
+    /// Tells whether this host is the owner.
+    pub fn is_owner(&self) -> bool {
+        self.owner.is_some()
+    }
+
+    /// Tells whether no caller awaits an answer.
+    pub fn is_idle(&self) -> bool {
+        self.callers.is_empty()
+    }
+
+    /// Gives the counts of all times at which this host was the owner.
+    pub fn figures(&self) -> Figures {
+        match &self.owner {
+            Some(owner) => owner.figures,
+            None => self.past_figures,
+        }
+    }
+
+    fn is_informed(&self) -> bool {
+        self.jobs.is_loaded() && self.progress.is_loaded()
+    }
+
+    /// Takes in an event and gives what to do.
+    pub fn handle(&mut self, now: Now, event: Event) -> Vec<Action> {
+        self.handle_all(now, vec![event])
+    }
+
+    /// Takes in events that came together and gives what to do. What follows from all of
+    /// them is decided once.
+    pub fn handle_all(&mut self, now: Now, events: Vec<Event>) -> Vec<Action> {
+        let mut actions = Vec::new();
+        for event in events {
+            self.take(now, event, &mut actions);
+        }
+        self.advance(now, &mut actions);
+        actions
+    }
+
+    fn take(&mut self, now: Now, event: Event, actions: &mut Vec<Action>) {
+        match event {
+            Event::Tick => {}
+            Event::Stop => self.stop(),
+            Event::Submit {
+                request,
+                job,
+                submission,
+                patience_ms,
+            } => self.submit(request, job, submission, patience_ms, now, actions),
+            Event::Query { request, job } => self.query(request, job, now, actions),
+            Event::Cancel {
+                request,
+                job,
+                patience_ms,
+            } => self.cancel(request, job, patience_ms, now, actions),
+            Event::Count { request, queue } => self.count(request, queue, now),
+            Event::Appended { ticket, end } => self.appended(ticket, end, now, actions),
+            Event::Read { ticket, end } => self.read(ticket, end, now, actions),
+            Event::Loaded { ticket, end } => self.loaded(ticket, end, now, actions),
+            Event::Ordered { ticket, end } => {
+                if let Some(owner) = &mut self.owner {
+                    owner.take_order(ticket, end, now, actions);
+                }
+            }
+        }
+    }
+
+    fn stop(&mut self) {
+        self.is_stopping = true;
+        self.claim = None;
+        if let Some(owner) = &mut self.owner {
+            owner.leave();
+        }
+    }
+
+    fn read(
+        &mut self,
+        ticket: u64,
+        mut end: crate::event::ReadEnd,
+        now: Now,
+        actions: &mut Vec<Action>,
+    ) {
+        for stream in [
+            Stream::Jobs,
+            Stream::Progress,
+            Stream::Rules,
+            Stream::Workers,
+        ] {
+            let tail = self.tail(stream);
+            if let Some(progress) = tail.take_read(ticket, now.steady_ms, &mut end) {
+                self.take_records(stream, progress, now, actions);
+                return;
+            }
+        }
+    }
+
+    fn loaded(
+        &mut self,
+        ticket: u64,
+        mut end: crate::event::PageEnd,
+        now: Now,
+        actions: &mut Vec<Action>,
+    ) {
+        for stream in [
+            Stream::Jobs,
+            Stream::Progress,
+            Stream::Rules,
+            Stream::Workers,
+        ] {
+            let tail = self.tail(stream);
+            if let Some(progress) = tail.take_page(ticket, now.steady_ms, &mut end) {
+                self.take_records(stream, progress, now, actions);
+                return;
+            }
+        }
+    }
+
+    fn tail(&mut self, stream: Stream) -> &mut Tail {
+        match stream {
+            Stream::Jobs => &mut self.jobs,
+            Stream::Progress => &mut self.progress,
+            Stream::Rules => &mut self.rules,
+            Stream::Workers => &mut self.workers,
+        }
+    }
+
+    fn take_records(
+        &mut self,
+        stream: Stream,
+        progress: Progress,
+        now: Now,
+        actions: &mut Vec<Action>,
+    ) {
+        match stream {
+            Stream::Jobs => self.take_jobs(&progress, now),
+            Stream::Progress => self.take_progress(&progress, now),
+            Stream::Rules => self.take_rules(&progress, actions),
+            Stream::Workers => self.take_workers(progress, now, actions),
+        }
+    }
+
+    fn take_jobs(&mut self, progress: &Progress, now: Now) {
+        for record in &progress.records {
+            let change = self.ledger.apply(record);
+            self.take_change(change, now);
+        }
+    }
+
+    /// Passes a change on to the owner, if this host is that.
+    pub(crate) fn take_change(&mut self, change: Change, now: Now) {
+        let Some(owner) = &mut self.owner else {
+            return;
+        };
+        match change {
+            Change::Submitted(id) => owner.adopt(id, &self.ledger, now),
+            Change::Cancelled(id) => owner.cancel(id, now),
+            _ => {}
+        }
+    }
+
+    fn take_progress(&mut self, progress: &Progress, now: Now) {
+        for record in &progress.records {
+            self.ledger.apply(record);
+        }
+        if !progress.records.is_empty() {
+            self.election.note_sign(now.steady_ms, &self.ledger.owner);
+        }
+        if self.progress.is_loaded() {
+            self.election.note_loaded(now.steady_ms);
+        }
+    }
+
+    fn take_rules(&mut self, progress: &Progress, actions: &mut Vec<Action>) {
+        for record in &progress.records {
+            if &*record.key != "config" || record.value.is_empty() {
+                continue;
+            }
+            match (self.decoders.config)(&record.value) {
+                Ok(config) => self.take_config(config, actions),
+                Err(fault) => actions.push(Action::Note(Note::new(
+                    Code::RulesUnreadable,
+                    "config",
+                    format!("offset={} {fault}", record.offset),
+                ))),
+            }
+        }
+    }
+
+    /// Takes rules into force, unless newer ones are.
+    fn take_config(&mut self, config: Config, actions: &mut Vec<Action>) {
+        if self
+            .config
+            .as_ref()
+            .is_some_and(|known| known.version >= config.version)
+        {
+            return;
+        }
+        actions.push(Action::Note(Note::new(
+            Code::RulesInForce,
+            config.version.to_string(),
+            format!("queues={}", config.queues.len()),
+        )));
+        self.config = Some(config);
+        actions.push(Action::Configured);
+    }
+
+    fn take_workers(&mut self, progress: Progress, now: Now, actions: &mut Vec<Action>) {
+        if progress.is_reloaded {
+            self.worker_entries.clear();
+        }
+        let has_change = !progress.records.is_empty() || progress.is_reloaded;
+        for record in progress.records {
+            if record.value.is_empty() {
+                self.worker_entries.remove(&record.key);
+                continue;
+            }
+            match (self.decoders.worker)(&record.key, &record.value) {
+                Ok(entry) => drop(self.worker_entries.insert(record.key, entry)),
+                Err(fault) => actions.push(Action::Note(Note::new(
+                    Code::RulesUnreadable,
+                    &*record.key,
+                    fault.to_string(),
+                ))),
+            }
+        }
+        if has_change && let Some(owner) = &mut self.owner {
+            owner.list_workers(&self.worker_entries, now, actions);
+        }
+    }
+
+    /// Does what is due by now.
+    fn advance(&mut self, now: Now, actions: &mut Vec<Action>) {
+        self.follow(now, actions);
+        self.watch_store(now, actions);
+        self.contend(now, actions);
+        self.own(now, actions);
+        self.serve(now, actions);
+        self.purge(now);
+    }
+
+    /// Reads on in the streams.
+    fn follow(&mut self, now: Now, actions: &mut Vec<Action>) {
+        let now_ms = now.steady_ms;
+        let tickets = &mut self.tickets;
+        for tail in [&mut self.rules, &mut self.jobs, &mut self.progress] {
+            tail.load(now_ms, tickets, actions);
+        }
+        self.rules.listen(LISTEN_MS, now_ms, tickets, actions);
+        let acts = self.owner.is_some() || self.claim.is_some();
+        if acts {
+            self.workers.load(now_ms, tickets, actions);
+            self.jobs.listen(LISTEN_MS, now_ms, tickets, actions);
+            if now_ms >= self.workers_read_ms + WORKERS_POLL_MS {
+                self.workers_read_ms = now_ms;
+                self.workers.prompt(now_ms, now_ms, tickets, actions);
+            }
+            return;
+        }
+        if now_ms >= self.jobs_read_ms + JOBS_POLL_MS {
+            self.jobs_read_ms = now_ms;
+            self.jobs.prompt(now_ms, now_ms, tickets, actions);
+        }
+        if now_ms >= self.progress_read_ms + self.election.poll_ms(now_ms) {
+            self.progress_read_ms = now_ms;
+            self.progress.prompt(now_ms, now_ms, tickets, actions);
+        }
+    }
+
+    /// Notices that the store does not answer this host, and that it does again.
+    fn watch_store(&mut self, now: Now, actions: &mut Vec<Action>) {
+        let answered_ms = [&self.rules, &self.jobs, &self.progress, &self.workers]
+            .iter()
+            .filter_map(|tail| tail.answered_ms)
+            .max()
+            .unwrap_or(0);
+        self.store_answered_ms = self.store_answered_ms.max(answered_ms);
+        let limit_ms = STORE_AWAY_MS + LISTEN_MS * u64::from(self.owner.is_some());
+        let is_away = now.steady_ms > self.store_answered_ms + limit_ms;
+        if is_away != self.is_store_away {
+            self.is_store_away = is_away;
+            let code = if is_away {
+                Code::StoreAway
+            } else {
+                Code::StoreBack
+            };
+            let age_ms = now.steady_ms.saturating_sub(self.store_answered_ms);
+            actions.push(Action::Note(Note::new(
+                code,
+                &*self.host,
+                format!("last_answer_age_ms={age_ms}"),
+            )));
+            if !is_away {
+                self.election.restart(now.steady_ms);
+            }
+        }
+    }
+
+    /// Lets go of jobs that need not be told about any more.
+    fn purge(&mut self, now: Now) {
+        if now.steady_ms < self.purge_ms {
+            return;
+        }
+        self.purge_ms = now.steady_ms + PURGE_MS;
+        let kept_ms = self.bounds.status_ms + STATUS_SLACK_MS;
+        self.ledger.jobs.retain(|_, job| {
+            let final_wall_ms = match &job.progress {
+                Some(progress) if progress.phase().is_final() => progress.final_wall_ms,
+                _ => return true,
+            };
+            now.wall_ms < final_wall_ms + kept_ms
+        });
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/entry/owning.rs
@@ -0,0 +1,165 @@
+//! Claiming to own the progress of jobs, and ceasing to.
+
+use crate::entry::Claim;
+use crate::entry::Entry;
+use crate::event::Action;
+use crate::event::AppendEnd;
+use crate::event::Now;
+use crate::event::Stream;
+use crate::owner::Owner;
+use crate::record::Key;
+use crate::record::OwnerRecord;
+use goldcrestway_core::Code;
+use goldcrestway_core::Note;
+use prost::Message;
+
+/// Time after which a claim without an answer is repeated.
+const CLAIM_TIMEOUT_MS: u64 = 700;
+/// Pause before a refused claim is repeated.
+const RETRY_MS: u64 = 100;
+
+impl Entry {
+    /// Claims if no owner is to be seen, and begins to own once all is read.
+    pub(crate) fn contend(&mut self, now: Now, actions: &mut Vec<Action>) {
+        if self.owner.is_some() || self.is_stopping || self.config.is_none() || !self.is_informed()
+        {
+            return;
+        }
+        let is_due = self
+            .election
+            .should_claim(now, self.progress.fresh_ms, &self.ledger.owner);
+        if self.claim.is_none() && is_due {
+            let owner = &self.ledger.owner;
+            actions.push(Action::Note(Note::new(
+                Code::OwnerSuspected,
+                &*owner.host,
+                format!("token={} leaving={}", owner.token, owner.is_leaving),
+            )));
+            self.claim = Some(Claim {
+                fence: self.election.fence(owner),
+                ticket: None,
+                retry_ms: 0,
+                stored: None,
+            });
+        }
+        self.send_claim(now, actions);
+        self.finish_claim(now, actions);
+    }
+
+    fn send_claim(&mut self, now: Now, actions: &mut Vec<Action>) {
+        let Some(claim) = &mut self.claim else {
+            return;
+        };
+        if claim.ticket.is_some() || claim.stored.is_some() || now.steady_ms < claim.retry_ms {
+            return;
+        }
+        self.tickets += 1;
+        claim.ticket = Some(self.tickets);
+        let record = OwnerRecord {
+            token: claim.fence.epoch,
+            host: self.host.to_string(),
+            is_leaving: false,
+            beat: 0,
+        };
+        actions.push(Action::Append {
+            ticket: self.tickets,
+            stream: Stream::Progress,
+            fence: Some(claim.fence),
+            records: vec![(Key::Owner.text(), record.encode_to_vec().into())],
+            timeout_ms: CLAIM_TIMEOUT_MS,
+        });
+    }
+
+    /// Begins to own once everything before the claim, and every job stored so far, is
+    /// read, and the list of workers is there.
+    fn finish_claim(&mut self, now: Now, actions: &mut Vec<Action>) {
+        let Some((offset, stored_ms)) = self.claim.as_ref().and_then(|claim| claim.stored) else {
+            return;
+        };
+        let token = self.claim.as_ref().map_or(0, |claim| claim.fence.epoch);
+        if self.ledger.owner.token > token {
+            self.claim = None;
+            return;
+        }
+        let now_ms = now.steady_ms;
+        let tickets = &mut self.tickets;
+        self.progress.prompt(stored_ms, now_ms, tickets, actions);
+        if !self.jobs.is_fresh_since(stored_ms) {
+            self.jobs.prompt(stored_ms, now_ms, tickets, actions);
+        }
+        let is_read = self.progress.next() > offset
+            && self.jobs.is_fresh_since(stored_ms)
+            && self.workers.is_loaded();
+        if !is_read {
+            return;
+        }
+        self.claim = None;
+        let mut owner = Owner::new(&self.host, token, &self.bounds, &self.ledger, now);
+        owner.figures = self.past_figures;
+        owner.list_workers(&self.worker_entries, now, actions);
+        actions.push(Action::Note(Note::new(
+            Code::OwnerBegun,
+            &*self.host,
+            format!(
+                "token={token} jobs={} workers={} claim_age_ms={}",
+                self.ledger.jobs.len(),
+                self.worker_entries.len(),
+                now_ms.saturating_sub(stored_ms)
+            ),
+        )));
+        self.owner = Some(owner);
+    }
+
+    /// Takes in the end of a claim, if the append was one.
+    pub(crate) fn take_claim(
+        &mut self,
+        ticket: u64,
+        end: AppendEnd,
+        now: Now,
+        actions: &mut Vec<Action>,
+    ) -> bool {
+        let Some(claim) = &mut self.claim else {
+            return false;
+        };
+        if claim.ticket != Some(ticket) {
+            return false;
+        }
+        claim.ticket = None;
+        match end {
+            AppendEnd::Stored { offset } => {
+                claim.stored = Some((offset, now.steady_ms));
+                actions.push(Action::Note(Note::new(
+                    Code::OwnerClaimed,
+                    &*self.host,
+                    format!("token={} offset={offset}", claim.fence.epoch),
+                )));
+            }
+            // Another host was faster; it gets the usual time to show itself.
+            AppendEnd::Fenced => {
+                self.claim = None;
+                self.election.restart(now.steady_ms);
+            }
+            AppendEnd::Refused | AppendEnd::Unknown => claim.retry_ms = now.steady_ms + RETRY_MS,
+        }
+        true
+    }
+
+    /// Lets the owner do what is due, or ends it.
+    pub(crate) fn own(&mut self, now: Now, actions: &mut Vec<Action>) {
+        let Some(owner) = &mut self.owner else {
+            return;
+        };
+        if owner.stepdown().is_none() {
+            owner.advance(now, &mut self.tickets, actions);
+            return;
+        }
+        actions.push(Action::Note(Note::new(
+            Code::OwnerEnded,
+            &*self.host,
+            format!("token={} why=fenced", owner.token()),
+        )));
+        self.past_figures = owner.figures;
+        self.owner = None;
+        self.election.restart(now.steady_ms);
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/ids.rs
@@ -0,0 +1,60 @@
+//! Names of jobs and tasks.
+
+use std::fmt;
+
+/// A job, as named by its caller with 16 hexadecimal digits.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct JobId(pub u64);
+
+impl JobId {
+    /// Reads the 16 digits, or gives `None` for anything else.
+    pub fn parse(text: &str) -> Option<Self> {
+        if text.len() != 16 || !text.bytes().all(|byte| byte.is_ascii_hexdigit()) {
+            return None;
+        }
+        u64::from_str_radix(text, 16).ok().map(JobId)
+    }
+}
+
+impl fmt::Display for JobId {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{:016x}", self.0)
+    }
+}
+
+/// One task of one occurrence of a step of a job.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct TaskId {
+    /// Its job.
+    pub job: JobId,
+    /// Occurrence, counted from 0; always 0 in a job that runs once.
+    pub occurrence: u32,
+    /// Step of the job, counted from 0.
+    pub step: u16,
+    /// Task of the step, counted from 0.
+    pub index: u16,
+}
+
+impl TaskId {
+    /// Reads a name as [`fmt::Display`] writes it.
+    pub fn parse(text: &str) -> Option<Self> {
+        let mut parts = text.split('.');
+        let id = Self {
+            job: JobId::parse(parts.next()?)?,
+            occurrence: parts.next()?.parse().ok()?,
+            step: parts.next()?.parse().ok()?,
+            index: parts.next()?.parse().ok()?,
+        };
+        parts.next().is_none().then_some(id)
+    }
+}
+
+impl fmt::Display for TaskId {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            formatter,
+            "{}.{}.{}.{}",
+            self.job, self.occurrence, self.step, self.index
+        )
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/lib.rs
@@ -0,0 +1,65 @@
+//! Decisions on jobs of many tasks, for entry hosts that keep nothing themselves.
+//!
+//! All that must last stands in four keyed streams of the platform's store: the
+//! submitted [jobs](Stream::Jobs), their [progress](Stream::Progress), the operator's
+//! [rules](Stream::Rules) and the [workers](Stream::Workers). Every entry host runs an
+//! [`Entry`], which accepts jobs by itself and answers for their state. One of them is
+//! the owner: it alone writes progress, under a token that also fences its orders to
+//! workers, and starts, watches and stops tasks.
+//!
+//! Nothing here does input or output, reads a clock or starts a thread: [`Event`]s and
+//! a [`Now`] go in, [`Action`]s come out.
+//!
+//! ```
+//! use goldcrestway_dispatch::{Action, Bounds, Decoders, Entry, Event, Now};
+//!
+//! let decoders = Decoders { config: |_| Err("no rules yet".into()), worker: |_, _| Err("none".into()) };
+//! let mut entry = Entry::new("entry-1", Bounds::default(), decoders, 7);
+//! let now = Now { steady_ms: 0, wall_ms: 1_700_000_000_000 };
+//! let actions = entry.handle(now, Event::Tick);
+//! // The first thing an entry host does is to load what the store holds.
+//! assert!(actions.iter().any(|action| matches!(action, Action::Load { .. })));
+//! ```
+
+mod bounds;
+mod config;
+mod election;
+mod entry;
+mod event;
+mod ids;
+mod ledger;
+mod owner;
+mod record;
+mod tail;
+
+pub use bounds::Bounds;
+pub use config::Config;
+pub use config::Decoders;
+pub use config::Queue;
+pub use config::Room;
+pub use config::WorkerEntry;
+pub use entry::Entry;
+pub use event::Action;
+pub use event::AppendEnd;
+pub use event::Event;
+pub use event::Fence;
+pub use event::Listed;
+pub use event::ListedEnd;
+pub use event::ListedRun;
+pub use event::Manner;
+pub use event::Now;
+pub use event::OrderEnd;
+pub use event::Page;
+pub use event::PageEnd;
+pub use event::ReadEnd;
+pub use event::Refusal;
+pub use event::Reply;
+pub use event::StoredRecord;
+pub use event::Stream;
+pub use event::WorkerCall;
+pub use ids::JobId;
+pub use ids::TaskId;
+pub use ledger::JobState;
+pub use owner::Figures;
+pub use record::Step;
+pub use record::Submission;
--- /dev/null
+++ b/crates/dispatch/src/owner/ends.rs
@@ -0,0 +1,212 @@
+//! What the end of a run means for its task and job.
+
+use crate::event::Action;
+use crate::event::Manner;
+use crate::event::Now;
+use crate::ids::TaskId;
+use crate::owner::Owner;
+use crate::owner::job::JobKey;
+use crate::owner::job::Placed;
+use crate::owner::worker::RunPhase;
+use crate::owner::worker::WorkerKey;
+use crate::record::JobPhase;
+use goldcrestway_core::Code;
+use goldcrestway_core::Note;
+
+/// Failures in a row after which a worker gets nothing new for a while.
+const FAILURES_MOST: u32 = 2;
+/// That while, doubled with each further failure, up to 16 times.
+const FAILED_SHUN_MS: u64 = 1_500;
+/// Pause before a task that ended badly is started again.
+const AGAIN_MS: u64 = 30;
+
+impl Owner {
+    /// Handles an end that a worker has listed.
+    #[expect(
+        clippy::too_many_arguments,
+        reason = "These are the columns of one row."
+    )]
+    pub(crate) fn apply_end(
+        &mut self,
+        key: WorkerKey,
+        task: TaskId,
+        number: u32,
+        manner: Manner,
+        checkpoint: &str,
+        now: Now,
+        actions: &mut Vec<Action>,
+    ) {
+        self.must_place = true;
+        let Some(run) = self.workers[key].remove(task, number) else {
+            return;
+        };
+        match manner {
+            Manner::Done => self.figures.done += 1,
+            Manner::Failed => self.figures.failed += 1,
+            _ => self.figures.broken += 1,
+        }
+        self.judge_worker(key, manner, now.steady_ms);
+        if manner != Manner::Done {
+            actions.push(Action::Note(Note::new(
+                Code::RunBroken,
+                task.to_string(),
+                format!(
+                    "run={number} worker={} how={manner:?} percent={} stray={}",
+                    self.workers[key].entry.id, run.percent, run.is_stray
+                ),
+            )));
+        }
+        if run.is_stray {
+            return;
+        }
+        let Some(job) = self.job_keys.get(&task.job).copied() else {
+            return;
+        };
+        self.end_run(job, key, task, number, manner, checkpoint, now, actions);
+    }
+
+    /// Learns from an end whether a worker fails whatever it starts.
+    fn judge_worker(&mut self, key: WorkerKey, manner: Manner, now_ms: u64) {
+        let worker = &mut self.workers[key];
+        match manner {
+            Manner::Done => worker.failures_in_row = 0,
+            Manner::Failed => {
+                worker.failures_in_row += 1;
+                if worker.failures_in_row >= FAILURES_MOST {
+                    let doublings = (worker.failures_in_row - FAILURES_MOST).min(4);
+                    worker.shunned_until_ms = now_ms + (FAILED_SHUN_MS << doublings);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    #[expect(
+        clippy::too_many_arguments,
+        reason = "These are the columns of one row."
+    )]
+    fn end_run(
+        &mut self,
+        key: JobKey,
+        worker: WorkerKey,
+        id: TaskId,
+        number: u32,
+        manner: Manner,
+        checkpoint: &str,
+        now: Now,
+        actions: &mut Vec<Action>,
+    ) {
+        let job = &mut self.jobs[key];
+        if job.phase.is_final() {
+            return;
+        }
+        let is_lasting = job.step(id).is_some_and(|step| step.is_lasting);
+        let attempts_most = job.submission.attempts_most.max(1);
+        let Some(task) = job.task_mut(id) else {
+            return;
+        };
+        let ended = Placed {
+            run: number,
+            worker,
+        };
+        if task.is_done || (task.placed != Some(ended) && task.copy != Some(ended)) {
+            return;
+        }
+        let mut rival = None;
+        if manner == Manner::Done && !is_lasting {
+            rival = match task.placed == Some(ended) {
+                true => task.copy,
+                false => task.placed,
+            };
+            task.is_done = true;
+            task.placed = None;
+            task.copy = None;
+        } else {
+            if task.placed == Some(ended) {
+                task.placed = task.copy.take();
+            } else {
+                task.copy = None;
+            }
+            if !checkpoint.is_empty() {
+                task.checkpoint = checkpoint.into();
+            }
+            task.not_before_ms = now.steady_ms + AGAIN_MS;
+            if manner == Manner::Failed {
+                task.failed_on = Some(worker);
+                task.failures += u32::from(!is_lasting);
+            }
+        }
+        let has_failed = task.failures >= attempts_most && !task.is_done;
+        job.has_waiting = true;
+        job.is_dirty = true;
+        if let Some(step) = job.step_mut(id) {
+            step.recount();
+        }
+        let is_finished = !is_lasting && job.is_finished();
+        if let Some(rival) = rival {
+            self.stop_rival(id, rival);
+        }
+        if has_failed {
+            actions.push(Action::Note(Note::new(
+                Code::JobFailed,
+                id.job.to_string(),
+                format!("task={id} failures={attempts_most}"),
+            )));
+            self.finish(key, JobPhase::Failed, now);
+        } else if is_finished {
+            self.finish(key, JobPhase::Completed, now);
+        }
+    }
+
+    fn stop_rival(&mut self, task: TaskId, rival: Placed) {
+        let Some(worker) = self.workers.get_mut(rival.worker) else {
+            return;
+        };
+        let Some(run) = worker.runs.get_mut(&(task, rival.run)) else {
+            return;
+        };
+        run.is_stray = true;
+        match run.phase {
+            RunPhase::Recording => drop(worker.remove(task, rival.run)),
+            _ => run.phase = RunPhase::Stopping { again_ms: 0 },
+        }
+    }
+
+    /// Handles a run of which nothing can be there any more, and never will.
+    pub(crate) fn lose_run(&mut self, key: WorkerKey, id: TaskId, number: u32, now_ms: u64) {
+        let Some(run) = self.workers[key].remove(id, number) else {
+            return;
+        };
+        self.must_place = true;
+        let Some(job) = self.job_keys.get(&id.job).copied() else {
+            return;
+        };
+        if run.is_stray {
+            return;
+        }
+        let job = &mut self.jobs[job];
+        let Some(task) = job.task_mut(id) else {
+            return;
+        };
+        let lost = Placed {
+            run: number,
+            worker: key,
+        };
+        if task.placed == Some(lost) {
+            task.placed = task.copy.take();
+        } else if task.copy == Some(lost) {
+            task.copy = None;
+        } else {
+            return;
+        }
+        if !run.checkpoint.is_empty() {
+            task.checkpoint = run.checkpoint;
+        }
+        task.not_before_ms = now_ms;
+        job.has_waiting = true;
+        job.is_dirty = true;
+        if let Some(step) = job.step_mut(id) {
+            step.recount();
+        }
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/owner/job.rs
@@ -0,0 +1,344 @@
+//! Jobs as their owner knows them.
+
+use crate::event::Now;
+use crate::ids::JobId;
+use crate::ids::TaskId;
+use crate::ledger::JobRecord;
+use crate::owner::worker::WorkerKey;
+use crate::record::JobPhase;
+use crate::record::OccurrenceProgress;
+use crate::record::Progress;
+use crate::record::Step;
+use crate::record::StepProgress;
+use crate::record::Submission;
+use crate::record::TaskPhase;
+use crate::record::TaskProgress;
+use slotmap::new_key_type;
+use std::rc::Rc;
+
+new_key_type! {
+    /// A job of the owner.
+    pub(crate) struct JobKey;
+}
+
+/// Work of a task when its caller gives no estimate.
+const UNKNOWN_WORK_MS: u64 = 1_000;
+
+/// A run of a task that is on record.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Placed {
+    pub(crate) run: u32,
+    pub(crate) worker: WorkerKey,
+}
+
+/// One task.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Task {
+    pub(crate) is_done: bool,
+    /// Number of its latest run; 0 before the first.
+    pub(crate) run: u32,
+    pub(crate) failures: u32,
+    /// Its run, if one may be on a worker.
+    pub(crate) placed: Option<Placed>,
+    /// A second run beside it, of a step that allows copies.
+    pub(crate) copy: Option<Placed>,
+    pub(crate) checkpoint: Box<str>,
+    /// Earliest time of the next run.
+    pub(crate) not_before_ms: u64,
+    /// Worker on which it failed last; another one is tried first.
+    pub(crate) failed_on: Option<WorkerKey>,
+    /// When its present run was placed.
+    pub(crate) placed_ms: u64,
+}
+
+impl Task {
+    pub(crate) fn is_waiting(&self) -> bool {
+        !self.is_done && self.placed.is_none()
+    }
+}
+
+/// The tasks of one step of one occurrence.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct StepState {
+    pub(crate) tasks: Vec<Task>,
+    pub(crate) done: u32,
+    /// Tasks that run nowhere.
+    pub(crate) waiting: u32,
+}
+
+impl StepState {
+    fn new(step: &Step) -> Self {
+        Self {
+            tasks: vec![Task::default(); step.count as usize],
+            done: 0,
+            waiting: step.count,
+        }
+    }
+
+    pub(crate) fn is_done(&self) -> bool {
+        self.done as usize == self.tasks.len()
+    }
+
+    pub(crate) fn recount(&mut self) {
+        self.done = 0;
+        self.waiting = 0;
+        for task in &self.tasks {
+            self.done += u32::from(task.is_done);
+            self.waiting += u32::from(task.is_waiting());
+        }
+    }
+}
+
+/// One time that a job runs.
+#[derive(Debug, Clone)]
+pub(crate) struct Occurrence {
+    pub(crate) number: u32,
+    pub(crate) steps: Vec<StepState>,
+}
+
+impl Occurrence {
+    fn new(number: u32, submission: &Submission) -> Self {
+        let mut steps = Vec::with_capacity(submission.steps.len());
+        for step in &submission.steps {
+            steps.push(StepState::new(step));
+        }
+        Self { number, steps }
+    }
+
+    pub(crate) fn is_done(&self) -> bool {
+        self.steps.iter().all(StepState::is_done)
+    }
+
+    /// Tells whether the tasks of a step may start.
+    pub(crate) fn is_open(&self, step: &Step) -> bool {
+        step.after.iter().all(|before| {
+            self.steps
+                .get(*before as usize)
+                .is_some_and(StepState::is_done)
+        })
+    }
+}
+
+/// One job.
+#[derive(Debug, Clone)]
+pub(crate) struct Job {
+    pub(crate) id: JobId,
+    pub(crate) submission: Rc<Submission>,
+    pub(crate) specification: Rc<str>,
+    pub(crate) occurrences: Vec<Occurrence>,
+    pub(crate) next_occurrence: u32,
+    pub(crate) phase: JobPhase,
+    /// The record of its progress is behind.
+    pub(crate) is_dirty: bool,
+    /// Time by which its caller would like it done.
+    pub(crate) due_ms: u64,
+    /// Time after which its end is worth nothing to its caller.
+    pub(crate) worthless_ms: u64,
+    pub(crate) final_wall_ms: u64,
+    /// Tasks that must wait for nothing but a worker, or `true` if that has to be found out.
+    pub(crate) has_waiting: bool,
+}
+
+/// An objective counts as missed for good when it is missed by this factor.
+const WORTHLESS_FACTOR: u64 = 3;
+
+impl Job {
+    /// Takes a job over from the record.
+    pub(crate) fn new(
+        id: JobId,
+        record: &JobRecord,
+        now: Now,
+        worker: impl FnMut(&str) -> WorkerKey,
+    ) -> Option<Self> {
+        let submission = record.submission.clone()?;
+        let age_ms = now.wall_ms.saturating_sub(submission.accepted_wall_ms);
+        let allowed_ms = submission.target_latency_ms
+            + chain_ms(&submission) * submission.stretch_permille / 1_000;
+        let arrived_ms = now.steady_ms.saturating_sub(age_ms);
+        let mut job = Self {
+            id,
+            specification: submission.specification.as_str().into(),
+            occurrences: Vec::new(),
+            next_occurrence: 0,
+            phase: record.phase(),
+            is_dirty: false,
+            due_ms: arrived_ms + allowed_ms,
+            worthless_ms: arrived_ms + allowed_ms * WORTHLESS_FACTOR,
+            final_wall_ms: 0,
+            has_waiting: true,
+            submission,
+        };
+        if let Some(progress) = &record.progress {
+            job.resume(progress, worker);
+        }
+        Some(job)
+    }
+
+    fn resume(&mut self, progress: &Progress, mut worker: impl FnMut(&str) -> WorkerKey) {
+        self.next_occurrence = progress.next_occurrence;
+        self.final_wall_ms = progress.final_wall_ms;
+        for past in &progress.occurrences {
+            let mut occurrence = Occurrence::new(past.number, &self.submission);
+            for (state, step) in occurrence.steps.iter_mut().zip(&past.steps) {
+                resume_step(state, step, &mut worker);
+            }
+            self.occurrences.push(occurrence);
+        }
+    }
+
+    /// Opens the occurrences that are due, and tells whether there were any.
+    pub(crate) fn open_occurrences(&mut self, now: Now, early_ms: u64) -> bool {
+        let mut has_new = false;
+        while self.next_occurrence < self.submission.repetitions.max(1) {
+            if now.wall_ms + early_ms / 2 < self.occurrence_due_wall_ms(self.next_occurrence) {
+                break;
+            }
+            self.occurrences
+                .push(Occurrence::new(self.next_occurrence, &self.submission));
+            self.next_occurrence += 1;
+            self.has_waiting = true;
+            has_new = true;
+        }
+        has_new
+    }
+
+    fn occurrence_due_wall_ms(&self, number: u32) -> u64 {
+        match self.submission.repetitions {
+            0 => 0,
+            _ => {
+                self.submission.first_due_wall_ms + u64::from(number) * self.submission.interval_ms
+            }
+        }
+    }
+
+    pub(crate) fn task_mut(&mut self, id: TaskId) -> Option<&mut Task> {
+        self.step_mut(id)?.tasks.get_mut(usize::from(id.index))
+    }
+
+    pub(crate) fn step_mut(&mut self, id: TaskId) -> Option<&mut StepState> {
+        self.occurrences
+            .iter_mut()
+            .find(|occurrence| occurrence.number == id.occurrence)?
+            .steps
+            .get_mut(usize::from(id.step))
+    }
+
+    pub(crate) fn step(&self, id: TaskId) -> Option<&Step> {
+        self.submission.steps.get(usize::from(id.step))
+    }
+
+    /// Drops finished occurrences, and tells whether all are done.
+    pub(crate) fn is_finished(&mut self) -> bool {
+        let keeps_last = self.submission.repetitions <= 1;
+        if !keeps_last {
+            self.occurrences.retain(|occurrence| !occurrence.is_done());
+        }
+        self.next_occurrence >= self.submission.repetitions.max(1)
+            && self.occurrences.iter().all(Occurrence::is_done)
+    }
+
+    /// Gives the record of its progress.
+    pub(crate) fn progress(&self, name: impl Fn(WorkerKey) -> String) -> Progress {
+        let mut occurrences = Vec::new();
+        if !self.phase.is_final() {
+            for occurrence in &self.occurrences {
+                let mut steps = Vec::with_capacity(occurrence.steps.len());
+                for state in &occurrence.steps {
+                    steps.push(step_progress(state, &name));
+                }
+                occurrences.push(OccurrenceProgress {
+                    number: occurrence.number,
+                    steps,
+                });
+            }
+        }
+        Progress {
+            phase: self.phase as i32,
+            occurrences,
+            next_occurrence: self.next_occurrence,
+            final_wall_ms: self.final_wall_ms,
+        }
+    }
+}
+
+fn resume_step(
+    state: &mut StepState,
+    step: &StepProgress,
+    worker: &mut impl FnMut(&str) -> WorkerKey,
+) {
+    for task in &mut state.tasks {
+        task.is_done = step.is_done;
+    }
+    for (task, past) in state.tasks.iter_mut().zip(&step.tasks) {
+        task.run = past.run.max(past.copy_run);
+        task.failures = past.failures;
+        task.checkpoint = past.checkpoint.as_str().into();
+        task.is_done = past.phase() == TaskPhase::Done;
+        if past.phase() == TaskPhase::Assigned {
+            task.placed = Some(Placed {
+                run: past.run,
+                worker: worker(&past.worker),
+            });
+        }
+        if !past.copy_worker.is_empty() {
+            task.copy = Some(Placed {
+                run: past.copy_run,
+                worker: worker(&past.copy_worker),
+            });
+        }
+    }
+    state.recount();
+}
+
+fn step_progress(state: &StepState, name: &impl Fn(WorkerKey) -> String) -> StepProgress {
+    if state.is_done() {
+        return StepProgress {
+            is_done: true,
+            tasks: Vec::new(),
+        };
+    }
+    let is_untouched = state.tasks.iter().all(|task| task.run == 0);
+    let mut tasks = Vec::new();
+    for task in &state.tasks {
+        if is_untouched {
+            break;
+        }
+        let phase = match (task.is_done, task.placed) {
+            (true, _) => TaskPhase::Done,
+            (false, Some(_)) => TaskPhase::Assigned,
+            (false, None) => TaskPhase::Waiting,
+        };
+        tasks.push(TaskProgress {
+            phase: phase as i32,
+            run: task.placed.map_or(task.run, |placed| placed.run),
+            failures: task.failures,
+            worker: task
+                .placed
+                .map_or(String::new(), |placed| name(placed.worker)),
+            checkpoint: task.checkpoint.to_string(),
+            copy_run: task.copy.map_or(0, |copy| copy.run),
+            copy_worker: task.copy.map_or(String::new(), |copy| name(copy.worker)),
+        });
+    }
+    StepProgress {
+        is_done: false,
+        tasks,
+    }
+}
+
+/// Gives the work of the longest chain of steps.
+fn chain_ms(submission: &Submission) -> u64 {
+    let mut ends_ms: Vec<u64> = Vec::with_capacity(submission.steps.len());
+    for step in &submission.steps {
+        let mut start_ms = 0;
+        for before in &step.after {
+            start_ms = start_ms.max(ends_ms.get(*before as usize).copied().unwrap_or(0));
+        }
+        let work_ms = match step.estimated_ms {
+            0 => UNKNOWN_WORK_MS,
+            work_ms => work_ms,
+        };
+        ends_ms.push(start_ms + work_ms);
+    }
+    ends_ms.into_iter().max().unwrap_or(0)
+}
--- /dev/null
+++ b/crates/dispatch/src/owner/looks.rs
@@ -0,0 +1,306 @@
+//! Looking at workers: keeps leases alive and learns what runs and what has ended.
+
+use crate::event::Action;
+use crate::event::Listed;
+use crate::event::ListedRun;
+use crate::event::Now;
+use crate::event::OrderEnd;
+use crate::event::WorkerCall;
+use crate::ids::TaskId;
+use crate::owner::Owner;
+use crate::owner::Purpose;
+use crate::owner::worker::Run;
+use crate::owner::worker::RunPhase;
+use crate::owner::worker::WorkerKey;
+use goldcrestway_core::Code;
+use goldcrestway_core::Note;
+use std::collections::HashSet;
+
+/// Time that a worker waits for an end before it answers a look. Half the time in which
+/// harm to a served task must be noticed twice.
+const WAIT_MS: u64 = 1_000;
+/// Pause between looks at a worker, so that ends that come together are told together.
+const GAP_MS: u64 = 60;
+/// Pause between looks while ends wait to be recorded, which a look would repeat.
+const HELD_GAP_MS: u64 = 1_000;
+/// Pause between looks at a worker that gives no answer.
+const SILENT_GAP_MS: u64 = 300;
+/// Time after which an answer that should have come is no longer awaited.
+const TIMEOUT_MS: u64 = 800;
+/// Runs of which an order to start may be repeated before the run is given up.
+const START_TRIES: u32 = 2;
+
+impl Owner {
+    /// Sends the looks that are due, and buries workers that can hold nothing any more.
+    pub(crate) fn look_around(&mut self, now: Now, tickets: &mut u64, actions: &mut Vec<Action>) {
+        let now_ms = now.steady_ms;
+        let mut due = Vec::new();
+        let mut dead = Vec::new();
+        for (key, worker) in &self.workers {
+            let is_reachable = !worker.entry.address.is_empty();
+            let may_be_dead = worker.is_silent || !worker.is_known || !is_reachable;
+            let has_lapsed = may_be_dead && now_ms > worker.lapsed_ms;
+            let is_over = !worker.is_listed && worker.runs.is_empty() && !worker.is_looked_at;
+            let holds_up = !worker.runs.is_empty() || !worker.is_listed;
+            if is_over || has_lapsed && holds_up {
+                dead.push(key);
+            } else if is_reachable && !worker.is_looked_at && now_ms >= worker.next_look_ms {
+                due.push(key);
+            }
+        }
+        for key in dead {
+            self.bury(key, now, actions);
+        }
+        for key in due {
+            self.look(key, now_ms, tickets, actions);
+        }
+    }
+
+    fn look(&mut self, key: WorkerKey, now_ms: u64, tickets: &mut u64, actions: &mut Vec<Action>) {
+        let is_confirmed = self.is_confirmed(now_ms);
+        let span_ms = self.lease_span_ms();
+        let lease_most_ms = self.bounds.lease_most_ms;
+        let worker = &mut self.workers[key];
+        // The lease of a silent worker must run out some day: its tasks are started
+        // elsewhere only then. A look whose answer is lost would extend it.
+        let extends = is_confirmed && worker.is_known && !worker.is_silent;
+        let lease_until_ms = match worker.clock_ms(now_ms) {
+            Some(clock_ms) if extends => Some(clock_ms + lease_most_ms),
+            _ => None,
+        };
+        if lease_until_ms.is_some() {
+            worker.lapsed_ms = now_ms + span_ms;
+        }
+        let has_unrecorded = worker.handled > worker.recorded;
+        let waits =
+            worker.is_known && !worker.is_silent && !has_unrecorded && worker.clock.is_some();
+        let wait_ms = if waits { WAIT_MS } else { 0 };
+        let call = WorkerCall::Look {
+            seen: worker.recorded,
+            lease_until_ms,
+            wait_ms,
+        };
+        self.figures.looks += 1;
+        self.order(
+            key,
+            Purpose::Look { sent_ms: now_ms },
+            call,
+            wait_ms + TIMEOUT_MS,
+            tickets,
+            actions,
+        );
+        self.workers[key].is_looked_at = true;
+    }
+
+    pub(crate) fn end_look(
+        &mut self,
+        key: WorkerKey,
+        sent_ms: u64,
+        end: OrderEnd,
+        now: Now,
+        actions: &mut Vec<Action>,
+    ) {
+        let now_ms = now.steady_ms;
+        let worker = &mut self.workers[key];
+        worker.is_looked_at = false;
+        let OrderEnd::Done {
+            listed: Some(listed),
+            ..
+        } = end
+        else {
+            if !worker.is_silent {
+                actions.push(Action::Note(Note::new(
+                    Code::WorkerSilent,
+                    &*worker.entry.id,
+                    format!(
+                        "sent_ms={sent_ms} now_ms={now_ms} runs={}",
+                        worker.runs.len()
+                    ),
+                )));
+            }
+            worker.is_silent = true;
+            worker.next_look_ms = now_ms + SILENT_GAP_MS;
+            return;
+        };
+        if worker.is_silent {
+            self.must_place = true;
+            actions.push(Action::Note(Note::new(
+                Code::WorkerBack,
+                &*worker.entry.id,
+                format!("runs={}", listed.runs.len()),
+            )));
+        }
+        worker.is_silent = false;
+        worker.answered_ms = now_ms;
+        let was_known = worker.is_known;
+        worker.is_known = true;
+        self.must_place |= !was_known;
+        self.take_ends(key, &listed, now, actions);
+        self.take_runs(key, sent_ms, &listed, now_ms);
+        let worker = &mut self.workers[key];
+        let gap_ms = match worker.handled > worker.recorded {
+            true => HELD_GAP_MS,
+            false if was_known => GAP_MS,
+            false => 0,
+        };
+        worker.next_look_ms = now_ms + gap_ms;
+    }
+
+    fn take_ends(&mut self, key: WorkerKey, listed: &Listed, now: Now, actions: &mut Vec<Action>) {
+        for end in &listed.ends {
+            if end.number <= self.workers[key].handled {
+                continue;
+            }
+            self.workers[key].handled = end.number;
+            self.apply_end(
+                key,
+                end.task,
+                end.run,
+                end.manner,
+                &end.checkpoint,
+                now,
+                actions,
+            );
+        }
+    }
+
+    /// Compares what the worker lists as running with what should be there.
+    fn take_runs(&mut self, key: WorkerKey, sent_ms: u64, listed: &Listed, now_ms: u64) {
+        let mut present = HashSet::with_capacity(listed.runs.len());
+        for row in &listed.runs {
+            present.insert((row.task, row.run));
+            if !self.workers[key].runs.contains_key(&(row.task, row.run)) {
+                self.add_stray(key, row);
+            }
+            let Some(run) = self.workers[key].runs.get_mut(&(row.task, row.run)) else {
+                continue;
+            };
+            note_row(run, row, now_ms);
+        }
+        let mut absent = Vec::new();
+        for (id, run) in &self.workers[key].runs {
+            if !present.contains(id) {
+                absent.push((*id, run.phase));
+            }
+        }
+        for ((task, number), phase) in absent {
+            self.take_absent(key, task, number, phase, sent_ms, now_ms);
+        }
+    }
+
+    /// A run that nobody here knows is stopped: it may be of a job that has ended, or an
+    /// order of a former owner that was carried out late.
+    fn add_stray(&mut self, key: WorkerKey, row: &ListedRun) {
+        let job = self.job_keys.get(&row.task.job).copied();
+        let mut run = match job {
+            Some(job) => self.make_run(job, row.task, RunPhase::Stopping { again_ms: 0 }, 0),
+            None => Run {
+                phase: RunPhase::Stopping { again_ms: 0 },
+                room: Default::default(),
+                cpu_milli: 0,
+                is_filler: false,
+                is_lasting: false,
+                tail_target_ms: 0,
+                is_stray: true,
+                tries: 0,
+                checkpoint: "".into(),
+                percent: 0,
+                moved_ms: 0,
+                gauge: 0,
+                pace_percent: 100,
+                is_pacing: false,
+            },
+        };
+        run.is_stray = true;
+        self.workers[key].add(row.task, row.run, run);
+    }
+
+    fn take_absent(
+        &mut self,
+        key: WorkerKey,
+        task: TaskId,
+        number: u32,
+        phase: RunPhase,
+        sent_ms: u64,
+        now_ms: u64,
+    ) {
+        match phase {
+            RunPhase::Recording | RunPhase::Sent | RunPhase::Stopping { .. } => {}
+            // Orders of a former owner are refused from this look on.
+            RunPhase::Inherited => self.lose_run(key, task, number, now_ms),
+            RunPhase::Stopped { since_ms } if sent_ms >= since_ms => {
+                self.lose_run(key, task, number, now_ms);
+            }
+            RunPhase::Doubtful { since_ms } if sent_ms >= since_ms => {
+                self.retry_start(key, task, number, now_ms);
+            }
+            RunPhase::Present { since_ms } if sent_ms >= since_ms => {
+                self.set_phase(key, task, number, RunPhase::Stopping { again_ms: 0 });
+            }
+            _ => {}
+        }
+    }
+
+    fn retry_start(&mut self, key: WorkerKey, task: TaskId, number: u32, now_ms: u64) {
+        let Some(run) = self.workers[key].runs.get_mut(&(task, number)) else {
+            return;
+        };
+        run.phase = match run.tries < START_TRIES && !run.is_stray {
+            // The same number makes a repeat harmless.
+            true => RunPhase::Recording,
+            false => RunPhase::Stopping { again_ms: now_ms },
+        };
+        if run.phase == RunPhase::Recording {
+            self.writer.start_once_stored(key, task, number);
+            if let Some(job) = self.job_keys.get(&task.job) {
+                self.jobs[*job].is_dirty = true;
+            }
+        }
+    }
+
+    pub(crate) fn set_phase(&mut self, key: WorkerKey, task: TaskId, number: u32, phase: RunPhase) {
+        if let Some(run) = self.workers[key].runs.get_mut(&(task, number)) {
+            run.phase = phase;
+        }
+    }
+
+    /// Gives up a worker: nothing that was there can be alive.
+    pub(crate) fn bury(&mut self, key: WorkerKey, now: Now, actions: &mut Vec<Action>) {
+        let runs: Vec<(TaskId, u32)> = self.workers[key].runs.keys().copied().collect();
+        actions.push(Action::Note(Note::new(
+            Code::WorkerGone,
+            &*self.workers[key].entry.id,
+            format!("runs={} now_ms={}", runs.len(), now.steady_ms),
+        )));
+        for (task, run) in runs {
+            self.lose_run(key, task, run, now.steady_ms);
+        }
+        let Some(worker) = self.workers.remove(key) else {
+            return;
+        };
+        self.worker_keys.remove(&worker.entry.id);
+        if !worker.entry.address.is_empty() {
+            actions.push(Action::Forget {
+                address: worker.entry.address,
+            });
+        }
+        self.must_place = true;
+    }
+}
+
+fn note_row(run: &mut Run, row: &ListedRun, now_ms: u64) {
+    if row.percent > run.percent {
+        run.moved_ms = now_ms;
+    }
+    run.percent = row.percent;
+    run.gauge = row.gauge;
+    if !row.checkpoint.is_empty() {
+        run.checkpoint.clone_from(&row.checkpoint);
+    }
+    match run.phase {
+        RunPhase::Inherited | RunPhase::Doubtful { .. } => {
+            run.phase = RunPhase::Present { since_ms: now_ms };
+        }
+        _ => {}
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/owner/mod.rs
@@ -0,0 +1,442 @@
+//! The owner of all jobs: starts, watches and stops tasks on workers.
+//!
+//! What is written before what:
+//!
+//! - a run is on record as assigned before the order to start it is sent, so a
+//!   successor knows where each task may be;
+//! - an end is on record before the worker is told to forget it, so a successor finds
+//!   it in one place or the other;
+//! - all else a successor learns by looking at the workers under its higher token,
+//!   after which they refuse whatever a former owner still sends.
+
+mod ends;
+mod job;
+mod looks;
+mod orders;
+mod pacing;
+mod placing;
+mod worker;
+mod writing;
+
+use crate::bounds::Bounds;
+use crate::config::WorkerEntry;
+use crate::event::Action;
+use crate::event::AppendEnd;
+use crate::event::Now;
+use crate::event::OrderEnd;
+use crate::event::StoredRecord;
+use crate::ids::JobId;
+use crate::ids::TaskId;
+use crate::ledger::Ledger;
+use crate::owner::job::Job;
+use crate::owner::job::JobKey;
+use crate::owner::worker::Run;
+use crate::owner::worker::RunPhase;
+use crate::owner::worker::Worker;
+use crate::owner::worker::WorkerKey;
+use crate::owner::writing::Writer;
+use crate::record::JobPhase;
+use goldcrestway_core::Code;
+use goldcrestway_core::Note;
+use slotmap::SlotMap;
+use std::collections::HashMap;
+
+/// Time for which an owner goes on that neither the store nor the workers confirm.
+/// The store is silent for longer than that at times, the workers are not.
+const CONFIRMED_MOST_MS: u64 = 3_000;
+/// A clock may be slow by 2%; a third more covers the time on the way.
+const CLOCK_SKEW_PERMILLE: u64 = 1_030;
+const LAPSE_SLACK_MS: u64 = 300;
+
+/// Counts that the metrics show.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Figures {
+    /// Orders to start that were sent.
+    pub starts: u64,
+    /// Orders to start that were refused for want of room.
+    pub refused_room: u64,
+    /// Runs that ended well.
+    pub done: u64,
+    /// Runs that failed.
+    pub failed: u64,
+    /// Runs that ended in any other way.
+    pub broken: u64,
+    /// Looks at workers.
+    pub looks: u64,
+    /// Changes of a filler's share.
+    pub paces: u64,
+    /// Appends to the stream of progress.
+    pub appends: u64,
+}
+
+/// What an order in flight was for.
+#[derive(Debug, Clone, Copy)]
+enum Purpose {
+    Look {
+        sent_ms: u64,
+    },
+    Start {
+        task: TaskId,
+        run: u32,
+    },
+    Stop {
+        task: TaskId,
+        run: u32,
+    },
+    Pace {
+        task: TaskId,
+        run: u32,
+        percent: u32,
+    },
+}
+
+/// Why an owner ends.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Stepdown {
+    /// A store or worker has seen a higher token.
+    Fenced,
+}
+
+/// The owner's state.
+#[derive(Debug)]
+pub(crate) struct Owner {
+    token: u64,
+    host: Box<str>,
+    bounds: Bounds,
+    jobs: SlotMap<JobKey, Job>,
+    job_keys: HashMap<JobId, JobKey>,
+    live: Vec<JobKey>,
+    workers: SlotMap<WorkerKey, Worker>,
+    worker_keys: HashMap<Box<str>, WorkerKey>,
+    orders: HashMap<u64, (WorkerKey, Purpose)>,
+    writer: Writer,
+    /// When the store or most workers last confirmed this owner.
+    confirmed_ms: u64,
+    is_leaving: bool,
+    must_place: bool,
+    stepdown: Option<Stepdown>,
+    pub(crate) figures: Figures,
+}
+
+impl Owner {
+    /// Begins to own what the ledger holds, under a token that the store has accepted.
+    pub(crate) fn new(host: &str, token: u64, bounds: &Bounds, ledger: &Ledger, now: Now) -> Self {
+        let mut owner = Self {
+            token,
+            host: host.into(),
+            bounds: bounds.clone(),
+            jobs: SlotMap::with_key(),
+            job_keys: HashMap::new(),
+            live: Vec::new(),
+            workers: SlotMap::with_key(),
+            worker_keys: HashMap::new(),
+            orders: HashMap::new(),
+            writer: Writer::new(now.steady_ms),
+            confirmed_ms: now.steady_ms,
+            is_leaving: false,
+            must_place: true,
+            stepdown: None,
+            figures: Figures::default(),
+        };
+        let mut ids: Vec<JobId> = ledger.jobs.keys().copied().collect();
+        ids.sort_unstable();
+        for id in ids {
+            owner.adopt(id, ledger, now);
+        }
+        owner
+    }
+
+    /// Takes in a job from the ledger, with the runs that a former owner has recorded.
+    pub(crate) fn adopt(&mut self, id: JobId, ledger: &Ledger, now: Now) {
+        if self.job_keys.contains_key(&id) {
+            return;
+        }
+        let Some(record) = ledger.jobs.get(&id) else {
+            return;
+        };
+        let lapsed_ms = self.foreign_lapse_ms(now.steady_ms);
+        let (workers, keys) = (&mut self.workers, &mut self.worker_keys);
+        let job = Job::new(id, record, now, |name| {
+            *keys
+                .entry(name.into())
+                .or_insert_with(|| workers.insert(Worker::unlisted(name, lapsed_ms)))
+        });
+        let Some(mut job) = job else {
+            return;
+        };
+        if job.phase.is_final() {
+            return;
+        }
+        let is_new = job.open_occurrences(now, self.bounds.early_ms);
+        let key = self.jobs.insert(job);
+        self.job_keys.insert(id, key);
+        self.live.push(key);
+        self.inherit_runs(key);
+        self.must_place |= is_new;
+        if record.is_cancelled {
+            self.cancel(id, now);
+        }
+    }
+
+    /// Time after which a worker that this owner never reached holds nothing of a former
+    /// one: that one stops within a while of losing its confirmation.
+    fn foreign_lapse_ms(&self, now_ms: u64) -> u64 {
+        now_ms + CONFIRMED_MOST_MS + self.lease_span_ms()
+    }
+
+    /// Longest time from sending an order with a lease until that lease is over.
+    fn lease_span_ms(&self) -> u64 {
+        self.bounds.lease_most_ms * CLOCK_SKEW_PERMILLE / 1_000 + LAPSE_SLACK_MS
+    }
+
+    fn inherit_runs(&mut self, key: JobKey) {
+        let job = &self.jobs[key];
+        let mut placed = Vec::new();
+        for occurrence in &job.occurrences {
+            for (step, state) in occurrence.steps.iter().enumerate() {
+                for (index, task) in state.tasks.iter().enumerate() {
+                    let id = TaskId {
+                        job: job.id,
+                        occurrence: occurrence.number,
+                        step: step as u16,
+                        index: index as u16,
+                    };
+                    placed.extend(task.placed.map(|placed| (id, placed)));
+                    placed.extend(task.copy.map(|copy| (id, copy)));
+                }
+            }
+        }
+        for (id, at) in placed {
+            let run = self.make_run(key, id, RunPhase::Inherited, 0);
+            if let Some(worker) = self.workers.get_mut(at.worker) {
+                worker.add(id, at.run, run);
+            }
+        }
+    }
+
+    fn make_run(&self, key: JobKey, id: TaskId, phase: RunPhase, now_ms: u64) -> Run {
+        let step = self.jobs[key].step(id).cloned().unwrap_or_default();
+        Run {
+            phase,
+            room: step.room(),
+            cpu_milli: step.cpu_milli,
+            is_filler: step.is_filler,
+            is_lasting: step.is_lasting,
+            tail_target_ms: step.tail_target_ms,
+            is_stray: false,
+            tries: 0,
+            checkpoint: "".into(),
+            percent: 0,
+            moved_ms: now_ms,
+            gauge: 0,
+            pace_percent: 100,
+            is_pacing: false,
+        }
+    }
+
+    /// Takes in the platform's list of workers.
+    pub(crate) fn list_workers(
+        &mut self,
+        entries: &HashMap<Box<str>, WorkerEntry>,
+        now: Now,
+        actions: &mut Vec<Action>,
+    ) {
+        for entry in entries.values() {
+            match self.worker_keys.get(&entry.id) {
+                Some(key) => {
+                    let worker = &mut self.workers[*key];
+                    if entry.is_leaving && !worker.entry.is_leaving {
+                        actions.push(Action::Note(Note::new(
+                            Code::WorkerLeaving,
+                            &*entry.id,
+                            format!("runs={}", worker.runs.len()),
+                        )));
+                    }
+                    worker.is_listed = true;
+                    worker.entry = entry.clone();
+                }
+                None => {
+                    let lapsed_ms = self.foreign_lapse_ms(now.steady_ms);
+                    let key = self.workers.insert(Worker::new(entry.clone(), lapsed_ms));
+                    self.worker_keys.insert(entry.id.clone(), key);
+                }
+            }
+        }
+        for (id, key) in &self.worker_keys {
+            if !entries.contains_key(id) {
+                self.workers[*key].is_listed = false;
+            }
+        }
+        self.must_place = true;
+    }
+
+    /// Stops a job for good.
+    pub(crate) fn cancel(&mut self, id: JobId, now: Now) {
+        if let Some(key) = self.job_keys.get(&id) {
+            self.finish(*key, JobPhase::Cancelled, now);
+        }
+    }
+
+    /// Ends a job: whatever still runs of it is stopped.
+    fn finish(&mut self, key: JobKey, phase: JobPhase, now: Now) {
+        let job = &mut self.jobs[key];
+        if job.phase.is_final() {
+            return;
+        }
+        job.phase = phase;
+        job.final_wall_ms = now.wall_ms;
+        job.has_waiting = false;
+        job.is_dirty = true;
+        let id = job.id;
+        for worker in self.workers.values_mut() {
+            let mut unsent = Vec::new();
+            for ((task, number), run) in &mut worker.runs {
+                if task.job != id || run.is_stray {
+                    continue;
+                }
+                run.is_stray = true;
+                match run.phase {
+                    RunPhase::Recording => unsent.push((*task, *number)),
+                    RunPhase::Stopping { .. } | RunPhase::Stopped { .. } => {}
+                    _ => run.phase = RunPhase::Stopping { again_ms: 0 },
+                }
+            }
+            for (task, number) in unsent {
+                worker.remove(task, number);
+            }
+        }
+        self.must_place = true;
+    }
+
+    /// Marks that the host is about to stop, so that another one claims.
+    pub(crate) fn leave(&mut self) {
+        self.is_leaving = true;
+        self.writer.announce();
+    }
+
+    /// Takes in the end of an append, if it is one of this owner. Gives the records that
+    /// are stored by now.
+    pub(crate) fn take_append(
+        &mut self,
+        ticket: u64,
+        end: AppendEnd,
+        now: Now,
+        tickets: &mut u64,
+        actions: &mut Vec<Action>,
+    ) -> Option<Vec<StoredRecord>> {
+        self.finish_append(ticket, end, now, tickets, actions)
+    }
+
+    /// Takes in the end of an order, if it is one of this owner.
+    pub(crate) fn take_order(
+        &mut self,
+        ticket: u64,
+        end: OrderEnd,
+        now: Now,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some((worker, purpose)) = self.orders.remove(&ticket) else {
+            return;
+        };
+        if end == OrderEnd::Refused(crate::event::Refusal::Fence) {
+            self.stepdown = Some(Stepdown::Fenced);
+            return;
+        }
+        if !self.workers.contains_key(worker) {
+            return;
+        }
+        if end == OrderEnd::Refused(crate::event::Refusal::Gone) {
+            self.bury(worker, now, actions);
+            return;
+        }
+        if let OrderEnd::Done { clock_ms, .. } = &end {
+            self.workers[worker].clock = Some((*clock_ms, now.steady_ms));
+        }
+        match purpose {
+            Purpose::Look { sent_ms } => self.end_look(worker, sent_ms, end, now, actions),
+            Purpose::Start { task, run } => self.end_start(worker, task, run, end, now, actions),
+            Purpose::Stop { task, run } => self.end_stop(worker, task, run, end, now),
+            Purpose::Pace { task, run, percent } => self.end_pace(worker, task, run, percent, &end),
+        }
+    }
+
+    /// Does what is due.
+    pub(crate) fn advance(&mut self, now: Now, tickets: &mut u64, actions: &mut Vec<Action>) {
+        self.open_due(now);
+        self.check_confirmed(now.steady_ms);
+        self.look_around(now, tickets, actions);
+        self.stop_strays(now.steady_ms, tickets, actions);
+        if self.must_place {
+            self.must_place = false;
+            self.place(now, actions);
+        }
+        self.pace(now.steady_ms, tickets, actions);
+        self.write(now, tickets, actions);
+    }
+
+    fn open_due(&mut self, now: Now) {
+        for key in &self.live {
+            let job = &mut self.jobs[*key];
+            if job.next_occurrence < job.submission.repetitions
+                && job.open_occurrences(now, self.bounds.early_ms)
+            {
+                job.is_dirty = true;
+                self.must_place = true;
+            }
+        }
+    }
+
+    /// Notices confirmation by the workers: most of them have answered this token lately,
+    /// so no successor has called them before.
+    fn check_confirmed(&mut self, now_ms: u64) {
+        const ANSWERED_LATELY_MS: u64 = 2_000;
+        let mut count = 0;
+        let mut listed = 0;
+        for worker in self.workers.values() {
+            listed += usize::from(worker.is_listed);
+            count += usize::from(
+                worker.is_listed
+                    && worker.is_known
+                    && worker.answered_ms + ANSWERED_LATELY_MS > now_ms,
+            );
+        }
+        if listed > 0 && count * 2 > listed {
+            self.confirmed_ms = now_ms;
+        }
+    }
+
+    /// Tells whether this owner may extend leases and start tasks.
+    fn is_confirmed(&self, now_ms: u64) -> bool {
+        now_ms < self.confirmed_ms + CONFIRMED_MOST_MS
+    }
+
+    pub(crate) fn stepdown(&self) -> Option<Stepdown> {
+        self.stepdown
+    }
+
+    pub(crate) fn token(&self) -> u64 {
+        self.token
+    }
+
+    fn order(
+        &mut self,
+        worker: WorkerKey,
+        purpose: Purpose,
+        call: crate::event::WorkerCall,
+        timeout_ms: u64,
+        tickets: &mut u64,
+        actions: &mut Vec<Action>,
+    ) {
+        *tickets += 1;
+        self.orders.insert(*tickets, (worker, purpose));
+        let entry = &self.workers[worker].entry;
+        actions.push(Action::Order {
+            ticket: *tickets,
+            address: entry.address.clone(),
+            worker: entry.id.clone(),
+            token: self.token,
+            call,
+            timeout_ms,
+        });
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/owner/orders.rs
@@ -0,0 +1,181 @@
+//! Orders to start and stop runs, and what their ends mean.
+
+use crate::event::Action;
+use crate::event::Now;
+use crate::event::OrderEnd;
+use crate::event::Refusal;
+use crate::event::WorkerCall;
+use crate::ids::TaskId;
+use crate::owner::Owner;
+use crate::owner::Purpose;
+use crate::owner::worker::RunPhase;
+use crate::owner::worker::WorkerKey;
+use goldcrestway_core::Code;
+use goldcrestway_core::Note;
+
+/// Time after which the answer to an order is no longer awaited. Workers answer in
+/// milliseconds; ones that are seven times slower do so in tens of them.
+const TIMEOUT_MS: u64 = 800;
+/// Pause before a stop without an answer is sent again.
+const STOP_AGAIN_MS: u64 = 300;
+/// Time for which a worker that had no room gets nothing new.
+const NO_ROOM_MS: u64 = 400;
+/// Time for which a worker that is unwell or can't be reached gets nothing new.
+const UNWELL_MS: u64 = 1_500;
+/// Pause before a task that a worker did not understand is tried again.
+const FAULTY_MS: u64 = 1_000;
+
+impl Owner {
+    /// Sends the order to start a run that is on record.
+    pub(crate) fn send_start(
+        &mut self,
+        key: WorkerKey,
+        task: TaskId,
+        number: u32,
+        now: Now,
+        tickets: &mut u64,
+        actions: &mut Vec<Action>,
+    ) {
+        if !self.is_recording(key, task, number) {
+            return;
+        }
+        let now_ms = now.steady_ms;
+        let span_ms = self.lease_span_ms();
+        let lease_most_ms = self.bounds.lease_most_ms;
+        let job = self.job_keys.get(&task.job).copied();
+        let Some(clock_ms) = self.workers[key].clock_ms(now_ms) else {
+            return self.lose_run(key, task, number, now_ms);
+        };
+        let Some(job) = job.filter(|_| self.is_confirmed(now_ms)) else {
+            return self.lose_run(key, task, number, now_ms);
+        };
+        let job = &mut self.jobs[job];
+        let specification = job.specification.clone();
+        let checkpoint = job
+            .task_mut(task)
+            .map_or("".into(), |task| task.checkpoint.clone());
+        let worker = &mut self.workers[key];
+        worker.lapsed_ms = worker.lapsed_ms.max(now_ms + span_ms);
+        if let Some(run) = worker.runs.get_mut(&(task, number)) {
+            run.phase = RunPhase::Sent;
+            run.tries += 1;
+            run.checkpoint.clone_from(&checkpoint);
+            run.moved_ms = now_ms;
+        }
+        self.figures.starts += 1;
+        let call = WorkerCall::Start {
+            task,
+            run: number,
+            specification,
+            lease_until_ms: clock_ms + lease_most_ms,
+            checkpoint,
+        };
+        let purpose = Purpose::Start { task, run: number };
+        self.order(key, purpose, call, TIMEOUT_MS, tickets, actions);
+    }
+
+    pub(crate) fn end_start(
+        &mut self,
+        key: WorkerKey,
+        task: TaskId,
+        number: u32,
+        end: OrderEnd,
+        now: Now,
+        actions: &mut Vec<Action>,
+    ) {
+        let now_ms = now.steady_ms;
+        let Some(run) = self.workers[key].runs.get_mut(&(task, number)) else {
+            return;
+        };
+        if run.phase != RunPhase::Sent {
+            return;
+        }
+        let is_first = run.tries <= 1;
+        match end {
+            OrderEnd::Done { .. } => run.phase = RunPhase::Present { since_ms: now_ms },
+            OrderEnd::Unknown => run.phase = RunPhase::Doubtful { since_ms: now_ms },
+            OrderEnd::Refused(Refusal::Old) => run.phase = RunPhase::Stopped { since_ms: now_ms },
+            // An earlier order for the same run may still be on its way.
+            _ if !is_first => run.phase = RunPhase::Stopping { again_ms: now_ms },
+            OrderEnd::NotSent => self.refuse_start(key, task, number, UNWELL_MS, now_ms),
+            OrderEnd::Refused(refusal) => {
+                actions.push(Action::Note(Note::new(
+                    Code::StartRefused,
+                    task.to_string(),
+                    format!(
+                        "run={number} worker={} why={refusal:?}",
+                        self.workers[key].entry.id
+                    ),
+                )));
+                let shun_ms = match refusal {
+                    Refusal::Room => {
+                        self.figures.refused_room += 1;
+                        NO_ROOM_MS
+                    }
+                    Refusal::Unwell => UNWELL_MS,
+                    _ => FAULTY_MS,
+                };
+                self.refuse_start(key, task, number, shun_ms, now_ms);
+            }
+        }
+    }
+
+    fn refuse_start(
+        &mut self,
+        key: WorkerKey,
+        task: TaskId,
+        number: u32,
+        shun_ms: u64,
+        now_ms: u64,
+    ) {
+        self.workers[key].shunned_until_ms = now_ms + shun_ms;
+        self.lose_run(key, task, number, now_ms);
+    }
+
+    /// Sends the stops that are due.
+    pub(crate) fn stop_strays(
+        &mut self,
+        now_ms: u64,
+        tickets: &mut u64,
+        actions: &mut Vec<Action>,
+    ) {
+        let mut due = Vec::new();
+        for (key, worker) in &mut self.workers {
+            if worker.entry.address.is_empty() {
+                continue;
+            }
+            for ((task, number), run) in &mut worker.runs {
+                if let RunPhase::Stopping { again_ms } = &mut run.phase
+                    && *again_ms <= now_ms
+                {
+                    *again_ms = now_ms + TIMEOUT_MS + STOP_AGAIN_MS;
+                    due.push((key, *task, *number));
+                }
+            }
+        }
+        for (key, task, run) in due {
+            let call = WorkerCall::Stop { task, run };
+            let purpose = Purpose::Stop { task, run };
+            self.order(key, purpose, call, TIMEOUT_MS, tickets, actions);
+        }
+    }
+
+    pub(crate) fn end_stop(
+        &mut self,
+        key: WorkerKey,
+        task: TaskId,
+        number: u32,
+        end: OrderEnd,
+        now: Now,
+    ) {
+        let phase = match end {
+            OrderEnd::Done { .. } | OrderEnd::Refused(Refusal::Old) => RunPhase::Stopped {
+                since_ms: now.steady_ms,
+            },
+            _ => RunPhase::Stopping {
+                again_ms: now.steady_ms + STOP_AGAIN_MS,
+            },
+        };
+        self.set_phase(key, task, number, phase);
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/owner/placing.rs
@@ -0,0 +1,249 @@
+//! Which task starts next, and where.
+
+use crate::event::Action;
+use crate::event::Now;
+use crate::ids::TaskId;
+use crate::owner::Owner;
+use crate::owner::job::JobKey;
+use crate::owner::job::Placed;
+use crate::owner::worker::RunPhase;
+use crate::owner::worker::Worker;
+use crate::owner::worker::WorkerKey;
+use crate::record::JobPhase;
+use crate::record::Step;
+use goldcrestway_core::Code;
+use goldcrestway_core::Note;
+
+/// Tasks placed in one go; what is left follows with the next event, so that looks and
+/// stops are not held up by a burst.
+const PLACED_MOST: usize = 400;
+/// Part of its room that a lasting task uses, in percent. Workers leave the rest to
+/// fillers; measured on calm days as 42.
+const LASTING_USE_PERCENT: u64 = 50;
+/// Cost, in thousandths of a core, of a worker far from a task's data.
+const FAR_COST: i64 = 1_000_000;
+/// Cost of a worker on which the task has failed before.
+const FAILED_COST: i64 = 100_000;
+/// Cost of a worker whose last run failed.
+const SUSPECT_COST: i64 = 20_000;
+/// Cost of a worker that is still warming up.
+const COLD_COST: i64 = 50_000;
+
+/// What a step asks of the worker for one of its tasks.
+struct Wanted<'a> {
+    step: &'a Step,
+    service: &'a str,
+    task: TaskId,
+    failed_on: Option<WorkerKey>,
+}
+
+impl Owner {
+    /// Places waiting tasks, the most urgent first.
+    pub(crate) fn place(&mut self, now: Now, actions: &mut Vec<Action>) {
+        let mut order = Vec::new();
+        for key in &self.live {
+            let job = &self.jobs[*key];
+            if job.has_waiting {
+                let is_worthless = now.steady_ms > job.worthless_ms;
+                order.push((is_worthless, job.submission.priority, job.due_ms, *key));
+            }
+        }
+        order.sort_unstable_by_key(|(is_worthless, priority, due_ms, _)| {
+            (*is_worthless, *priority, *due_ms)
+        });
+        let mut left = PLACED_MOST;
+        for (_, _, _, key) in order {
+            self.place_job(key, now, &mut left, actions);
+            if left == 0 {
+                self.must_place = true;
+                return;
+            }
+        }
+    }
+
+    fn place_job(&mut self, key: JobKey, now: Now, left: &mut usize, actions: &mut Vec<Action>) {
+        let submission = self.jobs[key].submission.clone();
+        let mut still_waits = false;
+        for at in 0..self.jobs[key].occurrences.len() {
+            for (number, step) in submission.steps.iter().enumerate() {
+                let occurrence = &self.jobs[key].occurrences[at];
+                if occurrence.steps[number].waiting == 0 || !occurrence.is_open(step) {
+                    continue;
+                }
+                let first = TaskId {
+                    job: self.jobs[key].id,
+                    occurrence: occurrence.number,
+                    step: number as u16,
+                    index: 0,
+                };
+                still_waits |= self.place_step(key, first, step, now, left, actions);
+            }
+        }
+        self.jobs[key].has_waiting = still_waits;
+    }
+
+    /// Places the waiting tasks of a step, and tells whether some still wait.
+    fn place_step(
+        &mut self,
+        key: JobKey,
+        first: TaskId,
+        step: &Step,
+        now: Now,
+        left: &mut usize,
+        actions: &mut Vec<Action>,
+    ) -> bool {
+        let submission = self.jobs[key].submission.clone();
+        for index in 0..step.count as u16 {
+            let id = TaskId { index, ..first };
+            let Some(task) = self.jobs[key].task_mut(id) else {
+                return false;
+            };
+            if !task.is_waiting() {
+                continue;
+            }
+            if task.not_before_ms > now.steady_ms {
+                self.must_place = true;
+                continue;
+            }
+            let wanted = Wanted {
+                step,
+                service: &submission.service,
+                task: id,
+                failed_on: task.failed_on,
+            };
+            let Some(worker) = self.choose(&wanted, now.steady_ms) else {
+                return true;
+            };
+            self.assign(key, id, worker, now, actions);
+            *left = left.saturating_sub(1);
+            if *left == 0 {
+                return true;
+            }
+        }
+        self.jobs[key]
+            .step_mut(first)
+            .is_some_and(|state| state.waiting > 0)
+    }
+
+    /// Chooses the worker with the least cost among those that can take the task.
+    fn choose(&self, wanted: &Wanted<'_>, now_ms: u64) -> Option<WorkerKey> {
+        let mut best: Option<(i64, WorkerKey)> = None;
+        for (key, worker) in &self.workers {
+            if !worker.is_open(now_ms) || !fits(worker, wanted) {
+                continue;
+            }
+            let Some(mut cost) = cost(worker, wanted.step) else {
+                continue;
+            };
+            if wanted.failed_on == Some(key) {
+                cost += FAILED_COST;
+            }
+            if best.is_none_or(|(least, _)| cost < least) {
+                best = Some((cost, key));
+            }
+        }
+        best.map(|(_, key)| key)
+    }
+
+    fn assign(
+        &mut self,
+        key: JobKey,
+        id: TaskId,
+        worker: WorkerKey,
+        now: Now,
+        actions: &mut Vec<Action>,
+    ) {
+        let run = self.make_run(key, id, RunPhase::Recording, now.steady_ms);
+        let job = &mut self.jobs[key];
+        job.is_dirty = true;
+        if job.phase == JobPhase::Queued {
+            job.phase = JobPhase::Running;
+            actions.push(Action::Note(Note::new(
+                Code::JobBegun,
+                id.job.to_string(),
+                format!("due_in_ms={}", job.due_ms as i64 - now.steady_ms as i64),
+            )));
+        }
+        let Some(task) = job.task_mut(id) else {
+            return;
+        };
+        task.run += 1;
+        let number = task.run;
+        task.placed = Some(Placed {
+            run: number,
+            worker,
+        });
+        task.placed_ms = now.steady_ms;
+        if let Some(step) = job.step_mut(id) {
+            step.recount();
+        }
+        self.workers[worker].add(id, number, run);
+        self.writer.start_once_stored(worker, id, number);
+    }
+}
+
+fn fits(worker: &Worker, wanted: &Wanted<'_>) -> bool {
+    let step = wanted.step;
+    if *worker.entry.service != *wanted.service || !worker.free().holds(step.room()) {
+        return false;
+    }
+    if !step.label.is_empty()
+        && !worker
+            .entry
+            .labels
+            .iter()
+            .any(|label| **label == *step.label)
+    {
+        return false;
+    }
+    if step.per_worker_most > 0 {
+        let mut count = 0;
+        for (other, _) in worker.runs.keys() {
+            let is_same = other.job == wanted.task.job
+                && other.occurrence == wanted.task.occurrence
+                && other.step == wanted.task.step;
+            count += u32::from(is_same);
+        }
+        return count < step.per_worker_most;
+    }
+    true
+}
+
+/// Gives the cost of putting a task of the step on a worker; `None` if it would only
+/// slow down what is there.
+fn cost(worker: &Worker, step: &Step) -> Option<i64> {
+    let spare = spare_milli(worker);
+    let mut cost = -spare;
+    if step.is_filler {
+        // Fillers share what is unused: one too many slows all of them.
+        if spare < step.cpu_milli as i64 && worker.filler_milli > 0 {
+            return None;
+        }
+        if worker.filler_percent < 100 {
+            cost += (100 - i64::from(worker.filler_percent)) * 100;
+        }
+    }
+    if worker.failures_in_row > 0 {
+        cost += SUSPECT_COST;
+    }
+    if worker.entry.cold_ms > 0 {
+        cost += COLD_COST;
+    }
+    if !step.data_rack.is_empty()
+        && !worker
+            .entry
+            .labels
+            .iter()
+            .any(|label| **label == *step.data_rack)
+    {
+        cost += FAR_COST;
+    }
+    Some(cost)
+}
+
+/// Gives the processor time that is expected to be unused on a worker.
+fn spare_milli(worker: &Worker) -> i64 {
+    let unused_by_lasting = worker.lasting_milli * (100 - LASTING_USE_PERCENT) / 100;
+    worker.entry.room.cpu_milli as i64 - worker.used.cpu_milli as i64 + unused_by_lasting as i64
+        - worker.filler_milli as i64
+}
--- /dev/null
+++ b/crates/dispatch/src/owner/worker.rs
@@ -0,0 +1,183 @@
+//! Workers as the owner knows them.
+
+use crate::config::Room;
+use crate::config::WorkerEntry;
+use crate::ids::TaskId;
+use slotmap::new_key_type;
+use std::collections::BTreeMap;
+
+new_key_type! {
+    /// A worker of the owner: one incarnation.
+    pub(crate) struct WorkerKey;
+}
+
+/// How far the order to start a run has come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum RunPhase {
+    /// Its record is not stored yet; no order was sent.
+    Recording,
+    /// The order is under way.
+    Sent,
+    /// A former owner put it on record; the worker was not asked yet.
+    Inherited,
+    /// An order got no answer; the run may be there, or come later.
+    Doubtful { since_ms: u64 },
+    /// It is there.
+    Present { since_ms: u64 },
+    /// It must end; a stop is under way or waits to be sent again.
+    Stopping { again_ms: u64 },
+    /// The worker has agreed to stop it and will not start it later.
+    Stopped { since_ms: u64 },
+}
+
+/// A run that is on a worker, or may be.
+#[derive(Debug, Clone)]
+pub(crate) struct Run {
+    pub(crate) phase: RunPhase,
+    /// Room that it takes.
+    pub(crate) room: Room,
+    /// Processor time that it would like, also if it takes none of its own.
+    pub(crate) cpu_milli: u64,
+    pub(crate) is_filler: bool,
+    pub(crate) is_lasting: bool,
+    pub(crate) tail_target_ms: u64,
+    /// Nobody awaits its end any more.
+    pub(crate) is_stray: bool,
+    /// Orders to start it that were sent.
+    pub(crate) tries: u32,
+    pub(crate) checkpoint: Box<str>,
+    pub(crate) percent: u32,
+    /// When its percent last rose.
+    pub(crate) moved_ms: u64,
+    pub(crate) gauge: u64,
+    /// Share at which it may work, as last ordered.
+    pub(crate) pace_percent: u32,
+    /// An order to change its share is under way.
+    pub(crate) is_pacing: bool,
+}
+
+/// One worker.
+#[derive(Debug)]
+pub(crate) struct Worker {
+    pub(crate) entry: WorkerEntry,
+    /// The platform's list has it.
+    pub(crate) is_listed: bool,
+    /// It has answered this owner, so what runs there is known.
+    pub(crate) is_known: bool,
+    /// Its looks get no answer.
+    pub(crate) is_silent: bool,
+    /// Its clock, and when it was told.
+    pub(crate) clock: Option<(u64, u64)>,
+    /// After this time nothing that runs there can be alive, if it stays silent.
+    pub(crate) lapsed_ms: u64,
+    /// A look is under way.
+    pub(crate) is_looked_at: bool,
+    pub(crate) next_look_ms: u64,
+    pub(crate) answered_ms: u64,
+    /// Newest end that was handled, and newest that is on record.
+    pub(crate) handled: u64,
+    pub(crate) recorded: u64,
+    pub(crate) runs: BTreeMap<(TaskId, u32), Run>,
+    /// Room that its runs take.
+    pub(crate) used: Room,
+    /// Processor time that fillers there would like.
+    pub(crate) filler_milli: u64,
+    /// Processor time kept by lasting tasks, which use a part of it.
+    pub(crate) lasting_milli: u64,
+    /// No new work before this time.
+    pub(crate) shunned_until_ms: u64,
+    /// Runs that failed there since the last one that ended well.
+    pub(crate) failures_in_row: u32,
+    /// Share at which fillers may work there.
+    pub(crate) filler_percent: u32,
+    /// When the share of fillers may be raised again.
+    pub(crate) raise_ms: u64,
+}
+
+impl Worker {
+    pub(crate) fn new(entry: WorkerEntry, lapsed_ms: u64) -> Self {
+        Self {
+            entry,
+            is_listed: true,
+            is_known: false,
+            is_silent: false,
+            clock: None,
+            lapsed_ms,
+            is_looked_at: false,
+            next_look_ms: 0,
+            answered_ms: 0,
+            handled: 0,
+            recorded: 0,
+            runs: BTreeMap::new(),
+            used: Room::default(),
+            filler_milli: 0,
+            lasting_milli: 0,
+            shunned_until_ms: 0,
+            failures_in_row: 0,
+            filler_percent: 100,
+            raise_ms: 0,
+        }
+    }
+
+    /// Makes a worker of which only the name is known, from the record.
+    pub(crate) fn unlisted(id: &str, lapsed_ms: u64) -> Self {
+        let mut worker = Self::new(
+            WorkerEntry {
+                id: id.into(),
+                service: "".into(),
+                address: "".into(),
+                failure_domain: "".into(),
+                is_leaving: true,
+                cold_ms: 0,
+                room: Room::default(),
+                labels: Box::default(),
+            },
+            lapsed_ms,
+        );
+        worker.is_listed = false;
+        worker
+    }
+
+    /// Tells whether new work may go there.
+    pub(crate) fn is_open(&self, now_ms: u64) -> bool {
+        self.is_listed
+            && self.is_known
+            && !self.is_silent
+            && !self.entry.is_leaving
+            && self.clock.is_some()
+            && now_ms >= self.shunned_until_ms
+    }
+
+    pub(crate) fn free(&self) -> Room {
+        self.entry.room.minus(self.used)
+    }
+
+    /// Gives the time of its clock, as estimated.
+    pub(crate) fn clock_ms(&self, now_ms: u64) -> Option<u64> {
+        let (clock_ms, at_ms) = self.clock?;
+        Some(clock_ms + now_ms.saturating_sub(at_ms))
+    }
+
+    pub(crate) fn add(&mut self, task: TaskId, number: u32, run: Run) {
+        self.used = self.used.plus(run.room);
+        if run.is_filler {
+            self.filler_milli += run.cpu_milli;
+        }
+        if run.is_lasting {
+            self.lasting_milli += run.cpu_milli;
+        }
+        self.runs.insert((task, number), run);
+    }
+
+    pub(crate) fn remove(&mut self, task: TaskId, number: u32) -> Option<Run> {
+        let run = self.runs.remove(&(task, number))?;
+        self.used = self.used.minus(run.room);
+        if run.is_filler {
+            self.filler_milli = self.filler_milli.saturating_sub(run.cpu_milli);
+        }
+        if run.is_lasting {
+            self.lasting_milli = self.lasting_milli.saturating_sub(run.cpu_milli);
+        }
+        Some(run)
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/record.rs
@@ -0,0 +1,275 @@
+//! What stands in the streams of jobs and progress, encoded by `prost`.
+//!
+//! The newest record of each key is kept for good, so a record holds the whole state
+//! of what its key names, and history may be dropped at any time.
+
+use crate::config::Room;
+use crate::ids::JobId;
+use prost::Message;
+
+/// Key of the record that names the owner, in the stream of progress.
+pub(crate) const OWNER_KEY: &str = "owner";
+
+/// A step of a job: tasks that are alike.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct Step {
+    /// Number of its tasks.
+    #[prost(uint32, tag = "1")]
+    pub count: u32,
+    /// Processor time of a task in thousandths of a core.
+    #[prost(uint64, tag = "2")]
+    pub cpu_milli: u64,
+    /// Memory of a task.
+    #[prost(uint64, tag = "3")]
+    pub memory_mb: u64,
+    /// Accelerators of a task.
+    #[prost(uint64, tag = "4")]
+    pub accelerators: u64,
+    /// Rough estimate of a task's duration.
+    #[prost(uint64, tag = "5")]
+    pub estimated_ms: u64,
+    /// Earlier steps that must be done first.
+    #[prost(uint32, repeated, tag = "6")]
+    pub after: Vec<u32>,
+    /// Tasks write checkpoints.
+    #[prost(bool, tag = "7")]
+    pub saves_progress: bool,
+    /// Tasks work only together.
+    #[prost(bool, tag = "8")]
+    pub is_gang: bool,
+    /// Tasks are slowed when they run on several racks.
+    #[prost(bool, tag = "9")]
+    pub is_rack_sensitive: bool,
+    /// Label that a worker must have; empty for none.
+    #[prost(string, tag = "10")]
+    pub label: String,
+    /// Rack that holds the data; empty for none.
+    #[prost(string, tag = "11")]
+    pub data_rack: String,
+    /// Tasks of one occurrence that may share a worker; 0 for any number.
+    #[prost(uint32, tag = "12")]
+    pub per_worker_most: u32,
+    /// Copies of a task may run at once.
+    #[prost(bool, tag = "13")]
+    pub is_speculative: bool,
+    /// Tasks serve until the job is cancelled and are restarted whenever they end.
+    #[prost(bool, tag = "14")]
+    pub is_lasting: bool,
+    /// What the tasks run; tasks of one image behave alike.
+    #[prost(string, tag = "15")]
+    pub image: String,
+    /// Tail latency that a serving task must stay below; 0 for none.
+    #[prost(uint64, tag = "16")]
+    pub tail_target_ms: u64,
+    /// Tasks take processor time that others leave unused, and no share of their own.
+    #[prost(bool, tag = "17")]
+    pub is_filler: bool,
+    /// Tasks that may be away at once through acts of the system.
+    #[prost(uint32, tag = "18")]
+    pub away_most: u32,
+}
+
+impl Step {
+    /// Gives the room that a task takes on a worker.
+    pub fn room(&self) -> Room {
+        Room {
+            cpu_milli: if self.is_filler { 0 } else { self.cpu_milli },
+            memory_mb: self.memory_mb,
+            accelerators: self.accelerators,
+        }
+    }
+}
+
+/// A job as submitted.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct Submission {
+    /// Name of its queue.
+    #[prost(string, tag = "1")]
+    pub queue: String,
+    /// Service whose workers run it, as of its acceptance.
+    #[prost(string, tag = "2")]
+    pub service: String,
+    /// Priority as of its acceptance.
+    #[prost(uint32, tag = "3")]
+    pub priority: u32,
+    /// Runs of a task that may fail, as of its acceptance.
+    #[prost(uint32, tag = "4")]
+    pub attempts_most: u32,
+    /// Text that workers get with each task.
+    #[prost(string, tag = "5")]
+    pub specification: String,
+    /// Its steps.
+    #[prost(message, repeated, tag = "6")]
+    pub steps: Vec<Step>,
+    /// How often it runs; 0 for once, at once.
+    #[prost(uint32, tag = "7")]
+    pub repetitions: u32,
+    /// When the first repetition is due, in milliseconds since 1970.
+    #[prost(uint64, tag = "8")]
+    pub first_due_wall_ms: u64,
+    /// Time between repetitions.
+    #[prost(uint64, tag = "9")]
+    pub interval_ms: u64,
+    /// When it was accepted, in milliseconds since 1970.
+    #[prost(uint64, tag = "10")]
+    pub accepted_wall_ms: u64,
+    /// Allowed time as a multiple of its work, in thousandths, as of its acceptance.
+    #[prost(uint64, tag = "11")]
+    pub stretch_permille: u64,
+    /// Time allowed on top, as of its acceptance.
+    #[prost(uint64, tag = "12")]
+    pub target_latency_ms: u64,
+}
+
+/// Where a task stands on record.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, prost::Enumeration)]
+#[repr(i32)]
+pub(crate) enum TaskPhase {
+    /// It runs nowhere.
+    Waiting = 0,
+    /// Its run may be on its worker.
+    Assigned = 1,
+    /// A run of it has ended well.
+    Done = 2,
+}
+
+/// One task on record.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub(crate) struct TaskProgress {
+    #[prost(enumeration = "TaskPhase", tag = "1")]
+    pub(crate) phase: i32,
+    /// Number of its latest run; 0 before the first.
+    #[prost(uint32, tag = "2")]
+    pub(crate) run: u32,
+    /// Runs that have failed.
+    #[prost(uint32, tag = "3")]
+    pub(crate) failures: u32,
+    /// Worker of the latest run.
+    #[prost(string, tag = "4")]
+    pub(crate) worker: String,
+    /// Checkpoint to resume from.
+    #[prost(string, tag = "5")]
+    pub(crate) checkpoint: String,
+    /// Run of a copy, and its worker.
+    #[prost(uint32, tag = "6")]
+    pub(crate) copy_run: u32,
+    /// Worker of the copy; empty for none.
+    #[prost(string, tag = "7")]
+    pub(crate) copy_worker: String,
+}
+
+/// One step on record. It is empty until a task of it has started.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub(crate) struct StepProgress {
+    /// All tasks are done; the list is then empty.
+    #[prost(bool, tag = "1")]
+    pub(crate) is_done: bool,
+    #[prost(message, repeated, tag = "2")]
+    pub(crate) tasks: Vec<TaskProgress>,
+}
+
+/// One occurrence on record.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub(crate) struct OccurrenceProgress {
+    #[prost(uint32, tag = "1")]
+    pub(crate) number: u32,
+    #[prost(message, repeated, tag = "2")]
+    pub(crate) steps: Vec<StepProgress>,
+}
+
+/// Where a job stands on record.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, prost::Enumeration)]
+#[repr(i32)]
+pub(crate) enum JobPhase {
+    /// No task has started.
+    Queued = 0,
+    /// A task has started.
+    Running = 1,
+    /// All tasks have ended well.
+    Completed = 2,
+    /// A task has failed too often.
+    Failed = 3,
+    /// Its caller has cancelled it, and nothing of it runs.
+    Cancelled = 4,
+}
+
+impl JobPhase {
+    /// Tells whether nothing will happen any more.
+    pub(crate) fn is_final(self) -> bool {
+        matches!(
+            self,
+            JobPhase::Completed | JobPhase::Failed | JobPhase::Cancelled
+        )
+    }
+}
+
+/// The progress of one job.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub(crate) struct Progress {
+    #[prost(enumeration = "JobPhase", tag = "1")]
+    pub(crate) phase: i32,
+    /// Occurrences under way.
+    #[prost(message, repeated, tag = "2")]
+    pub(crate) occurrences: Vec<OccurrenceProgress>,
+    /// Number of the occurrence that comes next.
+    #[prost(uint32, tag = "3")]
+    pub(crate) next_occurrence: u32,
+    /// When it became final, in milliseconds since 1970.
+    #[prost(uint64, tag = "4")]
+    pub(crate) final_wall_ms: u64,
+}
+
+/// Who owns the progress of all jobs.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub(crate) struct OwnerRecord {
+    /// Token of its orders, and epoch of its appends.
+    #[prost(uint64, tag = "1")]
+    pub(crate) token: u64,
+    /// Name of its host.
+    #[prost(string, tag = "2")]
+    pub(crate) host: String,
+    /// It is about to stop; another host should claim.
+    #[prost(bool, tag = "3")]
+    pub(crate) is_leaving: bool,
+    /// Counts its signs of life.
+    #[prost(uint64, tag = "4")]
+    pub(crate) beat: u64,
+}
+
+/// What a key of the streams of jobs and progress names.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Key {
+    /// A job as submitted.
+    Submitted(JobId),
+    /// That a job is cancelled.
+    Cancelled(JobId),
+    /// The progress of a job.
+    Progress(JobId),
+    /// The owner.
+    Owner,
+}
+
+impl Key {
+    pub(crate) fn parse(text: &str) -> Option<Self> {
+        if text == OWNER_KEY {
+            return Some(Key::Owner);
+        }
+        let (kind, id) = text.split_at_checked(1)?;
+        let id = JobId::parse(id)?;
+        match kind {
+            "j" => Some(Key::Submitted(id)),
+            "c" => Some(Key::Cancelled(id)),
+            "s" => Some(Key::Progress(id)),
+            _ => None,
+        }
+    }
+
+    pub(crate) fn text(self) -> Box<str> {
+        match self {
+            Key::Submitted(id) => format!("j{id}").into(),
+            Key::Cancelled(id) => format!("c{id}").into(),
+            Key::Progress(id) => format!("s{id}").into(),
+            Key::Owner => OWNER_KEY.into(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/tail.rs
@@ -0,0 +1,229 @@
+//! Following a keyed stream: load the newest record of each key, then read on.
+
+use crate::event::Action;
+use crate::event::PageEnd;
+use crate::event::ReadEnd;
+use crate::event::StoredRecord;
+use crate::event::Stream;
+
+/// Time after which a read without a wait is given up. The store answers in 4 ms, and
+/// in 240 ms when it is sixty times slower.
+const READ_TIMEOUT_MS: u64 = 1_200;
+/// Pause after a failed read, which keeps a store in trouble from being pressed.
+const RETRY_MS: u64 = 250;
+
+/// A read or load under way.
+#[derive(Debug, Clone, Copy)]
+struct Flight {
+    ticket: u64,
+    sent_ms: u64,
+    waits: bool,
+}
+
+/// What came of a read.
+#[derive(Debug, Default)]
+pub(crate) struct Progress {
+    /// New records, in order.
+    pub(crate) records: Vec<StoredRecord>,
+    /// The state was loaded anew: keys that are not among the records are gone.
+    pub(crate) is_reloaded: bool,
+}
+
+/// One stream that is followed.
+#[derive(Debug)]
+pub(crate) struct Tail {
+    stream: Stream,
+    /// Offset from which to read on; `None` until loaded.
+    next: Option<u64>,
+    /// While loading: records so far, where the stream ended first, last key.
+    loading: Option<(Vec<StoredRecord>, u64, Box<str>)>,
+    load: Option<Flight>,
+    reads: Vec<Flight>,
+    retry_ms: u64,
+    /// When the newest complete read that reached the end of the stream was sent.
+    pub(crate) fresh_ms: Option<u64>,
+    /// When the newest answer came.
+    pub(crate) answered_ms: Option<u64>,
+}
+
+impl Tail {
+    pub(crate) fn new(stream: Stream) -> Self {
+        Self {
+            stream,
+            next: None,
+            loading: None,
+            load: None,
+            reads: Vec::new(),
+            retry_ms: 0,
+            fresh_ms: None,
+            answered_ms: None,
+        }
+    }
+
+    pub(crate) fn is_loaded(&self) -> bool {
+        self.next.is_some()
+    }
+
+    /// Gives the offset of the next record to read.
+    pub(crate) fn next(&self) -> u64 {
+        self.next.unwrap_or(0)
+    }
+
+    /// Tells whether a read sent at `since_ms` or later has reached the end.
+    pub(crate) fn is_fresh_since(&self, since_ms: u64) -> bool {
+        self.fresh_ms.is_some_and(|at_ms| at_ms >= since_ms)
+    }
+
+    /// Tells whether a read without a wait, sent at `since_ms` or later, is under way.
+    fn is_prompted_since(&self, since_ms: u64) -> bool {
+        self.reads
+            .iter()
+            .any(|flight| !flight.waits && flight.sent_ms >= since_ms)
+    }
+
+    /// Goes on loading, if that is due.
+    pub(crate) fn load(&mut self, now_ms: u64, tickets: &mut u64, actions: &mut Vec<Action>) {
+        if self.next.is_some() || self.load.is_some() || now_ms < self.retry_ms {
+            return;
+        }
+        let after = match &self.loading {
+            Some((_, _, last)) => last.clone(),
+            None => "".into(),
+        };
+        *tickets += 1;
+        self.load = Some(Flight {
+            ticket: *tickets,
+            sent_ms: now_ms,
+            waits: false,
+        });
+        actions.push(Action::Load {
+            ticket: *tickets,
+            stream: self.stream,
+            after,
+            timeout_ms: READ_TIMEOUT_MS,
+        });
+    }
+
+    /// Reads at once, unless a read sent at `since_ms` or later is under way.
+    pub(crate) fn prompt(
+        &mut self,
+        since_ms: u64,
+        now_ms: u64,
+        tickets: &mut u64,
+        actions: &mut Vec<Action>,
+    ) {
+        if self.next.is_none() || now_ms < self.retry_ms || self.is_prompted_since(since_ms) {
+            return;
+        }
+        self.read(0, now_ms, tickets, actions);
+    }
+
+    /// Keeps one read under way that waits for a record.
+    pub(crate) fn listen(
+        &mut self,
+        wait_ms: u64,
+        now_ms: u64,
+        tickets: &mut u64,
+        actions: &mut Vec<Action>,
+    ) {
+        let listens = self.reads.iter().any(|flight| flight.waits);
+        if self.next.is_none() || now_ms < self.retry_ms || listens {
+            return;
+        }
+        self.read(wait_ms, now_ms, tickets, actions);
+    }
+
+    fn read(&mut self, wait_ms: u64, now_ms: u64, tickets: &mut u64, actions: &mut Vec<Action>) {
+        *tickets += 1;
+        self.reads.push(Flight {
+            ticket: *tickets,
+            sent_ms: now_ms,
+            waits: wait_ms > 0,
+        });
+        actions.push(Action::Read {
+            ticket: *tickets,
+            stream: self.stream,
+            from: self.next(),
+            wait_ms,
+            timeout_ms: wait_ms + READ_TIMEOUT_MS,
+        });
+    }
+
+    /// Takes in the end of a read, if it is one of this stream.
+    pub(crate) fn take_read(
+        &mut self,
+        ticket: u64,
+        now_ms: u64,
+        end: &mut ReadEnd,
+    ) -> Option<Progress> {
+        let at = self
+            .reads
+            .iter()
+            .position(|flight| flight.ticket == ticket)?;
+        let flight = self.reads.remove(at);
+        let mut progress = Progress::default();
+        match std::mem::replace(end, ReadEnd::Failed) {
+            ReadEnd::Failed => self.retry_ms = now_ms + RETRY_MS,
+            // The history was dropped: the newest record of each key is still there.
+            ReadEnd::Trimmed => {
+                self.next = None;
+                self.loading = None;
+            }
+            ReadEnd::Records { records, end } => {
+                self.answered_ms = Some(now_ms);
+                let Some(mut next) = self.next else {
+                    return Some(progress);
+                };
+                for record in records {
+                    if record.offset < next {
+                        continue;
+                    }
+                    next = record.offset + 1;
+                    progress.records.push(record);
+                }
+                self.next = Some(next);
+                if next >= end {
+                    self.fresh_ms = self.fresh_ms.max(Some(flight.sent_ms));
+                }
+            }
+        }
+        Some(progress)
+    }
+
+    /// Takes in a page, if it is one of this stream.
+    pub(crate) fn take_page(
+        &mut self,
+        ticket: u64,
+        now_ms: u64,
+        end: &mut PageEnd,
+    ) -> Option<Progress> {
+        let flight = self.load.take_if(|flight| flight.ticket == ticket)?;
+        let mut progress = Progress::default();
+        let Some(page) = end.take() else {
+            self.retry_ms = now_ms + RETRY_MS;
+            return Some(progress);
+        };
+        self.answered_ms = Some(now_ms);
+        let (mut records, first_end, last) =
+            self.loading
+                .take()
+                .unwrap_or((Vec::new(), page.end, "".into()));
+        let last = page
+            .records
+            .last()
+            .map_or(last, |record| record.key.clone());
+        records.extend(page.records);
+        if page.has_more {
+            self.loading = Some((records, first_end, last));
+            return Some(progress);
+        }
+        // Pages are no snapshot: what changed since the first one is read again.
+        self.next = Some(first_end);
+        if first_end == page.end {
+            self.fresh_ms = self.fresh_ms.max(Some(flight.sent_ms));
+        }
+        progress.records = records;
+        progress.is_reloaded = true;
+        Some(progress)
+    }
+}
--- a/crates/events/src/lib.rs
+++ b/crates/events/src/lib.rs
@@ -20,6 +20,7 @@
 pub use clock::Clock;
 pub use clock::Stamp;
 pub use logging::Style;
+pub use logging::start_bounded_logging;
 pub use logging::start_logging;
 pub use logging::write_event;
 pub use page::render_page;
--- a/crates/events/src/logging.rs
+++ b/crates/events/src/logging.rs
@@ -2,6 +2,8 @@
 
 use crate::timeline::Entry;
 use std::io;
+use tracing_appender::non_blocking::NonBlockingBuilder;
+use tracing_appender::non_blocking::WorkerGuard;
 
 /// How logs are written.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -24,6 +26,26 @@
     };
 }
 
+/// Lines that wait to be written at most. A reader that is slower loses lines, and never
+/// holds the process up.
+const LINES_WAITING_MOST: usize = 4_096;
+
+/// Starts logging JSON lines to standard output from a thread of its own, so that a slow
+/// reader does not hold the process up. The guard writes what waits when it is dropped.
+pub fn start_bounded_logging() -> WorkerGuard {
+    let (writer, guard) = NonBlockingBuilder::default()
+        .lossy(true)
+        .buffered_lines_limit(LINES_WAITING_MOST)
+        .finish(io::stdout());
+    // An error means that logging has started already, which is fine.
+    let _ = tracing_subscriber::fmt()
+        .with_writer(writer)
+        .with_target(false)
+        .json()
+        .try_init();
+    guard
+}
+
 /// Writes one event to the log.
 pub fn write_event(entry: &Entry) {
     tracing::info!(
--- /dev/null
+++ b/crates/net/src/callers.rs
@@ -0,0 +1,216 @@
+//! Connections of callers.
+
+use crate::buffer::Flow;
+use crate::buffer::Outbox;
+use crate::buffer::read_all;
+use crate::event_loop::Arrival;
+use crate::event_loop::CallerKey;
+use crate::event_loop::Clock;
+use crate::event_loop::ListenerKey;
+use crate::event_loop::Registrar;
+use crate::event_loop::TokenKind;
+use crate::parse::Bounds;
+use crate::parse::Parsed;
+use crate::parse::parse_request;
+use crate::parse::write_response;
+use mio::Interest;
+use mio::net::TcpStream;
+use slotmap::Key;
+use slotmap::KeyData;
+use slotmap::SlotMap;
+
+/// Callers connected at once; more are closed as they come, so that descriptors stay
+/// free for the calls to peers. A quarter of the 4,100 that an entry host has.
+const CALLERS_MOST: usize = 1_500;
+
+struct Caller {
+    stream: TcpStream,
+    listener: ListenerKey,
+    inbox: Vec<u8>,
+    outbox: Outbox,
+    /// A request was passed on and awaits its answer.
+    is_asked: bool,
+    /// No further request is read.
+    is_last: bool,
+    /// The caller has sent all that it will.
+    has_ended: bool,
+    /// Since when the present request or silence lasts.
+    since_ms: u64,
+}
+
+/// All connections of callers.
+#[derive(Default)]
+pub(crate) struct Callers {
+    callers: SlotMap<CallerKey, Caller>,
+    /// What callers may send.
+    pub(crate) bounds: Bounds,
+    /// Answers end the connection.
+    pub(crate) is_closing: bool,
+}
+
+impl Callers {
+    /// Takes in a new connection.
+    pub(crate) fn admit(
+        &mut self,
+        stream: TcpStream,
+        listener: ListenerKey,
+        clock: Clock,
+        registrar: &Registrar,
+    ) {
+        if self.callers.len() >= CALLERS_MOST {
+            return;
+        }
+        // The option spares 40 ms on small writes; without it answers are only slower.
+        let _ = stream.set_nodelay(true);
+        let key = self.callers.insert(Caller {
+            stream,
+            listener,
+            inbox: Vec::new(),
+            outbox: Outbox::default(),
+            is_asked: false,
+            is_last: false,
+            has_ended: false,
+            since_ms: clock.now_ms,
+        });
+        let token = TokenKind::Caller.token(key.data().as_ffi());
+        let caller = &mut self.callers[key];
+        if registrar
+            .register(
+                &mut caller.stream,
+                token,
+                Interest::READABLE | Interest::WRITABLE,
+            )
+            .is_err()
+        {
+            self.callers.remove(key);
+        }
+    }
+
+    /// Handles an event of the connection with the given number.
+    pub(crate) fn handle(&mut self, number: u64, clock: Clock, arrivals: &mut Vec<Arrival>) {
+        let key = CallerKey::from(KeyData::from_ffi(number));
+        let Some(caller) = self.callers.get_mut(key) else {
+            return;
+        };
+        let was_empty = caller.inbox.is_empty();
+        let flow = read_all(&mut caller.stream, &mut caller.inbox);
+        if was_empty && !caller.inbox.is_empty() && !caller.is_asked {
+            caller.since_ms = clock.now_ms;
+        }
+        match flow {
+            Ok(Flow::Open) => {}
+            // A caller that shuts its sending side down may still await its answer.
+            Ok(Flow::Ended) => caller.has_ended = true,
+            Err(_) => return self.drop_caller(key, arrivals),
+        }
+        if caller.outbox.flush(&mut caller.stream).is_err() {
+            return self.drop_caller(key, arrivals);
+        }
+        self.advance(key, clock, arrivals);
+    }
+
+    /// Passes on the next whole request, or closes what is done.
+    fn advance(&mut self, key: CallerKey, clock: Clock, arrivals: &mut Vec<Arrival>) {
+        let Some(caller) = self.callers.get_mut(key) else {
+            return;
+        };
+        if caller.is_asked {
+            return;
+        }
+        let is_done = caller.is_last || (caller.has_ended && caller.inbox.is_empty());
+        if is_done && caller.outbox.is_empty() {
+            return self.drop_caller(key, arrivals);
+        }
+        if caller.is_last || caller.inbox.is_empty() {
+            return;
+        }
+        match parse_request(&caller.inbox, &self.bounds) {
+            Parsed::Partial if caller.has_ended => self.drop_caller(key, arrivals),
+            Parsed::Partial => {}
+            Parsed::Faulty(status) => {
+                caller.is_last = true;
+                caller.inbox.clear();
+                caller.outbox.add(&write_response(status, &[], b"", true));
+                let _ = caller.outbox.flush(&mut caller.stream);
+                self.advance(key, clock, arrivals);
+            }
+            Parsed::Whole(request, used, is_last) => {
+                caller.inbox.drain(..used);
+                caller.is_last = is_last;
+                caller.is_asked = true;
+                caller.since_ms = clock.now_ms;
+                arrivals.push(Arrival::Request {
+                    caller: key,
+                    listener: caller.listener,
+                    request,
+                });
+            }
+        }
+    }
+
+    /// Sends the answer to the request that a caller has made.
+    pub(crate) fn answer(
+        &mut self,
+        key: CallerKey,
+        status: u16,
+        headers: &[(&str, &str)],
+        body: &[u8],
+        clock: Clock,
+        arrivals: &mut Vec<Arrival>,
+    ) {
+        let Some(caller) = self.callers.get_mut(key) else {
+            return;
+        };
+        caller.is_last |= self.is_closing || caller.has_ended;
+        caller
+            .outbox
+            .add(&write_response(status, headers, body, caller.is_last));
+        caller.is_asked = false;
+        caller.since_ms = clock.now_ms;
+        if caller.outbox.flush(&mut caller.stream).is_err() {
+            return self.drop_caller(key, arrivals);
+        }
+        self.advance(key, clock, arrivals);
+    }
+
+    fn drop_caller(&mut self, key: CallerKey, arrivals: &mut Vec<Arrival>) {
+        if let Some(caller) = self.callers.remove(key)
+            && caller.is_asked
+        {
+            arrivals.push(Arrival::CallerGone { caller: key });
+        }
+    }
+
+    /// Closes connections that are silent for too long.
+    pub(crate) fn expire(&mut self, clock: Clock, arrivals: &mut Vec<Arrival>) {
+        let bounds = self.bounds;
+        let mut late = Vec::new();
+        for (key, caller) in &self.callers {
+            if caller.is_asked {
+                continue;
+            }
+            let most_ms = match caller.inbox.is_empty() {
+                true => bounds.idle_most_ms,
+                false => bounds.request_most_ms,
+            };
+            if clock.now_ms > caller.since_ms + most_ms {
+                late.push((key, !caller.inbox.is_empty()));
+            }
+        }
+        for (key, is_partial) in late {
+            if is_partial && let Some(caller) = self.callers.get_mut(key) {
+                caller.outbox.add(&write_response(408, &[], b"", true));
+                let _ = caller.outbox.flush(&mut caller.stream);
+            }
+            self.drop_caller(key, arrivals);
+        }
+    }
+
+    /// Closes what has no request in flight, and tells how many remain.
+    pub(crate) fn close_idle(&mut self) -> usize {
+        self.callers.retain(|_, caller| {
+            caller.is_asked || !caller.inbox.is_empty() || !caller.outbox.is_empty()
+        });
+        self.callers.len()
+    }
+}
--- /dev/null
+++ b/crates/net/src/lib.rs
@@ -0,0 +1,38 @@
+//! An event loop that serves HTTP/1.1 callers and calls HTTP/1.1 peers on one thread.
+//!
+//! An entry host has a tenth of a core and waits on dozens of long calls at once. A
+//! thread for each would cost a stack and two context switches an answer; here one
+//! thread carries all sockets, and parsing is left to `httparse`.
+//!
+//! ```no_run
+//! use goldcrestway_net::Arrival;
+//! use goldcrestway_net::Net;
+//! use std::time::Duration;
+//!
+//! let mut net = Net::new().expect("the system offers an event queue");
+//! let listener = net.listen("127.0.0.1:0".parse().unwrap()).expect("the port is free");
+//! for arrival in net.wait(Duration::from_millis(50)) {
+//!     if let Arrival::Request { caller, .. } = arrival {
+//!         net.answer(caller, 200, &[], b"{}");
+//!     }
+//! }
+//! # let _ = listener;
+//! ```
+
+mod buffer;
+mod callers;
+mod calls;
+mod event_loop;
+mod parse;
+mod pool;
+
+pub use calls::Call;
+pub use calls::CallFault;
+pub use calls::Message;
+pub use event_loop::Arrival;
+pub use event_loop::CallerKey;
+pub use event_loop::ListenerKey;
+pub use event_loop::Net;
+pub use parse::Bounds;
+pub use parse::Request;
+pub use parse::Response;
--- /dev/null
+++ b/crates/net/src/parse.rs
@@ -0,0 +1,275 @@
+//! HTTP/1.1 heads and bodies, by `httparse`.
+
+use std::fmt::Write as _;
+
+const HEADERS_MOST: usize = 64;
+/// A head of a peer's answer that is longer is faulty.
+const RESPONSE_HEAD_MOST_BYTES: usize = 16_384;
+
+/// Names in lower case, and values.
+pub(crate) type Headers = Box<[(Box<str>, Box<str>)]>;
+
+/// What a caller may send.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Bounds {
+    /// Longest head.
+    pub head_most_bytes: usize,
+    /// Longest body.
+    pub body_most_bytes: usize,
+    /// Longest time from the first byte of a request to its last.
+    pub request_most_ms: u64,
+    /// Longest silence between requests.
+    pub idle_most_ms: u64,
+}
+
+impl Default for Bounds {
+    /// Generous values for use before a configuration is known.
+    fn default() -> Self {
+        Self {
+            head_most_bytes: 16_384,
+            body_most_bytes: 1 << 20,
+            request_most_ms: 5_000,
+            idle_most_ms: 30_000,
+        }
+    }
+}
+
+/// A whole request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Request {
+    /// Its method, as sent.
+    pub method: Box<str>,
+    /// Path and query, as sent.
+    pub target: Box<str>,
+    /// Its headers, with names in lower case.
+    pub headers: Box<[(Box<str>, Box<str>)]>,
+    /// Its body.
+    pub body: Box<[u8]>,
+}
+
+impl Request {
+    /// Finds a header by its name in lower case.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        find(&self.headers, name)
+    }
+}
+
+/// A whole answer of a peer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Response {
+    /// Its status.
+    pub status: u16,
+    /// Its headers, with names in lower case.
+    pub headers: Box<[(Box<str>, Box<str>)]>,
+    /// Its body.
+    pub body: Box<[u8]>,
+}
+
+impl Response {
+    /// Finds a header by its name in lower case.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        find(&self.headers, name)
+    }
+}
+
+fn find<'a>(headers: &'a [(Box<str>, Box<str>)], name: &str) -> Option<&'a str> {
+    headers
+        .iter()
+        .find(|(key, _)| **key == *name)
+        .map(|(_, value)| &**value)
+}
+
+/// What the bytes read so far amount to.
+#[derive(Debug, PartialEq, Eq)]
+pub(crate) enum Parsed<T> {
+    /// More bytes are needed.
+    Partial,
+    /// One message, which took so many bytes, and whether the stream ends with it.
+    Whole(T, usize, bool),
+    /// It can't be served; the status says why.
+    Faulty(u16),
+}
+
+fn collect(headers: &[httparse::Header<'_>]) -> Option<Headers> {
+    let mut list = Vec::with_capacity(headers.len());
+    for header in headers {
+        let value = std::str::from_utf8(header.value).ok()?;
+        list.push((
+            header.name.to_ascii_lowercase().into_boxed_str(),
+            value.trim().into(),
+        ));
+    }
+    Some(list.into())
+}
+
+fn closes(headers: &[(Box<str>, Box<str>)], version: Option<u8>) -> bool {
+    match find(headers, "connection") {
+        Some(value) if value.eq_ignore_ascii_case("close") => true,
+        Some(value) if value.eq_ignore_ascii_case("keep-alive") => false,
+        _ => version == Some(0),
+    }
+}
+
+/// Reads one request from the start of `bytes`.
+pub(crate) fn parse_request(bytes: &[u8], bounds: &Bounds) -> Parsed<Request> {
+    let mut fields = [httparse::EMPTY_HEADER; HEADERS_MOST];
+    let mut head = httparse::Request::new(&mut fields);
+    let head_bytes = match head.parse(bytes) {
+        Ok(httparse::Status::Complete(length)) => length,
+        Ok(httparse::Status::Partial) if bytes.len() > bounds.head_most_bytes => {
+            return Parsed::Faulty(431);
+        }
+        Ok(httparse::Status::Partial) => return Parsed::Partial,
+        Err(httparse::Error::TooManyHeaders) => return Parsed::Faulty(431),
+        Err(_) => return Parsed::Faulty(400),
+    };
+    if head_bytes > bounds.head_most_bytes {
+        return Parsed::Faulty(431);
+    }
+    let Some(headers) = collect(head.headers) else {
+        return Parsed::Faulty(400);
+    };
+    let is_last = closes(&headers, head.version);
+    let (body, used) = match read_body(bytes, head_bytes, &headers, bounds.body_most_bytes, Some(0))
+    {
+        Parsed::Whole(body, used, _) => (body, used),
+        Parsed::Partial => return Parsed::Partial,
+        Parsed::Faulty(status) => return Parsed::Faulty(status),
+    };
+    let request = Request {
+        method: head.method.unwrap_or_default().into(),
+        target: head.path.unwrap_or_default().into(),
+        headers,
+        body,
+    };
+    Parsed::Whole(request, used, is_last)
+}
+
+/// Reads one answer from the start of `bytes`. `has_ended` says that no more will come.
+pub(crate) fn parse_response(bytes: &[u8], has_ended: bool) -> Parsed<Response> {
+    let mut fields = [httparse::EMPTY_HEADER; HEADERS_MOST];
+    let mut head = httparse::Response::new(&mut fields);
+    let head_bytes = match head.parse(bytes) {
+        Ok(httparse::Status::Complete(length)) => length,
+        Ok(httparse::Status::Partial) if bytes.len() > RESPONSE_HEAD_MOST_BYTES => {
+            return Parsed::Faulty(502);
+        }
+        Ok(httparse::Status::Partial) => return Parsed::Partial,
+        Err(_) => return Parsed::Faulty(502),
+    };
+    let Some(headers) = collect(head.headers) else {
+        return Parsed::Faulty(502);
+    };
+    let status = head.code.unwrap_or(502);
+    let is_last = closes(&headers, head.version);
+    let unlabelled = match status {
+        204 | 304 => Some(0),
+        _ if has_ended => Some(bytes.len() - head_bytes),
+        _ => None,
+    };
+    match read_body(bytes, head_bytes, &headers, usize::MAX, unlabelled) {
+        Parsed::Whole(body, used, _) => Parsed::Whole(
+            Response {
+                status,
+                headers,
+                body,
+            },
+            used,
+            is_last,
+        ),
+        Parsed::Partial => Parsed::Partial,
+        Parsed::Faulty(status) => Parsed::Faulty(status),
+    }
+}
+
+/// Reads the body behind a head. A body whose length nothing tells has `unlabelled` bytes.
+fn read_body(
+    bytes: &[u8],
+    head_bytes: usize,
+    headers: &[(Box<str>, Box<str>)],
+    most_bytes: usize,
+    unlabelled: Option<usize>,
+) -> Parsed<Box<[u8]>> {
+    if find(headers, "transfer-encoding").is_some_and(|value| value.contains("chunked")) {
+        return read_chunks(bytes, head_bytes, most_bytes);
+    }
+    let length = match find(headers, "content-length") {
+        Some(value) => match value.parse::<usize>() {
+            Ok(length) => length,
+            Err(_) => return Parsed::Faulty(400),
+        },
+        None => match unlabelled {
+            Some(length) => length,
+            None => return Parsed::Partial,
+        },
+    };
+    if length > most_bytes {
+        return Parsed::Faulty(413);
+    }
+    match bytes.get(head_bytes..head_bytes + length) {
+        Some(body) => Parsed::Whole(body.into(), head_bytes + length, false),
+        None => Parsed::Partial,
+    }
+}
+
+fn read_chunks(bytes: &[u8], head_bytes: usize, most_bytes: usize) -> Parsed<Box<[u8]>> {
+    let mut body = Vec::new();
+    let mut at = head_bytes;
+    loop {
+        let (start, length) = match httparse::parse_chunk_size(&bytes[at..]) {
+            Ok(httparse::Status::Complete((skip, length))) => (at + skip, length as usize),
+            Ok(httparse::Status::Partial) => return Parsed::Partial,
+            Err(_) => return Parsed::Faulty(400),
+        };
+        if length > most_bytes - body.len() {
+            return Parsed::Faulty(413);
+        }
+        let end = start + length;
+        if bytes.len() < end + 2 {
+            return Parsed::Partial;
+        }
+        body.extend_from_slice(&bytes[start..end]);
+        at = end + 2;
+        if length == 0 {
+            return Parsed::Whole(body.into(), at, false);
+        }
+    }
+}
+
+/// Gives the reason phrase that belongs to a status.
+fn phrase(status: u16) -> &'static str {
+    match status {
+        200 => "OK",
+        400 => "Bad Request",
+        404 => "Not Found",
+        405 => "Method Not Allowed",
+        408 => "Request Timeout",
+        410 => "Gone",
+        413 => "Content Too Large",
+        429 => "Too Many Requests",
+        431 => "Request Header Fields Too Large",
+        503 => "Service Unavailable",
+        504 => "Gateway Timeout",
+        _ => "Status",
+    }
+}
+
+/// Writes a whole answer.
+pub(crate) fn write_response(
+    status: u16,
+    headers: &[(&str, &str)],
+    body: &[u8],
+    is_last: bool,
+) -> Vec<u8> {
+    let mut head = format!("HTTP/1.1 {status} {}\r\n", phrase(status));
+    for (name, value) in headers {
+        let _ = write!(head, "{name}: {value}\r\n");
+    }
+    if is_last {
+        head.push_str("Connection: close\r\n");
+    }
+    let _ = write!(head, "Content-Length: {}\r\n\r\n", body.len());
+    let mut bytes = head.into_bytes();
+    bytes.extend_from_slice(body);
+    bytes
+}
