Learn which fillers press which served image, place and pace by it

Ruled out: a cap on fillers' processor time (no relation to the tail); load of finite tasks (coefficient 0.00 to 0.03).

Change: the pair's cost is learned by normalised least mean squares from each look; fillers go where they press little, served images are kept together, and only fillers to blame are slowed.

Conclusion: kept; the first seconds, before pairs are known, are weakest.

--- a/crates/dispatch/src/owner/looks.rs
+++ b/crates/dispatch/src/owner/looks.rs
@@ -137,6 +137,7 @@
         self.must_place |= !was_known;
         self.take_ends(key, &listed, now, actions);
         self.take_runs(key, sent_ms, &listed, now_ms);
+        self.judge_fillers(key, now_ms);
         let worker = &mut self.workers[key];
         let gap_ms = match worker.handled > worker.recorded {
             true => HELD_GAP_MS,
@@ -198,6 +199,7 @@
                 phase: RunPhase::Stopping { again_ms: 0 },
                 room: Default::default(),
                 cpu_milli: 0,
+                image: Default::default(),
                 is_filler: false,
                 is_lasting: false,
                 tail_target_ms: 0,
@@ -208,7 +210,9 @@
                 moved_ms: 0,
                 gauge: 0,
                 pace_percent: 100,
+                share_percent: 100,
                 is_pacing: false,
+                pace_again_ms: 0,
             },
         };
         run.is_stray = true;
--- a/crates/dispatch/src/owner/mod.rs
+++ b/crates/dispatch/src/owner/mod.rs
@@ -10,6 +10,8 @@
 //!   after which they refuse whatever a former owner still sends.
 
 mod ends;
+mod images;
+mod interference;
 mod job;
 mod looks;
 mod orders;
@@ -28,6 +30,8 @@
 use crate::ids::JobId;
 use crate::ids::TaskId;
 use crate::ledger::Ledger;
+use crate::owner::images::Images;
+use crate::owner::interference::Interference;
 use crate::owner::job::Job;
 use crate::owner::job::JobKey;
 use crate::owner::worker::Run;
@@ -109,6 +113,8 @@
     workers: SlotMap<WorkerKey, Worker>,
     worker_keys: HashMap<Box<str>, WorkerKey>,
     orders: HashMap<u64, (WorkerKey, Purpose)>,
+    images: Images,
+    interference: Interference,
     writer: Writer,
     /// When the store or most workers last confirmed this owner.
     confirmed_ms: u64,
@@ -131,6 +137,8 @@
             workers: SlotMap::with_key(),
             worker_keys: HashMap::new(),
             orders: HashMap::new(),
+            images: Images::default(),
+            interference: Interference::default(),
             writer: Writer::new(now.steady_ms),
             confirmed_ms: now.steady_ms,
             is_leaving: false,
@@ -214,12 +222,13 @@
         }
     }
 
-    fn make_run(&self, key: JobKey, id: TaskId, phase: RunPhase, now_ms: u64) -> Run {
+    fn make_run(&mut self, key: JobKey, id: TaskId, phase: RunPhase, now_ms: u64) -> Run {
         let step = self.jobs[key].step(id).cloned().unwrap_or_default();
         Run {
             phase,
             room: step.room(),
             cpu_milli: step.cpu_milli,
+            image: self.images.key(&step.image),
             is_filler: step.is_filler,
             is_lasting: step.is_lasting,
             tail_target_ms: step.tail_target_ms,
@@ -230,7 +239,9 @@
             moved_ms: now_ms,
             gauge: 0,
             pace_percent: 100,
+            share_percent: 100,
             is_pacing: false,
+            pace_again_ms: 0,
         }
     }
 
@@ -356,7 +367,9 @@
             Purpose::Look { sent_ms } => self.end_look(worker, sent_ms, end, now, actions),
             Purpose::Start { task, run } => self.end_start(worker, task, run, end, now, actions),
             Purpose::Stop { task, run } => self.end_stop(worker, task, run, end, now),
-            Purpose::Pace { task, run, percent } => self.end_pace(worker, task, run, percent, &end),
+            Purpose::Pace { task, run, percent } => {
+                self.end_pace(worker, task, run, percent, &end, now.steady_ms);
+            }
         }
     }
 
--- a/crates/dispatch/src/owner/placing.rs
+++ b/crates/dispatch/src/owner/placing.rs
@@ -4,6 +4,8 @@
 use crate::event::Now;
 use crate::ids::TaskId;
 use crate::owner::Owner;
+use crate::owner::images::ImageKey;
+use crate::owner::interference::Use;
 use crate::owner::job::JobKey;
 use crate::owner::job::Placed;
 use crate::owner::worker::RunPhase;
@@ -20,6 +22,16 @@
 /// Part of its room that a lasting task uses, in percent. Workers leave the rest to
 /// fillers; measured on calm days as 42.
 const LASTING_USE_PERCENT: u64 = 50;
+/// Pressure on a serving task, in the logarithm of its tail, that fillers may add up to.
+/// Targets are at twice the usual tail, which is 0.7; load takes half of that at its peak.
+const PRESSURE_MOST: f64 = 0.35;
+/// Cost, in thousandths of a core, of pressure as much as that.
+const PRESSURE_COST: f64 = 8_000.0;
+/// Pressure that is no matter.
+const PRESSURE_LEAST: f64 = 0.03;
+/// Gain of a worker that serves the same image already: a filler that gets on with one
+/// gets on with all of them.
+const SAME_IMAGE_GAIN: i64 = 6_000;
 /// Cost, in thousandths of a core, of a worker far from a task's data.
 const FAR_COST: i64 = 1_000_000;
 /// Cost of a worker on which the task has failed before.
@@ -33,6 +45,7 @@
 struct Wanted<'a> {
     step: &'a Step,
     service: &'a str,
+    image: ImageKey,
     task: TaskId,
     failed_on: Option<WorkerKey>,
 }
@@ -93,6 +106,7 @@
         actions: &mut Vec<Action>,
     ) -> bool {
         let submission = self.jobs[key].submission.clone();
+        let image = self.images.key(&step.image);
         for index in 0..step.count as u16 {
             let id = TaskId { index, ..first };
             let Some(task) = self.jobs[key].task_mut(id) else {
@@ -108,6 +122,7 @@
             let wanted = Wanted {
                 step,
                 service: &submission.service,
+                image,
                 task: id,
                 failed_on: task.failed_on,
             };
@@ -132,9 +147,13 @@
             if !worker.is_open(now_ms) || !fits(worker, wanted) {
                 continue;
             }
-            let Some(mut cost) = cost(worker, wanted.step) else {
+            let Some(mut cost) = cost(worker, wanted) else {
                 continue;
             };
+            match self.disturbance(worker, wanted) {
+                Some(disturbance) => cost += disturbance,
+                None => continue,
+            }
             if wanted.failed_on == Some(key) {
                 cost += FAILED_COST;
             }
@@ -145,6 +164,42 @@
         best.map(|(_, key)| key)
     }
 
+    /// Gives the cost of what a task would do to those that serve on a worker, or what
+    /// fillers there would do to it; `None` if that is too much.
+    fn disturbance(&self, worker: &Worker, wanted: &Wanted<'_>) -> Option<i64> {
+        let step = wanted.step;
+        if step.is_filler {
+            let mut most: f64 = 0.0;
+            let own = (wanted.image, step.cpu_milli as f64 / 1_000.0);
+            for run in worker.runs.values() {
+                if run.tail_target_ms == 0 {
+                    continue;
+                }
+                let pressure = self.interference.pressure(run.image, &[own]);
+                if pressure > PRESSURE_LEAST {
+                    let others = demands(worker);
+                    most = most.max(pressure + self.interference.pressure(run.image, &others));
+                }
+            }
+            return (most <= PRESSURE_MOST).then_some((most * PRESSURE_COST) as i64);
+        }
+        if step.tail_target_ms == 0 {
+            return Some(0);
+        }
+        let pressure = self.interference.pressure(wanted.image, &demands(worker));
+        let mut cost = (pressure * PRESSURE_COST) as i64;
+        for run in worker.runs.values() {
+            if run.tail_target_ms > 0 {
+                cost += if run.image == wanted.image {
+                    -SAME_IMAGE_GAIN
+                } else {
+                    SAME_IMAGE_GAIN
+                };
+            }
+        }
+        Some(cost)
+    }
+
     fn assign(
         &mut self,
         key: JobKey,
@@ -209,9 +264,21 @@
     true
 }
 
-/// Gives the cost of putting a task of the step on a worker; `None` if it would only
-/// slow down what is there.
-fn cost(worker: &Worker, step: &Step) -> Option<i64> {
+/// Lists what the fillers on a worker would like to use.
+fn demands(worker: &Worker) -> Vec<Use> {
+    let mut demands = Vec::new();
+    for run in worker.runs.values() {
+        if run.is_filler {
+            demands.push((run.image, run.cpu_milli as f64 / 1_000.0));
+        }
+    }
+    demands
+}
+
+/// Gives the cost of putting a task on a worker; `None` if it would only slow down what
+/// is there.
+fn cost(worker: &Worker, wanted: &Wanted<'_>) -> Option<i64> {
+    let step = wanted.step;
     let spare = spare_milli(worker);
     let mut cost = -spare;
     if step.is_filler {
@@ -219,9 +286,6 @@
         if spare < step.cpu_milli as i64 && worker.filler_milli > 0 {
             return None;
         }
-        if worker.filler_percent < 100 {
-            cost += (100 - i64::from(worker.filler_percent)) * 100;
-        }
     }
     if worker.failures_in_row > 0 {
         cost += SUSPECT_COST;
--- a/crates/dispatch/src/owner/worker.rs
+++ b/crates/dispatch/src/owner/worker.rs
@@ -3,6 +3,7 @@
 use crate::config::Room;
 use crate::config::WorkerEntry;
 use crate::ids::TaskId;
+use crate::owner::images::ImageKey;
 use slotmap::new_key_type;
 use std::collections::BTreeMap;
 
@@ -38,6 +39,8 @@
     pub(crate) room: Room,
     /// Processor time that it would like, also if it takes none of its own.
     pub(crate) cpu_milli: u64,
+    /// What it runs, as the owner numbers it.
+    pub(crate) image: ImageKey,
     pub(crate) is_filler: bool,
     pub(crate) is_lasting: bool,
     pub(crate) tail_target_ms: u64,
@@ -52,8 +55,12 @@
     pub(crate) gauge: u64,
     /// Share at which it may work, as last ordered.
     pub(crate) pace_percent: u32,
+    /// Share at which it should work.
+    pub(crate) share_percent: u32,
     /// An order to change its share is under way.
     pub(crate) is_pacing: bool,
+    /// Earliest time of the next such order, after one without effect.
+    pub(crate) pace_again_ms: u64,
 }
 
 /// One worker.
@@ -88,9 +95,7 @@
     pub(crate) shunned_until_ms: u64,
     /// Runs that failed there since the last one that ended well.
     pub(crate) failures_in_row: u32,
-    /// Share at which fillers may work there.
-    pub(crate) filler_percent: u32,
-    /// When the share of fillers may be raised again.
+    /// When the shares of fillers may be changed again.
     pub(crate) raise_ms: u64,
 }
 
@@ -114,7 +119,6 @@
             lasting_milli: 0,
             shunned_until_ms: 0,
             failures_in_row: 0,
-            filler_percent: 100,
             raise_ms: 0,
         }
     }
