Give tasks a lease of 4.8 s, notice silent workers sooner, log each order to start

Cause: tasks that last and whose worker was lost for good waited for the longest lease the platform allows, 10 s; they must run again within 6 s. An order to start a dead worker's task pushed the end of the lease on.

Change: leases of 4.8 s; looks wait 0.7 s and are given up after another 0.5 s; a start without an answer marks the worker silent, so that nothing extends its lease. Each order to start is logged.

--- a/crates/core/src/notes.rs
+++ b/crates/core/src/notes.rs
@@ -90,6 +90,7 @@
     JobBegun = 2304, "The first task of a job was given to a worker.";
     JobFailed = 2305, "A task of the job has failed too often.";
     JobFinished = 2306, "A job has reached its final state.";
+    RunOrdered = 2400, "A worker was ordered to start a run of a task.";
     RunBroken = 2401, "A run of a task ended other than well.";
     StartRefused = 2402, "A worker refused to start a run.";
     WorkerSilent = 2501, "A worker gives no answer; its lease is no longer extended.";
--- a/crates/dispatch/src/bounds.rs
+++ b/crates/dispatch/src/bounds.rs
@@ -3,7 +3,7 @@
 /// Bounds that differ between deployments.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Bounds {
-    /// Longest lease of a task on a worker.
+    /// Longest lease of a task that a worker grants.
     pub lease_most_ms: u64,
     /// Time that a stop of a task may take.
     pub stop_most_ms: u64,
--- a/crates/dispatch/src/owner/looks.rs
+++ b/crates/dispatch/src/owner/looks.rs
@@ -16,17 +16,18 @@
 use goldcrestway_core::Note;
 use std::collections::HashSet;
 
-/// Time that a worker waits for an end before it answers a look. Half the time in which
-/// harm to a served task must be noticed twice.
-const WAIT_MS: u64 = 1_000;
+/// Time that a worker waits for an end before it answers a look. It bounds how late a
+/// silent worker is noticed, and how old the tails of served tasks are.
+const WAIT_MS: u64 = 700;
 /// Pause between looks at a worker, so that ends that come together are told together.
 const GAP_MS: u64 = 60;
 /// Pause between looks while ends wait to be recorded, which a look would repeat.
 const HELD_GAP_MS: u64 = 1_000;
 /// Pause between looks at a worker that gives no answer.
 const SILENT_GAP_MS: u64 = 300;
-/// Time after which an answer that should have come is no longer awaited.
-const TIMEOUT_MS: u64 = 800;
+/// Time after which an answer that should have come is no longer awaited. Workers answer
+/// within milliseconds, slow ones within tens of them.
+const TIMEOUT_MS: u64 = 500;
 /// Runs of which an order to start may be repeated before the run is given up.
 const START_TRIES: u32 = 2;
 
@@ -59,13 +60,13 @@
     fn look(&mut self, key: WorkerKey, now_ms: u64, tickets: &mut u64, actions: &mut Vec<Action>) {
         let is_confirmed = self.is_confirmed(now_ms);
         let span_ms = self.lease_span_ms();
-        let lease_most_ms = self.bounds.lease_most_ms;
+        let lease_ms = self.lease_ms();
         let worker = &mut self.workers[key];
         // The lease of a silent worker must run out some day: its tasks are started
         // elsewhere only then. A look whose answer is lost would extend it.
         let extends = is_confirmed && worker.is_known && !worker.is_silent;
         let lease_until_ms = match worker.clock_ms(now_ms) {
-            Some(clock_ms) if extends => Some(clock_ms + lease_most_ms),
+            Some(clock_ms) if extends => Some(clock_ms + lease_ms),
             _ => None,
         };
         if lease_until_ms.is_some() {
--- a/crates/dispatch/src/owner/mod.rs
+++ b/crates/dispatch/src/owner/mod.rs
@@ -48,6 +48,10 @@
 /// Time for which an owner goes on that neither the store nor the workers confirm.
 /// The store is silent for longer than that at times, the workers are not.
 const CONFIRMED_MOST_MS: u64 = 3_000;
+/// Lease that tasks get. A task whose worker falls silent is started elsewhere once it is
+/// over, which must be within 6 s for tasks that last. A new owner extends leases within
+/// 3.5 s of its predecessor's end, 2 s to notice and 1.5 s for a store that is slow.
+const LEASE_MS: u64 = 4_800;
 /// A clock may be slow by 2%; a third more covers the time on the way.
 const CLOCK_SKEW_PERMILLE: u64 = 1_030;
 const LAPSE_SLACK_MS: u64 = 300;
@@ -192,9 +196,14 @@
         now_ms + CONFIRMED_MOST_MS + self.lease_span_ms()
     }
 
+    /// Lease that is given with looks and starts.
+    fn lease_ms(&self) -> u64 {
+        self.bounds.lease_most_ms.min(LEASE_MS)
+    }
+
     /// Longest time from sending an order with a lease until that lease is over.
     fn lease_span_ms(&self) -> u64 {
-        self.bounds.lease_most_ms * CLOCK_SKEW_PERMILLE / 1_000 + LAPSE_SLACK_MS
+        self.lease_ms() * CLOCK_SKEW_PERMILLE / 1_000 + LAPSE_SLACK_MS
     }
 
     fn inherit_runs(&mut self, key: JobKey) {
--- a/crates/dispatch/src/owner/orders.rs
+++ b/crates/dispatch/src/owner/orders.rs
@@ -15,7 +15,7 @@
 
 /// Time after which the answer to an order is no longer awaited. Workers answer in
 /// milliseconds; ones that are seven times slower do so in tens of them.
-const TIMEOUT_MS: u64 = 800;
+const TIMEOUT_MS: u64 = 500;
 /// Pause before a stop without an answer is sent again.
 const STOP_AGAIN_MS: u64 = 300;
 /// Time for which a worker that had no room gets nothing new.
@@ -41,7 +41,7 @@
         }
         let now_ms = now.steady_ms;
         let span_ms = self.lease_span_ms();
-        let lease_most_ms = self.bounds.lease_most_ms;
+        let lease_ms = self.lease_ms();
         let job = self.job_keys.get(&task.job).copied();
         let Some(clock_ms) = self.workers[key].clock_ms(now_ms) else {
             return self.lose_run(key, task, number, now_ms);
@@ -63,11 +63,20 @@
             run.moved_ms = now_ms;
         }
         self.figures.starts += 1;
+        actions.push(Action::Note(Note::new(
+            Code::RunOrdered,
+            task.to_string(),
+            format!(
+                "run={number} worker={} look_age_ms={}",
+                worker.entry.id,
+                now_ms.saturating_sub(worker.answered_ms)
+            ),
+        )));
         let call = WorkerCall::Start {
             task,
             run: number,
             specification,
-            lease_until_ms: clock_ms + lease_most_ms,
+            lease_until_ms: clock_ms + lease_ms,
             checkpoint,
         };
         let purpose = Purpose::Start { task, run: number };
@@ -93,7 +102,11 @@
         let is_first = run.tries <= 1;
         match end {
             OrderEnd::Done { .. } => run.phase = RunPhase::Present { since_ms: now_ms },
-            OrderEnd::Unknown => run.phase = RunPhase::Doubtful { since_ms: now_ms },
+            OrderEnd::Unknown => {
+                run.phase = RunPhase::Doubtful { since_ms: now_ms };
+                // No further lease is given to a worker that may be dead.
+                self.workers[key].is_silent = true;
+            }
             OrderEnd::Refused(Refusal::Old) => run.phase = RunPhase::Stopped { since_ms: now_ms },
             // An earlier order for the same run may still be on its way.
             _ if !is_first => run.phase = RunPhase::Stopping { again_ms: now_ms },
