Learn presses by least squares, halt by suspicion and time over target

Presses learned by small steps are noisy by 0.1 a core, as much as many true ones.

Change: the ease (target over tail) of a served image is fitted by nonnegative least squares over its looks of half a minute; a filler is halted for a task over its target for 1.3 s if it may be a cause and for 2.4 s if it plays any part, else halved if it is one.

--- a/crates/dispatch/src/owner/interference.rs
+++ b/crates/dispatch/src/owner/interference.rs
@@ -1,67 +1,121 @@
 //! How much fillers disturb the tasks that serve beside them, learned from looks.
 //!
-//! Which images get on with which is not known beforehand and differs by pair: most
-//! fillers leave a serving image alone, a few lengthen its tail by a third for each core
-//! they use. Each look gives the tails on one worker and what its fillers used in the
-//! same half second. The logarithm of a tail is taken as a sum: what the image has by
-//! itself, and for each filler beside it its use times what that pair costs. The sum is
-//! learned by normalised least mean squares, one small step a sample, so that noise and
-//! swings of load average out within some dozens of samples.
+//! Which images get on with which is not known beforehand and differs by pair. A served
+//! task behaves like a queue: its tail hardly moves with the first filler that presses it
+//! and grows without bound as the pressure nears what it can bear. The inverse of the tail
+//! falls in proportion, so that is what is learned: the *ease* of a task is its target
+//! over its tail, below 1 where the target is missed, and
+//!
+//! ```text
+//! ease = ease alone - sum over fillers (press of the pair x cores in use)
+//! ```
+//!
+//! Each look gives the tails on one worker and what its fillers used in the same half
+//! second. The presses on a serving image are those that explain all its looks best, by
+//! least squares with no press below 0, over the last half minute. Small steps after each
+//! sample (normalised least mean squares) were tried first: their noise of 0.1 a core
+//! hides the pairs that do not press from those that do.
 
 use crate::owner::images::ImageKey;
+use std::collections::BTreeMap;
 use std::collections::HashMap;
 
-/// Part of the error that one sample corrects. Noise of a sample is about 0.4 and pairs
-/// that matter cost 0.2 to 0.6 a core, so some 20 samples settle a pair.
-const STEP: f64 = 0.08;
-/// What a pair costs before anything is known: enough to spread unknown fillers, too
-/// little to keep them from being tried.
-const UNKNOWN_PRESS: f64 = 0.12;
-/// Bounds of what a pair may cost, in the logarithm of the tail for each core.
-const PRESS_MOST: f64 = 3.0;
-/// Smallest tail that is told apart, in milliseconds.
-const TAIL_LEAST_MS: f64 = 0.5;
+/// Weight that a sample keeps with each later one of its image: at 60 to 100 samples a
+/// second for an image, half a minute counts.
+const KEPT: f64 = 0.9995;
+/// Press of a pair of which nothing is known: enough to spread unknown fillers, too little
+/// to keep them from being tried.
+const UNKNOWN_PRESS: f64 = 0.06;
+/// Weight of that assumption, in samples of a filler that uses one core.
+const UNKNOWN_WEIGHT: f64 = 4.0;
+/// An ease above this says no more than that the task is well.
+const EASE_MOST: f64 = 4.0;
+/// Ease of an image of which nothing is known.
+const UNKNOWN_EASE: f64 = 2.2;
 
 /// Processor time in use by a filler, in cores.
 pub(crate) type Use = (ImageKey, f64);
 
+/// Sums over the looks at one serving image, and what follows from them.
+#[derive(Debug)]
+struct Fit {
+    samples: f64,
+    ease_sum: f64,
+    alone: f64,
+    press: BTreeMap<ImageKey, Press>,
+    /// Sums of products of the uses of two fillers, the lower number first.
+    products: HashMap<(ImageKey, ImageKey), f64>,
+}
+
+/// Sums over the looks at which a filler was beside a serving image.
+#[derive(Debug)]
+struct Press {
+    value: f64,
+    use_sum: f64,
+    square_sum: f64,
+    use_ease_sum: f64,
+}
+
+impl Default for Press {
+    fn default() -> Self {
+        Self {
+            value: UNKNOWN_PRESS,
+            use_sum: 0.0,
+            square_sum: 0.0,
+            use_ease_sum: 0.0,
+        }
+    }
+}
+
+impl Default for Fit {
+    fn default() -> Self {
+        Self {
+            samples: 0.0,
+            ease_sum: 0.0,
+            alone: UNKNOWN_EASE,
+            press: BTreeMap::new(),
+            products: HashMap::new(),
+        }
+    }
+}
+
 /// What was learned.
 #[derive(Debug, Default)]
 pub(crate) struct Interference {
-    /// Logarithm of the tail that a serving image has by itself.
-    alone: HashMap<ImageKey, f64>,
-    /// Cost of a serving image and a filler, for each core in use.
-    press: HashMap<(ImageKey, ImageKey), f64>,
+    fits: HashMap<ImageKey, Fit>,
+}
+
+/// Gives the ease of a task with this tail.
+pub(crate) fn ease(target_ms: u64, tail_ms: u64) -> f64 {
+    (target_ms as f64 / tail_ms.max(1) as f64).min(EASE_MOST)
 }
 
 impl Interference {
-    /// Learns from the tail of a serving task and what fillers beside it used meanwhile.
-    pub(crate) fn learn(&mut self, serving: ImageKey, tail_ms: u64, fillers: &[Use]) {
-        let seen = (tail_ms as f64).max(TAIL_LEAST_MS).ln();
-        let mut expected = *self.alone.entry(serving).or_insert(seen);
-        let mut norm = 1.0;
-        for (filler, cores) in fillers {
-            expected += self.press(serving, *filler) * cores;
-            norm += cores * cores;
-        }
-        let correction = STEP * (seen - expected) / norm;
-        *self.alone.entry(serving).or_insert(seen) += correction;
-        for (filler, cores) in fillers {
-            let press = self.press(serving, *filler) + correction * cores;
-            self.press
-                .insert((serving, *filler), press.clamp(0.0, PRESS_MOST));
-        }
+    /// Learns from the ease of a serving task and what fillers beside it used meanwhile.
+    /// `fillers` names each image once.
+    pub(crate) fn learn(&mut self, serving: ImageKey, ease: f64, fillers: &[Use]) {
+        let fit = self.fits.entry(serving).or_default();
+        fit.fade();
+        fit.add(ease, fillers);
+        fit.solve(fillers);
     }
 
-    /// Gives the cost of a pair for each core that the filler uses.
+    /// Gives the ease that a serving image has by itself.
+    pub(crate) fn alone(&self, serving: ImageKey) -> f64 {
+        self.fits
+            .get(&serving)
+            .map_or(UNKNOWN_EASE, |fit| fit.alone)
+    }
+
+    /// Gives the press of a pair for each core that the filler uses.
     pub(crate) fn press(&self, serving: ImageKey, filler: ImageKey) -> f64 {
-        self.press
-            .get(&(serving, filler))
-            .copied()
-            .unwrap_or(UNKNOWN_PRESS)
+        self.fits
+            .get(&serving)
+            .and_then(|fit| fit.press.get(&filler))
+            .map_or(UNKNOWN_PRESS, |press| press.value)
     }
 
-    /// Gives by how much, in the logarithm of the tail, fillers lengthen a serving task.
+    /// Gives by how much fillers lower the ease of a serving task.
     pub(crate) fn pressure(&self, serving: ImageKey, fillers: &[Use]) -> f64 {
         let mut sum = 0.0;
         for (filler, cores) in fillers {
@@ -70,3 +124,61 @@
         sum
     }
 }
+
+fn pair(left: ImageKey, right: ImageKey) -> (ImageKey, ImageKey) {
+    (left.min(right), left.max(right))
+}
+
+impl Fit {
+    fn fade(&mut self) {
+        self.samples *= KEPT;
+        self.ease_sum *= KEPT;
+        for press in self.press.values_mut() {
+            press.use_sum *= KEPT;
+            press.square_sum *= KEPT;
+            press.use_ease_sum *= KEPT;
+        }
+        for product in self.products.values_mut() {
+            *product *= KEPT;
+        }
+    }
+
+    fn add(&mut self, ease: f64, fillers: &[Use]) {
+        self.samples += 1.0;
+        self.ease_sum += ease;
+        for (number, (filler, cores)) in fillers.iter().enumerate() {
+            let press = self.press.entry(*filler).or_default();
+            press.use_sum += cores;
+            press.square_sum += cores * cores;
+            press.use_ease_sum += cores * ease;
+            for (other, other_cores) in &fillers[number + 1..] {
+                *self.products.entry(pair(*filler, *other)).or_default() += cores * other_cores;
+            }
+        }
+    }
+
+    /// Improves the presses of the given fillers, one after the other, with all else as it
+    /// is. The sums change little from look to look, so one pass each time is enough.
+    fn solve(&mut self, fillers: &[Use]) {
+        let mut taken = 0.0;
+        for press in self.press.values() {
+            taken += press.value * press.use_sum;
+        }
+        self.alone = (self.ease_sum + taken) / self.samples;
+        for (filler, _) in fillers {
+            let mut by_others = 0.0;
+            for (other, press) in &self.press {
+                if other != filler {
+                    let product = self.products.get(&pair(*filler, *other));
+                    by_others += press.value * product.copied().unwrap_or(0.0);
+                }
+            }
+            let Some(press) = self.press.get_mut(filler) else {
+                continue;
+            };
+            let missing = self.alone * press.use_sum - press.use_ease_sum - by_others;
+            let weight = press.square_sum + UNKNOWN_WEIGHT;
+            press.value = ((missing + UNKNOWN_WEIGHT * UNKNOWN_PRESS) / weight).max(0.0);
+        }
+    }
+}
--- a/crates/dispatch/src/owner/looks.rs
+++ b/crates/dispatch/src/owner/looks.rs
@@ -210,6 +210,7 @@
                 percent: 0,
                 moved_ms: 0,
                 gauge: 0,
+                over_since_ms: None,
                 pace_percent: 100,
                 share_percent: 100,
                 is_pacing: false,
--- a/crates/dispatch/src/owner/mod.rs
+++ b/crates/dispatch/src/owner/mod.rs
@@ -247,6 +247,7 @@
             percent: 0,
             moved_ms: now_ms,
             gauge: 0,
+            over_since_ms: None,
             pace_percent: 100,
             share_percent: 100,
             is_pacing: false,
--- a/crates/dispatch/src/owner/pacing.rs
+++ b/crates/dispatch/src/owner/pacing.rs
@@ -1,9 +1,10 @@
 //! Slowing fillers down where a task that serves is over its target.
 //!
-//! Placement keeps fillers away from tasks that they are known to disturb; what is not
-//! known yet, or changes with load, shows in the tails that each look tells. Only the
-//! fillers that press a task over its target are slowed, by what was learned of the pair,
-//! and they get their share back step by step once its tail is well below.
+//! Placement keeps fillers away from tasks that they are known to press; what is not
+//! known yet, or changes with load, shows in the tails that each look tells. Fillers are
+//! slowed by as much as the learned presses say is needed, and get their share back step
+//! by step as far as they say that there is room. A task that stays over its target all
+//! the same has every filler beside it halted, whatever was learned.
 
 use crate::event::Action;
 use crate::event::OrderEnd;
@@ -11,17 +12,23 @@
 use crate::ids::TaskId;
 use crate::owner::Owner;
 use crate::owner::Purpose;
-use crate::owner::images::ImageKey;
 use crate::owner::interference::Interference;
 use crate::owner::interference::Use;
+use crate::owner::interference::ease;
+use crate::owner::worker::Run;
 use crate::owner::worker::RunPhase;
 use crate::owner::worker::Worker;
 use crate::owner::worker::WorkerKey;
 
-/// Tail, in percent of the target, from which fillers are slowed down.
-const CUT_PERCENT: u64 = 95;
-/// Tail, in percent of the target, below which fillers may work more.
-const RAISE_PERCENT: u64 = 70;
+/// Ease below which fillers that press a task are slowed; at 1 its target is missed.
+const CUT_EASE: f64 = 1.05;
+/// Ease below which such fillers get nothing back.
+const RAISE_EASE: f64 = 1.43;
+/// Time over the target after which fillers that may be a cause are halted. Harm counts
+/// after four seconds; a look, an order and its effect take one.
+const SUSPECTS_HALT_MS: u64 = 1_300;
+/// Time over the target after which any filler that was ever seen to press is halted.
+const ALL_HALT_MS: u64 = 2_400;
 /// Pause between two changes of the same worker: the tail is of the last half second, and
 /// an order takes a tenth of a second to have its effect.
 const PAUSE_MS: u64 = 700;
@@ -29,25 +36,34 @@
 const RAISE_STEP_PERCENT: u32 = 25;
 /// Below this share fillers are halted, so that they do no harm at all.
 const HALT_PERCENT: u32 = 20;
-/// Pressure of one filler, in the logarithm of the tail, that is worth slowing it for.
-const BLAME_LEAST: f64 = 0.06;
+/// Pressure of one filler at its full share that makes it a cause, a suspect, or the last
+/// thing to look at.
+const CAUSE_PRESSURE: f64 = 0.12;
+const SUSPECT_PRESSURE: f64 = 0.04;
+const SLIGHT_PRESSURE: f64 = 0.01;
 /// Smallest change that is worth an order.
 const CHANGE_LEAST_PERCENT: u32 = 5;
 /// Time after which the answer to an order is no longer awaited.
-const TIMEOUT_MS: u64 = 800;
+const TIMEOUT_MS: u64 = 500;
 
 impl Owner {
     /// Learns from what a worker has just listed, and decides on its fillers.
     pub(crate) fn judge_fillers(&mut self, key: WorkerKey, now_ms: u64) {
         let worker = &mut self.workers[key];
         let uses = uses(worker);
-        for run in worker.runs.values() {
-            let is_at_work = run.is_lasting && run.percent >= 100 && run.gauge > 0;
-            if is_at_work && run.tail_target_ms > 0 {
-                self.interference.learn(run.image, run.gauge, &uses);
+        for run in worker.runs.values_mut() {
+            if !is_serving(run) {
+                run.over_since_ms = None;
+                continue;
             }
+            let ease = ease(run.tail_target_ms, run.gauge);
+            self.interference.learn(run.image, ease, &uses);
+            run.over_since_ms = match ease < 1.0 {
+                true => run.over_since_ms.or(Some(now_ms)),
+                false => None,
+            };
         }
-        if worker.filler_milli > 0 && now_ms >= worker.raise_ms {
+        if worker.filler_milli > 0 && now_ms >= worker.pace_ms {
             decide(worker, &self.interference, now_ms);
         }
     }
@@ -98,12 +114,22 @@
     }
 }
 
-/// Lists what the fillers on a worker use, by the latest look.
+/// Tells whether a run serves users whose wait is known.
+fn is_serving(run: &Run) -> bool {
+    run.is_lasting && run.tail_target_ms > 0 && run.percent >= 100 && run.gauge > 0
+}
+
+/// Adds up what the fillers on a worker use, by image and by the latest look.
 fn uses(worker: &Worker) -> Vec<Use> {
-    let mut uses = Vec::new();
+    let mut uses: Vec<Use> = Vec::new();
     for run in worker.runs.values() {
-        if run.is_filler && run.gauge > 0 {
-            uses.push((run.image, run.gauge as f64 / 1_000.0));
+        if !run.is_filler || run.gauge == 0 {
+            continue;
+        }
+        let cores = run.gauge as f64 / 1_000.0;
+        match uses.iter_mut().find(|(image, _)| *image == run.image) {
+            Some((_, sum)) => *sum += cores,
+            None => uses.push((run.image, cores)),
         }
     }
     uses
@@ -111,16 +137,12 @@
 
 /// Chooses the share of each filler on a worker.
 fn decide(worker: &mut Worker, interference: &Interference, now_ms: u64) {
-    let mut hot = Vec::new();
-    let mut warm = Vec::new();
+    let mut served = Vec::new();
     for run in worker.runs.values() {
-        let Some(percent) = (run.gauge * 100).checked_div(run.tail_target_ms) else {
-            continue;
-        };
-        if percent >= CUT_PERCENT {
-            hot.push(run.image);
-        } else if percent >= RAISE_PERCENT {
-            warm.push(run.image);
+        if is_serving(run) {
+            let over_ms = run.over_since_ms.map_or(0, |since_ms| now_ms - since_ms);
+            let ease = ease(run.tail_target_ms, run.gauge);
+            served.push((run.image, ease, over_ms));
         }
     }
     let mut has_change = false;
@@ -128,24 +150,46 @@
         if !run.is_filler {
             continue;
         }
-        let cores = run.cpu_milli as f64 / 1_000.0;
-        let blame = |images: &[ImageKey]| {
-            let mut most: f64 = 0.0;
-            for image in images {
-                most = most.max(interference.press(*image, run.image) * cores);
-            }
-            most
-        };
         let before = run.share_percent;
-        if blame(&hot) >= BLAME_LEAST {
-            let halved = before / 2;
-            run.share_percent = if halved < HALT_PERCENT { 0 } else { halved };
-        } else if before < 100 && blame(&warm) < BLAME_LEAST {
-            run.share_percent = (before + RAISE_STEP_PERCENT).min(100);
+        let cores = run.cpu_milli as f64 / 1_000.0;
+        let mut wish = Wish::Raise;
+        for (serving, ease, over_ms) in &served {
+            let pressure = interference.press(*serving, run.image) * cores;
+            wish = wish.min(wish_of(pressure, *ease, *over_ms));
         }
+        run.share_percent = match wish {
+            Wish::Halt => 0,
+            Wish::Cut if before / 2 < HALT_PERCENT => 0,
+            Wish::Cut => before / 2,
+            Wish::Keep => before,
+            Wish::Raise => (before + RAISE_STEP_PERCENT).min(100),
+        };
         has_change |= before != run.share_percent;
     }
     if has_change {
-        worker.raise_ms = now_ms + PAUSE_MS;
+        worker.pace_ms = now_ms + PAUSE_MS;
+    }
+}
+
+/// What a served task wishes for a filler beside it; the strictest wish counts.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Wish {
+    Halt,
+    Cut,
+    Keep,
+    Raise,
+}
+
+fn wish_of(pressure: f64, ease: f64, over_ms: u64) -> Wish {
+    let may_be_cause = over_ms >= SUSPECTS_HALT_MS && pressure >= SUSPECT_PRESSURE;
+    let may_play_part = over_ms >= ALL_HALT_MS && pressure >= SLIGHT_PRESSURE;
+    if may_be_cause || may_play_part {
+        Wish::Halt
+    } else if ease < CUT_EASE && pressure >= CAUSE_PRESSURE {
+        Wish::Cut
+    } else if ease < RAISE_EASE && pressure >= CAUSE_PRESSURE {
+        Wish::Keep
+    } else {
+        Wish::Raise
     }
 }
--- a/crates/dispatch/src/owner/placing.rs
+++ b/crates/dispatch/src/owner/placing.rs
@@ -22,13 +22,13 @@
 /// Part of its room that a lasting task uses, in percent. Workers leave the rest to
 /// fillers; measured on calm days as 42.
 const LASTING_USE_PERCENT: u64 = 50;
-/// Pressure on a serving task, in the logarithm of its tail, that fillers may add up to.
-/// Targets are at twice the usual tail, which is 0.7; load takes half of that at its peak.
-const PRESSURE_MOST: f64 = 0.35;
-/// Cost, in thousandths of a core, of pressure as much as that.
-const PRESSURE_COST: f64 = 8_000.0;
+/// Ease that fillers must leave to a serving task: at 1 it misses its target, and its own
+/// load takes a third at its peak.
+const EASE_LEAST: f64 = 1.6;
+/// Cost, in thousandths of a core, of taking one whole of a serving task's ease.
+const PRESSURE_COST: f64 = 16_000.0;
 /// Pressure that is no matter.
-const PRESSURE_LEAST: f64 = 0.03;
+const PRESSURE_LEAST: f64 = 0.04;
 /// Gain of a worker that serves the same image already: a filler that gets on with one
 /// gets on with all of them.
 const SAME_IMAGE_GAIN: i64 = 6_000;
@@ -169,19 +169,8 @@
     fn disturbance(&self, worker: &Worker, wanted: &Wanted<'_>) -> Option<i64> {
         let step = wanted.step;
         if step.is_filler {
-            let mut most: f64 = 0.0;
             let own = (wanted.image, step.cpu_milli as f64 / 1_000.0);
-            for run in worker.runs.values() {
-                if run.tail_target_ms == 0 {
-                    continue;
-                }
-                let pressure = self.interference.pressure(run.image, &[own]);
-                if pressure > PRESSURE_LEAST {
-                    let others = demands(worker);
-                    most = most.max(pressure + self.interference.pressure(run.image, &others));
-                }
-            }
-            return (most <= PRESSURE_MOST).then_some((most * PRESSURE_COST) as i64);
+            return self.pressure_cost(worker, own);
         }
         if step.tail_target_ms == 0 {
             return Some(0);
@@ -200,6 +189,29 @@
         Some(cost)
     }
 
+    /// Gives the cost of a filler for those that serve on a worker; `None` if it would
+    /// take more ease than a task there can spare.
+    fn pressure_cost(&self, worker: &Worker, own: Use) -> Option<i64> {
+        let mut others = None;
+        let mut most: f64 = 0.0;
+        for run in worker.runs.values() {
+            if run.tail_target_ms == 0 {
+                continue;
+            }
+            let pressure = self.interference.pressure(run.image, &[own]);
+            if pressure < PRESSURE_LEAST {
+                continue;
+            }
+            let others = others.get_or_insert_with(|| demands(worker));
+            let taken = pressure + self.interference.pressure(run.image, others);
+            if self.interference.alone(run.image) - taken < EASE_LEAST {
+                return None;
+            }
+            most = most.max(taken);
+        }
+        Some((most * PRESSURE_COST) as i64)
+    }
+
     fn assign(
         &mut self,
         key: JobKey,
--- a/crates/dispatch/src/owner/worker.rs
+++ b/crates/dispatch/src/owner/worker.rs
@@ -53,6 +53,8 @@
     /// When its percent last rose.
     pub(crate) moved_ms: u64,
     pub(crate) gauge: u64,
+    /// Since when its tail is over its target.
+    pub(crate) over_since_ms: Option<u64>,
     /// Share at which it may work, as last ordered.
     pub(crate) pace_percent: u32,
     /// Share at which it should work.
@@ -96,7 +98,7 @@
     /// Runs that failed there since the last one that ended well.
     pub(crate) failures_in_row: u32,
     /// When the shares of fillers may be changed again.
-    pub(crate) raise_ms: u64,
+    pub(crate) pace_ms: u64,
 }
 
 impl Worker {
@@ -119,7 +121,7 @@
             lasting_milli: 0,
             shunned_until_ms: 0,
             failures_in_row: 0,
-            raise_ms: 0,
+            pace_ms: 0,
         }
     }
 
