Leave served tasks more ease: 1.9, and count pressure for more

Change: a filler goes only where it leaves an ease of 1.9 instead of 1.6, and a whole of ease weighs as 40 cores instead of 16.

--- a/crates/dispatch/src/owner/placing.rs
+++ b/crates/dispatch/src/owner/placing.rs
@@ -24,9 +24,9 @@
 const LASTING_USE_PERCENT: u64 = 50;
 /// Ease that fillers must leave to a serving task: at 1 it misses its target, and its own
 /// load takes a third at its peak.
-const EASE_LEAST: f64 = 1.6;
+const EASE_LEAST: f64 = 1.9;
 /// Cost, in thousandths of a core, of taking one whole of a serving task's ease.
-const PRESSURE_COST: f64 = 16_000.0;
+const PRESSURE_COST: f64 = 40_000.0;
 /// Pressure that is no matter.
 const PRESSURE_LEAST: f64 = 0.04;
 /// Gain of a worker that serves the same image already: a filler that gets on with one
