Start stragglers elsewhere, log how jobs end

Cause: a step waited up to 15 s for tasks on workers that answered every look while what ran there stood still or took seven times as long.

Change: a run without progress for 0.95 s, or whose pace means that it would end sooner elsewhere, is stopped and started again, or gets a copy.

--- a/crates/core/src/notes.rs
+++ b/crates/core/src/notes.rs
@@ -93,6 +93,7 @@
     RunOrdered = 2400, "A worker was ordered to start a run of a task.";
     RunBroken = 2401, "A run of a task ended other than well.";
     StartRefused = 2402, "A worker refused to start a run.";
+    RunLagging = 2403, "A run stands still or crawls; it is started elsewhere, or gets a copy.";
     WorkerSilent = 2501, "A worker gives no answer; its lease is no longer extended.";
     WorkerBack = 2502, "A worker answers again.";
     WorkerLeaving = 2503, "A worker is about to leave and gets nothing new.";
--- a/crates/dispatch/src/entry/callers.rs
+++ b/crates/dispatch/src/entry/callers.rs
@@ -312,7 +312,7 @@
             value: write.value,
         };
         let change = self.ledger.apply(&record);
-        self.take_change(change, now);
+        self.take_change(change, now, actions);
         actions.push(Action::Note(Note::new(
             Code::JobStored,
             write.job.to_string(),
--- a/crates/dispatch/src/entry/mod.rs
+++ b/crates/dispatch/src/entry/mod.rs
@@ -254,28 +254,28 @@
         actions: &mut Vec<Action>,
     ) {
         match stream {
-            Stream::Jobs => self.take_jobs(&progress, now),
+            Stream::Jobs => self.take_jobs(&progress, now, actions),
             Stream::Progress => self.take_progress(&progress, now),
             Stream::Rules => self.take_rules(&progress, actions),
             Stream::Workers => self.take_workers(progress, now, actions),
         }
     }
 
-    fn take_jobs(&mut self, progress: &Progress, now: Now) {
+    fn take_jobs(&mut self, progress: &Progress, now: Now, actions: &mut Vec<Action>) {
         for record in &progress.records {
             let change = self.ledger.apply(record);
-            self.take_change(change, now);
+            self.take_change(change, now, actions);
         }
     }
 
     /// Passes a change on to the owner, if this host is that.
-    pub(crate) fn take_change(&mut self, change: Change, now: Now) {
+    pub(crate) fn take_change(&mut self, change: Change, now: Now, actions: &mut Vec<Action>) {
         let Some(owner) = &mut self.owner else {
             return;
         };
         match change {
-            Change::Submitted(id) => owner.adopt(id, &self.ledger, now),
-            Change::Cancelled(id) => owner.cancel(id, now),
+            Change::Submitted(id) => owner.adopt(id, &self.ledger, now, actions),
+            Change::Cancelled(id) => owner.cancel(id, now, actions),
             _ => {}
         }
     }
--- a/crates/dispatch/src/entry/owning.rs
+++ b/crates/dispatch/src/entry/owning.rs
@@ -94,7 +94,7 @@
             return;
         }
         self.claim = None;
-        let mut owner = Owner::new(&self.host, token, &self.bounds, &self.ledger, now);
+        let mut owner = Owner::new(&self.host, token, &self.bounds, &self.ledger, now, actions);
         owner.figures = self.past_figures;
         owner.list_workers(&self.worker_entries, now, actions);
         actions.push(Action::Note(Note::new(
--- a/crates/dispatch/src/owner/ends.rs
+++ b/crates/dispatch/src/owner/ends.rs
@@ -62,6 +62,16 @@
         let Some(job) = self.job_keys.get(&task.job).copied() else {
             return;
         };
+        if manner == Manner::Done && run.first_percent == 0 {
+            let took_ms = now.steady_ms.saturating_sub(run.begun_ms);
+            let job = &mut self.jobs[job];
+            self.durations
+                .note(&job.submission.queue, run.is_filler, took_ms);
+            if let Some(step) = job.step_mut(task) {
+                step.ended += 1;
+                step.ended_ms += took_ms;
+            }
+        }
         self.end_run(job, key, task, number, manner, checkpoint, now, actions);
     }
 
@@ -152,9 +162,9 @@
                 id.job.to_string(),
                 format!("task={id} failures={attempts_most}"),
             )));
-            self.finish(key, JobPhase::Failed, now);
+            self.finish(key, JobPhase::Failed, now, actions);
         } else if is_finished {
-            self.finish(key, JobPhase::Completed, now);
+            self.finish(key, JobPhase::Completed, now, actions);
         }
     }
 
--- a/crates/dispatch/src/owner/job.rs
+++ b/crates/dispatch/src/owner/job.rs
@@ -47,8 +47,6 @@
     pub(crate) not_before_ms: u64,
     /// Worker on which it failed last; another one is tried first.
     pub(crate) failed_on: Option<WorkerKey>,
-    /// When its present run was placed.
-    pub(crate) placed_ms: u64,
 }
 
 impl Task {
@@ -64,6 +62,9 @@
     pub(crate) done: u32,
     /// Tasks that run nowhere.
     pub(crate) waiting: u32,
+    /// Runs that ended well under this owner, and the time that they took together.
+    pub(crate) ended: u32,
+    pub(crate) ended_ms: u64,
 }
 
 impl StepState {
@@ -72,6 +73,7 @@
             tasks: vec![Task::default(); step.count as usize],
             done: 0,
             waiting: step.count,
+            ..Self::default()
         }
     }
 
--- a/crates/dispatch/src/owner/looks.rs
+++ b/crates/dispatch/src/owner/looks.rs
@@ -208,6 +208,9 @@
                 tries: 0,
                 checkpoint: "".into(),
                 percent: 0,
+                begun_ms: 0,
+                first_percent: 0,
+                first_ms: 0,
                 moved_ms: 0,
                 gauge: 0,
                 over_since_ms: None,
@@ -295,6 +298,11 @@
 }
 
 fn note_row(run: &mut Run, row: &ListedRun, now_ms: u64) {
+    // A resumed run begins at the share of the work that its checkpoint holds.
+    if run.percent == 0 && !run.checkpoint.is_empty() && run.first_percent == 0 {
+        run.first_percent = row.percent;
+        run.first_ms = now_ms;
+    }
     if row.percent > run.percent {
         run.moved_ms = now_ms;
     }
--- a/crates/dispatch/src/owner/mod.rs
+++ b/crates/dispatch/src/owner/mod.rs
@@ -17,6 +17,7 @@
 mod orders;
 mod pacing;
 mod placing;
+mod stragglers;
 mod worker;
 mod writing;
 
@@ -34,6 +35,7 @@
 use crate::owner::interference::Interference;
 use crate::owner::job::Job;
 use crate::owner::job::JobKey;
+use crate::owner::stragglers::Durations;
 use crate::owner::worker::Run;
 use crate::owner::worker::RunPhase;
 use crate::owner::worker::Worker;
@@ -119,6 +121,7 @@
     orders: HashMap<u64, (WorkerKey, Purpose)>,
     images: Images,
     interference: Interference,
+    durations: Durations,
     writer: Writer,
     /// When the store or most workers last confirmed this owner.
     confirmed_ms: u64,
@@ -130,7 +133,14 @@
 
 impl Owner {
     /// Begins to own what the ledger holds, under a token that the store has accepted.
-    pub(crate) fn new(host: &str, token: u64, bounds: &Bounds, ledger: &Ledger, now: Now) -> Self {
+    pub(crate) fn new(
+        host: &str,
+        token: u64,
+        bounds: &Bounds,
+        ledger: &Ledger,
+        now: Now,
+        actions: &mut Vec<Action>,
+    ) -> Self {
         let mut owner = Self {
             token,
             host: host.into(),
@@ -143,6 +153,7 @@
             orders: HashMap::new(),
             images: Images::default(),
             interference: Interference::default(),
+            durations: Durations::default(),
             writer: Writer::new(now.steady_ms),
             confirmed_ms: now.steady_ms,
             is_leaving: false,
@@ -153,13 +164,19 @@
         let mut ids: Vec<JobId> = ledger.jobs.keys().copied().collect();
         ids.sort_unstable();
         for id in ids {
-            owner.adopt(id, ledger, now);
+            owner.adopt(id, ledger, now, actions);
         }
         owner
     }
 
     /// Takes in a job from the ledger, with the runs that a former owner has recorded.
-    pub(crate) fn adopt(&mut self, id: JobId, ledger: &Ledger, now: Now) {
+    pub(crate) fn adopt(
+        &mut self,
+        id: JobId,
+        ledger: &Ledger,
+        now: Now,
+        actions: &mut Vec<Action>,
+    ) {
         if self.job_keys.contains_key(&id) {
             return;
         }
@@ -186,7 +203,7 @@
         self.inherit_runs(key);
         self.must_place |= is_new;
         if record.is_cancelled {
-            self.cancel(id, now);
+            self.cancel(id, now, actions);
         }
     }
 
@@ -245,6 +262,9 @@
             tries: 0,
             checkpoint: "".into(),
             percent: 0,
+            begun_ms: now_ms,
+            first_percent: 0,
+            first_ms: now_ms,
             moved_ms: now_ms,
             gauge: 0,
             over_since_ms: None,
@@ -292,18 +312,27 @@
     }
 
     /// Stops a job for good.
-    pub(crate) fn cancel(&mut self, id: JobId, now: Now) {
+    pub(crate) fn cancel(&mut self, id: JobId, now: Now, actions: &mut Vec<Action>) {
         if let Some(key) = self.job_keys.get(&id) {
-            self.finish(*key, JobPhase::Cancelled, now);
+            self.finish(*key, JobPhase::Cancelled, now, actions);
         }
     }
 
     /// Ends a job: whatever still runs of it is stopped.
-    fn finish(&mut self, key: JobKey, phase: JobPhase, now: Now) {
+    fn finish(&mut self, key: JobKey, phase: JobPhase, now: Now, actions: &mut Vec<Action>) {
         let job = &mut self.jobs[key];
         if job.phase.is_final() {
             return;
         }
+        actions.push(Action::Note(Note::new(
+            Code::JobFinished,
+            job.id.to_string(),
+            format!(
+                "how={phase:?} queue={} spare_ms={}",
+                job.submission.queue,
+                job.due_ms as i64 - now.steady_ms as i64
+            ),
+        )));
         job.phase = phase;
         job.final_wall_ms = now.wall_ms;
         job.has_waiting = false;
@@ -388,6 +417,7 @@
         self.open_due(now);
         self.check_confirmed(now.steady_ms);
         self.look_around(now, tickets, actions);
+        self.chase_stragglers(now, actions);
         self.stop_strays(now.steady_ms, tickets, actions);
         if self.must_place {
             self.must_place = false;
--- a/crates/dispatch/src/owner/orders.rs
+++ b/crates/dispatch/src/owner/orders.rs
@@ -61,6 +61,8 @@
             run.tries += 1;
             run.checkpoint.clone_from(&checkpoint);
             run.moved_ms = now_ms;
+            run.begun_ms = now_ms;
+            run.first_ms = now_ms;
         }
         self.figures.starts += 1;
         actions.push(Action::Note(Note::new(
--- a/crates/dispatch/src/owner/placing.rs
+++ b/crates/dispatch/src/owner/placing.rs
@@ -164,6 +164,32 @@
         best.map(|(_, key)| key)
     }
 
+    /// Starts a copy of a task that runs already, if a worker has room for it.
+    pub(crate) fn place_copy(
+        &mut self,
+        key: JobKey,
+        id: TaskId,
+        now: Now,
+        actions: &mut Vec<Action>,
+    ) {
+        let submission = self.jobs[key].submission.clone();
+        let Some(step) = submission.steps.get(usize::from(id.step)) else {
+            return;
+        };
+        let wanted = Wanted {
+            step,
+            service: &submission.service,
+            image: self.images.key(&step.image),
+            task: id,
+            failed_on: self.jobs[key].task_mut(id).and_then(|task| task.failed_on),
+        };
+        if let Some(worker) = self.choose(&wanted, now.steady_ms)
+            && Some(worker) != wanted.failed_on
+        {
+            self.assign(key, id, worker, now, actions);
+        }
+    }
+
     /// Gives the cost of what a task would do to those that serve on a worker, or what
     /// fillers there would do to it; `None` if that is too much.
     fn disturbance(&self, worker: &Worker, wanted: &Wanted<'_>) -> Option<i64> {
@@ -236,11 +262,14 @@
         };
         task.run += 1;
         let number = task.run;
-        task.placed = Some(Placed {
+        let placed = Some(Placed {
             run: number,
             worker,
         });
-        task.placed_ms = now.steady_ms;
+        match task.placed {
+            None => task.placed = placed,
+            Some(_) => task.copy = placed,
+        }
         if let Some(step) = job.step_mut(id) {
             step.recount();
         }
--- /dev/null
+++ b/crates/dispatch/src/owner/stragglers.rs
@@ -0,0 +1,189 @@
+//! Tasks that stand still or crawl, and the workers they are on.
+//!
+//! A worker may answer every look in time while what runs there stands still or takes
+//! several times as long. Nothing but the progress of its tasks shows that. The tasks of a
+//! step are alike, so the ones that have ended, or are far ahead, tell how long the others
+//! should take. One that will take much longer where it is than it would elsewhere is
+//! stopped and started again, or gets a copy beside it if its step allows that.
+
+use crate::event::Action;
+use crate::event::Now;
+use crate::ids::TaskId;
+use crate::owner::Owner;
+use crate::owner::job::JobKey;
+use crate::owner::worker::Run;
+use crate::owner::worker::RunPhase;
+use crate::owner::worker::WorkerKey;
+use goldcrestway_core::Code;
+use goldcrestway_core::Note;
+use std::collections::HashMap;
+
+/// Pause between two searches, a third of the time between looks.
+const SEARCH_MS: u64 = 250;
+/// A task without progress for so long stands still: a look tells of progress every 0.7 s
+/// at the latest, and is a tenth of a second old when it comes.
+const STILL_MS: u64 = 950;
+/// Or for this part of the time that it should take in all, in percent, if that is longer.
+const STILL_PERCENT: u64 = 40;
+/// Earliest time, and part of the expected time in percent, at which a task is judged by
+/// its pace: by then it has been looked at once or twice.
+const JUDGE_MS: u64 = 500;
+const JUDGE_PERCENT: u64 = 40;
+/// What a task must have left, in percent of the time of a whole run elsewhere, to be
+/// started again: less gains nothing over waiting.
+const LEFT_PERCENT: u64 = 160;
+/// Time that stopping and starting again take.
+const MOVE_MS: u64 = 300;
+/// Time for which a worker with a straggler gets nothing new.
+const SHUN_MS: u64 = 1_500;
+/// Runs after which a task is left where it is: it may just be longer than its siblings.
+const RUNS_MOST: u32 = 6;
+/// Weight of a new duration in the mean of its queue, in percent.
+const MEAN_PERCENT: u64 = 5;
+/// How much longer than the mean of its queue a task may take of which nothing else is
+/// known: half of the jobs are within a factor of 1.6, nearly all within 3.
+const UNKNOWN_FACTOR: u64 = 3;
+
+/// A straggler.
+struct Straggler {
+    worker: WorkerKey,
+    task: TaskId,
+    run: u32,
+    job: JobKey,
+}
+
+/// How long the tasks of a queue take, fillers apart from others.
+#[derive(Debug, Default)]
+pub(crate) struct Durations {
+    mean_ms: HashMap<(Box<str>, bool), u64>,
+    next_search_ms: u64,
+}
+
+impl Durations {
+    /// Notes how long a run took that ended well.
+    pub(crate) fn note(&mut self, queue: &str, is_filler: bool, took_ms: u64) {
+        let mean_ms = self
+            .mean_ms
+            .entry((queue.into(), is_filler))
+            .or_insert(took_ms);
+        *mean_ms = (*mean_ms * (100 - MEAN_PERCENT) + took_ms * MEAN_PERCENT) / 100;
+    }
+
+    fn usual_ms(&self, queue: &str, is_filler: bool) -> Option<u64> {
+        self.mean_ms.get(&(queue.into(), is_filler)).copied()
+    }
+}
+
+impl Owner {
+    /// Looks for stragglers and starts them elsewhere.
+    pub(crate) fn chase_stragglers(&mut self, now: Now, actions: &mut Vec<Action>) {
+        if now.steady_ms < self.durations.next_search_ms {
+            return;
+        }
+        self.durations.next_search_ms = now.steady_ms + SEARCH_MS;
+        let mut expected: HashMap<(JobKey, u32, u16), Option<u64>> = HashMap::new();
+        let mut found = Vec::new();
+        for (worker, state) in &self.workers {
+            if state.is_silent || !state.is_known {
+                continue;
+            }
+            for ((task, number), run) in &state.runs {
+                let is_judged = matches!(run.phase, RunPhase::Present { .. });
+                let is_slowed = run.share_percent < 100 || run.pace_percent < 100;
+                if !is_judged || run.is_lasting || run.is_stray || is_slowed {
+                    continue;
+                }
+                let Some(job) = self.job_keys.get(&task.job).copied() else {
+                    continue;
+                };
+                let expected_ms = *expected
+                    .entry((job, task.occurrence, task.step))
+                    .or_insert_with(|| self.expected_ms(job, *task));
+                if expected_ms.is_some_and(|expected_ms| lags(run, expected_ms, now.steady_ms)) {
+                    found.push(Straggler {
+                        worker,
+                        task: *task,
+                        run: *number,
+                        job,
+                    });
+                }
+            }
+        }
+        for straggler in found {
+            self.replace(&straggler, now, actions);
+        }
+    }
+
+    /// Gives the time that a task of this step should take, if anything tells.
+    fn expected_ms(&self, job: JobKey, task: TaskId) -> Option<u64> {
+        let job = &self.jobs[job];
+        let occurrence = job
+            .occurrences
+            .iter()
+            .find(|occurrence| occurrence.number == task.occurrence)?;
+        let state = occurrence.steps.get(usize::from(task.step))?;
+        if state.ended > 0 {
+            return Some(state.ended_ms / u64::from(state.ended));
+        }
+        let step = job.step(task)?;
+        let usual_ms = self
+            .durations
+            .usual_ms(&job.submission.queue, step.is_filler)?;
+        Some(usual_ms * UNKNOWN_FACTOR)
+    }
+
+    fn replace(&mut self, straggler: &Straggler, now: Now, actions: &mut Vec<Action>) {
+        let Straggler {
+            worker,
+            task: id,
+            run: number,
+            job,
+        } = *straggler;
+        let is_speculative = self.jobs[job]
+            .step(id)
+            .is_some_and(|step| step.is_speculative);
+        let Some(task) = self.jobs[job].task_mut(id) else {
+            return;
+        };
+        let is_only = task.copy.is_none() && task.placed.is_some_and(|placed| placed.run == number);
+        if !is_only || task.run >= RUNS_MOST {
+            return;
+        }
+        task.failed_on = Some(worker);
+        self.workers[worker].shunned_until_ms = now.steady_ms + SHUN_MS;
+        let run = &self.workers[worker].runs[&(id, number)];
+        actions.push(Action::Note(Note::new(
+            Code::RunLagging,
+            id.to_string(),
+            format!(
+                "run={number} worker={} percent={} still_ms={} age_ms={} copy={is_speculative}",
+                self.workers[worker].entry.id,
+                run.percent,
+                now.steady_ms - run.moved_ms,
+                now.steady_ms - run.begun_ms
+            ),
+        )));
+        if is_speculative {
+            self.place_copy(job, id, now, actions);
+        } else {
+            self.set_phase(worker, id, number, RunPhase::Stopping { again_ms: 0 });
+        }
+    }
+}
+
+/// Tells whether a run would end sooner if it were started elsewhere.
+fn lags(run: &Run, expected_ms: u64, now_ms: u64) -> bool {
+    let still_ms = now_ms - run.moved_ms;
+    if still_ms >= STILL_MS.max(expected_ms * STILL_PERCENT / 100) {
+        return true;
+    }
+    // Progress is known as of the latest look that told of some.
+    let worked_ms = run.moved_ms.saturating_sub(run.first_ms);
+    if worked_ms < JUDGE_MS.max(expected_ms * JUDGE_PERCENT / 100) {
+        return false;
+    }
+    let done = u64::from(run.percent.saturating_sub(run.first_percent)).max(1);
+    let left_ms = worked_ms * u64::from(100 - run.percent.min(100)) / done;
+    let saved = 100 - u64::from(run.first_percent.min(99));
+    left_ms.saturating_sub(still_ms) > expected_ms * saved / 100 * LEFT_PERCENT / 100 + MOVE_MS
+}
--- a/crates/dispatch/src/owner/worker.rs
+++ b/crates/dispatch/src/owner/worker.rs
@@ -50,6 +50,12 @@
     pub(crate) tries: u32,
     pub(crate) checkpoint: Box<str>,
     pub(crate) percent: u32,
+    /// When the order to start it was sent.
+    pub(crate) begun_ms: u64,
+    /// From where its pace is measured: its start, or for one that resumed from a
+    /// checkpoint what its first look told, and when.
+    pub(crate) first_percent: u32,
+    pub(crate) first_ms: u64,
     /// When its percent last rose.
     pub(crate) moved_ms: u64,
     pub(crate) gauge: u64,
