Take over sooner, forgive one lost answer, read workers anew for each claim

Cause: an owner cut off from the store was replaced after 2 s; a worker whose answer was lost once got nothing for 1.2 s and its tasks were taken for stragglers; an owner began with the list of workers of a claim that it had lost 30 s before, which was empty.

Change: signs of life four times a second, a claim after 0.85 s without; a worker is silent after two looks without an answer, and no lease is extended after one; the list of workers is loaded with each claim; tasks are judged by the age of the look.

--- a/crates/dispatch/src/election.rs
+++ b/crates/dispatch/src/election.rs
@@ -13,16 +13,17 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 /// Silence of the owner after which a host claims. An owner in good health writes every
-/// half second at least; a slow store delays it by a quarter of a second.
-const SILENCE_MS: u64 = 1_500;
+/// quarter of a second at least; a store that is sixty times slower takes as much again
+/// for the write and for the read.
+const SILENCE_MS: u64 = 850;
 /// Hosts claim one after the other, in an order of their own, so that one is enough.
-const SPREAD_MS: u64 = 400;
+const SPREAD_MS: u64 = 300;
 /// Between the claims of two hosts after an owner that leaves; it still acts meanwhile.
 const LEAVING_SPREAD_MS: u64 = 150;
 /// Pause between two reads of a follower, while the owner is well.
-const POLL_MS: u64 = 500;
+const POLL_MS: u64 = 250;
 /// Pause between two reads while the owner is suspected.
-const SUSPECT_POLL_MS: u64 = 150;
+const SUSPECT_POLL_MS: u64 = 100;
 /// Bits of an epoch that tell apart hosts that claim at the same moment.
 const EPOCH_SPREAD_BITS: u32 = 16;
 
--- a/crates/dispatch/src/entry/owning.rs
+++ b/crates/dispatch/src/entry/owning.rs
@@ -9,6 +9,7 @@
 use crate::owner::Owner;
 use crate::record::Key;
 use crate::record::OwnerRecord;
+use crate::tail::Tail;
 use goldcrestway_core::Code;
 use goldcrestway_core::Note;
 use prost::Message;
@@ -35,6 +36,9 @@
                 &*owner.host,
                 format!("token={} leaving={}", owner.token, owner.is_leaving),
             )));
+            // A list from an earlier claim would be old, and its history is gone.
+            self.workers = Tail::new(Stream::Workers);
+            self.worker_entries.clear();
             self.claim = Some(Claim {
                 fence: self.election.fence(owner),
                 ticket: None,
--- a/crates/dispatch/src/owner/looks.rs
+++ b/crates/dispatch/src/owner/looks.rs
@@ -23,11 +23,15 @@
 const GAP_MS: u64 = 60;
 /// Pause between looks while ends wait to be recorded, which a look would repeat.
 const HELD_GAP_MS: u64 = 1_000;
+/// Pause before the look that follows one without an answer.
+const MISSED_GAP_MS: u64 = 20;
+/// Looks in a row without an answer at which that is told.
+const SILENT_AT: u32 = 2;
 /// Pause between looks at a worker that gives no answer.
 const SILENT_GAP_MS: u64 = 300;
 /// Time after which an answer that should have come is no longer awaited. Workers answer
 /// within milliseconds, slow ones within tens of them.
-const TIMEOUT_MS: u64 = 500;
+const TIMEOUT_MS: u64 = 350;
 /// Runs of which an order to start may be repeated before the run is given up.
 const START_TRIES: u32 = 2;
 
@@ -39,7 +43,7 @@
         let mut dead = Vec::new();
         for (key, worker) in &self.workers {
             let is_reachable = !worker.entry.address.is_empty();
-            let may_be_dead = worker.is_silent || !worker.is_known || !is_reachable;
+            let may_be_dead = worker.is_silent() || !worker.is_known || !is_reachable;
             let has_lapsed = may_be_dead && now_ms > worker.lapsed_ms;
             let is_over = !worker.is_listed && worker.runs.is_empty() && !worker.is_looked_at;
             let holds_up = !worker.runs.is_empty() || !worker.is_listed;
@@ -64,7 +68,7 @@
         let worker = &mut self.workers[key];
         // The lease of a silent worker must run out some day: its tasks are started
         // elsewhere only then. A look whose answer is lost would extend it.
-        let extends = is_confirmed && worker.is_known && !worker.is_silent;
+        let extends = is_confirmed && worker.is_known && worker.misses == 0;
         let lease_until_ms = match worker.clock_ms(now_ms) {
             Some(clock_ms) if extends => Some(clock_ms + lease_ms),
             _ => None,
@@ -74,7 +78,7 @@
         }
         let has_unrecorded = worker.handled > worker.recorded;
         let waits =
-            worker.is_known && !worker.is_silent && !has_unrecorded && worker.clock.is_some();
+            worker.is_known && worker.misses == 0 && !has_unrecorded && worker.clock.is_some();
         let wait_ms = if waits { WAIT_MS } else { 0 };
         let call = WorkerCall::Look {
             seen: worker.recorded,
@@ -109,21 +113,25 @@
             ..
         } = end
         else {
-            if !worker.is_silent {
+            worker.misses += 1;
+            worker.next_look_ms = now_ms + MISSED_GAP_MS;
+            if worker.is_silent() {
+                worker.next_look_ms = now_ms + SILENT_GAP_MS;
+            }
+            if worker.misses == SILENT_AT {
                 actions.push(Action::Note(Note::new(
                     Code::WorkerSilent,
                     &*worker.entry.id,
                     format!(
-                        "sent_ms={sent_ms} now_ms={now_ms} runs={}",
+                        "answer_age_ms={} runs={}",
+                        now_ms - worker.answered_ms,
                         worker.runs.len()
                     ),
                 )));
             }
-            worker.is_silent = true;
-            worker.next_look_ms = now_ms + SILENT_GAP_MS;
             return;
         };
-        if worker.is_silent {
+        if worker.is_silent() {
             self.must_place = true;
             actions.push(Action::Note(Note::new(
                 Code::WorkerBack,
@@ -131,7 +139,7 @@
                 format!("runs={}", listed.runs.len()),
             )));
         }
-        worker.is_silent = false;
+        worker.misses = 0;
         worker.answered_ms = now_ms;
         let was_known = worker.is_known;
         worker.is_known = true;
--- a/crates/dispatch/src/owner/pacing.rs
+++ b/crates/dispatch/src/owner/pacing.rs
@@ -72,7 +72,7 @@
     pub(crate) fn pace(&mut self, now_ms: u64, tickets: &mut u64, actions: &mut Vec<Action>) {
         let mut due = Vec::new();
         for (key, worker) in &mut self.workers {
-            if worker.filler_milli == 0 || worker.is_silent || !worker.is_known {
+            if worker.filler_milli == 0 || worker.is_silent() || !worker.is_known {
                 continue;
             }
             for ((task, number), run) in &mut worker.runs {
--- a/crates/dispatch/src/owner/stragglers.rs
+++ b/crates/dispatch/src/owner/stragglers.rs
@@ -20,6 +20,8 @@
 
 /// Pause between two searches, a third of the time between looks.
 const SEARCH_MS: u64 = 250;
+/// Oldest look by which tasks are judged.
+const FRESH_MS: u64 = 800;
 /// A task without progress for so long stands still: a look tells of progress every 0.7 s
 /// at the latest, and is a tenth of a second old when it comes.
 const STILL_MS: u64 = 950;
@@ -84,7 +86,8 @@
         let mut expected: HashMap<(JobKey, u32, u16), Option<u64>> = HashMap::new();
         let mut found = Vec::new();
         for (worker, state) in &self.workers {
-            if state.is_silent || !state.is_known {
+            // What was not looked at of late says nothing about its tasks.
+            if state.misses > 0 || now.steady_ms > state.answered_ms + FRESH_MS {
                 continue;
             }
             for ((task, number), run) in &state.runs {
@@ -99,7 +102,8 @@
                 let expected_ms = *expected
                     .entry((job, task.occurrence, task.step))
                     .or_insert_with(|| self.expected_ms(job, *task));
-                if expected_ms.is_some_and(|expected_ms| lags(run, expected_ms, now.steady_ms)) {
+                if expected_ms.is_some_and(|expected_ms| lags(run, expected_ms, state.answered_ms))
+                {
                     found.push(Straggler {
                         worker,
                         task: *task,
@@ -171,9 +175,10 @@
     }
 }
 
-/// Tells whether a run would end sooner if it were started elsewhere.
-fn lags(run: &Run, expected_ms: u64, now_ms: u64) -> bool {
-    let still_ms = now_ms - run.moved_ms;
+/// Tells whether a run would end sooner if it were started elsewhere, as of the look at
+/// `seen_ms`.
+fn lags(run: &Run, expected_ms: u64, seen_ms: u64) -> bool {
+    let still_ms = seen_ms.saturating_sub(run.moved_ms);
     if still_ms >= STILL_MS.max(expected_ms * STILL_PERCENT / 100) {
         return true;
     }
--- a/crates/dispatch/src/owner/worker.rs
+++ b/crates/dispatch/src/owner/worker.rs
@@ -12,6 +12,9 @@
     pub(crate) struct WorkerKey;
 }
 
+/// Looks in a row without an answer that make a worker silent.
+const MISSES_MOST: u32 = 2;
+
 /// How far the order to start a run has come.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum RunPhase {
@@ -79,8 +82,8 @@
     pub(crate) is_listed: bool,
     /// It has answered this owner, so what runs there is known.
     pub(crate) is_known: bool,
-    /// Its looks get no answer.
-    pub(crate) is_silent: bool,
+    /// Looks in a row without an answer.
+    pub(crate) misses: u32,
     /// Its clock, and when it was told.
     pub(crate) clock: Option<(u64, u64)>,
     /// After this time nothing that runs there can be alive, if it stays silent.
@@ -113,7 +116,7 @@
             entry,
             is_listed: true,
             is_known: false,
-            is_silent: false,
+            misses: 0,
             clock: None,
             lapsed_ms,
             is_looked_at: false,
@@ -150,11 +153,16 @@
         worker
     }
 
+    /// Tells whether it is taken for cut off or dead. One lost answer says little.
+    pub(crate) fn is_silent(&self) -> bool {
+        self.misses >= MISSES_MOST
+    }
+
     /// Tells whether new work may go there.
     pub(crate) fn is_open(&self, now_ms: u64) -> bool {
         self.is_listed
             && self.is_known
-            && !self.is_silent
+            && !self.is_silent()
             && !self.entry.is_leaving
             && self.clock.is_some()
             && now_ms >= self.shunned_until_ms
--- a/crates/dispatch/src/owner/writing.rs
+++ b/crates/dispatch/src/owner/writing.rs
@@ -20,7 +20,7 @@
 /// is still well inside objectives of 250 ms and more.
 const GAP_MS: u64 = 20;
 /// Signs of life while nothing else is written. Followers claim after three missing ones.
-const BEAT_MS: u64 = 500;
+const BEAT_MS: u64 = 250;
 /// Time after which an append without an answer is repeated. The store answers in 4 ms,
 /// and in 240 ms when it is sixty times slower.
 const APPEND_TIMEOUT_MS: u64 = 700;
