Take a task for well again only with some room, give it no further filler

Change: an ease of 1.08 ends the time over the target; a filler that may press such a task at all is not placed there.

--- a/crates/dispatch/src/owner/pacing.rs
+++ b/crates/dispatch/src/owner/pacing.rs
@@ -22,13 +22,16 @@
 
 /// Ease below which fillers that press a task are slowed; at 1 its target is missed.
 const CUT_EASE: f64 = 1.05;
+/// Ease at which a task that was over its target is taken for well again. What looks tell
+/// is rough by a tenth and more, so one figure just below the target proves nothing.
+const WELL_EASE: f64 = 1.08;
 /// Ease below which such fillers get nothing back.
 const RAISE_EASE: f64 = 1.43;
 /// Time over the target after which fillers that may be a cause are halted. Harm counts
 /// after four seconds; a look, an order and its effect take one.
 const SUSPECTS_HALT_MS: u64 = 1_300;
 /// Time over the target after which any filler that was ever seen to press is halted.
-const ALL_HALT_MS: u64 = 2_400;
+const ALL_HALT_MS: u64 = 2_200;
 /// Pause between two changes of the same worker: the tail is of the last half second, and
 /// an order takes a tenth of a second to have its effect.
 const PAUSE_MS: u64 = 700;
@@ -58,10 +61,11 @@
             }
             let ease = ease(run.tail_target_ms, run.gauge);
             self.interference.learn(run.image, ease, &uses);
-            run.over_since_ms = match ease < 1.0 {
-                true => run.over_since_ms.or(Some(now_ms)),
-                false => None,
-            };
+            if ease < 1.0 {
+                run.over_since_ms.get_or_insert(now_ms);
+            } else if ease >= WELL_EASE {
+                run.over_since_ms = None;
+            }
         }
         if worker.filler_milli > 0 && now_ms >= worker.pace_ms {
             decide(worker, &self.interference, now_ms);
--- a/crates/dispatch/src/owner/placing.rs
+++ b/crates/dispatch/src/owner/placing.rs
@@ -27,6 +27,8 @@
 const EASE_LEAST: f64 = 1.9;
 /// Cost, in thousandths of a core, of taking one whole of a serving task's ease.
 const PRESSURE_COST: f64 = 40_000.0;
+/// Pressure that matters to a task that is over its target already.
+const PRESSURE_SLIGHT: f64 = 0.01;
 /// Pressure that is no matter.
 const PRESSURE_LEAST: f64 = 0.04;
 /// Gain of a worker that serves the same image already: a filler that gets on with one
@@ -225,6 +227,10 @@
                 continue;
             }
             let pressure = self.interference.pressure(run.image, &[own]);
+            // A task over its target gets no further filler that may be the cause.
+            if run.over_since_ms.is_some() && pressure >= PRESSURE_SLIGHT {
+                return None;
+            }
             if pressure < PRESSURE_LEAST {
                 continue;
             }
