Bound the pressure on a served task, keep served images together more

Cause: a served task was still over its target when its load swung up beside fillers that took 0.4 to 0.9 of its ease.

Change: pressure of 0.4 at most; the gain of a worker that serves the same image is 14 cores instead of 6.

--- a/crates/dispatch/src/owner/placing.rs
+++ b/crates/dispatch/src/owner/placing.rs
@@ -25,6 +25,8 @@
 /// Ease that fillers must leave to a serving task: at 1 it misses its target, and its own
 /// load takes a third at its peak.
 const EASE_LEAST: f64 = 1.9;
+/// Pressure on a serving task that fillers may add up to.
+const PRESSURE_MOST: f64 = 0.40;
 /// Cost, in thousandths of a core, of taking one whole of a serving task's ease.
 const PRESSURE_COST: f64 = 40_000.0;
 /// Pressure that matters to a task that is over its target already.
@@ -33,7 +35,7 @@
 const PRESSURE_LEAST: f64 = 0.04;
 /// Gain of a worker that serves the same image already: a filler that gets on with one
 /// gets on with all of them.
-const SAME_IMAGE_GAIN: i64 = 6_000;
+const SAME_IMAGE_GAIN: i64 = 14_000;
 /// Cost, in thousandths of a core, of a worker far from a task's data.
 const FAR_COST: i64 = 1_000_000;
 /// Cost of a worker on which the task has failed before.
@@ -236,7 +238,8 @@
             }
             let others = others.get_or_insert_with(|| demands(worker));
             let taken = pressure + self.interference.pressure(run.image, others);
-            if self.interference.alone(run.image) - taken < EASE_LEAST {
+            let is_tight = self.interference.alone(run.image) - taken < EASE_LEAST;
+            if is_tight || taken > PRESSURE_MOST {
                 return None;
             }
             most = most.max(taken);
