Pass what was learned of presses on to the next owner

Change: presses are recorded every 2.5 s with the progress of jobs; a successor starts from them with the weight of 60 samples.

--- a/crates/dispatch/src/ledger.rs
+++ b/crates/dispatch/src/ledger.rs
@@ -4,6 +4,7 @@
 use crate::ids::JobId;
 use crate::record::JobPhase;
 use crate::record::Key;
+use crate::record::Learned;
 use crate::record::OwnerRecord;
 use crate::record::Progress;
 use crate::record::Submission;
@@ -79,6 +80,8 @@
     pub(crate) jobs: HashMap<JobId, JobRecord>,
     pub(crate) owner: OwnerRecord,
     owner_offset: u64,
+    /// What owners have learned, as written last.
+    pub(crate) learned: Learned,
 }
 
 impl Ledger {
@@ -89,6 +92,11 @@
             Some(Key::Cancelled(id)) => self.cancel(id, &record.value),
             Some(Key::Progress(id)) => self.progress(id, record),
             Some(Key::Owner) => self.own(record),
+            Some(Key::Learned) => {
+                // What can't be read is learned anew.
+                self.learned = Learned::decode(&*record.value).unwrap_or_default();
+                Change::Nothing
+            }
             None => Change::Nothing,
         }
     }
--- a/crates/dispatch/src/owner/images.rs
+++ b/crates/dispatch/src/owner/images.rs
@@ -10,6 +10,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct Images {
     keys: HashMap<Box<str>, ImageKey>,
+    names: Vec<Box<str>>,
 }
 
 impl Images {
@@ -23,6 +24,13 @@
         }
         let key = ImageKey((self.keys.len() + 1).min(usize::from(u16::MAX)) as u16);
         self.keys.insert(name.into(), key);
+        self.names.push(name.into());
         key
     }
+
+    /// Gives the name of an image.
+    pub(crate) fn name(&self, key: ImageKey) -> &str {
+        let at = usize::from(key.0).checked_sub(1);
+        at.and_then(|at| self.names.get(at)).map_or("", |name| name)
+    }
 }
--- a/crates/dispatch/src/owner/interference.rs
+++ b/crates/dispatch/src/owner/interference.rs
@@ -17,6 +17,10 @@
 //! hides the pairs that do not press from those that do.
 
 use crate::owner::images::ImageKey;
+use crate::owner::images::Images;
+use crate::record::Learned;
+use crate::record::LearnedImage;
+use crate::record::LearnedPress;
 use std::collections::BTreeMap;
 use std::collections::HashMap;
 
@@ -28,6 +32,9 @@
 const UNKNOWN_PRESS: f64 = 0.06;
 /// Weight of that assumption, in samples of a filler that uses one core.
 const UNKNOWN_WEIGHT: f64 = 4.0;
+/// Weight of what a former owner has learned: it counts until a second or two of looks
+/// say otherwise.
+const LEARNED_WEIGHT: f64 = 60.0;
 /// An ease above this says no more than that the task is well.
 const EASE_MOST: f64 = 4.0;
 /// Ease of an image of which nothing is known.
@@ -51,6 +58,9 @@
 #[derive(Debug)]
 struct Press {
     value: f64,
+    /// What was assumed before any sample, and its weight in samples of one core.
+    assumed: f64,
+    assumed_weight: f64,
     use_sum: f64,
     square_sum: f64,
     use_ease_sum: f64,
@@ -60,6 +70,8 @@
     fn default() -> Self {
         Self {
             value: UNKNOWN_PRESS,
+            assumed: UNKNOWN_PRESS,
+            assumed_weight: UNKNOWN_WEIGHT,
             use_sum: 0.0,
             square_sum: 0.0,
             use_ease_sum: 0.0,
@@ -100,6 +112,45 @@
         fit.solve(fillers);
     }
 
+    /// Takes over what a former owner has learned.
+    pub(crate) fn resume(&mut self, learned: &Learned, images: &mut Images) {
+        for image in &learned.images {
+            let fit = self.fits.entry(images.key(&image.image)).or_default();
+            fit.alone = image.alone;
+            fit.samples = LEARNED_WEIGHT;
+            fit.ease_sum = LEARNED_WEIGHT * image.alone;
+            for pair in &image.presses {
+                let press = Press {
+                    value: pair.press,
+                    assumed: pair.press,
+                    assumed_weight: LEARNED_WEIGHT,
+                    ..Press::default()
+                };
+                fit.press.insert(images.key(&pair.filler), press);
+            }
+        }
+    }
+
+    /// Gives what was learned, for a successor.
+    pub(crate) fn learned(&self, images: &Images) -> Learned {
+        let mut list = Vec::new();
+        for (serving, fit) in &self.fits {
+            let mut presses = Vec::new();
+            for (filler, press) in &fit.press {
+                presses.push(LearnedPress {
+                    filler: images.name(*filler).into(),
+                    press: press.value,
+                });
+            }
+            list.push(LearnedImage {
+                image: images.name(*serving).into(),
+                alone: fit.alone,
+                presses,
+            });
+        }
+        Learned { images: list }
+    }
+
     /// Gives the ease that a serving image has by itself.
     pub(crate) fn alone(&self, serving: ImageKey) -> f64 {
         self.fits
@@ -177,8 +228,8 @@
                 continue;
             };
             let missing = self.alone * press.use_sum - press.use_ease_sum - by_others;
-            let weight = press.square_sum + UNKNOWN_WEIGHT;
-            press.value = ((missing + UNKNOWN_WEIGHT * UNKNOWN_PRESS) / weight).max(0.0);
+            let weight = press.square_sum + press.assumed_weight;
+            press.value = ((missing + press.assumed_weight * press.assumed) / weight).max(0.0);
         }
     }
 }
--- a/crates/dispatch/src/owner/mod.rs
+++ b/crates/dispatch/src/owner/mod.rs
@@ -161,6 +161,9 @@
             stepdown: None,
             figures: Figures::default(),
         };
+        owner
+            .interference
+            .resume(&ledger.learned, &mut owner.images);
         let mut ids: Vec<JobId> = ledger.jobs.keys().copied().collect();
         ids.sort_unstable();
         for id in ids {
--- a/crates/dispatch/src/owner/writing.rs
+++ b/crates/dispatch/src/owner/writing.rs
@@ -21,6 +21,8 @@
 const GAP_MS: u64 = 20;
 /// Signs of life while nothing else is written. Followers claim after three missing ones.
 const BEAT_MS: u64 = 250;
+/// Pause between two records of what was learned. A successor loses as much at most.
+const LEARNED_MS: u64 = 2_500;
 /// Time after which an append without an answer is repeated. The store answers in 4 ms,
 /// and in 240 ms when it is sixty times slower.
 const APPEND_TIMEOUT_MS: u64 = 700;
@@ -49,6 +51,7 @@
     last_ms: u64,
     beat: u64,
     must_announce: bool,
+    learned_ms: u64,
     /// Runs whose records are in no batch yet.
     starts: Vec<(WorkerKey, TaskId, u32)>,
 }
@@ -61,6 +64,7 @@
             last_ms: now_ms,
             beat: 0,
             must_announce: false,
+            learned_ms: now_ms,
             starts: Vec::new(),
         }
     }
@@ -139,6 +143,11 @@
             records.push(self.owner_record());
             self.writer.must_announce = false;
         }
+        if now.steady_ms >= self.writer.learned_ms + LEARNED_MS {
+            self.writer.learned_ms = now.steady_ms;
+            let learned = self.interference.learned(&self.images);
+            records.push((Key::Learned.text(), learned.encode_to_vec().into()));
+        }
         self.make_batch(records, written, now.steady_ms);
     }
 
--- a/crates/dispatch/src/record.rs
+++ b/crates/dispatch/src/record.rs
@@ -9,6 +9,8 @@
 
 /// Key of the record that names the owner, in the stream of progress.
 pub(crate) const OWNER_KEY: &str = "owner";
+/// Key of what the owner has learned, in the stream of progress.
+pub(crate) const LEARNED_KEY: &str = "learned";
 
 /// A step of a job: tasks that are alike.
 #[derive(Clone, PartialEq, Eq, Message)]
@@ -219,6 +221,35 @@
     pub(crate) final_wall_ms: u64,
 }
 
+/// What an owner has learned of how fillers press served images, for its successor.
+#[derive(Clone, PartialEq, Message)]
+pub(crate) struct Learned {
+    #[prost(message, repeated, tag = "1")]
+    pub(crate) images: Vec<LearnedImage>,
+}
+
+/// What was learned of one served image.
+#[derive(Clone, PartialEq, Message)]
+pub(crate) struct LearnedImage {
+    #[prost(string, tag = "1")]
+    pub(crate) image: String,
+    /// Ease by itself.
+    #[prost(double, tag = "2")]
+    pub(crate) alone: f64,
+    #[prost(message, repeated, tag = "3")]
+    pub(crate) presses: Vec<LearnedPress>,
+}
+
+/// What was learned of one pair.
+#[derive(Clone, PartialEq, Message)]
+pub(crate) struct LearnedPress {
+    #[prost(string, tag = "1")]
+    pub(crate) filler: String,
+    /// Ease taken by each core.
+    #[prost(double, tag = "2")]
+    pub(crate) press: f64,
+}
+
 /// Who owns the progress of all jobs.
 #[derive(Clone, PartialEq, Eq, Message)]
 pub(crate) struct OwnerRecord {
@@ -247,6 +278,8 @@
     Progress(JobId),
     /// The owner.
     Owner,
+    /// What the owner has learned.
+    Learned,
 }
 
 impl Key {
@@ -254,6 +287,9 @@
         if text == OWNER_KEY {
             return Some(Key::Owner);
         }
+        if text == LEARNED_KEY {
+            return Some(Key::Learned);
+        }
         let (kind, id) = text.split_at_checked(1)?;
         let id = JobId::parse(id)?;
         match kind {
@@ -270,6 +306,7 @@
             Key::Cancelled(id) => format!("c{id}").into(),
             Key::Progress(id) => format!("s{id}").into(),
             Key::Owner => OWNER_KEY.into(),
+            Key::Learned => LEARNED_KEY.into(),
         }
     }
 }
