--- a/crates/dispatch/src/entry/mod.rs
+++ b/crates/dispatch/src/entry/mod.rs
@@ -24,6 +24,7 @@
 use goldcrestway_core::Code;
 use goldcrestway_core::Note;
 use std::collections::HashMap;
+use std::rc::Rc;
 
 /// Time that the store holds a read that waits for a record. Under half of the time after
 /// which a silent connection must have been noticed.
@@ -68,7 +69,7 @@
     workers_read_ms: u64,
     purge_ms: u64,
     ledger: Ledger,
-    config: Option<Config>,
+    config: Option<Rc<Config>>,
     worker_entries: HashMap<Box<str>, WorkerEntry>,
     callers: Callers,
     election: Election,
@@ -112,7 +113,7 @@
     }
 
     /// Gives the rules in force, if any are known.
-    pub fn config(&self) -> Option<&Config> {
+    pub fn config(&self) -> Option<&Rc<Config>> {
         self.config.as_ref()
     }
 
@@ -322,7 +323,7 @@
             config.version.to_string(),
             format!("queues={}", config.queues.len()),
         )));
-        self.config = Some(config);
+        self.config = Some(Rc::new(config));
         actions.push(Action::Configured);
     }
 
