One claim after a planned stop, large appends to a slow store, runs judged anew

Change: a host claims only after a read, sent when its turn had come, shows no owner; a slow store gets one append of a host at a time and more time, and what was read back is told as stored; runs are judged from the first look on, and against siblings only.

--- a/crates/dispatch/src/election.rs
+++ b/crates/dispatch/src/election.rs
@@ -8,7 +8,6 @@
 
 use crate::bounds::Bounds;
 use crate::event::Fence;
-use crate::event::Now;
 use crate::record::OwnerRecord;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -18,8 +17,8 @@
 const SILENCE_MS: u64 = 850;
 /// Hosts claim one after the other, in an order of their own, so that one is enough.
 const SPREAD_MS: u64 = 300;
-/// Between the claims of two hosts after an owner that leaves; it still acts meanwhile.
-const LEAVING_SPREAD_MS: u64 = 150;
+/// The same after an owner that leaves, which still acts meanwhile.
+const LEAVING_SPREAD_MS: u64 = 400;
 /// Pause between two reads of a follower, while the owner is well.
 const POLL_MS: u64 = 250;
 /// Pause between two reads while the owner is suspected.
@@ -70,31 +69,39 @@
         self.sign_ms.get_or_insert(now_ms);
     }
 
-    /// Forgets the silence so far, since nobody could have been heard.
+    /// Counts anew from here: nobody could have been heard so far, or another host was
+    /// faster.
     pub(crate) fn restart(&mut self, now_ms: u64) {
         self.sign_ms = self.sign_ms.map(|_| now_ms);
+        self.leaving_ms = self.leaving_ms.map(|_| now_ms);
     }
 
-    /// Tells whether to claim. `fresh_ms` is when the newest read was sent that reached
-    /// the end of the stream.
-    pub(crate) fn should_claim(
-        &self,
-        now: Now,
-        fresh_ms: Option<u64>,
-        owner: &OwnerRecord,
-    ) -> bool {
-        let (Some(sign_ms), Some(fresh_ms)) = (self.sign_ms, fresh_ms) else {
-            return false;
-        };
+    /// Gives the time at which this host may claim, unless it reads of an owner then.
+    fn claim_ms(&self, owner: &OwnerRecord) -> Option<u64> {
+        let sign_ms = self.sign_ms?;
+        let leaving_wait_ms = self.spread_permille * LEAVING_SPREAD_MS / 1_000;
         if owner.token == 0 {
-            let wait_ms = self.spread_permille * LEAVING_SPREAD_MS / 1_000;
-            return now.steady_ms >= sign_ms + wait_ms && fresh_ms >= sign_ms;
+            return Some(sign_ms + leaving_wait_ms);
         }
         if let Some(leaving_ms) = self.leaving_ms {
-            let wait_ms = self.spread_permille * LEAVING_SPREAD_MS / 1_000;
-            return now.steady_ms >= leaving_ms + wait_ms;
+            return Some(leaving_ms + leaving_wait_ms);
         }
-        fresh_ms >= sign_ms + SILENCE_MS + self.spread_permille * SPREAD_MS / 1_000
+        Some(sign_ms + SILENCE_MS + self.spread_permille * SPREAD_MS / 1_000)
+    }
+
+    /// Tells whether to claim: a read that was sent when this host's turn had come, at
+    /// `fresh_ms`, has reached the end of the stream and found no other owner.
+    pub(crate) fn should_claim(&self, fresh_ms: Option<u64>, owner: &OwnerRecord) -> bool {
+        match (self.claim_ms(owner), fresh_ms) {
+            (Some(claim_ms), Some(fresh_ms)) => fresh_ms >= claim_ms,
+            _ => false,
+        }
+    }
+
+    /// Tells whether this host's turn has come, so that it should read.
+    pub(crate) fn is_due(&self, now_ms: u64, owner: &OwnerRecord) -> bool {
+        self.claim_ms(owner)
+            .is_some_and(|claim_ms| now_ms >= claim_ms)
     }
 
     /// Gives the pause between reads of the stream.
--- a/crates/dispatch/src/entry/callers.rs
+++ b/crates/dispatch/src/entry/callers.rs
@@ -14,10 +14,16 @@
 use goldcrestway_core::Code;
 use goldcrestway_core::Note;
 use prost::Message;
+use std::collections::HashMap;
 
 /// Time after which an append without an answer is repeated; a job stored twice remains
 /// one. The store answers in 4 ms, and in 240 ms when it is sixty times slower.
 const APPEND_TIMEOUT_MS: u64 = 700;
+/// A store that takes longer than this for an append is slow. A stream takes its appends
+/// one by one, so a slow one gets one of this host at a time, with all that waits.
+const SLOW_MS: u64 = 60;
+/// An append to a slow store is given up after so many times what the latest ones took.
+const SLOW_FACTOR: u64 = 4;
 /// Pause before a refused append is repeated.
 const RETRY_MS: u64 = 120;
 /// Appends of this host under way at once. Jobs that come meanwhile share the next one.
@@ -72,6 +78,10 @@
 pub(crate) struct Callers {
     writes: Vec<Write>,
     questions: Vec<Question>,
+    /// When appends under way were sent, by ticket.
+    sent_ms: HashMap<u64, u64>,
+    /// What appends take of late.
+    append_ms: u64,
 }
 
 impl Callers {
@@ -79,6 +89,25 @@
         self.writes.is_empty() && self.questions.is_empty()
     }
 
+    /// Notes the end of an append.
+    fn note_append(&mut self, ticket: u64, now_ms: u64) {
+        if let Some(sent_ms) = self.sent_ms.remove(&ticket) {
+            self.append_ms = (self.append_ms + now_ms - sent_ms) / 2;
+        }
+    }
+
+    fn flights_most(&self) -> usize {
+        if self.append_ms > SLOW_MS {
+            1
+        } else {
+            FLIGHTS_MOST
+        }
+    }
+
+    fn timeout_ms(&self) -> u64 {
+        (self.append_ms * SLOW_FACTOR).clamp(APPEND_TIMEOUT_MS, PATIENCE_MOST_MS)
+    }
+
     fn flights(&self) -> usize {
         let mut tickets: Vec<u64> = self
             .writes
@@ -277,6 +306,7 @@
     }
 
     fn end_write(&mut self, ticket: u64, end: AppendEnd, now: Now, actions: &mut Vec<Action>) {
+        self.callers.note_append(ticket, now.steady_ms);
         let mut at = 0;
         let mut stored = 0;
         while at < self.callers.writes.len() {
@@ -332,8 +362,39 @@
         });
     }
 
+    /// Answers those whose append had no answer and is read back.
+    fn settle_read_writes(&mut self, now: Now, actions: &mut Vec<Action>) {
+        let jobs = &self.ledger.jobs;
+        let mut settled = Vec::new();
+        self.callers.writes.retain(|write| {
+            let record = jobs.get(&write.job);
+            let is_stored = write.is_doubtful
+                && match write.key {
+                    Key::Cancelled(_) => record.is_some_and(|record| record.is_cancelled),
+                    _ => record.is_some_and(|record| record.submission.is_some()),
+                };
+            if is_stored {
+                settled.push((write.request, write.job, write.taken_ms));
+            }
+            !is_stored
+        });
+        for (request, job, taken_ms) in settled {
+            let took_ms = now.steady_ms - taken_ms;
+            actions.push(Action::Note(Note::new(
+                Code::JobStored,
+                job.to_string(),
+                format!("what=read_back took_ms={took_ms}"),
+            )));
+            actions.push(Action::Answer {
+                request,
+                reply: Reply::Stored,
+            });
+        }
+    }
+
     /// Sends what waits, answers what can be answered, gives up what is late.
     pub(crate) fn serve(&mut self, now: Now, actions: &mut Vec<Action>) {
+        self.settle_read_writes(now, actions);
         self.send_writes(now, actions);
         self.give_up_writes(now, actions);
         self.answer_questions(now, actions);
@@ -341,7 +402,8 @@
 
     fn send_writes(&mut self, now: Now, actions: &mut Vec<Action>) {
         let mut flights = self.callers.flights();
-        while flights < FLIGHTS_MOST {
+        let timeout_ms = self.callers.timeout_ms();
+        while flights < self.callers.flights_most() {
             let mut records = Vec::new();
             let ticket = self.tickets + 1;
             for write in &mut self.callers.writes {
@@ -357,13 +419,14 @@
                 return;
             }
             self.tickets = ticket;
+            self.callers.sent_ms.insert(ticket, now.steady_ms);
             flights += 1;
             actions.push(Action::Append {
                 ticket,
                 stream: Stream::Jobs,
                 fence: None,
                 records,
-                timeout_ms: APPEND_TIMEOUT_MS,
+                timeout_ms,
             });
         }
     }
--- a/crates/dispatch/src/entry/owning.rs
+++ b/crates/dispatch/src/entry/owning.rs
@@ -26,9 +26,12 @@
         {
             return;
         }
-        let is_due = self
-            .election
-            .should_claim(now, self.progress.fresh_ms, &self.ledger.owner);
+        let owner = &self.ledger.owner;
+        let is_due = self.election.should_claim(self.progress.fresh_ms, owner);
+        if self.claim.is_none() && !is_due && self.election.is_due(now.steady_ms, owner) {
+            self.progress
+                .prompt(now.steady_ms, now.steady_ms, &mut self.tickets, actions);
+        }
         if self.claim.is_none() && is_due {
             let owner = &self.ledger.owner;
             actions.push(Action::Note(Note::new(
--- a/crates/dispatch/src/owner/looks.rs
+++ b/crates/dispatch/src/owner/looks.rs
@@ -306,6 +306,13 @@
 }
 
 fn note_row(run: &mut Run, row: &ListedRun, now_ms: u64) {
+    // What a former owner started is judged from the first look on.
+    if run.phase == RunPhase::Inherited {
+        run.begun_ms = now_ms;
+        run.first_ms = now_ms;
+        run.first_percent = row.percent;
+        run.moved_ms = now_ms;
+    }
     // A resumed run begins at the share of the work that its checkpoint holds.
     if run.percent == 0 && !run.checkpoint.is_empty() && run.first_percent == 0 {
         run.first_percent = row.percent;
--- a/crates/dispatch/src/owner/stragglers.rs
+++ b/crates/dispatch/src/owner/stragglers.rs
@@ -46,7 +46,23 @@
 /// known: half of the jobs are within a factor of 1.6, nearly all within 3.
 const UNKNOWN_FACTOR: u64 = 3;
 
-/// A straggler.
+/// Siblings whose pace must be known before one of them is held against the others.
+const PACES_LEAST: usize = 3;
+/// Time that a task takes if its queue has ended none yet.
+const UNKNOWN_MS: u64 = 1_000;
+
+/// A step of one occurrence of a job.
+type StepKey = (JobKey, u32, u16);
+
+/// How long a whole run should take.
+#[derive(Debug, Clone, Copy)]
+struct Expected {
+    whole_ms: u64,
+    /// Siblings tell; otherwise it is no more than what is usual in the queue.
+    is_known: bool,
+}
+
+/// A run that is judged.
 struct Straggler {
     worker: WorkerKey,
     task: TaskId,
@@ -54,6 +70,12 @@
     job: JobKey,
 }
 
+impl Straggler {
+    fn step(&self) -> StepKey {
+        (self.job, self.task.occurrence, self.task.step)
+    }
+}
+
 /// How long the tasks of a queue take, fillers apart from others.
 #[derive(Debug, Default)]
 pub(crate) struct Durations {
@@ -83,57 +105,90 @@
             return;
         }
         self.durations.next_search_ms = now.steady_ms + SEARCH_MS;
-        let mut expected: HashMap<(JobKey, u32, u16), Option<u64>> = HashMap::new();
-        let mut found = Vec::new();
+        let suspects = self.list_judged(now.steady_ms);
+        let mut paces: HashMap<StepKey, Vec<u64>> = HashMap::new();
+        for suspect in &suspects {
+            let run = &self.workers[suspect.worker].runs[&(suspect.task, suspect.run)];
+            paces
+                .entry(suspect.step())
+                .or_default()
+                .extend(projected_ms(run));
+        }
+        let mut expected: HashMap<StepKey, Expected> = HashMap::new();
+        for suspect in suspects {
+            let expected = *expected.entry(suspect.step()).or_insert_with(|| {
+                let paces = paces.get_mut(&suspect.step());
+                self.expect(&suspect, paces.map_or(&mut [], |paces| paces))
+            });
+            let worker = &self.workers[suspect.worker];
+            let run = &worker.runs[&(suspect.task, suspect.run)];
+            if lags(run, expected, worker.answered_ms) {
+                self.replace(&suspect, now, actions);
+            }
+        }
+    }
+
+    /// Lists the runs that may be stragglers: at work at full share, and looked at of late.
+    fn list_judged(&self, now_ms: u64) -> Vec<Straggler> {
+        let mut list = Vec::new();
         for (worker, state) in &self.workers {
             // What was not looked at of late says nothing about its tasks.
-            if state.misses > 0 || now.steady_ms > state.answered_ms + FRESH_MS {
+            if state.misses > 0 || now_ms > state.answered_ms + FRESH_MS {
                 continue;
             }
             for ((task, number), run) in &state.runs {
-                let is_judged = matches!(run.phase, RunPhase::Present { .. });
+                let is_present = matches!(run.phase, RunPhase::Present { .. });
                 let is_slowed = run.share_percent < 100 || run.pace_percent < 100;
-                if !is_judged || run.is_lasting || run.is_stray || is_slowed {
+                if !is_present || run.is_lasting || run.is_stray || is_slowed {
                     continue;
                 }
                 let Some(job) = self.job_keys.get(&task.job).copied() else {
                     continue;
                 };
-                let expected_ms = *expected
-                    .entry((job, task.occurrence, task.step))
-                    .or_insert_with(|| self.expected_ms(job, *task));
-                if expected_ms.is_some_and(|expected_ms| lags(run, expected_ms, state.answered_ms))
-                {
-                    found.push(Straggler {
-                        worker,
-                        task: *task,
-                        run: *number,
-                        job,
-                    });
-                }
+                list.push(Straggler {
+                    worker,
+                    task: *task,
+                    run: *number,
+                    job,
+                });
             }
         }
-        for straggler in found {
-            self.replace(&straggler, now, actions);
-        }
+        list
     }
 
-    /// Gives the time that a task of this step should take, if anything tells.
-    fn expected_ms(&self, job: JobKey, task: TaskId) -> Option<u64> {
-        let job = &self.jobs[job];
-        let occurrence = job
+    /// Gives the time that a task of this step should take: by the siblings that have
+    /// ended, else by the pace of those that run. A job whose tasks all take long has no
+    /// stragglers.
+    fn expect(&self, suspect: &Straggler, paces: &mut [u64]) -> Expected {
+        let job = &self.jobs[suspect.job];
+        let task = suspect.task;
+        let state = job
             .occurrences
             .iter()
-            .find(|occurrence| occurrence.number == task.occurrence)?;
-        let state = occurrence.steps.get(usize::from(task.step))?;
-        if state.ended > 0 {
-            return Some(state.ended_ms / u64::from(state.ended));
+            .find(|occurrence| occurrence.number == task.occurrence)
+            .and_then(|occurrence| occurrence.steps.get(usize::from(task.step)));
+        if let Some(state) = state
+            && state.ended > 0
+        {
+            let mean_ms = state.ended_ms / u64::from(state.ended);
+            return Expected {
+                whole_ms: mean_ms,
+                is_known: true,
+            };
+        }
+        if paces.len() >= PACES_LEAST {
+            paces.sort_unstable();
+            return Expected {
+                whole_ms: paces[(paces.len() - 1) / 2],
+                is_known: true,
+            };
+        }
+        let is_filler = job.step(task).is_some_and(|step| step.is_filler);
+        let usual_ms = self.durations.usual_ms(&job.submission.queue, is_filler);
+        Expected {
+            whole_ms: usual_ms.unwrap_or(UNKNOWN_MS) * UNKNOWN_FACTOR,
+            is_known: false,
         }
-        let step = job.step(task)?;
-        let usual_ms = self
-            .durations
-            .usual_ms(&job.submission.queue, step.is_filler)?;
-        Some(usual_ms * UNKNOWN_FACTOR)
     }
 
     fn replace(&mut self, straggler: &Straggler, now: Now, actions: &mut Vec<Action>) {
@@ -175,20 +230,33 @@
     }
 }
 
+/// Gives the time that a run takes in all at the pace that it has shown so far.
+fn projected_ms(run: &Run) -> Option<u64> {
+    // Progress is known as of the latest look that told of some.
+    let worked_ms = run.moved_ms.saturating_sub(run.first_ms);
+    let done = u64::from(run.percent.saturating_sub(run.first_percent));
+    if worked_ms < JUDGE_MS || done == 0 {
+        return None;
+    }
+    Some(worked_ms * 100 / done)
+}
+
 /// Tells whether a run would end sooner if it were started elsewhere, as of the look at
 /// `seen_ms`.
-fn lags(run: &Run, expected_ms: u64, seen_ms: u64) -> bool {
+fn lags(run: &Run, expected: Expected, seen_ms: u64) -> bool {
+    let whole_ms = expected.whole_ms;
     let still_ms = seen_ms.saturating_sub(run.moved_ms);
-    if still_ms >= STILL_MS.max(expected_ms * STILL_PERCENT / 100) {
+    if still_ms >= STILL_MS.max(whole_ms * STILL_PERCENT / 100) {
         return true;
     }
-    // Progress is known as of the latest look that told of some.
     let worked_ms = run.moved_ms.saturating_sub(run.first_ms);
-    if worked_ms < JUDGE_MS.max(expected_ms * JUDGE_PERCENT / 100) {
+    if !expected.is_known || worked_ms < whole_ms * JUDGE_PERCENT / 100 {
         return false;
     }
-    let done = u64::from(run.percent.saturating_sub(run.first_percent)).max(1);
-    let left_ms = worked_ms * u64::from(100 - run.percent.min(100)) / done;
+    let Some(projected_ms) = projected_ms(run) else {
+        return false;
+    };
+    let left_ms = projected_ms * u64::from(100 - run.percent.min(100)) / 100;
     let saved = 100 - u64::from(run.first_percent.min(99));
-    left_ms.saturating_sub(still_ms) > expected_ms * saved / 100 * LEFT_PERCENT / 100 + MOVE_MS
+    left_ms.saturating_sub(still_ms) > whole_ms * saved / 100 * LEFT_PERCENT / 100 + MOVE_MS
 }
--- a/tests/dispatch.rs
+++ b/tests/dispatch.rs
@@ -393,3 +393,62 @@
         }
     }
 }
+
+/// Symptom: after each change of owner, tasks in good health are stopped and started
+/// again. Sequence: the successor meets runs that are half done, or have not begun to show
+/// progress. Cause: it took their progress for all that they had made since long ago.
+#[gtest]
+fn a_change_of_owner_starts_nothing_anew() {
+    let mut fleet = Fleet::new(3, 4);
+    fleet.submit(0, 0x1, &job(vec![step(8, 400, &[])]));
+    fleet.run(1_500);
+    fleet.submit(0, JOB, &job(vec![step(12, 6_000, &[])]));
+    fleet.run(3_000);
+    fleet.submit(0, 0x2, &job(vec![step(4, 6_000, &[])]));
+    fleet.run(60);
+    let owner = owner(&fleet);
+    fleet.kill(owner);
+    fleet.run(8_000);
+    expect_that!(
+        fleet.state((owner + 1) % 3, JOB),
+        some(eq(JobState::Completed))
+    );
+    expect_that!(fleet.promises.starts.len(), eq(8 + 12 + 4));
+}
+
+/// Symptom: when an owner announces its planned stop, several hosts become owner one after
+/// the other within a tenth of a second, and those that lose claim again without pause.
+/// Cause: they did not read whether another host had claimed before them.
+#[gtest]
+fn a_planned_stop_is_followed_by_one_claim() {
+    let mut fleet = Fleet::new(9, 4);
+    let owner = owner(&fleet);
+    let before = fleet.claims;
+    fleet.stop(owner);
+    fleet.run(3_000);
+    expect_that!(fleet.owners(), eq(1));
+    expect_that!(fleet.claims - before, le(2));
+}
+
+/// Symptom: callers are told "unknown" for most jobs while the store is forty times
+/// slower. Cause: a stream takes its appends one by one, 90 ms each then; many small
+/// appends that are repeated after a short while are more than it can take.
+#[gtest]
+fn a_slow_store_gets_few_large_appends() {
+    let mut fleet = Fleet::new(5, 4);
+    fleet.store.append_ms = 92;
+    let mut requests = Vec::new();
+    for number in 0..60 {
+        requests.push(fleet.submit(
+            number % 5,
+            0x100 + number as u64,
+            &job(vec![step(1, 50, &[])]),
+        ));
+        fleet.run(60);
+    }
+    fleet.run(3_000);
+    let stored = requests
+        .iter()
+        .filter(|request| fleet.replies.get(request) == Some(&Reply::Stored));
+    expect_that!(stored.count(), ge(57));
+}
--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -103,6 +103,8 @@
     asked: HashMap<u64, JobId>,
     /// Orders to workers are carried out so late, and not answered.
     pub(crate) late_ms: Option<u64>,
+    /// Claims to own that were appended.
+    pub(crate) claims: u32,
     /// Workers, by address, that no entry host reaches.
     pub(crate) cut_workers: Vec<Box<str>>,
 }
@@ -181,6 +183,7 @@
             replies: HashMap::new(),
             asked: HashMap::new(),
             late_ms: None,
+            claims: 0,
             cut_workers: Vec::new(),
         };
         fleet.store.put(Stream::Rules, "config", &[1]);
@@ -502,14 +505,17 @@
                     true => AppendEnd::Unknown,
                     false => self.store.append(stream, fence, records),
                 };
-                let event = Event::Appended { ticket, end };
-                let wait_ms = if end == AppendEnd::Unknown {
-                    timeout_ms
-                } else {
-                    CALL_MS
+                self.claims += u32::from(fence.is_some_and(|fence| fence.sequence == 0));
+                let done_ms = self.store.done_ms(stream, self.now_ms) + CALL_MS;
+                let give_up_ms = self.now_ms + timeout_ms;
+                let is_lost = end == AppendEnd::Unknown || done_ms > give_up_ms;
+                let (at_ms, end) = match is_lost {
+                    true => (give_up_ms, AppendEnd::Unknown),
+                    false => (done_ms, end),
                 };
+                let event = Event::Appended { ticket, end };
                 let delivery = Delivery::ToEntry(number, life, event);
-                self.deliveries.push((self.now_ms + wait_ms, delivery));
+                self.deliveries.push((at_ms, delivery));
             }
             Action::Read {
                 ticket,
--- a/tests/fleet/store.rs
+++ b/tests/fleet/store.rs
@@ -20,6 +20,8 @@
     newest: BTreeMap<Box<str>, StoredRecord>,
     epoch: u64,
     replies: HashMap<u64, u64>,
+    /// Appends that came so far are done by then.
+    busy_until_ms: u64,
 }
 
 impl Topic {
@@ -46,6 +48,8 @@
     topics: HashMap<Stream, Topic>,
     /// How it behaves.
     pub(crate) mode: Mode,
+    /// Time that a stream takes for one append; it takes one at a time.
+    pub(crate) append_ms: u64,
 }
 
 impl Store {
@@ -53,9 +57,18 @@
         Self {
             topics: HashMap::new(),
             mode: Mode::Up,
+            append_ms: 0,
         }
     }
 
+    /// Gives when an append that comes now will be done.
+    pub(crate) fn done_ms(&mut self, stream: Stream, now_ms: u64) -> u64 {
+        let append_ms = self.append_ms;
+        let topic = self.topics.entry(stream).or_default();
+        topic.busy_until_ms = topic.busy_until_ms.max(now_ms) + append_ms;
+        topic.busy_until_ms
+    }
+
     /// Writes a record as the operator or a worker does.
     pub(crate) fn put(&mut self, stream: Stream, key: &str, value: &[u8]) {
         self.store(stream, vec![(key.into(), value.into())]);
