Rank workers once a step, let stronger hosts claim first

Cause: on the grown sites the owner used 0.21 cores at its busiest, most of it for pricing every worker for every task, and hosts with 0.07 cores were as likely to be owner as those with 0.5.

Change: workers are ranked once for the tasks of a step, and only the one that got a task is priced again; fillers like one that found no worker are not tried in the same go; workers without orders to give are passed over; presses are read from a table; looks at hundreds of workers have longer pauses; a host draws a lot for each tenth of a core.

--- a/crates/dispatch/src/election.rs
+++ b/crates/dispatch/src/election.rs
@@ -23,6 +23,8 @@
 const POLL_MS: u64 = 250;
 /// Pause between two reads while the owner is suspected.
 const SUSPECT_POLL_MS: u64 = 100;
+/// Share of a core, in thousandths, for which a host draws one lot.
+const LOT_PERMILLE: f64 = 100.0;
 /// Bits of an epoch that tell apart hosts that claim at the same moment.
 const EPOCH_SPREAD_BITS: u32 = 16;
 
@@ -42,11 +44,12 @@
 
 impl Election {
     pub(crate) fn new(host: &str, bounds: &Bounds, salt: u64) -> Self {
-        let luck = xxh3_64(host.as_bytes()) % 1_000;
-        // Hosts with more of a core come first, as owning takes processor time.
-        let weakness = 1_000 - bounds.cpu_permille.min(1_000);
+        // Owning takes processor time, so hosts with more of a core tend to come first: the
+        // one with five times as much draws the best of five lots.
+        let luck = (xxh3_64(host.as_bytes()) % 1_000) as f64 / 1_000.0;
+        let lots = bounds.cpu_permille as f64 / LOT_PERMILLE;
         Self {
-            spread_permille: (weakness + luck) / 2,
+            spread_permille: (luck.powf(lots) * 1_000.0) as u64,
             salt,
             sign_ms: None,
             leaving_ms: None,
--- a/crates/dispatch/src/owner/ends.rs
+++ b/crates/dispatch/src/owner/ends.rs
@@ -210,6 +210,7 @@
             return;
         };
         run.is_stray = true;
+        worker.has_orders = true;
         match run.phase {
             RunPhase::Recording => drop(worker.remove(task, rival.run)),
             _ => run.phase = RunPhase::Stopping { again_ms: 0 },
--- a/crates/dispatch/src/owner/interference.rs
+++ b/crates/dispatch/src/owner/interference.rs
@@ -95,6 +95,9 @@
 #[derive(Debug, Default)]
 pub(crate) struct Interference {
     fits: HashMap<ImageKey, Fit>,
+    /// Presses by served image and filler, which placement reads many times for each
+    /// that is learned.
+    table: Vec<Vec<f64>>,
 }
 
 /// Gives the ease of a task with this tail.
@@ -110,6 +113,10 @@
         fit.fade();
         fit.add(ease, fillers);
         fit.solve(fillers);
+        let row = row(&mut self.table, serving);
+        for (filler, _) in fillers {
+            set(row, *filler, fit.press[filler].value);
+        }
     }
 
     /// Takes over what a former owner has learned.
@@ -126,7 +133,13 @@
                     assumed_weight: LEARNED_WEIGHT,
                     ..Press::default()
                 };
-                fit.press.insert(images.key(&pair.filler), press);
+                let filler = images.key(&pair.filler);
+                set(
+                    row(&mut self.table, images.key(&image.image)),
+                    filler,
+                    pair.press,
+                );
+                fit.press.insert(filler, press);
             }
         }
     }
@@ -160,10 +173,11 @@
 
     /// Gives the press of a pair for each core that the filler uses.
     pub(crate) fn press(&self, serving: ImageKey, filler: ImageKey) -> f64 {
-        self.fits
-            .get(&serving)
-            .and_then(|fit| fit.press.get(&filler))
-            .map_or(UNKNOWN_PRESS, |press| press.value)
+        self.table
+            .get(usize::from(serving.0))
+            .and_then(|row| row.get(usize::from(filler.0)))
+            .copied()
+            .unwrap_or(UNKNOWN_PRESS)
     }
 
     /// Gives by how much fillers lower the ease of a serving task.
@@ -176,6 +190,22 @@
     }
 }
 
+fn row(table: &mut Vec<Vec<f64>>, serving: ImageKey) -> &mut Vec<f64> {
+    let at = usize::from(serving.0);
+    if table.len() <= at {
+        table.resize(at + 1, Vec::new());
+    }
+    &mut table[at]
+}
+
+fn set(row: &mut Vec<f64>, filler: ImageKey, press: f64) {
+    let at = usize::from(filler.0);
+    if row.len() <= at {
+        row.resize(at + 1, UNKNOWN_PRESS);
+    }
+    row[at] = press;
+}
+
 fn pair(left: ImageKey, right: ImageKey) -> (ImageKey, ImageKey) {
     (left.min(right), left.max(right))
 }
--- a/crates/dispatch/src/owner/looks.rs
+++ b/crates/dispatch/src/owner/looks.rs
@@ -21,6 +21,9 @@
 const WAIT_MS: u64 = 700;
 /// Pause between looks at a worker, so that ends that come together are told together.
 const GAP_MS: u64 = 60;
+/// Workers for each of which that pause is a little longer, so that looks at hundreds of
+/// them leave the owner time for all else.
+const WORKERS_PER_MS: u64 = 4;
 /// Pause between looks while ends wait to be recorded, which a look would repeat.
 const HELD_GAP_MS: u64 = 1_000;
 /// Pause before the look that follows one without an answer.
@@ -147,10 +150,11 @@
         self.take_ends(key, &listed, now, actions);
         self.take_runs(key, sent_ms, &listed, now_ms);
         self.judge_fillers(key, now_ms);
+        let count = self.workers.len() as u64;
         let worker = &mut self.workers[key];
         let gap_ms = match worker.handled > worker.recorded {
             true => HELD_GAP_MS,
-            false if was_known => GAP_MS,
+            false if was_known => GAP_MS + count / WORKERS_PER_MS,
             false => 0,
         };
         worker.next_look_ms = now_ms + gap_ms;
@@ -229,6 +233,7 @@
             },
         };
         run.is_stray = true;
+        self.workers[key].has_orders = true;
         self.workers[key].add(row.task, row.run, run);
     }
 
@@ -259,6 +264,7 @@
     }
 
     fn retry_start(&mut self, key: WorkerKey, task: TaskId, number: u32, now_ms: u64) {
+        self.workers[key].has_orders = true;
         let Some(run) = self.workers[key].runs.get_mut(&(task, number)) else {
             return;
         };
@@ -276,6 +282,7 @@
     }
 
     pub(crate) fn set_phase(&mut self, key: WorkerKey, task: TaskId, number: u32, phase: RunPhase) {
+        self.workers[key].has_orders = true;
         if let Some(run) = self.workers[key].runs.get_mut(&(task, number)) {
             run.phase = phase;
         }
--- a/crates/dispatch/src/owner/mod.rs
+++ b/crates/dispatch/src/owner/mod.rs
@@ -58,6 +58,9 @@
 const CLOCK_SKEW_PERMILLE: u64 = 1_030;
 const LAPSE_SLACK_MS: u64 = 300;
 
+/// Pause between two goes at placing what waits, half of that between appends.
+const PLACE_GAP_MS: u64 = 10;
+
 /// Counts that the metrics show.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub struct Figures {
@@ -127,6 +130,7 @@
     confirmed_ms: u64,
     is_leaving: bool,
     must_place: bool,
+    next_place_ms: u64,
     stepdown: Option<Stepdown>,
     pub(crate) figures: Figures,
 }
@@ -158,6 +162,7 @@
             confirmed_ms: now.steady_ms,
             is_leaving: false,
             must_place: true,
+            next_place_ms: 0,
             stepdown: None,
             figures: Figures::default(),
         };
@@ -342,6 +347,7 @@
         job.is_dirty = true;
         let id = job.id;
         for worker in self.workers.values_mut() {
+            worker.has_orders = true;
             let mut unsent = Vec::new();
             for ((task, number), run) in &mut worker.runs {
                 if task.job != id || run.is_stray {
@@ -422,8 +428,9 @@
         self.look_around(now, tickets, actions);
         self.chase_stragglers(now, actions);
         self.stop_strays(now.steady_ms, tickets, actions);
-        if self.must_place {
+        if self.must_place && now.steady_ms >= self.next_place_ms {
             self.must_place = false;
+            self.next_place_ms = now.steady_ms + PLACE_GAP_MS;
             self.place(now, actions);
         }
         self.pace(now.steady_ms, tickets, actions);
--- a/crates/dispatch/src/owner/orders.rs
+++ b/crates/dispatch/src/owner/orders.rs
@@ -102,6 +102,10 @@
             return;
         }
         let is_first = run.tries <= 1;
+        self.workers[key].has_orders = true;
+        let Some(run) = self.workers[key].runs.get_mut(&(task, number)) else {
+            return;
+        };
         match end {
             OrderEnd::Done { .. } => run.phase = RunPhase::Present { since_ms: now_ms },
             OrderEnd::Unknown => {
@@ -156,7 +160,7 @@
     ) {
         let mut due = Vec::new();
         for (key, worker) in &mut self.workers {
-            if worker.entry.address.is_empty() {
+            if worker.entry.address.is_empty() || !worker.has_orders {
                 continue;
             }
             for ((task, number), run) in &mut worker.runs {
--- a/crates/dispatch/src/owner/pacing.rs
+++ b/crates/dispatch/src/owner/pacing.rs
@@ -76,19 +76,22 @@
     pub(crate) fn pace(&mut self, now_ms: u64, tickets: &mut u64, actions: &mut Vec<Action>) {
         let mut due = Vec::new();
         for (key, worker) in &mut self.workers {
-            if worker.filler_milli == 0 || worker.is_silent() || !worker.is_known {
+            if !worker.has_orders || worker.is_silent() || !worker.is_known {
                 continue;
             }
+            let mut has_more = false;
             for ((task, number), run) in &mut worker.runs {
+                let is_stopping = matches!(run.phase, RunPhase::Stopping { .. });
+                let differs = run.pace_percent.abs_diff(run.share_percent) >= CHANGE_LEAST_PERCENT;
+                has_more |= is_stopping || differs;
                 let is_there = matches!(run.phase, RunPhase::Present { .. });
-                if !run.is_filler || !is_there || run.is_pacing || now_ms < run.pace_again_ms {
+                if !differs || !is_there || run.is_pacing || now_ms < run.pace_again_ms {
                     continue;
                 }
-                if run.pace_percent.abs_diff(run.share_percent) >= CHANGE_LEAST_PERCENT {
-                    run.is_pacing = true;
-                    due.push((key, *task, *number, run.share_percent));
-                }
+                run.is_pacing = true;
+                due.push((key, *task, *number, run.share_percent));
             }
+            worker.has_orders = has_more;
         }
         for (key, task, run, percent) in due {
             self.figures.paces += 1;
@@ -171,6 +174,7 @@
         has_change |= before != run.share_percent;
     }
     if has_change {
+        worker.has_orders = true;
         worker.pace_ms = now_ms + PAUSE_MS;
     }
 }
--- a/crates/dispatch/src/owner/placing.rs
+++ b/crates/dispatch/src/owner/placing.rs
@@ -15,6 +15,8 @@
 use crate::record::Step;
 use goldcrestway_core::Code;
 use goldcrestway_core::Note;
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
 
 /// Tasks placed in one go; what is left follows with the next event, so that looks and
 /// stops are not held up by a burst.
@@ -38,8 +40,6 @@
 const SAME_IMAGE_GAIN: i64 = 14_000;
 /// Cost, in thousandths of a core, of a worker far from a task's data.
 const FAR_COST: i64 = 1_000_000;
-/// Cost of a worker on which the task has failed before.
-const FAILED_COST: i64 = 100_000;
 /// Cost of a worker whose last run failed.
 const SUSPECT_COST: i64 = 20_000;
 /// Cost of a worker that is still warming up.
@@ -51,7 +51,35 @@
     service: &'a str,
     image: ImageKey,
     task: TaskId,
-    failed_on: Option<WorkerKey>,
+}
+
+/// What one go at placing has come to.
+struct Pass {
+    /// Tasks that may still be placed.
+    left: usize,
+    /// Fillers for which no worker was left: service, image and processor time.
+    hopeless: Vec<(Box<str>, ImageKey, u64)>,
+}
+
+impl Pass {
+    /// Tells whether a filler like this one, or a smaller one, has found no worker.
+    fn is_hopeless(&self, wanted: &Wanted<'_>) -> bool {
+        wanted.step.is_filler
+            && self.hopeless.iter().any(|(service, image, cpu_milli)| {
+                **service == *wanted.service
+                    && *image == wanted.image
+                    && *cpu_milli <= wanted.step.cpu_milli
+            })
+    }
+
+    fn note_hopeless(&mut self, wanted: &Wanted<'_>) {
+        let step = wanted.step;
+        let is_plain = step.label.is_empty() && step.per_worker_most == 0;
+        if step.is_filler && is_plain {
+            let entry = (wanted.service.into(), wanted.image, step.cpu_milli);
+            self.hopeless.push(entry);
+        }
+    }
 }
 
 impl Owner {
@@ -68,17 +96,20 @@
         order.sort_unstable_by_key(|(is_worthless, priority, due_ms, _)| {
             (*is_worthless, *priority, *due_ms)
         });
-        let mut left = PLACED_MOST;
+        let mut pass = Pass {
+            left: PLACED_MOST,
+            hopeless: Vec::new(),
+        };
         for (_, _, _, key) in order {
-            self.place_job(key, now, &mut left, actions);
-            if left == 0 {
+            self.place_job(key, now, &mut pass, actions);
+            if pass.left == 0 {
                 self.must_place = true;
                 return;
             }
         }
     }
 
-    fn place_job(&mut self, key: JobKey, now: Now, left: &mut usize, actions: &mut Vec<Action>) {
+    fn place_job(&mut self, key: JobKey, now: Now, pass: &mut Pass, actions: &mut Vec<Action>) {
         let submission = self.jobs[key].submission.clone();
         let mut still_waits = false;
         for at in 0..self.jobs[key].occurrences.len() {
@@ -93,7 +124,7 @@
                     step: number as u16,
                     index: 0,
                 };
-                still_waits |= self.place_step(key, first, step, now, left, actions);
+                still_waits |= self.place_step(key, first, step, now, pass, actions);
             }
         }
         self.jobs[key].has_waiting = still_waits;
@@ -106,11 +137,22 @@
         first: TaskId,
         step: &Step,
         now: Now,
-        left: &mut usize,
+        pass: &mut Pass,
         actions: &mut Vec<Action>,
     ) -> bool {
         let submission = self.jobs[key].submission.clone();
-        let image = self.images.key(&step.image);
+        let wanted = Wanted {
+            step,
+            service: &submission.service,
+            image: self.images.key(&step.image),
+            task: first,
+        };
+        if pass.is_hopeless(&wanted) {
+            return true;
+        }
+        // The tasks of a step are alike: workers are ranked once, and only the one that
+        // has just got a task is priced again.
+        let mut ranked = self.rank(&wanted, now.steady_ms);
         for index in 0..step.count as u16 {
             let id = TaskId { index, ..first };
             let Some(task) = self.jobs[key].task_mut(id) else {
@@ -123,19 +165,17 @@
                 self.must_place = true;
                 continue;
             }
-            let wanted = Wanted {
-                step,
-                service: &submission.service,
-                image,
-                task: id,
-                failed_on: task.failed_on,
-            };
-            let Some(worker) = self.choose(&wanted, now.steady_ms) else {
+            let failed_on = task.failed_on;
+            let Some(worker) = Self::take_best(&mut ranked, failed_on) else {
+                pass.note_hopeless(&wanted);
                 return true;
             };
             self.assign(key, id, worker, now, actions);
-            *left = left.saturating_sub(1);
-            if *left == 0 {
+            if let Some(cost) = self.price(&self.workers[worker], &wanted, now.steady_ms) {
+                ranked.push(Reverse((cost, worker)));
+            }
+            pass.left = pass.left.saturating_sub(1);
+            if pass.left == 0 {
                 return true;
             }
         }
@@ -144,28 +184,42 @@
             .is_some_and(|state| state.waiting > 0)
     }
 
-    /// Chooses the worker with the least cost among those that can take the task.
-    fn choose(&self, wanted: &Wanted<'_>, now_ms: u64) -> Option<WorkerKey> {
-        let mut best: Option<(i64, WorkerKey)> = None;
+    /// Lists the workers that can take a task of a step, the least cost first.
+    fn rank(&self, wanted: &Wanted<'_>, now_ms: u64) -> BinaryHeap<Reverse<(i64, WorkerKey)>> {
+        let mut ranked = BinaryHeap::new();
         for (key, worker) in &self.workers {
-            if !worker.is_open(now_ms) || !fits(worker, wanted) {
-                continue;
-            }
-            let Some(mut cost) = cost(worker, wanted) else {
-                continue;
-            };
-            match self.disturbance(worker, wanted) {
-                Some(disturbance) => cost += disturbance,
-                None => continue,
+            if let Some(cost) = self.price(worker, wanted, now_ms) {
+                ranked.push(Reverse((cost, key)));
             }
-            if wanted.failed_on == Some(key) {
-                cost += FAILED_COST;
-            }
-            if best.is_none_or(|(least, _)| cost < least) {
-                best = Some((cost, key));
+        }
+        ranked
+    }
+
+    /// Gives the cost of a task on a worker; `None` if it can't go there.
+    fn price(&self, worker: &Worker, wanted: &Wanted<'_>, now_ms: u64) -> Option<i64> {
+        if !worker.is_open(now_ms) || !fits(worker, wanted) {
+            return None;
+        }
+        Some(cost(worker, wanted)? + self.disturbance(worker, wanted)?)
+    }
+
+    /// Takes the best worker for a task off the list; one on which it has failed before
+    /// only if there is no other.
+    fn take_best(
+        ranked: &mut BinaryHeap<Reverse<(i64, WorkerKey)>>,
+        failed_on: Option<WorkerKey>,
+    ) -> Option<WorkerKey> {
+        let Reverse(first) = ranked.pop()?;
+        if failed_on != Some(first.1) {
+            return Some(first.1);
+        }
+        match ranked.pop() {
+            Some(Reverse((_, second))) => {
+                ranked.push(Reverse(first));
+                Some(second)
             }
+            None => Some(first.1),
         }
-        best.map(|(_, key)| key)
     }
 
     /// Starts a copy of a task that runs already, if a worker has room for it.
@@ -185,10 +239,11 @@
             service: &submission.service,
             image: self.images.key(&step.image),
             task: id,
-            failed_on: self.jobs[key].task_mut(id).and_then(|task| task.failed_on),
         };
-        if let Some(worker) = self.choose(&wanted, now.steady_ms)
-            && Some(worker) != wanted.failed_on
+        let failed_on = self.jobs[key].task_mut(id).and_then(|task| task.failed_on);
+        let mut ranked = self.rank(&wanted, now.steady_ms);
+        if let Some(worker) = Self::take_best(&mut ranked, failed_on)
+            && Some(worker) != failed_on
         {
             self.assign(key, id, worker, now, actions);
         }
--- a/crates/dispatch/src/owner/worker.rs
+++ b/crates/dispatch/src/owner/worker.rs
@@ -106,6 +106,8 @@
     pub(crate) shunned_until_ms: u64,
     /// Runs that failed there since the last one that ended well.
     pub(crate) failures_in_row: u32,
+    /// A run there may have to be told to stop, or to change its share.
+    pub(crate) has_orders: bool,
     /// When the shares of fillers may be changed again.
     pub(crate) pace_ms: u64,
 }
@@ -130,6 +132,7 @@
             lasting_milli: 0,
             shunned_until_ms: 0,
             failures_in_row: 0,
+            has_orders: false,
             pace_ms: 0,
         }
     }
