Have hosts follow states, and only the next owner read progress

Cause: every host read the progress of all jobs, task by task, 100 KB a second each on the grown sites. One that was away for some seconds could not catch up over 10 Mbit/s before its read was given up, began anew, and so fell out of touch for good; cancellations and rules came late.

--- a/crates/dispatch/src/election.rs
+++ b/crates/dispatch/src/election.rs
@@ -55,6 +55,8 @@
     leaving_ms: Option<u64>,
     /// Epochs that this host has used.
     claims: u64,
+    /// An owner's token that was seen only by its refusing a claim.
+    floor: u64,
 }
 
 impl Election {
@@ -67,6 +69,7 @@
             sign_ms: None,
             leaving_ms: None,
             claims: 0,
+            floor: 0,
         }
     }
 
@@ -137,13 +140,21 @@
         }
     }
 
+    /// Notes that a claim was refused by an epoch that no sign of life tells of: its owner
+    /// may have died before it gave one.
+    pub(crate) fn raise_floor(&mut self) {
+        self.floor += 1 << EPOCH_SPREAD_BITS;
+    }
+
     /// Makes an epoch above the owner's that no other host uses.
     pub(crate) fn fence(&mut self, owner: &OwnerRecord) -> Fence {
         self.claims += 1;
         let mixed = xxh3_64(&[self.salt.to_le_bytes(), self.claims.to_le_bytes()].concat());
+        self.floor = self.floor.max(owner.token);
         let spread = mixed & ((1 << EPOCH_SPREAD_BITS) - 1);
         Fence {
-            epoch: (((owner.token >> EPOCH_SPREAD_BITS) + 1) << EPOCH_SPREAD_BITS) | spread,
+            epoch: (((owner.token.max(self.floor) >> EPOCH_SPREAD_BITS) + 1) << EPOCH_SPREAD_BITS)
+                | spread,
             sequence: 0,
         }
     }
--- a/crates/dispatch/src/entry/callers.rs
+++ b/crates/dispatch/src/entry/callers.rs
@@ -295,10 +295,10 @@
             return;
         }
         if let Some(owner) = &mut self.owner
-            && let Some(records) = owner.take_append(ticket, end, now, &mut self.tickets, actions)
+            && let Some(states) = owner.take_append(ticket, end, now, &mut self.tickets, actions)
         {
-            for record in records {
-                self.ledger.apply(&record);
+            for (job, state) in states {
+                self.ledger.set_state(job, state);
             }
             return;
         }
@@ -531,7 +531,7 @@
             .get(&job)
             .filter(|record| record.submission.is_some());
         let tail = match record {
-            Some(_) => &mut self.progress,
+            Some(_) => &mut self.states,
             None => &mut self.jobs,
         };
         if tail.is_fresh_since(asked_ms) {
@@ -560,8 +560,8 @@
         const AGE_MOST_MS: u64 = 1_000;
         let since_ms = asked_ms.saturating_sub(AGE_MOST_MS);
         let is_own = self.owner.is_some();
-        let is_fresh = self.jobs.is_fresh_since(since_ms)
-            && (is_own || self.progress.is_fresh_since(since_ms));
+        let is_fresh =
+            self.jobs.is_fresh_since(since_ms) && (is_own || self.states.is_fresh_since(since_ms));
         if is_fresh {
             return Some(Reply::Waiting(self.ledger.count_waiting(queue)));
         }
@@ -573,7 +573,7 @@
         let tickets = &mut self.tickets;
         self.jobs.prompt(asked_ms, now.steady_ms, tickets, actions);
         if !is_own {
-            self.progress
+            self.states
                 .prompt(asked_ms, now.steady_ms, tickets, actions);
         }
         None
--- a/crates/dispatch/src/entry/mod.rs
+++ b/crates/dispatch/src/entry/mod.rs
@@ -16,6 +16,7 @@
 use crate::event::Now;
 use crate::event::Stream;
 use crate::ledger::Change;
+use crate::ledger::Inheritance;
 use crate::ledger::Ledger;
 use crate::owner::Figures;
 use crate::owner::Owner;
@@ -23,7 +24,7 @@
 use crate::tail::Tail;
 use goldcrestway_core::Code;
 use goldcrestway_core::Note;
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 use std::rc::Rc;
 
 /// Time that the store holds a read that waits for a record. Under half of the time after
@@ -42,6 +43,15 @@
 /// Pause between two looks for jobs that need not be told about any more.
 const PURGE_MS: u64 = 10_000;
 
+/// All streams.
+const STREAMS: [Stream; 5] = [
+    Stream::Jobs,
+    Stream::States,
+    Stream::Progress,
+    Stream::Rules,
+    Stream::Workers,
+];
+
 /// A claim under way.
 #[derive(Debug)]
 struct Claim {
@@ -49,8 +59,8 @@
     /// The append under way.
     ticket: Option<u64>,
     retry_ms: u64,
-    /// Where the claim stands and when that was known.
-    stored: Option<(u64, u64)>,
+    /// When it was known to be stored.
+    stored: Option<u64>,
 }
 
 /// The decisions of one entry host.
@@ -61,16 +71,19 @@
     decoders: Decoders,
     tickets: u64,
     jobs: Tail,
+    states: Tail,
+    /// Read only while this host is about to become owner.
     progress: Tail,
+    inheritance: Inheritance,
     rules: Tail,
     workers: Tail,
     jobs_read_ms: u64,
-    progress_read_ms: u64,
+    states_read_ms: u64,
     workers_read_ms: u64,
     purge_ms: u64,
     ledger: Ledger,
     config: Option<Rc<Config>>,
-    worker_entries: HashMap<Box<str>, WorkerEntry>,
+    worker_entries: BTreeMap<Box<str>, WorkerEntry>,
     callers: Callers,
     election: Election,
     claim: Option<Claim>,
@@ -95,16 +108,18 @@
             decoders,
             tickets: 0,
             jobs: Tail::new(Stream::Jobs),
+            states: Tail::new(Stream::States),
             progress: Tail::new(Stream::Progress),
+            inheritance: Inheritance::default(),
             rules: Tail::new(Stream::Rules),
             workers: Tail::new(Stream::Workers),
             jobs_read_ms: 0,
-            progress_read_ms: 0,
+            states_read_ms: 0,
             workers_read_ms: 0,
             purge_ms: 0,
             ledger: Ledger::default(),
             config: None,
-            worker_entries: HashMap::new(),
+            worker_entries: BTreeMap::new(),
             callers: Callers::default(),
             claim: None,
             announcing: None,
@@ -146,7 +161,7 @@
     }
 
     fn is_informed(&self) -> bool {
-        self.jobs.is_loaded() && self.progress.is_loaded()
+        self.jobs.is_loaded() && self.states.is_loaded()
     }
 
     /// Takes in an event and gives what to do.
@@ -208,12 +223,7 @@
         now: Now,
         actions: &mut Vec<Action>,
     ) {
-        for stream in [
-            Stream::Jobs,
-            Stream::Progress,
-            Stream::Rules,
-            Stream::Workers,
-        ] {
+        for stream in STREAMS {
             let tail = self.tail(stream);
             if let Some(progress) = tail.take_read(ticket, now.steady_ms, &mut end) {
                 self.take_records(stream, progress, now, actions);
@@ -229,12 +239,7 @@
         now: Now,
         actions: &mut Vec<Action>,
     ) {
-        for stream in [
-            Stream::Jobs,
-            Stream::Progress,
-            Stream::Rules,
-            Stream::Workers,
-        ] {
+        for stream in STREAMS {
             let tail = self.tail(stream);
             if let Some(progress) = tail.take_page(ticket, now.steady_ms, &mut end) {
                 self.take_records(stream, progress, now, actions);
@@ -247,6 +252,7 @@
         match stream {
             Stream::Jobs => &mut self.jobs,
             Stream::Progress => &mut self.progress,
+            Stream::States => &mut self.states,
             Stream::Rules => &mut self.rules,
             Stream::Workers => &mut self.workers,
         }
@@ -261,7 +267,12 @@
     ) {
         match stream {
             Stream::Jobs => self.take_jobs(&progress, now, actions),
-            Stream::Progress => self.take_progress(&progress, now),
+            Stream::Progress => {
+                for record in &progress.records {
+                    self.inheritance.apply(record);
+                }
+            }
+            Stream::States => self.take_states(&progress, now),
             Stream::Rules => self.take_rules(&progress, actions),
             Stream::Workers => self.take_workers(progress, now, actions),
         }
@@ -281,20 +292,20 @@
             return;
         };
         match change {
-            Change::Submitted(id) => owner.adopt(id, &self.ledger, now, actions),
+            Change::Submitted(id) => owner.adopt(id, &self.ledger, None, now, actions),
             Change::Cancelled(id) => owner.cancel(id, now, actions),
             _ => {}
         }
     }
 
-    fn take_progress(&mut self, progress: &Progress, now: Now) {
+    fn take_states(&mut self, progress: &Progress, now: Now) {
         for record in &progress.records {
             self.ledger.apply(record);
         }
         if !progress.records.is_empty() {
             self.election.note_sign(now.steady_ms, &self.ledger.owner);
         }
-        if self.progress.is_loaded() {
+        if self.states.is_loaded() {
             self.election.note_loaded(now.steady_ms);
         }
     }
@@ -372,7 +383,7 @@
     fn follow(&mut self, now: Now, actions: &mut Vec<Action>) {
         let now_ms = now.steady_ms;
         let tickets = &mut self.tickets;
-        for tail in [&mut self.rules, &mut self.jobs, &mut self.progress] {
+        for tail in [&mut self.rules, &mut self.jobs, &mut self.states] {
             tail.load(now_ms, tickets, actions);
         }
         self.rules.listen(LISTEN_MS, now_ms, tickets, actions);
@@ -390,15 +401,15 @@
             self.jobs_read_ms = now_ms;
             self.jobs.prompt(now_ms, now_ms, tickets, actions);
         }
-        if now_ms >= self.progress_read_ms + self.election.poll_ms(now_ms) {
-            self.progress_read_ms = now_ms;
-            self.progress.prompt(now_ms, now_ms, tickets, actions);
+        if now_ms >= self.states_read_ms + self.election.poll_ms(now_ms) {
+            self.states_read_ms = now_ms;
+            self.states.prompt(now_ms, now_ms, tickets, actions);
         }
     }
 
     /// Notices that the store does not answer this host, and that it does again.
     fn watch_store(&mut self, now: Now, actions: &mut Vec<Action>) {
-        let answered_ms = [&self.rules, &self.jobs, &self.progress, &self.workers]
+        let answered_ms = [&self.rules, &self.jobs, &self.states, &self.workers]
             .iter()
             .filter_map(|tail| tail.answered_ms)
             .max()
@@ -433,11 +444,8 @@
         self.purge_ms = now.steady_ms + PURGE_MS;
         let kept_ms = self.bounds.status_ms + STATUS_SLACK_MS;
         self.ledger.jobs.retain(|_, job| {
-            let final_wall_ms = match &job.progress {
-                Some(progress) if progress.phase().is_final() => progress.final_wall_ms,
-                _ => return true,
-            };
-            now.wall_ms < final_wall_ms + kept_ms
+            job.final_wall_ms()
+                .is_none_or(|final_wall_ms| now.wall_ms < final_wall_ms + kept_ms)
         });
     }
 }
--- a/crates/dispatch/src/entry/owning.rs
+++ b/crates/dispatch/src/entry/owning.rs
@@ -4,8 +4,10 @@
 use crate::entry::Entry;
 use crate::event::Action;
 use crate::event::AppendEnd;
+use crate::event::Fence;
 use crate::event::Now;
 use crate::event::Stream;
+use crate::ledger::Inheritance;
 use crate::owner::Owner;
 use crate::record::HostRecord;
 use crate::record::Key;
@@ -73,9 +75,9 @@
             return;
         }
         let owner = &self.ledger.owner;
-        let is_due = self.election.should_claim(self.progress.fresh_ms, owner);
+        let is_due = self.election.should_claim(self.states.fresh_ms, owner);
         if self.claim.is_none() && !is_due && self.election.is_due(now.steady_ms, owner) {
-            self.progress
+            self.states
                 .prompt(now.steady_ms, now.steady_ms, &mut self.tickets, actions);
         }
         if self.claim.is_none() && is_due {
@@ -126,7 +128,7 @@
     /// Begins to own once everything before the claim, and every job stored so far, is
     /// read, and the list of workers is there.
     fn finish_claim(&mut self, now: Now, actions: &mut Vec<Action>) {
-        let Some((offset, stored_ms)) = self.claim.as_ref().and_then(|claim| claim.stored) else {
+        let Some(stored_ms) = self.claim.as_ref().and_then(|claim| claim.stored) else {
             return;
         };
         let token = self.claim.as_ref().map_or(0, |claim| claim.fence.epoch);
@@ -136,19 +138,33 @@
         }
         let now_ms = now.steady_ms;
         let tickets = &mut self.tickets;
-        self.progress.prompt(stored_ms, now_ms, tickets, actions);
+        // All that former owners could write stands before the claim.
+        self.progress.load(now_ms, tickets, actions);
         if !self.jobs.is_fresh_since(stored_ms) {
             self.jobs.prompt(stored_ms, now_ms, tickets, actions);
         }
-        let is_read = self.progress.next() > offset
+        let is_read = self.progress.is_loaded()
             && self.jobs.is_fresh_since(stored_ms)
             && self.workers.is_loaded();
         if !is_read {
             return;
         }
         self.claim = None;
-        let mut owner = Owner::new(&self.host, token, &self.bounds, &self.ledger, now, actions);
+        let inheritance = std::mem::take(&mut self.inheritance);
+        let mut owner = Owner::new(
+            &self.host,
+            token,
+            &self.bounds,
+            &self.ledger,
+            &inheritance,
+            now,
+            actions,
+        );
         owner.figures = self.past_figures;
+        // This host answers from its own ledger while it is the owner.
+        for (job, state) in owner.untold() {
+            self.ledger.set_state(*job, *state);
+        }
         owner.list_workers(&self.worker_entries, now, actions);
         actions.push(Action::Note(Note::new(
             Code::OwnerBegun,
@@ -181,16 +197,21 @@
         claim.ticket = None;
         match end {
             AppendEnd::Stored { offset } => {
-                claim.stored = Some((offset, now.steady_ms));
+                claim.stored = Some(now.steady_ms);
+                self.progress = Tail::new(Stream::Progress);
+                self.inheritance = Inheritance::default();
+                let epoch = claim.fence.epoch;
+                self.show_claim(epoch, actions);
                 actions.push(Action::Note(Note::new(
                     Code::OwnerClaimed,
                     &*self.host,
-                    format!("token={} offset={offset}", claim.fence.epoch),
+                    format!("token={epoch} offset={offset}"),
                 )));
             }
             // Another host was faster; it gets the usual time to show itself.
             AppendEnd::Fenced => {
                 self.claim = None;
+                self.election.raise_floor();
                 self.election.restart(now.steady_ms);
             }
             AppendEnd::Refused | AppendEnd::Unknown => claim.retry_ms = now.steady_ms + RETRY_MS,
@@ -198,6 +219,25 @@
         true
     }
 
+    /// Tells the other hosts of a claim at once, so that they make none. Should the append
+    /// be lost, the owner's own signs of life follow soon.
+    fn show_claim(&mut self, epoch: u64, actions: &mut Vec<Action>) {
+        self.tickets += 1;
+        let record = OwnerRecord {
+            token: epoch,
+            host: self.host.to_string(),
+            is_leaving: false,
+            beat: 0,
+        };
+        actions.push(Action::Append {
+            ticket: self.tickets,
+            stream: Stream::States,
+            fence: Some(Fence { epoch, sequence: 0 }),
+            records: vec![(Key::Owner.text(), record.encode_to_vec().into())],
+            timeout_ms: CLAIM_TIMEOUT_MS,
+        });
+    }
+
     /// Lets the owner do what is due, or ends it.
     pub(crate) fn own(&mut self, now: Now, actions: &mut Vec<Action>) {
         let Some(owner) = &mut self.owner else {
--- a/crates/dispatch/src/event.rs
+++ b/crates/dispatch/src/event.rs
@@ -17,12 +17,16 @@
 }
 
 /// A keyed stream of the store.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum Stream {
     /// Jobs as submitted, and cancellations. Every entry host appends.
     Jobs,
-    /// Progress of jobs, and who owns it. Only the owner appends.
+    /// Progress of jobs, task by task. Only the owner appends, and only a host that is
+    /// about to become owner reads it.
     Progress,
+    /// States of jobs as callers are told them, and the owner's signs of life. Only the
+    /// owner appends; every entry host follows.
+    States,
     /// The operator's rules.
     Rules,
     /// The workers' reports about themselves.
--- a/crates/dispatch/src/ledger.rs
+++ b/crates/dispatch/src/ledger.rs
@@ -8,6 +8,7 @@
 use crate::record::Learned;
 use crate::record::OwnerRecord;
 use crate::record::Progress;
+use crate::record::StateRecord;
 use crate::record::Submission;
 use prost::Message;
 use std::collections::HashMap;
@@ -33,19 +34,19 @@
 pub(crate) struct JobRecord {
     /// The job, once its submission was read.
     pub(crate) submission: Option<Rc<Submission>>,
-    /// Its progress, once there is any.
-    pub(crate) progress: Option<Rc<Progress>>,
     /// Its cancelling was read.
     pub(crate) is_cancelled: bool,
-    progress_offset: u64,
+    state: StateRecord,
 }
 
 impl JobRecord {
     pub(crate) fn phase(&self) -> JobPhase {
-        match &self.progress {
-            Some(progress) => progress.phase(),
-            None => JobPhase::Queued,
-        }
+        self.state.phase()
+    }
+
+    /// Gives when it became final, in milliseconds since 1970.
+    pub(crate) fn final_wall_ms(&self) -> Option<u64> {
+        self.phase().is_final().then_some(self.state.final_wall_ms)
     }
 
     pub(crate) fn state(&self) -> JobState {
@@ -67,22 +68,43 @@
     Submitted(JobId),
     /// A job is cancelled.
     Cancelled(JobId),
-    /// A job has progressed.
-    Progressed,
     /// The owner has given a sign of life, or there is a new one.
     Owner,
     /// Nothing that matters.
     Nothing,
 }
 
+/// The progress of all jobs and what was learned, as a host that becomes owner reads it.
+#[derive(Debug, Default)]
+pub(crate) struct Inheritance {
+    pub(crate) jobs: HashMap<JobId, Progress>,
+    pub(crate) learned: Learned,
+}
+
+impl Inheritance {
+    /// Takes in one record of the stream of progress.
+    pub(crate) fn apply(&mut self, record: &StoredRecord) {
+        match Key::parse(&record.key) {
+            Some(Key::Progress(id)) if !record.value.is_empty() => {
+                if let Ok(progress) = Progress::decode(&*record.value) {
+                    self.jobs.insert(id, progress);
+                }
+            }
+            // What can't be read is learned anew.
+            Some(Key::Learned) => {
+                self.learned = Learned::decode(&*record.value).unwrap_or_default();
+            }
+            _ => {}
+        }
+    }
+}
+
 /// All jobs on record, and the owner.
 #[derive(Debug, Default)]
 pub(crate) struct Ledger {
     pub(crate) jobs: HashMap<JobId, JobRecord>,
     pub(crate) owner: OwnerRecord,
     owner_offset: u64,
-    /// What owners have learned, as written last.
-    pub(crate) learned: Learned,
     /// Entry hosts that have announced themselves, some of which may be gone.
     pub(crate) hosts: HashMap<Box<str>, HostRecord>,
 }
@@ -93,7 +115,7 @@
         match Key::parse(&record.key) {
             Some(Key::Submitted(id)) => self.submit(id, &record.value),
             Some(Key::Cancelled(id)) => self.cancel(id, &record.value),
-            Some(Key::Progress(id)) => self.progress(id, record),
+            Some(Key::State(id)) => self.state(id, &record.value),
             Some(Key::Owner) => self.own(record),
             Some(Key::Host(name)) => {
                 // What can't be read counts as a host without processor time.
@@ -101,12 +123,7 @@
                 self.hosts.insert(name, host);
                 Change::Nothing
             }
-            Some(Key::Learned) => {
-                // What can't be read is learned anew.
-                self.learned = Learned::decode(&*record.value).unwrap_or_default();
-                Change::Nothing
-            }
-            None => Change::Nothing,
+            Some(Key::Progress(_) | Key::Learned) | None => Change::Nothing,
         }
     }
 
@@ -139,19 +156,22 @@
         Change::Cancelled(id)
     }
 
-    fn progress(&mut self, id: JobId, record: &StoredRecord) -> Change {
-        if record.value.is_empty() {
-            return Change::Progressed;
+    fn state(&mut self, id: JobId, value: &[u8]) -> Change {
+        if let Ok(state) = StateRecord::decode(value)
+            && !value.is_empty()
+        {
+            self.set_state(id, state);
         }
-        let Ok(progress) = Progress::decode(&*record.value) else {
-            return Change::Nothing;
-        };
+        Change::Nothing
+    }
+
+    /// Takes in the state of a job. States are facts and never go back, so older ones that
+    /// are read again change nothing.
+    pub(crate) fn set_state(&mut self, id: JobId, state: StateRecord) {
         let job = self.jobs.entry(id).or_default();
-        if job.progress.is_none() || record.offset >= job.progress_offset {
-            job.progress = Some(Rc::new(progress));
-            job.progress_offset = record.offset;
+        if state.phase().rank() > job.phase().rank() {
+            job.state = state;
         }
-        Change::Progressed
     }
 
     fn own(&mut self, record: &StoredRecord) -> Change {
@@ -168,7 +188,7 @@
         Change::Owner
     }
 
-    /// Drops the progress that a reloaded stream no longer holds, and all it held.
+    /// Counts the jobs of a queue of which no task has started.
     pub(crate) fn count_waiting(&self, queue: &str) -> u64 {
         let mut count = 0;
         for job in self.jobs.values() {
--- a/crates/dispatch/src/owner/job.rs
+++ b/crates/dispatch/src/owner/job.rs
@@ -8,6 +8,7 @@
 use crate::record::JobPhase;
 use crate::record::OccurrenceProgress;
 use crate::record::Progress;
+use crate::record::StateRecord;
 use crate::record::Step;
 use crate::record::StepProgress;
 use crate::record::Submission;
@@ -130,6 +131,8 @@
     pub(crate) occurrences: Vec<Occurrence>,
     pub(crate) next_occurrence: u32,
     pub(crate) phase: JobPhase,
+    /// The phase that callers are told, or will be by an append under way.
+    pub(crate) told: JobPhase,
     /// The record of its progress is behind.
     pub(crate) is_dirty: bool,
     /// Time by which its caller would like it done.
@@ -149,6 +152,7 @@
     pub(crate) fn new(
         id: JobId,
         record: &JobRecord,
+        progress: Option<&Progress>,
         now: Now,
         worker: impl FnMut(&str) -> WorkerKey,
     ) -> Option<Self> {
@@ -162,7 +166,8 @@
             specification: submission.specification.as_str().into(),
             occurrences: Vec::new(),
             next_occurrence: 0,
-            phase: record.phase(),
+            phase: progress.map_or(JobPhase::Queued, Progress::phase),
+            told: record.phase(),
             is_dirty: false,
             due_ms: arrived_ms + allowed_ms,
             worthless_ms: arrived_ms + allowed_ms * WORTHLESS_FACTOR,
@@ -170,7 +175,7 @@
             has_waiting: true,
             submission,
         };
-        if let Some(progress) = &record.progress {
+        if let Some(progress) = progress {
             job.resume(progress, worker);
         }
         Some(job)
@@ -239,6 +244,14 @@
             && self.occurrences.iter().all(Occurrence::is_done)
     }
 
+    /// Gives its state as callers are to be told it.
+    pub(crate) fn state(&self) -> StateRecord {
+        StateRecord {
+            phase: self.phase as i32,
+            final_wall_ms: self.final_wall_ms,
+        }
+    }
+
     /// Gives the record of its progress.
     pub(crate) fn progress(&self, name: impl Fn(WorkerKey) -> String) -> Progress {
         let mut occurrences = Vec::new();
--- a/crates/dispatch/src/owner/mod.rs
+++ b/crates/dispatch/src/owner/mod.rs
@@ -27,9 +27,9 @@
 use crate::event::AppendEnd;
 use crate::event::Now;
 use crate::event::OrderEnd;
-use crate::event::StoredRecord;
 use crate::ids::JobId;
 use crate::ids::TaskId;
+use crate::ledger::Inheritance;
 use crate::ledger::Ledger;
 use crate::owner::images::Images;
 use crate::owner::interference::Interference;
@@ -42,9 +42,12 @@
 use crate::owner::worker::WorkerKey;
 use crate::owner::writing::Writer;
 use crate::record::JobPhase;
+use crate::record::Progress;
+use crate::record::StateRecord;
 use goldcrestway_core::Code;
 use goldcrestway_core::Note;
 use slotmap::SlotMap;
+use std::collections::BTreeMap;
 use std::collections::HashMap;
 
 /// Time for which an owner goes on that neither the store nor the workers confirm.
@@ -142,6 +145,7 @@
         token: u64,
         bounds: &Bounds,
         ledger: &Ledger,
+        inheritance: &Inheritance,
         now: Now,
         actions: &mut Vec<Action>,
     ) -> Self {
@@ -168,12 +172,13 @@
         };
         owner
             .interference
-            .resume(&ledger.learned, &mut owner.images);
+            .resume(&inheritance.learned, &mut owner.images);
         let mut ids: Vec<JobId> = ledger.jobs.keys().copied().collect();
         ids.sort_unstable();
         for id in ids {
-            owner.adopt(id, ledger, now, actions);
+            owner.adopt(id, ledger, inheritance.jobs.get(&id), now, actions);
         }
+        owner.writer.announce();
         owner
     }
 
@@ -182,6 +187,7 @@
         &mut self,
         id: JobId,
         ledger: &Ledger,
+        progress: Option<&Progress>,
         now: Now,
         actions: &mut Vec<Action>,
     ) {
@@ -193,7 +199,7 @@
         };
         let lapsed_ms = self.foreign_lapse_ms(now.steady_ms);
         let (workers, keys) = (&mut self.workers, &mut self.worker_keys);
-        let job = Job::new(id, record, now, |name| {
+        let job = Job::new(id, record, progress, now, |name| {
             *keys
                 .entry(name.into())
                 .or_insert_with(|| workers.insert(Worker::unlisted(name, lapsed_ms)))
@@ -201,6 +207,11 @@
         let Some(mut job) = job else {
             return;
         };
+        // A former owner may have died before it could tell.
+        if job.phase.rank() > job.told.rank() {
+            job.told = job.phase;
+            self.writer.tell(id, job.state());
+        }
         if job.phase.is_final() {
             return;
         }
@@ -286,7 +297,7 @@
     /// Takes in the platform's list of workers.
     pub(crate) fn list_workers(
         &mut self,
-        entries: &HashMap<Box<str>, WorkerEntry>,
+        entries: &BTreeMap<Box<str>, WorkerEntry>,
         now: Now,
         actions: &mut Vec<Action>,
     ) {
@@ -373,8 +384,8 @@
         self.writer.announce();
     }
 
-    /// Takes in the end of an append, if it is one of this owner. Gives the records that
-    /// are stored by now.
+    /// Takes in the end of an append, if it is one of this owner. Gives the states that may
+    /// be told from now on.
     pub(crate) fn take_append(
         &mut self,
         ticket: u64,
@@ -382,7 +393,7 @@
         now: Now,
         tickets: &mut u64,
         actions: &mut Vec<Action>,
-    ) -> Option<Vec<StoredRecord>> {
+    ) -> Option<Vec<(JobId, StateRecord)>> {
         self.finish_append(ticket, end, now, tickets, actions)
     }
 
--- a/crates/dispatch/src/owner/writing.rs
+++ b/crates/dispatch/src/owner/writing.rs
@@ -1,11 +1,15 @@
 //! Writing progress to the store, and what follows once it is stored.
+//!
+//! Progress, task by task, goes to a stream that nobody reads but the next owner. The few
+//! bytes that all hosts need, states of jobs and signs of life, follow in a stream of
+//! their own: hosts on thin links could not keep up with the first one.
 
 use crate::event::Action;
 use crate::event::AppendEnd;
 use crate::event::Fence;
 use crate::event::Now;
-use crate::event::StoredRecord;
 use crate::event::Stream;
+use crate::ids::JobId;
 use crate::ids::TaskId;
 use crate::owner::Owner;
 use crate::owner::Stepdown;
@@ -14,12 +18,15 @@
 use crate::owner::worker::WorkerKey;
 use crate::record::Key;
 use crate::record::OwnerRecord;
+use crate::record::StateRecord;
 use prost::Message;
 
-/// Pause between appends. Each costs a call to the store; a start that waits for 20 ms
-/// is still well inside objectives of 250 ms and more.
+/// Pause between appends of progress. Each costs a call to the store; a start that waits
+/// for 20 ms is still well inside objectives of 250 ms and more.
 const GAP_MS: u64 = 20;
-/// Signs of life while nothing else is written. Followers claim after three missing ones.
+/// Pause between appends of states. Callers ask for them a few times a second.
+const STATES_GAP_MS: u64 = 40;
+/// Signs of life while no state changes. Followers claim after three missing ones.
 const BEAT_MS: u64 = 250;
 /// Pause between two records of what was learned. A successor loses as much at most.
 const LEARNED_MS: u64 = 2_500;
@@ -31,45 +38,122 @@
 /// Bytes of records in one append, well under what the store takes at once.
 const BATCH_MOST_BYTES: usize = 200_000;
 
-/// An append that is not stored yet.
+/// Keys and values.
+type Records = Vec<(Box<str>, Box<[u8]>)>;
+
+/// Appends to one stream: one at a time, so that their order is that of the log. A repeat
+/// has the sequence number of the first try, which makes it harmless.
 #[derive(Debug)]
-struct Batch {
+struct Lane {
+    stream: Stream,
+    sequence: u64,
+    /// Records that are not stored yet.
+    records: Option<Records>,
     ticket: Option<u64>,
     retry_ms: u64,
-    records: Vec<(Box<str>, Box<[u8]>)>,
+    sent_ms: u64,
+    last_ms: u64,
+}
+
+impl Lane {
+    fn new(stream: Stream, sequence: u64, now_ms: u64) -> Self {
+        Self {
+            stream,
+            sequence,
+            records: None,
+            ticket: None,
+            retry_ms: 0,
+            sent_ms: now_ms,
+            last_ms: now_ms,
+        }
+    }
+
+    fn may_begin(&self, now_ms: u64, gap_ms: u64) -> bool {
+        self.records.is_none() && now_ms >= self.last_ms + gap_ms
+    }
+
+    fn begin(&mut self, records: Records, now_ms: u64) {
+        self.records = Some(records);
+        self.retry_ms = 0;
+        self.last_ms = now_ms;
+    }
+
+    fn send(&mut self, epoch: u64, now_ms: u64, tickets: &mut u64, actions: &mut Vec<Action>) {
+        let Some(records) = &self.records else {
+            return;
+        };
+        if self.ticket.is_some() || now_ms < self.retry_ms {
+            return;
+        }
+        *tickets += 1;
+        self.ticket = Some(*tickets);
+        self.sent_ms = now_ms;
+        actions.push(Action::Append {
+            ticket: *tickets,
+            stream: self.stream,
+            fence: Some(Fence {
+                epoch,
+                sequence: self.sequence,
+            }),
+            records: records.clone(),
+            timeout_ms: APPEND_TIMEOUT_MS,
+        });
+    }
+
+    /// Takes in the end of an append. Gives `None` if it is none of this lane, else whether
+    /// its records are stored.
+    fn take(&mut self, ticket: u64, end: AppendEnd, now_ms: u64) -> Option<bool> {
+        self.ticket.take_if(|own| *own == ticket)?;
+        let is_stored = matches!(end, AppendEnd::Stored { .. });
+        if is_stored {
+            self.sequence += 1;
+            self.records = None;
+        } else {
+            self.retry_ms = now_ms + RETRY_MS;
+        }
+        Some(is_stored)
+    }
+}
+
+/// What follows once an append of progress is stored.
+#[derive(Debug, Default)]
+struct Effects {
     starts: Vec<(WorkerKey, TaskId, u32)>,
     seen: Vec<(WorkerKey, u64)>,
-    sent_ms: u64,
+    states: Vec<(JobId, StateRecord)>,
 }
 
-/// Appends of the owner: one at a time, so that their order is that of the log.
+/// Appends of the owner.
 #[derive(Debug)]
 pub(crate) struct Writer {
-    /// The claim was number 0.
-    next_sequence: u64,
-    batch: Option<Batch>,
-    last_ms: u64,
+    progress: Lane,
+    states: Lane,
+    effects: Effects,
     beat: u64,
     must_announce: bool,
     learned_ms: u64,
-    /// Runs whose records are in no batch yet.
+    /// Runs whose records are in no append yet.
     starts: Vec<(WorkerKey, TaskId, u32)>,
+    /// States that are true by the stored progress and not told yet.
+    untold: Vec<(JobId, StateRecord)>,
 }
 
 impl Writer {
     pub(crate) fn new(now_ms: u64) -> Self {
         Self {
-            next_sequence: 1,
-            batch: None,
-            last_ms: now_ms,
+            // The claim was number 0 in both streams.
+            progress: Lane::new(Stream::Progress, 1, now_ms),
+            states: Lane::new(Stream::States, 1, now_ms),
+            effects: Effects::default(),
             beat: 0,
             must_announce: false,
             learned_ms: now_ms,
             starts: Vec::new(),
+            untold: Vec::new(),
         }
     }
 
-    /// Has the next append tell about the owner.
+    /// Has the next append of states tell about the owner.
     pub(crate) fn announce(&mut self) {
         self.must_announce = true;
     }
@@ -78,42 +162,34 @@
     pub(crate) fn start_once_stored(&mut self, worker: WorkerKey, task: TaskId, run: u32) {
         self.starts.push((worker, task, run));
     }
+
+    /// Tells the state of a job whose progress is stored.
+    pub(crate) fn tell(&mut self, job: JobId, state: StateRecord) {
+        self.untold.push((job, state));
+    }
 }
 
 impl Owner {
     /// Appends what has changed, or repeats what has no answer.
     pub(crate) fn write(&mut self, now: Now, tickets: &mut u64, actions: &mut Vec<Action>) {
-        if self.writer.batch.is_none() {
-            self.fill_batch(now);
+        let now_ms = now.steady_ms;
+        if self.writer.progress.may_begin(now_ms, GAP_MS) {
+            self.fill_progress(now_ms);
         }
-        let fence = Fence {
-            epoch: self.token,
-            sequence: self.writer.next_sequence,
-        };
-        let Some(batch) = &mut self.writer.batch else {
-            return;
-        };
-        if batch.ticket.is_some() || now.steady_ms < batch.retry_ms {
-            return;
+        if self.writer.states.may_begin(now_ms, STATES_GAP_MS) {
+            self.fill_states(now_ms);
         }
-        *tickets += 1;
-        batch.ticket = Some(*tickets);
-        batch.sent_ms = now.steady_ms;
-        self.figures.appends += 1;
-        actions.push(Action::Append {
-            ticket: *tickets,
-            stream: Stream::Progress,
-            fence: Some(fence),
-            records: batch.records.clone(),
-            timeout_ms: APPEND_TIMEOUT_MS,
-        });
+        let before = actions.len();
+        self.writer
+            .progress
+            .send(self.token, now_ms, tickets, actions);
+        self.writer
+            .states
+            .send(self.token, now_ms, tickets, actions);
+        self.figures.appends += (actions.len() - before) as u64;
     }
 
-    fn fill_batch(&mut self, now: Now) {
-        let is_quiet = now.steady_ms < self.writer.last_ms + BEAT_MS && !self.writer.must_announce;
-        if now.steady_ms < self.writer.last_ms + GAP_MS {
-            return;
-        }
+    fn fill_progress(&mut self, now_ms: u64) {
         let mut records = Vec::new();
         let mut bytes = 0;
         let mut written = Vec::new();
@@ -136,19 +212,15 @@
         if records.is_empty() {
             self.forget_ends_without_effect();
         }
-        if records.is_empty() && is_quiet {
-            return;
-        }
-        if self.writer.must_announce || records.is_empty() {
-            records.push(self.owner_record());
-            self.writer.must_announce = false;
-        }
-        if now.steady_ms >= self.writer.learned_ms + LEARNED_MS {
-            self.writer.learned_ms = now.steady_ms;
+        if now_ms >= self.writer.learned_ms + LEARNED_MS {
+            self.writer.learned_ms = now_ms;
             let learned = self.interference.learned(&self.images);
             records.push((Key::Learned.text(), learned.encode_to_vec().into()));
         }
-        self.make_batch(records, written, now.steady_ms);
+        if !records.is_empty() {
+            self.writer.effects = self.collect_effects(&written);
+            self.writer.progress.begin(records, now_ms);
+        }
     }
 
     /// Ends that changed nothing need no record before workers forget them.
@@ -161,57 +233,65 @@
         }
     }
 
-    fn owner_record(&mut self) -> (Box<str>, Box<[u8]>) {
-        self.writer.beat += 1;
-        let record = OwnerRecord {
-            token: self.token,
-            host: self.host.to_string(),
-            is_leaving: self.is_leaving,
-            beat: self.writer.beat,
-        };
-        (Key::Owner.text(), record.encode_to_vec().into())
-    }
-
-    fn make_batch(
-        &mut self,
-        records: Vec<(Box<str>, Box<[u8]>)>,
-        written: Vec<JobKey>,
-        now_ms: u64,
-    ) {
-        for key in &written {
-            self.jobs[*key].is_dirty = false;
+    /// Collects what follows once the records of these jobs are stored.
+    fn collect_effects(&mut self, written: &[JobKey]) -> Effects {
+        let mut effects = Effects::default();
+        for key in written {
+            let job = &mut self.jobs[*key];
+            job.is_dirty = false;
+            if job.told != job.phase {
+                job.told = job.phase;
+                effects.states.push((job.id, job.state()));
+            }
         }
-        let mut starts = Vec::new();
         let jobs = &self.jobs;
         let keys = &self.job_keys;
         self.writer.starts.retain(|start| {
-            let is_written = keys
-                .get(&start.1.job)
-                .is_some_and(|key| !jobs[*key].is_dirty);
+            let key = keys.get(&start.1.job);
+            let is_written = key.is_some_and(|key| !jobs[*key].is_dirty);
             if is_written {
-                starts.push(*start);
+                effects.starts.push(*start);
             }
             !is_written
         });
-        let mut seen = Vec::new();
-        let all_written = self.live.iter().all(|key| !self.jobs[*key].is_dirty);
+        let is_all_written = self.live.iter().all(|key| !self.jobs[*key].is_dirty);
         for (key, worker) in &self.workers {
-            if all_written && worker.handled > worker.recorded {
-                seen.push((key, worker.handled));
+            if is_all_written && worker.handled > worker.recorded {
+                effects.seen.push((key, worker.handled));
             }
         }
-        self.writer.last_ms = now_ms;
-        self.writer.batch = Some(Batch {
-            ticket: None,
-            retry_ms: 0,
-            records,
-            starts,
-            seen,
-            sent_ms: now_ms,
-        });
+        effects
     }
 
-    /// Takes in the end of the append with this ticket. Gives the stored records.
+    fn fill_states(&mut self, now_ms: u64) {
+        let is_quiet = now_ms < self.writer.states.last_ms + BEAT_MS && !self.writer.must_announce;
+        if self.writer.untold.is_empty() && is_quiet {
+            return;
+        }
+        let mut records = Vec::new();
+        for (job, state) in self.writer.untold.drain(..) {
+            records.push((Key::State(job).text(), state.encode_to_vec().into()));
+        }
+        if records.is_empty() || self.writer.must_announce {
+            records.push(self.owner_record());
+            self.writer.must_announce = false;
+        }
+        self.writer.states.begin(records, now_ms);
+    }
+
+    fn owner_record(&mut self) -> (Box<str>, Box<[u8]>) {
+        self.writer.beat += 1;
+        let record = OwnerRecord {
+            token: self.token,
+            host: self.host.to_string(),
+            is_leaving: self.is_leaving,
+            beat: self.writer.beat,
+        };
+        (Key::Owner.text(), record.encode_to_vec().into())
+    }
+
+    /// Takes in the end of the append with this ticket, if it is one of this owner. Gives
+    /// the states that may be told from now on.
     pub(crate) fn finish_append(
         &mut self,
         ticket: u64,
@@ -219,35 +299,38 @@
         now: Now,
         tickets: &mut u64,
         actions: &mut Vec<Action>,
-    ) -> Option<Vec<StoredRecord>> {
-        let batch = self.writer.batch.as_mut()?;
-        if batch.ticket != Some(ticket) {
-            return None;
-        }
-        batch.ticket = None;
-        match end {
-            AppendEnd::Fenced => {
-                self.stepdown = Some(Stepdown::Fenced);
-                Some(Vec::new())
-            }
-            // The same sequence number makes a repeat harmless.
-            AppendEnd::Refused | AppendEnd::Unknown => {
-                batch.retry_ms = now.steady_ms + RETRY_MS;
-                Some(Vec::new())
-            }
-            AppendEnd::Stored { offset } => {
-                self.confirmed_ms = self.confirmed_ms.max(batch.sent_ms);
-                let batch = self.writer.batch.take()?;
-                self.writer.next_sequence += 1;
-                for (worker, number) in batch.seen {
-                    self.confirm_seen(worker, number, now.steady_ms);
-                }
-                for (worker, task, run) in batch.starts {
-                    self.send_start(worker, task, run, now, tickets, actions);
-                }
-                self.drop_final();
-                Some(stored(offset, batch.records))
+    ) -> Option<Vec<(JobId, StateRecord)>> {
+        let now_ms = now.steady_ms;
+        let is_progress = match self.writer.progress.take(ticket, end, now_ms) {
+            Some(is_stored) => is_stored,
+            None => {
+                let is_stored = self.writer.states.take(ticket, end, now_ms)?;
+                self.note_end(end, is_stored, self.writer.states.sent_ms);
+                return Some(Vec::new());
             }
+        };
+        self.note_end(end, is_progress, self.writer.progress.sent_ms);
+        if !is_progress {
+            return Some(Vec::new());
+        }
+        let effects = std::mem::take(&mut self.writer.effects);
+        for (worker, number) in effects.seen {
+            self.confirm_seen(worker, number, now_ms);
+        }
+        for (worker, task, run) in effects.starts {
+            self.send_start(worker, task, run, now, tickets, actions);
+        }
+        self.writer.untold.extend_from_slice(&effects.states);
+        self.drop_final();
+        Some(effects.states)
+    }
+
+    fn note_end(&mut self, end: AppendEnd, is_stored: bool, sent_ms: u64) {
+        if end == AppendEnd::Fenced {
+            self.stepdown = Some(Stepdown::Fenced);
+        }
+        if is_stored {
+            self.confirmed_ms = self.confirmed_ms.max(sent_ms);
         }
     }
 
@@ -272,6 +355,11 @@
         });
     }
 
+    /// Lists the states that a former owner has recorded and did not tell.
+    pub(crate) fn untold(&self) -> &[(JobId, StateRecord)] {
+        &self.writer.untold
+    }
+
     /// Tells whether a run still awaits its order.
     pub(crate) fn is_recording(&self, worker: WorkerKey, task: TaskId, run: u32) -> bool {
         self.workers
@@ -280,15 +368,3 @@
             .is_some_and(|run| run.phase == RunPhase::Recording)
     }
 }
-
-fn stored(offset: u64, records: Vec<(Box<str>, Box<[u8]>)>) -> Vec<StoredRecord> {
-    let mut list = Vec::with_capacity(records.len());
-    for (number, (key, value)) in records.into_iter().enumerate() {
-        list.push(StoredRecord {
-            offset: offset + number as u64,
-            key,
-            value,
-        });
-    }
-    list
-}
--- a/crates/dispatch/src/record.rs
+++ b/crates/dispatch/src/record.rs
@@ -7,7 +7,7 @@
 use crate::ids::JobId;
 use prost::Message;
 
-/// Key of the record that names the owner, in the stream of progress.
+/// Key of the record that names the owner, in the streams of progress and states.
 pub(crate) const OWNER_KEY: &str = "owner";
 /// Key of what the owner has learned, in the stream of progress.
 pub(crate) const LEARNED_KEY: &str = "learned";
@@ -196,6 +196,15 @@
 }
 
 impl JobPhase {
+    /// Gives how far a job has come; it never goes back.
+    pub(crate) fn rank(self) -> u8 {
+        match self {
+            JobPhase::Queued => 0,
+            JobPhase::Running => 1,
+            JobPhase::Completed | JobPhase::Failed | JobPhase::Cancelled => 2,
+        }
+    }
+
     /// Tells whether nothing will happen any more.
     pub(crate) fn is_final(self) -> bool {
         matches!(
@@ -250,6 +259,16 @@
     pub(crate) press: f64,
 }
 
+/// The state of a job as callers are told it.
+#[derive(Clone, Copy, PartialEq, Eq, Message)]
+pub(crate) struct StateRecord {
+    #[prost(enumeration = "JobPhase", tag = "1")]
+    pub(crate) phase: i32,
+    /// When it became final, in milliseconds since 1970.
+    #[prost(uint64, tag = "2")]
+    pub(crate) final_wall_ms: u64,
+}
+
 /// Who owns the progress of all jobs.
 #[derive(Clone, PartialEq, Eq, Message)]
 pub(crate) struct OwnerRecord {
@@ -284,6 +303,8 @@
     Cancelled(JobId),
     /// The progress of a job.
     Progress(JobId),
+    /// The state of a job.
+    State(JobId),
     /// The owner.
     Owner,
     /// What the owner has learned.
@@ -309,6 +330,7 @@
             "j" => Some(Key::Submitted(id)),
             "c" => Some(Key::Cancelled(id)),
             "s" => Some(Key::Progress(id)),
+            "p" => Some(Key::State(id)),
             _ => None,
         }
     }
@@ -318,6 +340,7 @@
             Key::Submitted(id) => format!("j{id}").into(),
             Key::Cancelled(id) => format!("c{id}").into(),
             Key::Progress(id) => format!("s{id}").into(),
+            Key::State(id) => format!("p{id}").into(),
             Key::Owner => OWNER_KEY.into(),
             Key::Learned => LEARNED_KEY.into(),
             Key::Host(name) => format!("h{name}").into(),
--- a/tests/dispatch_faults.rs
+++ b/tests/dispatch_faults.rs
@@ -31,6 +31,14 @@
         "an end told after its run was given up was forgotten, and the task ran again",
     ),
     (39, "the same, in a later step"),
+    (
+        56,
+        "a new owner told others, and not itself, of a job that had ended before it",
+    ),
+    (
+        126,
+        "a new owner never told of a job that had begun before it",
+    ),
 ];
 
 fn strike(fleet: &mut Fleet, random: &mut Pcg64, jobs: &mut u64) {
--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -33,7 +33,6 @@
 use goldcrestway_dispatch::WorkerCall;
 use goldcrestway_dispatch::WorkerEntry;
 use std::collections::BTreeMap;
-use std::collections::HashMap;
 
 /// Virtual time moves on by this much.
 const STEP_MS: u64 = 5;
@@ -99,9 +98,9 @@
     deliveries: Vec<(u64, Delivery)>,
     requests: u64,
     /// Answers by request.
-    pub(crate) replies: HashMap<u64, Reply>,
+    pub(crate) replies: BTreeMap<u64, Reply>,
     /// Which job a request was about, and whether it hands it in.
-    asked: HashMap<u64, JobId>,
+    asked: BTreeMap<u64, JobId>,
     /// Orders to workers are carried out so late, and not answered.
     pub(crate) late_ms: Option<u64>,
     /// Claims to own that were appended.
@@ -186,8 +185,8 @@
             promises: Promises::default(),
             deliveries: Vec::new(),
             requests: 0,
-            replies: HashMap::new(),
-            asked: HashMap::new(),
+            replies: BTreeMap::new(),
+            asked: BTreeMap::new(),
             late_ms: None,
             claims: 0,
             cut_workers: Vec::new(),
@@ -377,7 +376,7 @@
     }
 
     fn check(&mut self) {
-        let mut seen: HashMap<TaskId, u32> = HashMap::new();
+        let mut seen: BTreeMap<TaskId, u32> = BTreeMap::new();
         for (_, task, _) in &self.promises.starts {
             seen.entry(*task).or_insert(0);
         }
@@ -515,7 +514,8 @@
                     true => AppendEnd::Unknown,
                     false => self.store.append(stream, fence, records),
                 };
-                self.claims += u32::from(fence.is_some_and(|fence| fence.sequence == 0));
+                let is_claim = fence.is_some_and(|fence| fence.sequence == 0);
+                self.claims += u32::from(is_claim && stream == Stream::Progress);
                 let done_ms = self.store.done_ms(stream, self.now_ms) + CALL_MS;
                 let give_up_ms = self.now_ms + timeout_ms;
                 let is_lost = end == AppendEnd::Unknown || done_ms > give_up_ms;
--- a/tests/fleet/promises.rs
+++ b/tests/fleet/promises.rs
@@ -6,8 +6,8 @@
 use goldcrestway_dispatch::Room;
 use goldcrestway_dispatch::Submission;
 use goldcrestway_dispatch::TaskId;
-use std::collections::HashMap;
-use std::collections::HashSet;
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 /// What a worker must know of a task that it starts.
 pub(crate) struct Plan {
@@ -20,14 +20,14 @@
 #[derive(Default)]
 pub(crate) struct Promises {
     /// All jobs that callers tried to hand in.
-    pub(crate) submitted: HashMap<JobId, Submission>,
+    pub(crate) submitted: BTreeMap<JobId, Submission>,
     /// Jobs of which a caller was told that they are stored.
-    pub(crate) accepted: HashSet<JobId>,
+    pub(crate) accepted: BTreeSet<JobId>,
     /// Ends that workers were told to forget.
-    done: HashSet<TaskId>,
-    failures: HashMap<TaskId, u32>,
+    done: BTreeSet<TaskId>,
+    failures: BTreeMap<TaskId, u32>,
     /// Tasks that have ended well, noted or not.
-    pub(crate) ended: HashSet<TaskId>,
+    pub(crate) ended: BTreeSet<TaskId>,
     /// Starts, in order.
     pub(crate) starts: Vec<(Box<str>, TaskId, u32)>,
     /// Starts that were refused for want of room.
--- a/tests/fleet/store.rs
+++ b/tests/fleet/store.rs
@@ -7,7 +7,6 @@
 use goldcrestway_dispatch::StoredRecord;
 use goldcrestway_dispatch::Stream;
 use std::collections::BTreeMap;
-use std::collections::HashMap;
 
 /// Keys on one page, few enough that tests see several pages.
 const PAGE_KEYS: usize = 7;
@@ -19,7 +18,7 @@
     oldest: u64,
     newest: BTreeMap<Box<str>, StoredRecord>,
     epoch: u64,
-    replies: HashMap<u64, u64>,
+    replies: BTreeMap<u64, u64>,
     /// Appends that came so far are done by then.
     busy_until_ms: u64,
 }
@@ -45,7 +44,7 @@
 
 /// The store.
 pub(crate) struct Store {
-    topics: HashMap<Stream, Topic>,
+    topics: BTreeMap<Stream, Topic>,
     /// How it behaves.
     pub(crate) mode: Mode,
     /// Time that a stream takes for one append; it takes one at a time.
@@ -55,7 +54,7 @@
 impl Store {
     pub(crate) fn new() -> Self {
         Self {
-            topics: HashMap::new(),
+            topics: BTreeMap::new(),
             mode: Mode::Up,
             append_ms: 0,
         }
