Start gangs as a whole, on one rack where that matters

Cause: members of a gang were placed one by one, so one that found no room left the others waiting until they ended alone. Change: all members get their workers in one go, one run number and one checkpoint; their failures count together.

--- a/crates/dispatch/src/config.rs
+++ b/crates/dispatch/src/config.rs
@@ -114,6 +114,8 @@
     pub cold_ms: u64,
     /// What it has.
     pub room: Room,
+    /// Its rack.
+    pub rack: Box<str>,
     /// Its labels, its rack among them.
     pub labels: Box<[Box<str>]>,
 }
--- a/crates/dispatch/src/owner/ends.rs
+++ b/crates/dispatch/src/owner/ends.rs
@@ -180,11 +180,18 @@
                 task.failures += u32::from(!is_lasting);
             }
         }
-        let has_failed = task.failures >= attempts_most && !task.is_done;
+        let is_done = task.is_done;
+        let failures = task.failures;
         job.has_waiting = true;
         job.is_dirty = true;
+        let is_gang = job.step(id).is_some_and(|step| step.is_gang);
+        let mut has_failed = failures >= attempts_most && !is_done;
         if let Some(step) = job.step_mut(id) {
             step.recount();
+            if is_gang && is_done {
+                step.finish_gang();
+            }
+            has_failed |= is_gang && !is_done && step.gang_failures() >= attempts_most;
         }
         let is_finished = !is_lasting && job.is_finished();
         if let Some(rival) = rival {
--- /dev/null
+++ b/crates/dispatch/src/owner/gangs.rs
@@ -0,0 +1,133 @@
+//! Steps whose tasks work only together.
+//!
+//! A member that is there without the others waits, holds room and ends alone after some
+//! seconds. So all members are given their workers in one go, under one run number and
+//! from one checkpoint, or none is. When one of them ends, the others are broken by their
+//! workers, and the whole gang starts again.
+
+use crate::event::Action;
+use crate::event::Now;
+use crate::ids::TaskId;
+use crate::owner::Owner;
+use crate::owner::job::JobKey;
+use crate::owner::job::StepState;
+use crate::owner::placing::Wanted;
+use crate::owner::worker::WorkerKey;
+use std::cmp::Reverse;
+use std::collections::BTreeSet;
+
+impl Owner {
+    /// Places all tasks of a gang or none, and tells whether it still waits.
+    pub(crate) fn place_gang(
+        &mut self,
+        key: JobKey,
+        wanted: &Wanted<'_>,
+        now: Now,
+        actions: &mut Vec<Action>,
+    ) -> bool {
+        let first = wanted.task;
+        let Some(state) = self.jobs[key].step_mut(first) else {
+            return false;
+        };
+        let is_whole = state.tasks.iter().all(|task| task.is_waiting());
+        let may_start = state
+            .tasks
+            .iter()
+            .all(|task| task.not_before_ms <= now.steady_ms);
+        if !is_whole || !may_start {
+            self.must_place = true;
+            return true;
+        }
+        align(state);
+        let count = state.tasks.len();
+        let Some(workers) = self.find_gang(wanted, count, now.steady_ms) else {
+            return true;
+        };
+        for (index, worker) in workers.into_iter().enumerate() {
+            let id = TaskId {
+                index: index as u16,
+                ..first
+            };
+            self.assign(key, id, worker, now, actions);
+        }
+        false
+    }
+
+    /// Finds workers for all members: on one rack if that matters and is possible.
+    fn find_gang(&self, wanted: &Wanted<'_>, count: usize, now_ms: u64) -> Option<Vec<WorkerKey>> {
+        if wanted.step.is_rack_sensitive {
+            let mut racks = BTreeSet::new();
+            for worker in self.workers.values() {
+                racks.insert(&worker.entry.rack);
+            }
+            for rack in racks {
+                if let Some(workers) = self.fill_gang(wanted, count, Some(rack), now_ms) {
+                    return Some(workers);
+                }
+            }
+        }
+        self.fill_gang(wanted, count, None, now_ms)
+    }
+
+    /// Takes the best workers one after the other, each for as many members as it holds.
+    fn fill_gang(
+        &self,
+        wanted: &Wanted<'_>,
+        count: usize,
+        rack: Option<&str>,
+        now_ms: u64,
+    ) -> Option<Vec<WorkerKey>> {
+        let mut ranked = self.rank(wanted, now_ms);
+        let mut chosen = Vec::with_capacity(count);
+        while chosen.len() < count {
+            let Reverse((_, key)) = ranked.pop()?;
+            let worker = &self.workers[key];
+            if rack.is_some_and(|rack| *worker.entry.rack != *rack) {
+                continue;
+            }
+            let room = wanted.step.room();
+            let mut free = worker.free();
+            let mut members = 0;
+            while chosen.len() < count && free.holds(room) {
+                if wanted.step.per_worker_most > 0 && members == wanted.step.per_worker_most {
+                    break;
+                }
+                free = free.minus(room);
+                members += 1;
+                chosen.push(key);
+            }
+        }
+        Some(chosen)
+    }
+}
+
+/// Brings all members to one run number and one checkpoint. Checkpoints of a gang are
+/// valid for all members; the greatest in the order of text is the furthest.
+fn align(state: &mut StepState) {
+    let run = state.tasks.iter().map(|task| task.run).max().unwrap_or(0);
+    let checkpoint = state
+        .tasks
+        .iter()
+        .map(|task| task.checkpoint.clone())
+        .max()
+        .unwrap_or_default();
+    for task in &mut state.tasks {
+        task.run = run;
+        task.checkpoint.clone_from(&checkpoint);
+    }
+}
+
+impl StepState {
+    /// Takes all members of a gang for done, since they end well together.
+    pub(crate) fn finish_gang(&mut self) {
+        for task in &mut self.tasks {
+            task.is_done = true;
+        }
+        self.recount();
+    }
+
+    /// Counts the failures of all members, since the gang fails as one.
+    pub(crate) fn gang_failures(&self) -> u32 {
+        self.tasks.iter().map(|task| task.failures).sum()
+    }
+}
--- a/crates/dispatch/src/owner/mod.rs
+++ b/crates/dispatch/src/owner/mod.rs
@@ -10,6 +10,7 @@
 //!   after which they refuse whatever a former owner still sends.
 
 mod ends;
+mod gangs;
 mod images;
 mod interference;
 mod job;
--- a/crates/dispatch/src/owner/placing.rs
+++ b/crates/dispatch/src/owner/placing.rs
@@ -46,11 +46,12 @@
 const COLD_COST: i64 = 50_000;
 
 /// What a step asks of the worker for one of its tasks.
-struct Wanted<'a> {
-    step: &'a Step,
-    service: &'a str,
-    image: ImageKey,
-    task: TaskId,
+pub(crate) struct Wanted<'a> {
+    pub(crate) step: &'a Step,
+    pub(crate) service: &'a str,
+    pub(crate) image: ImageKey,
+    /// The first task of the step.
+    pub(crate) task: TaskId,
 }
 
 /// What one go at placing has come to.
@@ -147,6 +148,9 @@
             image: self.images.key(&step.image),
             task: first,
         };
+        if step.is_gang {
+            return self.place_gang(key, &wanted, now, actions);
+        }
         if pass.is_hopeless(&wanted) {
             return true;
         }
@@ -185,7 +189,11 @@
     }
 
     /// Lists the workers that can take a task of a step, the least cost first.
-    fn rank(&self, wanted: &Wanted<'_>, now_ms: u64) -> BinaryHeap<Reverse<(i64, WorkerKey)>> {
+    pub(crate) fn rank(
+        &self,
+        wanted: &Wanted<'_>,
+        now_ms: u64,
+    ) -> BinaryHeap<Reverse<(i64, WorkerKey)>> {
         let mut ranked = BinaryHeap::new();
         for (key, worker) in &self.workers {
             if let Some(cost) = self.price(worker, wanted, now_ms) {
@@ -302,7 +310,7 @@
         Some((most * PRESSURE_COST) as i64)
     }
 
-    fn assign(
+    pub(crate) fn assign(
         &mut self,
         key: JobKey,
         id: TaskId,
--- a/crates/dispatch/src/owner/worker.rs
+++ b/crates/dispatch/src/owner/worker.rs
@@ -148,6 +148,7 @@
                 is_leaving: true,
                 cold_ms: 0,
                 room: Room::default(),
+                rack: "".into(),
                 labels: Box::default(),
             },
             lapsed_ms,
--- a/tests/dispatch.rs
+++ b/tests/dispatch.rs
@@ -470,3 +470,25 @@
     fleet.run(3_000);
     expect_that!(fleet.owners(), eq(1));
 }
+
+/// Symptom: members of a gang wait for the others, hold room meanwhile and end alone.
+/// Cause: each was placed as soon as there was room for one.
+#[gtest]
+fn a_gang_starts_as_a_whole_or_not_at_all() {
+    let mut fleet = Fleet::new(3, 2);
+    fleet.submit(0, 0x1, &job(vec![step(8, 1_500, &[])]));
+    fleet.run(100);
+    let gang = Step {
+        is_gang: true,
+        ..step(12, 500, &[])
+    };
+    fleet.submit(0, JOB, &job(vec![gang]));
+    fleet.run(1_000);
+    expect_that!(fleet.promises.starts.len(), eq(8));
+    fleet.run(2_500);
+    expect_that!(fleet.promises.starts.len(), eq(8 + 12));
+    for (_, _, run) in &fleet.promises.starts[8..] {
+        expect_that!(*run, eq(1));
+    }
+    expect_that!(fleet.state(0, JOB), some(eq(JobState::Completed)));
+}
--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -138,6 +138,7 @@
         is_leaving: state == "leaving",
         cold_ms: 0,
         room: WORKER_ROOM,
+        rack: "rack".into(),
         labels: Box::default(),
     })
 }
