Run lasting tasks again before quick ones, quick ones where they fit tightly

Free room was 586 cores, 1.3 on each worker, where tasks ask for 5.

Change: lasting tasks come first among their equals; a finite task goes where it fits most tightly.

Test lasting_tasks_run_again_before_quick_ones_start failed before.

--- a/crates/dispatch/src/owner/placing.rs
+++ b/crates/dispatch/src/owner/placing.rs
@@ -54,6 +54,18 @@
     pub(crate) task: TaskId,
 }
 
+/// In which order jobs get what is free. What is worth nothing any more comes last. Tasks
+/// that last come first among their equals: a quick task takes room for a second, and an
+/// endless row of them would keep a lasting one from ever running again.
+#[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Urgency {
+    is_worthless: bool,
+    priority: u32,
+    is_finite: bool,
+    due_ms: u64,
+    key: JobKey,
+}
+
 /// What one go at placing has come to.
 struct Pass {
     /// Tasks that may still be placed.
@@ -90,18 +102,23 @@
         for key in &self.live {
             let job = &self.jobs[*key];
             if job.has_waiting {
-                let is_worthless = now.steady_ms > job.worthless_ms;
-                order.push((is_worthless, job.submission.priority, job.due_ms, *key));
+                let is_lasting = job.submission.steps.iter().any(|step| step.is_lasting);
+                let is_worthless = now.steady_ms > job.worthless_ms && !is_lasting;
+                order.push(Urgency {
+                    is_worthless,
+                    priority: job.submission.priority,
+                    is_finite: !is_lasting,
+                    due_ms: job.due_ms,
+                    key: *key,
+                });
             }
         }
-        order.sort_unstable_by_key(|(is_worthless, priority, due_ms, _)| {
-            (*is_worthless, *priority, *due_ms)
-        });
+        order.sort_unstable();
         let mut pass = Pass {
             left: PLACED_MOST,
             hopeless: Vec::new(),
         };
-        for (_, _, _, key) in order {
+        for Urgency { key, .. } in order {
             self.place_job(key, now, &mut pass, actions);
             if pass.left == 0 {
                 self.must_place = true;
@@ -394,6 +411,10 @@
     let step = wanted.step;
     let spare = spare_milli(worker);
     let mut cost = -spare;
+    if !step.is_filler && !step.is_lasting {
+        // The tightest fit leaves large holes whole.
+        cost = worker.free().cpu_milli as i64;
+    }
     if step.is_filler {
         // Fillers share what is unused: one too many slows all of them.
         if spare < step.cpu_milli as i64 && worker.filler_milli > 0 {
--- a/tests/dispatch.rs
+++ b/tests/dispatch.rs
@@ -492,3 +492,35 @@
     }
     expect_that!(fleet.state(0, JOB), some(eq(JobState::Completed)));
 }
+
+/// Symptom: a task that lasts and has lost its worker does not run again while quick tasks
+/// come and go, though there is room for it all the while. Cause: its job is long past any
+/// objective and was put behind all others.
+#[gtest]
+fn lasting_tasks_run_again_before_quick_ones_start() {
+    let mut fleet = Fleet::new(3, 2);
+    let lasting = Step {
+        is_lasting: true,
+        cpu_milli: 4_000,
+        per_worker_most: 1,
+        ..step(2, 200, &[])
+    };
+    fleet.submit(0, JOB, &job(vec![lasting]));
+    fleet.run(2_000);
+    for number in 0..60 {
+        fleet.submit(0, 0x1000 + number, &job(vec![step(6, 900, &[])]));
+    }
+    fleet.run(1_000);
+    fleet.add_worker("10.0.0.0:80", "w0-2");
+    fleet.run(4_000);
+    let mut running = 0;
+    for index in 0..2 {
+        running += fleet.running(goldcrestway_dispatch::TaskId {
+            job: goldcrestway_dispatch::JobId(JOB),
+            occurrence: 0,
+            step: 0,
+            index,
+        });
+    }
+    expect_that!(running, eq(2));
+}
--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -163,7 +163,6 @@
         attempts_most: 3,
         specification: "text".into(),
         steps,
-        accepted_wall_ms: WALL_MS,
         stretch_permille: 2_000,
         target_latency_ms: 500,
         ..Submission::default()
@@ -302,7 +301,10 @@
         let event = Event::Submit {
             request,
             job,
-            submission: submission.clone(),
+            submission: Submission {
+                accepted_wall_ms: WALL_MS + self.now_ms,
+                ..submission.clone()
+            },
             patience_ms: 3_000,
         };
         self.handle(number, event);
