Measure the owner's decisions at 48, 490 and 8,400 workers

Cause: nothing measured what the owner of jobs takes at size. Change: a criterion group around an owner whose workers answer at once.

--- a/crates/bench/benches/decisions.rs
+++ b/crates/bench/benches/decisions.rs
@@ -3,6 +3,7 @@
 
 use criterion::BenchmarkId;
 use criterion::Criterion;
+use goldcrestway_bench::dispatching::Fleet;
 use goldcrestway_bench::slopes::TASKS;
 use goldcrestway_bench::slopes::decide_start;
 use goldcrestway_bench::slopes::first_fit;
@@ -50,6 +51,22 @@
     group.finish();
 }
 
+/// An owner of jobs starts a job of ten tasks among those that its workers run.
+fn owner_starts(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("owner");
+    group.sample_size(10);
+    for (workers, tasks) in [(48, 1_000), (490, 10_000), (8_400, 172_000)] {
+        let mut fleet = Fleet::new(workers, tasks);
+        group.bench_function(BenchmarkId::new("job of ten tasks", workers), |bencher| {
+            bencher.iter(|| {
+                fleet.submit(10, 1);
+                fleet.turn();
+            });
+        });
+    }
+    group.finish();
+}
+
 fn slots(criterion: &mut Criterion) {
     let mut group = criterion.benchmark_group("slot");
     for instances in [8, 60, 500] {
@@ -93,6 +110,7 @@
         .measurement_time(Duration::from_millis(700))
         .configure_from_args();
     starts(&mut criterion);
+    owner_starts(&mut criterion);
     slots(&mut criterion);
     ratios();
     criterion.final_summary();
--- /dev/null
+++ b/crates/bench/src/dispatching.rs
@@ -0,0 +1,261 @@
+//! An owner of jobs with a fleet of workers around it that answer at once, to measure
+//! what its decisions take.
+
+use goldcrestway_dispatch::Action;
+use goldcrestway_dispatch::AppendEnd;
+use goldcrestway_dispatch::Bounds;
+use goldcrestway_dispatch::Config;
+use goldcrestway_dispatch::Decoders;
+use goldcrestway_dispatch::Entry;
+use goldcrestway_dispatch::Event;
+use goldcrestway_dispatch::JobId;
+use goldcrestway_dispatch::Listed;
+use goldcrestway_dispatch::ListedRun;
+use goldcrestway_dispatch::Now;
+use goldcrestway_dispatch::OrderEnd;
+use goldcrestway_dispatch::Page;
+use goldcrestway_dispatch::ReadEnd;
+use goldcrestway_dispatch::Room;
+use goldcrestway_dispatch::Step;
+use goldcrestway_dispatch::StoredRecord;
+use goldcrestway_dispatch::Stream;
+use goldcrestway_dispatch::Submission;
+use goldcrestway_dispatch::TaskId;
+use goldcrestway_dispatch::WorkerCall;
+use goldcrestway_dispatch::WorkerEntry;
+use std::collections::BTreeMap;
+
+/// What each worker has: as on the larger of the sites in use.
+const WORKER_ROOM: Room = Room {
+    cpu_milli: 32_000,
+    memory_mb: 125_000,
+    accelerators: 1,
+};
+/// Tasks of one job that fills the fleet.
+const FILL_TASKS: u32 = 20;
+/// Time between two turns; longer than any pause of the owner between appends.
+const TURN_MS: u64 = 50;
+const WALL_MS: u64 = 1_700_000_000_000;
+
+/// An owner, and what its workers run.
+pub struct Fleet {
+    entry: Entry,
+    now_ms: u64,
+    jobs: u64,
+    running: BTreeMap<Box<str>, Vec<(TaskId, u32)>>,
+    looks: Vec<(u64, Box<str>)>,
+    offset: u64,
+    starts: u64,
+    workers: usize,
+}
+
+fn decode_config(_: &[u8]) -> Result<Config, Box<str>> {
+    Ok(Config {
+        version: 1,
+        ..Config::default()
+    })
+}
+
+fn decode_worker(id: &str, _: &[u8]) -> Result<WorkerEntry, Box<str>> {
+    Ok(WorkerEntry {
+        id: id.into(),
+        service: "service".into(),
+        address: id.into(),
+        failure_domain: "hall".into(),
+        is_leaving: false,
+        cold_ms: 0,
+        room: WORKER_ROOM,
+        rack: "rack".into(),
+        labels: Box::default(),
+    })
+}
+
+impl Fleet {
+    /// Makes an owner of so many workers, which run so many tasks.
+    pub fn new(workers: usize, tasks: usize) -> Self {
+        let decoders = Decoders {
+            config: decode_config,
+            worker: decode_worker,
+        };
+        let mut fleet = Self {
+            entry: Entry::new("entry", Bounds::default(), decoders, 1),
+            now_ms: 0,
+            jobs: 0,
+            running: BTreeMap::new(),
+            looks: Vec::new(),
+            offset: 0,
+            starts: 0,
+            workers,
+        };
+        for _ in 0..100 {
+            fleet.turn();
+        }
+        for number in 0..tasks.div_ceil(FILL_TASKS as usize) {
+            fleet.submit(FILL_TASKS, 100);
+            if number % 50 == 49 {
+                fleet.settle();
+            }
+        }
+        fleet.settle();
+        fleet
+    }
+
+    /// Lets the owner do all that is due, and workers answer the looks that wait.
+    pub fn settle(&mut self) {
+        for _ in 0..6 {
+            self.answer_looks();
+            self.turn();
+        }
+    }
+
+    /// Tells how many orders to start were given so far.
+    pub fn starts(&self) -> u64 {
+        self.starts
+    }
+
+    /// Submits a job of equal tasks, which a fleet with room starts within the next turns.
+    pub fn submit(&mut self, tasks: u32, cpu_milli: u64) {
+        self.jobs += 1;
+        let step = Step {
+            count: tasks,
+            cpu_milli,
+            memory_mb: 100,
+            estimated_ms: 1_000_000,
+            is_lasting: true,
+            ..Step::default()
+        };
+        let submission = Submission {
+            queue: "queue".into(),
+            service: "service".into(),
+            attempts_most: 3,
+            steps: vec![step],
+            accepted_wall_ms: WALL_MS + self.now_ms,
+            ..Submission::default()
+        };
+        let event = Event::Submit {
+            request: self.jobs,
+            job: JobId(self.jobs),
+            submission,
+            patience_ms: 3_000,
+        };
+        self.handle(event);
+    }
+
+    /// Lets time pass once.
+    pub fn turn(&mut self) {
+        self.now_ms += TURN_MS;
+        self.handle(Event::Tick);
+    }
+
+    fn answer_looks(&mut self) {
+        for (ticket, worker) in std::mem::take(&mut self.looks) {
+            let mut runs = Vec::new();
+            for (task, run) in self.running.get(&worker).into_iter().flatten() {
+                runs.push(ListedRun {
+                    task: *task,
+                    run: *run,
+                    checkpoint: "".into(),
+                    percent: 100,
+                    gauge: 1,
+                });
+            }
+            let listed = Listed {
+                runs,
+                ends: Vec::new(),
+            };
+            let end = OrderEnd::Done {
+                clock_ms: self.now_ms,
+                listed: Some(listed),
+            };
+            self.handle(Event::Ordered { ticket, end });
+        }
+    }
+
+    fn handle(&mut self, event: Event) {
+        let now = Now {
+            steady_ms: self.now_ms,
+            wall_ms: WALL_MS + self.now_ms,
+        };
+        let mut actions = self.entry.handle(now, event);
+        while let Some(action) = actions.pop() {
+            if let Some(event) = self.answer(action) {
+                actions.extend(self.entry.handle(now, event));
+            }
+        }
+    }
+
+    fn answer(&mut self, action: Action) -> Option<Event> {
+        match action {
+            Action::Append {
+                ticket, records, ..
+            } => {
+                let offset = self.offset;
+                self.offset += records.len() as u64;
+                let end = AppendEnd::Stored { offset };
+                Some(Event::Appended { ticket, end })
+            }
+            Action::Read {
+                ticket, wait_ms: 0, ..
+            } => {
+                let end = ReadEnd::Records {
+                    records: Vec::new(),
+                    end: 0,
+                };
+                Some(Event::Read { ticket, end })
+            }
+            Action::Load { ticket, stream, .. } => Some(Event::Loaded {
+                ticket,
+                end: Some(self.page(stream)),
+            }),
+            Action::Order {
+                ticket,
+                worker,
+                call,
+                ..
+            } => self.obey(ticket, worker, call),
+            _ => None,
+        }
+    }
+
+    fn obey(&mut self, ticket: u64, worker: Box<str>, call: WorkerCall) -> Option<Event> {
+        match call {
+            WorkerCall::Look { .. } => {
+                self.looks.push((ticket, worker));
+                return None;
+            }
+            WorkerCall::Start { task, run, .. } => {
+                self.starts += 1;
+                self.running.entry(worker).or_default().push((task, run));
+            }
+            _ => {}
+        }
+        let end = OrderEnd::Done {
+            clock_ms: self.now_ms,
+            listed: None,
+        };
+        Some(Event::Ordered { ticket, end })
+    }
+
+    fn page(&self, stream: Stream) -> Page {
+        let keys: Vec<Box<str>> = match stream {
+            Stream::Rules => vec!["config".into()],
+            Stream::Workers => (0..self.workers)
+                .map(|number| format!("w{number}").into())
+                .collect(),
+            _ => Vec::new(),
+        };
+        let mut records = Vec::with_capacity(keys.len());
+        for key in keys {
+            records.push(StoredRecord {
+                offset: 0,
+                key,
+                value: Box::new([1]),
+            });
+        }
+        Page {
+            records,
+            end: 0,
+            has_more: false,
+        }
+    }
+}
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -8,6 +8,7 @@
 //! ```
 
 pub mod capacity;
+pub mod dispatching;
 pub mod edges;
 mod facts;
 pub mod fleet;
