--- a/crates/dispatch/src/entry/mod.rs
+++ b/crates/dispatch/src/entry/mod.rs
@@ -20,6 +20,7 @@
 use crate::ledger::Ledger;
 use crate::owner::Figures;
 use crate::owner::Owner;
+use crate::record::Key;
 use crate::tail::Progress;
 use crate::tail::Tail;
 use goldcrestway_core::Code;
@@ -376,7 +377,7 @@
         self.contend(now, actions);
         self.own(now, actions);
         self.serve(now, actions);
-        self.purge(now);
+        self.purge(now, actions);
     }
 
     /// Reads on in the streams.
@@ -436,16 +437,43 @@
         }
     }
 
-    /// Lets go of jobs that need not be told about any more.
-    fn purge(&mut self, now: Now) {
+    /// Lets go of jobs that need not be told about any more. The owner drops their keys from
+    /// the store too, which keeps them for good otherwise.
+    fn purge(&mut self, now: Now, actions: &mut Vec<Action>) {
         if now.steady_ms < self.purge_ms {
             return;
         }
         self.purge_ms = now.steady_ms + PURGE_MS;
         let kept_ms = self.bounds.status_ms + STATUS_SLACK_MS;
-        self.ledger.jobs.retain(|_, job| {
-            job.final_wall_ms()
-                .is_none_or(|final_wall_ms| now.wall_ms < final_wall_ms + kept_ms)
+        let mut over = Vec::new();
+        for (id, job) in &self.ledger.jobs {
+            if job
+                .final_wall_ms()
+                .is_some_and(|final_wall_ms| now.wall_ms >= final_wall_ms + kept_ms)
+            {
+                over.push(*id);
+            }
+        }
+        for id in &over {
+            self.ledger.jobs.remove(id);
+        }
+        let Some(owner) = self.owner.as_mut().filter(|_| !over.is_empty()) else {
+            return;
+        };
+        let mut records = Vec::with_capacity(2 * over.len());
+        for id in over {
+            owner.retire(id);
+            records.push((Key::Submitted(id).text(), Box::default()));
+            records.push((Key::Cancelled(id).text(), Box::default()));
+        }
+        // Should the append be lost, the next owner finds the keys and drops them.
+        self.tickets += 1;
+        actions.push(Action::Append {
+            ticket: self.tickets,
+            stream: Stream::Jobs,
+            fence: None,
+            records,
+            timeout_ms: PURGE_MS,
         });
     }
 }
--- a/crates/dispatch/src/owner/writing.rs
+++ b/crates/dispatch/src/owner/writing.rs
@@ -134,6 +134,9 @@
     learned_ms: u64,
     /// Runs whose records are in no append yet.
     starts: Vec<(WorkerKey, TaskId, u32)>,
+    /// Jobs whose keys are to be dropped, from each of the two streams.
+    retired: Vec<JobId>,
+    retired_states: Vec<JobId>,
     /// States that are true by the stored progress and not told yet.
     untold: Vec<(JobId, StateRecord)>,
 }
@@ -149,6 +152,8 @@
             must_announce: false,
             learned_ms: now_ms,
             starts: Vec::new(),
+            retired: Vec::new(),
+            retired_states: Vec::new(),
             untold: Vec::new(),
         }
     }
@@ -212,6 +217,9 @@
         if records.is_empty() {
             self.forget_ends_without_effect();
         }
+        for job in self.writer.retired.drain(..) {
+            records.push((Key::Progress(job).text(), Box::default()));
+        }
         if now_ms >= self.writer.learned_ms + LEARNED_MS {
             self.writer.learned_ms = now_ms;
             let learned = self.interference.learned(&self.images);
@@ -265,10 +273,14 @@
 
     fn fill_states(&mut self, now_ms: u64) {
         let is_quiet = now_ms < self.writer.states.last_ms + BEAT_MS && !self.writer.must_announce;
-        if self.writer.untold.is_empty() && is_quiet {
+        let has_news = !self.writer.untold.is_empty() || !self.writer.retired_states.is_empty();
+        if !has_news && is_quiet {
             return;
         }
         let mut records = Vec::new();
+        for job in self.writer.retired_states.drain(..) {
+            records.push((Key::State(job).text(), Box::default()));
+        }
         for (job, state) in self.writer.untold.drain(..) {
             records.push((Key::State(job).text(), state.encode_to_vec().into()));
         }
@@ -355,6 +367,12 @@
         });
     }
 
+    /// Drops all that is on record of a job that nobody need be told about any more.
+    pub(crate) fn retire(&mut self, job: JobId) {
+        self.writer.retired.push(job);
+        self.writer.retired_states.push(job);
+    }
+
     /// Lists the states that a former owner has recorded and did not tell.
     pub(crate) fn untold(&self) -> &[(JobId, StateRecord)] {
         &self.writer.untold
--- a/tests/dispatch.rs
+++ b/tests/dispatch.rs
@@ -524,3 +524,22 @@
     }
     expect_that!(running, eq(2));
 }
+
+/// Symptom: the store fills up, since it keeps the newest record of each key for good, and
+/// in the end refuses appends. Cause: nobody drops the keys of jobs long over.
+#[gtest]
+fn jobs_long_over_leave_the_store() {
+    let mut fleet = Fleet::new(3, 2);
+    let streams = [Stream::Jobs, Stream::States, Stream::Progress];
+    let keys = |fleet: &Fleet| streams.map(|stream| fleet.store.keys(stream));
+    fleet.run(3_000);
+    let before = keys(&fleet);
+    for number in 0..5 {
+        fleet.submit(0, 0x10 + number, &job(vec![step(2, 100, &[])]));
+    }
+    fleet.run(2_000);
+    expect_that!(keys(&fleet)[0], eq(before[0] + 5));
+    fleet.run(200_000);
+    expect_that!(keys(&fleet), eq(before));
+    expect_that!(fleet.state(1, 0x10), none());
+}
--- a/tests/fleet/store.rs
+++ b/tests/fleet/store.rs
@@ -185,6 +185,13 @@
         })
     }
 
+    /// Counts the keys of a stream.
+    pub(crate) fn keys(&self, stream: Stream) -> usize {
+        self.topics
+            .get(&stream)
+            .map_or(0, |topic| topic.newest.len())
+    }
+
     /// Drops the history of all streams; the newest record of each key stays.
     pub(crate) fn drop_history(&mut self) {
         for topic in self.topics.values_mut() {
