Leave quick tasks room that new lasting ones would never give back

In the same room quick jobs earn four times what lasting ones do. Change: a lasting task that never ran starts only while lasting tasks keep less than 85% of a service's room; one that ran before always may.

--- a/crates/dispatch/src/owner/placing.rs
+++ b/crates/dispatch/src/owner/placing.rs
@@ -38,6 +38,10 @@
 /// Gain of a worker that serves the same image already: a filler that gets on with one
 /// gets on with all of them.
 const SAME_IMAGE_GAIN: i64 = 14_000;
+/// Part of a service's room, in percent, that lasting tasks which never ran may fill up to.
+/// A lasting task earns a quarter of what quick ones earn in the same room, and never
+/// gives it back.
+const LASTING_MOST_PERCENT: u64 = 85;
 /// Cost, in thousandths of a core, of a worker far from a task's data.
 const FAR_COST: i64 = 1_000_000;
 /// Cost of a worker whose last run failed.
@@ -187,6 +191,10 @@
                 continue;
             }
             let failed_on = task.failed_on;
+            let is_new = step.is_lasting && task.run == 0;
+            if is_new && !self.has_headroom(&submission.service) {
+                return true;
+            }
             let Some(worker) = Self::take_best(&mut ranked, failed_on) else {
                 pass.note_hopeless(&wanted);
                 return true;
@@ -205,6 +213,19 @@
             .is_some_and(|state| state.waiting > 0)
     }
 
+    /// Tells whether a service has room for a new lasting task beside its quick ones.
+    fn has_headroom(&self, service: &str) -> bool {
+        let mut room = 0;
+        let mut lasting = 0;
+        for worker in self.workers.values() {
+            if worker.is_listed && *worker.entry.service == *service {
+                room += worker.entry.room.cpu_milli;
+                lasting += worker.lasting_milli;
+            }
+        }
+        lasting * 100 < room * LASTING_MOST_PERCENT
+    }
+
     /// Lists the workers that can take a task of a step, the least cost first.
     pub(crate) fn rank(
         &self,
--- a/tests/dispatch.rs
+++ b/tests/dispatch.rs
@@ -543,3 +543,20 @@
     expect_that!(keys(&fleet), eq(before));
     expect_that!(fleet.state(1, 0x10), none());
 }
+
+/// Symptom: quick jobs find no room for the rest of the day. Cause: lasting tasks, which
+/// never give their room back, had been started until nothing was left.
+#[gtest]
+fn new_lasting_tasks_leave_room_for_quick_ones() {
+    let mut fleet = Fleet::new(3, 2);
+    let lasting = Step {
+        is_lasting: true,
+        ..step(16, 1_000, &[])
+    };
+    fleet.submit(0, 0x1, &job(vec![lasting]));
+    fleet.run(2_000);
+    expect_that!(fleet.promises.starts.len(), lt(16));
+    fleet.submit(0, 0x2, &job(vec![step(2, 300, &[])]));
+    fleet.run(1_000);
+    expect_that!(fleet.state(1, 0x2), some(eq(JobState::Completed)));
+}
