Record which workers are silent, so that the next owner need not wait anew

Change: with what it has learned an owner records silent workers and the time that their leases still have, every 0.4 s while there are any. It extends no lease of a recorded one until a record without it is stored.

--- a/crates/dispatch/src/owner/interference.rs
+++ b/crates/dispatch/src/owner/interference.rs
@@ -145,7 +145,7 @@
     }
 
     /// Gives what was learned, for a successor.
-    pub(crate) fn learned(&self, images: &Images) -> Learned {
+    pub(crate) fn learned(&self, images: &Images) -> Vec<LearnedImage> {
         let mut list = Vec::new();
         for (serving, fit) in &self.fits {
             let mut presses = Vec::new();
@@ -161,7 +161,7 @@
                 presses,
             });
         }
-        Learned { images: list }
+        list
     }
 
     /// Gives the ease that a serving image has by itself.
--- a/crates/dispatch/src/owner/looks.rs
+++ b/crates/dispatch/src/owner/looks.rs
@@ -71,7 +71,8 @@
         let worker = &mut self.workers[key];
         // The lease of a silent worker must run out some day: its tasks are started
         // elsewhere only then. A look whose answer is lost would extend it.
-        let extends = is_confirmed && worker.is_known && worker.misses == 0;
+        let extends =
+            is_confirmed && worker.is_known && worker.misses == 0 && !worker.is_noted_silent;
         let lease_until_ms = match worker.clock_ms(now_ms) {
             Some(clock_ms) if extends => Some(clock_ms + lease_ms),
             _ => None,
--- a/crates/dispatch/src/owner/mod.rs
+++ b/crates/dispatch/src/owner/mod.rs
@@ -120,6 +120,8 @@
     token: u64,
     host: Box<str>,
     bounds: Bounds,
+    /// When what a former owner knew to be silent has lapsed, by worker.
+    silent: HashMap<Box<str>, u64>,
     jobs: SlotMap<JobKey, Job>,
     job_keys: HashMap<JobId, JobKey>,
     live: Vec<JobKey>,
@@ -154,6 +156,7 @@
             token,
             host: host.into(),
             bounds: bounds.clone(),
+            silent: HashMap::new(),
             jobs: SlotMap::with_key(),
             job_keys: HashMap::new(),
             live: Vec::new(),
@@ -171,6 +174,13 @@
             stepdown: None,
             figures: Figures::default(),
         };
+        // The time since that record was written is not known, so it is not counted.
+        for silent in &inheritance.learned.silent {
+            let lapsed_ms = now.steady_ms + silent.left_ms;
+            owner
+                .silent
+                .insert(silent.worker.as_str().into(), lapsed_ms);
+        }
         owner
             .interference
             .resume(&inheritance.learned, &mut owner.images);
@@ -198,12 +208,14 @@
         let Some(record) = ledger.jobs.get(&id) else {
             return;
         };
-        let lapsed_ms = self.foreign_lapse_ms(now.steady_ms);
+        let foreign_ms = self.foreign_lapse_ms(now.steady_ms);
+        let silent = &self.silent;
         let (workers, keys) = (&mut self.workers, &mut self.worker_keys);
         let job = Job::new(id, record, progress, now, |name| {
-            *keys
-                .entry(name.into())
-                .or_insert_with(|| workers.insert(Worker::unlisted(name, lapsed_ms)))
+            *keys.entry(name.into()).or_insert_with(|| {
+                let lapsed_ms = silent.get(name).copied().unwrap_or(foreign_ms);
+                workers.insert(Worker::unlisted(name, lapsed_ms))
+            })
         });
         let Some(mut job) = job else {
             return;
--- a/crates/dispatch/src/owner/orders.rs
+++ b/crates/dispatch/src/owner/orders.rs
@@ -46,6 +46,10 @@
         let Some(clock_ms) = self.workers[key].clock_ms(now_ms) else {
             return self.lose_run(key, task, number, now_ms);
         };
+        // An order would extend the lease of a worker that is on record as silent.
+        if self.workers[key].is_noted_silent {
+            return self.lose_run(key, task, number, now_ms);
+        }
         let Some(job) = job.filter(|_| self.is_confirmed(now_ms)) else {
             return self.lose_run(key, task, number, now_ms);
         };
--- a/crates/dispatch/src/owner/worker.rs
+++ b/crates/dispatch/src/owner/worker.rs
@@ -84,6 +84,8 @@
     pub(crate) is_known: bool,
     /// Looks in a row without an answer.
     pub(crate) misses: u32,
+    /// It is on record as silent, so a successor may count on its lease running out.
+    pub(crate) is_noted_silent: bool,
     /// Its clock, and when it was told.
     pub(crate) clock: Option<(u64, u64)>,
     /// After this time nothing that runs there can be alive, if it stays silent.
@@ -119,6 +121,7 @@
             is_listed: true,
             is_known: false,
             misses: 0,
+            is_noted_silent: false,
             clock: None,
             lapsed_ms,
             is_looked_at: false,
@@ -162,6 +165,11 @@
         self.misses >= MISSES_MOST
     }
 
+    /// Tells whether something may be there that this owner can't see.
+    pub(crate) fn is_in_doubt(&self) -> bool {
+        !self.runs.is_empty() && (self.is_silent() || !self.is_known)
+    }
+
     /// Tells whether new work may go there.
     pub(crate) fn is_open(&self, now_ms: u64) -> bool {
         self.is_listed
--- a/crates/dispatch/src/owner/writing.rs
+++ b/crates/dispatch/src/owner/writing.rs
@@ -17,7 +17,9 @@
 use crate::owner::worker::RunPhase;
 use crate::owner::worker::WorkerKey;
 use crate::record::Key;
+use crate::record::Learned;
 use crate::record::OwnerRecord;
+use crate::record::SilentWorker;
 use crate::record::StateRecord;
 use prost::Message;
 
@@ -30,6 +32,8 @@
 const BEAT_MS: u64 = 250;
 /// Pause between two records of what was learned. A successor loses as much at most.
 const LEARNED_MS: u64 = 2_500;
+/// The same while workers are silent, whose time runs.
+const SILENT_MS: u64 = 400;
 /// Time after which an append without an answer is repeated. The store answers in 4 ms,
 /// and in 240 ms when it is sixty times slower.
 const APPEND_TIMEOUT_MS: u64 = 700;
@@ -121,6 +125,8 @@
     starts: Vec<(WorkerKey, TaskId, u32)>,
     seen: Vec<(WorkerKey, u64)>,
     states: Vec<(JobId, StateRecord)>,
+    /// Workers that the records no longer name as silent.
+    answering: Vec<WorkerKey>,
 }
 
 /// Appends of the owner.
@@ -220,17 +226,55 @@
         for job in self.writer.retired.drain(..) {
             records.push((Key::Progress(job).text(), Box::default()));
         }
-        if now_ms >= self.writer.learned_ms + LEARNED_MS {
+        let mut answering = Vec::new();
+        if self.must_tell_learned(now_ms) {
             self.writer.learned_ms = now_ms;
-            let learned = self.interference.learned(&self.images);
+            let learned = self.learned(now_ms, &mut answering);
             records.push((Key::Learned.text(), learned.encode_to_vec().into()));
         }
         if !records.is_empty() {
             self.writer.effects = self.collect_effects(&written);
+            self.writer.effects.answering = answering;
             self.writer.progress.begin(records, now_ms);
         }
     }
 
+    /// Tells whether what was learned is to be recorded: now and then, more often while
+    /// workers are silent, at once when one is no longer.
+    fn must_tell_learned(&self, now_ms: u64) -> bool {
+        let mut pause_ms = LEARNED_MS;
+        for worker in self.workers.values() {
+            if worker.is_noted_silent && !worker.is_in_doubt() {
+                return true;
+            }
+            if worker.is_in_doubt() {
+                pause_ms = SILENT_MS;
+            }
+        }
+        now_ms >= self.writer.learned_ms + pause_ms
+    }
+
+    fn learned(&mut self, now_ms: u64, answering: &mut Vec<WorkerKey>) -> Learned {
+        let mut silent = Vec::new();
+        for (key, worker) in &mut self.workers {
+            if !worker.is_in_doubt() {
+                if worker.is_noted_silent {
+                    answering.push(key);
+                }
+            } else {
+                worker.is_noted_silent = true;
+                silent.push(SilentWorker {
+                    worker: worker.entry.id.to_string(),
+                    left_ms: worker.lapsed_ms.saturating_sub(now_ms),
+                });
+            }
+        }
+        Learned {
+            images: self.interference.learned(&self.images),
+            silent,
+        }
+    }
+
     /// Ends that changed nothing need no record before workers forget them.
     fn forget_ends_without_effect(&mut self) {
         for worker in self.workers.values_mut() {
@@ -326,6 +370,11 @@
             return Some(Vec::new());
         }
         let effects = std::mem::take(&mut self.writer.effects);
+        for worker in effects.answering {
+            if let Some(worker) = self.workers.get_mut(worker) {
+                worker.is_noted_silent = false;
+            }
+        }
         for (worker, number) in effects.seen {
             self.confirm_seen(worker, number, now_ms);
         }
--- a/crates/dispatch/src/record.rs
+++ b/crates/dispatch/src/record.rs
@@ -230,11 +230,25 @@
     pub(crate) final_wall_ms: u64,
 }
 
-/// What an owner has learned of how fillers press served images, for its successor.
+/// What an owner has learned, for its successor: how fillers press served images, and
+/// which workers are silent.
 #[derive(Clone, PartialEq, Message)]
 pub(crate) struct Learned {
     #[prost(message, repeated, tag = "1")]
     pub(crate) images: Vec<LearnedImage>,
+    /// Workers that give no answer, and whose leases are not extended.
+    #[prost(message, repeated, tag = "2")]
+    pub(crate) silent: Vec<SilentWorker>,
+}
+
+/// A worker that gives no answer.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub(crate) struct SilentWorker {
+    #[prost(string, tag = "1")]
+    pub(crate) worker: String,
+    /// Time after this record was written by which all that ran there has ended.
+    #[prost(uint64, tag = "2")]
+    pub(crate) left_ms: u64,
 }
 
 /// What was learned of one served image.
--- a/tests/dispatch.rs
+++ b/tests/dispatch.rs
@@ -560,3 +560,34 @@
     fleet.run(1_000);
     expect_that!(fleet.state(1, 0x2), some(eq(JobState::Completed)));
 }
+
+/// Symptom: a lasting task whose worker has left does not run again for ten seconds.
+/// Sequence: the worker is gone, then one owner after the other stops as planned. Cause:
+/// each new owner waited anew until nothing could be left on a worker it never reached.
+#[gtest]
+fn owners_that_change_do_not_prolong_the_wait_for_a_dead_worker() {
+    let mut fleet = Fleet::new(5, 3);
+    let lasting = Step {
+        is_lasting: true,
+        per_worker_most: 1,
+        ..step(3, 1_000, &[])
+    };
+    fleet.submit(0, JOB, &job(vec![lasting]));
+    fleet.run(2_000);
+    expect_that!(fleet.promises.starts.len(), eq(3));
+    fleet.add_worker("10.0.0.9:80", "w9-1");
+    for worker in fleet.workers.values_mut().take(1) {
+        worker.die();
+    }
+    fleet.store.put(Stream::Workers, "w0-1", b"");
+    for _ in 0..2 {
+        fleet.run(1_800);
+        let owner = owner(&fleet);
+        fleet.stop(owner);
+        fleet.run(700);
+        fleet.kill(owner);
+    }
+    fleet.run(1_200);
+    expect_that!(fleet.promises.starts.len(), eq(4));
+    expect_that!(fleet.promises.broken, is_empty());
+}
