Split the longest modules by job, make runs in one place

Cause: reading as a newcomer: callers.rs held writes and questions, the owner's module also took in jobs and workers, and a run was written out in two places.

--- a/crates/dispatch/src/entry/callers.rs
+++ b/crates/dispatch/src/entry/callers.rs
@@ -1,6 +1,8 @@
-//! Callers who await an answer: submissions, cancellations, questions.
+//! Callers who await that something is stored: submissions and cancellations.
 
 use crate::entry::Entry;
+use crate::entry::questions::About;
+use crate::entry::questions::Question;
 use crate::event::Action;
 use crate::event::AppendEnd;
 use crate::event::Now;
@@ -8,7 +10,6 @@
 use crate::event::StoredRecord;
 use crate::event::Stream;
 use crate::ids::JobId;
-use crate::ledger::JobState;
 use crate::record::Key;
 use crate::record::Submission;
 use goldcrestway_core::Code;
@@ -35,10 +36,7 @@
 /// Time that a caller of unknown patience is made to wait at most.
 const PATIENCE_MOST_MS: u64 = 2_500;
 /// After that long a store in trouble may be better.
-const RETRY_AFTER_MS: u64 = 1_000;
-/// Time for which a question waits for a fresh read before it is answered by what is
-/// known, or told to come again.
-const QUESTION_MOST_MS: u64 = 900;
+pub(crate) const RETRY_AFTER_MS: u64 = 1_000;
 
 /// A write that a caller awaits.
 #[derive(Debug)]
@@ -57,27 +55,11 @@
     refusals: u32,
 }
 
-/// A question that awaits a read.
-#[derive(Debug)]
-struct Question {
-    request: u64,
-    about: About,
-    asked_ms: u64,
-}
-
-#[derive(Debug)]
-enum About {
-    State(JobId),
-    /// Cancelling a job that is not known yet.
-    Cancel(JobId, u64),
-    Waiting(Box<str>),
-}
-
 /// All callers who await an answer.
 #[derive(Debug, Default)]
 pub(crate) struct Callers {
     writes: Vec<Write>,
-    questions: Vec<Question>,
+    pub(crate) questions: Vec<Question>,
     /// When appends under way were sent, by ticket.
     sent_ms: HashMap<u64, u64>,
     /// What appends take of late.
@@ -182,7 +164,7 @@
         }
     }
 
-    fn write_cancel(
+    pub(crate) fn write_cancel(
         &mut self,
         request: u64,
         job: JobId,
@@ -246,40 +228,6 @@
         });
     }
 
-    /// Takes a question about a job in.
-    pub(crate) fn query(&mut self, request: u64, job: JobId, now: Now, actions: &mut Vec<Action>) {
-        if let Some(state) = self.certain_state(job) {
-            actions.push(Action::Answer {
-                request,
-                reply: Reply::State(state),
-            });
-            return;
-        }
-        self.callers.questions.push(Question {
-            request,
-            about: About::State(job),
-            asked_ms: now.steady_ms,
-        });
-    }
-
-    /// Gives the state of a job if no read could change it, or if this host writes it.
-    fn certain_state(&self, job: JobId) -> Option<JobState> {
-        let record = self.ledger.jobs.get(&job)?;
-        record.submission.as_ref()?;
-        let state = record.state();
-        let is_final = !matches!(state, JobState::Queued | JobState::Running);
-        (is_final || self.owner.is_some()).then_some(state)
-    }
-
-    /// Takes a question about a queue in.
-    pub(crate) fn count(&mut self, request: u64, queue: Box<str>, now: Now) {
-        self.callers.questions.push(Question {
-            request,
-            about: About::Waiting(queue),
-            asked_ms: now.steady_ms,
-        });
-    }
-
     /// Takes in the end of an append.
     pub(crate) fn appended(
         &mut self,
@@ -467,115 +415,4 @@
             false
         });
     }
-
-    fn answer_questions(&mut self, now: Now, actions: &mut Vec<Action>) {
-        let questions = std::mem::take(&mut self.callers.questions);
-        for question in questions {
-            if let Some(kept) = self.answer_question(question, now, actions) {
-                self.callers.questions.push(kept);
-            }
-        }
-    }
-
-    /// Answers a question, or gives it back if it must wait on.
-    fn answer_question(
-        &mut self,
-        question: Question,
-        now: Now,
-        actions: &mut Vec<Action>,
-    ) -> Option<Question> {
-        let is_late = now.steady_ms >= question.asked_ms + QUESTION_MOST_MS;
-        let asked_ms = question.asked_ms;
-        let reply = match &question.about {
-            About::State(job) => self.answer_state(*job, asked_ms, is_late, now, actions),
-            About::Waiting(queue) => {
-                let queue = queue.clone();
-                self.answer_waiting(&queue, asked_ms, is_late, now, actions)
-            }
-            About::Cancel(job, patience_ms) => {
-                let (job, patience_ms) = (*job, *patience_ms);
-                if self.ledger.jobs.contains_key(&job) {
-                    self.cancel(question.request, job, patience_ms, now, actions);
-                    return None;
-                }
-                match self.answer_state(job, asked_ms, is_late, now, actions) {
-                    Some(Reply::State(_)) => None,
-                    reply => reply,
-                }
-            }
-        };
-        let Some(reply) = reply else {
-            return Some(question);
-        };
-        actions.push(Action::Answer {
-            request: question.request,
-            reply,
-        });
-        None
-    }
-
-    fn answer_state(
-        &mut self,
-        job: JobId,
-        asked_ms: u64,
-        is_late: bool,
-        now: Now,
-        actions: &mut Vec<Action>,
-    ) -> Option<Reply> {
-        if let Some(state) = self.certain_state(job) {
-            return Some(Reply::State(state));
-        }
-        let record = self
-            .ledger
-            .jobs
-            .get(&job)
-            .filter(|record| record.submission.is_some());
-        let tail = match record {
-            Some(_) => &mut self.states,
-            None => &mut self.jobs,
-        };
-        if tail.is_fresh_since(asked_ms) {
-            return Some(record.map_or(Reply::NoSuchJob, |record| Reply::State(record.state())));
-        }
-        if is_late {
-            // A host that is not sure of being current must not say that a job is unknown.
-            let unsure = Reply::NotDone {
-                retry_after_ms: RETRY_AFTER_MS,
-            };
-            return Some(record.map_or(unsure, |record| Reply::State(record.state())));
-        }
-        tail.prompt(asked_ms, now.steady_ms, &mut self.tickets, actions);
-        None
-    }
-
-    /// Counts waiting jobs once what is known is no older than the time between reads.
-    fn answer_waiting(
-        &mut self,
-        queue: &str,
-        asked_ms: u64,
-        is_late: bool,
-        now: Now,
-        actions: &mut Vec<Action>,
-    ) -> Option<Reply> {
-        const AGE_MOST_MS: u64 = 1_000;
-        let since_ms = asked_ms.saturating_sub(AGE_MOST_MS);
-        let is_own = self.owner.is_some();
-        let is_fresh =
-            self.jobs.is_fresh_since(since_ms) && (is_own || self.states.is_fresh_since(since_ms));
-        if is_fresh {
-            return Some(Reply::Waiting(self.ledger.count_waiting(queue)));
-        }
-        if is_late {
-            return Some(Reply::NotDone {
-                retry_after_ms: RETRY_AFTER_MS,
-            });
-        }
-        let tickets = &mut self.tickets;
-        self.jobs.prompt(asked_ms, now.steady_ms, tickets, actions);
-        if !is_own {
-            self.states
-                .prompt(asked_ms, now.steady_ms, tickets, actions);
-        }
-        None
-    }
 }
--- a/crates/dispatch/src/entry/mod.rs
+++ b/crates/dispatch/src/entry/mod.rs
@@ -3,6 +3,7 @@
 
 mod callers;
 mod owning;
+mod questions;
 
 use crate::bounds::Bounds;
 use crate::config::Config;
--- a/crates/dispatch/src/owner/looks.rs
+++ b/crates/dispatch/src/owner/looks.rs
@@ -9,9 +9,11 @@
 use crate::ids::TaskId;
 use crate::owner::Owner;
 use crate::owner::Purpose;
+use crate::owner::images::ImageKey;
 use crate::owner::worker::Run;
 use crate::owner::worker::RunPhase;
 use crate::owner::worker::WorkerKey;
+use crate::record::Step;
 use goldcrestway_core::Code;
 use goldcrestway_core::Note;
 use std::collections::HashSet;
@@ -207,31 +209,10 @@
     /// order of a former owner that was carried out late.
     fn add_stray(&mut self, key: WorkerKey, row: &ListedRun) {
         let job = self.job_keys.get(&row.task.job).copied();
+        let phase = RunPhase::Stopping { again_ms: 0 };
         let mut run = match job {
-            Some(job) => self.make_run(job, row.task, RunPhase::Stopping { again_ms: 0 }, 0),
-            None => Run {
-                phase: RunPhase::Stopping { again_ms: 0 },
-                room: Default::default(),
-                cpu_milli: 0,
-                image: Default::default(),
-                is_filler: false,
-                is_lasting: false,
-                tail_target_ms: 0,
-                is_stray: true,
-                tries: 0,
-                checkpoint: "".into(),
-                percent: 0,
-                begun_ms: 0,
-                first_percent: 0,
-                first_ms: 0,
-                moved_ms: 0,
-                gauge: 0,
-                over_since_ms: None,
-                pace_percent: 100,
-                share_percent: 100,
-                is_pacing: false,
-                pace_again_ms: 0,
-            },
+            Some(job) => self.make_run(job, row.task, phase, 0),
+            None => Run::new(&Step::default(), ImageKey::default(), phase, 0),
         };
         run.is_stray = true;
         self.workers[key].has_orders = true;
--- a/crates/dispatch/src/owner/mod.rs
+++ b/crates/dispatch/src/owner/mod.rs
@@ -9,6 +9,7 @@
 //! - all else a successor learns by looking at the workers under its higher token,
 //!   after which they refuse whatever a former owner still sends.
 
+mod adopting;
 mod ends;
 mod gangs;
 mod images;
@@ -23,9 +24,7 @@
 mod writing;
 
 use crate::bounds::Bounds;
-use crate::config::WorkerEntry;
 use crate::event::Action;
-use crate::event::AppendEnd;
 use crate::event::Now;
 use crate::event::OrderEnd;
 use crate::ids::JobId;
@@ -37,18 +36,14 @@
 use crate::owner::job::Job;
 use crate::owner::job::JobKey;
 use crate::owner::stragglers::Durations;
-use crate::owner::worker::Run;
 use crate::owner::worker::RunPhase;
 use crate::owner::worker::Worker;
 use crate::owner::worker::WorkerKey;
 use crate::owner::writing::Writer;
 use crate::record::JobPhase;
-use crate::record::Progress;
-use crate::record::StateRecord;
 use goldcrestway_core::Code;
 use goldcrestway_core::Note;
 use slotmap::SlotMap;
-use std::collections::BTreeMap;
 use std::collections::HashMap;
 
 /// Time for which an owner goes on that neither the store nor the workers confirm.
@@ -193,156 +188,6 @@
         owner
     }
 
-    /// Takes in a job from the ledger, with the runs that a former owner has recorded.
-    pub(crate) fn adopt(
-        &mut self,
-        id: JobId,
-        ledger: &Ledger,
-        progress: Option<&Progress>,
-        now: Now,
-        actions: &mut Vec<Action>,
-    ) {
-        if self.job_keys.contains_key(&id) {
-            return;
-        }
-        let Some(record) = ledger.jobs.get(&id) else {
-            return;
-        };
-        let foreign_ms = self.foreign_lapse_ms(now.steady_ms);
-        let silent = &self.silent;
-        let (workers, keys) = (&mut self.workers, &mut self.worker_keys);
-        let job = Job::new(id, record, progress, now, |name| {
-            *keys.entry(name.into()).or_insert_with(|| {
-                let lapsed_ms = silent.get(name).copied().unwrap_or(foreign_ms);
-                workers.insert(Worker::unlisted(name, lapsed_ms))
-            })
-        });
-        let Some(mut job) = job else {
-            return;
-        };
-        // A former owner may have died before it could tell.
-        if job.phase.rank() > job.told.rank() {
-            job.told = job.phase;
-            self.writer.tell(id, job.state());
-        }
-        if job.phase.is_final() {
-            return;
-        }
-        let is_new = job.open_occurrences(now, self.bounds.early_ms);
-        let key = self.jobs.insert(job);
-        self.job_keys.insert(id, key);
-        self.live.push(key);
-        self.inherit_runs(key);
-        self.must_place |= is_new;
-        if record.is_cancelled {
-            self.cancel(id, now, actions);
-        }
-    }
-
-    /// Time after which a worker that this owner never reached holds nothing of a former
-    /// one: that one stops within a while of losing its confirmation.
-    fn foreign_lapse_ms(&self, now_ms: u64) -> u64 {
-        now_ms + CONFIRMED_MOST_MS + self.lease_span_ms()
-    }
-
-    /// Lease that is given with looks and starts.
-    fn lease_ms(&self) -> u64 {
-        self.bounds.lease_most_ms.min(LEASE_MS)
-    }
-
-    /// Longest time from sending an order with a lease until that lease is over.
-    fn lease_span_ms(&self) -> u64 {
-        self.lease_ms() * CLOCK_SKEW_PERMILLE / 1_000 + LAPSE_SLACK_MS
-    }
-
-    fn inherit_runs(&mut self, key: JobKey) {
-        let job = &self.jobs[key];
-        let mut placed = Vec::new();
-        for occurrence in &job.occurrences {
-            for (step, state) in occurrence.steps.iter().enumerate() {
-                for (index, task) in state.tasks.iter().enumerate() {
-                    let id = TaskId {
-                        job: job.id,
-                        occurrence: occurrence.number,
-                        step: step as u16,
-                        index: index as u16,
-                    };
-                    placed.extend(task.placed.map(|placed| (id, placed)));
-                    placed.extend(task.copy.map(|copy| (id, copy)));
-                }
-            }
-        }
-        for (id, at) in placed {
-            let run = self.make_run(key, id, RunPhase::Inherited, 0);
-            if let Some(worker) = self.workers.get_mut(at.worker) {
-                worker.add(id, at.run, run);
-            }
-        }
-    }
-
-    fn make_run(&mut self, key: JobKey, id: TaskId, phase: RunPhase, now_ms: u64) -> Run {
-        let step = self.jobs[key].step(id).cloned().unwrap_or_default();
-        Run {
-            phase,
-            room: step.room(),
-            cpu_milli: step.cpu_milli,
-            image: self.images.key(&step.image),
-            is_filler: step.is_filler,
-            is_lasting: step.is_lasting,
-            tail_target_ms: step.tail_target_ms,
-            is_stray: false,
-            tries: 0,
-            checkpoint: "".into(),
-            percent: 0,
-            begun_ms: now_ms,
-            first_percent: 0,
-            first_ms: now_ms,
-            moved_ms: now_ms,
-            gauge: 0,
-            over_since_ms: None,
-            pace_percent: 100,
-            share_percent: 100,
-            is_pacing: false,
-            pace_again_ms: 0,
-        }
-    }
-
-    /// Takes in the platform's list of workers.
-    pub(crate) fn list_workers(
-        &mut self,
-        entries: &BTreeMap<Box<str>, WorkerEntry>,
-        now: Now,
-        actions: &mut Vec<Action>,
-    ) {
-        for entry in entries.values() {
-            match self.worker_keys.get(&entry.id) {
-                Some(key) => {
-                    let worker = &mut self.workers[*key];
-                    if entry.is_leaving && !worker.entry.is_leaving {
-                        actions.push(Action::Note(Note::new(
-                            Code::WorkerLeaving,
-                            &*entry.id,
-                            format!("runs={}", worker.runs.len()),
-                        )));
-                    }
-                    worker.is_listed = true;
-                    worker.entry = entry.clone();
-                }
-                None => {
-                    let lapsed_ms = self.foreign_lapse_ms(now.steady_ms);
-                    let key = self.workers.insert(Worker::new(entry.clone(), lapsed_ms));
-                    self.worker_keys.insert(entry.id.clone(), key);
-                }
-            }
-        }
-        for (id, key) in &self.worker_keys {
-            if !entries.contains_key(id) {
-                self.workers[*key].is_listed = false;
-            }
-        }
-        self.must_place = true;
-    }
-
     /// Stops a job for good.
     pub(crate) fn cancel(&mut self, id: JobId, now: Now, actions: &mut Vec<Action>) {
         if let Some(key) = self.job_keys.get(&id) {
@@ -397,19 +242,6 @@
         self.writer.announce();
     }
 
-    /// Takes in the end of an append, if it is one of this owner. Gives the states that may
-    /// be told from now on.
-    pub(crate) fn take_append(
-        &mut self,
-        ticket: u64,
-        end: AppendEnd,
-        now: Now,
-        tickets: &mut u64,
-        actions: &mut Vec<Action>,
-    ) -> Option<Vec<(JobId, StateRecord)>> {
-        self.finish_append(ticket, end, now, tickets, actions)
-    }
-
     /// Takes in the end of an order, if it is one of this owner.
     pub(crate) fn take_order(
         &mut self,
--- a/crates/dispatch/src/owner/worker.rs
+++ b/crates/dispatch/src/owner/worker.rs
@@ -4,6 +4,7 @@
 use crate::config::WorkerEntry;
 use crate::ids::TaskId;
 use crate::owner::images::ImageKey;
+use crate::record::Step;
 use slotmap::new_key_type;
 use std::collections::BTreeMap;
 
@@ -74,6 +75,35 @@
     pub(crate) pace_again_ms: u64,
 }
 
+impl Run {
+    /// Makes a run of a task of a step.
+    pub(crate) fn new(step: &Step, image: ImageKey, phase: RunPhase, now_ms: u64) -> Self {
+        Self {
+            phase,
+            room: step.room(),
+            cpu_milli: step.cpu_milli,
+            image,
+            is_filler: step.is_filler,
+            is_lasting: step.is_lasting,
+            tail_target_ms: step.tail_target_ms,
+            is_stray: false,
+            tries: 0,
+            checkpoint: "".into(),
+            percent: 0,
+            begun_ms: now_ms,
+            first_percent: 0,
+            first_ms: now_ms,
+            moved_ms: now_ms,
+            gauge: 0,
+            over_since_ms: None,
+            pace_percent: 100,
+            share_percent: 100,
+            is_pacing: false,
+            pace_again_ms: 0,
+        }
+    }
+}
+
 /// One worker.
 #[derive(Debug)]
 pub(crate) struct Worker {
--- a/crates/dispatch/src/owner/writing.rs
+++ b/crates/dispatch/src/owner/writing.rs
@@ -348,7 +348,7 @@
 
     /// Takes in the end of the append with this ticket, if it is one of this owner. Gives
     /// the states that may be told from now on.
-    pub(crate) fn finish_append(
+    pub(crate) fn take_append(
         &mut self,
         ticket: u64,
         end: AppendEnd,
