Keep who is on record as silent by name, and meet given-up workers again

A worker that was given up and came back was a new one to its owner, which extended its lease while the record still named it, with no time left; that owner died, and the next one gave up what ran there. A worker that was given up while the list still had it was also not met again before the list changed.

Change: the names on record are kept by the owner, also those it has from its predecessor's record; such a worker gets neither lease nor task before a record without it is stored. What is given up and listed is met again.

--- a/crates/dispatch/src/owner/adopting.rs
+++ b/crates/dispatch/src/owner/adopting.rs
@@ -38,12 +38,14 @@
             return;
         };
         let foreign_ms = self.foreign_lapse_ms(now.steady_ms);
-        let silent = &self.silent;
+        let (silent, noted) = (&self.silent, &self.noted_silent);
         let (workers, keys) = (&mut self.workers, &mut self.worker_keys);
         let job = Job::new(id, record, progress, now, |name| {
             *keys.entry(name.into()).or_insert_with(|| {
                 let lapsed_ms = silent.get(name).copied().unwrap_or(foreign_ms);
-                workers.insert(Worker::unlisted(name, lapsed_ms))
+                let mut worker = Worker::unlisted(name, lapsed_ms);
+                worker.is_noted_silent = noted.contains(name);
+                workers.insert(worker)
             })
         });
         let Some(mut job) = job else {
@@ -120,6 +122,15 @@
         Run::new(&step, self.images.key(&step.image), phase, now_ms)
     }
 
+    /// Makes a worker of which only what the list says is known. One that is on record as
+    /// silent gets no lease before it is on record no more.
+    pub(crate) fn meet(&self, entry: WorkerEntry, now_ms: u64) -> Worker {
+        let is_noted_silent = self.noted_silent.contains(&entry.id);
+        let mut worker = Worker::new(entry, self.foreign_lapse_ms(now_ms));
+        worker.is_noted_silent = is_noted_silent;
+        worker
+    }
+
     /// Takes in the platform's list of workers.
     pub(crate) fn list_workers(
         &mut self,
@@ -142,8 +153,8 @@
                     worker.entry = entry.clone();
                 }
                 None => {
-                    let lapsed_ms = self.foreign_lapse_ms(now.steady_ms);
-                    let key = self.workers.insert(Worker::new(entry.clone(), lapsed_ms));
+                    let worker = self.meet(entry.clone(), now.steady_ms);
+                    let key = self.workers.insert(worker);
                     self.worker_keys.insert(entry.id.clone(), key);
                 }
             }
--- a/crates/dispatch/src/owner/looks.rs
+++ b/crates/dispatch/src/owner/looks.rs
@@ -287,9 +287,17 @@
         self.worker_keys.remove(&worker.entry.id);
         if !worker.entry.address.is_empty() {
             actions.push(Action::Forget {
-                address: worker.entry.address,
+                address: worker.entry.address.clone(),
             });
         }
+        // It may be alive and cut off; then it is met again as one that runs nothing.
+        if worker.is_listed {
+            let id = worker.entry.id.clone();
+            let mut again = self.meet(worker.entry, now.steady_ms);
+            again.next_look_ms = now.steady_ms + SILENT_GAP_MS;
+            let key = self.workers.insert(again);
+            self.worker_keys.insert(id, key);
+        }
         self.must_place = true;
     }
 }
--- a/crates/dispatch/src/owner/mod.rs
+++ b/crates/dispatch/src/owner/mod.rs
@@ -44,6 +44,7 @@
 use goldcrestway_core::Code;
 use goldcrestway_core::Note;
 use slotmap::SlotMap;
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 
 /// Time for which an owner goes on that neither the store nor the workers confirm.
@@ -117,6 +118,8 @@
     bounds: Bounds,
     /// When what a former owner knew to be silent has lapsed, by worker.
     silent: HashMap<Box<str>, u64>,
+    /// Workers that the newest record of silent ones names, or one under way.
+    noted_silent: BTreeSet<Box<str>>,
     jobs: SlotMap<JobKey, Job>,
     job_keys: HashMap<JobId, JobKey>,
     live: Vec<JobKey>,
@@ -152,6 +155,7 @@
             host: host.into(),
             bounds: bounds.clone(),
             silent: HashMap::new(),
+            noted_silent: BTreeSet::new(),
             jobs: SlotMap::with_key(),
             job_keys: HashMap::new(),
             live: Vec::new(),
@@ -175,6 +179,7 @@
             owner
                 .silent
                 .insert(silent.worker.as_str().into(), lapsed_ms);
+            owner.noted_silent.insert(silent.worker.as_str().into());
         }
         owner
             .interference
--- a/crates/dispatch/src/owner/worker.rs
+++ b/crates/dispatch/src/owner/worker.rs
@@ -205,6 +205,7 @@
         self.is_listed
             && self.is_known
             && !self.is_silent()
+            && !self.is_noted_silent
             && !self.entry.is_leaving
             && self.clock.is_some()
             && now_ms >= self.shunned_until_ms
--- a/crates/dispatch/src/owner/writing.rs
+++ b/crates/dispatch/src/owner/writing.rs
@@ -15,6 +15,7 @@
 use crate::owner::Stepdown;
 use crate::owner::job::JobKey;
 use crate::owner::worker::RunPhase;
+use crate::owner::worker::Worker;
 use crate::owner::worker::WorkerKey;
 use crate::record::Key;
 use crate::record::Learned;
@@ -126,7 +127,7 @@
     seen: Vec<(WorkerKey, u64)>,
     states: Vec<(JobId, StateRecord)>,
     /// Workers that the records no longer name as silent.
-    answering: Vec<WorkerKey>,
+    answering: Vec<Box<str>>,
 }
 
 /// Appends of the owner.
@@ -243,25 +244,25 @@
     /// workers are silent, at once when one is no longer.
     fn must_tell_learned(&self, now_ms: u64) -> bool {
         let mut pause_ms = LEARNED_MS;
-        for worker in self.workers.values() {
-            if worker.is_noted_silent && !worker.is_in_doubt() {
+        for id in &self.noted_silent {
+            let key = self.worker_keys.get(id);
+            if !key.is_some_and(|key| self.workers[*key].is_in_doubt()) {
                 return true;
             }
-            if worker.is_in_doubt() {
-                pause_ms = SILENT_MS;
-            }
+        }
+        if self.workers.values().any(Worker::is_in_doubt) {
+            pause_ms = SILENT_MS;
         }
         now_ms >= self.writer.learned_ms + pause_ms
     }
 
-    fn learned(&mut self, now_ms: u64, answering: &mut Vec<WorkerKey>) -> Learned {
+    fn learned(&mut self, now_ms: u64, answering: &mut Vec<Box<str>>) -> Learned {
         let mut silent = Vec::new();
-        for (key, worker) in &mut self.workers {
-            if !worker.is_in_doubt() {
-                if worker.is_noted_silent {
-                    answering.push(key);
-                }
-            } else {
+        answering.extend(self.noted_silent.iter().cloned());
+        for worker in self.workers.values_mut() {
+            if worker.is_in_doubt() {
+                answering.retain(|id| *id != worker.entry.id);
+                self.noted_silent.insert(worker.entry.id.clone());
                 worker.is_noted_silent = true;
                 silent.push(SilentWorker {
                     worker: worker.entry.id.to_string(),
@@ -370,9 +371,11 @@
             return Some(Vec::new());
         }
         let effects = std::mem::take(&mut self.writer.effects);
-        for worker in effects.answering {
-            if let Some(worker) = self.workers.get_mut(worker) {
-                worker.is_noted_silent = false;
+        for id in effects.answering {
+            self.noted_silent.remove(&id);
+            if let Some(key) = self.worker_keys.get(&id) {
+                self.workers[*key].is_noted_silent = false;
+                self.must_place = true;
             }
         }
         for (worker, number) in effects.seen {
--- a/tests/dispatch.rs
+++ b/tests/dispatch.rs
@@ -612,3 +612,40 @@
     expect_that!(fleet.claims - before, le(2));
     expect_that!(fleet.owners(), eq(1));
 }
+
+/// Symptom: a task runs in two places after a change of owner. Sequence: a worker is cut
+/// off, is given up and comes back under the same name; the owner starts tasks there and
+/// dies, and the worker is cut off once more. Cause: the record of silent workers still named it, with no time left, so the
+/// next owner gave up at once what ran there.
+#[gtest]
+fn a_worker_that_comes_back_is_not_given_up_by_the_next_owner() {
+    for after_ms in [30, 150, 300, 600, 1_000, 2_000] {
+        let mut fleet = Fleet::new(3, 4);
+        fleet.submit(0, JOB, &job(vec![step(6, 600, &[])]));
+        fleet.run(1_000);
+        let lasting = Step {
+            is_lasting: true,
+            per_worker_most: 2,
+            ..step(4, 1_000, &[])
+        };
+        fleet.submit(0, 0x1, &job(vec![lasting]));
+        fleet.run(1_000);
+        fleet.cut_workers = vec!["10.0.0.0:80".into()];
+        fleet.run(4_800);
+        fleet.cut_workers.clear();
+        fleet.run(400);
+        let more = Step {
+            is_lasting: true,
+            ..step(8, 1_000, &[])
+        };
+        fleet.submit(0, 0x2, &job(vec![more]));
+        fleet.run(after_ms);
+        let owner = owner(&fleet);
+        fleet.kill(owner);
+        fleet.cut_workers = vec!["10.0.0.0:80".into()];
+        fleet.run(3_000);
+        fleet.cut_workers.clear();
+        fleet.run(6_000);
+        expect_that!(fleet.promises.broken, is_empty(), "after {after_ms} ms");
+    }
+}
