--- a/crates/dispatch/src/owner/mod.rs
+++ b/crates/dispatch/src/owner/mod.rs
@@ -49,7 +49,7 @@
 
 /// Time for which an owner goes on that neither the store nor the workers confirm.
 /// The store is silent for longer than that at times, the workers are not.
-const CONFIRMED_MOST_MS: u64 = 3_000;
+const CONFIRMED_MOST_MS: u64 = 1_500;
 /// Lease that tasks get. A task whose worker falls silent is started elsewhere once it is
 /// over, which must be within 6 s for tasks that last. A new owner extends leases within
 /// 3.5 s of its predecessor's end, 2 s to notice and 1.5 s for a store that is slow.
--- a/crates/dispatch/src/owner/pacing.rs
+++ b/crates/dispatch/src/owner/pacing.rs
@@ -29,8 +29,9 @@
 const RAISE_EASE: f64 = 1.43;
 /// Time over the target after which fillers that may be a cause are halted. Harm counts
 /// after four seconds; a look, an order and its effect take one.
-const SUSPECTS_HALT_MS: u64 = 1_300;
-/// Time over the target after which any filler that was ever seen to press is halted.
+pub(crate) const SUSPECTS_HALT_MS: u64 = 1_300;
+/// Time over the target after which every filler is halted: several that press by less than
+/// can be told apart may do so together.
 const ALL_HALT_MS: u64 = 2_200;
 /// Pause between two changes of the same worker: the tail is of the last half second, and
 /// an order takes a tenth of a second to have its effect.
@@ -39,11 +40,9 @@
 const RAISE_STEP_PERCENT: u32 = 25;
 /// Below this share fillers are halted, so that they do no harm at all.
 const HALT_PERCENT: u32 = 20;
-/// Pressure of one filler at its full share that makes it a cause, a suspect, or the last
-/// thing to look at.
+/// Pressure of one filler at its full share that makes it a cause, or a suspect.
 const CAUSE_PRESSURE: f64 = 0.12;
 const SUSPECT_PRESSURE: f64 = 0.04;
-const SLIGHT_PRESSURE: f64 = 0.01;
 /// Smallest change that is worth an order.
 const CHANGE_LEAST_PERCENT: u32 = 5;
 /// Time after which the answer to an order is no longer awaited.
@@ -190,8 +189,7 @@
 
 fn wish_of(pressure: f64, ease: f64, over_ms: u64) -> Wish {
     let may_be_cause = over_ms >= SUSPECTS_HALT_MS && pressure >= SUSPECT_PRESSURE;
-    let may_play_part = over_ms >= ALL_HALT_MS && pressure >= SLIGHT_PRESSURE;
-    if may_be_cause || may_play_part {
+    if may_be_cause || over_ms >= ALL_HALT_MS {
         Wish::Halt
     } else if ease < CUT_EASE && pressure >= CAUSE_PRESSURE {
         Wish::Cut
--- a/crates/dispatch/src/owner/placing.rs
+++ b/crates/dispatch/src/owner/placing.rs
@@ -8,6 +8,7 @@
 use crate::owner::interference::Use;
 use crate::owner::job::JobKey;
 use crate::owner::job::Placed;
+use crate::owner::pacing::SUSPECTS_HALT_MS;
 use crate::owner::worker::RunPhase;
 use crate::owner::worker::Worker;
 use crate::owner::worker::WorkerKey;
@@ -246,7 +247,7 @@
         if !worker.is_open(now_ms) || !fits(worker, wanted) {
             return None;
         }
-        Some(cost(worker, wanted)? + self.disturbance(worker, wanted)?)
+        Some(cost(worker, wanted)? + self.disturbance(worker, wanted, now_ms)?)
     }
 
     /// Takes the best worker for a task off the list; one on which it has failed before
@@ -297,11 +298,11 @@
 
     /// Gives the cost of what a task would do to those that serve on a worker, or what
     /// fillers there would do to it; `None` if that is too much.
-    fn disturbance(&self, worker: &Worker, wanted: &Wanted<'_>) -> Option<i64> {
+    fn disturbance(&self, worker: &Worker, wanted: &Wanted<'_>, now_ms: u64) -> Option<i64> {
         let step = wanted.step;
         if step.is_filler {
             let own = (wanted.image, step.cpu_milli as f64 / 1_000.0);
-            return self.pressure_cost(worker, own);
+            return self.pressure_cost(worker, own, now_ms);
         }
         if step.tail_target_ms == 0 {
             return Some(0);
@@ -322,7 +323,7 @@
 
     /// Gives the cost of a filler for those that serve on a worker; `None` if it would
     /// take more ease than a task there can spare.
-    fn pressure_cost(&self, worker: &Worker, own: Use) -> Option<i64> {
+    fn pressure_cost(&self, worker: &Worker, own: Use, now_ms: u64) -> Option<i64> {
         let mut others = None;
         let mut most: f64 = 0.0;
         for run in worker.runs.values() {
@@ -330,9 +331,13 @@
                 continue;
             }
             let pressure = self.interference.pressure(run.image, &[own]);
-            // A task over its target gets no further filler that may be the cause.
-            if run.over_since_ms.is_some() && pressure >= PRESSURE_SLIGHT {
-                return None;
+            // A task over its target gets no further filler that may be the cause, and none
+            // at all when it has been so for long.
+            if let Some(since_ms) = run.over_since_ms {
+                let is_long = now_ms >= since_ms + SUSPECTS_HALT_MS;
+                if is_long || pressure >= PRESSURE_SLIGHT {
+                    return None;
+                }
             }
             if pressure < PRESSURE_LEAST {
                 continue;
--- a/tests/dispatch.rs
+++ b/tests/dispatch.rs
@@ -649,3 +649,35 @@
         expect_that!(fleet.promises.broken, is_empty(), "after {after_ms} ms");
     }
 }
+
+/// Symptom: a served task is over its target for four seconds while fillers beside it that
+/// were never seen to press it work on. Cause: they were not halted, as none of them alone
+/// presses by as much as can be told apart; together, at the peak of its own load, they do.
+#[gtest]
+fn all_fillers_are_halted_beside_a_task_long_over_its_target() {
+    let mut fleet = Fleet::new(3, 1);
+    let served = Step {
+        is_lasting: true,
+        image: "served".into(),
+        tail_target_ms: 20,
+        ..step(1, 1_000, &[])
+    };
+    let filler = Step {
+        is_filler: true,
+        image: "filler".into(),
+        ..step(2, 60_000, &[])
+    };
+    fleet.submit(0, 0x1, &job(vec![served]));
+    fleet.submit(0, 0x2, &job(vec![filler]));
+    fleet.run(6_000);
+    let shares = |fleet: &Fleet| -> Vec<u32> {
+        let workers = fleet.workers.values();
+        workers.flat_map(|worker| worker.shares()).collect()
+    };
+    expect_that!(shares(&fleet), eq(&vec![100, 100]));
+    for worker in fleet.workers.values_mut() {
+        worker.tail_ms = 21;
+    }
+    fleet.run(3_300);
+    expect_that!(shares(&fleet), eq(&vec![0, 0]));
+}
