--- a/crates/dispatch/src/owner/ends.rs
+++ b/crates/dispatch/src/owner/ends.rs
@@ -15,7 +15,8 @@
 
 /// Failures in a row after which a worker gets nothing new for a while.
 const FAILURES_MOST: u32 = 2;
-/// That while, doubled with each further failure, up to 16 times.
+/// That while, doubled with the next failure. A worker that has recovered must not stand
+/// empty for long: tasks that last must run again within seconds where there is room.
 const FAILED_SHUN_MS: u64 = 1_500;
 /// Pause before a task that ended badly is started again.
 const AGAIN_MS: u64 = 30;
@@ -117,7 +118,7 @@
             Manner::Failed => {
                 worker.failures_in_row += 1;
                 if worker.failures_in_row >= FAILURES_MOST {
-                    let doublings = (worker.failures_in_row - FAILURES_MOST).min(4);
+                    let doublings = (worker.failures_in_row - FAILURES_MOST).min(1);
                     worker.shunned_until_ms = now_ms + (FAILED_SHUN_MS << doublings);
                 }
             }
