--- a/crates/dispatch/src/owner/ends.rs
+++ b/crates/dispatch/src/owner/ends.rs
@@ -167,11 +167,7 @@
             task.placed = None;
             task.copy = None;
         } else {
-            if task.placed == Some(ended) {
-                task.placed = task.copy.take();
-            } else {
-                task.copy = None;
-            }
+            task.let_go(ended);
             if !checkpoint.is_empty() {
                 task.checkpoint = checkpoint.into();
             }
@@ -245,11 +241,7 @@
             run: number,
             worker: key,
         };
-        if task.placed == Some(lost) {
-            task.placed = task.copy.take();
-        } else if task.copy == Some(lost) {
-            task.copy = None;
-        } else {
+        if !task.let_go(lost) {
             return;
         }
         if !run.checkpoint.is_empty() {
--- a/crates/dispatch/src/owner/job.rs
+++ b/crates/dispatch/src/owner/job.rs
@@ -51,6 +51,16 @@
 }
 
 impl Task {
+    /// Lets go of a run that is over; its copy, if there is one, takes its place. Tells
+    /// whether the run was the task's at all.
+    pub(crate) fn let_go(&mut self, run: Placed) -> bool {
+        if self.placed == Some(run) {
+            self.placed = self.copy.take();
+            return true;
+        }
+        self.copy.take_if(|copy| *copy == run).is_some()
+    }
+
     pub(crate) fn is_waiting(&self) -> bool {
         !self.is_done && self.placed.is_none()
     }
--- a/crates/dispatch/src/owner/orders.rs
+++ b/crates/dispatch/src/owner/orders.rs
@@ -99,17 +99,15 @@
         actions: &mut Vec<Action>,
     ) {
         let now_ms = now.steady_ms;
-        let Some(run) = self.workers[key].runs.get_mut(&(task, number)) else {
+        let worker = &mut self.workers[key];
+        let Some(run) = worker.runs.get_mut(&(task, number)) else {
             return;
         };
         if run.phase != RunPhase::Sent {
             return;
         }
         let is_first = run.tries <= 1;
-        self.workers[key].has_orders = true;
-        let Some(run) = self.workers[key].runs.get_mut(&(task, number)) else {
-            return;
-        };
+        worker.has_orders = true;
         match end {
             OrderEnd::Done { .. } => run.phase = RunPhase::Present { since_ms: now_ms },
             OrderEnd::Unknown => {
--- a/crates/dispatch/src/owner/placing.rs
+++ b/crates/dispatch/src/owner/placing.rs
@@ -179,6 +179,7 @@
         // The tasks of a step are alike: workers are ranked once, and only the one that
         // has just got a task is priced again.
         let mut ranked = self.rank(&wanted, now.steady_ms);
+        let (room_milli, mut lasting_milli) = self.lasting_use(&submission.service, step);
         for index in 0..step.count as u16 {
             let id = TaskId { index, ..first };
             let Some(task) = self.jobs[key].task_mut(id) else {
@@ -193,7 +194,7 @@
             }
             let failed_on = task.failed_on;
             let is_new = step.is_lasting && task.run == 0;
-            if is_new && !self.has_headroom(&submission.service) {
+            if is_new && lasting_milli * 100 >= room_milli * LASTING_MOST_PERCENT {
                 return true;
             }
             let Some(worker) = Self::take_best(&mut ranked, failed_on) else {
@@ -201,6 +202,7 @@
                 return true;
             };
             self.assign(key, id, worker, now, actions);
+            lasting_milli += step.cpu_milli;
             if let Some(cost) = self.price(&self.workers[worker], &wanted, now.steady_ms) {
                 ranked.push(Reverse((cost, worker)));
             }
@@ -214,17 +216,21 @@
             .is_some_and(|state| state.waiting > 0)
     }
 
-    /// Tells whether a service has room for a new lasting task beside its quick ones.
-    fn has_headroom(&self, service: &str) -> bool {
+    /// Gives the room of a service and what lasting tasks keep of it, which matters to
+    /// lasting steps only.
+    fn lasting_use(&self, service: &str, step: &Step) -> (u64, u64) {
         let mut room = 0;
         let mut lasting = 0;
+        if !step.is_lasting {
+            return (room, lasting);
+        }
         for worker in self.workers.values() {
             if worker.is_listed && *worker.entry.service == *service {
                 room += worker.entry.room.cpu_milli;
                 lasting += worker.lasting_milli;
             }
         }
-        lasting * 100 < room * LASTING_MOST_PERCENT
+        (room, lasting)
     }
 
     /// Lists the workers that can take a task of a step, the least cost first.
--- a/tests/lib.rs
+++ b/tests/lib.rs
@@ -8,6 +8,7 @@
 mod capacity;
 mod catalogue;
 mod dispatch;
+mod dispatch_disturbances;
 mod dispatch_faults;
 mod edge;
 mod faults;
