--- /dev/null
+++ b/tests/fleet/fixtures.rs
@@ -0,0 +1,77 @@
+//! Rules, workers and jobs of the fleet in tests.
+
+use goldcrestway_dispatch::Config;
+use goldcrestway_dispatch::Queue;
+use goldcrestway_dispatch::Room;
+use goldcrestway_dispatch::Step;
+use goldcrestway_dispatch::Submission;
+use goldcrestway_dispatch::WorkerEntry;
+
+/// What each worker has.
+pub(crate) const WORKER_ROOM: Room = Room {
+    cpu_milli: 8_000,
+    memory_mb: 16_000,
+    accelerators: 0,
+};
+
+/// Reads rules: one queue, and a version in one byte.
+pub(crate) fn decode_config(value: &[u8]) -> Result<Config, Box<str>> {
+    let version = value.first().copied().ok_or("no version")?;
+    Ok(Config {
+        version: u64::from(version),
+        queues: Box::new([Queue {
+            name: "batch".into(),
+            host: "batch.test".into(),
+            path_prefix: "/batch/".into(),
+            service: "service".into(),
+            priority: 0,
+            attempts_most: 3,
+            stretch_permille: 2_000,
+            target_latency_ms: 500,
+        }]),
+        ..Config::default()
+    })
+}
+
+/// Reads a worker: its address and `ready` or `leaving`.
+pub(crate) fn decode_worker(id: &str, value: &[u8]) -> Result<WorkerEntry, Box<str>> {
+    let text = std::str::from_utf8(value).map_err(|_| "not text")?;
+    let (address, state) = text.split_once(' ').ok_or("no address")?;
+    Ok(WorkerEntry {
+        id: id.into(),
+        service: "service".into(),
+        address: address.into(),
+        failure_domain: "hall".into(),
+        is_leaving: state == "leaving",
+        cold_ms: 0,
+        room: WORKER_ROOM,
+        rack: "rack".into(),
+        labels: Box::default(),
+    })
+}
+
+/// Makes a step of tasks that take so long.
+pub(crate) fn step(count: u32, work_ms: u64, after: &[u32]) -> Step {
+    Step {
+        count,
+        cpu_milli: 1_000,
+        memory_mb: 1_000,
+        estimated_ms: work_ms,
+        after: after.to_vec(),
+        ..Step::default()
+    }
+}
+
+/// Makes a job of steps.
+pub(crate) fn job(steps: Vec<Step>) -> Submission {
+    Submission {
+        queue: "batch".into(),
+        service: "service".into(),
+        attempts_most: 3,
+        specification: "text".into(),
+        steps,
+        stretch_permille: 2_000,
+        target_latency_ms: 500,
+        ..Submission::default()
+    }
+}
--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -1,10 +1,16 @@
 //! A fleet of entry hosts, a store and workers in virtual time: the decisions are the
 //! real ones, all around them is a small stand-in.
 
+mod fixtures;
 mod promises;
 mod store;
 mod worker;
 
+use crate::fleet::fixtures::WORKER_ROOM;
+use crate::fleet::fixtures::decode_config;
+use crate::fleet::fixtures::decode_worker;
+pub(crate) use crate::fleet::fixtures::job;
+pub(crate) use crate::fleet::fixtures::step;
 pub(crate) use crate::fleet::promises::Promises;
 pub(crate) use crate::fleet::store::Mode;
 pub(crate) use crate::fleet::store::Store;
@@ -13,7 +19,6 @@
 use goldcrestway_dispatch::Action;
 use goldcrestway_dispatch::AppendEnd;
 use goldcrestway_dispatch::Bounds;
-use goldcrestway_dispatch::Config;
 use goldcrestway_dispatch::Decoders;
 use goldcrestway_dispatch::Entry;
 use goldcrestway_dispatch::Event;
@@ -21,17 +26,13 @@
 use goldcrestway_dispatch::JobState;
 use goldcrestway_dispatch::Now;
 use goldcrestway_dispatch::OrderEnd;
-use goldcrestway_dispatch::Queue;
 use goldcrestway_dispatch::ReadEnd;
 use goldcrestway_dispatch::Refusal;
 use goldcrestway_dispatch::Reply;
-use goldcrestway_dispatch::Room;
-use goldcrestway_dispatch::Step;
 use goldcrestway_dispatch::Stream;
 use goldcrestway_dispatch::Submission;
 use goldcrestway_dispatch::TaskId;
 use goldcrestway_dispatch::WorkerCall;
-use goldcrestway_dispatch::WorkerEntry;
 use std::collections::BTreeMap;
 
 /// Virtual time moves on by this much.
@@ -39,12 +40,6 @@
 /// Time that a call takes, there and back.
 const CALL_MS: u64 = 5;
 const WALL_MS: u64 = 1_700_000_000_000;
-/// What each worker has.
-const WORKER_ROOM: Room = Room {
-    cpu_milli: 8_000,
-    memory_mb: 16_000,
-    accelerators: 0,
-};
 
 /// Something on its way.
 enum Delivery {
@@ -109,66 +104,6 @@
     pub(crate) cut_workers: Vec<Box<str>>,
 }
 
-fn decode_config(value: &[u8]) -> Result<Config, Box<str>> {
-    let version = value.first().copied().ok_or("no version")?;
-    Ok(Config {
-        version: u64::from(version),
-        queues: Box::new([Queue {
-            name: "batch".into(),
-            host: "batch.test".into(),
-            path_prefix: "/batch/".into(),
-            service: "service".into(),
-            priority: 0,
-            attempts_most: 3,
-            stretch_permille: 2_000,
-            target_latency_ms: 500,
-        }]),
-        ..Config::default()
-    })
-}
-
-fn decode_worker(id: &str, value: &[u8]) -> Result<WorkerEntry, Box<str>> {
-    let text = std::str::from_utf8(value).map_err(|_| "not text")?;
-    let (address, state) = text.split_once(' ').ok_or("no address")?;
-    Ok(WorkerEntry {
-        id: id.into(),
-        service: "service".into(),
-        address: address.into(),
-        failure_domain: "hall".into(),
-        is_leaving: state == "leaving",
-        cold_ms: 0,
-        room: WORKER_ROOM,
-        rack: "rack".into(),
-        labels: Box::default(),
-    })
-}
-
-/// Makes a step of tasks that take so long.
-pub(crate) fn step(count: u32, work_ms: u64, after: &[u32]) -> Step {
-    Step {
-        count,
-        cpu_milli: 1_000,
-        memory_mb: 1_000,
-        estimated_ms: work_ms,
-        after: after.to_vec(),
-        ..Step::default()
-    }
-}
-
-/// Makes a job of steps.
-pub(crate) fn job(steps: Vec<Step>) -> Submission {
-    Submission {
-        queue: "batch".into(),
-        service: "service".into(),
-        attempts_most: 3,
-        specification: "text".into(),
-        steps,
-        stretch_permille: 2_000,
-        target_latency_ms: 500,
-        ..Submission::default()
-    }
-}
-
 impl Fleet {
     /// Starts equal entry hosts and workers, and lets an owner be found.
     pub(crate) fn new(hosts: usize, workers: usize) -> Self {
