Count what still runs of jobs that are over, end and stop gangs as a whole

Members left behind by a lost one waited for it for seconds.

Ruled out: starts beside unseen runs (a worker gets nothing before its first look) and orders carried out late (they are fenced).

Change: jobs that are over stay known with their steps until nobody need be told of them; a run of a wholly unknown job fills its worker. One function completes a task or gang, for late ends too. The loss of a member stops the others.

Measured: tests fail before, pass after.

--- a/crates/dispatch/src/owner/adopting.rs
+++ b/crates/dispatch/src/owner/adopting.rs
@@ -57,6 +57,7 @@
             self.writer.tell(id, job.state());
         }
         if job.phase.is_final() {
+            self.over.insert(id, job.submission);
             return;
         }
         let is_new = job.open_occurrences(now, self.bounds.early_ms);
--- a/crates/dispatch/src/owner/ends.rs
+++ b/crates/dispatch/src/owner/ends.rs
@@ -91,22 +91,39 @@
         if is_lasting || job.phase.is_final() {
             return;
         }
-        let Some(task) = job.task_mut(id).filter(|task| !task.is_done) else {
+        if job.task_mut(id).is_none_or(|task| task.is_done) {
+            return;
+        }
+        self.complete_task(key, id);
+        if self.jobs[key].is_finished() {
+            self.finish(key, JobPhase::Completed, now, actions);
+        }
+    }
+
+    /// Takes a task for done, or all tasks of a gang, whose members end well together, and
+    /// stops what else runs of it.
+    fn complete_task(&mut self, key: JobKey, id: TaskId) {
+        let job = &mut self.jobs[key];
+        let is_gang = job.step(id).is_some_and(|step| step.is_gang);
+        let Some(step) = job.step_mut(id) else {
             return;
         };
-        task.is_done = true;
-        let rivals = [task.placed.take(), task.copy.take()];
+        let mut rivals = Vec::new();
+        for (index, task) in step.tasks.iter_mut().enumerate() {
+            let index = index as u16;
+            if index != id.index && !is_gang {
+                continue;
+            }
+            task.is_done = true;
+            let own = TaskId { index, ..id };
+            rivals.extend(task.placed.take().map(|run| (own, run)));
+            rivals.extend(task.copy.take().map(|run| (own, run)));
+        }
+        step.recount();
         job.is_dirty = true;
         job.has_waiting = true;
-        if let Some(step) = job.step_mut(id) {
-            step.recount();
-        }
-        let is_finished = job.is_finished();
-        for rival in rivals.into_iter().flatten() {
-            self.stop_rival(id, rival);
-        }
-        if is_finished {
-            self.finish(key, JobPhase::Completed, now, actions);
+        for (task, rival) in rivals {
+            self.stop_rival(task, rival);
         }
     }
 
@@ -157,42 +174,31 @@
         if task.is_done || (task.placed != Some(ended) && task.copy != Some(ended)) {
             return;
         }
-        let mut rival = None;
         if manner == Manner::Done && !is_lasting {
-            rival = match task.placed == Some(ended) {
-                true => task.copy,
-                false => task.placed,
-            };
-            task.is_done = true;
-            task.placed = None;
-            task.copy = None;
-        } else {
             task.let_go(ended);
-            if !checkpoint.is_empty() {
-                task.checkpoint = checkpoint.into();
-            }
-            task.not_before_ms = now.steady_ms + AGAIN_MS;
-            if manner == Manner::Failed {
-                task.failed_on = Some(worker);
-                task.failures += u32::from(!is_lasting);
+            self.complete_task(key, id);
+            if self.jobs[key].is_finished() {
+                self.finish(key, JobPhase::Completed, now, actions);
             }
+            return;
+        }
+        task.let_go(ended);
+        if !checkpoint.is_empty() {
+            task.checkpoint = checkpoint.into();
+        }
+        task.not_before_ms = now.steady_ms + AGAIN_MS;
+        if manner == Manner::Failed {
+            task.failed_on = Some(worker);
+            task.failures += u32::from(!is_lasting);
         }
-        let is_done = task.is_done;
         let failures = task.failures;
         job.has_waiting = true;
         job.is_dirty = true;
         let is_gang = job.step(id).is_some_and(|step| step.is_gang);
-        let mut has_failed = failures >= attempts_most && !is_done;
+        let mut has_failed = failures >= attempts_most;
         if let Some(step) = job.step_mut(id) {
             step.recount();
-            if is_gang && is_done {
-                step.finish_gang();
-            }
-            has_failed |= is_gang && !is_done && step.gang_failures() >= attempts_most;
-        }
-        let is_finished = !is_lasting && job.is_finished();
-        if let Some(rival) = rival {
-            self.stop_rival(id, rival);
+            has_failed |= is_gang && step.gang_failures() >= attempts_most;
         }
         if has_failed {
             actions.push(Action::Note(Note::new(
@@ -201,8 +207,8 @@
                 format!("task={id} failures={attempts_most}"),
             )));
             self.finish(key, JobPhase::Failed, now, actions);
-        } else if is_finished {
-            self.finish(key, JobPhase::Completed, now, actions);
+        } else if is_gang {
+            self.break_gang(key, id);
         }
     }
 
@@ -227,13 +233,13 @@
             return;
         };
         self.must_place = true;
-        let Some(job) = self.job_keys.get(&id.job).copied() else {
+        let Some(job_key) = self.job_keys.get(&id.job).copied() else {
             return;
         };
         if run.is_stray {
             return;
         }
-        let job = &mut self.jobs[job];
+        let job = &mut self.jobs[job_key];
         let Some(task) = job.task_mut(id) else {
             return;
         };
@@ -250,8 +256,12 @@
         task.not_before_ms = now_ms;
         job.has_waiting = true;
         job.is_dirty = true;
+        let is_gang = job.step(id).is_some_and(|step| step.is_gang);
         if let Some(step) = job.step_mut(id) {
             step.recount();
         }
+        if is_gang {
+            self.break_gang(job_key, id);
+        }
     }
 }
--- a/crates/dispatch/src/owner/gangs.rs
+++ b/crates/dispatch/src/owner/gangs.rs
@@ -10,8 +10,10 @@
 use crate::ids::TaskId;
 use crate::owner::Owner;
 use crate::owner::job::JobKey;
+use crate::owner::job::Placed;
 use crate::owner::job::StepState;
 use crate::owner::placing::Wanted;
+use crate::owner::worker::RunPhase;
 use crate::owner::worker::WorkerKey;
 use std::cmp::Reverse;
 use std::collections::BTreeSet;
@@ -35,7 +37,8 @@
             .iter()
             .all(|task| task.not_before_ms <= now.steady_ms);
         if !is_whole || !may_start {
-            self.must_place = true;
+            // The end of the last member that still runs comes with an event of its own.
+            self.must_place |= is_whole;
             return true;
         }
         align(state);
@@ -53,6 +56,50 @@
         false
     }
 
+    /// Stops the other members of a gang of which one is gone. Left alone they would wait
+    /// for it for seconds, hold room meanwhile and end for nothing.
+    pub(crate) fn break_gang(&mut self, key: JobKey, id: TaskId) {
+        let Some(state) = self.jobs[key].step_mut(id) else {
+            return;
+        };
+        let mut others = Vec::new();
+        for (index, task) in state.tasks.iter().enumerate() {
+            let index = index as u16;
+            if let Some(placed) = task.placed {
+                others.push((TaskId { index, ..id }, placed));
+            }
+        }
+        for (task, placed) in others {
+            let Some(worker) = self.workers.get_mut(placed.worker) else {
+                continue;
+            };
+            let Some(run) = worker.runs.get_mut(&(task, placed.run)) else {
+                continue;
+            };
+            match run.phase {
+                RunPhase::Stopping { .. } | RunPhase::Stopped { .. } => {}
+                // Its order was not sent, so nothing is to be waited for.
+                RunPhase::Recording => self.lose_member(placed.worker, key, task, placed.run),
+                _ => {
+                    run.phase = RunPhase::Stopping { again_ms: 0 };
+                    worker.has_orders = true;
+                }
+            }
+        }
+    }
+
+    fn lose_member(&mut self, worker: WorkerKey, key: JobKey, id: TaskId, run: u32) {
+        self.workers[worker].remove(id, run);
+        let job = &mut self.jobs[key];
+        if let Some(task) = job.task_mut(id) {
+            task.let_go(Placed { run, worker });
+        }
+        if let Some(step) = job.step_mut(id) {
+            step.recount();
+        }
+        job.is_dirty = true;
+    }
+
     /// Finds workers for all members: on one rack if that matters and is possible.
     fn find_gang(&self, wanted: &Wanted<'_>, count: usize, now_ms: u64) -> Option<Vec<WorkerKey>> {
         if wanted.step.is_rack_sensitive {
@@ -118,14 +165,6 @@
 }
 
 impl StepState {
-    /// Takes all members of a gang for done, since they end well together.
-    pub(crate) fn finish_gang(&mut self) {
-        for task in &mut self.tasks {
-            task.is_done = true;
-        }
-        self.recount();
-    }
-
     /// Counts the failures of all members, since the gang fails as one.
     pub(crate) fn gang_failures(&self) -> u32 {
         self.tasks.iter().map(|task| task.failures).sum()
--- a/crates/dispatch/src/owner/looks.rs
+++ b/crates/dispatch/src/owner/looks.rs
@@ -206,19 +206,34 @@
     }
 
     /// A run that nobody here knows is stopped: it may be of a job that has ended, or an
-    /// order of a former owner that was carried out late.
+    /// order of a former owner that was carried out late. It takes its room until it has
+    /// ended; without that, a new owner would start too much beside the tasks of a job that
+    /// was cancelled just before, where workers start whatever they are told to.
     fn add_stray(&mut self, key: WorkerKey, row: &ListedRun) {
         let job = self.job_keys.get(&row.task.job).copied();
         let phase = RunPhase::Stopping { again_ms: 0 };
         let mut run = match job {
             Some(job) => self.make_run(job, row.task, phase, 0),
-            None => Run::new(&Step::default(), ImageKey::default(), phase, 0),
+            None => {
+                let step = self.over_step(row.task).unwrap_or_else(|| Step {
+                    // Nothing is known of it, so it may fill the worker.
+                    cpu_milli: self.workers[key].entry.room.cpu_milli,
+                    ..Step::default()
+                });
+                Run::new(&step, ImageKey::default(), phase, 0)
+            }
         };
         run.is_stray = true;
         self.workers[key].has_orders = true;
         self.workers[key].add(row.task, row.run, run);
     }
 
+    /// Gives the step of a task of a job that is over.
+    fn over_step(&self, task: TaskId) -> Option<Step> {
+        let submission = self.over.get(&task.job)?;
+        submission.steps.get(usize::from(task.step)).cloned()
+    }
+
     fn take_absent(
         &mut self,
         key: WorkerKey,
--- a/crates/dispatch/src/owner/mod.rs
+++ b/crates/dispatch/src/owner/mod.rs
@@ -41,11 +41,13 @@
 use crate::owner::worker::WorkerKey;
 use crate::owner::writing::Writer;
 use crate::record::JobPhase;
+use crate::record::Submission;
 use goldcrestway_core::Code;
 use goldcrestway_core::Note;
 use slotmap::SlotMap;
 use std::collections::BTreeSet;
 use std::collections::HashMap;
+use std::rc::Rc;
 
 /// Time for which an owner goes on that neither the store nor the workers confirm.
 /// The store is silent for longer than that at times, the workers are not.
@@ -123,6 +125,8 @@
     jobs: SlotMap<JobKey, Job>,
     job_keys: HashMap<JobId, JobKey>,
     live: Vec<JobKey>,
+    /// Jobs that are over. What still runs of them takes room until it has ended.
+    over: HashMap<JobId, Rc<Submission>>,
     workers: SlotMap<WorkerKey, Worker>,
     worker_keys: HashMap<Box<str>, WorkerKey>,
     orders: HashMap<u64, (WorkerKey, Purpose)>,
@@ -159,6 +163,7 @@
             jobs: SlotMap::with_key(),
             job_keys: HashMap::new(),
             live: Vec::new(),
+            over: HashMap::new(),
             workers: SlotMap::with_key(),
             worker_keys: HashMap::new(),
             orders: HashMap::new(),
--- a/crates/dispatch/src/owner/writing.rs
+++ b/crates/dispatch/src/owner/writing.rs
@@ -407,12 +407,13 @@
 
     /// Lets go of jobs whose end is on record and of which nothing runs.
     fn drop_final(&mut self) {
-        let (jobs, keys) = (&mut self.jobs, &mut self.job_keys);
+        let (jobs, keys, over) = (&mut self.jobs, &mut self.job_keys, &mut self.over);
         self.live.retain(|key| {
             let job = &jobs[*key];
             let stays = !job.phase.is_final() || job.is_dirty;
             if !stays {
                 keys.remove(&job.id);
+                over.insert(job.id, job.submission.clone());
                 jobs.remove(*key);
             }
             stays
@@ -421,6 +422,7 @@
 
     /// Drops all that is on record of a job that nobody need be told about any more.
     pub(crate) fn retire(&mut self, job: JobId) {
+        self.over.remove(&job);
         self.writer.retired.push(job);
         self.writer.retired_states.push(job);
     }
--- /dev/null
+++ b/tests/dispatch_shapes.rs
@@ -0,0 +1,92 @@
+//! Jobs of other shapes than a plain row of tasks: gangs, and what they leave behind.
+
+use crate::dispatch::JOB;
+use crate::dispatch::owner;
+use crate::fleet::Fleet;
+use crate::fleet::job;
+use crate::fleet::step;
+use goldcrestway_dispatch::JobState;
+use goldcrestway_dispatch::Step;
+use googletest::prelude::*;
+
+/// Symptom: a worker that does not guard its room holds more than it has. Sequence: a job
+/// is cancelled, its owner stops as planned, and the next one looks while the tasks are
+/// still being stopped. Cause: tasks of a job that is over were taken to need no room.
+#[gtest]
+fn tasks_that_are_being_stopped_take_room_for_the_next_owner() {
+    let mut fleet = Fleet::new(5, 2);
+    for worker in fleet.workers.values_mut() {
+        worker.stop_ms = 1_500;
+    }
+    fleet.submit(0, JOB, &job(vec![step(16, 60_000, &[])]));
+    fleet.run(1_000);
+    expect_that!(fleet.promises.starts.len(), eq(16));
+    let owner = owner(&fleet);
+    fleet.cancel((owner + 1) % 5, JOB);
+    fleet.run(100);
+    fleet.stop(owner);
+    fleet.submit((owner + 1) % 5, 0x1, &job(vec![step(16, 300, &[])]));
+    fleet.run(4_000);
+    expect_that!(
+        fleet.state((owner + 1) % 5, 0x1),
+        some(eq(JobState::Completed))
+    );
+    expect_that!(fleet.promises.refused_room, eq(0));
+}
+
+/// Symptom: a gang never starts again though there is room for it. Sequence: its workers
+/// are cut off, the gang ends well there, and is given up and started elsewhere; one of the
+/// workers comes back and tells of the end, the others are gone for good. Cause: the end of
+/// one member was taken for that of this member alone, and a gang starts only as a whole.
+#[gtest]
+fn a_late_end_of_one_member_ends_the_whole_gang() {
+    let mut fleet = Fleet::new(3, 2);
+    let gang = Step {
+        is_gang: true,
+        per_worker_most: 1,
+        ..step(2, 3_000, &[])
+    };
+    fleet.submit(0, JOB, &job(vec![gang]));
+    fleet.run(500);
+    expect_that!(fleet.promises.starts.len(), eq(2));
+    fleet.cut_workers = fleet.workers.keys().cloned().collect();
+    fleet.run(2_000);
+    for number in 0..2 {
+        fleet.add_worker(&format!("10.0.1.{number}:80"), &format!("w1{number}-1"));
+    }
+    fleet
+        .workers
+        .values_mut()
+        .take(1)
+        .for_each(|worker| worker.die());
+    fleet.run(4_500);
+    expect_that!(fleet.promises.starts.len(), eq(4));
+    fleet.cut_workers.clear();
+    fleet.run(700);
+    expect_that!(fleet.state(0, JOB), some(eq(JobState::Completed)));
+}
+
+/// Symptom: members of a gang hold room for seconds and end alone. Sequence: the worker of
+/// one member dies. Cause: the others were left to wait for it.
+#[gtest]
+fn a_gang_that_lost_a_member_is_stopped_at_once() {
+    let mut fleet = Fleet::new(3, 4);
+    let gang = Step {
+        is_gang: true,
+        per_worker_most: 1,
+        ..step(3, 20_000, &[])
+    };
+    fleet.submit(0, JOB, &job(vec![gang]));
+    fleet.run(500);
+    let (worker, lost, _) = fleet.promises.starts[0].clone();
+    let address = fleet.address_of(&worker);
+    fleet.add_worker(&address, "reborn-1");
+    fleet.run(1_500);
+    expect_that!(fleet.promises.starts.len(), eq(6));
+    expect_that!(fleet.running(lost), eq(1));
+    let runs: Vec<u32> = fleet.promises.starts[3..]
+        .iter()
+        .map(|start| start.2)
+        .collect();
+    expect_that!(runs, each(eq(&2)));
+}
--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -154,6 +154,13 @@
             .insert(address.into(), Worker::new(id, WORKER_ROOM));
     }
 
+    /// Gives the address of a worker.
+    pub(crate) fn address_of(&self, id: &str) -> Box<str> {
+        let mut workers = self.workers.iter();
+        let found = workers.find(|(_, worker)| *worker.id == *id);
+        found.map_or("".into(), |(address, _)| address.clone())
+    }
+
     pub(crate) fn start(&mut self, number: usize) {
         let host = &mut self.hosts[number];
         host.life += 1;
--- a/tests/fleet/worker.rs
+++ b/tests/fleet/worker.rs
@@ -32,6 +32,8 @@
     work_ms: u64,
     is_lasting: bool,
     share_percent: u32,
+    /// When it is gone, once it was told to stop.
+    stopped_ms: Option<u64>,
 }
 
 /// One incarnation of a worker.
@@ -50,6 +52,8 @@
     /// Tail of serving tasks without fillers, and with each filler's share on top.
     pub(crate) tail_ms: u64,
     pub(crate) press_ms: u64,
+    /// Time that a stop takes; what is being stopped still takes its room.
+    pub(crate) stop_ms: u64,
 }
 
 /// Longest lease that a worker grants.
@@ -70,6 +74,7 @@
             next_end: 1,
             tail_ms: 5,
             press_ms: 0,
+            stop_ms: 0,
         }
     }
 
@@ -84,6 +89,12 @@
                 ended.push((*task, Manner::Lapsed));
                 continue;
             }
+            if let Some(stopped_ms) = running.stopped_ms {
+                if now_ms >= stopped_ms {
+                    ended.push((*task, Manner::Stopped));
+                }
+                continue;
+            }
             match self.manners {
                 Manners::Hangs => continue,
                 Manners::Fails => ended.push((*task, Manner::Failed)),
@@ -168,12 +179,13 @@
             WorkerCall::Stop { task, run } => {
                 let barred = self.barred.entry(*task).or_default();
                 *barred = (*barred).max(*run);
-                if self
-                    .running
-                    .get(task)
-                    .is_some_and(|running| running.run <= *run)
+                if let Some(running) = self.running.get_mut(task)
+                    && running.run <= *run
                 {
-                    self.end(*task, Manner::Stopped);
+                    running.stopped_ms.get_or_insert(now_ms + self.stop_ms);
+                    if self.stop_ms == 0 {
+                        self.end(*task, Manner::Stopped);
+                    }
                 }
             }
             WorkerCall::Pace { task, percent, .. } => {
@@ -245,6 +257,7 @@
             work_ms: plan.work_ms.max(1),
             is_lasting: plan.is_lasting,
             share_percent: 100,
+            stopped_ms: None,
         };
         self.running.insert(task, running);
         None
