Bar runs whose first order had no answer before they are let go

Cause: a run that waits for its record before a second order was taken for one of which no order was ever sent.

Ruled out: a stop that is overtaken by its start, as a stop bars the number for good.

Change: one function, Run::halt, decides between dropping and stopping. Random sequences of faults gain callers who hand in gangs and copies and cancel, hosts that stop as planned, stops that take time, and the checks that no start lacks room and nothing cancelled runs.

--- a/crates/dispatch/src/owner/ends.rs
+++ b/crates/dispatch/src/owner/ends.rs
@@ -7,7 +7,6 @@
 use crate::owner::Owner;
 use crate::owner::job::JobKey;
 use crate::owner::job::Placed;
-use crate::owner::worker::RunPhase;
 use crate::owner::worker::WorkerKey;
 use crate::record::JobPhase;
 use goldcrestway_core::Code;
@@ -221,9 +220,8 @@
         };
         run.is_stray = true;
         worker.has_orders = true;
-        match run.phase {
-            RunPhase::Recording => drop(worker.remove(task, rival.run)),
-            _ => run.phase = RunPhase::Stopping { again_ms: 0 },
+        if run.halt() {
+            worker.remove(task, rival.run);
         }
     }
 
--- a/crates/dispatch/src/owner/gangs.rs
+++ b/crates/dispatch/src/owner/gangs.rs
@@ -13,7 +13,6 @@
 use crate::owner::job::Placed;
 use crate::owner::job::StepState;
 use crate::owner::placing::Wanted;
-use crate::owner::worker::RunPhase;
 use crate::owner::worker::WorkerKey;
 use std::cmp::Reverse;
 use std::collections::BTreeSet;
@@ -76,14 +75,9 @@
             let Some(run) = worker.runs.get_mut(&(task, placed.run)) else {
                 continue;
             };
-            match run.phase {
-                RunPhase::Stopping { .. } | RunPhase::Stopped { .. } => {}
-                // Its order was not sent, so nothing is to be waited for.
-                RunPhase::Recording => self.lose_member(placed.worker, key, task, placed.run),
-                _ => {
-                    run.phase = RunPhase::Stopping { again_ms: 0 };
-                    worker.has_orders = true;
-                }
+            worker.has_orders = true;
+            if run.halt() {
+                self.lose_member(placed.worker, key, task, placed.run);
             }
         }
     }
--- a/crates/dispatch/src/owner/mod.rs
+++ b/crates/dispatch/src/owner/mod.rs
@@ -36,7 +36,6 @@
 use crate::owner::job::Job;
 use crate::owner::job::JobKey;
 use crate::owner::stragglers::Durations;
-use crate::owner::worker::RunPhase;
 use crate::owner::worker::Worker;
 use crate::owner::worker::WorkerKey;
 use crate::owner::writing::Writer;
@@ -233,10 +232,8 @@
                     continue;
                 }
                 run.is_stray = true;
-                match run.phase {
-                    RunPhase::Recording => unsent.push((*task, *number)),
-                    RunPhase::Stopping { .. } | RunPhase::Stopped { .. } => {}
-                    _ => run.phase = RunPhase::Stopping { again_ms: 0 },
+                if run.halt() {
+                    unsent.push((*task, *number));
                 }
             }
             for (task, number) in unsent {
--- a/crates/dispatch/src/owner/orders.rs
+++ b/crates/dispatch/src/owner/orders.rs
@@ -8,6 +8,7 @@
 use crate::ids::TaskId;
 use crate::owner::Owner;
 use crate::owner::Purpose;
+use crate::owner::worker::Run;
 use crate::owner::worker::RunPhase;
 use crate::owner::worker::WorkerKey;
 use goldcrestway_core::Code;
@@ -44,14 +45,14 @@
         let lease_ms = self.lease_ms();
         let job = self.job_keys.get(&task.job).copied();
         let Some(clock_ms) = self.workers[key].clock_ms(now_ms) else {
-            return self.lose_run(key, task, number, now_ms);
+            return self.drop_start(key, task, number, now_ms);
         };
         // An order would extend the lease of a worker that is on record as silent.
         if self.workers[key].is_noted_silent {
-            return self.lose_run(key, task, number, now_ms);
+            return self.drop_start(key, task, number, now_ms);
         }
         let Some(job) = job.filter(|_| self.is_confirmed(now_ms)) else {
-            return self.lose_run(key, task, number, now_ms);
+            return self.drop_start(key, task, number, now_ms);
         };
         let job = &mut self.jobs[job];
         let specification = job.specification.clone();
@@ -89,6 +90,16 @@
         self.order(key, purpose, call, TIMEOUT_MS, tickets, actions);
     }
 
+    /// Gives up a run that is not to be ordered any more. If an earlier order had no answer
+    /// the worker must agree first.
+    fn drop_start(&mut self, key: WorkerKey, task: TaskId, number: u32, now_ms: u64) {
+        self.workers[key].has_orders = true;
+        let run = self.workers[key].runs.get_mut(&(task, number));
+        if run.is_some_and(Run::halt) {
+            self.lose_run(key, task, number, now_ms);
+        }
+    }
+
     pub(crate) fn end_start(
         &mut self,
         key: WorkerKey,
--- a/crates/dispatch/src/owner/worker.rs
+++ b/crates/dispatch/src/owner/worker.rs
@@ -104,6 +104,21 @@
     }
 }
 
+impl Run {
+    /// Has a run end of which no end is awaited any more, or awaits its end before the task
+    /// starts anew. Tells whether no order to start it was ever sent, so that it is simply
+    /// dropped. A run that waits for its second order is no such run: the first one had no
+    /// answer, and may be carried out seconds later unless a stop bars it.
+    pub(crate) fn halt(&mut self) -> bool {
+        match self.phase {
+            RunPhase::Recording if self.tries == 0 => return true,
+            RunPhase::Stopping { .. } | RunPhase::Stopped { .. } => {}
+            _ => self.phase = RunPhase::Stopping { again_ms: 0 },
+        }
+        false
+    }
+}
+
 /// One worker.
 #[derive(Debug)]
 pub(crate) struct Worker {
--- a/tests/fleet/promises.rs
+++ b/tests/fleet/promises.rs
@@ -23,6 +23,8 @@
     pub(crate) submitted: BTreeMap<JobId, Submission>,
     /// Jobs of which a caller was told that they are stored.
     pub(crate) accepted: BTreeSet<JobId>,
+    /// Jobs that callers tried to cancel.
+    pub(crate) cancelled: BTreeSet<JobId>,
     /// Ends that workers were told to forget.
     done: BTreeSet<TaskId>,
     failures: BTreeMap<TaskId, u32>,
@@ -82,6 +84,14 @@
         }
     }
 
+    /// Notes that a gang has ended well, which one end of a member stands for.
+    pub(crate) fn note_gang_done(&mut self, member: TaskId) {
+        let count = self.submitted[&member.job].steps[usize::from(member.step)].count;
+        for index in 0..count as u16 {
+            self.ended.insert(TaskId { index, ..member });
+        }
+    }
+
     /// Notes that a worker is told to forget an end.
     pub(crate) fn note_end(&mut self, end: &ListedEnd) {
         match end.manner {
--- a/tests/fleet/worker.rs
+++ b/tests/fleet/worker.rs
@@ -49,6 +49,8 @@
     barred: BTreeMap<TaskId, u32>,
     ends: Vec<ListedEnd>,
     next_end: u64,
+    /// Ends that other members of a gang may have to follow.
+    broken_off: Vec<(TaskId, u32, Manner)>,
     /// Tail of serving tasks without fillers, and with each filler's share on top.
     pub(crate) tail_ms: u64,
     pub(crate) press_ms: u64,
@@ -72,6 +74,7 @@
             barred: BTreeMap::new(),
             ends: Vec::new(),
             next_end: 1,
+            broken_off: Vec::new(),
             tail_ms: 5,
             press_ms: 0,
             stop_ms: 0,
@@ -121,6 +124,7 @@
         };
         let barred = self.barred.entry(task).or_default();
         *barred = (*barred).max(running.run);
+        self.broken_off.push((task, running.run, manner));
         self.ends.push(ListedEnd {
             number: self.next_end,
             task,
@@ -131,8 +135,36 @@
         self.next_end += 1;
     }
 
+    /// Takes the ends since the last time.
+    pub(crate) fn take_ends(&mut self) -> Vec<(TaskId, u32, Manner)> {
+        std::mem::take(&mut self.broken_off)
+    }
+
+    /// Ends the members of a gang that run there, as another one has ended.
+    pub(crate) fn follow(&mut self, other: TaskId, run: u32, manner: Manner) {
+        let is_mate = |(task, running): &(&TaskId, &Running)| {
+            task.job == other.job && task.step == other.step && running.run == run
+        };
+        let mates: Vec<TaskId> = self
+            .running
+            .iter()
+            .filter(is_mate)
+            .map(|mate| *mate.0)
+            .collect();
+        for task in mates {
+            let manner = match manner {
+                Manner::Done => Manner::Done,
+                _ => Manner::Broken,
+            };
+            self.end(task, manner);
+        }
+    }
+
     /// Dies: all that runs there ends unheard.
     pub(crate) fn die(&mut self) {
+        for (task, running) in &self.running {
+            self.broken_off.push((*task, running.run, Manner::Broken));
+        }
         self.is_alive = false;
         self.running.clear();
     }
