Halt fillers earlier beside a task over its target, look at it more often

A tail averaged over half a second, up to 0.76 s between looks, 2.2 s of patience, the pause after an earlier change and the order add up to 4.1 s where harm counts after 4.

Change: patience is a part of harm_ms, which so far decided nothing (30% for suspects, 45% for all); a halt waits for no earlier change; looks wait 0.25 s at most where fillers work beside a task over its target. Each change of shares is logged (2405).

--- a/crates/core/src/notes.rs
+++ b/crates/core/src/notes.rs
@@ -94,6 +94,7 @@
     RunBroken = 2401, "A run of a task ended other than well.";
     StartRefused = 2402, "A worker refused to start a run.";
     RunLagging = 2403, "A run stands still or crawls; it is started elsewhere, or gets a copy.";
+    FillersPaced = 2405, "Fillers on a worker got another share: a served task there is over its target, or well again.";
     WorkerSilent = 2501, "A worker gives no answer; its lease is no longer extended.";
     WorkerBack = 2502, "A worker answers again.";
     WorkerLeaving = 2503, "A worker is about to leave and gets nothing new.";
--- a/crates/dispatch/src/owner/looks.rs
+++ b/crates/dispatch/src/owner/looks.rs
@@ -21,6 +21,9 @@
 /// Time that a worker waits for an end before it answers a look. It bounds how late a
 /// silent worker is noticed, and how old the tails of served tasks are.
 const WAIT_MS: u64 = 700;
+/// The same where fillers work beside a task that is over its target: how that goes on
+/// decides whether they are halted in time.
+const PRESSED_WAIT_MS: u64 = 250;
 /// Pause between looks at a worker, so that ends that come together are told together.
 const GAP_MS: u64 = 60;
 /// Workers for each of which that pause is a little longer, so that looks at hundreds of
@@ -85,7 +88,11 @@
         let has_unrecorded = worker.handled > worker.recorded;
         let waits =
             worker.is_known && worker.misses == 0 && !has_unrecorded && worker.clock.is_some();
-        let wait_ms = if waits { WAIT_MS } else { 0 };
+        let wait_ms = match waits {
+            true if worker.is_pressed => PRESSED_WAIT_MS,
+            true => WAIT_MS,
+            false => 0,
+        };
         let call = WorkerCall::Look {
             seen: worker.recorded,
             lease_until_ms,
@@ -152,7 +159,7 @@
         self.must_place |= !was_known;
         self.take_ends(key, &listed, now, actions);
         self.take_runs(key, sent_ms, &listed, now_ms);
-        self.judge_fillers(key, now_ms);
+        self.judge_fillers(key, now_ms, actions);
         let count = self.workers.len() as u64;
         let worker = &mut self.workers[key];
         let gap_ms = match worker.handled > worker.recorded {
--- a/crates/dispatch/src/owner/pacing.rs
+++ b/crates/dispatch/src/owner/pacing.rs
@@ -19,6 +19,8 @@
 use crate::owner::worker::RunPhase;
 use crate::owner::worker::Worker;
 use crate::owner::worker::WorkerKey;
+use goldcrestway_core::Code;
+use goldcrestway_core::Note;
 
 /// Ease below which fillers that press a task are slowed; at 1 its target is missed.
 const CUT_EASE: f64 = 1.05;
@@ -27,12 +29,13 @@
 const WELL_EASE: f64 = 1.08;
 /// Ease below which such fillers get nothing back.
 const RAISE_EASE: f64 = 1.43;
-/// Time over the target after which fillers that may be a cause are halted. Harm counts
-/// after four seconds; a look, an order and its effect take one.
-pub(crate) const SUSPECTS_HALT_MS: u64 = 1_300;
-/// Time over the target after which every filler is halted: several that press by less than
-/// can be told apart may do so together.
-const ALL_HALT_MS: u64 = 2_200;
+/// Part of the time after which a wait counts as harm, in percent, after which fillers that
+/// may be a cause are halted. Of the rest, a tail that is half a second old, the pause
+/// between looks, an order and its effect take 1.5 s.
+const SUSPECTS_HALT_PERCENT: u64 = 30;
+/// The same for every filler: several that press by less than can be told apart may do so
+/// together.
+const ALL_HALT_PERCENT: u64 = 45;
 /// Pause between two changes of the same worker: the tail is of the last half second, and
 /// an order takes a tenth of a second to have its effect.
 const PAUSE_MS: u64 = 700;
@@ -48,10 +51,39 @@
 /// Time after which the answer to an order is no longer awaited.
 const TIMEOUT_MS: u64 = 500;
 
+/// Times over its target after which fillers beside a served task are halted.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Patience {
+    /// For those that may be a cause.
+    pub(crate) suspects_ms: u64,
+    /// For all of them.
+    pub(crate) all_ms: u64,
+}
+
+impl Patience {
+    /// Divides the time after which a wait counts as harm.
+    pub(crate) fn new(harm_ms: u64) -> Self {
+        Self {
+            suspects_ms: harm_ms * SUSPECTS_HALT_PERCENT / 100,
+            all_ms: harm_ms * ALL_HALT_PERCENT / 100,
+        }
+    }
+}
+
+/// What a decision on the fillers of a worker has changed.
+#[derive(Debug, Default)]
+struct Shift {
+    halted: u32,
+    slowed: u32,
+    raised: u32,
+}
+
 impl Owner {
     /// Learns from what a worker has just listed, and decides on its fillers.
-    pub(crate) fn judge_fillers(&mut self, key: WorkerKey, now_ms: u64) {
+    pub(crate) fn judge_fillers(&mut self, key: WorkerKey, now_ms: u64, actions: &mut Vec<Action>) {
+        let patience = Patience::new(self.bounds.harm_ms);
         let worker = &mut self.workers[key];
+        worker.is_pressed = false;
         let uses = uses(worker);
         for run in worker.runs.values_mut() {
             if !is_serving(run) {
@@ -62,12 +94,27 @@
             self.interference.learn(run.image, ease, &uses);
             if ease < 1.0 {
                 run.over_since_ms.get_or_insert(now_ms);
+                worker.is_pressed = true;
             } else if ease >= WELL_EASE {
                 run.over_since_ms = None;
             }
         }
-        if worker.filler_milli > 0 && now_ms >= worker.pace_ms {
-            decide(worker, &self.interference, now_ms);
+        if worker.filler_milli == 0 {
+            worker.is_pressed = false;
+            return;
+        }
+        if let Some(shift) = decide(worker, &self.interference, patience, now_ms) {
+            actions.push(Action::Note(Note::new(
+                Code::FillersPaced,
+                &*worker.entry.id,
+                format!(
+                    "halted={} slowed={} raised={} {}",
+                    shift.halted,
+                    shift.slowed,
+                    shift.raised,
+                    worst_served(worker, now_ms)
+                ),
+            )));
         }
     }
 
@@ -141,8 +188,36 @@
     uses
 }
 
-/// Chooses the share of each filler on a worker.
-fn decide(worker: &mut Worker, interference: &Interference, now_ms: u64) {
+/// Describes the served task on a worker that is worst off.
+fn worst_served(worker: &Worker, now_ms: u64) -> String {
+    let mut worst: Option<(f64, String)> = None;
+    for ((task, _), run) in &worker.runs {
+        if !is_serving(run) {
+            continue;
+        }
+        let ease = ease(run.tail_target_ms, run.gauge);
+        if worst.as_ref().is_none_or(|(least, _)| ease < *least) {
+            let over_ms = run.over_since_ms.map_or(0, |since_ms| now_ms - since_ms);
+            let text = format!(
+                "task={task} tail_ms={} target_ms={} over_ms={over_ms}",
+                run.gauge, run.tail_target_ms
+            );
+            worst = Some((ease, text));
+        }
+    }
+    worst.map_or("served=0".into(), |(_, text)| text)
+}
+
+/// Chooses the share of each filler on a worker, and tells what has changed. Between two
+/// changes fillers are given time to show their effect; only a halt waits for nothing, since
+/// the time after which a wait counts as harm runs on.
+fn decide(
+    worker: &mut Worker,
+    interference: &Interference,
+    patience: Patience,
+    now_ms: u64,
+) -> Option<Shift> {
+    let may_shift = now_ms >= worker.pace_ms;
     let mut served = Vec::new();
     for run in worker.runs.values() {
         if is_serving(run) {
@@ -151,7 +226,7 @@
             served.push((run.image, ease, over_ms));
         }
     }
-    let mut has_change = false;
+    let mut shift = Shift::default();
     for run in worker.runs.values_mut() {
         if !run.is_filler {
             continue;
@@ -161,21 +236,26 @@
         let mut wish = Wish::Raise;
         for (serving, ease, over_ms) in &served {
             let pressure = interference.press(*serving, run.image) * cores;
-            wish = wish.min(wish_of(pressure, *ease, *over_ms));
+            wish = wish.min(wish_of(pressure, *ease, *over_ms, patience));
         }
         run.share_percent = match wish {
             Wish::Halt => 0,
+            _ if !may_shift => before,
             Wish::Cut if before / 2 < HALT_PERCENT => 0,
             Wish::Cut => before / 2,
             Wish::Keep => before,
             Wish::Raise => (before + RAISE_STEP_PERCENT).min(100),
         };
-        has_change |= before != run.share_percent;
+        shift.halted += u32::from(run.share_percent == 0 && before > 0);
+        shift.slowed += u32::from(run.share_percent > 0 && before > run.share_percent);
+        shift.raised += u32::from(before < run.share_percent);
     }
-    if has_change {
-        worker.has_orders = true;
-        worker.pace_ms = now_ms + PAUSE_MS;
+    if shift.halted + shift.slowed + shift.raised == 0 {
+        return None;
     }
+    worker.has_orders = true;
+    worker.pace_ms = now_ms + PAUSE_MS;
+    Some(shift)
 }
 
 /// What a served task wishes for a filler beside it; the strictest wish counts.
@@ -187,9 +267,9 @@
     Raise,
 }
 
-fn wish_of(pressure: f64, ease: f64, over_ms: u64) -> Wish {
-    let may_be_cause = over_ms >= SUSPECTS_HALT_MS && pressure >= SUSPECT_PRESSURE;
-    if may_be_cause || over_ms >= ALL_HALT_MS {
+fn wish_of(pressure: f64, ease: f64, over_ms: u64, patience: Patience) -> Wish {
+    let may_be_cause = over_ms >= patience.suspects_ms && pressure >= SUSPECT_PRESSURE;
+    if may_be_cause || over_ms >= patience.all_ms {
         Wish::Halt
     } else if ease < CUT_EASE && pressure >= CAUSE_PRESSURE {
         Wish::Cut
--- a/crates/dispatch/src/owner/placing.rs
+++ b/crates/dispatch/src/owner/placing.rs
@@ -8,7 +8,7 @@
 use crate::owner::interference::Use;
 use crate::owner::job::JobKey;
 use crate::owner::job::Placed;
-use crate::owner::pacing::SUSPECTS_HALT_MS;
+use crate::owner::pacing::Patience;
 use crate::owner::worker::RunPhase;
 use crate::owner::worker::Worker;
 use crate::owner::worker::WorkerKey;
@@ -340,7 +340,7 @@
             // A task over its target gets no further filler that may be the cause, and none
             // at all when it has been so for long.
             if let Some(since_ms) = run.over_since_ms {
-                let is_long = now_ms >= since_ms + SUSPECTS_HALT_MS;
+                let is_long = now_ms >= since_ms + Patience::new(self.bounds.harm_ms).suspects_ms;
                 if is_long || pressure >= PRESSURE_SLIGHT {
                     return None;
                 }
--- a/crates/dispatch/src/owner/worker.rs
+++ b/crates/dispatch/src/owner/worker.rs
@@ -157,6 +157,8 @@
     pub(crate) has_orders: bool,
     /// When the shares of fillers may be changed again.
     pub(crate) pace_ms: u64,
+    /// Fillers work beside a served task that is over its target.
+    pub(crate) is_pressed: bool,
 }
 
 impl Worker {
@@ -182,6 +184,7 @@
             failures_in_row: 0,
             has_orders: false,
             pace_ms: 0,
+            is_pressed: false,
         }
     }
 
