Keep jobs in four parts of their stream, and use another where one fails or is slow

Cause: all submissions went through one partition of the store. It takes its appends one by one, so with a store 83 times slower 34 hosts had to wait for one another beyond the 2 s at which it refuses; and when a part of the partitions was away, all submissions were refused. Ruled out: larger batches alone, which are bounded by what callers bring meanwhile.

A host appends to them in turn and leaves one alone for a second after a failure; all are read. Hosts that do not own read them every 3 s, and at once when somebody asks for a job that they don't know.

--- a/crates/dispatch/src/bounds.rs
+++ b/crates/dispatch/src/bounds.rs
@@ -17,6 +17,8 @@
     pub harm_ms: u64,
     /// Share of a core that this host has, in thousandths. Hosts with more claim first.
     pub cpu_permille: u64,
+    /// Parts of the stream of jobs. All hosts must use the same number.
+    pub job_parts: u8,
 }
 
 impl Default for Bounds {
@@ -30,6 +32,7 @@
             far_permille: 3_000,
             harm_ms: 4_000,
             cpu_permille: 100,
+            job_parts: 4,
         }
     }
 }
--- a/crates/dispatch/src/entry/callers.rs
+++ b/crates/dispatch/src/entry/callers.rs
@@ -16,6 +16,7 @@
 use goldcrestway_core::Note;
 use prost::Message;
 use std::collections::HashMap;
+use xxhash_rust::xxh3::xxh3_64;
 
 /// Time after which an append without an answer is repeated; a job stored twice remains
 /// one. The store answers in 4 ms, and in 240 ms when it is sixty times slower.
@@ -25,8 +26,11 @@
 const SLOW_MS: u64 = 60;
 /// An append to a slow store is given up after so many times what the latest ones took.
 const SLOW_FACTOR: u64 = 4;
-/// Pause before a refused append is repeated.
+/// Pause before a refused append is repeated, at another part.
 const RETRY_MS: u64 = 120;
+/// Time for which a part that refused an append, or gave no answer, is left alone: parts
+/// are away for seconds.
+const SHUN_MS: u64 = 1_000;
 /// Appends of this host under way at once. Jobs that come meanwhile share the next one.
 const FLIGHTS_MOST: usize = 4;
 /// Records in one append.
@@ -56,25 +60,73 @@
 }
 
 /// All callers who await an answer.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct Callers {
     writes: Vec<Write>,
     pub(crate) questions: Vec<Question>,
-    /// When appends under way were sent, by ticket.
-    sent_ms: HashMap<u64, u64>,
+    /// Appends under way, by ticket.
+    flights: HashMap<u64, Flight>,
+    /// Until when each part of the stream of jobs is left alone, after a failure.
+    shunned_until_ms: Vec<u64>,
+    /// The part that the next append goes to.
+    next_part: usize,
     /// What appends take of late.
     append_ms: u64,
 }
 
+/// An append under way.
+#[derive(Debug)]
+struct Flight {
+    sent_ms: u64,
+    part: usize,
+}
+
 impl Callers {
+    /// Hosts begin with different parts, so that these share the load.
+    pub(crate) fn new(host: &str, parts: u8) -> Self {
+        let parts = usize::from(parts.max(1));
+        Self {
+            writes: Vec::new(),
+            questions: Vec::new(),
+            flights: HashMap::new(),
+            shunned_until_ms: vec![0; parts],
+            next_part: xxh3_64(host.as_bytes()) as usize % parts,
+            append_ms: 0,
+        }
+    }
+
+    /// Tells whether an append that callers await had no answer.
+    pub(crate) fn has_doubtful(&self) -> bool {
+        self.writes.iter().any(|write| write.is_doubtful)
+    }
+
+    /// Chooses the part for an append: in turn, past those that have just failed.
+    pub(crate) fn choose_part(&mut self, now_ms: u64) -> u8 {
+        let parts = self.shunned_until_ms.len();
+        let mut part = self.next_part;
+        for ahead in 0..parts {
+            let candidate = (self.next_part + ahead) % parts;
+            if now_ms >= self.shunned_until_ms[candidate] {
+                part = candidate;
+                break;
+            }
+        }
+        self.next_part = (part + 1) % parts;
+        part as u8
+    }
+
     pub(crate) fn is_empty(&self) -> bool {
         self.writes.is_empty() && self.questions.is_empty()
     }
 
     /// Notes the end of an append.
-    fn note_append(&mut self, ticket: u64, now_ms: u64) {
-        if let Some(sent_ms) = self.sent_ms.remove(&ticket) {
-            self.append_ms = (self.append_ms + now_ms - sent_ms) / 2;
+    fn note_append(&mut self, ticket: u64, end: AppendEnd, now_ms: u64) {
+        let Some(flight) = self.flights.remove(&ticket) else {
+            return;
+        };
+        self.append_ms = (self.append_ms + now_ms - flight.sent_ms) / 2;
+        if matches!(end, AppendEnd::Refused | AppendEnd::Unknown) {
+            self.shunned_until_ms[flight.part] = now_ms + SHUN_MS;
         }
     }
 
@@ -89,17 +141,6 @@
     fn timeout_ms(&self) -> u64 {
         (self.append_ms * SLOW_FACTOR).clamp(APPEND_TIMEOUT_MS, PATIENCE_MOST_MS)
     }
-
-    fn flights(&self) -> usize {
-        let mut tickets: Vec<u64> = self
-            .writes
-            .iter()
-            .filter_map(|write| write.ticket)
-            .collect();
-        tickets.sort_unstable();
-        tickets.dedup();
-        tickets.len()
-    }
 }
 
 impl Entry {
@@ -254,7 +295,7 @@
     }
 
     fn end_write(&mut self, ticket: u64, end: AppendEnd, now: Now, actions: &mut Vec<Action>) {
-        self.callers.note_append(ticket, now.steady_ms);
+        self.callers.note_append(ticket, end, now.steady_ms);
         let mut at = 0;
         let mut stored = 0;
         while at < self.callers.writes.len() {
@@ -349,7 +390,7 @@
     }
 
     fn send_writes(&mut self, now: Now, actions: &mut Vec<Action>) {
-        let mut flights = self.callers.flights();
+        let mut flights = self.callers.flights.len();
         let timeout_ms = self.callers.timeout_ms();
         while flights < self.callers.flights_most() {
             let mut records = Vec::new();
@@ -367,11 +408,16 @@
                 return;
             }
             self.tickets = ticket;
-            self.callers.sent_ms.insert(ticket, now.steady_ms);
+            let part = self.callers.choose_part(now.steady_ms);
+            let flight = Flight {
+                sent_ms: now.steady_ms,
+                part: usize::from(part),
+            };
+            self.callers.flights.insert(ticket, flight);
             flights += 1;
             actions.push(Action::Append {
                 ticket,
-                stream: Stream::Jobs,
+                stream: Stream::Jobs(part),
                 fence: None,
                 records,
                 timeout_ms,
--- /dev/null
+++ b/crates/dispatch/src/entry/job_tails.rs
@@ -0,0 +1,84 @@
+//! The parts of the stream of jobs, followed together.
+//!
+//! A part takes its appends one by one and may be away while others are well. A job may
+//! stand in any part, so a host that finds one slow or away uses another; whoever reads
+//! reads all of them.
+
+use crate::event::Action;
+use crate::event::Stream;
+use crate::tail::Tail;
+
+/// Tails of all parts.
+#[derive(Debug)]
+pub(crate) struct JobTails {
+    tails: Vec<Tail>,
+}
+
+impl JobTails {
+    pub(crate) fn new(parts: u8) -> Self {
+        let mut tails = Vec::new();
+        for part in 0..parts.max(1) {
+            tails.push(Tail::new(Stream::Jobs(part)));
+        }
+        Self { tails }
+    }
+
+    /// Gives the number of parts.
+    pub(crate) fn parts(&self) -> u8 {
+        self.tails.len() as u8
+    }
+
+    pub(crate) fn tail(&mut self, part: u8) -> Option<&mut Tail> {
+        self.tails.get_mut(usize::from(part))
+    }
+
+    /// Tells whether some part was loaded, so that jobs can be taken in.
+    pub(crate) fn is_usable(&self) -> bool {
+        self.tails.iter().any(Tail::is_loaded)
+    }
+
+    /// Tells whether reads sent at `since_ms` or later have reached the end of all parts.
+    pub(crate) fn is_fresh_since(&self, since_ms: u64) -> bool {
+        self.tails.iter().all(|tail| tail.is_fresh_since(since_ms))
+    }
+
+    /// Gives when the newest answer came.
+    pub(crate) fn answered_ms(&self) -> Option<u64> {
+        self.tails.iter().filter_map(|tail| tail.answered_ms).max()
+    }
+
+    /// Goes on loading what is not loaded yet.
+    pub(crate) fn load(&mut self, now_ms: u64, tickets: &mut u64, actions: &mut Vec<Action>) {
+        for tail in &mut self.tails {
+            tail.load(now_ms, tickets, actions);
+        }
+    }
+
+    /// Reads all parts that were not read to their end since `since_ms`.
+    pub(crate) fn prompt(
+        &mut self,
+        since_ms: u64,
+        now_ms: u64,
+        tickets: &mut u64,
+        actions: &mut Vec<Action>,
+    ) {
+        for tail in &mut self.tails {
+            if !tail.is_fresh_since(since_ms) {
+                tail.prompt(since_ms, now_ms, tickets, actions);
+            }
+        }
+    }
+
+    /// Keeps one read of each part under way that waits for a record.
+    pub(crate) fn listen(
+        &mut self,
+        wait_ms: u64,
+        now_ms: u64,
+        tickets: &mut u64,
+        actions: &mut Vec<Action>,
+    ) {
+        for tail in &mut self.tails {
+            tail.listen(wait_ms, now_ms, tickets, actions);
+        }
+    }
+}
--- a/crates/dispatch/src/entry/mod.rs
+++ b/crates/dispatch/src/entry/mod.rs
@@ -2,6 +2,7 @@
 //! other host does.
 
 mod callers;
+mod job_tails;
 mod owning;
 mod questions;
 
@@ -11,6 +12,7 @@
 use crate::config::WorkerEntry;
 use crate::election::Election;
 use crate::entry::callers::Callers;
+use crate::entry::job_tails::JobTails;
 use crate::event::Action;
 use crate::event::Event;
 use crate::event::Fence;
@@ -32,9 +34,12 @@
 /// Time that the store holds a read that waits for a record. Under half of the time after
 /// which a silent connection must have been noticed.
 const LISTEN_MS: u64 = 2_000;
-/// Pause between two reads of submitted jobs by a host that does not own them; counts of
-/// waiting jobs may be 2 s old.
-const JOBS_POLL_MS: u64 = 800;
+/// Pause between two reads of submitted jobs by a host that does not own them. Whoever asks
+/// for a job that is not known here has them read at once; the store keeps history for tens
+/// of seconds.
+const JOBS_POLL_MS: u64 = 3_000;
+/// The same while appends of this host had no answer: what is read back is told as stored.
+const DOUBTFUL_POLL_MS: u64 = 600;
 /// Pause between two reads of the list of workers by the owner.
 const WORKERS_POLL_MS: u64 = 400;
 /// Time without an answer of the store after which a host turns unready, and refuses at
@@ -45,9 +50,8 @@
 /// Pause between two looks for jobs that need not be told about any more.
 const PURGE_MS: u64 = 10_000;
 
-/// All streams.
-const STREAMS: [Stream; 5] = [
-    Stream::Jobs,
+/// The streams of one part.
+const SINGLE_STREAMS: [Stream; 4] = [
     Stream::States,
     Stream::Progress,
     Stream::Rules,
@@ -72,7 +76,7 @@
     bounds: Bounds,
     decoders: Decoders,
     tickets: u64,
-    jobs: Tail,
+    jobs: JobTails,
     states: Tail,
     /// Read only while this host is about to become owner.
     progress: Tail,
@@ -106,10 +110,11 @@
         Self {
             host: host.into(),
             election: Election::new(host, &bounds, salt),
+            jobs: JobTails::new(bounds.job_parts),
+            callers: Callers::new(host, bounds.job_parts),
             bounds,
             decoders,
             tickets: 0,
-            jobs: Tail::new(Stream::Jobs),
             states: Tail::new(Stream::States),
             progress: Tail::new(Stream::Progress),
             inheritance: Inheritance::default(),
@@ -122,7 +127,6 @@
             ledger: Ledger::default(),
             config: None,
             worker_entries: BTreeMap::new(),
-            callers: Callers::default(),
             claim: None,
             announcing: None,
             announce_ms: 0,
@@ -163,7 +167,7 @@
     }
 
     fn is_informed(&self) -> bool {
-        self.jobs.is_loaded() && self.states.is_loaded()
+        self.jobs.is_usable() && self.states.is_loaded()
     }
 
     /// Takes in an event and gives what to do.
@@ -225,8 +229,10 @@
         now: Now,
         actions: &mut Vec<Action>,
     ) {
-        for stream in STREAMS {
-            let tail = self.tail(stream);
+        for stream in self.streams() {
+            let Some(tail) = self.tail(stream) else {
+                continue;
+            };
             if let Some(progress) = tail.take_read(ticket, now.steady_ms, &mut end) {
                 self.take_records(stream, progress, now, actions);
                 return;
@@ -241,8 +247,10 @@
         now: Now,
         actions: &mut Vec<Action>,
     ) {
-        for stream in STREAMS {
-            let tail = self.tail(stream);
+        for stream in self.streams() {
+            let Some(tail) = self.tail(stream) else {
+                continue;
+            };
             if let Some(progress) = tail.take_page(ticket, now.steady_ms, &mut end) {
                 self.take_records(stream, progress, now, actions);
                 return;
@@ -250,13 +258,20 @@
         }
     }
 
-    fn tail(&mut self, stream: Stream) -> &mut Tail {
+    /// Lists all streams that this host may read.
+    fn streams(&self) -> Vec<Stream> {
+        let mut streams = SINGLE_STREAMS.to_vec();
+        streams.extend((0..self.jobs.parts()).map(Stream::Jobs));
+        streams
+    }
+
+    fn tail(&mut self, stream: Stream) -> Option<&mut Tail> {
         match stream {
-            Stream::Jobs => &mut self.jobs,
-            Stream::Progress => &mut self.progress,
-            Stream::States => &mut self.states,
-            Stream::Rules => &mut self.rules,
-            Stream::Workers => &mut self.workers,
+            Stream::Jobs(part) => self.jobs.tail(part),
+            Stream::Progress => Some(&mut self.progress),
+            Stream::States => Some(&mut self.states),
+            Stream::Rules => Some(&mut self.rules),
+            Stream::Workers => Some(&mut self.workers),
         }
     }
 
@@ -268,7 +283,7 @@
         actions: &mut Vec<Action>,
     ) {
         match stream {
-            Stream::Jobs => self.take_jobs(&progress, now, actions),
+            Stream::Jobs(_) => self.take_jobs(&progress, now, actions),
             Stream::Progress => {
                 for record in &progress.records {
                     self.inheritance.apply(record);
@@ -386,9 +401,10 @@
     fn follow(&mut self, now: Now, actions: &mut Vec<Action>) {
         let now_ms = now.steady_ms;
         let tickets = &mut self.tickets;
-        for tail in [&mut self.rules, &mut self.jobs, &mut self.states] {
+        for tail in [&mut self.rules, &mut self.states] {
             tail.load(now_ms, tickets, actions);
         }
+        self.jobs.load(now_ms, tickets, actions);
         self.rules.listen(LISTEN_MS, now_ms, tickets, actions);
         let acts = self.owner.is_some() || self.claim.is_some();
         if acts {
@@ -400,7 +416,11 @@
             }
             return;
         }
-        if now_ms >= self.jobs_read_ms + JOBS_POLL_MS {
+        let pause_ms = match self.callers.has_doubtful() {
+            true => DOUBTFUL_POLL_MS,
+            false => JOBS_POLL_MS,
+        };
+        if now_ms >= self.jobs_read_ms + pause_ms {
             self.jobs_read_ms = now_ms;
             self.jobs.prompt(now_ms, now_ms, tickets, actions);
         }
@@ -412,11 +432,11 @@
 
     /// Notices that the store does not answer this host, and that it does again.
     fn watch_store(&mut self, now: Now, actions: &mut Vec<Action>) {
-        let answered_ms = [&self.rules, &self.jobs, &self.states, &self.workers]
+        let answered_ms = [&self.rules, &self.states, &self.workers]
             .iter()
             .filter_map(|tail| tail.answered_ms)
-            .max()
-            .unwrap_or(0);
+            .max();
+        let answered_ms = answered_ms.max(self.jobs.answered_ms()).unwrap_or(0);
         self.store_answered_ms = self.store_answered_ms.max(answered_ms);
         let limit_ms = STORE_AWAY_MS + LISTEN_MS * u64::from(self.owner.is_some());
         let is_away = now.steady_ms > self.store_answered_ms + limit_ms;
@@ -468,14 +488,16 @@
             records.push((Key::Submitted(id).text(), Box::default()));
             records.push((Key::Cancelled(id).text(), Box::default()));
         }
-        // Should the append be lost, the next owner finds the keys and drops them.
-        self.tickets += 1;
-        actions.push(Action::Append {
-            ticket: self.tickets,
-            stream: Stream::Jobs,
-            fence: None,
-            records,
-            timeout_ms: PURGE_MS,
-        });
+        // Should an append be lost, the next owner finds the keys and drops them.
+        for part in 0..self.jobs.parts() {
+            self.tickets += 1;
+            actions.push(Action::Append {
+                ticket: self.tickets,
+                stream: Stream::Jobs(part),
+                fence: None,
+                records: records.clone(),
+                timeout_ms: PURGE_MS,
+            });
+        }
     }
 }
--- a/crates/dispatch/src/entry/owning.rs
+++ b/crates/dispatch/src/entry/owning.rs
@@ -38,11 +38,12 @@
         if self.ledger.hosts.get(&self.host) == Some(&own) {
             return;
         }
+        let part = self.callers.choose_part(now.steady_ms);
         self.tickets += 1;
         self.announcing = Some(self.tickets);
         actions.push(Action::Append {
             ticket: self.tickets,
-            stream: Stream::Jobs,
+            stream: Stream::Jobs(part),
             fence: None,
             records: vec![(
                 Key::Host(self.host.clone()).text(),
--- a/crates/dispatch/src/entry/questions.rs
+++ b/crates/dispatch/src/entry/questions.rs
@@ -129,11 +129,11 @@
             .jobs
             .get(&job)
             .filter(|record| record.submission.is_some());
-        let tail = match record {
-            Some(_) => &mut self.states,
-            None => &mut self.jobs,
+        let is_fresh = match record {
+            Some(_) => self.states.is_fresh_since(asked_ms),
+            None => self.jobs.is_fresh_since(asked_ms),
         };
-        if tail.is_fresh_since(asked_ms) {
+        if is_fresh {
             return Some(record.map_or(Reply::NoSuchJob, |record| Reply::State(record.state())));
         }
         if is_late {
@@ -143,7 +143,13 @@
             };
             return Some(record.map_or(unsure, |record| Reply::State(record.state())));
         }
-        tail.prompt(asked_ms, now.steady_ms, &mut self.tickets, actions);
+        let tickets = &mut self.tickets;
+        match record {
+            Some(_) => self
+                .states
+                .prompt(asked_ms, now.steady_ms, tickets, actions),
+            None => self.jobs.prompt(asked_ms, now.steady_ms, tickets, actions),
+        }
         None
     }
 
--- a/crates/dispatch/src/event.rs
+++ b/crates/dispatch/src/event.rs
@@ -19,8 +19,8 @@
 /// A keyed stream of the store.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum Stream {
-    /// Jobs as submitted, and cancellations. Every entry host appends.
-    Jobs,
+    /// Jobs as submitted, and cancellations. Every entry host appends, to any of the parts.
+    Jobs(u8),
     /// Progress of jobs, task by task. Only the owner appends, and only a host that is
     /// about to become owner reads it.
     Progress,
--- a/crates/net/src/event_loop.rs
+++ b/crates/net/src/event_loop.rs
@@ -204,6 +204,12 @@
             .answer(caller, status, headers, body, clock, &mut self.arrivals);
     }
 
+    /// Allows so many connections to a peer that answers several long polls at once. Without
+    /// that the polls would hold all connections, and short calls would wait for seconds.
+    pub fn allow_lines(&mut self, peer: SocketAddr, lines_most: usize) {
+        self.pool.allow_lines(peer, lines_most);
+    }
+
     /// Makes a call; its end arrives under its number.
     pub fn call(&mut self, call: Call) {
         let clock = self.clock();
--- a/crates/net/src/pool.rs
+++ b/crates/net/src/pool.rs
@@ -26,8 +26,8 @@
     struct LineKey;
 }
 
-/// Connections to one peer at most. A long poll holds one of them for seconds, and
-/// the others carry short calls; each new one is dear at the peer.
+/// Connections to one peer at most, where nothing else is said. A long poll holds one of
+/// them for seconds, and the others carry short calls; each new one is dear at the peer.
 const LINES_PER_PEER: usize = 4;
 /// Time in which a connection must be made. Peers are milliseconds away; one that
 /// takes longer is cut off, and the call can be told as not sent.
@@ -49,13 +49,24 @@
     call: Option<(u64, u64)>,
 }
 
-#[derive(Default)]
 struct Peer {
     idle: Vec<LineKey>,
     lines: usize,
+    lines_most: usize,
     queue: VecDeque<Pending>,
 }
 
+impl Default for Peer {
+    fn default() -> Self {
+        Self {
+            idle: Vec::new(),
+            lines: 0,
+            lines_most: LINES_PER_PEER,
+            queue: VecDeque::new(),
+        }
+    }
+}
+
 /// All connections to peers.
 #[derive(Default)]
 pub(crate) struct Pool {
@@ -64,6 +75,11 @@
 }
 
 impl Pool {
+    /// Allows more connections to a peer that answers several long polls at once.
+    pub(crate) fn allow_lines(&mut self, peer: SocketAddr, lines_most: usize) {
+        self.peers.entry(peer).or_default().lines_most = lines_most;
+    }
+
     /// Sends a call as soon as a connection is free.
     pub(crate) fn call(&mut self, call: Call, clock: Clock, registrar: &Registrar) {
         let give_up_ms = clock.now_ms + call.timeout_ms;
@@ -84,7 +100,7 @@
             }
             let key = match entry.idle.pop() {
                 Some(key) => key,
-                None if entry.lines < LINES_PER_PEER => match self.open(peer, clock, registrar) {
+                None if entry.lines < entry.lines_most => match self.open(peer, clock, registrar) {
                     Some(key) => key,
                     None => return,
                 },
--- a/tests/dispatch.rs
+++ b/tests/dispatch.rs
@@ -323,8 +323,12 @@
 #[gtest]
 fn jobs_long_over_leave_the_store() {
     let mut fleet = Fleet::new(3, 2);
-    let streams = [Stream::Jobs, Stream::States, Stream::Progress];
-    let keys = |fleet: &Fleet| streams.map(|stream| fleet.store.keys(stream));
+    let parts = [0, 1, 2, 3].map(Stream::Jobs);
+    let keys = |fleet: &Fleet| {
+        let jobs: usize = parts.iter().map(|part| fleet.store.keys(*part)).sum();
+        let states = fleet.store.keys(Stream::States);
+        [jobs, states, fleet.store.keys(Stream::Progress)]
+    };
     fleet.run(3_000);
     let before = keys(&fleet);
     for number in 0..5 {
