Ask for permits where a queue's policy lets only some workers run a step

Cause: queues with advice were not served at all; every start of theirs would have been refused.

Ways weighed: asking for all workers of a service at once (a call takes time for each named, and one call of a host is answered at a time), or for those that placement would choose next. The latter, 30 at a time, for the most urgent step.

Change: rules of permits in queues and submissions, Action::Advise, owner/permits.rs; ranks hold permitted workers only; a refused permit is dropped and asked for again.

--- a/crates/dispatch/src/config.rs
+++ b/crates/dispatch/src/config.rs
@@ -57,6 +57,19 @@
     pub stretch_permille: u64,
     /// Time on top of that.
     pub target_latency_ms: u64,
+    /// Its policy lets only some workers run a step.
+    pub permits: Option<PermitRules>,
+}
+
+/// What asking for permits takes, and how long they hold.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PermitRules {
+    /// Time that each call takes.
+    pub decision_ms: u64,
+    /// Time more for each worker named.
+    pub worker_us: u64,
+    /// Time for which a permit holds.
+    pub validity_ms: u64,
 }
 
 /// The rules in force.
--- a/crates/dispatch/src/entry/mod.rs
+++ b/crates/dispatch/src/entry/mod.rs
@@ -212,6 +212,11 @@
             Event::Appended { ticket, end } => self.appended(ticket, end, now, actions),
             Event::Read { ticket, end } => self.read(ticket, end, now, actions),
             Event::Loaded { ticket, end } => self.loaded(ticket, end, now, actions),
+            Event::Advised { ticket, end } => {
+                if let Some(owner) = &mut self.owner {
+                    owner.take_advice(ticket, end, now);
+                }
+            }
             Event::Ordered { ticket, end } => {
                 if let Some(owner) = &mut self.owner {
                     owner.take_order(ticket, end, now, actions);
--- a/crates/dispatch/src/event.rs
+++ b/crates/dispatch/src/event.rs
@@ -1,6 +1,7 @@
 //! What goes into the decisions and what comes out.
 
 use crate::ids::JobId;
+use crate::ids::StepId;
 use crate::ids::TaskId;
 use crate::ledger::JobState;
 use crate::record::Submission;
@@ -171,6 +172,8 @@
     Gone,
     /// It is unwell or overloaded.
     Unwell,
+    /// The permit is missing, or holds no more.
+    Permit,
     /// It does not understand the order.
     Faulty,
 }
@@ -193,6 +196,20 @@
     Unknown,
 }
 
+/// How a call for permits ended.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum AdviceEnd {
+    /// Of the workers named, these may run the step.
+    Permitted {
+        /// Worker and permit.
+        rows: Vec<(Box<str>, Box<str>)>,
+        /// Time for which the permits hold.
+        validity_ms: u64,
+    },
+    /// No answer, or a refusal.
+    Failed,
+}
+
 /// An order to a worker.
 #[derive(Debug, Clone, PartialEq, Eq)]
 #[expect(
@@ -208,6 +225,8 @@
         specification: Rc<str>,
         lease_until_ms: u64,
         checkpoint: Box<str>,
+        /// Empty if the queue needs none.
+        permit: Box<str>,
     },
     /// Stop a run, and never start it later.
     Stop { task: TaskId, run: u32 },
@@ -260,6 +279,8 @@
     Loaded { ticket: u64, end: PageEnd },
     /// An order to a worker has ended.
     Ordered { ticket: u64, end: OrderEnd },
+    /// A call for permits has ended.
+    Advised { ticket: u64, end: AdviceEnd },
     /// A planned stop begins.
     Stop,
 }
@@ -324,6 +345,13 @@
         call: WorkerCall,
         timeout_ms: u64,
     },
+    /// Ask which of these workers may run a step.
+    Advise {
+        ticket: u64,
+        step: StepId,
+        workers: Vec<Box<str>>,
+        timeout_ms: u64,
+    },
     /// Drop the connections to a worker that is gone.
     Forget { address: Box<str> },
     /// Answer a caller.
--- a/crates/dispatch/src/ids.rs
+++ b/crates/dispatch/src/ids.rs
@@ -58,3 +58,41 @@
         )
     }
 }
+
+/// A step of one occurrence of a job.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct StepId {
+    /// Its job.
+    pub job: JobId,
+    /// Number of the occurrence; 0 for a job that runs once.
+    pub occurrence: u32,
+    /// Number of the step.
+    pub step: u16,
+}
+
+impl StepId {
+    /// Gives the step that a task is of.
+    pub fn of(task: TaskId) -> Self {
+        Self {
+            job: task.job,
+            occurrence: task.occurrence,
+            step: task.step,
+        }
+    }
+
+    /// Gives its first task.
+    pub fn first_task(self) -> TaskId {
+        TaskId {
+            job: self.job,
+            occurrence: self.occurrence,
+            step: self.step,
+            index: 0,
+        }
+    }
+}
+
+impl fmt::Display for StepId {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{}.{}.{}", self.job, self.occurrence, self.step)
+    }
+}
--- a/crates/dispatch/src/owner/job.rs
+++ b/crates/dispatch/src/owner/job.rs
@@ -4,6 +4,7 @@
 use crate::ids::JobId;
 use crate::ids::TaskId;
 use crate::ledger::JobRecord;
+use crate::owner::permits::ASKED_MOST;
 use crate::owner::worker::WorkerKey;
 use crate::record::JobPhase;
 use crate::record::OccurrenceProgress;
@@ -363,7 +364,11 @@
             0 => UNKNOWN_WORK_MS,
             work_ms => work_ms,
         };
-        ends_ms.push(start_ms + work_ms);
+        let call_ms = match submission.needs_permits() {
+            true => submission.permit_call_ms(ASKED_MOST),
+            false => 0,
+        };
+        ends_ms.push(start_ms + call_ms + work_ms);
     }
     ends_ms.into_iter().max().unwrap_or(0)
 }
--- a/crates/dispatch/src/owner/mod.rs
+++ b/crates/dispatch/src/owner/mod.rs
@@ -18,6 +18,7 @@
 mod looks;
 mod orders;
 mod pacing;
+mod permits;
 mod placing;
 mod stragglers;
 mod worker;
@@ -36,6 +37,7 @@
 use crate::owner::interference::Interference;
 use crate::owner::job::Job;
 use crate::owner::job::JobKey;
+use crate::owner::permits::Permits;
 use crate::owner::stragglers::Durations;
 use crate::owner::worker::RunPhase;
 use crate::owner::worker::Worker;
@@ -142,6 +144,7 @@
     images: Images,
     interference: Interference,
     durations: Durations,
+    permits: Permits,
     writer: Writer,
     /// When the store or most workers last confirmed this owner.
     confirmed_ms: u64,
@@ -182,6 +185,7 @@
             images: Images::default(),
             interference: Interference::default(),
             durations: Durations::default(),
+            permits: Permits::default(),
             writer: Writer::new(now.steady_ms),
             confirmed_ms: now.steady_ms,
             is_leaving: false,
@@ -238,6 +242,7 @@
         job.has_waiting = false;
         job.is_dirty = true;
         let id = job.id;
+        self.permits.forget(id);
         for worker in self.workers.values_mut() {
             worker.has_orders = true;
             let mut unsent = Vec::new();
@@ -330,8 +335,10 @@
         if self.must_place && now.steady_ms >= self.next_place_ms {
             self.must_place = false;
             self.next_place_ms = now.steady_ms + PLACE_GAP_MS;
+            self.permits.begin_pass();
             self.place(now, actions);
         }
+        self.ask_permits(now, tickets, actions);
         self.pace(now.steady_ms, tickets, actions);
         self.write(now, tickets, actions);
     }
--- a/crates/dispatch/src/owner/orders.rs
+++ b/crates/dispatch/src/owner/orders.rs
@@ -5,6 +5,7 @@
 use crate::event::OrderEnd;
 use crate::event::Refusal;
 use crate::event::WorkerCall;
+use crate::ids::StepId;
 use crate::ids::TaskId;
 use crate::owner::Owner;
 use crate::owner::Purpose;
@@ -54,6 +55,12 @@
         let Some(job) = job.filter(|_| self.is_confirmed(now_ms)) else {
             return self.drop_start(key, task, number, now_ms);
         };
+        let needs_permits = self.jobs[job].submission.needs_permits();
+        let permit = self.permits.permit(StepId::of(task), key, now_ms);
+        let permit: Box<str> = permit.unwrap_or_default().into();
+        if needs_permits && permit.is_empty() {
+            return self.drop_start(key, task, number, now_ms);
+        }
         let job = &mut self.jobs[job];
         let specification = job.specification.clone();
         let checkpoint = job
@@ -85,6 +92,7 @@
             specification,
             lease_until_ms: clock_ms + lease_ms,
             checkpoint,
+            permit,
         };
         let purpose = Purpose::Start { task, run: number };
         self.order(key, purpose, call, TIMEOUT_MS, tickets, actions);
@@ -144,6 +152,10 @@
                         self.figures.refused_room += 1;
                         NO_ROOM_MS
                     }
+                    Refusal::Permit => {
+                        self.permits.drop_permit(StepId::of(task), key);
+                        0
+                    }
                     Refusal::Unwell => UNWELL_MS,
                     _ => FAULTY_MS,
                 };
--- /dev/null
+++ b/crates/dispatch/src/owner/permits.rs
@@ -0,0 +1,199 @@
+//! Permits: queues whose policy lets only some workers run a step.
+//!
+//! Which ones is known to a service of the platform only. It takes its time for each call and
+//! each worker named, and answers one call of a host at a time, so it is asked for the most
+//! urgent step first and about few workers: those that would be chosen next. What it has said
+//! of a worker holds for the step; the permit itself lapses and is asked for again.
+
+use crate::event::Action;
+use crate::event::AdviceEnd;
+use crate::event::Now;
+use crate::ids::JobId;
+use crate::ids::StepId;
+use crate::owner::Owner;
+use crate::owner::placing::Wanted;
+use crate::owner::worker::WorkerKey;
+use crate::record::Submission;
+use std::cmp::Reverse;
+use std::collections::HashMap;
+
+/// Workers named in one call: objectives count one call about as many for a step.
+pub(crate) const ASKED_MOST: usize = 30;
+/// Time before its end at which a permit is no longer used: a run is recorded first, which
+/// takes 20 to 100 ms.
+const SPARE_MS: u64 = 250;
+/// Time beyond what a call should take after which it is given up.
+const LATE_MS: u64 = 1_500;
+/// Pause after a call that failed.
+const RETRY_MS: u64 = 300;
+
+/// What the service has said of a worker.
+#[derive(Debug, Clone)]
+enum Verdict {
+    Barred,
+    Permitted { permit: Box<str>, until_ms: u64 },
+}
+
+/// A call under way.
+#[derive(Debug)]
+struct Flight {
+    ticket: u64,
+    step: StepId,
+    asked: Vec<WorkerKey>,
+}
+
+/// All that is known of permits.
+#[derive(Debug, Default)]
+pub(crate) struct Permits {
+    verdicts: HashMap<StepId, HashMap<WorkerKey, Verdict>>,
+    /// The most urgent step that lacks permitted workers, as of the latest go at placing.
+    wish: Option<StepId>,
+    flight: Option<Flight>,
+    retry_ms: u64,
+}
+
+impl Permits {
+    /// Gives the permit for a worker, if there is one that still holds.
+    pub(crate) fn permit(&self, step: StepId, worker: WorkerKey, now_ms: u64) -> Option<&str> {
+        match self.verdicts.get(&step)?.get(&worker)? {
+            Verdict::Permitted { permit, until_ms } if now_ms < *until_ms => Some(permit),
+            _ => None,
+        }
+    }
+
+    /// Tells whether asking about a worker may bring a permit.
+    fn is_open(&self, step: StepId, worker: WorkerKey, now_ms: u64) -> bool {
+        let verdict = self
+            .verdicts
+            .get(&step)
+            .and_then(|verdicts| verdicts.get(&worker));
+        match verdict {
+            None => true,
+            Some(Verdict::Barred) => false,
+            Some(Verdict::Permitted { until_ms, .. }) => now_ms >= *until_ms,
+        }
+    }
+
+    /// Notes that a step waits for permitted workers. The first of a go is the most urgent.
+    pub(crate) fn wish(&mut self, step: StepId) {
+        self.wish.get_or_insert(step);
+    }
+
+    /// Forgets the wish of the go before.
+    pub(crate) fn begin_pass(&mut self) {
+        self.wish = None;
+    }
+
+    /// Drops a permit that a worker did not take.
+    pub(crate) fn drop_permit(&mut self, step: StepId, worker: WorkerKey) {
+        if let Some(verdicts) = self.verdicts.get_mut(&step) {
+            verdicts.remove(&worker);
+        }
+    }
+
+    /// Drops what is known for a job that is over.
+    pub(crate) fn forget(&mut self, job: JobId) {
+        self.verdicts.retain(|step, _| step.job != job);
+    }
+
+    fn learn(&mut self, flight: Flight, end: AdviceEnd, now_ms: u64, names: &[Box<str>]) {
+        let AdviceEnd::Permitted { rows, validity_ms } = end else {
+            self.retry_ms = now_ms + RETRY_MS;
+            return;
+        };
+        let until_ms = now_ms + validity_ms.saturating_sub(SPARE_MS);
+        let verdicts = self.verdicts.entry(flight.step).or_default();
+        for (worker, name) in flight.asked.into_iter().zip(names) {
+            let row = rows.iter().find(|(id, _)| id == name);
+            let verdict = match row {
+                Some((_, permit)) => Verdict::Permitted {
+                    permit: permit.clone(),
+                    until_ms,
+                },
+                None => Verdict::Barred,
+            };
+            verdicts.insert(worker, verdict);
+        }
+    }
+}
+
+impl Submission {
+    /// Tells whether its tasks start on permitted workers only.
+    pub(crate) fn needs_permits(&self) -> bool {
+        self.permit_validity_ms > 0
+    }
+
+    /// Gives the time that a call about so many workers takes.
+    pub(crate) fn permit_call_ms(&self, workers: usize) -> u64 {
+        self.permit_decision_ms + self.permit_worker_us * workers as u64 / 1_000
+    }
+}
+
+impl Owner {
+    /// Asks about workers for the step that lacks permitted ones most urgently.
+    pub(crate) fn ask_permits(&mut self, now: Now, tickets: &mut u64, actions: &mut Vec<Action>) {
+        let now_ms = now.steady_ms;
+        if self.permits.flight.is_some() || now_ms < self.permits.retry_ms {
+            return;
+        }
+        let Some(step_id) = self.permits.wish.take() else {
+            return;
+        };
+        let Some(key) = self.job_keys.get(&step_id.job).copied() else {
+            return;
+        };
+        let submission = self.jobs[key].submission.clone();
+        let Some(step) = submission.steps.get(usize::from(step_id.step)) else {
+            return;
+        };
+        let wanted = Wanted {
+            step,
+            service: &submission.service,
+            image: self.images.key(&step.image),
+            task: step_id.first_task(),
+            needs_permits: false,
+        };
+        let mut ranked = self.rank(&wanted, now_ms);
+        let mut asked = Vec::new();
+        while asked.len() < ASKED_MOST
+            && let Some(Reverse((_, worker))) = ranked.pop()
+        {
+            if self.permits.is_open(step_id, worker, now_ms) {
+                asked.push(worker);
+            }
+        }
+        if asked.is_empty() {
+            return;
+        }
+        *tickets += 1;
+        actions.push(Action::Advise {
+            ticket: *tickets,
+            step: step_id,
+            workers: asked
+                .iter()
+                .map(|worker| self.workers[*worker].entry.id.clone())
+                .collect(),
+            timeout_ms: submission.permit_call_ms(asked.len()) + LATE_MS,
+        });
+        self.permits.flight = Some(Flight {
+            ticket: *tickets,
+            step: step_id,
+            asked,
+        });
+    }
+
+    /// Takes in the answer to a call about workers, if it is one of this owner.
+    pub(crate) fn take_advice(&mut self, ticket: u64, end: AdviceEnd, now: Now) {
+        let is_own = |flight: &mut Flight| flight.ticket == ticket;
+        let Some(flight) = self.permits.flight.take_if(is_own) else {
+            return;
+        };
+        let mut names = Vec::with_capacity(flight.asked.len());
+        for worker in &flight.asked {
+            let worker = self.workers.get(*worker);
+            names.push(worker.map_or("".into(), |worker| worker.entry.id.clone()));
+        }
+        self.permits.learn(flight, end, now.steady_ms, &names);
+        self.must_place = true;
+    }
+}
--- a/crates/dispatch/src/owner/placing.rs
+++ b/crates/dispatch/src/owner/placing.rs
@@ -2,6 +2,7 @@
 
 use crate::event::Action;
 use crate::event::Now;
+use crate::ids::StepId;
 use crate::ids::TaskId;
 use crate::owner::Owner;
 use crate::owner::images::ImageKey;
@@ -57,6 +58,8 @@
     pub(crate) image: ImageKey,
     /// The first task of the step.
     pub(crate) task: TaskId,
+    /// Only permitted workers count.
+    pub(crate) needs_permits: bool,
 }
 
 /// In which order jobs get what is free. What is worth nothing any more comes last. Tasks
@@ -92,7 +95,7 @@
 
     fn note_hopeless(&mut self, wanted: &Wanted<'_>) {
         let step = wanted.step;
-        let is_plain = step.label.is_empty() && step.per_worker_most == 0;
+        let is_plain = step.label.is_empty() && step.per_worker_most == 0 && !wanted.needs_permits;
         if step.is_filler && is_plain {
             let entry = (wanted.service.into(), wanted.image, step.cpu_milli);
             self.hopeless.push(entry);
@@ -147,7 +150,11 @@
                     step: number as u16,
                     index: 0,
                 };
-                still_waits |= self.place_step(key, first, step, now, pass, actions);
+                let waits = self.place_step(key, first, step, now, pass, actions);
+                if waits && submission.needs_permits() {
+                    self.permits.wish(StepId::of(first));
+                }
+                still_waits |= waits;
             }
         }
         self.jobs[key].has_waiting = still_waits;
@@ -169,6 +176,7 @@
             service: &submission.service,
             image: self.images.key(&step.image),
             task: first,
+            needs_permits: submission.needs_permits(),
         };
         if step.is_gang {
             return self.place_gang(key, &wanted, now, actions);
@@ -240,7 +248,11 @@
         now_ms: u64,
     ) -> BinaryHeap<Reverse<(i64, WorkerKey)>> {
         let mut ranked = BinaryHeap::new();
+        let step = StepId::of(wanted.task);
         for (key, worker) in &self.workers {
+            if wanted.needs_permits && self.permits.permit(step, key, now_ms).is_none() {
+                continue;
+            }
             if let Some(cost) = self.price(worker, wanted, now_ms) {
                 ranked.push(Reverse((cost, key)));
             }
@@ -292,6 +304,7 @@
             service: &submission.service,
             image: self.images.key(&step.image),
             task: id,
+            needs_permits: submission.needs_permits(),
         };
         let failed_on = self.jobs[key].task_mut(id).and_then(|task| task.failed_on);
         let mut ranked = self.rank(&wanted, now.steady_ms);
--- a/crates/dispatch/src/record.rs
+++ b/crates/dispatch/src/record.rs
@@ -122,6 +122,16 @@
     /// Time allowed on top, as of its acceptance.
     #[prost(uint64, tag = "12")]
     pub target_latency_ms: u64,
+    /// Time that a call for permits takes, and more for each worker named; as of its
+    /// acceptance.
+    #[prost(uint64, tag = "13")]
+    pub permit_decision_ms: u64,
+    /// See above, in microseconds.
+    #[prost(uint64, tag = "14")]
+    pub permit_worker_us: u64,
+    /// Time for which a permit holds; 0 if its tasks may start on any worker.
+    #[prost(uint64, tag = "15")]
+    pub permit_validity_ms: u64,
 }
 
 /// Where a task stands on record.
--- a/tests/dispatch_shapes.rs
+++ b/tests/dispatch_shapes.rs
@@ -7,6 +7,7 @@
 use crate::fleet::step;
 use goldcrestway_dispatch::JobState;
 use goldcrestway_dispatch::Step;
+use goldcrestway_dispatch::Submission;
 use googletest::prelude::*;
 
 /// Symptom: a worker that does not guard its room holds more than it has. Sequence: a job
@@ -120,3 +121,30 @@
         );
     }
 }
+
+/// Symptom: all starts of a queue are refused. Sequence: its policy lets only some workers
+/// run a step, permits lapse while the job goes on, and the owner changes. Cause: nobody
+/// asked for permits, or a lapsed one was used.
+#[gtest]
+fn only_permitted_workers_run_a_step() {
+    let mut fleet = Fleet::new(3, 6);
+    fleet.permitted = vec!["w1-1".into(), "w4-1".into()];
+    let ruled = Submission {
+        permit_decision_ms: 20,
+        permit_worker_us: 1_000,
+        permit_validity_ms: 1_000,
+        ..job(vec![step(30, 900, &[]), step(4, 300, &[0])])
+    };
+    fleet.submit(0, JOB, &ruled);
+    fleet.run(2_500);
+    let owner = owner(&fleet);
+    fleet.kill(owner);
+    fleet.run(6_000);
+    let alive = (owner + 1) % 3;
+    expect_that!(fleet.state(alive, JOB), some(eq(JobState::Completed)));
+    for (worker, _, _) in &fleet.promises.starts {
+        expect_that!(**worker, any![eq("w1-1"), eq("w4-1")]);
+    }
+    expect_that!(fleet.promises.refused_permits, eq(0));
+    expect_that!(fleet.advice_calls, le(12));
+}
--- a/tests/fleet/fixtures.rs
+++ b/tests/fleet/fixtures.rs
@@ -28,6 +28,7 @@
             attempts_most: 3,
             stretch_permille: 2_000,
             target_latency_ms: 500,
+            permits: None,
         }]),
         ..Config::default()
     })
--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -17,6 +17,7 @@
 pub(crate) use crate::fleet::worker::Manners;
 pub(crate) use crate::fleet::worker::Worker;
 use goldcrestway_dispatch::Action;
+use goldcrestway_dispatch::AdviceEnd;
 use goldcrestway_dispatch::AppendEnd;
 use goldcrestway_dispatch::Bounds;
 use goldcrestway_dispatch::Decoders;
@@ -40,6 +41,9 @@
 const STEP_MS: u64 = 5;
 /// Time that a call takes, there and back.
 const CALL_MS: u64 = 5;
+/// Time that a call for permits takes, and for which they hold.
+const ADVICE_MS: u64 = 40;
+const PERMIT_MS: u64 = 1_000;
 const WALL_MS: u64 = 1_700_000_000_000;
 
 /// Something on its way.
@@ -103,6 +107,9 @@
     pub(crate) claims: u32,
     /// Workers, by address, that no entry host reaches.
     pub(crate) cut_workers: Vec<Box<str>>,
+    /// Workers that may run steps of queues that need permits, and calls for them so far.
+    pub(crate) permitted: Vec<Box<str>>,
+    pub(crate) advice_calls: u32,
     /// Runs that went with their worker.
     lost: Vec<(TaskId, u32, Manner)>,
 }
@@ -128,6 +135,8 @@
             late_ms: None,
             claims: 0,
             cut_workers: Vec::new(),
+            permitted: Vec::new(),
+            advice_calls: 0,
             lost: Vec::new(),
         };
         fleet.store.put(Stream::Rules, "config", &[1]);
@@ -575,6 +584,9 @@
                 };
                 self.send_order(number, life, order, timeout_ms);
             }
+            Action::Advise {
+                ticket, workers, ..
+            } => self.advise(number, ticket, workers),
             Action::Answer { request, reply } => {
                 if reply == Reply::Stored
                     && let Some(job) = self.asked.get(&request)
@@ -587,6 +599,26 @@
         }
     }
 
+    /// Answers a call for permits, which name the time until which they hold.
+    fn advise(&mut self, number: usize, ticket: u64, workers: Vec<Box<str>>) {
+        let life = self.hosts[number].life;
+        self.advice_calls += 1;
+        let until_ms = self.now_ms + PERMIT_MS;
+        let mut rows = Vec::new();
+        for worker in workers {
+            if self.permitted.contains(&worker) {
+                rows.push((worker, until_ms.to_string().into()));
+            }
+        }
+        let end = AdviceEnd::Permitted {
+            rows,
+            validity_ms: PERMIT_MS,
+        };
+        let event = Event::Advised { ticket, end };
+        let delivery = Delivery::ToEntry(number, life, event);
+        self.deliveries.push((self.now_ms + ADVICE_MS, delivery));
+    }
+
     fn send_order(&mut self, number: usize, life: u64, order: Order, timeout_ms: u64) {
         if let Some(late_ms) = self.late_ms {
             let event = Event::Ordered {
--- a/tests/fleet/promises.rs
+++ b/tests/fleet/promises.rs
@@ -34,6 +34,8 @@
     pub(crate) starts: Vec<(Box<str>, TaskId, u32)>,
     /// Starts that were refused for want of room.
     pub(crate) refused_room: u32,
+    /// Starts that were refused for want of a permit.
+    pub(crate) refused_permits: u32,
     /// Promises that were broken.
     pub(crate) broken: Vec<String>,
 }
@@ -84,6 +86,12 @@
         }
     }
 
+    /// Tells whether a task starts on permitted workers only.
+    pub(crate) fn needs_permit(&self, task: TaskId) -> bool {
+        let job = self.submitted.get(&task.job);
+        job.is_some_and(|job| job.permit_validity_ms > 0)
+    }
+
     /// Notes that a gang has ended well, which one end of a member stands for.
     pub(crate) fn note_gang_done(&mut self, member: TaskId) {
         let count = self.submitted[&member.job].steps[usize::from(member.step)].count;
--- a/tests/fleet/worker.rs
+++ b/tests/fleet/worker.rs
@@ -201,8 +201,14 @@
                 task,
                 run,
                 lease_until_ms,
+                permit,
                 ..
             } => {
+                let is_permitted = permit.parse().is_ok_and(|until_ms| now_ms <= until_ms);
+                if promises.needs_permit(*task) && !is_permitted {
+                    promises.refused_permits += 1;
+                    return OrderEnd::Refused(Refusal::Permit);
+                }
                 self.extend(*lease_until_ms, now_ms);
                 if let Some(refusal) = self.start(now_ms, *task, *run, *lease_until_ms, promises) {
                     return OrderEnd::Refused(refusal);
