Tell apart what was read before and after a question within a millisecond

A host reads for one caller, the job is stored at another host, and a second caller asks for it in the same millisecond: the read counted as sent after the question. Ruled out: parts that were not read (all must be fresh), history that was dropped (loading takes all keys).

Change: questions remember the host's latest ticket, and only reads with a later one answer them. Test fails before, passes after.

--- a/crates/dispatch/src/entry/callers.rs
+++ b/crates/dispatch/src/entry/callers.rs
@@ -201,6 +201,7 @@
                 request,
                 about: About::Cancel(job, patience_ms),
                 asked_ms: now.steady_ms,
+                asked_after: self.tickets,
             }),
         }
     }
--- a/crates/dispatch/src/entry/job_tails.rs
+++ b/crates/dispatch/src/entry/job_tails.rs
@@ -42,6 +42,26 @@
         self.tails.iter().all(|tail| tail.is_fresh_since(since_ms))
     }
 
+    /// Tells whether reads sent after the given ticket have reached the end of all parts.
+    pub(crate) fn is_fresh_after(&self, ticket: u64) -> bool {
+        self.tails.iter().all(|tail| tail.is_fresh_after(ticket))
+    }
+
+    /// Reads all parts that were not read to their end since the given ticket.
+    pub(crate) fn prompt_after(
+        &mut self,
+        ticket: u64,
+        now_ms: u64,
+        tickets: &mut u64,
+        actions: &mut Vec<Action>,
+    ) {
+        for tail in &mut self.tails {
+            if !tail.is_fresh_after(ticket) {
+                tail.prompt_after(ticket, now_ms, tickets, actions);
+            }
+        }
+    }
+
     /// Gives when the newest answer came.
     pub(crate) fn answered_ms(&self) -> Option<u64> {
         self.tails.iter().filter_map(|tail| tail.answered_ms).max()
--- a/crates/dispatch/src/entry/questions.rs
+++ b/crates/dispatch/src/entry/questions.rs
@@ -21,6 +21,9 @@
     pub(crate) request: u64,
     pub(crate) about: About,
     pub(crate) asked_ms: u64,
+    /// The host's latest ticket then: what was read under an earlier one may lack a job that
+    /// was stored within the same millisecond.
+    pub(crate) asked_after: u64,
 }
 
 /// What a question is about.
@@ -46,6 +49,7 @@
             request,
             about: About::State(job),
             asked_ms: now.steady_ms,
+            asked_after: self.tickets,
         });
     }
 
@@ -64,6 +68,7 @@
             request,
             about: About::Waiting(queue),
             asked_ms: now.steady_ms,
+            asked_after: self.tickets,
         });
     }
 
@@ -85,8 +90,9 @@
     ) -> Option<Question> {
         let is_late = now.steady_ms >= question.asked_ms + QUESTION_MOST_MS;
         let asked_ms = question.asked_ms;
+        let asked_after = question.asked_after;
         let reply = match &question.about {
-            About::State(job) => self.answer_state(*job, asked_ms, is_late, now, actions),
+            About::State(job) => self.answer_state(*job, asked_after, is_late, now, actions),
             About::Waiting(queue) => {
                 let queue = queue.clone();
                 self.answer_waiting(&queue, asked_ms, is_late, now, actions)
@@ -98,7 +104,7 @@
                     self.cancel(question.request, job, patience_ms, now, actions);
                     return None;
                 }
-                match self.answer_state(job, asked_ms, is_late, now, actions) {
+                match self.answer_state(job, asked_after, is_late, now, actions) {
                     Some(Reply::State(_)) => None,
                     reply => reply,
                 }
@@ -117,7 +123,7 @@
     fn answer_state(
         &mut self,
         job: JobId,
-        asked_ms: u64,
+        asked_after: u64,
         is_late: bool,
         now: Now,
         actions: &mut Vec<Action>,
@@ -131,8 +137,8 @@
             .get(&job)
             .filter(|record| record.submission.is_some());
         let is_fresh = match record {
-            Some(_) => self.states.is_fresh_since(asked_ms),
-            None => self.jobs.is_fresh_since(asked_ms),
+            Some(_) => self.states.is_fresh_after(asked_after),
+            None => self.jobs.is_fresh_after(asked_after),
         };
         if is_fresh {
             return Some(record.map_or(Reply::NoSuchJob, |record| Reply::State(record.state())));
@@ -148,8 +154,10 @@
         match record {
             Some(_) => self
                 .states
-                .prompt(asked_ms, now.steady_ms, tickets, actions),
-            None => self.jobs.prompt(asked_ms, now.steady_ms, tickets, actions),
+                .prompt_after(asked_after, now.steady_ms, tickets, actions),
+            None => self
+                .jobs
+                .prompt_after(asked_after, now.steady_ms, tickets, actions),
         }
         None
     }
--- a/crates/dispatch/src/tail.rs
+++ b/crates/dispatch/src/tail.rs
@@ -42,6 +42,9 @@
     retry_ms: u64,
     /// When the newest complete read that reached the end of the stream was sent.
     pub(crate) fresh_ms: Option<u64>,
+    /// Ticket of that read. Tickets rise with each action of the host, so they tell what came
+    /// after what within a millisecond, too.
+    fresh_ticket: u64,
     /// When the newest answer came.
     pub(crate) answered_ms: Option<u64>,
     /// What reads without a wait take of late.
@@ -58,6 +61,7 @@
             reads: Vec::new(),
             retry_ms: 0,
             fresh_ms: None,
+            fresh_ticket: 0,
             answered_ms: None,
             latency_ms: 0,
         }
@@ -77,6 +81,34 @@
         self.fresh_ms.is_some_and(|at_ms| at_ms >= since_ms)
     }
 
+    /// Tells whether a read that was sent after the given ticket has reached the end.
+    pub(crate) fn is_fresh_after(&self, ticket: u64) -> bool {
+        self.fresh_ticket > ticket
+    }
+
+    fn note_fresh(&mut self, flight: Flight) {
+        self.fresh_ms = self.fresh_ms.max(Some(flight.sent_ms));
+        self.fresh_ticket = self.fresh_ticket.max(flight.ticket);
+    }
+
+    /// Reads at once, unless a read sent after the given ticket is under way.
+    pub(crate) fn prompt_after(
+        &mut self,
+        ticket: u64,
+        now_ms: u64,
+        tickets: &mut u64,
+        actions: &mut Vec<Action>,
+    ) {
+        let is_prompted = self
+            .reads
+            .iter()
+            .any(|flight| !flight.waits && flight.ticket > ticket);
+        if self.next.is_none() || now_ms < self.retry_ms || is_prompted {
+            return;
+        }
+        self.read(0, now_ms, tickets, actions);
+    }
+
     /// Tells whether a read without a wait, sent at `since_ms` or later, is under way.
     fn is_prompted_since(&self, since_ms: u64) -> bool {
         self.reads
@@ -189,7 +221,7 @@
                 }
                 self.next = Some(next);
                 if next >= end {
-                    self.fresh_ms = self.fresh_ms.max(Some(flight.sent_ms));
+                    self.note_fresh(flight);
                 }
             }
         }
@@ -226,7 +258,7 @@
         // Pages are no snapshot: what changed since the first one is read again.
         self.next = Some(first_end);
         if first_end == page.end {
-            self.fresh_ms = self.fresh_ms.max(Some(flight.sent_ms));
+            self.note_fresh(flight);
         }
         progress.records = records;
         progress.is_reloaded = true;
--- /dev/null
+++ b/tests/dispatch_questions.rs
@@ -0,0 +1,88 @@
+//! Questions of callers, event by event.
+
+use crate::fleet::decode_config;
+use crate::fleet::decode_worker;
+use goldcrestway_dispatch::Action;
+use goldcrestway_dispatch::Bounds;
+use goldcrestway_dispatch::Decoders;
+use goldcrestway_dispatch::Entry;
+use goldcrestway_dispatch::Event;
+use goldcrestway_dispatch::JobId;
+use goldcrestway_dispatch::Now;
+use goldcrestway_dispatch::Page;
+use goldcrestway_dispatch::ReadEnd;
+use goldcrestway_dispatch::Reply;
+use googletest::prelude::*;
+
+fn at(steady_ms: u64) -> Now {
+    Now {
+        steady_ms,
+        wall_ms: 1_700_000_000_000 + steady_ms,
+    }
+}
+
+/// Makes a host that has loaded an empty store.
+fn loaded() -> Entry {
+    let decoders = Decoders {
+        config: decode_config,
+        worker: decode_worker,
+    };
+    let mut entry = Entry::new("entry-1", Bounds::default(), decoders, 7);
+    for action in entry.handle(at(0), Event::Tick) {
+        if let Action::Load { ticket, .. } = action {
+            let page = Page {
+                records: Vec::new(),
+                end: 0,
+                has_more: false,
+            };
+            let end = Some(page);
+            entry.handle(at(1), Event::Loaded { ticket, end });
+        }
+    }
+    entry
+}
+
+fn reads(actions: &[Action]) -> Vec<u64> {
+    let mut tickets = Vec::new();
+    for action in actions {
+        if let Action::Read {
+            ticket, wait_ms: 0, ..
+        } = action
+        {
+            tickets.push(*ticket);
+        }
+    }
+    tickets
+}
+
+/// Symptom: a host says that a job does not exist which another host has just accepted.
+/// Sequence: it reads for one caller; the job is stored; another caller asks for it within
+/// the same millisecond. Cause: the read was taken to have been sent after the question.
+#[gtest]
+fn a_read_from_before_a_question_does_not_answer_it() {
+    let mut entry = loaded();
+    let question = |request, job| Event::Query {
+        request,
+        job: JobId(job),
+    };
+    let before = reads(&entry.handle(at(100), question(1, 0xa)));
+    expect_that!(before, not(is_empty()));
+    let mut actions = entry.handle(at(100), question(2, 0xb));
+    for ticket in before {
+        let end = ReadEnd::Records {
+            records: Vec::new(),
+            end: 0,
+        };
+        actions.extend(entry.handle(at(101), Event::Read { ticket, end }));
+    }
+    let answered = |request: u64| {
+        let gone = Action::Answer {
+            request,
+            reply: Reply::NoSuchJob,
+        };
+        actions.contains(&gone)
+    };
+    expect_true!(answered(1));
+    expect_false!(answered(2));
+    expect_that!(reads(&actions), not(is_empty()));
+}
--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -7,8 +7,8 @@
 mod worker;
 
 use crate::fleet::fixtures::WORKER_ROOM;
-use crate::fleet::fixtures::decode_config;
-use crate::fleet::fixtures::decode_worker;
+pub(crate) use crate::fleet::fixtures::decode_config;
+pub(crate) use crate::fleet::fixtures::decode_worker;
 pub(crate) use crate::fleet::fixtures::job;
 pub(crate) use crate::fleet::fixtures::step;
 pub(crate) use crate::fleet::promises::Promises;
