Drop settings that decide nothing, split the tests' fleet by job

stop_most_ms and far_factor were read and checked and changed nothing: stops are repeated until they are agreed to, and tasks near their data are preferred at any factor.

--- a/crates/dispatch/src/bounds.rs
+++ b/crates/dispatch/src/bounds.rs
@@ -5,14 +5,10 @@
 pub struct Bounds {
     /// Longest lease of a task that a worker grants.
     pub lease_most_ms: u64,
-    /// Time that a stop of a task may take.
-    pub stop_most_ms: u64,
     /// Time for which the state of a finished job must be told.
     pub status_ms: u64,
     /// How early a scheduled occurrence may start.
     pub early_ms: u64,
-    /// Factor by which a task far from its data takes longer, in thousandths.
-    pub far_permille: u64,
     /// Time for which a served user may wait too long before it counts as harm.
     pub harm_ms: u64,
     /// Share of a core that this host has, in thousandths. Hosts with more claim first.
@@ -26,10 +22,8 @@
     fn default() -> Self {
         Self {
             lease_most_ms: 6_000,
-            stop_most_ms: 400,
             status_ms: 120_000,
             early_ms: 250,
-            far_permille: 3_000,
             harm_ms: 4_000,
             cpu_permille: 100,
             job_parts: 4,
--- /dev/null
+++ b/tests/fleet/callers.rs
@@ -0,0 +1,73 @@
+//! Callers of the fleet: they hand jobs in, cancel, and ask.
+
+use crate::fleet::Fleet;
+use crate::fleet::WALL_MS;
+use goldcrestway_dispatch::Event;
+use goldcrestway_dispatch::JobId;
+use goldcrestway_dispatch::JobState;
+use goldcrestway_dispatch::Reply;
+use goldcrestway_dispatch::Submission;
+
+impl Fleet {
+    /// Hands a job in at a host, and gives the request's number.
+    pub(crate) fn submit(&mut self, number: usize, id: u64, submission: &Submission) -> u64 {
+        self.requests += 1;
+        let request = self.requests;
+        let job = JobId(id);
+        self.promises.submitted.insert(job, submission.clone());
+        self.asked.insert(request, job);
+        let event = Event::Submit {
+            request,
+            job,
+            submission: Submission {
+                accepted_wall_ms: WALL_MS + self.now_ms,
+                ..submission.clone()
+            },
+            patience_ms: 3_000,
+        };
+        self.handle(number, event);
+        request
+    }
+
+    pub(crate) fn cancel(&mut self, number: usize, id: u64) -> u64 {
+        self.requests += 1;
+        self.promises.cancelled.insert(JobId(id));
+        let event = Event::Cancel {
+            request: self.requests,
+            job: JobId(id),
+            patience_ms: 3_000,
+        };
+        self.handle(number, event);
+        self.requests
+    }
+
+    pub(crate) fn query(&mut self, number: usize, id: u64) -> u64 {
+        self.requests += 1;
+        let event = Event::Query {
+            request: self.requests,
+            job: JobId(id),
+        };
+        self.handle(number, event);
+        self.requests
+    }
+
+    pub(crate) fn count(&mut self, number: usize) -> u64 {
+        self.requests += 1;
+        let event = Event::Count {
+            request: self.requests,
+            queue: "batch".into(),
+        };
+        self.handle(number, event);
+        self.requests
+    }
+
+    /// Asks a host for the state of a job and waits for the answer.
+    pub(crate) fn state(&mut self, number: usize, id: u64) -> Option<JobState> {
+        let request = self.query(number, id);
+        self.run(1_200);
+        match self.replies.get(&request) {
+            Some(Reply::State(state)) => Some(*state),
+            _ => None,
+        }
+    }
+}
--- /dev/null
+++ b/tests/fleet/carrying.rs
@@ -0,0 +1,158 @@
+//! What hosts want done, carried to the store, to workers and to callers.
+
+use crate::fleet::ADVICE_MS;
+use crate::fleet::CALL_MS;
+use crate::fleet::Delivery;
+use crate::fleet::Fleet;
+use crate::fleet::Order;
+use crate::fleet::PERMIT_MS;
+use crate::fleet::Reader;
+use crate::fleet::STEP_MS;
+use goldcrestway_dispatch::Action;
+use goldcrestway_dispatch::AdviceEnd;
+use goldcrestway_dispatch::AppendEnd;
+use goldcrestway_dispatch::Event;
+use goldcrestway_dispatch::OrderEnd;
+use goldcrestway_dispatch::ReadEnd;
+use goldcrestway_dispatch::Reply;
+use goldcrestway_dispatch::Stream;
+use goldcrestway_dispatch::WorkerCall;
+
+impl Fleet {
+    pub(super) fn perform(&mut self, number: usize, action: Action) {
+        let life = self.hosts[number].life;
+        let is_cut = self.hosts[number].is_cut_from_store;
+        match action {
+            Action::Append {
+                ticket,
+                stream,
+                fence,
+                records,
+                timeout_ms,
+            } => {
+                let end = match is_cut {
+                    true => AppendEnd::Unknown,
+                    false => self.store.append(stream, fence, records),
+                };
+                let is_claim = fence.is_some_and(|fence| fence.sequence == 0);
+                self.claims += u32::from(is_claim && stream == Stream::Progress);
+                let answer_ms = self.store.answer_ms + CALL_MS;
+                let done_ms = self.store.done_ms(stream, self.now_ms) + answer_ms;
+                let give_up_ms = self.now_ms + timeout_ms;
+                let is_lost = end == AppendEnd::Unknown || done_ms > give_up_ms;
+                let (at_ms, end) = match is_lost {
+                    true => (give_up_ms, AppendEnd::Unknown),
+                    false => (done_ms, end),
+                };
+                let event = Event::Appended { ticket, end };
+                let delivery = Delivery::ToEntry(number, life, event);
+                self.deliveries.push((at_ms, delivery));
+            }
+            Action::Read {
+                ticket,
+                stream,
+                from,
+                wait_ms,
+                ..
+            } => {
+                if is_cut {
+                    let end = ReadEnd::Failed;
+                    return self.reply(number, life, Event::Read { ticket, end });
+                }
+                let reader = Reader {
+                    number,
+                    life,
+                    ticket,
+                    stream,
+                    from,
+                    until_ms: self.now_ms + wait_ms,
+                };
+                self.deliveries
+                    .push((self.now_ms + STEP_MS, Delivery::Read(reader)));
+            }
+            Action::Load {
+                ticket,
+                stream,
+                after,
+                ..
+            } => {
+                let end = match is_cut {
+                    true => None,
+                    false => self.store.newest(stream, &after),
+                };
+                self.reply(number, life, Event::Loaded { ticket, end });
+            }
+            Action::Order {
+                ticket,
+                address,
+                worker,
+                token,
+                call,
+                timeout_ms,
+            } => {
+                let order = Order {
+                    ticket,
+                    address,
+                    worker,
+                    token,
+                    call,
+                };
+                self.send_order(number, life, order, timeout_ms);
+            }
+            Action::Advise {
+                ticket, workers, ..
+            } => self.advise(number, ticket, workers),
+            Action::Answer { request, reply } => {
+                if reply == Reply::Stored
+                    && let Some(job) = self.asked.get(&request)
+                {
+                    self.promises.accepted.insert(*job);
+                }
+                self.replies.insert(request, reply);
+            }
+            Action::Forget { .. } | Action::Configured | Action::Note(_) => {}
+        }
+    }
+
+    /// Answers a call for permits, which name the time until which they hold.
+    fn advise(&mut self, number: usize, ticket: u64, workers: Vec<Box<str>>) {
+        let life = self.hosts[number].life;
+        self.advice_calls += 1;
+        let until_ms = self.now_ms + PERMIT_MS;
+        let mut rows = Vec::new();
+        for worker in workers {
+            if self.permitted.contains(&worker) {
+                rows.push((worker, until_ms.to_string().into()));
+            }
+        }
+        let end = AdviceEnd::Permitted {
+            rows,
+            validity_ms: PERMIT_MS,
+        };
+        let event = Event::Advised { ticket, end };
+        let delivery = Delivery::ToEntry(number, life, event);
+        self.deliveries.push((self.now_ms + ADVICE_MS, delivery));
+    }
+
+    fn send_order(&mut self, number: usize, life: u64, order: Order, timeout_ms: u64) {
+        if let Some(late_ms) = self.late_ms {
+            let event = Event::Ordered {
+                ticket: order.ticket,
+                end: OrderEnd::Unknown,
+            };
+            let unheard = Delivery::ToEntry(number, life, event);
+            self.deliveries.push((self.now_ms + timeout_ms, unheard));
+            self.deliveries
+                .push((self.now_ms + late_ms, Delivery::Late(order)));
+            return;
+        }
+        let at_ms = self.now_ms + CALL_MS;
+        let delivery = match order.call {
+            WorkerCall::Look { wait_ms, .. } if wait_ms > 0 => {
+                Delivery::Look(number, life, order, self.now_ms + wait_ms)
+            }
+            _ => Delivery::Order(number, life, order),
+        };
+        self.deliveries.push((at_ms, delivery));
+    }
+}
--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -1,6 +1,8 @@
 //! A fleet of entry hosts, a store and workers in virtual time: the decisions are the
 //! real ones, all around them is a small stand-in.
 
+mod callers;
+mod carrying;
 mod fixtures;
 mod promises;
 mod store;
@@ -16,9 +18,6 @@
 pub(crate) use crate::fleet::store::Store;
 pub(crate) use crate::fleet::worker::Manners;
 pub(crate) use crate::fleet::worker::Worker;
-use goldcrestway_dispatch::Action;
-use goldcrestway_dispatch::AdviceEnd;
-use goldcrestway_dispatch::AppendEnd;
 use goldcrestway_dispatch::Bounds;
 use goldcrestway_dispatch::Decoders;
 use goldcrestway_dispatch::Entry;
@@ -32,7 +31,6 @@
 use goldcrestway_dispatch::Refusal;
 use goldcrestway_dispatch::Reply;
 use goldcrestway_dispatch::Stream;
-use goldcrestway_dispatch::Submission;
 use goldcrestway_dispatch::TaskId;
 use goldcrestway_dispatch::WorkerCall;
 use std::collections::BTreeMap;
@@ -251,68 +249,6 @@
             .is_some_and(Entry::is_ready)
     }
 
-    /// Hands a job in at a host, and gives the request's number.
-    pub(crate) fn submit(&mut self, number: usize, id: u64, submission: &Submission) -> u64 {
-        self.requests += 1;
-        let request = self.requests;
-        let job = JobId(id);
-        self.promises.submitted.insert(job, submission.clone());
-        self.asked.insert(request, job);
-        let event = Event::Submit {
-            request,
-            job,
-            submission: Submission {
-                accepted_wall_ms: WALL_MS + self.now_ms,
-                ..submission.clone()
-            },
-            patience_ms: 3_000,
-        };
-        self.handle(number, event);
-        request
-    }
-
-    pub(crate) fn cancel(&mut self, number: usize, id: u64) -> u64 {
-        self.requests += 1;
-        self.promises.cancelled.insert(JobId(id));
-        let event = Event::Cancel {
-            request: self.requests,
-            job: JobId(id),
-            patience_ms: 3_000,
-        };
-        self.handle(number, event);
-        self.requests
-    }
-
-    pub(crate) fn query(&mut self, number: usize, id: u64) -> u64 {
-        self.requests += 1;
-        let event = Event::Query {
-            request: self.requests,
-            job: JobId(id),
-        };
-        self.handle(number, event);
-        self.requests
-    }
-
-    pub(crate) fn count(&mut self, number: usize) -> u64 {
-        self.requests += 1;
-        let event = Event::Count {
-            request: self.requests,
-            queue: "batch".into(),
-        };
-        self.handle(number, event);
-        self.requests
-    }
-
-    /// Asks a host for the state of a job and waits for the answer.
-    pub(crate) fn state(&mut self, number: usize, id: u64) -> Option<JobState> {
-        let request = self.query(number, id);
-        self.run(1_200);
-        match self.replies.get(&request) {
-            Some(Reply::State(state)) => Some(*state),
-            _ => None,
-        }
-    }
-
     /// Tells whether a task runs at two workers, or how many run at all.
     pub(crate) fn running(&self, task: TaskId) -> usize {
         self.workers
@@ -503,141 +439,4 @@
             self.perform(number, action);
         }
     }
-
-    fn perform(&mut self, number: usize, action: Action) {
-        let life = self.hosts[number].life;
-        let is_cut = self.hosts[number].is_cut_from_store;
-        match action {
-            Action::Append {
-                ticket,
-                stream,
-                fence,
-                records,
-                timeout_ms,
-            } => {
-                let end = match is_cut {
-                    true => AppendEnd::Unknown,
-                    false => self.store.append(stream, fence, records),
-                };
-                let is_claim = fence.is_some_and(|fence| fence.sequence == 0);
-                self.claims += u32::from(is_claim && stream == Stream::Progress);
-                let answer_ms = self.store.answer_ms + CALL_MS;
-                let done_ms = self.store.done_ms(stream, self.now_ms) + answer_ms;
-                let give_up_ms = self.now_ms + timeout_ms;
-                let is_lost = end == AppendEnd::Unknown || done_ms > give_up_ms;
-                let (at_ms, end) = match is_lost {
-                    true => (give_up_ms, AppendEnd::Unknown),
-                    false => (done_ms, end),
-                };
-                let event = Event::Appended { ticket, end };
-                let delivery = Delivery::ToEntry(number, life, event);
-                self.deliveries.push((at_ms, delivery));
-            }
-            Action::Read {
-                ticket,
-                stream,
-                from,
-                wait_ms,
-                ..
-            } => {
-                if is_cut {
-                    let end = ReadEnd::Failed;
-                    return self.reply(number, life, Event::Read { ticket, end });
-                }
-                let reader = Reader {
-                    number,
-                    life,
-                    ticket,
-                    stream,
-                    from,
-                    until_ms: self.now_ms + wait_ms,
-                };
-                self.deliveries
-                    .push((self.now_ms + STEP_MS, Delivery::Read(reader)));
-            }
-            Action::Load {
-                ticket,
-                stream,
-                after,
-                ..
-            } => {
-                let end = match is_cut {
-                    true => None,
-                    false => self.store.newest(stream, &after),
-                };
-                self.reply(number, life, Event::Loaded { ticket, end });
-            }
-            Action::Order {
-                ticket,
-                address,
-                worker,
-                token,
-                call,
-                timeout_ms,
-            } => {
-                let order = Order {
-                    ticket,
-                    address,
-                    worker,
-                    token,
-                    call,
-                };
-                self.send_order(number, life, order, timeout_ms);
-            }
-            Action::Advise {
-                ticket, workers, ..
-            } => self.advise(number, ticket, workers),
-            Action::Answer { request, reply } => {
-                if reply == Reply::Stored
-                    && let Some(job) = self.asked.get(&request)
-                {
-                    self.promises.accepted.insert(*job);
-                }
-                self.replies.insert(request, reply);
-            }
-            Action::Forget { .. } | Action::Configured | Action::Note(_) => {}
-        }
-    }
-
-    /// Answers a call for permits, which name the time until which they hold.
-    fn advise(&mut self, number: usize, ticket: u64, workers: Vec<Box<str>>) {
-        let life = self.hosts[number].life;
-        self.advice_calls += 1;
-        let until_ms = self.now_ms + PERMIT_MS;
-        let mut rows = Vec::new();
-        for worker in workers {
-            if self.permitted.contains(&worker) {
-                rows.push((worker, until_ms.to_string().into()));
-            }
-        }
-        let end = AdviceEnd::Permitted {
-            rows,
-            validity_ms: PERMIT_MS,
-        };
-        let event = Event::Advised { ticket, end };
-        let delivery = Delivery::ToEntry(number, life, event);
-        self.deliveries.push((self.now_ms + ADVICE_MS, delivery));
-    }
-
-    fn send_order(&mut self, number: usize, life: u64, order: Order, timeout_ms: u64) {
-        if let Some(late_ms) = self.late_ms {
-            let event = Event::Ordered {
-                ticket: order.ticket,
-                end: OrderEnd::Unknown,
-            };
-            let unheard = Delivery::ToEntry(number, life, event);
-            self.deliveries.push((self.now_ms + timeout_ms, unheard));
-            self.deliveries
-                .push((self.now_ms + late_ms, Delivery::Late(order)));
-            return;
-        }
-        let at_ms = self.now_ms + CALL_MS;
-        let delivery = match order.call {
-            WorkerCall::Look { wait_ms, .. } if wait_ms > 0 => {
-                Delivery::Look(number, life, order, self.now_ms + wait_ms)
-            }
-            _ => Delivery::Order(number, life, order),
-        };
-        self.deliveries.push((at_ms, delivery));
-    }
 }
