Keep a peer's number of connections when all of them are reset

The number of connections that the store may have stood with what is known of a peer, which goes with its last connection. After a reset of all of them it was back at four, long polls held these, and reads took two seconds; in that time the next host claims.

Change: allowances stand apart from connections.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -21,6 +21,13 @@
 //! assert!(actions.iter().any(|action| matches!(action, Action::Load { .. })));
 //! ```
 
+/// Calls to the store that a host has under way at once at most: the long polls of an owner
+/// (one for each part of the stream of jobs, one for the rules), as many reads beside them,
+/// loads, and appends of its own and of callers. Whoever carries them out must not let one
+/// wait for another: a read that waits behind a long poll is late by seconds, and a host
+/// that claims would lose its claim to the next one meanwhile.
+pub const STORE_CALLS_MOST: usize = 24;
+
 mod bounds;
 mod config;
 mod election;
--- a/crates/net/src/pool.rs
+++ b/crates/net/src/pool.rs
@@ -49,35 +49,28 @@
     call: Option<(u64, u64)>,
 }
 
+#[derive(Default)]
 struct Peer {
     idle: Vec<LineKey>,
     lines: usize,
-    lines_most: usize,
     queue: VecDeque<Pending>,
 }
 
-impl Default for Peer {
-    fn default() -> Self {
-        Self {
-            idle: Vec::new(),
-            lines: 0,
-            lines_most: LINES_PER_PEER,
-            queue: VecDeque::new(),
-        }
-    }
-}
-
 /// All connections to peers.
 #[derive(Default)]
 pub(crate) struct Pool {
     lines: SlotMap<LineKey, Line>,
     peers: HashMap<SocketAddr, Peer>,
+    /// Peers that may have another number of connections. Kept apart from what is known of
+    /// a peer, which goes with its last connection: when all of them had been reset, the
+    /// store was back at four, and reads waited for seconds behind long polls.
+    lines_most: HashMap<SocketAddr, usize>,
 }
 
 impl Pool {
     /// Allows more connections to a peer that answers several long polls at once.
     pub(crate) fn allow_lines(&mut self, peer: SocketAddr, lines_most: usize) {
-        self.peers.entry(peer).or_default().lines_most = lines_most;
+        self.lines_most.insert(peer, lines_most);
     }
 
     /// Sends a call as soon as a connection is free.
@@ -91,6 +84,8 @@
 
     /// Puts waiting calls on free or new connections.
     fn serve(&mut self, peer: SocketAddr, clock: Clock, registrar: &Registrar) {
+        let lines_most = self.lines_most.get(&peer).copied();
+        let lines_most = lines_most.unwrap_or(LINES_PER_PEER);
         loop {
             let Some(entry) = self.peers.get_mut(&peer) else {
                 return;
@@ -100,7 +95,7 @@
             }
             let key = match entry.idle.pop() {
                 Some(key) => key,
-                None if entry.lines < entry.lines_most => match self.open(peer, clock, registrar) {
+                None if entry.lines < lines_most => match self.open(peer, clock, registrar) {
                     Some(key) => key,
                     None => return,
                 },
--- a/tests/dispatch_outages.rs
+++ b/tests/dispatch_outages.rs
@@ -7,6 +7,7 @@
 use crate::fleet::step;
 use goldcrestway_dispatch::JobState;
 use goldcrestway_dispatch::Reply;
+use goldcrestway_dispatch::STORE_CALLS_MOST;
 use goldcrestway_dispatch::Step;
 use goldcrestway_dispatch::Stream;
 use googletest::prelude::*;
@@ -84,3 +85,29 @@
         expect_that!(fleet.replies.get(&request), some(eq(&Reply::Stored)));
     }
 }
+
+/// Symptom: one host after the other claims and none owns for longer than a second, as soon
+/// as no jobs come in. Sequence: the owner dies; the host that claims reads while its long
+/// polls wait. Cause: more calls were under way than there were connections to the store, so
+/// the reads waited for two seconds behind long polls.
+#[gtest]
+fn calls_to_the_store_never_wait_for_one_another() {
+    let mut fleet = Fleet::new(4, 4);
+    for round in 0..3 {
+        for number in 0..30 {
+            let host = number as usize % 4;
+            let id = 0x1000 * (round + 1) + number;
+            fleet.submit(host, id, &job(vec![step(2, 200, &[])]));
+            fleet.query(host, 0xf_0000 + number);
+            fleet.count(host);
+            fleet.run(15);
+        }
+        let owner = owner(&fleet);
+        fleet.kill(owner);
+        fleet.run(2_500);
+        fleet.start(owner);
+        fleet.run(1_500);
+    }
+    expect_that!(fleet.store_calls_most, gt(10));
+    expect_that!(fleet.store_calls_most, le(STORE_CALLS_MOST));
+}
--- a/tests/fleet/carrying.rs
+++ b/tests/fleet/carrying.rs
@@ -21,6 +21,13 @@
 impl Fleet {
     pub(super) fn perform(&mut self, number: usize, action: Action) {
         let life = self.hosts[number].life;
+        let is_store_call = matches!(
+            action,
+            Action::Append { .. } | Action::Read { .. } | Action::Load { .. }
+        );
+        self.hosts[number].store_calls += usize::from(is_store_call);
+        let store_calls = self.hosts[number].store_calls;
+        self.store_calls_most = self.store_calls_most.max(store_calls);
         let is_cut = self.hosts[number].is_cut_from_store;
         match action {
             Action::Append {
--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -83,6 +83,8 @@
     is_paused: bool,
     is_cut_from_store: bool,
     held: Vec<Event>,
+    /// Calls to the store under way.
+    store_calls: usize,
 }
 
 /// The fleet.
@@ -108,6 +110,8 @@
     /// Workers that may run steps of queues that need permits, and calls for them so far.
     pub(crate) permitted: Vec<Box<str>>,
     pub(crate) advice_calls: u32,
+    /// Most calls to the store that a host had under way at once.
+    pub(crate) store_calls_most: usize,
     /// Runs that went with their worker.
     lost: Vec<(TaskId, u32, Manner)>,
 }
@@ -135,6 +139,7 @@
             cut_workers: Vec::new(),
             permitted: Vec::new(),
             advice_calls: 0,
+            store_calls_most: 0,
             lost: Vec::new(),
         };
         fleet.store.put(Stream::Rules, "config", &[1]);
@@ -150,6 +155,7 @@
                 is_paused: false,
                 is_cut_from_store: false,
                 held: Vec::new(),
+                store_calls: 0,
             });
             fleet.start(number);
         }
@@ -180,6 +186,7 @@
     pub(crate) fn start(&mut self, number: usize) {
         let host = &mut self.hosts[number];
         host.life += 1;
+        host.store_calls = 0;
         host.is_paused = false;
         host.held.clear();
         let decoders = Decoders {
@@ -358,6 +365,11 @@
                     self.hosts[number].held.push(event);
                     return;
                 }
+                let is_store_call = matches!(
+                    event,
+                    Event::Appended { .. } | Event::Read { .. } | Event::Loaded { .. }
+                );
+                self.hosts[number].store_calls -= usize::from(is_store_call);
                 self.handle(number, event);
             }
             Delivery::Order(number, life, order) => {
