--- /dev/null
+++ b/crates/dispatch/src/entry/following.rs
@@ -0,0 +1,138 @@
+//! Following the streams of the store, and letting go of what is over.
+
+use crate::entry::Entry;
+use crate::event::Action;
+use crate::event::Now;
+use crate::event::Stream;
+use crate::record::Key;
+use goldcrestway_core::Code;
+use goldcrestway_core::Note;
+
+/// Time that the store holds a read that waits for a record. Under half of the time after
+/// which a silent connection must have been noticed.
+const LISTEN_MS: u64 = 2_000;
+/// Pause between two reads of submitted jobs by a host that does not own them. Whoever asks
+/// for a job that is not known here has them read at once; the store keeps history for tens
+/// of seconds.
+const JOBS_POLL_MS: u64 = 3_000;
+/// The same while appends of this host had no answer: what is read back is told as stored.
+const DOUBTFUL_POLL_MS: u64 = 600;
+/// The same before there ever was an owner: which other hosts there are stands there too, and
+/// the strongest is to claim.
+const FIRST_POLL_MS: u64 = 500;
+/// Pause between two reads of the list of workers by the owner.
+const WORKERS_POLL_MS: u64 = 400;
+/// Time without an answer of the store after which a host turns unready, and refuses at
+/// once what it could not store.
+const STORE_AWAY_MS: u64 = 1_800;
+/// Time for which a job is told about after it was final, over what is asked for.
+const STATUS_SLACK_MS: u64 = 60_000;
+/// Pause between two looks for jobs that need not be told about any more.
+const PURGE_MS: u64 = 10_000;
+
+impl Entry {
+    /// Reads on in the streams.
+    pub(super) fn follow(&mut self, now: Now, actions: &mut Vec<Action>) {
+        let now_ms = now.steady_ms;
+        let tickets = &mut self.tickets;
+        for tail in [&mut self.rules, &mut self.states] {
+            tail.load(now_ms, tickets, actions);
+        }
+        self.jobs.load(now_ms, tickets, actions);
+        self.rules.listen(LISTEN_MS, now_ms, tickets, actions);
+        let acts = self.owner.is_some() || self.claim.is_some();
+        if acts {
+            self.workers.load(now_ms, tickets, actions);
+            self.jobs.listen(LISTEN_MS, now_ms, tickets, actions);
+            if now_ms >= self.workers_read_ms + WORKERS_POLL_MS {
+                self.workers_read_ms = now_ms;
+                self.workers.prompt(now_ms, now_ms, tickets, actions);
+            }
+            return;
+        }
+        let pause_ms = match self.callers.has_doubtful() {
+            _ if self.ledger.owner.token == 0 => FIRST_POLL_MS,
+            true => DOUBTFUL_POLL_MS,
+            false => JOBS_POLL_MS,
+        };
+        if now_ms >= self.jobs_read_ms + pause_ms {
+            self.jobs_read_ms = now_ms;
+            self.jobs.prompt(now_ms, now_ms, tickets, actions);
+        }
+        if now_ms >= self.states_read_ms + self.election.poll_ms(now_ms) {
+            self.states_read_ms = now_ms;
+            self.states.prompt(now_ms, now_ms, tickets, actions);
+        }
+    }
+
+    /// Notices that the store does not answer this host, and that it does again.
+    pub(super) fn watch_store(&mut self, now: Now, actions: &mut Vec<Action>) {
+        let answered_ms = [&self.rules, &self.states, &self.workers]
+            .iter()
+            .filter_map(|tail| tail.answered_ms)
+            .max();
+        let answered_ms = answered_ms.max(self.jobs.answered_ms()).unwrap_or(0);
+        self.store_answered_ms = self.store_answered_ms.max(answered_ms);
+        let limit_ms = STORE_AWAY_MS + LISTEN_MS * u64::from(self.owner.is_some());
+        let is_away = now.steady_ms > self.store_answered_ms + limit_ms;
+        if is_away != self.is_store_away {
+            self.is_store_away = is_away;
+            let code = if is_away {
+                Code::StoreAway
+            } else {
+                Code::StoreBack
+            };
+            let age_ms = now.steady_ms.saturating_sub(self.store_answered_ms);
+            actions.push(Action::Note(Note::new(
+                code,
+                &*self.host,
+                format!("last_answer_age_ms={age_ms}"),
+            )));
+            if !is_away {
+                self.election.restart(now.steady_ms);
+            }
+        }
+    }
+
+    /// Lets go of jobs that need not be told about any more. The owner drops their keys from
+    /// the store too, which keeps them for good otherwise.
+    pub(super) fn purge(&mut self, now: Now, actions: &mut Vec<Action>) {
+        if now.steady_ms < self.purge_ms {
+            return;
+        }
+        self.purge_ms = now.steady_ms + PURGE_MS;
+        let kept_ms = self.bounds.status_ms + STATUS_SLACK_MS;
+        let mut over = Vec::new();
+        for (id, job) in &self.ledger.jobs {
+            if job
+                .final_wall_ms()
+                .is_some_and(|final_wall_ms| now.wall_ms >= final_wall_ms + kept_ms)
+            {
+                over.push(*id);
+            }
+        }
+        for id in &over {
+            self.ledger.jobs.remove(id);
+        }
+        let Some(owner) = self.owner.as_mut().filter(|_| !over.is_empty()) else {
+            return;
+        };
+        let mut records = Vec::with_capacity(2 * over.len());
+        for id in over {
+            owner.retire(id);
+            records.push((Key::Submitted(id).text(), Box::default()));
+            records.push((Key::Cancelled(id).text(), Box::default()));
+        }
+        // Should an append be lost, the next owner finds the keys and drops them.
+        for part in 0..self.jobs.parts() {
+            self.tickets += 1;
+            actions.push(Action::Append {
+                ticket: self.tickets,
+                stream: Stream::Jobs(part),
+                fence: None,
+                records: records.clone(),
+                timeout_ms: PURGE_MS,
+            });
+        }
+    }
+}
--- /dev/null
+++ b/tests/dispatch_fillers.rs
@@ -0,0 +1,70 @@
+//! Fillers beside tasks that serve: halted in time where these are over their target.
+
+use crate::fleet::Fleet;
+use crate::fleet::job;
+use crate::fleet::step;
+use goldcrestway_dispatch::Step;
+use googletest::prelude::*;
+
+/// Symptom: a served task is over its target for four seconds while fillers beside it that
+/// were never seen to press it work on. Cause: they were not halted, as none of them alone
+/// presses by as much as can be told apart; together, at the peak of its own load, they do.
+#[gtest]
+fn all_fillers_are_halted_beside_a_task_long_over_its_target() {
+    let mut fleet = Fleet::new(3, 1);
+    let served = Step {
+        is_lasting: true,
+        image: "served".into(),
+        tail_target_ms: 20,
+        ..step(1, 1_000, &[])
+    };
+    let filler = Step {
+        is_filler: true,
+        image: "filler".into(),
+        ..step(2, 60_000, &[])
+    };
+    fleet.submit(0, 0x1, &job(vec![served]));
+    fleet.submit(0, 0x2, &job(vec![filler]));
+    fleet.run(6_000);
+    let shares = |fleet: &Fleet| -> Vec<u32> {
+        let workers = fleet.workers.values();
+        workers.flat_map(|worker| worker.shares()).collect()
+    };
+    expect_that!(shares(&fleet), eq(&vec![100, 100]));
+    for worker in fleet.workers.values_mut() {
+        worker.tail_ms = 21;
+    }
+    fleet.run(3_300);
+    expect_that!(shares(&fleet), eq(&vec![0, 0]));
+}
+
+/// Symptom: as above, where a look, an order and the half second that a tail is averaged
+/// over come on top. Cause: looks at a worker whose served task is over its target came as
+/// seldom as ever.
+#[gtest]
+fn fillers_are_halted_well_before_a_wait_counts_as_harm() {
+    for phase_ms in (0..800).step_by(50) {
+        let mut fleet = Fleet::new(3, 1);
+        let served = Step {
+            is_lasting: true,
+            image: "served".into(),
+            tail_target_ms: 20,
+            ..step(1, 1_000, &[])
+        };
+        let filler = |image: &str| Step {
+            is_filler: true,
+            image: image.into(),
+            ..step(1, 60_000, &[])
+        };
+        fleet.submit(0, 0x1, &job(vec![served]));
+        fleet.submit(0, 0x2, &job(vec![filler("first"), filler("second")]));
+        fleet.run(6_000 + phase_ms);
+        for worker in fleet.workers.values_mut() {
+            worker.tail_ms = 21;
+        }
+        fleet.run(2_250);
+        for worker in fleet.workers.values() {
+            expect_that!(worker.shares(), eq(&vec![0, 0]), "phase {phase_ms} ms");
+        }
+    }
+}
--- a/tests/lib.rs
+++ b/tests/lib.rs
@@ -10,6 +10,7 @@
 mod dispatch;
 mod dispatch_disturbances;
 mod dispatch_faults;
+mod dispatch_fillers;
 mod dispatch_outages;
 mod dispatch_questions;
 mod dispatch_shapes;
