--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -1,9 +1,9 @@
 //! Decisions on jobs of many tasks, for entry hosts that keep nothing themselves.
 //!
-//! All that must last stands in four keyed streams of the platform's store: the
-//! submitted [jobs](Stream::Jobs), their [progress](Stream::Progress), the operator's
-//! [rules](Stream::Rules) and the [workers](Stream::Workers). Every entry host runs an
-//! [`Entry`], which accepts jobs by itself and answers for their state. One of them is
+//! All that must last stands in keyed streams of the platform's store: the submitted
+//! [jobs](Stream::Jobs), their [progress](Stream::Progress) and [states](Stream::States),
+//! the operator's [rules](Stream::Rules) and the [workers](Stream::Workers). Every entry
+//! host runs an [`Entry`], which accepts jobs by itself and answers for their state. One of them is
 //! the owner: it alone writes progress, under a token that also fences its orders to
 //! workers, and starts, watches and stops tasks.
 //!
