--- a/crates/dispatch/src/entry/mod.rs
+++ b/crates/dispatch/src/entry/mod.rs
@@ -248,10 +248,9 @@
     }
 
     /// Lists all streams that this host may read.
-    fn streams(&self) -> Vec<Stream> {
-        let mut streams = SINGLE_STREAMS.to_vec();
-        streams.extend((0..self.jobs.parts()).map(Stream::Jobs));
-        streams
+    fn streams(&self) -> impl Iterator<Item = Stream> + use<> {
+        let parts = (0..self.jobs.parts()).map(Stream::Jobs);
+        SINGLE_STREAMS.into_iter().chain(parts)
     }
 
     fn tail(&mut self, stream: Stream) -> Option<&mut Tail> {
--- a/crates/dispatch/src/owner/adopting.rs
+++ b/crates/dispatch/src/owner/adopting.rs
@@ -169,6 +169,7 @@
                 self.workers[*key].is_listed = false;
             }
         }
+        self.is_list_new = true;
         self.must_place = true;
     }
 }
--- a/crates/dispatch/src/owner/mod.rs
+++ b/crates/dispatch/src/owner/mod.rs
@@ -136,6 +136,8 @@
     is_informed: bool,
     /// Workers as they are on record for a successor.
     noted_workers: BTreeMap<Box<str>, WorkerEntry>,
+    /// The list of workers was read since it was compared with these.
+    is_list_new: bool,
     /// Jobs that are over. What still runs of them takes room until it has ended.
     over: HashMap<JobId, Rc<Submission>>,
     workers: SlotMap<WorkerKey, Worker>,
@@ -178,6 +180,7 @@
             unread: HashMap::new(),
             is_informed: false,
             noted_workers: inheritance.workers,
+            is_list_new: false,
             over: HashMap::new(),
             workers: SlotMap::with_key(),
             worker_keys: HashMap::new(),
--- a/crates/dispatch/src/owner/writing.rs
+++ b/crates/dispatch/src/owner/writing.rs
@@ -246,6 +246,9 @@
     /// Records which workers are listed, where that has changed. A successor needs their
     /// addresses at once, to extend leases, and the platform's list may be away just then.
     fn note_workers(&mut self, records: &mut Records) {
+        if !std::mem::take(&mut self.is_list_new) {
+            return;
+        }
         let mut gone = Vec::new();
         for id in self.noted_workers.keys() {
             let key = self.worker_keys.get(id);
--- a/crates/dispatch/src/tail.rs
+++ b/crates/dispatch/src/tail.rs
@@ -91,31 +91,6 @@
         self.fresh_ticket = self.fresh_ticket.max(flight.ticket);
     }
 
-    /// Reads at once, unless a read sent after the given ticket is under way.
-    pub(crate) fn prompt_after(
-        &mut self,
-        ticket: u64,
-        now_ms: u64,
-        tickets: &mut u64,
-        actions: &mut Vec<Action>,
-    ) {
-        let is_prompted = self
-            .reads
-            .iter()
-            .any(|flight| !flight.waits && flight.ticket > ticket);
-        if self.next.is_none() || now_ms < self.retry_ms || is_prompted {
-            return;
-        }
-        self.read(0, now_ms, tickets, actions);
-    }
-
-    /// Tells whether a read without a wait, sent at `since_ms` or later, is under way.
-    fn is_prompted_since(&self, since_ms: u64) -> bool {
-        self.reads
-            .iter()
-            .any(|flight| !flight.waits && flight.sent_ms >= since_ms)
-    }
-
     /// Goes on loading, if that is due.
     pub(crate) fn load(&mut self, now_ms: u64, tickets: &mut u64, actions: &mut Vec<Action>) {
         if self.next.is_some() || self.load.is_some() || now_ms < self.retry_ms {
@@ -147,10 +122,20 @@
         tickets: &mut u64,
         actions: &mut Vec<Action>,
     ) {
-        if self.next.is_none() || now_ms < self.retry_ms || self.is_prompted_since(since_ms) {
-            return;
-        }
-        self.read(0, now_ms, tickets, actions);
+        let is_enough = |flight: &Flight| !flight.waits && flight.sent_ms >= since_ms;
+        self.read_unless(is_enough, 0, now_ms, tickets, actions);
+    }
+
+    /// Reads at once, unless a read sent after the given ticket is under way.
+    pub(crate) fn prompt_after(
+        &mut self,
+        ticket: u64,
+        now_ms: u64,
+        tickets: &mut u64,
+        actions: &mut Vec<Action>,
+    ) {
+        let is_enough = |flight: &Flight| !flight.waits && flight.ticket > ticket;
+        self.read_unless(is_enough, 0, now_ms, tickets, actions);
     }
 
     /// Keeps one read under way that waits for a record.
@@ -161,8 +146,19 @@
         tickets: &mut u64,
         actions: &mut Vec<Action>,
     ) {
-        let listens = self.reads.iter().any(|flight| flight.waits);
-        if self.next.is_none() || now_ms < self.retry_ms || listens {
+        self.read_unless(|flight| flight.waits, wait_ms, now_ms, tickets, actions);
+    }
+
+    /// Reads, unless a read under way is enough or none may be sent now.
+    fn read_unless(
+        &mut self,
+        is_enough: impl Fn(&Flight) -> bool,
+        wait_ms: u64,
+        now_ms: u64,
+        tickets: &mut u64,
+        actions: &mut Vec<Action>,
+    ) {
+        if self.next.is_none() || now_ms < self.retry_ms || self.reads.iter().any(is_enough) {
             return;
         }
         self.read(wait_ms, now_ms, tickets, actions);
