Learn interference from changes beside a task, not from levels over all

Ruled out: room (spare in 7 to 45 of 48 workers), order, the store, failed runs. Change: each look is compared with a baseline of the last second at the same task; least squares explain the departures; looks that tell nothing new are passed over. The learner is a policy of its own (crates/dispatch/src/ policy), open to tests. Test: a pair met for one run under a swinging load; with levels it tells 0.25 of a harmless pair and 0.15 of a heavy one, now 0.12 and 0.21.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -36,6 +36,7 @@
 mod ids;
 mod ledger;
 mod owner;
+pub mod policy;
 mod record;
 mod tail;
 
--- a/crates/dispatch/src/owner/pacing.rs
+++ b/crates/dispatch/src/owner/pacing.rs
@@ -12,13 +12,14 @@
 use crate::ids::TaskId;
 use crate::owner::Owner;
 use crate::owner::Purpose;
-use crate::owner::interference::Interference;
-use crate::owner::interference::Use;
-use crate::owner::interference::ease;
 use crate::owner::worker::Run;
 use crate::owner::worker::RunPhase;
 use crate::owner::worker::Worker;
 use crate::owner::worker::WorkerKey;
+use crate::policy::interference::Interference;
+use crate::policy::interference::Use;
+use crate::policy::interference::add_use;
+use crate::policy::interference::ease;
 use goldcrestway_core::Code;
 use goldcrestway_core::Note;
 
@@ -85,13 +86,17 @@
         let worker = &mut self.workers[key];
         worker.is_pressed = false;
         let uses = uses(worker);
+        let is_new = has_new_gauges(worker);
         for run in worker.runs.values_mut() {
             if !is_serving(run) {
                 run.over_since_ms = None;
                 continue;
             }
             let ease = ease(run.tail_target_ms, run.gauge);
-            self.interference.learn(run.image, ease, &uses);
+            if is_new {
+                self.interference
+                    .learn(run.image, &mut run.baseline, ease, &uses);
+            }
             if ease < 1.0 {
                 run.over_since_ms.get_or_insert(now_ms);
                 worker.is_pressed = true;
@@ -172,6 +177,17 @@
     run.is_lasting && run.tail_target_ms > 0 && run.percent >= 100 && run.gauge > 0
 }
 
+/// Tells whether the figures of a look are new, and notes them. Workers tell the same ones
+/// for half a second, and learning from one twice would count it double.
+fn has_new_gauges(worker: &mut Worker) -> bool {
+    let mut is_new = false;
+    for run in worker.runs.values_mut() {
+        is_new |= run.gauge != run.former_gauge;
+        run.former_gauge = run.gauge;
+    }
+    is_new
+}
+
 /// Adds up what the fillers on a worker use, by image and by the latest look.
 fn uses(worker: &Worker) -> Vec<Use> {
     let mut uses: Vec<Use> = Vec::new();
@@ -180,10 +196,7 @@
             continue;
         }
         let cores = run.gauge as f64 / 1_000.0;
-        match uses.iter_mut().find(|(image, _)| *image == run.image) {
-            Some((_, sum)) => *sum += cores,
-            None => uses.push((run.image, cores)),
-        }
+        add_use(&mut uses, run.image, cores);
     }
     uses
 }
--- a/crates/dispatch/src/owner/worker.rs
+++ b/crates/dispatch/src/owner/worker.rs
@@ -3,7 +3,8 @@
 use crate::config::Room;
 use crate::config::WorkerEntry;
 use crate::ids::TaskId;
-use crate::owner::images::ImageKey;
+use crate::policy::images::ImageKey;
+use crate::policy::interference::Baseline;
 use crate::record::Step;
 use slotmap::new_key_type;
 use std::collections::BTreeMap;
@@ -63,6 +64,10 @@
     /// When its percent last rose.
     pub(crate) moved_ms: u64,
     pub(crate) gauge: u64,
+    /// The gauge as of the look before.
+    pub(crate) former_gauge: u64,
+    /// What its ease was of late, if it serves.
+    pub(crate) baseline: Baseline,
     /// Since when its tail is over its target.
     pub(crate) over_since_ms: Option<u64>,
     /// Share at which it may work, as last ordered.
@@ -95,6 +100,8 @@
             first_ms: now_ms,
             moved_ms: now_ms,
             gauge: 0,
+            former_gauge: 0,
+            baseline: Baseline::default(),
             over_since_ms: None,
             pace_percent: 100,
             share_percent: 100,
--- a/crates/dispatch/src/owner/images.rs
+++ b/crates/dispatch/src/policy/images.rs
@@ -4,18 +4,18 @@
 
 /// An image, as this owner numbers it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
-pub(crate) struct ImageKey(pub(crate) u16);
+pub struct ImageKey(pub u16);
 
 /// All images that this owner has met. Number 0 is the one without a name.
 #[derive(Debug, Default)]
-pub(crate) struct Images {
+pub struct Images {
     keys: HashMap<Box<str>, ImageKey>,
     names: Vec<Box<str>>,
 }
 
 impl Images {
     /// Gives the number of an image.
-    pub(crate) fn key(&mut self, name: &str) -> ImageKey {
+    pub fn key(&mut self, name: &str) -> ImageKey {
         if name.is_empty() {
             return ImageKey::default();
         }
@@ -29,7 +29,7 @@
     }
 
     /// Gives the name of an image.
-    pub(crate) fn name(&self, key: ImageKey) -> &str {
+    pub fn name(&self, key: ImageKey) -> &str {
         let at = usize::from(key.0).checked_sub(1);
         at.and_then(|at| self.names.get(at)).map_or("", |name| name)
     }
--- a/crates/dispatch/src/owner/interference.rs
+++ b/crates/dispatch/src/policy/interference.rs
@@ -10,23 +10,29 @@
 //! ease = ease alone - sum over fillers (press of the pair x cores in use)
 //! ```
 //!
-//! Each look gives the tails on one worker and what its fillers used in the same half
-//! second. The presses on a serving image are those that explain all its looks best, by
-//! least squares with no press below 0, over the last half minute. Small steps after each
-//! sample (normalised least mean squares) were tried first: their noise of 0.1 a core
-//! hides the pairs that do not press from those that do.
+//! The ease alone swings with the task's own load, by more than a filler presses, and each
+//! task has a swing of its own. So changes are compared, not levels: [`Baseline`] keeps what
+//! a task's ease and the fillers beside it were of late, and the presses on a serving image
+//! are those that explain the departures from that best, by least squares with no press
+//! below 0. Levels over all looks were tried first: a filler that happened to come while
+//! loads were high was taken for one that presses, and was never tried there again.
 
-use crate::owner::images::ImageKey;
-use crate::owner::images::Images;
+use crate::policy::images::ImageKey;
+use crate::policy::images::Images;
 use crate::record::Learned;
 use crate::record::LearnedImage;
 use crate::record::LearnedPress;
 use std::collections::BTreeMap;
 use std::collections::HashMap;
 
-/// Weight that a sample keeps with each later one of its image: at 60 to 100 samples a
-/// second for an image, half a minute counts.
+/// Weight that a sample keeps with each later one of its image: at 30 to 50 samples a
+/// second for an image, a minute counts.
 const KEPT: f64 = 0.9995;
+/// Weight of the newest sample in a baseline. Tails are told anew twice a second, and a
+/// load swings within ten; a baseline of a second follows it and is less rough than one look.
+const BASELINE_WEIGHT: f64 = 0.5;
+/// Weight of a sample in the mean ease alone of an image, of hundreds of samples.
+const ALONE_WEIGHT: f64 = 0.005;
 /// Press of a pair of which nothing is known: enough to spread unknown fillers, too little
 /// to keep them from being tried.
 const UNKNOWN_PRESS: f64 = 0.06;
@@ -41,13 +47,57 @@
 const UNKNOWN_EASE: f64 = 2.2;
 
 /// Processor time in use by a filler, in cores.
-pub(crate) type Use = (ImageKey, f64);
+pub type Use = (ImageKey, f64);
+
+/// What a task's ease, and the use of fillers beside it, were of late.
+#[derive(Debug, Clone, Default)]
+pub struct Baseline {
+    ease: f64,
+    uses: Vec<Use>,
+    has_sample: bool,
+}
+
+/// How far a look departs from the baseline.
+#[derive(Debug, Default)]
+struct Departure {
+    ease: f64,
+    uses: Vec<Use>,
+}
+
+impl Baseline {
+    /// Gives how far a sample departs from what was of late, and takes it in.
+    fn take(&mut self, ease: f64, fillers: &[Use]) -> Option<Departure> {
+        let mut departure = Departure {
+            ease: ease - self.ease,
+            uses: fillers.to_vec(),
+        };
+        for (image, cores) in &self.uses {
+            add_use(&mut departure.uses, *image, -cores);
+        }
+        let weight = if self.has_sample {
+            BASELINE_WEIGHT
+        } else {
+            1.0
+        };
+        self.ease += departure.ease * weight;
+        for (image, cores) in &departure.uses {
+            add_use(&mut self.uses, *image, cores * weight);
+        }
+        std::mem::replace(&mut self.has_sample, true).then_some(departure)
+    }
+}
+
+/// Adds to the use of an image in a list that names each image once.
+pub fn add_use(uses: &mut Vec<Use>, image: ImageKey, cores: f64) {
+    match uses.iter_mut().find(|(other, _)| *other == image) {
+        Some((_, sum)) => *sum += cores,
+        None => uses.push((image, cores)),
+    }
+}
 
 /// Sums over the looks at one serving image, and what follows from them.
 #[derive(Debug)]
 struct Fit {
-    samples: f64,
-    ease_sum: f64,
     alone: f64,
     press: BTreeMap<ImageKey, Press>,
     /// Sums of products of the uses of two fillers, the lower number first.
@@ -61,9 +111,9 @@
     /// What was assumed before any sample, and its weight in samples of one core.
     assumed: f64,
     assumed_weight: f64,
-    use_sum: f64,
     square_sum: f64,
-    use_ease_sum: f64,
+    /// Sum of products of what it used more, and what the ease was less.
+    use_loss_sum: f64,
 }
 
 impl Default for Press {
@@ -72,9 +122,8 @@
             value: UNKNOWN_PRESS,
             assumed: UNKNOWN_PRESS,
             assumed_weight: UNKNOWN_WEIGHT,
-            use_sum: 0.0,
             square_sum: 0.0,
-            use_ease_sum: 0.0,
+            use_loss_sum: 0.0,
         }
     }
 }
@@ -82,8 +131,6 @@
 impl Default for Fit {
     fn default() -> Self {
         Self {
-            samples: 0.0,
-            ease_sum: 0.0,
             alone: UNKNOWN_EASE,
             press: BTreeMap::new(),
             products: HashMap::new(),
@@ -93,7 +140,7 @@
 
 /// What was learned.
 #[derive(Debug, Default)]
-pub(crate) struct Interference {
+pub struct Interference {
     fits: HashMap<ImageKey, Fit>,
     /// Presses by served image and filler, which placement reads many times for each
     /// that is learned.
@@ -101,20 +148,34 @@
 }
 
 /// Gives the ease of a task with this tail.
-pub(crate) fn ease(target_ms: u64, tail_ms: u64) -> f64 {
+pub fn ease(target_ms: u64, tail_ms: u64) -> f64 {
     (target_ms as f64 / tail_ms.max(1) as f64).min(EASE_MOST)
 }
 
 impl Interference {
     /// Learns from the ease of a serving task and what fillers beside it used meanwhile.
     /// `fillers` names each image once.
-    pub(crate) fn learn(&mut self, serving: ImageKey, ease: f64, fillers: &[Use]) {
+    pub fn learn(
+        &mut self,
+        serving: ImageKey,
+        baseline: &mut Baseline,
+        ease: f64,
+        fillers: &[Use],
+    ) {
         let fit = self.fits.entry(serving).or_default();
+        let mut taken = 0.0;
+        for (filler, cores) in fillers {
+            taken += fit.press.entry(*filler).or_default().value * cores;
+        }
+        fit.alone += (ease + taken - fit.alone) * ALONE_WEIGHT;
+        let Some(departure) = baseline.take(ease, fillers) else {
+            return;
+        };
         fit.fade();
-        fit.add(ease, fillers);
-        fit.solve(fillers);
+        fit.add(&departure);
+        fit.solve(&departure.uses);
         let row = row(&mut self.table, serving);
-        for (filler, _) in fillers {
+        for (filler, _) in &departure.uses {
             set(row, *filler, fit.press[filler].value);
         }
     }
@@ -124,8 +185,6 @@
         for image in &learned.images {
             let fit = self.fits.entry(images.key(&image.image)).or_default();
             fit.alone = image.alone;
-            fit.samples = LEARNED_WEIGHT;
-            fit.ease_sum = LEARNED_WEIGHT * image.alone;
             for pair in &image.presses {
                 let press = Press {
                     value: pair.press,
@@ -165,14 +224,14 @@
     }
 
     /// Gives the ease that a serving image has by itself.
-    pub(crate) fn alone(&self, serving: ImageKey) -> f64 {
+    pub fn alone(&self, serving: ImageKey) -> f64 {
         self.fits
             .get(&serving)
             .map_or(UNKNOWN_EASE, |fit| fit.alone)
     }
 
     /// Gives the press of a pair for each core that the filler uses.
-    pub(crate) fn press(&self, serving: ImageKey, filler: ImageKey) -> f64 {
+    pub fn press(&self, serving: ImageKey, filler: ImageKey) -> f64 {
         self.table
             .get(usize::from(serving.0))
             .and_then(|row| row.get(usize::from(filler.0)))
@@ -181,7 +240,7 @@
     }
 
     /// Gives by how much fillers lower the ease of a serving task.
-    pub(crate) fn pressure(&self, serving: ImageKey, fillers: &[Use]) -> f64 {
+    pub fn pressure(&self, serving: ImageKey, fillers: &[Use]) -> f64 {
         let mut sum = 0.0;
         for (filler, cores) in fillers {
             sum += self.press(serving, *filler) * cores;
@@ -212,27 +271,21 @@
 
 impl Fit {
     fn fade(&mut self) {
-        self.samples *= KEPT;
-        self.ease_sum *= KEPT;
         for press in self.press.values_mut() {
-            press.use_sum *= KEPT;
             press.square_sum *= KEPT;
-            press.use_ease_sum *= KEPT;
+            press.use_loss_sum *= KEPT;
         }
         for product in self.products.values_mut() {
             *product *= KEPT;
         }
     }
 
-    fn add(&mut self, ease: f64, fillers: &[Use]) {
-        self.samples += 1.0;
-        self.ease_sum += ease;
-        for (number, (filler, cores)) in fillers.iter().enumerate() {
+    fn add(&mut self, departure: &Departure) {
+        for (number, (filler, cores)) in departure.uses.iter().enumerate() {
             let press = self.press.entry(*filler).or_default();
-            press.use_sum += cores;
             press.square_sum += cores * cores;
-            press.use_ease_sum += cores * ease;
-            for (other, other_cores) in &fillers[number + 1..] {
+            press.use_loss_sum -= cores * departure.ease;
+            for (other, other_cores) in &departure.uses[number + 1..] {
                 *self.products.entry(pair(*filler, *other)).or_default() += cores * other_cores;
             }
         }
@@ -241,11 +294,6 @@
     /// Improves the presses of the given fillers, one after the other, with all else as it
     /// is. The sums change little from look to look, so one pass each time is enough.
     fn solve(&mut self, fillers: &[Use]) {
-        let mut taken = 0.0;
-        for press in self.press.values() {
-            taken += press.value * press.use_sum;
-        }
-        self.alone = (self.ease_sum + taken) / self.samples;
         for (filler, _) in fillers {
             let mut by_others = 0.0;
             for (other, press) in &self.press {
@@ -257,9 +305,9 @@
             let Some(press) = self.press.get_mut(filler) else {
                 continue;
             };
-            let missing = self.alone * press.use_sum - press.use_ease_sum - by_others;
+            let loss = press.use_loss_sum - by_others;
             let weight = press.square_sum + press.assumed_weight;
-            press.value = ((missing + press.assumed_weight * press.assumed) / weight).max(0.0);
+            press.value = ((loss + press.assumed_weight * press.assumed) / weight).max(0.0);
         }
     }
 }
--- a/tests/lib.rs
+++ b/tests/lib.rs
@@ -19,6 +19,7 @@
 mod faults;
 mod fleet;
 mod inventories;
+mod policy_interference;
 mod scenarios;
 mod settings;
 mod tallies;
