Give what is free to jobs that can still make their objective

Change: a job whose remaining chain of steps no longer fits waits behind those that can make it; one that has begun goes first among equals (policy/ordering).

--- a/crates/dispatch/src/owner/job.rs
+++ b/crates/dispatch/src/owner/job.rs
@@ -6,6 +6,7 @@
 use crate::ledger::JobRecord;
 use crate::owner::permits::ASKED_MOST;
 use crate::owner::worker::WorkerKey;
+use crate::policy::ordering::Waiting;
 use crate::record::JobPhase;
 use crate::record::OccurrenceProgress;
 use crate::record::Progress;
@@ -170,7 +171,7 @@
         let submission = record.submission.clone()?;
         let age_ms = now.wall_ms.saturating_sub(submission.accepted_wall_ms);
         let allowed_ms = submission.target_latency_ms
-            + chain_ms(&submission) * submission.stretch_permille / 1_000;
+            + chain_ms(&submission, |_| true) * submission.stretch_permille / 1_000;
         let arrived_ms = now.steady_ms.saturating_sub(age_ms);
         let mut job = Self {
             id,
@@ -229,6 +230,28 @@
         }
     }
 
+    /// Gives what decides its place in the order of jobs.
+    pub(crate) fn waiting(&self) -> Waiting {
+        Waiting {
+            priority: self.submission.priority,
+            is_lasting: self.submission.steps.iter().any(|step| step.is_lasting),
+            has_begun: self.phase != JobPhase::Queued,
+            due_ms: self.due_ms,
+            worthless_ms: self.worthless_ms,
+            left_ms: self.left_ms(),
+        }
+    }
+
+    /// Gives the time that the longest chain of steps still takes in which tasks wait.
+    fn left_ms(&self) -> u64 {
+        let mut longest_ms = 0;
+        for occurrence in &self.occurrences {
+            let is_left = |number: usize| occurrence.steps[number].waiting > 0;
+            longest_ms = longest_ms.max(chain_ms(&self.submission, is_left));
+        }
+        longest_ms
+    }
+
     pub(crate) fn task_mut(&mut self, id: TaskId) -> Option<&mut Task> {
         self.step_mut(id)?.tasks.get_mut(usize::from(id.index))
     }
@@ -352,10 +375,10 @@
     }
 }
 
-/// Gives the work of the longest chain of steps.
-fn chain_ms(submission: &Submission) -> u64 {
+/// Gives the work of the longest chain of those steps that are `counted`.
+fn chain_ms(submission: &Submission, counted: impl Fn(usize) -> bool) -> u64 {
     let mut ends_ms: Vec<u64> = Vec::with_capacity(submission.steps.len());
-    for step in &submission.steps {
+    for (number, step) in submission.steps.iter().enumerate() {
         let mut start_ms = 0;
         for before in &step.after {
             start_ms = start_ms.max(ends_ms.get(*before as usize).copied().unwrap_or(0));
@@ -368,7 +391,12 @@
             true => submission.permit_call_ms(ASKED_MOST),
             false => 0,
         };
-        ends_ms.push(start_ms + call_ms + work_ms);
+        let took_ms = if counted(number) {
+            call_ms + work_ms
+        } else {
+            0
+        };
+        ends_ms.push(start_ms + took_ms);
     }
     ends_ms.into_iter().max().unwrap_or(0)
 }
--- a/crates/dispatch/src/owner/placing.rs
+++ b/crates/dispatch/src/owner/placing.rs
@@ -13,6 +13,7 @@
 use crate::owner::worker::WorkerKey;
 use crate::policy::images::ImageKey;
 use crate::policy::interference::Use;
+use crate::policy::ordering::Urgency;
 use crate::record::JobPhase;
 use crate::record::Step;
 use goldcrestway_core::Code;
@@ -62,18 +63,6 @@
     pub(crate) needs_permits: bool,
 }
 
-/// In which order jobs get what is free. What is worth nothing any more comes last. Tasks
-/// that last come first among their equals: a quick task takes room for a second, and an
-/// endless row of them would keep a lasting one from ever running again.
-#[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
-struct Urgency {
-    is_worthless: bool,
-    priority: u32,
-    is_finite: bool,
-    due_ms: u64,
-    key: JobKey,
-}
-
 /// What one go at placing has come to.
 struct Pass {
     /// Tasks that may still be placed.
@@ -110,15 +99,7 @@
         for key in &self.live {
             let job = &self.jobs[*key];
             if job.has_waiting {
-                let is_lasting = job.submission.steps.iter().any(|step| step.is_lasting);
-                let is_worthless = now.steady_ms > job.worthless_ms && !is_lasting;
-                order.push(Urgency {
-                    is_worthless,
-                    priority: job.submission.priority,
-                    is_finite: !is_lasting,
-                    due_ms: job.due_ms,
-                    key: *key,
-                });
+                order.push((Urgency::new(&job.waiting(), now.steady_ms), *key));
             }
         }
         order.sort_unstable();
@@ -126,7 +107,7 @@
             left: PLACED_MOST,
             hopeless: Vec::new(),
         };
-        for Urgency { key, .. } in order {
+        for (_, key) in order {
             self.place_job(key, now, &mut pass, actions);
             if pass.left == 0 {
                 self.must_place = true;
--- a/crates/dispatch/src/policy/mod.rs
+++ b/crates/dispatch/src/policy/mod.rs
@@ -5,6 +5,8 @@
 //! | Module | Decides |
 //! | --- | --- |
 //! | [`interference`] | how much best-effort tasks slow down long-running ones beside them |
+//! | [`ordering`] | which job gets what is free |
 
 pub mod images;
 pub mod interference;
+pub mod ordering;
--- /dev/null
+++ b/crates/dispatch/src/policy/ordering.rs
@@ -0,0 +1,60 @@
+//! In which order jobs get what is free.
+//!
+//! **Load pattern:** for seconds or for the whole day more work comes than fits, in all or of
+//! one kind that few workers can take.
+//!
+//! **Without it** jobs went by the time at which they were due. Under overload every job then
+//! starts when it can only just end in time, and ends late: all are served, and hardly any
+//! in time. It shows as a queue whose oldest job is past its objective and whose jobs all
+//! end a little late.
+//!
+//! **Limits:** a job counts as late when its longest chain of steps, as its caller has
+//! estimated it, no longer fits before its objective; it then waits for those that can still
+//! make it. Among these, one that has begun goes first: what it has done is worth something
+//! only with the rest.
+
+/// What is known of a job that waits.
+#[derive(Debug, Clone, Copy)]
+pub struct Waiting {
+    /// Priority of its queue; 0 comes first.
+    pub priority: u32,
+    /// It has tasks that last until it is cancelled.
+    pub is_lasting: bool,
+    /// Some task of it has started.
+    pub has_begun: bool,
+    /// Time by which its caller would like it done.
+    pub due_ms: u64,
+    /// Time after which its end is worth nothing to its caller.
+    pub worthless_ms: u64,
+    /// Time that the longest chain of its steps still takes, undisturbed.
+    pub left_ms: u64,
+}
+
+/// A job's place in the order; the least comes first.
+///
+/// What is worth nothing any more comes last. Tasks that last come first among their equals:
+/// a quick task takes room for a second, and an endless row of them would keep a lasting one
+/// from ever running again.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Urgency {
+    is_worthless: bool,
+    priority: u32,
+    is_finite: bool,
+    is_late: bool,
+    has_not_begun: bool,
+    due_ms: u64,
+}
+
+impl Urgency {
+    /// Gives the place of a job that waits at `now_ms`.
+    pub fn new(job: &Waiting, now_ms: u64) -> Self {
+        Self {
+            is_worthless: now_ms > job.worthless_ms && !job.is_lasting,
+            priority: job.priority,
+            is_finite: !job.is_lasting,
+            is_late: now_ms + job.left_ms > job.due_ms && !job.is_lasting,
+            has_not_begun: !job.has_begun,
+            due_ms: job.due_ms,
+        }
+    }
+}
--- a/tests/lib.rs
+++ b/tests/lib.rs
@@ -20,6 +20,7 @@
 mod fleet;
 mod inventories;
 mod policy_interference;
+mod policy_ordering;
 mod scenarios;
 mod settings;
 mod tallies;
--- /dev/null
+++ b/tests/policy_ordering.rs
@@ -0,0 +1,132 @@
+//! Which of many waiting jobs gets what is free.
+
+use goldcrestway_dispatch::policy::ordering::Urgency;
+use goldcrestway_dispatch::policy::ordering::Waiting;
+use googletest::prelude::*;
+
+const NOW_MS: u64 = 100_000;
+
+/// A job of best-effort tasks that can still make its objective.
+const JOB: Waiting = Waiting {
+    priority: 2,
+    is_lasting: false,
+    has_begun: false,
+    due_ms: NOW_MS + 6_000,
+    worthless_ms: NOW_MS + 22_000,
+    left_ms: 3_400,
+};
+
+/// Two jobs, the first of which is to go first.
+struct Case {
+    name: &'static str,
+    first: Waiting,
+    second: Waiting,
+}
+
+const CASES: &[Case] = &[
+    Case {
+        name: "one that can still make it before one that can't",
+        first: JOB,
+        second: Waiting {
+            due_ms: NOW_MS + 3_000,
+            ..JOB
+        },
+    },
+    Case {
+        name: "one whose last step is short can still make it",
+        first: Waiting {
+            due_ms: NOW_MS + 3_000,
+            left_ms: 1_700,
+            ..JOB
+        },
+        second: JOB,
+    },
+    Case {
+        name: "one that has begun before one that has not",
+        first: Waiting {
+            has_begun: true,
+            due_ms: NOW_MS + 7_000,
+            ..JOB
+        },
+        second: JOB,
+    },
+    Case {
+        name: "the first due of equals",
+        first: JOB,
+        second: Waiting {
+            due_ms: NOW_MS + 6_001,
+            ..JOB
+        },
+    },
+    Case {
+        name: "a late one of a more urgent queue before all of this one",
+        first: Waiting {
+            priority: 0,
+            due_ms: NOW_MS,
+            ..JOB
+        },
+        second: JOB,
+    },
+    Case {
+        name: "a late one before one that is worth nothing any more",
+        first: Waiting {
+            due_ms: NOW_MS,
+            ..JOB
+        },
+        second: Waiting {
+            priority: 0,
+            due_ms: 0,
+            worthless_ms: NOW_MS - 1,
+            ..JOB
+        },
+    },
+    Case {
+        name: "one that lasts is never late",
+        first: Waiting {
+            is_lasting: true,
+            due_ms: 0,
+            worthless_ms: 0,
+            ..JOB
+        },
+        second: JOB,
+    },
+];
+
+/// Symptom: under overload nearly every job ends late, though half of them could have ended
+/// in time. Sequence: more comes than fits; jobs go by the time at which they are due; each
+/// waits until it can only just make it, and the ones behind it wait for it. Cause: a job
+/// that could no longer make it went before those that could.
+#[gtest]
+fn jobs_that_can_make_their_objective_go_first() {
+    for case in CASES {
+        let first = Urgency::new(&case.first, NOW_MS);
+        let second = Urgency::new(&case.second, NOW_MS);
+        expect_that!(first, lt(second), "{}", case.name);
+    }
+}
+
+/// The same over a day of overload: one worker, a job of two seconds each second, each of
+/// which is to end five seconds after it came. By due time alone the first three end in time.
+#[gtest]
+fn half_of_an_overload_of_two_ends_in_time() {
+    const WORK_MS: u64 = 2_000;
+    const ALLOWED_MS: u64 = 5_000;
+    let mut waiting: Vec<Waiting> = Vec::new();
+    let mut in_time = 0;
+    let mut came = 0;
+    for now_ms in (0_u64..60_000).step_by(WORK_MS as usize) {
+        for came_ms in [now_ms.saturating_sub(1_000), now_ms] {
+            came += 1;
+            waiting.push(Waiting {
+                due_ms: came_ms + ALLOWED_MS,
+                worthless_ms: came_ms + 3 * ALLOWED_MS,
+                left_ms: WORK_MS,
+                ..JOB
+            });
+        }
+        waiting.sort_by_key(|job| Urgency::new(job, now_ms));
+        let job = waiting.remove(0);
+        in_time += u32::from(now_ms + WORK_MS <= job.due_ms);
+    }
+    expect_that!(in_time, ge(came * 45 / 100));
+}
