Let an operator switch mechanisms off, to find out what each is worth

Cause: what a mechanism is worth on a deployment could be told only from a build without it. Ruled out: switches in the operator's rules, whose format is the platform's.

--- a/crates/dispatch/src/bounds.rs
+++ b/crates/dispatch/src/bounds.rs
@@ -1,5 +1,7 @@
 //! Times that the platform's operators have agreed on, and the project's own.
 
+use crate::policy::Policy;
+
 /// Bounds that differ between deployments.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Bounds {
@@ -15,6 +17,8 @@
     pub cpu_permille: u64,
     /// Parts of the stream of jobs. All hosts must use the same number.
     pub job_parts: u8,
+    /// Which mechanisms are in use.
+    pub policy: Policy,
 }
 
 impl Default for Bounds {
@@ -27,6 +31,7 @@
             harm_ms: 4_000,
             cpu_permille: 100,
             job_parts: 4,
+            policy: Policy::default(),
         }
     }
 }
--- a/crates/dispatch/src/owner/ends.rs
+++ b/crates/dispatch/src/owner/ends.rs
@@ -128,6 +128,9 @@
 
     /// Learns from an end whether a worker fails whatever it starts.
     fn judge_worker(&mut self, key: WorkerKey, manner: Manner, now_ms: u64) {
+        if !self.bounds.policy.avoids_failing_workers {
+            return;
+        }
         let worker = &mut self.workers[key];
         match manner {
             Manner::Done => worker.failures_in_row = 0,
--- a/crates/dispatch/src/owner/mod.rs
+++ b/crates/dispatch/src/owner/mod.rs
@@ -203,9 +203,11 @@
                 .insert(silent.worker.as_str().into(), lapsed_ms);
             owner.noted_silent.insert(silent.worker.as_str().into());
         }
-        owner
-            .interference
-            .resume(&inheritance.learned, &mut owner.images);
+        if bounds.policy.inherits_interference {
+            owner
+                .interference
+                .resume(&inheritance.learned, &mut owner.images);
+        }
         let mut ids: Vec<JobId> = ledger.jobs.keys().copied().collect();
         ids.sort_unstable();
         owner.unread = inheritance.jobs;
--- a/crates/dispatch/src/owner/pacing.rs
+++ b/crates/dispatch/src/owner/pacing.rs
@@ -85,7 +85,7 @@
         let patience = Patience::new(self.bounds.harm_ms);
         let worker = &mut self.workers[key];
         worker.is_pressed = false;
-        let is_new = has_new_gauges(worker);
+        let is_new = has_new_gauges(worker) && self.bounds.policy.learns_interference;
         let mut uses = uses(worker);
         if is_new {
             worker.window.close(&mut uses);
@@ -111,7 +111,8 @@
             worker.is_pressed = false;
             return;
         }
-        if let Some(shift) = decide(worker, &self.interference, patience, now_ms) {
+        let paces = self.bounds.policy.paces;
+        if let Some(shift) = decide(worker, &self.interference, patience, paces, now_ms) {
             actions.push(Action::Note(Note::new(
                 Code::FillersPaced,
                 &*worker.entry.id,
@@ -231,6 +232,7 @@
     worker: &mut Worker,
     interference: &Interference,
     patience: Patience,
+    paces: bool,
     now_ms: u64,
 ) -> Option<Shift> {
     let may_shift = now_ms >= worker.pace_ms;
@@ -257,6 +259,7 @@
         run.share_percent = match wish {
             Wish::Halt => 0,
             _ if !may_shift => before,
+            _ if !paces => 100,
             Wish::Cut if before / 2 < HALT_PERCENT => 0,
             Wish::Cut => before / 2,
             Wish::Keep => before,
--- a/crates/dispatch/src/owner/placing.rs
+++ b/crates/dispatch/src/owner/placing.rs
@@ -99,7 +99,10 @@
         for key in &self.live {
             let job = &self.jobs[*key];
             if job.has_waiting {
-                order.push((Urgency::new(&job.waiting(), now.steady_ms), *key));
+                order.push((
+                    Urgency::new(&job.waiting(), &self.bounds.policy, now.steady_ms),
+                    *key,
+                ));
             }
         }
         order.sort_unstable();
@@ -309,6 +312,9 @@
         }
         let pressure = self.interference.pressure(wanted.image, &demands(worker));
         let mut cost = (pressure * PRESSURE_COST) as i64;
+        if !self.bounds.policy.keeps_images_together {
+            return Some(cost);
+        }
         for run in worker.runs.values() {
             if run.tail_target_ms > 0 {
                 cost += if run.image == wanted.image {
--- a/crates/dispatch/src/owner/stragglers.rs
+++ b/crates/dispatch/src/owner/stragglers.rs
@@ -101,7 +101,8 @@
 impl Owner {
     /// Looks for stragglers and starts them elsewhere.
     pub(crate) fn chase_stragglers(&mut self, now: Now, actions: &mut Vec<Action>) {
-        if now.steady_ms < self.durations.next_search_ms {
+        let is_due = now.steady_ms >= self.durations.next_search_ms;
+        if !is_due || !self.bounds.policy.replaces_stragglers {
             return;
         }
         self.durations.next_search_ms = now.steady_ms + SEARCH_MS;
--- a/crates/dispatch/src/policy/mod.rs
+++ b/crates/dispatch/src/policy/mod.rs
@@ -10,3 +10,6 @@
 pub mod images;
 pub mod interference;
 pub mod ordering;
+mod switches;
+
+pub use switches::Policy;
--- a/crates/dispatch/src/policy/ordering.rs
+++ b/crates/dispatch/src/policy/ordering.rs
@@ -13,6 +13,8 @@
 //! make it. Among these, one that has begun goes first: what it has done is worth something
 //! only with the rest.
 
+use crate::policy::Policy;
+
 /// What is known of a job that waits.
 #[derive(Debug, Clone, Copy)]
 pub struct Waiting {
@@ -47,13 +49,14 @@
 
 impl Urgency {
     /// Gives the place of a job that waits at `now_ms`.
-    pub fn new(job: &Waiting, now_ms: u64) -> Self {
+    pub fn new(job: &Waiting, policy: &Policy, now_ms: u64) -> Self {
+        let fits = now_ms + job.left_ms <= job.due_ms;
         Self {
             is_worthless: now_ms > job.worthless_ms && !job.is_lasting,
             priority: job.priority,
             is_finite: !job.is_lasting,
-            is_late: now_ms + job.left_ms > job.due_ms && !job.is_lasting,
-            has_not_begun: !job.has_begun,
+            is_late: !fits && !job.is_lasting && policy.feasible_first,
+            has_not_begun: !job.has_begun && policy.begun_first,
             due_ms: job.due_ms,
         }
     }
--- a/tests/policy_ordering.rs
+++ b/tests/policy_ordering.rs
@@ -1,5 +1,6 @@
 //! Which of many waiting jobs gets what is free.
 
+use goldcrestway_dispatch::policy::Policy;
 use goldcrestway_dispatch::policy::ordering::Urgency;
 use goldcrestway_dispatch::policy::ordering::Waiting;
 use googletest::prelude::*;
@@ -98,9 +99,10 @@
 /// that could no longer make it went before those that could.
 #[gtest]
 fn jobs_that_can_make_their_objective_go_first() {
+    let policy = Policy::default();
     for case in CASES {
-        let first = Urgency::new(&case.first, NOW_MS);
-        let second = Urgency::new(&case.second, NOW_MS);
+        let first = Urgency::new(&case.first, &policy, NOW_MS);
+        let second = Urgency::new(&case.second, &policy, NOW_MS);
         expect_that!(first, lt(second), "{}", case.name);
     }
 }
@@ -112,6 +114,7 @@
     const WORK_MS: u64 = 2_000;
     const ALLOWED_MS: u64 = 5_000;
     let mut waiting: Vec<Waiting> = Vec::new();
+    let policy = Policy::default();
     let mut in_time = 0;
     let mut came = 0;
     for now_ms in (0_u64..60_000).step_by(WORK_MS as usize) {
@@ -124,7 +127,7 @@
                 ..JOB
             });
         }
-        waiting.sort_by_key(|job| Urgency::new(job, now_ms));
+        waiting.sort_by_key(|job| Urgency::new(job, &policy, now_ms));
         let job = waiting.remove(0);
         in_time += u32::from(now_ms + WORK_MS <= job.due_ms);
     }
