Read entries of workers that others wrote as naming no worker

An entry that became unreadable left what it said before in force. Ruled out: stopping what runs on such a worker, which may be alive.

--- a/crates/dispatch/src/entry/mod.rs
+++ b/crates/dispatch/src/entry/mod.rs
@@ -367,11 +367,15 @@
             }
             match (self.decoders.worker)(&record.key, &record.value) {
                 Ok(entry) => drop(self.worker_entries.insert(record.key, entry)),
-                Err(fault) => actions.push(Action::Note(Note::new(
-                    Code::RulesUnreadable,
-                    &*record.key,
-                    fault.to_string(),
-                ))),
+                Err(fault) => {
+                    // What it said before no longer holds; what runs there goes on.
+                    self.worker_entries.remove(&record.key);
+                    actions.push(Action::Note(Note::new(
+                        Code::RulesUnreadable,
+                        &*record.key,
+                        fault.to_string(),
+                    )));
+                }
             }
         }
         if has_change && let Some(owner) = &mut self.owner {
