--- a/crates/dispatch/src/entry/loading.rs
+++ b/crates/dispatch/src/entry/loading.rs
@@ -19,7 +19,7 @@
 #[derive(Debug, Default)]
 pub(super) struct LoadingReport {
     since_ms: Option<u64>,
-    next_ms: u64,
+    reports: u64,
     is_done: bool,
 }
 
@@ -37,7 +37,7 @@
     /// Says once a second what is missing, and once that nothing is.
     pub(super) fn report_loading(&mut self, now: Now, actions: &mut Vec<Action>) {
         let now_ms = now.steady_ms;
-        if self.loading.is_done || now_ms < self.loading.next_ms {
+        if self.loading.is_done {
             return;
         }
         let since_ms = *self.loading.since_ms.get_or_insert(now_ms);
@@ -57,11 +57,12 @@
             actions.push(Action::Note(note));
             return;
         }
-        self.loading.next_ms = now_ms + REPORT_MS;
-        if age_ms > 0 {
-            let detail = format!("missing={} {detail}", missing.join(","));
-            let note = Note::new(Code::StreamsLoading, &*self.host, detail);
-            actions.push(Action::Note(note));
+        if now_ms < since_ms + REPORT_MS * (self.loading.reports + 1) {
+            return;
         }
+        self.loading.reports += 1;
+        let detail = format!("missing={} {detail}", missing.join(","));
+        let note = Note::new(Code::StreamsLoading, &*self.host, detail);
+        actions.push(Action::Note(note));
     }
 }
--- a/tests/dispatch_loading.rs
+++ b/tests/dispatch_loading.rs
@@ -110,6 +110,12 @@
     (entry, actions)
 }
 
+/// Tells whether an action says that all was read, and that this took no longer than it did.
+fn is_loaded_at_once(action: &Action) -> bool {
+    matches!(action, Action::Note(note)
+        if note.code == Code::StreamsLoaded && note.detail.contains("age_ms=10"))
+}
+
 /// Symptom: after all hosts were started at once, callers are told to come again for jobs
 /// that were accepted, until their time is over. Sequence: hosts on thin links still read
 /// what the store holds, say that they are ready, and get callers. Cause: one part of the
@@ -121,13 +127,16 @@
         expect_that!(entry.is_ready(), eq(case.is_ready), "{}", case.name);
         actions.extend(entry.handle(at(1_100), Event::Tick));
         let mut told = None;
+        let mut is_loaded = false;
         for action in &actions {
             if let Action::Note(note) = action
                 && note.code == Code::StreamsLoading
             {
                 told = Some(note.detail.clone());
             }
+            is_loaded |= is_loaded_at_once(action);
         }
+        expect_that!(is_loaded, eq(case.missing.is_none()), "{}", case.name);
         expect_that!(told.as_deref(), eq(case.missing), "{}", case.name);
     }
 }
