Count each time of a repeated job as due anew

Cause: a job that runs several times was due when its first time was, so under overload its later times were long past their objective, and waited behind everything else. Ruled out: putting repeated jobs first, which would keep one-time jobs waiting. Change: due and worthless times count from the first of its times that is not over. Test: each_time_of_a_repeated_job_is_due_anew, failed before.

--- a/crates/dispatch/src/owner/job.rs
+++ b/crates/dispatch/src/owner/job.rs
@@ -230,18 +230,36 @@
         }
     }
 
-    /// Gives what decides its place in the order of jobs.
-    pub(crate) fn waiting(&self) -> Waiting {
+    /// Gives what decides its place in the order of jobs. A job that runs several times is due
+    /// anew with each of them: by its first time, all later ones would be long past their
+    /// objective, and would wait behind everything else.
+    pub(crate) fn waiting(&self, now: Now) -> Waiting {
+        let later_ms = self.later_ms(now);
         Waiting {
             priority: self.submission.priority,
             is_lasting: self.submission.steps.iter().any(|step| step.is_lasting),
             has_begun: self.phase != JobPhase::Queued,
-            due_ms: self.due_ms,
-            worthless_ms: self.worthless_ms,
+            due_ms: self.due_ms + later_ms,
+            worthless_ms: self.worthless_ms + later_ms,
             left_ms: self.left_ms(),
         }
     }
 
+    /// Gives how long after the job came the first of its times that is not over was due.
+    fn later_ms(&self, now: Now) -> u64 {
+        let open = self
+            .occurrences
+            .iter()
+            .find(|occurrence| !occurrence.is_done());
+        let Some(occurrence) = open.filter(|_| self.submission.repetitions > 0) else {
+            return 0;
+        };
+        let due_wall_ms = self
+            .occurrence_due_wall_ms(occurrence.number)
+            .min(now.wall_ms);
+        due_wall_ms.saturating_sub(self.submission.accepted_wall_ms)
+    }
+
     /// Gives the time that the longest chain of steps still takes in which tasks wait.
     fn left_ms(&self) -> u64 {
         let mut longest_ms = 0;
--- a/crates/dispatch/src/owner/placing.rs
+++ b/crates/dispatch/src/owner/placing.rs
@@ -100,7 +100,7 @@
             let job = &self.jobs[*key];
             if job.has_waiting {
                 order.push((
-                    Urgency::new(&job.waiting(), &self.bounds.policy, now.steady_ms),
+                    Urgency::new(&job.waiting(now), &self.bounds.policy, now.steady_ms),
                     *key,
                 ));
             }
--- a/tests/dispatch_shapes.rs
+++ b/tests/dispatch_shapes.rs
@@ -5,6 +5,7 @@
 use crate::fleet::Fleet;
 use crate::fleet::job;
 use crate::fleet::step;
+use goldcrestway_dispatch::JobId;
 use goldcrestway_dispatch::JobState;
 use goldcrestway_dispatch::Step;
 use goldcrestway_dispatch::Submission;
@@ -148,3 +149,34 @@
     expect_that!(fleet.promises.refused_permits, eq(0));
     expect_that!(fleet.advice_calls, le(12));
 }
+
+/// Symptom: under overload the later times of a job that runs several times wait until
+/// everybody else is done. Sequence: a job runs every two seconds; twice as much comes as
+/// fits. Cause: each of its times was taken to be due when the first one was, and so was long
+/// past its objective and came last.
+#[gtest]
+fn each_time_of_a_repeated_job_is_due_anew() {
+    const TIMES: u32 = 8;
+    const INTERVAL_MS: u64 = 2_000;
+    let mut fleet = Fleet::new(3, 1);
+    let repeated = Submission {
+        repetitions: TIMES,
+        first_due_wall_ms: fleet.wall_ms(),
+        interval_ms: INTERVAL_MS,
+        ..job(vec![step(4, 500, &[])])
+    };
+    fleet.submit(0, JOB, &repeated);
+    for number in 0..72 {
+        fleet.submit(
+            number as usize % 3,
+            0x100 + number,
+            &job(vec![step(8, 500, &[])]),
+        );
+        fleet.run(250);
+    }
+    let mut started = 0;
+    for (_, task, _) in &fleet.promises.starts {
+        started += u32::from(task.job == JobId(JOB) && task.index == 0);
+    }
+    expect_that!(started, ge(TIMES - 1));
+}
--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -163,6 +163,11 @@
         fleet
     }
 
+    /// Gives the time of day.
+    pub(crate) fn wall_ms(&self) -> u64 {
+        WALL_MS + self.now_ms
+    }
+
     /// Starts an incarnation of a worker at an address.
     pub(crate) fn add_worker(&mut self, address: &str, id: &str) {
         self.store
