Say why reads of the store brought nothing, and how old beliefs are

No decision changes.

Tests: a_failed_read_tells_why_and_how_old_the_rules_are, rules_in_force_tell_how_old_the_former_ones_were.

--- a/crates/bench/src/dispatching.rs
+++ b/crates/bench/src/dispatching.rs
@@ -205,7 +205,7 @@
             }
             Action::Load { ticket, stream, .. } => Some(Event::Loaded {
                 ticket,
-                end: Some(self.page(stream)),
+                end: Ok(self.page(stream)),
             }),
             Action::Order {
                 ticket,
--- a/crates/core/src/notes.rs
+++ b/crates/core/src/notes.rs
@@ -80,12 +80,15 @@
     StoreBack = 2002, "The store answers again.";
     StreamsLoading = 2003, "A host that has started still reads jobs or their states; the detail says which streams are missing.";
     StreamsLoaded = 2004, "A host that has started has read all jobs and their states.";
+    ReadFailed = 2005, "A read of a stream of the store brought nothing; the detail says why, when it was sent, and how old what is known from that stream is.";
     OwnerClaimed = 2101, "This host has claimed to own the progress of all jobs.";
     OwnerBegun = 2102, "This host has read all there is and acts as the owner.";
     OwnerEnded = 2103, "This host no longer owns the progress of jobs.";
     OwnerSuspected = 2104, "The owner has given no sign of life for too long, or is leaving.";
     RulesInForce = 2201, "Rules of the operator are in force in this process.";
     RulesUnreadable = 2202, "Rules or a worker's report can't be read and are passed over.";
+    QueueUnknown = 2203, "A caller asked for what the rules in force send to no queue; the detail gives their version and age.";
+    QueueCounted = 2204, "A caller was told how many jobs of a queue wait; the detail gives version and age of the rules.";
     JobStored = 2301, "A submission or a cancelling is stored; the caller was told so.";
     JobRefused = 2302, "A submission or a cancelling was refused, and is not stored.";
     JobUnknown = 2303, "A submission or a cancelling had no answer from the store in time.";
--- a/crates/dispatch/src/entry/job_tails.rs
+++ b/crates/dispatch/src/entry/job_tails.rs
@@ -32,7 +32,11 @@
         self.tails.len() as u8
     }
 
-    pub(crate) fn tail(&mut self, part: u8) -> Option<&mut Tail> {
+    pub(crate) fn tail(&self, part: u8) -> Option<&Tail> {
+        self.tails.get(usize::from(part))
+    }
+
+    pub(crate) fn tail_mut(&mut self, part: u8) -> Option<&mut Tail> {
         self.tails.get_mut(usize::from(part))
     }
 
--- a/crates/dispatch/src/entry/mod.rs
+++ b/crates/dispatch/src/entry/mod.rs
@@ -1,6 +1,7 @@
 //! One entry host: takes jobs in, answers for them, and owns their progress if no
 //! other host does.
 
+mod ages;
 mod callers;
 mod following;
 mod job_tails;
@@ -13,6 +14,8 @@
 use crate::config::Decoders;
 use crate::config::WorkerEntry;
 use crate::election::Election;
+pub use crate::entry::ages::Ages;
+use crate::entry::ages::show_age;
 use crate::entry::callers::Callers;
 use crate::entry::job_tails::JobTails;
 use crate::entry::loading::LoadingReport;
@@ -224,7 +227,7 @@
         actions: &mut Vec<Action>,
     ) {
         for stream in self.streams() {
-            let Some(tail) = self.tail(stream) else {
+            let Some(tail) = self.tail_mut(stream) else {
                 continue;
             };
             if let Some(progress) = tail.take_read(ticket, now.steady_ms, &mut end) {
@@ -242,7 +245,7 @@
         actions: &mut Vec<Action>,
     ) {
         for stream in self.streams() {
-            let Some(tail) = self.tail(stream) else {
+            let Some(tail) = self.tail_mut(stream) else {
                 continue;
             };
             if let Some(progress) = tail.take_page(ticket, now.steady_ms, &mut end) {
@@ -258,9 +261,19 @@
         SINGLE_STREAMS.into_iter().chain(parts)
     }
 
-    fn tail(&mut self, stream: Stream) -> Option<&mut Tail> {
+    fn tail(&self, stream: Stream) -> Option<&Tail> {
         match stream {
             Stream::Jobs(part) => self.jobs.tail(part),
+            Stream::Progress => Some(&self.progress),
+            Stream::States => Some(&self.states),
+            Stream::Rules => Some(&self.rules),
+            Stream::Workers => Some(&self.workers),
+        }
+    }
+
+    fn tail_mut(&mut self, stream: Stream) -> Option<&mut Tail> {
+        match stream {
+            Stream::Jobs(part) => self.jobs.tail_mut(part),
             Stream::Progress => Some(&mut self.progress),
             Stream::States => Some(&mut self.states),
             Stream::Rules => Some(&mut self.rules),
@@ -275,6 +288,9 @@
         now: Now,
         actions: &mut Vec<Action>,
     ) {
+        if let Some(failure) = progress.failure {
+            self.report_failure(stream, failure, now, actions);
+        }
         match stream {
             Stream::Jobs(_) => self.take_jobs(&progress, now, actions),
             Stream::Progress => {
@@ -327,7 +343,7 @@
                 continue;
             }
             match (self.decoders.config)(&record.value) {
-                Ok(config) => self.take_config(config, actions),
+                Ok(config) => self.take_config(config, progress.former_age_ms, actions),
                 Err(fault) => actions.push(Action::Note(Note::new(
                     Code::RulesUnreadable,
                     "config",
@@ -338,7 +354,12 @@
     }
 
     /// Takes rules into force, unless newer ones are.
-    fn take_config(&mut self, config: Config, actions: &mut Vec<Action>) {
+    fn take_config(
+        &mut self,
+        config: Config,
+        former_age_ms: Option<u64>,
+        actions: &mut Vec<Action>,
+    ) {
         if self
             .config
             .as_ref()
@@ -349,7 +370,11 @@
         actions.push(Action::Note(Note::new(
             Code::RulesInForce,
             config.version.to_string(),
-            format!("queues={}", config.queues.len()),
+            format!(
+                "queues={} former_age_ms={}",
+                config.queues.len(),
+                show_age(former_age_ms)
+            ),
         )));
         self.config = Some(Rc::new(config));
         actions.push(Action::Configured);
--- a/crates/dispatch/src/entry/questions.rs
+++ b/crates/dispatch/src/entry/questions.rs
@@ -10,6 +10,8 @@
 use crate::event::Reply;
 use crate::ids::JobId;
 use crate::ledger::JobState;
+use goldcrestway_core::Code;
+use goldcrestway_core::Note;
 
 /// Time for which a question waits for a fresh read before it is answered by what is
 /// known, or told to come again.
@@ -177,7 +179,14 @@
         let is_fresh =
             self.jobs.is_fresh_since(since_ms) && (is_own || self.states.is_fresh_since(since_ms));
         if is_fresh {
-            return Some(Reply::Waiting(self.ledger.count_waiting(queue)));
+            let count = self.ledger.count_waiting(queue);
+            let ages = self.ages(now);
+            actions.push(Action::Note(Note::new(
+                Code::QueueCounted,
+                queue,
+                format!("waiting={count} {}", ages.describe_rules()),
+            )));
+            return Some(Reply::Waiting(count));
         }
         if is_late {
             return Some(Reply::NotDone {
--- a/crates/dispatch/src/event.rs
+++ b/crates/dispatch/src/event.rs
@@ -82,8 +82,19 @@
     },
     /// The asked offset is no longer kept.
     Trimmed,
-    /// No answer, or a refusal.
-    Failed,
+    /// It brought nothing.
+    Failed(ReadFault),
+}
+
+/// Why a read brought nothing.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ReadFault {
+    /// No connection was to be had, so the store has not seen it.
+    NotSent,
+    /// It was sent, and no answer came in time.
+    NoAnswer,
+    /// The store refused it, or answered what can't be read.
+    Refused,
 }
 
 /// A page of the newest record of each key.
@@ -97,8 +108,8 @@
     pub has_more: bool,
 }
 
-/// How loading a page ended; `None` means no answer, or a refusal.
-pub type PageEnd = Option<Page>;
+/// How loading a page ended.
+pub type PageEnd = Result<Page, ReadFault>;
 
 /// How long the answer to a read is awaited. What a host on a thin link asks for may take
 /// it seconds to receive; given up after a fixed time, the same bytes would be asked for
--- a/crates/dispatch/src/tail.rs
+++ b/crates/dispatch/src/tail.rs
@@ -3,6 +3,7 @@
 use crate::event::Action;
 use crate::event::PageEnd;
 use crate::event::ReadEnd;
+use crate::event::ReadFault;
 use crate::event::ReadPatience;
 use crate::event::StoredRecord;
 use crate::event::Stream;
@@ -18,6 +19,9 @@
 const STALL_MS: u64 = 1_200;
 /// Pause after a failed read, which keeps a store in trouble from being pressed.
 const RETRY_MS: u64 = 250;
+/// Pause between two reports of failed reads of a stream. While the store is away a host's
+/// reads of all streams fail some twenty times a second.
+const REPORT_MS: u64 = 1_000;
 
 /// Gives how long an answer is awaited that the store holds back for up to `wait_ms`.
 fn patience(wait_ms: u64) -> ReadPatience {
@@ -42,6 +46,22 @@
     pub(crate) records: Vec<StoredRecord>,
     /// The state was loaded anew: keys that are not among the records are gone.
     pub(crate) is_reloaded: bool,
+    /// How old what was known of the stream was when the read ended.
+    pub(crate) former_age_ms: Option<u64>,
+    /// The read brought nothing.
+    pub(crate) failure: Option<Failure>,
+}
+
+/// A read that brought nothing.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Failure {
+    pub(crate) fault: ReadFault,
+    /// How long ago it was sent.
+    pub(crate) sent_age_ms: u64,
+    /// The store was to hold it back until a record came.
+    pub(crate) waits: bool,
+    /// Reads of this stream that failed since the last line about one, this one included.
+    pub(crate) failures: u64,
 }
 
 impl Display for Tail {
@@ -74,6 +94,9 @@
     pub(crate) answered_ms: Option<u64>,
     /// What reads without a wait take of late.
     pub(crate) latency_ms: u64,
+    /// Failed reads that no report has told of yet, and when the next may.
+    failures: u64,
+    report_ms: u64,
 }
 
 impl Tail {
@@ -91,9 +114,17 @@
             fresh_ticket: 0,
             answered_ms: None,
             latency_ms: 0,
+            failures: 0,
+            report_ms: 0,
         }
     }
 
+    /// Gives how long ago it was known, at the latest, that nothing newer stood there.
+    pub(crate) fn age_ms(&self, now_ms: u64) -> Option<u64> {
+        self.fresh_ms
+            .map(|fresh_ms| now_ms.saturating_sub(fresh_ms))
+    }
+
     pub(crate) fn is_loaded(&self) -> bool {
         self.next.is_some()
     }
@@ -229,9 +260,12 @@
             .iter()
             .position(|flight| flight.ticket == ticket)?;
         let flight = self.reads.remove(at);
-        let mut progress = Progress::default();
-        match std::mem::replace(end, ReadEnd::Failed) {
-            ReadEnd::Failed => self.retry_ms = now_ms + RETRY_MS,
+        let mut progress = Progress {
+            former_age_ms: self.age_ms(now_ms),
+            ..Progress::default()
+        };
+        match std::mem::replace(end, ReadEnd::Trimmed) {
+            ReadEnd::Failed(fault) => progress.failure = self.fail(flight, fault, now_ms),
             // The history was dropped: the newest record of each key is still there.
             ReadEnd::Trimmed => {
                 self.next = None;
@@ -261,6 +295,23 @@
         Some(progress)
     }
 
+    /// Notes a read that brought nothing, and gives what is to be said about it, if that is
+    /// due.
+    fn fail(&mut self, flight: Flight, fault: ReadFault, now_ms: u64) -> Option<Failure> {
+        self.retry_ms = now_ms + RETRY_MS;
+        self.failures += 1;
+        if now_ms < self.report_ms {
+            return None;
+        }
+        self.report_ms = now_ms + REPORT_MS;
+        Some(Failure {
+            fault,
+            sent_age_ms: now_ms.saturating_sub(flight.sent_ms),
+            waits: flight.waits,
+            failures: std::mem::take(&mut self.failures),
+        })
+    }
+
     /// Takes in a page, if it is one of this stream.
     pub(crate) fn take_page(
         &mut self,
@@ -269,11 +320,17 @@
         end: &mut PageEnd,
     ) -> Option<Progress> {
         let flight = self.load.take_if(|flight| flight.ticket == ticket)?;
-        let mut progress = Progress::default();
-        let Some(page) = end.take() else {
-            self.has_load_failed = true;
-            self.retry_ms = now_ms + RETRY_MS;
-            return Some(progress);
+        let mut progress = Progress {
+            former_age_ms: self.age_ms(now_ms),
+            ..Progress::default()
+        };
+        let page = match std::mem::replace(end, Err(ReadFault::NoAnswer)) {
+            Ok(page) => page,
+            Err(fault) => {
+                self.has_load_failed = true;
+                progress.failure = self.fail(flight, fault, now_ms);
+                return Some(progress);
+            }
         };
         self.has_load_failed = false;
         self.arrived += page.records.len();
--- a/tests/dispatch_loading.rs
+++ b/tests/dispatch_loading.rs
@@ -10,6 +10,7 @@
 use goldcrestway_dispatch::Event;
 use goldcrestway_dispatch::Now;
 use goldcrestway_dispatch::Page;
+use goldcrestway_dispatch::ReadFault;
 use goldcrestway_dispatch::StoredRecord;
 use goldcrestway_dispatch::Stream;
 use googletest::prelude::*;
@@ -101,9 +102,9 @@
         };
         let end = match (&case.end, stream) {
             (None, SLOW) => continue,
-            (Some(PartEnd::Failed), SLOW) => None,
-            (Some(PartEnd::Page { has_more }), SLOW) => Some(page(stream, *has_more)),
-            _ => Some(page(stream, false)),
+            (Some(PartEnd::Failed), SLOW) => Err(ReadFault::NoAnswer),
+            (Some(PartEnd::Page { has_more }), SLOW) => Ok(page(stream, *has_more)),
+            _ => Ok(page(stream, false)),
         };
         actions.extend(entry.handle(at(10), Event::Loaded { ticket, end }));
     }
--- a/tests/dispatch_questions.rs
+++ b/tests/dispatch_questions.rs
@@ -35,7 +35,7 @@
                 end: 0,
                 has_more: false,
             };
-            let end = Some(page);
+            let end = Ok(page);
             entry.handle(at(1), Event::Loaded { ticket, end });
         }
     }
--- a/tests/fleet/carrying.rs
+++ b/tests/fleet/carrying.rs
@@ -14,6 +14,7 @@
 use goldcrestway_dispatch::Event;
 use goldcrestway_dispatch::OrderEnd;
 use goldcrestway_dispatch::ReadEnd;
+use goldcrestway_dispatch::ReadFault;
 use goldcrestway_dispatch::Reply;
 use goldcrestway_dispatch::Stream;
 use goldcrestway_dispatch::WorkerCall;
@@ -63,7 +64,7 @@
                 ..
             } => {
                 if is_cut {
-                    let end = ReadEnd::Failed;
+                    let end = ReadEnd::Failed(ReadFault::NoAnswer);
                     return self.reply(number, life, Event::Read { ticket, end });
                 }
                 let reader = Reader {
@@ -84,7 +85,7 @@
                 ..
             } => {
                 let end = match is_cut {
-                    true => None,
+                    true => Err(ReadFault::NoAnswer),
                     false => self.store.newest(stream, &after),
                 };
                 self.reply(number, life, Event::Loaded { ticket, end });
--- a/tests/fleet/store.rs
+++ b/tests/fleet/store.rs
@@ -3,7 +3,9 @@
 use goldcrestway_dispatch::AppendEnd;
 use goldcrestway_dispatch::Fence;
 use goldcrestway_dispatch::Page;
+use goldcrestway_dispatch::PageEnd;
 use goldcrestway_dispatch::ReadEnd;
+use goldcrestway_dispatch::ReadFault;
 use goldcrestway_dispatch::StoredRecord;
 use goldcrestway_dispatch::Stream;
 use std::collections::BTreeMap;
@@ -146,7 +148,7 @@
     /// Reads on from an offset; `None` if nothing is there yet.
     pub(crate) fn read(&mut self, stream: Stream, from: u64) -> Option<ReadEnd> {
         if self.mode != Mode::Up || self.away.contains(&stream) {
-            return Some(ReadEnd::Failed);
+            return Some(ReadEnd::Failed(ReadFault::NoAnswer));
         }
         let topic = self.topics.entry(stream).or_default();
         if from < topic.oldest {
@@ -168,9 +170,9 @@
     }
 
     /// Gives a page of the newest records.
-    pub(crate) fn newest(&mut self, stream: Stream, after: &str) -> Option<Page> {
+    pub(crate) fn newest(&mut self, stream: Stream, after: &str) -> PageEnd {
         if self.mode != Mode::Up || self.away.contains(&stream) {
-            return None;
+            return Err(ReadFault::NoAnswer);
         }
         let topic = self.topics.entry(stream).or_default();
         let mut records = Vec::new();
@@ -185,7 +187,7 @@
             }
             records.push(record.clone());
         }
-        Some(Page {
+        Ok(Page {
             records,
             end: topic.end(),
             has_more,
--- a/tests/lib.rs
+++ b/tests/lib.rs
@@ -11,6 +11,7 @@
 mod dispatch_disturbances;
 mod dispatch_faults;
 mod dispatch_fillers;
+mod dispatch_freshness;
 mod dispatch_late_starts;
 mod dispatch_loading;
 mod dispatch_outages;
