--- a/crates/core/src/notes.rs
+++ b/crates/core/src/notes.rs
@@ -89,6 +89,8 @@
     RulesUnreadable = 2202, "Rules or a worker's report can't be read and are passed over.";
     QueueUnknown = 2203, "A caller asked for what the rules in force send to no queue; the detail gives their version and age.";
     QueueCounted = 2204, "A caller was told how many jobs of a queue wait; the detail gives version and age of the rules.";
+    RulesBehind = 2205, "The rules in force may be older than they should be; callers are sent elsewhere, and no queue is denied for good.";
+    RulesCurrent = 2206, "The rules in force are known to be the newest again.";
     JobStored = 2301, "A submission or a cancelling is stored; the caller was told so.";
     JobRefused = 2302, "A submission or a cancelling was refused, and is not stored.";
     JobUnknown = 2303, "A submission or a cancelling had no answer from the store in time.";
--- a/crates/dispatch/src/bounds.rs
+++ b/crates/dispatch/src/bounds.rs
@@ -13,6 +13,8 @@
     pub early_ms: u64,
     /// Time for which a served user may wait too long before it counts as harm.
     pub harm_ms: u64,
+    /// Time after its acknowledgement by which a version of the rules decides everywhere.
+    pub rules_in_force_ms: u64,
     /// Share of a core that this host has, in thousandths. Hosts with more claim first.
     pub cpu_permille: u64,
     /// Parts of the stream of jobs. All hosts must use the same number.
@@ -29,6 +31,7 @@
             status_ms: 120_000,
             early_ms: 250,
             harm_ms: 4_000,
+            rules_in_force_ms: 2_000,
             cpu_permille: 100,
             job_parts: 4,
             policy: Policy::default(),
--- a/crates/dispatch/src/entry/callers.rs
+++ b/crates/dispatch/src/entry/callers.rs
@@ -245,7 +245,7 @@
             actions.push(Action::Note(Note::new(
                 Code::JobRefused,
                 job.to_string(),
-                format!("why=store_away last_answer_ms={}", self.store_answered_ms),
+                format!("why=store_away last_answer_ms={}", self.contact.answered_ms),
             )));
             actions.push(Action::Answer {
                 request,
@@ -279,7 +279,7 @@
         actions: &mut Vec<Action>,
     ) {
         if end == AppendEnd::Fenced || matches!(end, AppendEnd::Stored { .. }) {
-            self.store_answered_ms = now.steady_ms;
+            self.contact.note_answer(now.steady_ms);
         }
         if self.take_announced(ticket, end, now) || self.take_claim(ticket, end, now, actions) {
             return;
--- /dev/null
+++ b/crates/dispatch/src/entry/contact.rs
@@ -0,0 +1,38 @@
+//! Since when the store answers this host, and what that says of calls from before.
+
+use crate::entry::Entry;
+
+/// Time without any answer of the store after which the next one counts as its return. A host
+/// has an answer each second at least, from the read that waits for rules.
+const SILENCE_MS: u64 = 600;
+
+/// When the store answered, whatever the call was.
+#[derive(Debug, Clone, Copy, Default)]
+pub(super) struct Contact {
+    /// When it answered last.
+    pub(super) answered_ms: u64,
+    /// When it answered first after a silence. A call from before may have been dropped, and
+    /// whoever awaits it may wait in vain.
+    pub(super) since_ms: u64,
+}
+
+impl Contact {
+    /// Notes an answer.
+    pub(super) fn note_answer(&mut self, now_ms: u64) {
+        if now_ms > self.answered_ms + SILENCE_MS {
+            self.since_ms = now_ms;
+        }
+        self.answered_ms = self.answered_ms.max(now_ms);
+    }
+}
+
+impl Entry {
+    /// Notes the newest answer to a read.
+    pub(super) fn note_contact(&mut self) {
+        let tails = [&self.rules, &self.states, &self.workers];
+        let answered = tails.iter().filter_map(|tail| tail.answered_ms).max();
+        if let Some(answered_ms) = answered.max(self.jobs.answered_ms()) {
+            self.contact.note_answer(answered_ms);
+        }
+    }
+}
--- a/crates/dispatch/src/entry/following.rs
+++ b/crates/dispatch/src/entry/following.rs
@@ -8,9 +8,10 @@
 use goldcrestway_core::Code;
 use goldcrestway_core::Note;
 
-/// Time that the store holds a read that waits for a record. Under half of the time after
-/// which a silent connection must have been noticed.
-const LISTEN_MS: u64 = 2_000;
+/// Time that the store holds a read that waits for a record. Well under the 2 s in which
+/// rules are in force: what is known is as old as that, and older by another read if one of
+/// them is lost.
+const LISTEN_MS: u64 = 800;
 /// Pause between two reads of submitted jobs by a host that does not own them. Whoever asks
 /// for a job that is not known here has them read at once; the store keeps history for tens
 /// of seconds.
@@ -40,6 +41,8 @@
         }
         self.jobs.load(now_ms, tickets, actions);
         self.rules.listen(LISTEN_MS, now_ms, tickets, actions);
+        self.rules
+            .confirm(LISTEN_MS, self.contact.since_ms, now_ms, tickets, actions);
         let acts = self.owner.is_some() || self.claim.is_some();
         if acts {
             self.workers.load(now_ms, tickets, actions);
@@ -67,14 +70,12 @@
 
     /// Notices that the store does not answer this host, and that it does again.
     pub(super) fn watch_store(&mut self, now: Now, actions: &mut Vec<Action>) {
-        let answered_ms = [&self.rules, &self.states, &self.workers]
-            .iter()
-            .filter_map(|tail| tail.answered_ms)
-            .max();
-        let answered_ms = answered_ms.max(self.jobs.answered_ms()).unwrap_or(0);
-        self.store_answered_ms = self.store_answered_ms.max(answered_ms);
         let limit_ms = STORE_AWAY_MS + LISTEN_MS * u64::from(self.owner.is_some());
-        let is_away = now.steady_ms > self.store_answered_ms + limit_ms;
+        let is_silent = now.steady_ms > self.contact.answered_ms + limit_ms;
+        // Rules may have changed meanwhile: a host that took callers by those from before
+        // would accept for queues that are gone, and deny those that have come.
+        let is_behind = self.is_store_away && !self.have_rules_been_asked_for(now);
+        let is_away = is_silent || is_behind;
         if is_away != self.is_store_away {
             self.is_store_away = is_away;
             let code = if is_away {
@@ -82,7 +83,7 @@
             } else {
                 Code::StoreBack
             };
-            let age_ms = now.steady_ms.saturating_sub(self.store_answered_ms);
+            let age_ms = now.steady_ms.saturating_sub(self.contact.answered_ms);
             actions.push(Action::Note(Note::new(
                 code,
                 &*self.host,
--- a/crates/dispatch/src/entry/mod.rs
+++ b/crates/dispatch/src/entry/mod.rs
@@ -3,11 +3,13 @@
 
 mod ages;
 mod callers;
+mod contact;
 mod following;
 mod job_tails;
 mod loading;
 mod owning;
 mod questions;
+mod rules;
 
 use crate::bounds::Bounds;
 use crate::config::Config;
@@ -15,10 +17,11 @@
 use crate::config::WorkerEntry;
 use crate::election::Election;
 pub use crate::entry::ages::Ages;
-use crate::entry::ages::show_age;
 use crate::entry::callers::Callers;
+use crate::entry::contact::Contact;
 use crate::entry::job_tails::JobTails;
 use crate::entry::loading::LoadingReport;
+pub use crate::entry::rules::Found;
 use crate::event::Action;
 use crate::event::Event;
 use crate::event::Fence;
@@ -89,7 +92,8 @@
     claimed_ms: u64,
     is_stopping: bool,
     is_store_away: bool,
-    store_answered_ms: u64,
+    contact: Contact,
+    are_rules_behind: bool,
 }
 
 impl Entry {
@@ -125,7 +129,8 @@
             claimed_ms: 0,
             is_stopping: false,
             is_store_away: false,
-            store_answered_ms: 0,
+            contact: Contact::default(),
+            are_rules_behind: false,
         }
     }
 
@@ -137,7 +142,8 @@
     /// Tells whether callers should be sent here.
     pub fn is_ready(&self) -> bool {
         let is_informed = self.is_informed() && !self.is_loading();
-        self.config.is_some() && is_informed && !self.is_stopping && !self.is_store_away
+        let has_rules = self.config.is_some() && !self.are_rules_behind;
+        has_rules && is_informed && !self.is_stopping && !self.is_store_away
     }
 
     /// Tells whether this host is the owner.
@@ -337,49 +343,6 @@
         }
     }
 
-    fn take_rules(&mut self, progress: &Progress, actions: &mut Vec<Action>) {
-        for record in &progress.records {
-            if &*record.key != "config" || record.value.is_empty() {
-                continue;
-            }
-            match (self.decoders.config)(&record.value) {
-                Ok(config) => self.take_config(config, progress.former_age_ms, actions),
-                Err(fault) => actions.push(Action::Note(Note::new(
-                    Code::RulesUnreadable,
-                    "config",
-                    format!("offset={} {fault}", record.offset),
-                ))),
-            }
-        }
-    }
-
-    /// Takes rules into force, unless newer ones are.
-    fn take_config(
-        &mut self,
-        config: Config,
-        former_age_ms: Option<u64>,
-        actions: &mut Vec<Action>,
-    ) {
-        if self
-            .config
-            .as_ref()
-            .is_some_and(|known| known.version >= config.version)
-        {
-            return;
-        }
-        actions.push(Action::Note(Note::new(
-            Code::RulesInForce,
-            config.version.to_string(),
-            format!(
-                "queues={} former_age_ms={}",
-                config.queues.len(),
-                show_age(former_age_ms)
-            ),
-        )));
-        self.config = Some(Rc::new(config));
-        actions.push(Action::Configured);
-    }
-
     fn take_workers(&mut self, progress: Progress, now: Now, actions: &mut Vec<Action>) {
         if progress.is_reloaded {
             self.worker_entries.clear();
@@ -410,9 +373,11 @@
 
     /// Does what is due by now.
     fn advance(&mut self, now: Now, actions: &mut Vec<Action>) {
+        self.note_contact();
         self.follow(now, actions);
         self.report_loading(now, actions);
         self.watch_store(now, actions);
+        self.watch_rules(now, actions);
         self.announce(now, actions);
         self.contend(now, actions);
         self.own(now, actions);
--- a/crates/dispatch/src/entry/questions.rs
+++ b/crates/dispatch/src/entry/questions.rs
@@ -164,7 +164,8 @@
         None
     }
 
-    /// Counts waiting jobs once what is known is no older than the time between reads.
+    /// Counts waiting jobs once what is known is no older than the time between reads, and
+    /// the rules that name the queue are current.
     fn answer_waiting(
         &mut self,
         queue: &str,
@@ -178,7 +179,12 @@
         let is_own = self.owner.is_some();
         let is_fresh =
             self.jobs.is_fresh_since(since_ms) && (is_own || self.states.is_fresh_since(since_ms));
-        if is_fresh {
+        let are_rules_current = self.are_rules_current(now);
+        let config = self.config.as_ref().filter(|_| are_rules_current);
+        if config.is_some_and(|config| config.queue(queue).is_none()) {
+            return Some(Reply::NoSuchQueue);
+        }
+        if is_fresh && are_rules_current {
             let count = self.ledger.count_waiting(queue);
             let ages = self.ages(now);
             actions.push(Action::Note(Note::new(
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -49,6 +49,7 @@
 pub use config::WorkerEntry;
 pub use entry::Ages;
 pub use entry::Entry;
+pub use entry::Found;
 pub use event::Action;
 pub use event::AdviceEnd;
 pub use event::AppendEnd;
--- a/crates/dispatch/src/tail.rs
+++ b/crates/dispatch/src/tail.rs
@@ -19,6 +19,19 @@
 const STALL_MS: u64 = 1_200;
 /// Pause after a failed read, which keeps a store in trouble from being pressed.
 const RETRY_MS: u64 = 250;
+/// Time by which the answer to a read that waits may be overdue before another read goes out
+/// beside it: three turns of a host that has nothing else to do.
+const OVERDUE_MS: u64 = 150;
+/// Time in which the answer to such a read must begin. Answers take 4 ms; one on a connection
+/// that is dead is worth no longer wait, since the next read may take another.
+const CONFIRM_FIRST_BYTE_MS: u64 = 600;
+/// How often what answers take of late fits into that time and into the delay of an answer.
+const SLOW_FACTOR: u64 = 2;
+/// Answers of late of which the fastest tells what they take. One that a host itself was late
+/// to read, after it stood still, must not make it patient.
+const LATENCIES: usize = 4;
+/// What answers take counts up to this: past it a store is away rather than slow.
+const LATENCY_MOST_MS: u64 = 1_000;
 /// Pause between two reports of failed reads of a stream. While the store is away a host's
 /// reads of all streams fail some twenty times a second.
 const REPORT_MS: u64 = 1_000;
@@ -36,7 +49,14 @@
 struct Flight {
     ticket: u64,
     sent_ms: u64,
-    waits: bool,
+    /// Time that the store may hold it back.
+    wait_ms: u64,
+}
+
+impl Flight {
+    fn waits(&self) -> bool {
+        self.wait_ms > 0
+    }
 }
 
 /// What came of a read.
@@ -94,6 +114,11 @@
     pub(crate) answered_ms: Option<u64>,
     /// What reads without a wait take of late.
     pub(crate) latency_ms: u64,
+    /// What the latest answers took, without the time for which the store held them back.
+    latencies_ms: [u64; LATENCIES],
+    answers: usize,
+    /// When the newest of the reads that brought nothing was sent.
+    failed_ms: Option<u64>,
     /// Failed reads that no report has told of yet, and when the next may.
     failures: u64,
     report_ms: u64,
@@ -114,6 +139,9 @@
             fresh_ticket: 0,
             answered_ms: None,
             latency_ms: 0,
+            latencies_ms: [0; LATENCIES],
+            answers: 0,
+            failed_ms: None,
             failures: 0,
             report_ms: 0,
         }
@@ -154,8 +182,40 @@
         self.fresh_ticket > ticket
     }
 
-    fn note_fresh(&mut self, flight: Flight) {
-        self.fresh_ms = self.fresh_ms.max(Some(flight.sent_ms));
+    /// Tells whether a read sent at `since_ms` or later has brought nothing.
+    pub(crate) fn has_failed_since(&self, since_ms: u64) -> bool {
+        self.failed_ms.is_some_and(|at_ms| at_ms >= since_ms)
+    }
+
+    /// Gives what an answer takes of late.
+    pub(crate) fn typical_latency_ms(&self) -> u64 {
+        let fastest = self.latencies_ms.iter().copied().min();
+        fastest.unwrap_or(0).min(LATENCY_MOST_MS)
+    }
+
+    /// Notes what an answer took.
+    fn note_latency(&mut self, flight: Flight, now_ms: u64) {
+        let held_ms = flight.sent_ms + flight.wait_ms;
+        // A read that waits is answered early when there is a record.
+        let Some(latency_ms) = now_ms.checked_sub(held_ms) else {
+            return;
+        };
+        if !flight.waits() {
+            self.latency_ms = (self.latency_ms + latency_ms) / 2;
+        }
+        self.latencies_ms[self.answers % LATENCIES] = latency_ms;
+        self.answers += 1;
+    }
+
+    /// Notes that nothing more stood in the stream when the store answered a read. That was
+    /// after it was sent; if the store found nothing until the wait was over, after the wait.
+    fn note_end(&mut self, flight: Flight, is_empty: bool, now_ms: u64) {
+        let held_ms = flight.sent_ms + flight.wait_ms;
+        let known_ms = match is_empty && now_ms >= held_ms {
+            true => held_ms,
+            false => flight.sent_ms,
+        };
+        self.fresh_ms = self.fresh_ms.max(Some(known_ms));
         self.fresh_ticket = self.fresh_ticket.max(flight.ticket);
     }
 
@@ -172,7 +232,7 @@
         self.load = Some(Flight {
             ticket: *tickets,
             sent_ms: now_ms,
-            waits: false,
+            wait_ms: 0,
         });
         actions.push(Action::Load {
             ticket: *tickets,
@@ -190,8 +250,8 @@
         tickets: &mut u64,
         actions: &mut Vec<Action>,
     ) {
-        let is_enough = |flight: &Flight| !flight.waits && flight.sent_ms >= since_ms;
-        self.read_unless(is_enough, 0, now_ms, tickets, actions);
+        let is_enough = |flight: &Flight| !flight.waits() && flight.sent_ms >= since_ms;
+        self.read_unless(is_enough, patience(0), 0, now_ms, tickets, actions);
     }
 
     /// Reads at once, unless a read sent after the given ticket is under way.
@@ -202,8 +262,8 @@
         tickets: &mut u64,
         actions: &mut Vec<Action>,
     ) {
-        let is_enough = |flight: &Flight| !flight.waits && flight.ticket > ticket;
-        self.read_unless(is_enough, 0, now_ms, tickets, actions);
+        let is_enough = |flight: &Flight| !flight.waits() && flight.ticket > ticket;
+        self.read_unless(is_enough, patience(0), 0, now_ms, tickets, actions);
     }
 
     /// Keeps one read under way that waits for a record.
@@ -214,13 +274,44 @@
         tickets: &mut u64,
         actions: &mut Vec<Action>,
     ) {
-        self.read_unless(|flight| flight.waits, wait_ms, now_ms, tickets, actions);
+        self.read_unless(
+            Flight::waits,
+            patience(wait_ms),
+            wait_ms,
+            now_ms,
+            tickets,
+            actions,
+        );
+    }
+
+    /// Reads beside the read that waits, once that one should have been answered: it may be
+    /// lost. A read that was sent since the store answers again is given its time.
+    pub(crate) fn confirm(
+        &mut self,
+        wait_ms: u64,
+        contact_ms: u64,
+        now_ms: u64,
+        tickets: &mut u64,
+        actions: &mut Vec<Action>,
+    ) {
+        let slow_ms = SLOW_FACTOR * self.typical_latency_ms();
+        let age_ms = self.age_ms(now_ms);
+        if age_ms.is_some_and(|age_ms| age_ms <= wait_ms + OVERDUE_MS + slow_ms) {
+            return;
+        }
+        let patience = ReadPatience {
+            first_byte_ms: CONFIRM_FIRST_BYTE_MS + slow_ms,
+            stall_ms: STALL_MS,
+        };
+        let is_enough = |flight: &Flight| !flight.waits() && flight.sent_ms >= contact_ms;
+        self.read_unless(is_enough, patience, 0, now_ms, tickets, actions);
     }
 
     /// Reads, unless a read under way is enough or none may be sent now.
     fn read_unless(
         &mut self,
         is_enough: impl Fn(&Flight) -> bool,
+        patience: ReadPatience,
         wait_ms: u64,
         now_ms: u64,
         tickets: &mut u64,
@@ -229,22 +320,18 @@
         if self.next.is_none() || now_ms < self.retry_ms || self.reads.iter().any(is_enough) {
             return;
         }
-        self.read(wait_ms, now_ms, tickets, actions);
-    }
-
-    fn read(&mut self, wait_ms: u64, now_ms: u64, tickets: &mut u64, actions: &mut Vec<Action>) {
         *tickets += 1;
         self.reads.push(Flight {
             ticket: *tickets,
             sent_ms: now_ms,
-            waits: wait_ms > 0,
+            wait_ms,
         });
         actions.push(Action::Read {
             ticket: *tickets,
             stream: self.stream,
             from: self.next(),
             wait_ms,
-            patience: patience(wait_ms),
+            patience,
         });
     }
 
@@ -273,9 +360,8 @@
             }
             ReadEnd::Records { records, end } => {
                 self.answered_ms = Some(now_ms);
-                if !flight.waits {
-                    self.latency_ms = (self.latency_ms + now_ms - flight.sent_ms) / 2;
-                }
+                self.note_latency(flight, now_ms);
+                let is_empty = records.is_empty();
                 let Some(mut next) = self.next else {
                     return Some(progress);
                 };
@@ -288,7 +374,7 @@
                 }
                 self.next = Some(next);
                 if next >= end {
-                    self.note_fresh(flight);
+                    self.note_end(flight, is_empty, now_ms);
                 }
             }
         }
@@ -299,6 +385,7 @@
     /// due.
     fn fail(&mut self, flight: Flight, fault: ReadFault, now_ms: u64) -> Option<Failure> {
         self.retry_ms = now_ms + RETRY_MS;
+        self.failed_ms = self.failed_ms.max(Some(flight.sent_ms));
         self.failures += 1;
         if now_ms < self.report_ms {
             return None;
@@ -307,7 +394,7 @@
         Some(Failure {
             fault,
             sent_age_ms: now_ms.saturating_sub(flight.sent_ms),
-            waits: flight.waits,
+            waits: flight.waits(),
             failures: std::mem::take(&mut self.failures),
         })
     }
@@ -351,7 +438,7 @@
         // Pages are no snapshot: what changed since the first one is read again.
         self.next = Some(first_end);
         if first_end == page.end {
-            self.note_fresh(flight);
+            self.note_end(flight, false, now_ms);
         }
         progress.records = records;
         progress.is_reloaded = true;
--- a/tests/dispatch_freshness.rs
+++ b/tests/dispatch_freshness.rs
@@ -9,10 +9,12 @@
 use goldcrestway_dispatch::Decoders;
 use goldcrestway_dispatch::Entry;
 use goldcrestway_dispatch::Event;
+use goldcrestway_dispatch::Found;
 use goldcrestway_dispatch::Now;
 use goldcrestway_dispatch::Page;
 use goldcrestway_dispatch::ReadEnd;
 use goldcrestway_dispatch::ReadFault;
+use goldcrestway_dispatch::Reply;
 use goldcrestway_dispatch::StoredRecord;
 use goldcrestway_dispatch::Stream;
 use googletest::prelude::*;
@@ -128,3 +130,193 @@
     expect_that!(entry.ages(at(400)).rules_version, eq(2));
     expect_that!(entry.ages(at(400)).rules_ms, some(eq(390)));
 }
+
+/// Lists the streams of reads that the store is to answer at once.
+fn short_reads(actions: &[Action]) -> Vec<Stream> {
+    let mut streams = Vec::new();
+    for action in actions {
+        if let Action::Read {
+            stream, wait_ms: 0, ..
+        } = action
+        {
+            streams.push(*stream);
+        }
+    }
+    streams
+}
+
+/// Answers reads of all streams but the rules, and lets time pass up to a moment.
+fn answer_others(entry: &mut Entry, from_ms: u64, until_ms: u64) -> Vec<Action> {
+    let mut all = Vec::new();
+    let mut tickets = Vec::new();
+    for now_ms in (from_ms..=until_ms).step_by(10) {
+        let mut actions = Vec::new();
+        for ticket in std::mem::take(&mut tickets) {
+            let end = ReadEnd::Records {
+                records: Vec::new(),
+                end: 0,
+            };
+            actions.extend(entry.handle(at(now_ms), Event::Read { ticket, end }));
+        }
+        actions.extend(entry.handle(at(now_ms), Event::Tick));
+        for action in &actions {
+            if let Action::Read { ticket, stream, .. } = action
+                && *stream != Stream::Rules
+            {
+                tickets.push(*ticket);
+            }
+        }
+        all.extend(actions);
+    }
+    all
+}
+
+/// The read that waits for rules was lost while other calls were answered, and the host asked
+/// again only when it gave that read up: `ReadFailed why=NoAnswer sent_age_ms=3200`. Now
+/// another read goes out beside it as soon as it is overdue, and no second one while that is
+/// under way.
+#[gtest]
+fn a_read_goes_out_beside_one_that_is_overdue() {
+    let (mut entry, _) = start();
+    let early = answer_others(&mut entry, 20, 900);
+    expect_that!(short_reads(&early), not(contains(eq(&Stream::Rules))));
+    let overdue = answer_others(&mut entry, 910, 1_100);
+    let is_rules = |stream: &&Stream| **stream == Stream::Rules;
+    let reads = short_reads(&overdue).iter().filter(is_rules).count();
+    expect_that!(reads, eq(1));
+}
+
+/// A read that was sent into an outage is not awaited once other answers come.
+#[gtest]
+fn a_read_from_before_an_outage_ended_is_sent_again_at_once() {
+    let (mut entry, _) = start();
+    // Nothing is answered; a read beside the first one goes out, and is lost as well.
+    let mut states = 0;
+    for now_ms in (20..=1_400).step_by(10) {
+        for action in entry.handle(at(now_ms), Event::Tick) {
+            if let Action::Read { ticket, stream, .. } = action
+                && stream == Stream::States
+            {
+                states = ticket;
+            }
+        }
+    }
+    let end = ReadEnd::Records {
+        records: Vec::new(),
+        end: 0,
+    };
+    let actions = entry.handle(
+        at(1_400),
+        Event::Read {
+            ticket: states,
+            end,
+        },
+    );
+    expect_that!(short_reads(&actions), contains(eq(&Stream::Rules)));
+}
+
+/// What a host says of a queue that its rules do not name, by their age.
+struct Denial {
+    name: &'static str,
+    asked_ms: u64,
+    found: Found<'static>,
+    is_ready: bool,
+}
+
+const DENIALS: &[Denial] = &[
+    Denial {
+        name: "rules just read",
+        asked_ms: 300,
+        found: Found::Nothing,
+        is_ready: true,
+    },
+    Denial {
+        name: "rules three quarters as old as promised",
+        asked_ms: 1_500,
+        found: Found::Nothing,
+        is_ready: true,
+    },
+    Denial {
+        name: "rules that may be too old",
+        asked_ms: 1_600,
+        found: Found::Unsure,
+        is_ready: false,
+    },
+];
+
+/// A host that can't tell whether its rules are current told callers that a queue is not
+/// there, and they did not come again: `refused with 404`. All else of the store answers.
+#[gtest]
+fn a_host_with_rules_of_unknown_age_denies_no_queue() {
+    for case in DENIALS {
+        let (mut entry, _) = start();
+        let mut actions = answer_others(&mut entry, 20, case.asked_ms);
+        let now = at(case.asked_ms);
+        let found = entry.find_queue("batch.test", "/new/", now);
+        expect_that!(found, eq(case.found), "{}", case.name);
+        // What it knows it still serves, and only the count has to wait.
+        let known = entry.find_queue("batch.test", "/batch/", now);
+        expect_true!(matches!(known, Found::Queue(_)), "{}", case.name);
+        expect_that!(entry.is_ready(), eq(case.is_ready), "{}", case.name);
+        let queue = "batch".into();
+        actions.extend(entry.handle(now, Event::Count { request: 7, queue }));
+        actions.extend(answer_others(
+            &mut entry,
+            case.asked_ms + 10,
+            case.asked_ms + 1_000,
+        ));
+        let put_off = Action::Answer {
+            request: 7,
+            reply: Reply::NotDone {
+                retry_after_ms: 1_000,
+            },
+        };
+        let is_unsure = case.found == Found::Unsure;
+        expect_that!(actions.contains(&put_off), eq(is_unsure), "{}", case.name);
+        let is_told = !details(&actions, Code::RulesBehind).is_empty();
+        expect_true!(is_told || !is_unsure, "{}", case.name);
+    }
+}
+
+/// A host was ready 75 ms after the store was back, and took callers by rules from before the
+/// outage for three seconds more: `StoreBack` at 11.006 s, `RulesInForce` at 14.381 s. It is
+/// ready once the rules were read; or could not be, if only a part of the store is back.
+#[gtest]
+fn a_host_takes_callers_again_once_it_has_read_the_rules() {
+    for end in [
+        ReadEnd::Records {
+            records: vec![rules(1, 2)],
+            end: 2,
+        },
+        ReadEnd::Failed(ReadFault::Refused),
+    ] {
+        let is_read = matches!(end, ReadEnd::Records { .. });
+        let (mut entry, _) = start();
+        let mut states = None;
+        for now_ms in (20..=4_000).step_by(10) {
+            for action in entry.handle(at(now_ms), Event::Tick) {
+                if let Action::Read { ticket, stream, .. } = action
+                    && stream == Stream::States
+                {
+                    states = Some(ticket);
+                }
+            }
+        }
+        expect_false!(entry.is_ready());
+        let ticket = states.unwrap_or(0);
+        let back = ReadEnd::Records {
+            records: Vec::new(),
+            end: 0,
+        };
+        let actions = entry.handle(at(4_010), Event::Read { ticket, end: back });
+        expect_that!(details(&actions, Code::StoreBack), is_empty());
+        expect_false!(entry.is_ready());
+        let Some(ticket) = find_rules_read(&actions) else {
+            add_failure!("the rules are read at once");
+            continue;
+        };
+        let actions = entry.handle(at(4_020), Event::Read { ticket, end });
+        expect_that!(details(&actions, Code::StoreBack), len(eq(1)));
+        expect_that!(entry.is_ready(), eq(is_read));
+    }
+}
--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -506,11 +506,15 @@
         self.deliveries.push((self.now_ms + CALL_MS, delivery));
     }
 
-    fn handle(&mut self, number: usize, event: Event) {
-        let now = Now {
+    fn now(&self) -> Now {
+        Now {
             steady_ms: self.now_ms,
             wall_ms: WALL_MS + self.now_ms,
-        };
+        }
+    }
+
+    fn handle(&mut self, number: usize, event: Event) {
+        let now = self.now();
         let Some(entry) = &mut self.hosts[number].entry else {
             return;
         };
--- a/tests/fleet/rules.rs
+++ b/tests/fleet/rules.rs
@@ -2,7 +2,9 @@
 
 use crate::fleet::Fleet;
 use crate::fleet::Mode;
+use crate::fleet::fixtures::QUEUES_HOST;
 use goldcrestway_dispatch::Event;
+use goldcrestway_dispatch::Found;
 use goldcrestway_dispatch::Reply;
 use goldcrestway_dispatch::Stream;
 use goldcrestway_judge::Answer;
@@ -184,19 +186,19 @@
     fn ask_queue(&mut self, number: usize, name: &str) -> Option<u64> {
         let host = &self.hosts[number];
         let entry = host.entry.as_ref().filter(|_| !host.is_paused)?;
-        let is_known = entry.config()?.queue(name).is_some();
+        let found = entry.find_queue(QUEUES_HOST, &format!("/{name}/"), self.now());
         self.requests += 1;
         let request = self.requests;
-        match is_known {
-            true => self.handle(
-                number,
-                Event::Count {
-                    request,
-                    queue: name.into(),
-                },
-            ),
-            false => drop(self.replies.insert(request, Reply::NoSuchQueue)),
-        }
+        let reply = match found {
+            Found::Queue(_) => {
+                let queue = name.into();
+                self.handle(number, Event::Count { request, queue });
+                return Some(request);
+            }
+            Found::Nothing => Reply::NoSuchQueue,
+            Found::Unsure => Reply::NotDone { retry_after_ms: 0 },
+        };
+        self.replies.insert(request, reply);
         Some(request)
     }
 
