Let an owner ask again for jobs when a read that waits is overdue

The same cause elsewhere: an owner hears of jobs and cancellations that other hosts stored by reads that the store holds back, one for each part.

--- a/crates/dispatch/src/entry/job_tails.rs
+++ b/crates/dispatch/src/entry/job_tails.rs
@@ -109,4 +109,18 @@
             tail.listen(wait_ms, now_ms, tickets, actions);
         }
     }
+
+    /// Reads each part beside the read that waits for its records, where that is overdue.
+    pub(crate) fn confirm(
+        &mut self,
+        wait_ms: u64,
+        contact_ms: u64,
+        now_ms: u64,
+        tickets: &mut u64,
+        actions: &mut Vec<Action>,
+    ) {
+        for tail in &mut self.tails {
+            tail.confirm(wait_ms, contact_ms, now_ms, tickets, actions);
+        }
+    }
 }
--- a/tests/dispatch_outages.rs
+++ b/tests/dispatch_outages.rs
@@ -111,3 +111,38 @@
     expect_that!(fleet.store_calls_most, gt(10));
     expect_that!(fleet.store_calls_most, le(STORE_CALLS_MOST));
 }
+
+/// Time in which an owner that reaches the store knows of what other hosts have stored.
+const HEARD_MS: u64 = 1_200;
+
+/// Symptom: jobs taken in by other hosts do not begin for seconds, and tasks of cancelled ones
+/// go on being started, though the owner reaches store and workers. Sequence: the owner's
+/// connections to the store go silent, as when the store drops what was sent into an outage;
+/// then a job is stored, and one is cancelled. Cause: the owner hears of both by reads that
+/// the store holds back, and awaited the lost ones to their end.
+#[gtest]
+fn an_owner_hears_of_jobs_soon_after_its_reads_were_lost() {
+    for moment in 0..8 {
+        let mut fleet = Fleet::new(3, 4);
+        let lasting = Step {
+            is_lasting: true,
+            ..step(4, 1_000, &[])
+        };
+        let other = (owner(&fleet) + 1) % 3;
+        fleet.submit(other, 0x1, &job(vec![lasting]));
+        fleet.run(2_000 + 150 * moment);
+        expect_that!(fleet.promises.starts.len(), eq(4));
+        fleet.lose_calls(owner(&fleet));
+        fleet.run(50);
+        fleet.submit(other, JOB, &job(vec![step(2, 500, &[])]));
+        fleet.cancel(other, 0x1);
+        fleet.run(HEARD_MS);
+        expect_that!(fleet.promises.starts.len(), eq(6), "moment {moment}");
+        let mut lasting_runs = 0;
+        for (_, task, _) in fleet.promises.starts.clone() {
+            lasting_runs += u32::from(task.job.0 == 0x1 && fleet.running(task) > 0);
+        }
+        expect_that!(lasting_runs, eq(0), "moment {moment}");
+        expect_that!(fleet.owners(), eq(1), "moment {moment}");
+    }
+}
