Bound the reads of a stream, and put questions off at once while the store is away

Cause: each question of a caller sent reads of its own into an outage, where they are awaited for 1.2 s: 131 calls of one host at once in the test, beside 24 connections. And callers who ask for a job that is not known waited 0.9 s for reads that could bring nothing.

Tests, both failed before: calls_into_an_outage_leave_connections_for_those_ after_it, questions_are_put_off_at_once_while_the_store_is_away.

--- a/crates/dispatch/src/entry/contact.rs
+++ b/crates/dispatch/src/entry/contact.rs
@@ -27,12 +27,18 @@
 }
 
 impl Entry {
-    /// Notes the newest answer to a read.
+    /// Notes the newest answer to a read, and has all streams know since when the store
+    /// answers.
     pub(super) fn note_contact(&mut self) {
         let tails = [&self.rules, &self.states, &self.workers];
         let answered = tails.iter().filter_map(|tail| tail.answered_ms).max();
         if let Some(answered_ms) = answered.max(self.jobs.answered_ms()) {
             self.contact.note_answer(answered_ms);
         }
+        let since_ms = self.contact.since_ms;
+        for tail in [&mut self.rules, &mut self.states, &mut self.workers] {
+            tail.note_contact(since_ms);
+        }
+        self.jobs.note_contact(since_ms);
     }
 }
--- a/crates/dispatch/src/entry/following.rs
+++ b/crates/dispatch/src/entry/following.rs
@@ -41,15 +41,12 @@
         }
         self.jobs.load(now_ms, tickets, actions);
         self.rules.listen(LISTEN_MS, now_ms, tickets, actions);
-        let contact_ms = self.contact.since_ms;
-        self.rules
-            .confirm(LISTEN_MS, contact_ms, now_ms, tickets, actions);
+        self.rules.confirm(LISTEN_MS, now_ms, tickets, actions);
         let acts = self.owner.is_some() || self.claim.is_some();
         if acts {
             self.workers.load(now_ms, tickets, actions);
             self.jobs.listen(LISTEN_MS, now_ms, tickets, actions);
-            self.jobs
-                .confirm(LISTEN_MS, contact_ms, now_ms, tickets, actions);
+            self.jobs.confirm(LISTEN_MS, now_ms, tickets, actions);
             if now_ms >= self.workers_read_ms + WORKERS_POLL_MS {
                 self.workers_read_ms = now_ms;
                 self.workers.prompt(now_ms, now_ms, tickets, actions);
--- a/crates/dispatch/src/entry/job_tails.rs
+++ b/crates/dispatch/src/entry/job_tails.rs
@@ -75,6 +75,13 @@
         self.tails.iter().filter_map(|tail| tail.answered_ms).max()
     }
 
+    /// Notes since when the store answers this host.
+    pub(crate) fn note_contact(&mut self, contact_ms: u64) {
+        for tail in &mut self.tails {
+            tail.note_contact(contact_ms);
+        }
+    }
+
     /// Goes on loading what is not loaded yet.
     pub(crate) fn load(&mut self, now_ms: u64, tickets: &mut u64, actions: &mut Vec<Action>) {
         for tail in &mut self.tails {
@@ -114,13 +121,12 @@
     pub(crate) fn confirm(
         &mut self,
         wait_ms: u64,
-        contact_ms: u64,
         now_ms: u64,
         tickets: &mut u64,
         actions: &mut Vec<Action>,
     ) {
         for tail in &mut self.tails {
-            tail.confirm(wait_ms, contact_ms, now_ms, tickets, actions);
+            tail.confirm(wait_ms, now_ms, tickets, actions);
         }
     }
 }
--- a/crates/dispatch/src/entry/questions.rs
+++ b/crates/dispatch/src/entry/questions.rs
@@ -90,7 +90,8 @@
         now: Now,
         actions: &mut Vec<Action>,
     ) -> Option<Question> {
-        let is_late = now.steady_ms >= question.asked_ms + QUESTION_MOST_MS;
+        // While the store is away no read will bring what is missing in time.
+        let is_late = self.is_store_away || now.steady_ms >= question.asked_ms + QUESTION_MOST_MS;
         let asked_ms = question.asked_ms;
         let asked_after = question.asked_after;
         let reply = match &question.about {
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -26,7 +26,7 @@
 /// loads, and appends of its own and of callers. Whoever carries them out must not let one
 /// wait for another: a read that waits behind a long poll is late by seconds, and a host
 /// that claims would lose its claim to the next one meanwhile.
-pub const STORE_CALLS_MOST: usize = 24;
+pub const STORE_CALLS_MOST: usize = 32;
 
 mod bounds;
 mod config;
--- a/crates/dispatch/src/tail.rs
+++ b/crates/dispatch/src/tail.rs
@@ -32,6 +32,10 @@
 const LATENCIES: usize = 4;
 /// What answers take counts up to this: past it a store is away rather than slow.
 const LATENCY_MOST_MS: u64 = 1_000;
+/// Reads of a stream that are to be answered at once and are under way, at most. Each question
+/// of a caller needs one that was sent after it, and while nothing is answered they would pile
+/// up: 131 calls of one host, which kept the first ones after an outage waiting.
+const READS_MOST: usize = 3;
 /// Pause between two reports of failed reads of a stream. While the store is away a host's
 /// reads of all streams fail some twenty times a second.
 const REPORT_MS: u64 = 1_000;
@@ -104,6 +108,8 @@
     /// Records that loads have brought so far.
     arrived: usize,
     reads: Vec<Flight>,
+    /// Since when the store answers this host. Reads from before may have been dropped.
+    contact_ms: u64,
     retry_ms: u64,
     /// When the newest complete read that reached the end of the stream was sent.
     pub(crate) fresh_ms: Option<u64>,
@@ -134,6 +140,7 @@
             has_load_failed: false,
             arrived: 0,
             reads: Vec::new(),
+            contact_ms: 0,
             retry_ms: 0,
             fresh_ms: None,
             fresh_ticket: 0,
@@ -219,6 +226,11 @@
         self.fresh_ticket = self.fresh_ticket.max(flight.ticket);
     }
 
+    /// Notes since when the store answers this host.
+    pub(crate) fn note_contact(&mut self, contact_ms: u64) {
+        self.contact_ms = contact_ms;
+    }
+
     /// Goes on loading, if that is due.
     pub(crate) fn load(&mut self, now_ms: u64, tickets: &mut u64, actions: &mut Vec<Action>) {
         if self.next.is_some() || self.load.is_some() || now_ms < self.retry_ms {
@@ -289,7 +301,6 @@
     pub(crate) fn confirm(
         &mut self,
         wait_ms: u64,
-        contact_ms: u64,
         now_ms: u64,
         tickets: &mut u64,
         actions: &mut Vec<Action>,
@@ -303,10 +314,18 @@
             first_byte_ms: CONFIRM_FIRST_BYTE_MS + slow_ms,
             stall_ms: STALL_MS,
         };
+        let contact_ms = self.contact_ms;
         let is_enough = |flight: &Flight| !flight.waits() && flight.sent_ms >= contact_ms;
         self.read_unless(is_enough, patience, 0, now_ms, tickets, actions);
     }
 
+    /// Counts the reads under way that the store is to answer at once, without those from
+    /// before its return: these may have been dropped there.
+    fn short_reads(&self) -> usize {
+        let is_short = |flight: &&Flight| !flight.waits() && flight.sent_ms >= self.contact_ms;
+        self.reads.iter().filter(is_short).count()
+    }
+
     /// Reads, unless a read under way is enough or none may be sent now.
     fn read_unless(
         &mut self,
@@ -320,6 +339,9 @@
         if self.next.is_none() || now_ms < self.retry_ms || self.reads.iter().any(is_enough) {
             return;
         }
+        if wait_ms == 0 && self.short_reads() >= READS_MOST {
+            return;
+        }
         *tickets += 1;
         self.reads.push(Flight {
             ticket: *tickets,
--- a/tests/dispatch_outages.rs
+++ b/tests/dispatch_outages.rs
@@ -3,6 +3,7 @@
 use crate::dispatch::JOB;
 use crate::dispatch::owner;
 use crate::fleet::Fleet;
+use crate::fleet::Mode;
 use crate::fleet::job;
 use crate::fleet::step;
 use goldcrestway_dispatch::JobState;
@@ -146,3 +147,47 @@
         expect_that!(fleet.owners(), eq(1), "moment {moment}");
     }
 }
+
+/// The same beside a store that answers nothing: all calls are awaited to their end then, and
+/// the first ones after its return must not wait for them.
+#[gtest]
+fn calls_into_an_outage_leave_connections_for_those_after_it() {
+    let mut fleet = Fleet::new(4, 4);
+    for round in 0..3 {
+        for number in 0..100 {
+            let is_silent = (20..80).contains(&number);
+            fleet.store.mode = if is_silent { Mode::Silent } else { Mode::Up };
+            let host = number as usize % 4;
+            let id = 0x1000 * (round + 1) + number;
+            fleet.submit(host, id, &job(vec![step(2, 200, &[])]));
+            fleet.query(host, 0xf_0000 + number);
+            fleet.count(host);
+            fleet.run(50);
+        }
+        fleet.run(1_500);
+    }
+    expect_that!(fleet.store_calls_most, le(STORE_CALLS_MOST));
+}
+
+/// Symptom: callers who ask about a job that a host does not know wait for 0.9 s before they
+/// are told to come again, while the store is known to be away. Cause: the host awaited reads
+/// that could bring nothing.
+#[gtest]
+fn questions_are_put_off_at_once_while_the_store_is_away() {
+    let mut fleet = Fleet::new(3, 4);
+    fleet.submit(0, JOB, &job(vec![step(1, 20_000, &[])]));
+    fleet.run(3_500);
+    fleet.store.mode = Mode::Silent;
+    fleet.run(4_000);
+    for host in 0..3 {
+        let unknown = fleet.query(host, 0x123);
+        let known = fleet.query(host, JOB);
+        fleet.run(5);
+        let put_off = Reply::NotDone {
+            retry_after_ms: 1_000,
+        };
+        expect_that!(fleet.replies.get(&unknown), some(eq(&put_off)));
+        let running = Reply::State(JobState::Running);
+        expect_that!(fleet.replies.get(&known), some(eq(&running)));
+    }
+}
