Drop idle connections of the age of one that went silent

Change: when a call is given up and nothing came on its connection since, idle connections to that peer that were not heard of since then go with it. Test: a_silent_connection_takes_idle_ones_of_its_age_with_it, failed before.

--- a/crates/net/src/pool.rs
+++ b/crates/net/src/pool.rs
@@ -43,6 +43,8 @@
     peer: SocketAddr,
     is_connected: bool,
     opened_ms: u64,
+    /// When something last came from the peer.
+    heard_ms: u64,
     outbox: Outbox,
     inbox: Vec<u8>,
     call: Option<Flight>,
@@ -51,14 +53,16 @@
 /// The call in flight on a connection.
 struct Flight {
     number: u64,
+    sent_ms: u64,
     /// When it is given up, unless more of its answer comes.
     give_up_ms: u64,
     stall_ms: Option<u64>,
 }
 
 impl Line {
-    /// Awaits the rest of an answer that comes in pieces.
+    /// Notes that bytes came, and awaits the rest of an answer that comes in pieces.
     fn note_progress(&mut self, clock: Clock) {
+        self.heard_ms = clock.now_ms;
         if let Some(call) = &mut self.call
             && let Some(stall_ms) = call.stall_ms
         {
@@ -128,6 +132,7 @@
             let line = &mut self.lines[key];
             line.call = Some(Flight {
                 number: pending.call.number,
+                sent_ms: clock.now_ms,
                 give_up_ms: pending.give_up_ms,
                 stall_ms: pending.call.stall_ms,
             });
@@ -149,6 +154,7 @@
             peer,
             is_connected: false,
             opened_ms: clock.now_ms,
+            heard_ms: clock.now_ms,
             outbox: Outbox::default(),
             inbox: Vec::new(),
             call: None,
@@ -191,6 +197,7 @@
                 return;
             }
             line.is_connected = true;
+            line.heard_ms = clock.now_ms;
         }
         let received = line.inbox.len();
         let is_open = line.outbox.flush(&mut line.stream).is_ok()
@@ -255,6 +262,30 @@
         }
     }
 
+    /// Drops a connection whose call is overdue. If the peer has said nothing on it since the
+    /// call, it may have gone silent without a reset, and others with it: idle connections
+    /// that were not heard of since go, too, so that the next call does not wait in vain on
+    /// one of them.
+    fn close_with_idle(&mut self, key: LineKey, arrivals: &mut Vec<Arrival>) {
+        let Some(line) = self.lines.get(key) else {
+            return;
+        };
+        let call = line.call.as_ref();
+        let silent_since_ms = call.map(|call| call.sent_ms);
+        let is_silent = silent_since_ms.is_some_and(|since_ms| line.heard_ms <= since_ms);
+        let peer = line.peer;
+        self.close(key, arrivals);
+        let (Some(since_ms), true) = (silent_since_ms, is_silent) else {
+            return;
+        };
+        let idle = self.peers.get(&peer).map(|entry| entry.idle.clone());
+        for key in idle.unwrap_or_default() {
+            if self.lines[key].heard_ms <= since_ms {
+                self.close(key, arrivals);
+            }
+        }
+    }
+
     /// Gives up what is overdue and sends what waits for a connection.
     pub(crate) fn expire(
         &mut self,
@@ -273,7 +304,7 @@
             }
         }
         for key in overdue {
-            self.close(key, arrivals);
+            self.close_with_idle(key, arrivals);
         }
         let mut waiting = Vec::new();
         for (peer, entry) in &mut self.peers {
--- a/crates/net/tests/lines.rs
+++ b/crates/net/tests/lines.rs
@@ -102,3 +102,59 @@
         drop(server.join());
     }
 }
+
+/// Accepts connections and answers the first call on each of them; later calls on the first
+/// `silent` connections get no answer.
+fn answer_once(listener: &TcpListener, streams: &mut Vec<(TcpStream, u32)>, silent: usize) {
+    if let Ok((stream, _)) = listener.accept() {
+        stream.set_nonblocking(true).unwrap();
+        streams.push((stream, 0));
+    }
+    for (number, (stream, calls)) in streams.iter_mut().enumerate() {
+        let mut asked = [0; 1_024];
+        if !stream.read(&mut asked).is_ok_and(|length| length > 0) {
+            continue;
+        }
+        *calls += 1;
+        if *calls == 1 || number >= silent {
+            stream
+                .write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+                .unwrap();
+        }
+    }
+}
+
+/// Time after which a call without an answer is given up; others take milliseconds.
+const SILENT_MS: u64 = 3_000;
+
+/// Symptom: after connections went silent without a reset, one call after the other is awaited
+/// in vain, though new connections work. Cause: each call was sent on another connection that
+/// had gone silent at the same time.
+#[gtest]
+fn a_silent_connection_takes_idle_ones_of_its_age_with_it() {
+    let listener = TcpListener::bind(("127.0.0.1", 0)).unwrap();
+    listener.set_nonblocking(true).unwrap();
+    let peer = listener.local_addr().unwrap();
+    let mut net = Net::new().unwrap();
+    let mut streams = Vec::new();
+    let mut call = |net: &mut Net, numbers: &[u64]| {
+        for number in numbers {
+            let message = Message::get("/".into());
+            net.call(Call::new(*number, peer, SILENT_MS, &message));
+        }
+        let mut ends = Vec::new();
+        while ends.len() < numbers.len() {
+            answer_once(&listener, &mut streams, 3);
+            for arrival in net.wait(Duration::from_millis(1)) {
+                if let Arrival::Answer { answer, .. } = arrival {
+                    ends.push(answer.is_ok());
+                }
+            }
+        }
+        (ends, streams.len())
+    };
+    // Three connections, all of which then go silent.
+    expect_that!(call(&mut net, &[1, 2, 3]), eq(&(vec![true; 3], 3)));
+    expect_that!(call(&mut net, &[4]), eq(&(vec![false], 3)));
+    expect_that!(call(&mut net, &[5]), eq(&(vec![true], 4)));
+}
