--- a/crates/core/src/notes.rs
+++ b/crates/core/src/notes.rs
@@ -81,6 +81,7 @@
     StreamsLoading = 2003, "A host that has started still reads jobs or their states; the detail says which streams are missing.";
     StreamsLoaded = 2004, "A host that has started has read all jobs and their states.";
     ReadFailed = 2005, "A read of a stream of the store brought nothing; the detail says why, when it was sent, and how old what is known from that stream is.";
+    ClockJumped = 2006, "The time of day ran ahead of the steady clock: the host was suspended, or its clock was set. What it believes counts as that much older.";
     OwnerClaimed = 2101, "This host has claimed to own the progress of all jobs.";
     OwnerBegun = 2102, "This host has read all there is and acts as the owner.";
     OwnerEnded = 2103, "This host no longer owns the progress of jobs.";
--- a/crates/dispatch/src/entry/job_tails.rs
+++ b/crates/dispatch/src/entry/job_tails.rs
@@ -82,6 +82,13 @@
         }
     }
 
+    /// Makes what is known older by a time that the steady clock does not show.
+    pub(crate) fn age_by(&mut self, ms: u64) {
+        for tail in &mut self.tails {
+            tail.age_by(ms);
+        }
+    }
+
     /// Goes on loading what is not loaded yet.
     pub(crate) fn load(&mut self, now_ms: u64, tickets: &mut u64, actions: &mut Vec<Action>) {
         for tail in &mut self.tails {
--- a/crates/dispatch/src/entry/mod.rs
+++ b/crates/dispatch/src/entry/mod.rs
@@ -10,6 +10,7 @@
 mod owning;
 mod questions;
 mod rules;
+mod suspension;
 
 use crate::bounds::Bounds;
 use crate::config::Config;
@@ -94,6 +95,8 @@
     is_store_away: bool,
     contact: Contact,
     are_rules_behind: bool,
+    /// How far the time of day is ahead of the steady clock.
+    clock_lead_ms: Option<u64>,
 }
 
 impl Entry {
@@ -131,6 +134,7 @@
             is_store_away: false,
             contact: Contact::default(),
             are_rules_behind: false,
+            clock_lead_ms: None,
         }
     }
 
@@ -177,6 +181,7 @@
     /// them is decided once.
     pub fn handle_all(&mut self, now: Now, events: Vec<Event>) -> Vec<Action> {
         let mut actions = Vec::new();
+        self.note_time(now, &mut actions);
         for event in events {
             self.take(now, event, &mut actions);
         }
--- a/crates/dispatch/src/tail.rs
+++ b/crates/dispatch/src/tail.rs
@@ -55,6 +55,8 @@
     sent_ms: u64,
     /// Time that the store may hold it back.
     wait_ms: u64,
+    /// The host was suspended since.
+    is_from_before: bool,
 }
 
 impl Flight {
@@ -202,6 +204,9 @@
 
     /// Notes what an answer took.
     fn note_latency(&mut self, flight: Flight, now_ms: u64) {
+        if flight.is_from_before {
+            return;
+        }
         let held_ms = flight.sent_ms + flight.wait_ms;
         // A read that waits is answered early when there is a record.
         let Some(latency_ms) = now_ms.checked_sub(held_ms) else {
@@ -218,12 +223,15 @@
     /// after it was sent; if the store found nothing until the wait was over, after the wait.
     fn note_end(&mut self, flight: Flight, is_empty: bool, now_ms: u64) {
         let held_ms = flight.sent_ms + flight.wait_ms;
+        self.fresh_ticket = self.fresh_ticket.max(flight.ticket);
+        if flight.is_from_before {
+            return;
+        }
         let known_ms = match is_empty && now_ms >= held_ms {
             true => held_ms,
             false => flight.sent_ms,
         };
         self.fresh_ms = self.fresh_ms.max(Some(known_ms));
-        self.fresh_ticket = self.fresh_ticket.max(flight.ticket);
     }
 
     /// Notes since when the store answers this host.
@@ -231,6 +239,15 @@
         self.contact_ms = contact_ms;
     }
 
+    /// Makes what is known older by a time that the steady clock does not show. What reads
+    /// under way bring may be from before that time, too.
+    pub(crate) fn age_by(&mut self, ms: u64) {
+        self.fresh_ms = self.fresh_ms.and_then(|at_ms| at_ms.checked_sub(ms));
+        for flight in self.reads.iter_mut().chain(&mut self.load) {
+            flight.is_from_before = true;
+        }
+    }
+
     /// Goes on loading, if that is due.
     pub(crate) fn load(&mut self, now_ms: u64, tickets: &mut u64, actions: &mut Vec<Action>) {
         if self.next.is_some() || self.load.is_some() || now_ms < self.retry_ms {
@@ -245,6 +262,7 @@
             ticket: *tickets,
             sent_ms: now_ms,
             wait_ms: 0,
+            is_from_before: false,
         });
         actions.push(Action::Load {
             ticket: *tickets,
@@ -347,6 +365,7 @@
             ticket: *tickets,
             sent_ms: now_ms,
             wait_ms,
+            is_from_before: false,
         });
         actions.push(Action::Read {
             ticket: *tickets,
--- a/tests/dispatch_freshness.rs
+++ b/tests/dispatch_freshness.rs
@@ -320,3 +320,74 @@
         expect_that!(entry.is_ready(), eq(is_read));
     }
 }
+
+/// How the time of day and the steady clock went while a host did nothing, and whether it goes
+/// by its rules afterwards. Its rules were read 100 ms before.
+struct Pause {
+    name: &'static str,
+    steady_ms: u64,
+    wall_ms: u64,
+    found: Found<'static>,
+}
+
+const PAUSES: &[Pause] = &[
+    Pause {
+        name: "both clocks go on",
+        steady_ms: 300,
+        wall_ms: 300,
+        found: Found::Nothing,
+    },
+    Pause {
+        name: "the host is suspended, and its steady clock with it",
+        steady_ms: 5,
+        wall_ms: 5_005,
+        found: Found::Unsure,
+    },
+    Pause {
+        name: "the time of day is set back",
+        steady_ms: 300,
+        wall_ms: 0,
+        found: Found::Nothing,
+    },
+];
+
+/// A suspended host does not see time pass: its steady clock stands still. Rules read just
+/// before look new when it wakes up, and are as old as the suspension. Only the time of day
+/// tells; a host can't tell that from a clock that was set, and asks the store in either case.
+#[gtest]
+fn rules_grow_old_while_a_host_is_suspended() {
+    for case in PAUSES {
+        let (mut entry, _) = start();
+        entry.handle(at(110), Event::Tick);
+        let woken = Now {
+            steady_ms: 110 + case.steady_ms,
+            wall_ms: at(110).wall_ms + case.wall_ms,
+        };
+        let actions = entry.handle(woken, Event::Tick);
+        let found = entry.find_queue("batch.test", "/new/", woken);
+        expect_that!(found, eq(case.found), "{}", case.name);
+        let is_asked = short_reads(&actions).contains(&Stream::Rules);
+        let is_unsure = case.found == Found::Unsure;
+        expect_that!(is_asked, eq(is_unsure), "{}", case.name);
+        expect_that!(entry.is_ready(), eq(!is_unsure), "{}", case.name);
+    }
+}
+
+/// An answer that was on its way while a host was suspended says nothing of the time since.
+#[gtest]
+fn an_answer_from_before_a_suspension_makes_nothing_new() {
+    let (mut entry, ticket) = start();
+    entry.handle(at(110), Event::Tick);
+    let woken = Now {
+        steady_ms: 815,
+        wall_ms: at(6_000).wall_ms,
+    };
+    entry.handle(woken, Event::Tick);
+    let end = ReadEnd::Records {
+        records: Vec::new(),
+        end: 1,
+    };
+    entry.handle(woken, Event::Read { ticket, end });
+    let found = entry.find_queue("batch.test", "/new/", woken);
+    expect_that!(found, eq(Found::Unsure));
+}
