--- a/crates/dispatch/src/entry/following.rs
+++ b/crates/dispatch/src/entry/following.rs
@@ -8,10 +8,10 @@
 use goldcrestway_core::Code;
 use goldcrestway_core::Note;
 
-/// Time that the store holds a read that waits for a record. Well under the 2 s in which
-/// rules are in force: what is known is as old as that, and older by another read if one of
-/// them is lost.
-const LISTEN_MS: u64 = 800;
+/// Part of the time in which rules must be in force for which the store holds a read that
+/// waits for a record. What is known is as old as that, and older by another read if one of
+/// them is lost, which has to fit in, too.
+const LISTEN_PERCENT: u64 = 50;
 /// Pause between two reads of submitted jobs by a host that does not own them. Whoever asks
 /// for a job that is not known here has them read at once; the store keeps history for tens
 /// of seconds.
@@ -35,18 +35,19 @@
     /// Reads on in the streams.
     pub(super) fn follow(&mut self, now: Now, actions: &mut Vec<Action>) {
         let now_ms = now.steady_ms;
+        let listen_ms = self.listen_ms();
         let tickets = &mut self.tickets;
         for tail in [&mut self.rules, &mut self.states] {
             tail.load(now_ms, tickets, actions);
         }
         self.jobs.load(now_ms, tickets, actions);
-        self.rules.listen(LISTEN_MS, now_ms, tickets, actions);
-        self.rules.confirm(LISTEN_MS, now_ms, tickets, actions);
+        self.rules.listen(listen_ms, now_ms, tickets, actions);
+        self.rules.confirm(listen_ms, now_ms, tickets, actions);
         let acts = self.owner.is_some() || self.claim.is_some();
         if acts {
             self.workers.load(now_ms, tickets, actions);
-            self.jobs.listen(LISTEN_MS, now_ms, tickets, actions);
-            self.jobs.confirm(LISTEN_MS, now_ms, tickets, actions);
+            self.jobs.listen(listen_ms, now_ms, tickets, actions);
+            self.jobs.confirm(listen_ms, now_ms, tickets, actions);
             if now_ms >= self.workers_read_ms + WORKERS_POLL_MS {
                 self.workers_read_ms = now_ms;
                 self.workers.prompt(now_ms, now_ms, tickets, actions);
@@ -68,9 +69,14 @@
         }
     }
 
+    /// Gives for how long the store holds a read that waits for a record.
+    fn listen_ms(&self) -> u64 {
+        self.bounds.rules_in_force_ms * LISTEN_PERCENT / 100
+    }
+
     /// Notices that the store does not answer this host, and that it does again.
     pub(super) fn watch_store(&mut self, now: Now, actions: &mut Vec<Action>) {
-        let limit_ms = STORE_AWAY_MS + LISTEN_MS * u64::from(self.owner.is_some());
+        let limit_ms = STORE_AWAY_MS + self.listen_ms() * u64::from(self.owner.is_some());
         let is_silent = now.steady_ms > self.contact.answered_ms + limit_ms;
         // Rules may have changed meanwhile: a host that took callers by those from before
         // would accept for queues that are gone, and deny those that have come.
