Find out whether the store is back by probes, and read nothing else meanwhile

Cause: while the store was away each host went on reading all streams; each read was awaited for half a second and more, and the next one went out after another pause. Hosts refused what the store would have taken for 0.48 s after its return, on average.

--- a/crates/dispatch/src/entry/following.rs
+++ b/crates/dispatch/src/entry/following.rs
@@ -42,7 +42,10 @@
         }
         self.jobs.load(now_ms, tickets, actions);
         self.rules.listen(listen_ms, now_ms, tickets, actions);
-        self.rules.confirm(listen_ms, now_ms, tickets, actions);
+        match self.is_store_away {
+            true => self.rules.probe(now_ms, tickets, actions),
+            false => self.rules.confirm(listen_ms, now_ms, tickets, actions),
+        }
         let acts = self.owner.is_some() || self.claim.is_some();
         if acts {
             self.workers.load(now_ms, tickets, actions);
@@ -54,6 +57,10 @@
             }
             return;
         }
+        // Whoever serves nobody needs no more than to hear that the store is back.
+        if self.is_store_away {
+            return;
+        }
         let pause_ms = match self.callers.has_doubtful() {
             _ if self.ledger.owner.token == 0 => FIRST_POLL_MS,
             true => DOUBTFUL_POLL_MS,
--- a/crates/dispatch/src/entry/owning.rs
+++ b/crates/dispatch/src/entry/owning.rs
@@ -81,7 +81,9 @@
         }
         let owner = &self.ledger.owner;
         let is_due = self.election.should_claim(self.states.fresh_ms, owner);
-        if self.claim.is_none() && !is_due && self.election.is_due(now.steady_ms, owner) {
+        let is_turn = !is_due && self.election.is_due(now.steady_ms, owner);
+        // While the store is away nothing will be read that lets this host claim.
+        if self.claim.is_none() && is_turn && !self.is_store_away {
             self.states
                 .prompt(now.steady_ms, now.steady_ms, &mut self.tickets, actions);
         }
--- a/crates/dispatch/src/tail.rs
+++ b/crates/dispatch/src/tail.rs
@@ -32,6 +32,9 @@
 const LATENCIES: usize = 4;
 /// What answers take counts up to this: past it a store is away rather than slow.
 const LATENCY_MOST_MS: u64 = 1_000;
+/// Pause between two reads that only find out whether the store is back. A host is back as
+/// much later than the store: 0.48 s on average with reads of all streams, 0.08 s with these.
+const PROBE_GAP_MS: u64 = 200;
 /// Reads of a stream that are to be answered at once and are under way, at most. Each question
 /// of a caller needs one that was sent after it, and while nothing is answered they would pile
 /// up: 131 calls of one host, which kept the first ones after an outage waiting.
@@ -113,6 +116,8 @@
     /// Since when the store answers this host. Reads from before may have been dropped.
     contact_ms: u64,
     retry_ms: u64,
+    /// When the next probe may go out.
+    probe_ms: u64,
     /// When the newest complete read that reached the end of the stream was sent.
     pub(crate) fresh_ms: Option<u64>,
     /// Ticket of that read. Tickets rise with each action of the host, so they tell what came
@@ -144,6 +149,7 @@
             reads: Vec::new(),
             contact_ms: 0,
             retry_ms: 0,
+            probe_ms: 0,
             fresh_ms: None,
             fresh_ticket: 0,
             answered_ms: None,
@@ -328,10 +334,7 @@
         if age_ms.is_some_and(|age_ms| age_ms <= wait_ms + OVERDUE_MS + slow_ms) {
             return;
         }
-        let patience = ReadPatience {
-            first_byte_ms: CONFIRM_FIRST_BYTE_MS + slow_ms,
-            stall_ms: STALL_MS,
-        };
+        let patience = self.brief_patience();
         let contact_ms = self.contact_ms;
         let is_enough = |flight: &Flight| !flight.waits() && flight.sent_ms >= contact_ms;
         self.read_unless(is_enough, patience, 0, now_ms, tickets, actions);
@@ -344,6 +347,25 @@
         self.reads.iter().filter(is_short).count()
     }
 
+    /// Reads again and again, to find out whether the store is back.
+    pub(crate) fn probe(&mut self, now_ms: u64, tickets: &mut u64, actions: &mut Vec<Action>) {
+        let is_due = now_ms >= self.probe_ms && self.short_reads() < READS_MOST;
+        // That a read has just failed is no reason to put a probe off.
+        if self.next.is_none() || !is_due {
+            return;
+        }
+        self.probe_ms = now_ms + PROBE_GAP_MS;
+        self.read(self.brief_patience(), 0, now_ms, tickets, actions);
+    }
+
+    /// Gives how long an answer is awaited where another read can take its place.
+    fn brief_patience(&self) -> ReadPatience {
+        ReadPatience {
+            first_byte_ms: CONFIRM_FIRST_BYTE_MS + SLOW_FACTOR * self.typical_latency_ms(),
+            stall_ms: STALL_MS,
+        }
+    }
+
     /// Reads, unless a read under way is enough or none may be sent now.
     fn read_unless(
         &mut self,
@@ -360,6 +382,17 @@
         if wait_ms == 0 && self.short_reads() >= READS_MOST {
             return;
         }
+        self.read(patience, wait_ms, now_ms, tickets, actions);
+    }
+
+    fn read(
+        &mut self,
+        patience: ReadPatience,
+        wait_ms: u64,
+        now_ms: u64,
+        tickets: &mut u64,
+        actions: &mut Vec<Action>,
+    ) {
         *tickets += 1;
         self.reads.push(Flight {
             ticket: *tickets,
--- a/tests/dispatch_outages.rs
+++ b/tests/dispatch_outages.rs
@@ -191,3 +191,40 @@
         expect_that!(fleet.replies.get(&known), some(eq(&running)));
     }
 }
+
+/// Calls of a host that does not own into an outage: those that notice the store's return, and
+/// those for rules, which a store that refuses at once answers four times a second.
+const PROBES_PER_S: usize = 9;
+/// Time after the store's return by which every host takes callers again.
+const BACK_MS: u64 = 250;
+
+/// Symptom: hosts refuse what the store would take for half a second and more after it is back.
+/// Cause: reads of all streams went on into the outage, each was awaited for half a second and
+/// more, and the next one went out a while after one had failed.
+#[gtest]
+fn hosts_press_an_away_store_little_and_are_back_soon() {
+    const HOSTS: usize = 8;
+    for (mode, moment) in [Mode::Silent, Mode::Refuses]
+        .into_iter()
+        .flat_map(|mode| (0..8).map(move |moment| (mode, moment)))
+    {
+        let mut fleet = Fleet::new(HOSTS, 4);
+        fleet.run(500 + 90 * moment);
+        fleet.store.mode = mode;
+        fleet.run(4_000);
+        let owner = owner(&fleet);
+        fleet.pause(owner);
+        let before = fleet.store_calls_made;
+        fleet.run(2_000);
+        let calls = fleet.store_calls_made - before;
+        let most = 2 * PROBES_PER_S * (HOSTS - 1);
+        expect_that!(calls, le(most), "{mode:?}, moment {moment}");
+        fleet.resume(owner);
+        fleet.store.mode = Mode::Up;
+        fleet.run(BACK_MS);
+        for host in 0..HOSTS {
+            let is_ready = fleet.is_ready(host);
+            expect_true!(is_ready, "{mode:?}, moment {moment}, host {host}");
+        }
+    }
+}
--- a/tests/fleet/carrying.rs
+++ b/tests/fleet/carrying.rs
@@ -26,6 +26,7 @@
             Action::Append { .. } | Action::Read { .. } | Action::Load { .. }
         );
         self.hosts[number].store_calls += usize::from(is_store_call);
+        self.store_calls_made += usize::from(is_store_call);
         let store_calls = self.hosts[number].store_calls;
         self.store_calls_most = self.store_calls_most.max(store_calls);
         let is_cut = self.hosts[number].is_cut_from_store;
--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -132,8 +132,9 @@
     /// Workers that may run steps of queues that need permits, and calls for them so far.
     pub(crate) permitted: Vec<Box<str>>,
     pub(crate) advice_calls: u32,
-    /// Most calls to the store that a host had under way at once.
+    /// Most calls to the store that a host had under way at once, and calls of all hosts.
     pub(crate) store_calls_most: usize,
+    pub(crate) store_calls_made: usize,
     /// Runs that went with their worker.
     lost: Vec<(TaskId, u32, Manner)>,
 }
@@ -162,6 +163,7 @@
             permitted: Vec::new(),
             advice_calls: 0,
             store_calls_most: 0,
+            store_calls_made: 0,
             lost: Vec::new(),
         };
         fleet.store.put(Stream::Rules, "config", &[1]);
