--- a/crates/dispatch/src/entry/mod.rs
+++ b/crates/dispatch/src/entry/mod.rs
@@ -336,7 +336,7 @@
     }
 
     fn take_states(&mut self, progress: &Progress, now: Now) {
-        self.election.note_latency(self.states.latency_ms);
+        self.election.note_latency(self.states.average_latency_ms());
         for record in &progress.records {
             self.ledger.apply(record);
         }
--- a/crates/dispatch/src/entry/owning.rs
+++ b/crates/dispatch/src/entry/owning.rs
@@ -80,7 +80,7 @@
             return;
         }
         let owner = &self.ledger.owner;
-        let is_due = self.election.should_claim(self.states.fresh_ms, owner);
+        let is_due = self.election.should_claim(self.states.known_ms(), owner);
         let is_turn = !is_due && self.election.is_due(now.steady_ms, owner);
         // While the store is away nothing will be read that lets this host claim.
         if self.claim.is_none() && is_turn && !self.is_store_away {
