--- a/crates/core/src/notes.rs
+++ b/crates/core/src/notes.rs
@@ -88,7 +88,7 @@
     OwnerSuspected = 2104, "The owner has given no sign of life for too long, or is leaving.";
     RulesInForce = 2201, "Rules of the operator are in force in this process.";
     RulesUnreadable = 2202, "Rules or a worker's report can't be read and are passed over.";
-    QueueUnknown = 2203, "A caller asked for what the rules in force send to no queue; the detail gives their version and age.";
+    QueueUnknown = 2203, "A caller asked for what the rules in force send to no queue; the detail gives the status of the answer, and version and age of the rules.";
     QueueCounted = 2204, "A caller was told how many jobs of a queue wait; the detail gives version and age of the rules.";
     RulesBehind = 2205, "The rules in force may be older than they should be; callers are sent elsewhere, and no queue is denied for good.";
     RulesCurrent = 2206, "The rules in force are known to be the newest again.";
