Look again at the ends of a job that is taken in late

Cause: an owner that begins without a part of the stream of jobs keeps all ends at their workers, but notes the newest one it has handled. When a job of that part was submitted again and stored elsewhere, the owner took it in with its recorded runs, and its ends had been passed over: the runs were neither there nor known to have ended, counted as lost, and ran again. Ruled out: progress that was not on record (the second runs were numbered 2 and 3), an end that was forgotten before it was recorded (no look of that owner named one), a look that was on its way (it lists all ends again).

Change: taking in recorded runs makes the owner handle all ends again that are not on record, of the workers that have them, as it does once all is read.

--- a/crates/dispatch/src/owner/adopting.rs
+++ b/crates/dispatch/src/owner/adopting.rs
@@ -109,6 +109,10 @@
         for (id, at) in placed {
             let run = self.make_run(key, id, RunPhase::Inherited, 0);
             if let Some(worker) = self.workers.get_mut(at.worker) {
+                // Its end may have been listed, and passed over, while the job was not read. A
+                // run that is neither there nor known to have ended counts as lost, and its
+                // task would run again. The worker still holds the ends that are not on record.
+                worker.handled = worker.recorded;
                 // It was met there before its job was read.
                 worker.remove(id, at.run);
                 worker.add(id, at.run, run);
