Check starts after ends that are noted later; sequences with jobs handed in again

The stand-in flagged a start after a noted end only if the end had been noted by then. Now a start after a good end counts once the end is noted, unless the worker's lease ran out in between.

--- a/tests/dispatch_faults.rs
+++ b/tests/dispatch_faults.rs
@@ -8,8 +8,10 @@
 use crate::fleet::Mode;
 use crate::fleet::job;
 use crate::fleet::step;
+use goldcrestway_dispatch::JobId;
 use goldcrestway_dispatch::JobState;
 use goldcrestway_dispatch::Step;
+use goldcrestway_dispatch::Stream;
 use googletest::prelude::*;
 use rand::RngExt;
 use rand::SeedableRng;
@@ -48,6 +50,9 @@
     Plain,
     /// They hand in gangs and steps with copies too, and cancel; hosts stop as planned.
     Restless,
+    /// They hand in jobs a second time, while parts of the store are away and connections to it
+    /// go silent.
+    Insistent,
 }
 
 fn strike(fleet: &mut Fleet, random: &mut Pcg64, jobs: &mut u64, callers: Callers) {
@@ -100,8 +105,33 @@
         };
         fleet.submit(host, *jobs, &submission);
     }
-    if callers == Callers::Restless {
-        stir(fleet, random, jobs);
+    match callers {
+        Callers::Plain => {}
+        Callers::Restless => stir(fleet, random, jobs),
+        Callers::Insistent => insist(fleet, random, *jobs),
+    }
+}
+
+/// Takes parts of the store away or back, loses connections, and hands jobs in again.
+fn insist(fleet: &mut Fleet, random: &mut Pcg64, jobs: u64) {
+    let host = random.random_range(0..HOSTS);
+    match random.random_range(0..4) {
+        0 => {
+            let parts = random.random_range(1..4);
+            fleet.store.away = (0..parts).map(Stream::Jobs).collect();
+            let owner = fleet.owner().unwrap_or(host);
+            fleet.kill(owner);
+        }
+        1 => fleet.store.away.clear(),
+        2 => fleet.lose_calls(host),
+        _ => fleet.kill(host),
+    }
+    for _ in 0..2 {
+        // Callers insist on what they have handed in just before.
+        let id = random.random_range(jobs.saturating_sub(4).max(1)..=jobs.max(1));
+        if let Some(submission) = fleet.promises.submitted.get(&JobId(id)).cloned() {
+            fleet.submit(random.random_range(0..HOSTS), id, &submission);
+        }
     }
 }
 
@@ -142,6 +172,7 @@
 
 fn heal(fleet: &mut Fleet) {
     fleet.store.mode = Mode::Up;
+    fleet.store.away.clear();
     fleet.late_ms = None;
     fleet.cut_workers.clear();
     for worker in fleet.workers.values_mut() {
@@ -228,3 +259,11 @@
         expect_that!(play(seed, Callers::Restless), is_empty(), "seed {seed}");
     }
 }
+
+/// Symptom: the same where callers hand jobs in again, and parts of the store come and go.
+#[gtest]
+fn promises_hold_with_jobs_handed_in_again() {
+    for seed in 0..sequences() {
+        expect_that!(play(seed, Callers::Insistent), is_empty(), "seed {seed}");
+    }
+}
--- a/tests/fleet/promises.rs
+++ b/tests/fleet/promises.rs
@@ -27,6 +27,8 @@
     pub(crate) cancelled: BTreeSet<JobId>,
     /// Ends that workers were told to forget.
     done: BTreeSet<TaskId>,
+    /// Tasks that started after they had ended well, and under which number first.
+    restarted: BTreeMap<TaskId, u32>,
     failures: BTreeMap<TaskId, u32>,
     /// Tasks that have ended well, noted or not.
     pub(crate) ended: BTreeSet<TaskId>,
@@ -66,6 +68,10 @@
                 .push(format!("{task} starts after too many failures"));
         }
         let step = &job.steps[usize::from(task.step)];
+        let is_single = !step.is_lasting && !step.is_speculative && !step.is_gang;
+        if is_single && self.ended.contains(&task) {
+            self.restarted.entry(task).or_insert(run);
+        }
         for before in &step.after {
             for index in 0..job.steps[*before as usize].count {
                 let earlier = TaskId {
@@ -100,8 +106,17 @@
         }
     }
 
-    /// Notes that a worker is told to forget an end.
-    pub(crate) fn note_end(&mut self, end: &ListedEnd) {
+    /// Notes that a worker is told to forget an end, and whether its lease ran out since: then
+    /// its tasks may have been given up.
+    pub(crate) fn note_end(&mut self, end: &ListedEnd, has_lapsed: bool) {
+        let again = self.restarted.get(&end.task).copied();
+        let is_older = again.is_some_and(|run| end.run < run);
+        if end.manner == Manner::Done && !has_lapsed && is_older {
+            let task = end.task;
+            self.broken.push(format!(
+                "{task} started again after an end that is noted now"
+            ));
+        }
         match end.manner {
             Manner::Done => drop(self.done.insert(end.task)),
             Manner::Failed => *self.failures.entry(end.task).or_default() += 1,
--- a/tests/fleet/worker.rs
+++ b/tests/fleet/worker.rs
@@ -49,6 +49,8 @@
     barred: BTreeMap<TaskId, u32>,
     ends: Vec<ListedEnd>,
     next_end: u64,
+    /// The first end since the lease ran out; none while it is over.
+    unlapsed_from: Option<u64>,
     /// Ends that other members of a gang may have to follow.
     broken_off: Vec<(TaskId, u32, Manner)>,
     /// Tail of serving tasks without fillers, and with each filler's share on top.
@@ -74,6 +76,7 @@
             barred: BTreeMap::new(),
             ends: Vec::new(),
             next_end: 1,
+            unlapsed_from: None,
             broken_off: Vec::new(),
             tail_ms: 5,
             press_ms: 0,
@@ -86,6 +89,9 @@
         if !self.is_alive {
             return;
         }
+        if now_ms > self.lease_until_ms {
+            self.unlapsed_from = None;
+        }
         let mut ended = Vec::new();
         for (task, running) in &mut self.running {
             if now_ms > self.lease_until_ms {
@@ -240,7 +246,8 @@
                     self.extend(*until_ms, now_ms);
                 }
                 for end in self.ends.iter().filter(|end| end.number <= *seen) {
-                    promises.note_end(end);
+                    let has_lapsed = self.unlapsed_from.is_none_or(|from| end.number < from);
+                    promises.note_end(end, has_lapsed);
                 }
                 self.ends.retain(|end| end.number > *seen);
                 listed = Some(self.list());
@@ -256,6 +263,7 @@
         self.lease_until_ms = self
             .lease_until_ms
             .max(until_ms.min(now_ms + LEASE_MOST_MS));
+        self.unlapsed_from.get_or_insert(self.next_end);
     }
 
     fn start(
