--- a/crates/dispatch/src/entry/contact.rs
+++ b/crates/dispatch/src/entry/contact.rs
@@ -2,8 +2,9 @@
 
 use crate::entry::Entry;
 
-/// Time without any answer of the store after which the next one counts as its return. A host
-/// has an answer each second at least, from the read that waits for rules.
+/// Time without any answer of the store after which the next one counts as its return. Shorter
+/// than the second that an idle host may be without one anyway: to count a return too many costs
+/// a read, one too few a wait for reads that were dropped.
 const SILENCE_MS: u64 = 600;
 
 /// When the store answered, whatever the call was.
--- a/crates/dispatch/src/entry/following.rs
+++ b/crates/dispatch/src/entry/following.rs
@@ -57,7 +57,7 @@
             }
             return;
         }
-        // Whoever serves nobody needs no more than to hear that the store is back.
+        // A follower that takes no callers needs no more than to hear that the store is back.
         if self.is_store_away {
             return;
         }
--- a/crates/dispatch/src/entry/rules.rs
+++ b/crates/dispatch/src/entry/rules.rs
@@ -3,9 +3,9 @@
 //! A host learns of new rules by a read that the store holds until there are some. When that
 //! read is lost, the host hears nothing, as if nothing had changed, and goes on by rules that
 //! others no longer follow. So it goes by their age: the time since it knew that nothing newer
-//! was there. Past the age that a lost read alone explains, another read goes out beside it;
-//! past the age that operators were promised, nobody is told for good that there is no such
-//! queue, or how many jobs wait in one, and callers are sent elsewhere.
+//! was there. Past the age that the wait of a read explains, another read goes out beside it.
+//! Past three quarters of what operators were promised, nobody is told for good that there is
+//! no such queue, or how many jobs wait in one, and callers are sent elsewhere.
 
 use crate::config::Config;
 use crate::config::Queue;
