Count reads from before the store's return as lost where they wait, too

Cause: after its return the store dropped nothing any more, but the read that waits for rules had been sent into the outage and counted as under way: rules published just then were in force 0.5 s after their acknowledgement. Probes that had been lost failed one after the other meanwhile, and each put the next read off by 0.25 s.

Change: a read that waits and was sent before the store's return is not counted; failures from before say nothing of the store as it is now. A silence of 1.3 s counts as an outage instead of 0.6 s, so that idle hosts do not repeat reads.

Test: rules_published_after_an_outage_are_in_force_at_once, failed before.

--- a/crates/dispatch/src/entry/contact.rs
+++ b/crates/dispatch/src/entry/contact.rs
@@ -2,10 +2,10 @@
 
 use crate::entry::Entry;
 
-/// Time without any answer of the store after which the next one counts as its return. Shorter
-/// than the second that an idle host may be without one anyway: to count a return too many costs
-/// a read, one too few a wait for reads that were dropped.
-const SILENCE_MS: u64 = 600;
+/// Time without any answer of the store after which the next one counts as its return. An idle
+/// host is without one for a second anyway; each return costs it another read of each stream
+/// that it listens to.
+const SILENCE_MS: u64 = 1_300;
 
 /// When the store answered, whatever the call was.
 #[derive(Debug, Clone, Copy, Default)]
--- a/crates/dispatch/src/tail/mod.rs
+++ b/crates/dispatch/src/tail/mod.rs
@@ -163,8 +163,12 @@
         SLOW_FACTOR * self.typical_latency_ms()
     }
 
-    /// Notes since when the store answers this host.
+    /// Notes since when the store answers this host. Failures from before are no reason to
+    /// wait with the next read.
     pub(crate) fn note_contact(&mut self, contact_ms: u64) {
+        if contact_ms > self.contact_ms {
+            self.retry_ms = 0;
+        }
         self.contact_ms = contact_ms;
     }
 
@@ -220,7 +224,8 @@
         self.read_unless(is_enough, patience(0), 0, now_ms, tickets, actions);
     }
 
-    /// Keeps one read under way that waits for a record.
+    /// Keeps one read under way that waits for a record. One from before the store's return may
+    /// have been dropped there, and is not counted.
     pub(crate) fn listen(
         &mut self,
         wait_ms: u64,
@@ -228,14 +233,10 @@
         tickets: &mut u64,
         actions: &mut Vec<Action>,
     ) {
-        self.read_unless(
-            Flight::waits,
-            patience(wait_ms),
-            wait_ms,
-            now_ms,
-            tickets,
-            actions,
-        );
+        let contact_ms = self.contact_ms;
+        let is_enough = |flight: &Flight| flight.waits() && flight.sent_ms >= contact_ms;
+        let patience = patience(wait_ms);
+        self.read_unless(is_enough, patience, wait_ms, now_ms, tickets, actions);
     }
 
     /// Reads beside the read that waits, once that one should have been answered: it may be
@@ -364,7 +365,10 @@
     /// Notes a read that brought nothing, and gives what is to be said about it, if that is
     /// due.
     fn fail(&mut self, flight: Flight, fault: ReadFault, now_ms: u64) -> Option<Failure> {
-        self.retry_ms = now_ms + RETRY_MS;
+        // What was dropped before the store's return says nothing of the store as it is now.
+        if flight.sent_ms >= self.contact_ms {
+            self.retry_ms = now_ms + RETRY_MS;
+        }
         self.failures.note(flight, fault, now_ms)
     }
 
--- a/tests/dispatch_rules.rs
+++ b/tests/dispatch_rules.rs
@@ -205,3 +205,24 @@
         expect_that!(watch.put_off * 100, le(watch.told), "seed {seed}");
     }
 }
+
+/// Symptom: rules published just after the store is back are in force half a second to a second
+/// late. Cause: the read that waits for them had been sent into the outage, and was taken to be
+/// under way, though it had been dropped.
+#[gtest]
+fn rules_published_after_an_outage_are_in_force_at_once() {
+    for moment in 0..MOMENTS {
+        let mut fleet = Fleet::new(HOSTS, 0);
+        let mut watch = RulesWatch::new(&fleet);
+        fleet.run(1_000 + moment * MOMENT_MS);
+        fleet.store.mode = Mode::Silent;
+        fleet.run(4_000);
+        fleet.store.mode = Mode::Up;
+        fleet.run(300);
+        watch.toggle(b'a', &mut fleet);
+        fleet.run(50);
+        for number in 0..HOSTS {
+            expect_that!(fleet.rules_version(number), eq(2), "moment {moment}");
+        }
+    }
+}
