--- a/crates/dispatch/src/tail/mod.rs
+++ b/crates/dispatch/src/tail/mod.rs
@@ -40,6 +40,7 @@
 /// of a caller needs one that was sent after it, and while nothing is answered they would pile
 /// up: 131 calls of one host, which kept the first ones after an outage waiting.
 const READS_MOST: usize = 3;
+
 /// What came of a read.
 #[derive(Debug, Default)]
 pub(crate) struct Progress {
