--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -5,6 +5,7 @@
 mod carrying;
 mod fixtures;
 mod promises;
+mod reading;
 mod rules;
 mod store;
 mod worker;
@@ -15,10 +16,11 @@
 pub(crate) use crate::fleet::fixtures::job;
 pub(crate) use crate::fleet::fixtures::step;
 pub(crate) use crate::fleet::promises::Promises;
+use crate::fleet::reading::Loader;
+use crate::fleet::reading::Reader;
 pub(crate) use crate::fleet::rules::RulesWatch;
 pub(crate) use crate::fleet::store::Mode;
 pub(crate) use crate::fleet::store::Store;
-use crate::fleet::store::StoreRead;
 pub(crate) use crate::fleet::worker::Manners;
 pub(crate) use crate::fleet::worker::Worker;
 use goldcrestway_dispatch::Bounds;
@@ -30,8 +32,6 @@
 use goldcrestway_dispatch::Manner;
 use goldcrestway_dispatch::Now;
 use goldcrestway_dispatch::OrderEnd;
-use goldcrestway_dispatch::ReadEnd;
-use goldcrestway_dispatch::ReadFault;
 use goldcrestway_dispatch::Refusal;
 use goldcrestway_dispatch::Reply;
 use goldcrestway_dispatch::Stream;
@@ -61,30 +61,6 @@
     Late(Order),
 }
 
-/// A read that waits for a record.
-struct Reader {
-    number: usize,
-    life: u64,
-    ticket: u64,
-    stream: Stream,
-    from: u64,
-    until_ms: u64,
-    sent_ms: u64,
-    /// When the host gives it up.
-    give_up_ms: u64,
-}
-
-/// A load of a page.
-struct Loader {
-    number: usize,
-    life: u64,
-    ticket: u64,
-    stream: Stream,
-    after: Box<str>,
-    sent_ms: u64,
-    give_up_ms: u64,
-}
-
 #[derive(Clone)]
 struct Order {
     ticket: u64,
@@ -427,64 +403,6 @@
         }
     }
 
-    fn read(&mut self, reader: Reader) {
-        let is_lost = self.is_lost(reader.number, reader.sent_ms);
-        let end = match self.store.read(reader.stream, reader.from) {
-            _ if is_lost => None,
-            StoreRead::Answered(end) => Some(end),
-            StoreRead::Dropped => None,
-            StoreRead::Waits if self.now_ms < reader.until_ms => {
-                self.deliveries
-                    .push((self.now_ms + STEP_MS, Delivery::Read(reader)));
-                return;
-            }
-            StoreRead::Waits => Some(ReadEnd::Records {
-                records: Vec::new(),
-                end: self.store.end(reader.stream),
-            }),
-        };
-        let (at_ms, end) = match end {
-            Some(end) => (self.answered_ms(), end),
-            None => (reader.give_up_ms, ReadEnd::Failed(ReadFault::NoAnswer)),
-        };
-        let ticket = reader.ticket;
-        let event = Event::Read { ticket, end };
-        let delivery = Delivery::ToEntry(reader.number, reader.life, event);
-        self.deliveries.push((at_ms, delivery));
-    }
-
-    fn load(&mut self, loader: Loader) {
-        let is_lost = self.is_lost(loader.number, loader.sent_ms);
-        let page = match self.store.newest(loader.stream, &loader.after) {
-            _ if is_lost => Err(ReadFault::NoAnswer),
-            page => page,
-        };
-        let at_ms = match page {
-            Err(ReadFault::NoAnswer) => loader.give_up_ms,
-            _ => self.answered_ms(),
-        };
-        let ticket = loader.ticket;
-        let event = Event::Loaded { ticket, end: page };
-        let delivery = Delivery::ToEntry(loader.number, loader.life, event);
-        self.deliveries.push((at_ms, delivery));
-    }
-
-    /// Tells whether a call of a host to the store, sent at that time, gets no answer.
-    fn is_lost(&self, number: usize, sent_ms: u64) -> bool {
-        let host = &self.hosts[number];
-        host.is_cut_from_store || sent_ms < host.lost_until_ms
-    }
-
-    /// Has all connections of a host to the store go silent; new ones work.
-    pub(crate) fn lose_calls(&mut self, number: usize) {
-        self.hosts[number].lost_until_ms = self.now_ms;
-    }
-
-    /// Gives when an answer that the store gives now is with its host.
-    fn answered_ms(&self) -> u64 {
-        self.now_ms + CALL_MS + self.store.answer_ms
-    }
-
     fn obey(&mut self, order: &Order) -> OrderEnd {
         let is_cut = self.cut_workers.contains(&order.address);
         let Some(worker) = self.workers.get_mut(&order.address) else {
--- /dev/null
+++ b/tests/fleet/reading.rs
@@ -0,0 +1,95 @@
+//! Reads of hosts on their way to the store, held by it, answered, or lost.
+
+use crate::fleet::CALL_MS;
+use crate::fleet::Delivery;
+use crate::fleet::Fleet;
+use crate::fleet::STEP_MS;
+use crate::fleet::store::StoreRead;
+use goldcrestway_dispatch::Event;
+use goldcrestway_dispatch::ReadEnd;
+use goldcrestway_dispatch::ReadFault;
+use goldcrestway_dispatch::Stream;
+
+/// A read that waits for a record.
+pub(super) struct Reader {
+    pub(super) number: usize,
+    pub(super) life: u64,
+    pub(super) ticket: u64,
+    pub(super) stream: Stream,
+    pub(super) from: u64,
+    pub(super) until_ms: u64,
+    pub(super) sent_ms: u64,
+    /// When the host gives it up.
+    pub(super) give_up_ms: u64,
+}
+
+/// A load of a page.
+pub(super) struct Loader {
+    pub(super) number: usize,
+    pub(super) life: u64,
+    pub(super) ticket: u64,
+    pub(super) stream: Stream,
+    pub(super) after: Box<str>,
+    pub(super) sent_ms: u64,
+    pub(super) give_up_ms: u64,
+}
+
+impl Fleet {
+    pub(super) fn read(&mut self, reader: Reader) {
+        let is_lost = self.is_lost(reader.number, reader.sent_ms);
+        let end = match self.store.read(reader.stream, reader.from) {
+            _ if is_lost => None,
+            StoreRead::Answered(end) => Some(end),
+            StoreRead::Dropped => None,
+            StoreRead::Waits if self.now_ms < reader.until_ms => {
+                self.deliveries
+                    .push((self.now_ms + STEP_MS, Delivery::Read(reader)));
+                return;
+            }
+            StoreRead::Waits => Some(ReadEnd::Records {
+                records: Vec::new(),
+                end: self.store.end(reader.stream),
+            }),
+        };
+        let (at_ms, end) = match end {
+            Some(end) => (self.answered_ms(), end),
+            None => (reader.give_up_ms, ReadEnd::Failed(ReadFault::NoAnswer)),
+        };
+        let ticket = reader.ticket;
+        let event = Event::Read { ticket, end };
+        let delivery = Delivery::ToEntry(reader.number, reader.life, event);
+        self.deliveries.push((at_ms, delivery));
+    }
+
+    pub(super) fn load(&mut self, loader: Loader) {
+        let is_lost = self.is_lost(loader.number, loader.sent_ms);
+        let page = match self.store.newest(loader.stream, &loader.after) {
+            _ if is_lost => Err(ReadFault::NoAnswer),
+            page => page,
+        };
+        let at_ms = match page {
+            Err(ReadFault::NoAnswer) => loader.give_up_ms,
+            _ => self.answered_ms(),
+        };
+        let ticket = loader.ticket;
+        let event = Event::Loaded { ticket, end: page };
+        let delivery = Delivery::ToEntry(loader.number, loader.life, event);
+        self.deliveries.push((at_ms, delivery));
+    }
+
+    /// Tells whether a call of a host to the store, sent at that time, gets no answer.
+    fn is_lost(&self, number: usize, sent_ms: u64) -> bool {
+        let host = &self.hosts[number];
+        host.is_cut_from_store || sent_ms < host.lost_until_ms
+    }
+
+    /// Has all connections of a host to the store go silent; new ones work.
+    pub(crate) fn lose_calls(&mut self, number: usize) {
+        self.hosts[number].lost_until_ms = self.now_ms;
+    }
+
+    /// Gives when an answer that the store gives now is with its host.
+    fn answered_ms(&self) -> u64 {
+        self.now_ms + CALL_MS + self.store.answer_ms
+    }
+}
