--- a/crates/core/src/notes.rs
+++ b/crates/core/src/notes.rs
@@ -107,6 +107,7 @@
     WorkerBack = 2502, "A worker answers again.";
     WorkerLeaving = 2503, "A worker is about to leave and gets nothing new.";
     WorkerGone = 2504, "A worker is given up; nothing that ran there can be alive.";
+    LinkCarried = 2601, "What the link of the owner carried since the last such line: for each kind of call its number, bytes sent and bytes received.";
 }
 
 plain! {
--- a/crates/net/src/parse.rs
+++ b/crates/net/src/parse.rs
@@ -63,6 +63,8 @@
     pub headers: Box<[(Box<str>, Box<str>)]>,
     /// Its body.
     pub body: Box<[u8]>,
+    /// Bytes that it took on the wire, head and body.
+    pub wire_bytes: usize,
 }
 
 impl Response {
@@ -173,6 +175,7 @@
                 status,
                 headers,
                 body,
+                wire_bytes: used,
             },
             used,
             is_last,
