Failing test: workers given up, owners replaced, because a link is full

Cause, as the logs of small twins say: orders to start fill the link; looks behind them are given up after 350 ms. The fleet of the tests gets links of so many bytes a second, and answers that take 0.1 to 10 s. Before: at 1 Mbit/s 6 workers are given up and 8 hosts own in turn; no worker dies. Ruled out: that a lapsed lease alone lets a task run twice.

--- a/tests/fleet/carrying.rs
+++ b/tests/fleet/carrying.rs
@@ -9,6 +9,8 @@
 use crate::fleet::PERMIT_MS;
 use crate::fleet::Reader;
 use crate::fleet::STEP_MS;
+use crate::fleet::link::append_bytes;
+use crate::fleet::link::order_bytes;
 use goldcrestway_dispatch::Action;
 use goldcrestway_dispatch::AdviceEnd;
 use goldcrestway_dispatch::AppendEnd;
@@ -38,6 +40,7 @@
                 records,
                 timeout_ms,
             } => {
+                let bytes = append_bytes(&records);
                 let end = match is_cut {
                     true => AppendEnd::Unknown,
                     false => self.store.append(stream, fence, records),
@@ -45,7 +48,8 @@
                 let is_claim = fence.is_some_and(|fence| fence.sequence == 0);
                 self.claims += u32::from(is_claim && stream == Stream::Progress);
                 let answer_ms = self.store.answer_ms + CALL_MS;
-                let done_ms = self.store.done_ms(stream, self.now_ms) + answer_ms;
+                let link_ms = self.hosts[number].sending_ms(self.now_ms, bytes);
+                let done_ms = self.store.done_ms(stream, self.now_ms) + answer_ms + link_ms;
                 let give_up_ms = self.now_ms + timeout_ms;
                 let is_lost = end == AppendEnd::Unknown || done_ms > give_up_ms;
                 let (at_ms, end) = match is_lost {
@@ -122,7 +126,8 @@
                 }
                 self.replies.insert(request, reply);
             }
-            Action::Forget { .. } | Action::Configured | Action::Note(_) => {}
+            Action::Note(note) => *self.notes.entry(note.code).or_default() += 1,
+            Action::Forget { .. } | Action::Configured => {}
         }
     }
 
@@ -158,10 +163,20 @@
                 .push((self.now_ms + late_ms, Delivery::Late(order)));
             return;
         }
-        let at_ms = self.now_ms + CALL_MS;
+        let link_ms = self.hosts[number].sending_ms(self.now_ms, order_bytes(&order.call));
+        let at_ms = self.now_ms + CALL_MS + link_ms;
+        if self.hosts[number].link.is_some() || self.answers_late.is_some() {
+            // Whichever comes first counts.
+            let event = Event::Ordered {
+                ticket: order.ticket,
+                end: OrderEnd::Unknown,
+            };
+            let given_up = Delivery::ToEntry(number, life, event);
+            self.deliveries.push((self.now_ms + timeout_ms, given_up));
+        }
         let delivery = match order.call {
             WorkerCall::Look { wait_ms, .. } if wait_ms > 0 => {
-                Delivery::Look(number, life, order, self.now_ms + wait_ms)
+                Delivery::Look(number, life, order, at_ms + wait_ms - CALL_MS)
             }
             _ => Delivery::Order(number, life, order),
         };
--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -4,6 +4,7 @@
 mod callers;
 mod carrying;
 mod fixtures;
+mod link;
 mod promises;
 mod reading;
 mod rules;
@@ -15,6 +16,8 @@
 pub(crate) use crate::fleet::fixtures::decode_worker;
 pub(crate) use crate::fleet::fixtures::job;
 pub(crate) use crate::fleet::fixtures::step;
+pub(crate) use crate::fleet::link::Link;
+use crate::fleet::link::answer_bytes;
 pub(crate) use crate::fleet::promises::Promises;
 use crate::fleet::reading::Loader;
 use crate::fleet::reading::Reader;
@@ -23,6 +26,7 @@
 pub(crate) use crate::fleet::store::Store;
 pub(crate) use crate::fleet::worker::Manners;
 pub(crate) use crate::fleet::worker::Worker;
+use goldcrestway_core::Code;
 use goldcrestway_dispatch::Bounds;
 use goldcrestway_dispatch::Decoders;
 use goldcrestway_dispatch::Entry;
@@ -37,6 +41,9 @@
 use goldcrestway_dispatch::Stream;
 use goldcrestway_dispatch::TaskId;
 use goldcrestway_dispatch::WorkerCall;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_pcg::Pcg64;
 use std::collections::BTreeMap;
 
 /// Virtual time moves on by this much.
@@ -83,6 +90,23 @@
     held: Vec<Event>,
     /// Calls to the store under way.
     store_calls: usize,
+    /// Its link, where it is not wider than all that goes over it.
+    link: Option<Link>,
+}
+
+impl Host {
+    /// Gives how long bytes take to leave, or to come in.
+    fn sending_ms(&mut self, now_ms: u64, bytes: u64) -> u64 {
+        self.link
+            .as_mut()
+            .map_or(0, |link| link.send(now_ms, bytes))
+    }
+
+    fn receiving_ms(&mut self, now_ms: u64, bytes: u64) -> u64 {
+        self.link
+            .as_mut()
+            .map_or(0, |link| link.receive(now_ms, bytes))
+    }
 }
 
 /// The fleet.
@@ -101,6 +125,8 @@
     asked: BTreeMap<u64, JobId>,
     /// Orders to workers are carried out so late, and not answered.
     pub(crate) late_ms: Option<u64>,
+    /// Answers of workers take a time drawn from this range, by a seed that moves on.
+    pub(crate) answers_late: Option<(u64, u64, u64)>,
     /// Claims to own that were appended.
     pub(crate) claims: u32,
     /// Workers, by address, that no entry host reaches.
@@ -113,6 +139,8 @@
     pub(crate) store_calls_made: usize,
     /// Runs that went with their worker.
     lost: Vec<(TaskId, u32, Manner)>,
+    /// What hosts said, counted by event.
+    pub(crate) notes: BTreeMap<Code, u32>,
 }
 
 impl Fleet {
@@ -134,6 +162,7 @@
             replies: BTreeMap::new(),
             asked: BTreeMap::new(),
             late_ms: None,
+            answers_late: None,
             claims: 0,
             cut_workers: Vec::new(),
             permitted: Vec::new(),
@@ -141,6 +170,7 @@
             store_calls_most: 0,
             store_calls_made: 0,
             lost: Vec::new(),
+            notes: BTreeMap::new(),
         };
         fleet.store.put(Stream::Rules, "config", &[1]);
         for number in 0..workers {
@@ -157,6 +187,7 @@
                 lost_until_ms: 0,
                 held: Vec::new(),
                 store_calls: 0,
+                link: None,
             });
             fleet.start(number);
         }
@@ -234,6 +265,13 @@
         self.hosts[number].is_cut_from_store = is_cut;
     }
 
+    /// Gives all hosts links of so many megabits a second, of which they know.
+    pub(crate) fn thin_links(&mut self, mbit_per_s: u64) {
+        for host in &mut self.hosts {
+            host.link = Some(Link::new(mbit_per_s));
+        }
+    }
+
     /// Begins a planned stop.
     pub(crate) fn stop(&mut self, number: usize) {
         self.handle(number, Event::Stop);
@@ -290,6 +328,7 @@
         let until_ms = self.now_ms + ms;
         while self.now_ms < until_ms {
             self.now_ms += STEP_MS;
+            self.promises.now_ms = self.now_ms;
             for worker in self.workers.values_mut() {
                 worker.advance(self.now_ms, STEP_MS, &mut self.promises);
             }
@@ -327,17 +366,17 @@
     }
 
     fn check(&mut self) {
-        let mut seen: BTreeMap<TaskId, u32> = BTreeMap::new();
-        for (_, task, _) in &self.promises.starts {
-            seen.entry(*task).or_insert(0);
+        let mut places: BTreeMap<TaskId, usize> = BTreeMap::new();
+        for worker in self.workers.values() {
+            for task in worker.tasks() {
+                *places.entry(task).or_default() += 1;
+            }
         }
-        for (task, _) in seen {
-            let is_speculative = self
-                .promises
-                .submitted
-                .get(&task.job)
-                .is_some_and(|job| job.steps[usize::from(task.step)].is_speculative);
-            if !is_speculative && self.running(task) > 1 {
+        for (task, count) in places {
+            let job = self.promises.submitted.get(&task.job);
+            let is_speculative =
+                job.is_some_and(|job| job.steps[usize::from(task.step)].is_speculative);
+            if count > 1 && !is_speculative {
                 self.promises
                     .broken
                     .push(format!("{task} runs in two places"));
@@ -418,12 +457,21 @@
     }
 
     fn reply_order(&mut self, number: usize, life: u64, ticket: u64, end: OrderEnd) {
-        self.reply(number, life, Event::Ordered { ticket, end });
+        let bytes = answer_bytes(&end);
+        let link_ms = self.hosts[number].receiving_ms(self.now_ms, bytes);
+        let delivery = Delivery::ToEntry(number, life, Event::Ordered { ticket, end });
+        let at_ms = self.now_ms + CALL_MS + link_ms + self.draw_lateness();
+        self.deliveries.push((at_ms, delivery));
     }
 
-    fn reply(&mut self, number: usize, life: u64, event: Event) {
-        let delivery = Delivery::ToEntry(number, life, event);
-        self.deliveries.push((self.now_ms + CALL_MS, delivery));
+    /// Draws how late the next answer of a worker is.
+    fn draw_lateness(&mut self) -> u64 {
+        let Some((least_ms, most_ms, seed)) = &mut self.answers_late else {
+            return 0;
+        };
+        let mut random = Pcg64::seed_from_u64(*seed);
+        *seed = random.random();
+        random.random_range(*least_ms..=*most_ms)
     }
 
     fn now(&self) -> Now {
--- a/tests/fleet/promises.rs
+++ b/tests/fleet/promises.rs
@@ -16,6 +16,10 @@
     pub(crate) is_lasting: bool,
 }
 
+/// Time after which an end that was listed in an answer counts as noted, where nothing but the
+/// host itself keeps the answer from it.
+const LISTED_MS: u64 = 100;
+
 /// The promises, and what was seen so far.
 #[derive(Default)]
 pub(crate) struct Promises {
@@ -38,6 +42,11 @@
     pub(crate) refused_room: u32,
     /// Starts that were refused for want of a permit.
     pub(crate) refused_permits: u32,
+    /// Nothing disturbs: a host must take note of what workers list, however late its answers.
+    pub(crate) is_calm: bool,
+    pub(crate) now_ms: u64,
+    /// When an end that went well was first listed, before its worker's lease ran out.
+    listed_ms: BTreeMap<TaskId, u64>,
     /// Promises that were broken.
     pub(crate) broken: Vec<String>,
 }
@@ -51,6 +60,12 @@
                 "{task} run {run} starts at {worker} after its end was noted"
             ));
         }
+        let listed_ms = self.listed_ms.get(&task);
+        if self.is_calm && listed_ms.is_some_and(|at_ms| self.now_ms > at_ms + LISTED_MS) {
+            self.broken.push(format!(
+                "{task} run {run} starts at {worker} after its end was listed"
+            ));
+        }
         let Some(job) = self.submitted.get(&task.job) else {
             self.broken.push(format!("{task} was never submitted"));
             return Plan {
@@ -106,6 +121,13 @@
         }
     }
 
+    /// Notes that a worker lists an end, and that its lease has not run out since.
+    pub(crate) fn note_listed(&mut self, end: &ListedEnd) {
+        if end.manner == Manner::Done {
+            self.listed_ms.entry(end.task).or_insert(self.now_ms);
+        }
+    }
+
     /// Notes that a worker is told to forget an end, and whether its lease ran out since: then
     /// its tasks may have been given up.
     pub(crate) fn note_end(&mut self, end: &ListedEnd, has_lapsed: bool) {
--- a/tests/fleet/reading.rs
+++ b/tests/fleet/reading.rs
@@ -4,6 +4,7 @@
 use crate::fleet::Delivery;
 use crate::fleet::Fleet;
 use crate::fleet::STEP_MS;
+use crate::fleet::link::read_bytes;
 use crate::fleet::store::StoreRead;
 use goldcrestway_dispatch::Event;
 use goldcrestway_dispatch::ReadEnd;
@@ -52,7 +53,14 @@
             }),
         };
         let (at_ms, end) = match end {
-            Some(end) => (self.answered_ms(), end),
+            Some(end) => {
+                let bytes = match &end {
+                    ReadEnd::Records { records, .. } => read_bytes(records),
+                    _ => 0,
+                };
+                let link_ms = self.hosts[reader.number].receiving_ms(self.now_ms, bytes);
+                (self.answered_ms() + link_ms, end)
+            }
             None => (reader.give_up_ms, ReadEnd::Failed(ReadFault::NoAnswer)),
         };
         let ticket = reader.ticket;
@@ -67,9 +75,14 @@
             _ if is_lost => Err(ReadFault::NoAnswer),
             page => page,
         };
-        let at_ms = match page {
+        let at_ms = match &page {
             Err(ReadFault::NoAnswer) => loader.give_up_ms,
-            _ => self.answered_ms(),
+            Ok(page) => {
+                let bytes = read_bytes(&page.records);
+                let link_ms = self.hosts[loader.number].receiving_ms(self.now_ms, bytes);
+                self.answered_ms() + link_ms
+            }
+            Err(_) => self.answered_ms(),
         };
         let ticket = loader.ticket;
         let event = Event::Loaded { ticket, end: page };
--- a/tests/fleet/worker.rs
+++ b/tests/fleet/worker.rs
@@ -180,6 +180,11 @@
         self.is_alive && self.running.contains_key(&task)
     }
 
+    /// Lists the tasks that run there.
+    pub(crate) fn tasks(&self) -> impl Iterator<Item = TaskId> + '_ {
+        self.running.keys().copied().filter(|_| self.is_alive)
+    }
+
     /// Gives the share at which each filler may work.
     pub(crate) fn shares(&self) -> Vec<u32> {
         let fillers = self.running.values();
@@ -250,6 +255,11 @@
                     promises.note_end(end, has_lapsed);
                 }
                 self.ends.retain(|end| end.number > *seen);
+                for end in &self.ends {
+                    if self.unlapsed_from.is_some_and(|from| end.number >= from) {
+                        promises.note_listed(end);
+                    }
+                }
                 listed = Some(self.list());
             }
         }
--- a/tests/lib.rs
+++ b/tests/lib.rs
@@ -13,6 +13,7 @@
 mod dispatch_fillers;
 mod dispatch_freshness;
 mod dispatch_late_starts;
+mod dispatch_links;
 mod dispatch_loading;
 mod dispatch_outages;
 mod dispatch_questions;
