--- a/crates/dispatch/src/bounds.rs
+++ b/crates/dispatch/src/bounds.rs
@@ -19,6 +19,8 @@
     pub cpu_permille: u64,
     /// What this host's link carries each way.
     pub link_bytes_per_s: u64,
+    /// Where other hosts reach this one, to have their orders relayed; empty if nowhere.
+    pub relay_address: Box<str>,
     /// Parts of the stream of jobs. All hosts must use the same number.
     pub job_parts: u8,
     /// Which mechanisms are in use.
@@ -36,6 +38,7 @@
             rules_in_force_ms: 2_000,
             cpu_permille: 100,
             link_bytes_per_s: 125_000_000,
+            relay_address: "".into(),
             job_parts: 4,
             policy: Policy::default(),
         }
--- a/crates/dispatch/src/entry/mod.rs
+++ b/crates/dispatch/src/entry/mod.rs
@@ -26,6 +26,7 @@
 use crate::event::Action;
 use crate::event::Event;
 use crate::event::Fence;
+use crate::event::LinkId;
 use crate::event::Now;
 use crate::event::ReadEnd;
 use crate::event::Stream;
@@ -35,6 +36,7 @@
 use crate::owner::Figures;
 use crate::owner::Owner;
 use crate::owner::records_bytes;
+use crate::relay::Relay;
 use crate::tail::Progress;
 use crate::tail::Tail;
 use goldcrestway_core::Code;
@@ -90,6 +92,8 @@
     announcing: Option<u64>,
     announce_ms: u64,
     owner: Option<Owner>,
+    /// Orders of owners that this host carries to workers.
+    relay: Relay,
     past_figures: Figures,
     /// When the claim under which this host owns was stored.
     claimed_ms: u64,
@@ -130,6 +134,7 @@
             announcing: None,
             announce_ms: 0,
             owner: None,
+            relay: Relay::default(),
             past_figures: Figures::default(),
             claimed_ms: 0,
             is_stopping: false,
@@ -198,6 +203,18 @@
         match event {
             Event::Tick => {}
             Event::Stop => self.stop(),
+            Event::LinkOpened { link } => {
+                if let Some(owner) = &mut self.owner {
+                    owner.note_relay(link, now);
+                }
+            }
+            Event::Frame { link, bytes } => self.take_frame(link, &bytes, now, actions),
+            Event::LinkLost { link } if link.is_incoming() => self.relay.lose(link),
+            Event::LinkLost { link } => {
+                if let Some(owner) = &mut self.owner {
+                    owner.lose_relay(link, now, actions);
+                }
+            }
             Event::Submit {
                 request,
                 job,
@@ -220,6 +237,9 @@
                 }
             }
             Event::Ordered { ticket, end } => {
+                if self.relay.take_end(ticket, &end) {
+                    return;
+                }
                 if let Some(owner) = &mut self.owner {
                     owner.take_order(ticket, end, now, actions);
                 }
@@ -227,8 +247,19 @@
         }
     }
 
+    /// Takes in orders of an owner, or what came of orders of this one.
+    fn take_frame(&mut self, link: LinkId, bytes: &[u8], now: Now, actions: &mut Vec<Action>) {
+        if link.is_incoming() {
+            self.relay
+                .take_frame(link, bytes, &mut self.tickets, actions);
+        } else if let Some(owner) = &mut self.owner {
+            owner.take_relayed(link, bytes, now, actions);
+        }
+    }
+
     fn stop(&mut self) {
         self.is_stopping = true;
+        self.relay.leave();
         self.claim = None;
         if let Some(owner) = &mut self.owner {
             owner.leave();
@@ -324,6 +355,9 @@
             self.take_change(change, now, actions);
         }
         self.election.note_hosts(&self.ledger.hosts);
+        if let Some(owner) = &mut self.owner {
+            owner.note_hosts(&self.ledger.hosts);
+        }
     }
 
     /// Passes a change on to the owner, if this host is that.
@@ -389,6 +423,7 @@
         self.announce(now, actions);
         self.contend(now, actions);
         self.own(now, actions);
+        self.relay.flush(actions);
         self.serve(now, actions);
         self.purge(now, actions);
     }
--- a/crates/dispatch/src/entry/owning.rs
+++ b/crates/dispatch/src/entry/owning.rs
@@ -38,6 +38,7 @@
         }
         let own = HostRecord {
             cpu_permille: self.bounds.cpu_permille,
+            relay_address: self.bounds.relay_address.to_string(),
         };
         if self.ledger.hosts.get(&self.host) == Some(&own) {
             return;
@@ -264,6 +265,7 @@
             &*self.host,
             format!("token={} why=fenced", owner.token()),
         )));
+        owner.close_relays(actions);
         self.past_figures = owner.figures;
         self.owner = None;
         self.election.restart(now.steady_ms);
--- a/crates/dispatch/src/event.rs
+++ b/crates/dispatch/src/event.rs
@@ -268,6 +268,31 @@
     },
 }
 
+/// A connection to another entry host. Those that this host opens are numbered by its
+/// decisions, those that come in by whoever listens.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct LinkId(pub u64);
+
+impl LinkId {
+    /// Numbers the connections that come in.
+    const INCOMING: u64 = 1 << 63;
+
+    /// Makes the id of a connection that has come in.
+    pub fn incoming(number: u64) -> Self {
+        Self(number | Self::INCOMING)
+    }
+
+    /// Gives the number without what tells the two kinds apart.
+    pub fn number(self) -> u64 {
+        self.0 & !Self::INCOMING
+    }
+
+    /// Tells whether the other host has opened it.
+    pub fn is_incoming(self) -> bool {
+        self.0 & Self::INCOMING != 0
+    }
+}
+
 /// Something that happened.
 #[derive(Debug, Clone, PartialEq, Eq)]
 #[expect(
@@ -304,6 +329,12 @@
     Ordered { ticket: u64, end: OrderEnd },
     /// A call for permits has ended.
     Advised { ticket: u64, end: AdviceEnd },
+    /// A connection to another host was made.
+    LinkOpened { link: LinkId },
+    /// Another host has sent something.
+    Frame { link: LinkId, bytes: Box<[u8]> },
+    /// A connection to another host has ended, or could not be made.
+    LinkLost { link: LinkId },
     /// A planned stop begins.
     Stop,
 }
@@ -377,6 +408,12 @@
         workers: Vec<Box<str>>,
         timeout_ms: u64,
     },
+    /// Connect to another entry host.
+    OpenLink { link: LinkId, address: Box<str> },
+    /// Send something to another entry host.
+    SendFrame { link: LinkId, bytes: Box<[u8]> },
+    /// Close a connection to another entry host.
+    CloseLink { link: LinkId },
     /// Drop the connections to a worker that is gone.
     Forget { address: Box<str> },
     /// Answer a caller.
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -38,6 +38,7 @@
 mod owner;
 pub mod policy;
 mod record;
+mod relay;
 mod tail;
 
 pub use bounds::Bounds;
@@ -55,6 +56,7 @@
 pub use event::AppendEnd;
 pub use event::Event;
 pub use event::Fence;
+pub use event::LinkId;
 pub use event::Listed;
 pub use event::ListedEnd;
 pub use event::ListedRun;
--- a/crates/dispatch/src/owner/link.rs
+++ b/crates/dispatch/src/owner/link.rs
@@ -5,6 +5,7 @@
 use crate::owner::Owner;
 use crate::owner::worker::Worker;
 use crate::owner::worker::WorkerKey;
+use crate::policy::link::PACKET_BYTES;
 
 /// Bytes of the head and the fields of a call to a worker, as counted on the wire: looks are
 /// 215, and orders to start 260 without their texts.
@@ -16,6 +17,14 @@
 /// Bytes of a call to the store without its records, and of the length and the name of one.
 const STORE_BYTES: u64 = 200;
 const RECORD_BYTES: u64 = 10;
+/// Bytes of a look that is relayed, of an order to start beside the text, and of the end of an
+/// order and a row in it, with a part of the frame's own.
+const RELAYED_LOOK_BYTES: u64 = 50;
+const RELAYED_START_BYTES: u64 = 80;
+const RELAYED_ANSWER_BYTES: u64 = 35;
+const RELAYED_ROW_BYTES: u64 = 42;
+/// Part of the orders to start of a job, one in so many, that take the text of the job with them.
+const TEXT_SHARE: usize = 4;
 /// Bytes of an answer to a caller.
 const CALLER_BYTES: u64 = 150;
 
@@ -50,10 +59,31 @@
 
     /// Notes what the order to start a task takes, whose texts have so many bytes.
     pub(super) fn charge_start(&mut self, text_bytes: usize) {
+        if self.has_relays() {
+            let out_bytes = RELAYED_START_BYTES + (text_bytes / TEXT_SHARE) as u64;
+            self.link.charge_shared(out_bytes, RELAYED_ANSWER_BYTES);
+            return;
+        }
         let out_bytes = ORDER_BYTES + text_bytes as u64;
         self.link.charge(out_bytes, ANSWER_BYTES);
     }
 
+    /// Notes what a relayed order of so many bytes takes. Orders to start were counted when
+    /// their tasks were placed.
+    pub(super) fn charge_relayed(&mut self, key: WorkerKey, call: &WorkerCall, bytes: u64) {
+        let rows = match call {
+            WorkerCall::Start { .. } => return,
+            WorkerCall::Look { .. } => self.workers[key].runs.len() as u64,
+            WorkerCall::Stop { .. } | WorkerCall::Pace { .. } => 0,
+        };
+        let in_bytes = RELAYED_ANSWER_BYTES + RELAYED_ROW_BYTES * rows;
+        self.link.charge_shared(bytes, in_bytes);
+    }
+
+    fn has_relays(&self) -> bool {
+        self.uses_relays && self.figures.relays > 0
+    }
+
     /// Notes what calls to the store and answers to callers take.
     pub(crate) fn charge_actions(&mut self, actions: &[Action]) {
         for action in actions {
@@ -78,7 +108,10 @@
     /// Gives the pause between looks at a worker that the link bears.
     pub(super) fn link_gap_ms(&self) -> u64 {
         let count = self.workers.len() as u64;
-        self.link.looks_gap_ms(count, LOOK_BYTES)
+        match self.has_relays() {
+            true => self.link.looks_gap_ms(count, RELAYED_LOOK_BYTES),
+            false => self.link.looks_gap_ms(count, LOOK_BYTES + PACKET_BYTES),
+        }
     }
 
     /// Gives how long the answer of a worker is awaited. Right after a miss a second one is
--- a/crates/dispatch/src/owner/mod.rs
+++ b/crates/dispatch/src/owner/mod.rs
@@ -19,6 +19,7 @@
 mod pacing;
 mod permits;
 mod placing;
+mod relaying;
 mod stragglers;
 mod worker;
 mod writing;
@@ -50,6 +51,7 @@
 use crate::record::JobPhase;
 use crate::record::Progress;
 use crate::record::Submission;
+use crate::relay::Sessions;
 use goldcrestway_core::Code;
 use goldcrestway_core::Note;
 use slotmap::SlotMap;
@@ -95,6 +97,10 @@
     pub put_off: [u64; Rank::ALL.len()],
     /// What answers of workers take usually.
     pub answer_ms: u64,
+    /// Orders that went over relays.
+    pub relayed: u64,
+    /// Relays that take orders.
+    pub relays: u64,
 }
 
 /// What an order in flight was for.
@@ -163,6 +169,9 @@
     orders: HashMap<u64, Order>,
     link: LinkBudget,
     answers: AnswerTimes,
+    relays: Sessions,
+    /// Orders go over relays where there are any.
+    uses_relays: bool,
     images: Images,
     interference: Interference,
     durations: Durations,
@@ -207,6 +216,8 @@
             orders: HashMap::new(),
             link: LinkBudget::new(bounds.link_bytes_per_s),
             answers: AnswerTimes::default(),
+            relays: Sessions::default(),
+            uses_relays: false,
             images: Images::default(),
             interference: Interference::default(),
             durations: Durations::default(),
@@ -234,6 +245,7 @@
         }
         let mut ids: Vec<JobId> = ledger.jobs.keys().copied().collect();
         ids.sort_unstable();
+        owner.note_hosts(&ledger.hosts);
         owner.unread = inheritance.jobs;
         for id in ids {
             owner.adopt(id, ledger, now, actions);
@@ -373,6 +385,7 @@
     /// Does what is due.
     pub(crate) fn advance(&mut self, now: Now, tickets: &mut u64, actions: &mut Vec<Action>) {
         self.link.refill(now.steady_ms);
+        self.keep_relays(now, tickets, actions);
         self.open_due(now);
         self.check_confirmed(now.steady_ms);
         self.look_around(now, tickets, actions);
@@ -387,6 +400,7 @@
         self.ask_permits(now, tickets, actions);
         self.pace(now.steady_ms, tickets, actions);
         self.write(now, tickets, actions);
+        self.relays.flush(self.token, actions);
         self.figures.answer_ms = self.answers.usual_ms();
         for (rank, count) in self.link.put_off() {
             self.figures.put_off[rank as usize] = count;
@@ -458,8 +472,11 @@
             wait_ms,
         };
         self.orders.insert(*tickets, order);
-        self.charge_order(worker, &call);
         let timeout_ms = wait_ms + self.patience_ms(worker);
+        if self.relay(*tickets, worker, &call, timeout_ms, now_ms) {
+            return;
+        }
+        self.charge_order(worker, &call);
         let entry = &self.workers[worker].entry;
         actions.push(Action::Order {
             ticket: *tickets,
--- /dev/null
+++ b/crates/dispatch/src/owner/relaying.rs
@@ -0,0 +1,105 @@
+//! Orders of the owner that go over relays.
+
+use crate::event::Action;
+use crate::event::LinkId;
+use crate::event::Now;
+use crate::event::OrderEnd;
+use crate::event::WorkerCall;
+use crate::owner::Owner;
+use crate::owner::worker::WorkerKey;
+use crate::policy::relaying::Means;
+use crate::policy::relaying::needs_relays;
+use crate::record::HostRecord;
+use crate::relay::RelayedOrder;
+use std::collections::HashMap;
+
+impl Owner {
+    /// Takes in which hosts there are.
+    pub(crate) fn note_hosts(&mut self, hosts: &HashMap<Box<str>, HostRecord>) {
+        self.relays.note_hosts(&self.host, hosts);
+    }
+
+    /// Keeps connections to relays if there are too many workers for this host, and gives up
+    /// what is overdue.
+    pub(super) fn keep_relays(&mut self, now: Now, tickets: &mut u64, actions: &mut Vec<Action>) {
+        let means = Means {
+            link_bytes_per_s: self.bounds.link_bytes_per_s,
+            cpu_permille: self.bounds.cpu_permille,
+        };
+        // Connections stay when a few workers go: opening them anew costs more.
+        self.uses_relays |= needs_relays(self.workers.len(), means);
+        if !self.uses_relays {
+            return;
+        }
+        self.relays.connect(now.steady_ms, tickets, actions);
+        let ends = self.relays.expire(now.steady_ms, actions);
+        self.take_ends_of_orders(ends, now, actions);
+        self.figures.relays = self.relays.usable() as u64;
+    }
+
+    /// Gives an order to a relay, and tells whether there is one. After a miss every other
+    /// order goes out directly: it may be the relay that does not reach the worker.
+    pub(super) fn relay(
+        &mut self,
+        ticket: u64,
+        key: WorkerKey,
+        call: &WorkerCall,
+        timeout_ms: u64,
+        now_ms: u64,
+    ) -> bool {
+        let worker = &self.workers[key];
+        if !self.uses_relays || worker.misses % 2 == 1 {
+            return false;
+        }
+        let order = RelayedOrder {
+            ticket,
+            address: &worker.entry.address,
+            worker: &worker.entry.id,
+            call,
+            timeout_ms,
+        };
+        let Some(bytes) = self.relays.relay(&order, now_ms) else {
+            return false;
+        };
+        self.figures.relayed += 1;
+        self.charge_relayed(key, call, bytes);
+        true
+    }
+
+    pub(crate) fn note_relay(&mut self, link: LinkId, now: Now) {
+        self.relays.note_opened(link, now.steady_ms);
+    }
+
+    pub(crate) fn lose_relay(&mut self, link: LinkId, now: Now, actions: &mut Vec<Action>) {
+        let ends = self.relays.lose(link, now.steady_ms, actions);
+        self.take_ends_of_orders(ends, now, actions);
+    }
+
+    /// Takes in what came of relayed orders.
+    pub(crate) fn take_relayed(
+        &mut self,
+        link: LinkId,
+        bytes: &[u8],
+        now: Now,
+        actions: &mut Vec<Action>,
+    ) {
+        let ends = self.relays.take_frame(link, bytes, now.steady_ms, actions);
+        self.take_ends_of_orders(ends, now, actions);
+    }
+
+    fn take_ends_of_orders(
+        &mut self,
+        ends: Vec<(u64, OrderEnd)>,
+        now: Now,
+        actions: &mut Vec<Action>,
+    ) {
+        for (ticket, end) in ends {
+            self.take_order(ticket, end, now, actions);
+        }
+    }
+
+    /// Lets go of all relays, as this owner ends.
+    pub(crate) fn close_relays(&mut self, actions: &mut Vec<Action>) {
+        self.relays.close(actions);
+    }
+}
--- a/crates/dispatch/src/policy/link.rs
+++ b/crates/dispatch/src/policy/link.rs
@@ -56,7 +56,7 @@
 /// the rest.
 const USED_PERCENT: u64 = 92;
 /// Bytes that each message takes beside its own.
-const PACKET_BYTES: u64 = 60;
+pub(crate) const PACKET_BYTES: u64 = 60;
 /// Part of the link, in percent, that looks at all workers in turn may take.
 const LOOKS_PERCENT: u64 = 25;
 /// Part of the link, in percent, that records of progress may take.
@@ -130,21 +130,26 @@
         has_room
     }
 
-    /// Notes what goes out, and what comes in or will come in answer.
+    /// Notes a message that goes out, and one that comes in or will come in answer.
     pub fn charge(&mut self, out_bytes: u64, in_bytes: u64) {
-        if out_bytes > 0 {
-            self.out.left_bytes -= (out_bytes + PACKET_BYTES) as i64;
-        }
-        if in_bytes > 0 {
-            self.into.left_bytes -= (in_bytes + PACKET_BYTES) as i64;
-        }
+        let packet_bytes = |bytes: u64| if bytes > 0 { PACKET_BYTES } else { 0 };
+        self.charge_shared(
+            out_bytes + packet_bytes(out_bytes),
+            in_bytes + packet_bytes(in_bytes),
+        );
+    }
+
+    /// The same for a part of a message.
+    pub fn charge_shared(&mut self, out_bytes: u64, in_bytes: u64) {
+        self.out.left_bytes -= out_bytes as i64;
+        self.into.left_bytes -= in_bytes as i64;
     }
 
     /// Gives the pause between looks at one of so many workers that keeps them within their
     /// part of the link, if each takes so many bytes.
     pub fn looks_gap_ms(&self, workers: u64, look_bytes: u64) -> u64 {
         let most_per_s = self.out.bytes_per_s * LOOKS_PERCENT / 100;
-        workers * (look_bytes + PACKET_BYTES) * 1_000 / most_per_s.max(1)
+        workers * look_bytes * 1_000 / most_per_s.max(1)
     }
 
     /// Gives the pause after an append of records that keeps them within their part.
--- a/crates/dispatch/src/policy/mod.rs
+++ b/crates/dispatch/src/policy/mod.rs
@@ -8,12 +8,14 @@
 //! | [`link`] | what the owner puts on its link, and what waits |
 //! | [`ordering`] | which job gets what is free |
 //! | [`patience`] | how long answers of workers are awaited, and what a missing one means |
+//! | [`relaying`] | whether other hosts carry the owner's orders to the workers |
 
 pub mod images;
 pub mod interference;
 pub mod link;
 pub mod ordering;
 pub mod patience;
+pub mod relaying;
 mod switches;
 
 pub use switches::Policy;
--- a/crates/dispatch/src/record.rs
+++ b/crates/dispatch/src/record.rs
@@ -378,6 +378,9 @@
     /// Its share of a core, in thousandths.
     #[prost(uint64, tag = "1")]
     pub(crate) cpu_permille: u64,
+    /// Where it takes orders of an owner, to relay them; empty if nowhere.
+    #[prost(string, tag = "2")]
+    pub(crate) relay_address: String,
 }
 
 /// What a key of the streams of jobs and progress names.
--- /dev/null
+++ b/crates/dispatch/src/relay/frames.rs
@@ -0,0 +1,194 @@
+//! What an owner and a relay send one another, encoded by `prost`.
+
+use prost::Message;
+
+/// Orders of an owner. Names and texts are sent once, and referred to from then on.
+#[derive(Clone, PartialEq, Message)]
+pub(super) struct OrdersFrame {
+    /// Token of all these orders.
+    #[prost(uint64, tag = "1")]
+    pub(super) token: u64,
+    /// Workers that are named for the first time.
+    #[prost(message, repeated, tag = "2")]
+    pub(super) workers: Vec<WorkerName>,
+    /// Texts of jobs that are sent for the first time.
+    #[prost(message, repeated, tag = "3")]
+    pub(super) texts: Vec<JobText>,
+    #[prost(message, repeated, tag = "4")]
+    pub(super) orders: Vec<OrderRow>,
+    /// All texts from before this frame are to be forgotten.
+    #[prost(bool, tag = "5")]
+    pub(super) forgets_texts: bool,
+}
+
+/// The number that stands for one incarnation of a worker.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub(super) struct WorkerName {
+    #[prost(uint32, tag = "1")]
+    pub(super) number: u32,
+    #[prost(string, tag = "2")]
+    pub(super) address: String,
+    #[prost(string, tag = "3")]
+    pub(super) id: String,
+}
+
+/// The text that workers get with each task of a job.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub(super) struct JobText {
+    #[prost(fixed64, tag = "1")]
+    pub(super) job: u64,
+    #[prost(string, tag = "2")]
+    pub(super) text: String,
+}
+
+/// What an order is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, prost::Enumeration)]
+#[repr(i32)]
+pub(super) enum OrderKind {
+    Look = 0,
+    Start = 1,
+    Stop = 2,
+    Pace = 3,
+}
+
+/// One order.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub(super) struct OrderRow {
+    /// Number by which the owner knows it.
+    #[prost(uint64, tag = "1")]
+    pub(super) ticket: u64,
+    /// Number of the worker.
+    #[prost(uint32, tag = "2")]
+    pub(super) worker: u32,
+    #[prost(enumeration = "OrderKind", tag = "3")]
+    pub(super) kind: i32,
+    /// Time for which the worker's answer is awaited.
+    #[prost(uint32, tag = "4")]
+    pub(super) timeout_ms: u32,
+    #[prost(message, optional, tag = "5")]
+    pub(super) task: Option<TaskRow>,
+    #[prost(uint32, tag = "6")]
+    pub(super) run: u32,
+    /// Time of the worker's clock until which leases go on; 0 for no lease.
+    #[prost(uint64, tag = "7")]
+    pub(super) lease_until_ms: u64,
+    /// Newest end that the worker may forget.
+    #[prost(uint64, tag = "8")]
+    pub(super) seen: u64,
+    #[prost(uint32, tag = "9")]
+    pub(super) wait_ms: u32,
+    #[prost(uint32, tag = "10")]
+    pub(super) percent: u32,
+    #[prost(string, tag = "11")]
+    pub(super) checkpoint: String,
+    #[prost(string, tag = "12")]
+    pub(super) permit: String,
+}
+
+/// The name of a task.
+#[derive(Clone, Copy, PartialEq, Eq, Message)]
+pub(super) struct TaskRow {
+    #[prost(fixed64, tag = "1")]
+    pub(super) job: u64,
+    #[prost(uint32, tag = "2")]
+    pub(super) occurrence: u32,
+    #[prost(uint32, tag = "3")]
+    pub(super) step: u32,
+    #[prost(uint32, tag = "4")]
+    pub(super) index: u32,
+}
+
+/// What came of orders.
+#[derive(Clone, PartialEq, Message)]
+pub(super) struct EndsFrame {
+    #[prost(message, repeated, tag = "1")]
+    pub(super) ends: Vec<OrderEndRow>,
+    /// The relay is about to stop and wants no further orders.
+    #[prost(bool, tag = "2")]
+    pub(super) is_leaving: bool,
+}
+
+/// How an order ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, prost::Enumeration)]
+#[repr(i32)]
+pub(super) enum EndKind {
+    /// It may be carried out now or later; also what a later release says and this one does
+    /// not know.
+    Unknown = 0,
+    Done = 1,
+    NotSent = 2,
+    Fence = 3,
+    Old = 4,
+    Late = 5,
+    Room = 6,
+    Gone = 7,
+    Unwell = 8,
+    Permit = 9,
+    Faulty = 10,
+}
+
+/// What came of one order.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub(super) struct OrderEndRow {
+    #[prost(uint64, tag = "1")]
+    pub(super) ticket: u64,
+    #[prost(enumeration = "EndKind", tag = "2")]
+    pub(super) kind: i32,
+    /// Clock of the worker.
+    #[prost(uint64, tag = "3")]
+    pub(super) clock_ms: u64,
+    /// What the worker lists; in answer to a look.
+    #[prost(message, optional, tag = "4")]
+    pub(super) listed: Option<ListedRows>,
+}
+
+/// What a worker lists.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub(super) struct ListedRows {
+    #[prost(message, repeated, tag = "1")]
+    pub(super) runs: Vec<RunRow>,
+    #[prost(message, repeated, tag = "2")]
+    pub(super) ends: Vec<RunEndRow>,
+}
+
+/// A run that is present.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub(super) struct RunRow {
+    #[prost(message, optional, tag = "1")]
+    pub(super) task: Option<TaskRow>,
+    #[prost(uint32, tag = "2")]
+    pub(super) run: u32,
+    #[prost(uint32, tag = "3")]
+    pub(super) percent: u32,
+    #[prost(uint64, tag = "4")]
+    pub(super) gauge: u64,
+    #[prost(string, tag = "5")]
+    pub(super) checkpoint: String,
+}
+
+/// How a run ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, prost::Enumeration)]
+#[repr(i32)]
+pub(super) enum MannerKind {
+    Lapsed = 0,
+    Done = 1,
+    Failed = 2,
+    Stopped = 3,
+    Broken = 4,
+    Alone = 5,
+}
+
+/// A run that has ended.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub(super) struct RunEndRow {
+    #[prost(uint64, tag = "1")]
+    pub(super) number: u64,
+    #[prost(message, optional, tag = "2")]
+    pub(super) task: Option<TaskRow>,
+    #[prost(uint32, tag = "3")]
+    pub(super) run: u32,
+    #[prost(enumeration = "MannerKind", tag = "4")]
+    pub(super) manner: i32,
+    #[prost(string, tag = "5")]
+    pub(super) checkpoint: String,
+}
--- /dev/null
+++ b/crates/dispatch/src/relay/serving.rs
@@ -0,0 +1,145 @@
+//! The relay: makes the calls that an owner orders, and tells what came of them.
+
+use crate::event::Action;
+use crate::event::LinkId;
+use crate::event::OrderEnd;
+use crate::ids::JobId;
+use crate::relay::frames::EndsFrame;
+use crate::relay::frames::OrderEndRow;
+use crate::relay::frames::OrderRow;
+use crate::relay::frames::OrdersFrame;
+use crate::relay::rows::end_row;
+use crate::relay::rows::order_call;
+use goldcrestway_core::Code;
+use goldcrestway_core::Note;
+use prost::Message;
+use std::collections::HashMap;
+use std::rc::Rc;
+
+/// What one owner has told, and what it is to be told.
+#[derive(Debug, Default)]
+struct Session {
+    workers: HashMap<u32, (Box<str>, Box<str>)>,
+    texts: HashMap<JobId, Rc<str>>,
+    ends: Vec<OrderEndRow>,
+    was_told_leaving: bool,
+}
+
+/// Orders of owners under way at this host.
+#[derive(Debug, Default)]
+pub(crate) struct Relay {
+    sessions: HashMap<LinkId, Session>,
+    /// By the ticket of this host: whose they are, and their tickets there.
+    orders: HashMap<u64, (LinkId, u64)>,
+    is_leaving: bool,
+}
+
+impl Relay {
+    /// Takes in orders of an owner.
+    pub(crate) fn take_frame(
+        &mut self,
+        link: LinkId,
+        bytes: &[u8],
+        tickets: &mut u64,
+        actions: &mut Vec<Action>,
+    ) {
+        let frame = match OrdersFrame::decode(bytes) {
+            Ok(frame) => frame,
+            Err(error) => {
+                // What follows on this link can't be trusted.
+                actions.push(Action::Note(Note::new(
+                    Code::LinkRefused,
+                    "relayed orders",
+                    format!("step=decode why={error}"),
+                )));
+                actions.push(Action::CloseLink { link });
+                self.lose(link);
+                return;
+            }
+        };
+        let session = self.sessions.entry(link).or_default();
+        if frame.forgets_texts {
+            session.texts.clear();
+        }
+        for worker in frame.workers {
+            let name = (worker.address.into(), worker.id.into());
+            session.workers.insert(worker.number, name);
+        }
+        for text in frame.texts {
+            session.texts.insert(JobId(text.job), text.text.into());
+        }
+        for row in &frame.orders {
+            self.take_order(link, frame.token, row, tickets, actions);
+        }
+    }
+
+    fn take_order(
+        &mut self,
+        link: LinkId,
+        token: u64,
+        row: &OrderRow,
+        tickets: &mut u64,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(session) = self.sessions.get_mut(&link) else {
+            return;
+        };
+        let call = order_call(row, |job| session.texts.get(&job).cloned());
+        let name = session.workers.get(&row.worker);
+        let (Some(call), Some((address, worker))) = (call, name) else {
+            // The owner will order it by itself.
+            session.ends.push(end_row(row.ticket, &OrderEnd::NotSent));
+            return;
+        };
+        *tickets += 1;
+        self.orders.insert(*tickets, (link, row.ticket));
+        actions.push(Action::Order {
+            ticket: *tickets,
+            address: address.clone(),
+            worker: worker.clone(),
+            token,
+            call,
+            timeout_ms: u64::from(row.timeout_ms),
+        });
+    }
+
+    /// Takes in the end of an order, and tells whether it was one of an owner.
+    pub(crate) fn take_end(&mut self, ticket: u64, end: &OrderEnd) -> bool {
+        let Some((link, ordered)) = self.orders.remove(&ticket) else {
+            return false;
+        };
+        if let Some(session) = self.sessions.get_mut(&link) {
+            session.ends.push(end_row(ordered, end));
+        }
+        true
+    }
+
+    /// Wants no further orders, as this host is about to stop.
+    pub(crate) fn leave(&mut self) {
+        self.is_leaving = true;
+    }
+
+    /// Forgets an owner whose link is gone. What it ordered goes on.
+    pub(crate) fn lose(&mut self, link: LinkId) {
+        self.sessions.remove(&link);
+    }
+
+    /// Tells owners what came of their orders.
+    pub(crate) fn flush(&mut self, actions: &mut Vec<Action>) {
+        for (link, session) in &mut self.sessions {
+            let has_news = self.is_leaving && !session.was_told_leaving;
+            if session.ends.is_empty() && !has_news {
+                continue;
+            }
+            session.was_told_leaving = self.is_leaving;
+            let frame = EndsFrame {
+                ends: std::mem::take(&mut session.ends),
+                is_leaving: self.is_leaving,
+            };
+            actions.push(Action::SendFrame {
+                link: *link,
+                bytes: frame.encode_to_vec().into(),
+            });
+        }
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/relay/sessions.rs
@@ -0,0 +1,426 @@
+//! The owner's connections to relays, and the orders under way over them.
+
+use crate::event::Action;
+use crate::event::LinkId;
+use crate::event::OrderEnd;
+use crate::event::WorkerCall;
+use crate::ids::JobId;
+use crate::record::HostRecord;
+use crate::relay::Selection;
+use crate::relay::frames::EndsFrame;
+use crate::relay::frames::JobText;
+use crate::relay::frames::OrdersFrame;
+use crate::relay::frames::WorkerName;
+use crate::relay::rows::order_end;
+use crate::relay::rows::order_row;
+use goldcrestway_core::Code;
+use goldcrestway_core::Note;
+use prost::Message;
+use slotmap::SlotMap;
+use slotmap::new_key_type;
+use std::collections::BTreeSet;
+use std::collections::HashMap;
+use std::collections::HashSet;
+
+new_key_type! {
+    struct RelayKey;
+}
+
+/// Time that an order may take over a relay beyond what the worker's answer may: two hops, and
+/// the turn of a busy host.
+const HOPS_MS: u64 = 150;
+/// Pause before a relay that could not be reached, or gave no answer, is tried again. It doubles
+/// so many times while it stays away: hosts that are gone for good stay on record.
+const RETRY_MS: u64 = 1_000;
+const DOUBLINGS_MOST: u32 = 5;
+/// Relays that an owner uses at most, an eighth of the descriptors of a small host.
+const RELAYS_MOST: usize = 500;
+/// Texts that a relay keeps at most. A relay holds 4 MB of them if all are of 4,000 bytes.
+const TEXTS_MOST: usize = 1_000;
+
+/// An order to be carried by a relay.
+#[derive(Debug)]
+pub(crate) struct RelayedOrder<'a> {
+    pub(crate) ticket: u64,
+    pub(crate) address: &'a str,
+    pub(crate) worker: &'a str,
+    pub(crate) call: &'a WorkerCall,
+    pub(crate) timeout_ms: u64,
+}
+
+/// How far a connection has come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Phase {
+    /// There is none; one may be opened from then on.
+    Closed { retry_ms: u64 },
+    /// It is being opened, or the first orders are on their way.
+    Open { link: LinkId },
+}
+
+/// One relay.
+#[derive(Debug)]
+struct Peer {
+    name: Box<str>,
+    address: Box<str>,
+    phase: Phase,
+    is_connected: bool,
+    is_leaving: bool,
+    /// Connections in a row that were not made.
+    failures: u32,
+    /// When it last said something.
+    heard_ms: u64,
+    numbers: HashMap<Box<str>, u32>,
+    texts: HashSet<JobId>,
+    /// Orders that go out at the end of this turn.
+    frame: OrdersFrame,
+}
+
+impl Peer {
+    fn new(name: &str, address: &str) -> Self {
+        Self {
+            name: name.into(),
+            address: address.into(),
+            phase: Phase::Closed { retry_ms: 0 },
+            is_connected: false,
+            is_leaving: false,
+            failures: 0,
+            heard_ms: 0,
+            numbers: HashMap::new(),
+            texts: HashSet::new(),
+            frame: OrdersFrame::default(),
+        }
+    }
+
+    fn is_usable(&self) -> bool {
+        self.is_connected && !self.is_leaving
+    }
+
+    fn close(&mut self, retry_ms: u64) -> Option<LinkId> {
+        let phase = std::mem::replace(&mut self.phase, Phase::Closed { retry_ms });
+        self.is_connected = false;
+        self.is_leaving = false;
+        self.numbers.clear();
+        self.texts.clear();
+        self.frame = OrdersFrame::default();
+        match phase {
+            Phase::Open { link } => Some(link),
+            Phase::Closed { .. } => None,
+        }
+    }
+
+    /// Adds an order to the next frame, and gives the bytes that it takes.
+    fn add(&mut self, order: &RelayedOrder<'_>) -> usize {
+        let mut bytes = 0;
+        let next = self.numbers.len() as u32;
+        let number = *self.numbers.entry(order.worker.into()).or_insert(next);
+        if number == next {
+            let name = WorkerName {
+                number,
+                address: order.address.into(),
+                id: order.worker.into(),
+            };
+            bytes += name.encoded_len();
+            self.frame.workers.push(name);
+        }
+        if let WorkerCall::Start {
+            task,
+            specification,
+            ..
+        } = order.call
+        {
+            bytes += self.add_text(task.job, specification);
+        }
+        let row = order_row(order.ticket, number, order.call, order.timeout_ms);
+        bytes += row.encoded_len();
+        self.frame.orders.push(row);
+        bytes
+    }
+
+    fn add_text(&mut self, job: JobId, text: &str) -> usize {
+        if self.texts.contains(&job) {
+            return 0;
+        }
+        // Texts are forgotten together, and only before a frame that needs none of them.
+        if self.texts.len() >= TEXTS_MOST && self.frame.orders.is_empty() {
+            self.texts.clear();
+            self.frame.forgets_texts = true;
+        }
+        self.texts.insert(job);
+        let text = JobText {
+            job: job.0,
+            text: text.into(),
+        };
+        let bytes = text.encoded_len();
+        self.frame.texts.push(text);
+        bytes
+    }
+}
+
+/// An order under way.
+#[derive(Debug, Clone, Copy)]
+struct Flight {
+    relay: RelayKey,
+    sent_ms: u64,
+    due_ms: u64,
+}
+
+/// All relays of one owner.
+#[derive(Debug, Default)]
+pub(crate) struct Sessions {
+    peers: SlotMap<RelayKey, Peer>,
+    keys: HashMap<Box<str>, RelayKey>,
+    links: HashMap<LinkId, RelayKey>,
+    flights: HashMap<u64, Flight>,
+    /// When which of them is overdue.
+    due: BTreeSet<(u64, u64)>,
+    /// Relays of each worker, as long as no relay comes or goes.
+    selections: HashMap<Box<str>, Selection<RelayKey>>,
+}
+
+impl Sessions {
+    /// Takes in which hosts there are.
+    pub(crate) fn note_hosts(&mut self, own: &str, hosts: &HashMap<Box<str>, HostRecord>) {
+        for (name, host) in hosts {
+            if **name == *own || host.relay_address.is_empty() {
+                continue;
+            }
+            if self.peers.len() >= RELAYS_MOST && !self.keys.contains_key(name) {
+                continue;
+            }
+            let key = *self
+                .keys
+                .entry(name.clone())
+                .or_insert_with(|| self.peers.insert(Peer::new(name, &host.relay_address)));
+            let peer = &mut self.peers[key];
+            // A host that was replaced has another address; its old connection ends by itself.
+            if *peer.address != *host.relay_address {
+                peer.address = host.relay_address.as_str().into();
+            }
+        }
+    }
+
+    /// Opens connections to relays that have none.
+    pub(crate) fn connect(&mut self, now_ms: u64, tickets: &mut u64, actions: &mut Vec<Action>) {
+        for (key, peer) in &mut self.peers {
+            let Phase::Closed { retry_ms } = peer.phase else {
+                continue;
+            };
+            if now_ms < retry_ms {
+                continue;
+            }
+            *tickets += 1;
+            let link = LinkId(*tickets);
+            peer.phase = Phase::Open { link };
+            peer.heard_ms = now_ms;
+            self.links.insert(link, key);
+            actions.push(Action::OpenLink {
+                link,
+                address: peer.address.clone(),
+            });
+        }
+    }
+
+    /// Notes that a connection was made.
+    pub(crate) fn note_opened(&mut self, link: LinkId, now_ms: u64) {
+        let Some(peer) = self.links.get(&link).map(|key| &mut self.peers[*key]) else {
+            return;
+        };
+        peer.is_connected = true;
+        peer.failures = 0;
+        peer.heard_ms = now_ms;
+        self.selections.clear();
+    }
+
+    /// Tells how many relays take orders.
+    pub(crate) fn usable(&self) -> usize {
+        self.peers.values().filter(|peer| peer.is_usable()).count()
+    }
+
+    /// Gives an order to a relay of its worker, and gives the bytes that it takes; `None` if
+    /// there is no relay, so that the order must go out directly.
+    pub(crate) fn relay(&mut self, order: &RelayedOrder<'_>, now_ms: u64) -> Option<u64> {
+        let key = self.choose(order)?;
+        let flight = Flight {
+            relay: key,
+            sent_ms: now_ms,
+            due_ms: now_ms + order.timeout_ms + HOPS_MS,
+        };
+        self.flights.insert(order.ticket, flight);
+        self.due.insert((flight.due_ms, order.ticket));
+        Some(self.peers[key].add(order) as u64)
+    }
+
+    /// Chooses the relay of an order: the first one of its worker, but for a start one that
+    /// has the text already.
+    fn choose(&mut self, order: &RelayedOrder<'_>) -> Option<RelayKey> {
+        if !self.selections.contains_key(order.worker) {
+            let usable = self.peers.iter().filter(|(_, peer)| peer.is_usable());
+            let names = usable.map(|(key, peer)| (key, &*peer.name));
+            let selection = Selection::new(order.worker, names);
+            self.selections.insert(order.worker.into(), selection);
+        }
+        let selection = &self.selections[order.worker];
+        if let WorkerCall::Start { task, .. } = order.call {
+            for key in selection.iter() {
+                if self.peers[key].texts.contains(&task.job) {
+                    return Some(key);
+                }
+            }
+        }
+        selection.iter().next()
+    }
+
+    /// Sends the orders of this turn.
+    pub(crate) fn flush(&mut self, token: u64, actions: &mut Vec<Action>) {
+        for peer in self.peers.values_mut() {
+            let Phase::Open { link } = peer.phase else {
+                continue;
+            };
+            if peer.frame.orders.is_empty() {
+                continue;
+            }
+            peer.frame.token = token;
+            let frame = std::mem::take(&mut peer.frame);
+            actions.push(Action::SendFrame {
+                link,
+                bytes: frame.encode_to_vec().into(),
+            });
+        }
+    }
+
+    /// Takes in what came of orders, if the link is one of these.
+    pub(crate) fn take_frame(
+        &mut self,
+        link: LinkId,
+        bytes: &[u8],
+        now_ms: u64,
+        actions: &mut Vec<Action>,
+    ) -> Vec<(u64, OrderEnd)> {
+        let Some(key) = self.links.get(&link).copied() else {
+            return Vec::new();
+        };
+        let frame = match EndsFrame::decode(bytes) {
+            Ok(frame) => frame,
+            Err(error) => {
+                let detail = format!("step=decode why={error}");
+                let name = &*self.peers[key].name;
+                actions.push(Action::Note(Note::new(Code::LinkRefused, name, detail)));
+                return self.drop_peer(key, now_ms, actions);
+            }
+        };
+        let peer = &mut self.peers[key];
+        peer.heard_ms = now_ms;
+        if frame.is_leaving && !peer.is_leaving {
+            peer.is_leaving = true;
+            self.selections.clear();
+        }
+        let mut ends = Vec::with_capacity(frame.ends.len());
+        for row in frame.ends {
+            // An order that was given up already has had its end.
+            if self.end_flight(row.ticket).is_some() {
+                ends.push((row.ticket, order_end(row)));
+            }
+        }
+        ends
+    }
+
+    /// Gives the ends of orders that went with a connection.
+    pub(crate) fn lose(
+        &mut self,
+        link: LinkId,
+        now_ms: u64,
+        actions: &mut Vec<Action>,
+    ) -> Vec<(u64, OrderEnd)> {
+        match self.links.get(&link).copied() {
+            Some(key) => self.drop_peer(key, now_ms, actions),
+            None => Vec::new(),
+        }
+    }
+
+    /// Gives up orders that are overdue. A relay that has said nothing since one of them went
+    /// out stands still or is cut off: the others that it has are given up with it, so that
+    /// their workers are asked over other relays at once.
+    pub(crate) fn expire(
+        &mut self,
+        now_ms: u64,
+        actions: &mut Vec<Action>,
+    ) -> Vec<(u64, OrderEnd)> {
+        let mut ends = Vec::new();
+        let mut silent = BTreeSet::new();
+        while let Some((due_ms, ticket)) = self.due.first().copied()
+            && due_ms <= now_ms
+        {
+            let Some(flight) = self.end_flight(ticket) else {
+                break;
+            };
+            ends.push((ticket, OrderEnd::Unknown));
+            if self.peers[flight.relay].heard_ms <= flight.sent_ms {
+                silent.insert(flight.relay);
+            }
+        }
+        for key in silent {
+            ends.extend(self.drop_peer(key, now_ms, actions));
+        }
+        ends
+    }
+
+    fn end_flight(&mut self, ticket: u64) -> Option<Flight> {
+        let flight = self.flights.remove(&ticket)?;
+        self.due.remove(&(flight.due_ms, ticket));
+        Some(flight)
+    }
+
+    fn drop_peer(
+        &mut self,
+        key: RelayKey,
+        now_ms: u64,
+        actions: &mut Vec<Action>,
+    ) -> Vec<(u64, OrderEnd)> {
+        let peer = &mut self.peers[key];
+        let was_connected = peer.is_connected;
+        let silent_ms = now_ms.saturating_sub(peer.heard_ms);
+        let unsent: HashSet<u64> = peer.frame.orders.iter().map(|row| row.ticket).collect();
+        let retry_ms = RETRY_MS << peer.failures.min(DOUBLINGS_MOST);
+        peer.failures += u32::from(!was_connected);
+        if let Some(link) = peer.close(now_ms + retry_ms) {
+            self.links.remove(&link);
+            actions.push(Action::CloseLink { link });
+        }
+        self.selections.clear();
+        let mut ends = Vec::new();
+        for (ticket, flight) in &self.flights {
+            if flight.relay != key {
+                continue;
+            }
+            let end = match unsent.contains(ticket) {
+                true => OrderEnd::NotSent,
+                false => OrderEnd::Unknown,
+            };
+            ends.push((*ticket, end));
+        }
+        for (ticket, _) in &ends {
+            self.end_flight(*ticket);
+        }
+        if was_connected {
+            actions.push(Action::Note(Note::new(
+                Code::RelayLost,
+                &*self.peers[key].name,
+                format!("orders={} heard_age_ms={silent_ms}", ends.len()),
+            )));
+        }
+        ends
+    }
+
+    /// Closes all connections, as the owner ends.
+    pub(crate) fn close(&mut self, actions: &mut Vec<Action>) {
+        for peer in self.peers.values_mut() {
+            if let Some(link) = peer.close(0) {
+                actions.push(Action::CloseLink { link });
+            }
+        }
+        self.links.clear();
+        self.flights.clear();
+        self.due.clear();
+        self.selections.clear();
+    }
+}
--- a/crates/net/src/buffer.rs
+++ b/crates/net/src/buffer.rs
@@ -55,6 +55,11 @@
         self.written == self.bytes.len()
     }
 
+    /// Gives how many bytes wait.
+    pub(crate) fn waiting(&self) -> usize {
+        self.bytes.len() - self.written
+    }
+
     /// Writes as much as the stream takes.
     pub(crate) fn flush(&mut self, stream: &mut TcpStream) -> io::Result<()> {
         while !self.is_empty() {
--- a/crates/net/src/event_loop.rs
+++ b/crates/net/src/event_loop.rs
@@ -3,6 +3,7 @@
 use crate::callers::Callers;
 use crate::calls::Call;
 use crate::calls::CallFault;
+use crate::links::Links;
 use crate::parse::Bounds;
 use crate::parse::Request;
 use crate::parse::Response;
@@ -17,6 +18,7 @@
 use slotmap::KeyData;
 use slotmap::SlotMap;
 use slotmap::new_key_type;
+use std::collections::HashSet;
 use std::io;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
@@ -28,10 +30,13 @@
     pub struct CallerKey;
     /// A port that is listened on.
     pub struct ListenerKey;
+    /// A connection to another process of ours.
+    pub struct LinkKey;
 }
 
-/// How often silent callers are looked for. Their bounds are seconds.
-const CALLERS_LOOK_MS: u64 = 500;
+/// How often silent callers and connections that are not made are looked for. Their bounds are
+/// seconds, or most of one.
+const CALLERS_LOOK_MS: u64 = 200;
 /// Events taken at one look.
 const EVENTS_MOST: usize = 256;
 
@@ -48,6 +53,7 @@
     Listener,
     Caller,
     Line,
+    Link,
 }
 
 impl TokenKind {
@@ -62,7 +68,8 @@
         let kind = match number & 3 {
             0 => TokenKind::Listener,
             1 => TokenKind::Caller,
-            _ => TokenKind::Line,
+            2 => TokenKind::Line,
+            _ => TokenKind::Link,
         };
         (kind, number >> 2)
     }
@@ -102,6 +109,12 @@
         number: u64,
         answer: Result<Response, CallFault>,
     },
+    /// A connection to another process of ours was made.
+    LinkOpened { link: LinkKey },
+    /// Another process of ours has sent a frame.
+    Frame { link: LinkKey, bytes: Box<[u8]> },
+    /// A connection to another process of ours has ended, or could not be made.
+    LinkLost { link: LinkKey },
 }
 
 /// The event loop.
@@ -110,8 +123,11 @@
     registrar: Registrar,
     events: Events,
     listeners: SlotMap<ListenerKey, TcpListener>,
+    /// Those of them at which our own processes connect.
+    link_listeners: HashSet<ListenerKey>,
     callers: Callers,
     pool: Pool,
+    links: Links,
     arrivals: Vec<Arrival>,
     started: Instant,
     callers_look_ms: u64,
@@ -130,8 +146,10 @@
             registrar,
             events: Events::with_capacity(EVENTS_MOST),
             listeners: SlotMap::with_key(),
+            link_listeners: HashSet::new(),
             callers: Callers::default(),
             pool: Pool::default(),
+            links: Links::default(),
             arrivals: Vec::new(),
             started: Instant::now(),
             callers_look_ms: 0,
@@ -160,6 +178,32 @@
         result.map(|()| key)
     }
 
+    /// Listens for other processes of ours at an address.
+    ///
+    /// # Errors
+    /// The address is not this host's, or is taken.
+    pub fn listen_for_links(&mut self, address: SocketAddr) -> io::Result<ListenerKey> {
+        let key = self.listen(address)?;
+        self.link_listeners.insert(key);
+        Ok(key)
+    }
+
+    /// Opens a connection to another process of ours; `None` if the system has none to give.
+    pub fn open_link(&mut self, peer: SocketAddr) -> Option<LinkKey> {
+        let clock = self.clock();
+        self.links.open(peer, clock, &self.registrar)
+    }
+
+    /// Sends a frame. A connection that can't take it is closed.
+    pub fn send_frame(&mut self, link: LinkKey, frame: &[u8]) {
+        self.links.send(link, frame, &mut self.arrivals);
+    }
+
+    /// Closes a connection to another process of ours.
+    pub fn close_link(&mut self, link: LinkKey) {
+        self.links.close(link, &mut self.arrivals);
+    }
+
     /// Gives the address that a listener has got.
     ///
     /// # Errors
@@ -237,6 +281,7 @@
             match kind {
                 TokenKind::Listener => self.accept(number, clock),
                 TokenKind::Caller => self.callers.handle(number, clock, &mut self.arrivals),
+                TokenKind::Link => self.links.handle(number, clock, &mut self.arrivals),
                 TokenKind::Line => {
                     self.pool
                         .handle(number, clock, &self.registrar, &mut self.arrivals);
@@ -247,6 +292,7 @@
         if clock.now_ms >= self.callers_look_ms {
             self.callers_look_ms = clock.now_ms + CALLERS_LOOK_MS;
             self.callers.expire(clock, &mut self.arrivals);
+            self.links.expire(clock, &mut self.arrivals);
         }
         std::mem::take(&mut self.arrivals)
     }
@@ -271,6 +317,9 @@
                 return;
             };
             match listener.accept() {
+                Ok((stream, _)) if self.link_listeners.contains(&key) => {
+                    self.links.admit(stream, clock, &self.registrar);
+                }
                 Ok((stream, _)) => self.callers.admit(stream, key, clock, &self.registrar),
                 Err(error) if error.kind() == ErrorKind::Interrupted => continue,
                 // Nothing waits, or descriptors are short; the next connection shows.
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -1,4 +1,5 @@
-//! An event loop that serves HTTP/1.1 callers and calls HTTP/1.1 peers on one thread.
+//! An event loop that serves HTTP/1.1 callers, calls HTTP/1.1 peers, and exchanges frames with
+//! other processes of ours, on one thread.
 //!
 //! An entry host has a tenth of a core and waits on dozens of long calls at once. A
 //! thread for each would cost a stack and two context switches an answer; here one
@@ -23,6 +24,7 @@
 mod callers;
 mod calls;
 mod event_loop;
+mod links;
 mod parse;
 mod pool;
 
@@ -31,6 +33,7 @@
 pub use calls::Message;
 pub use event_loop::Arrival;
 pub use event_loop::CallerKey;
+pub use event_loop::LinkKey;
 pub use event_loop::ListenerKey;
 pub use event_loop::Net;
 pub use parse::Bounds;
--- /dev/null
+++ b/crates/net/src/links.rs
@@ -0,0 +1,197 @@
+//! Connections between our own processes: frames with a length, both ways at any time.
+
+use crate::buffer::Flow;
+use crate::buffer::Outbox;
+use crate::buffer::read_all;
+use crate::event_loop::Arrival;
+use crate::event_loop::Clock;
+use crate::event_loop::LinkKey;
+use crate::event_loop::Registrar;
+use crate::event_loop::TokenKind;
+use bytes::Bytes;
+use bytes::BytesMut;
+use mio::Interest;
+use mio::net::TcpStream;
+use slotmap::Key;
+use slotmap::KeyData;
+use slotmap::SlotMap;
+use std::net::SocketAddr;
+use tokio_util::codec::Decoder;
+use tokio_util::codec::Encoder;
+use tokio_util::codec::LengthDelimitedCodec;
+
+/// Largest frame: the lists of a thousand workers with forty runs each are 2 MB.
+const FRAME_MOST_BYTES: usize = 4 << 20;
+/// Bytes that may wait for a peer that does not read. It is cut off then: what waits would take
+/// the memory of this host, which is 160 MB in all.
+const WAITING_MOST_BYTES: usize = 8 << 20;
+/// Time in which a connection must be made; peers are milliseconds away.
+const CONNECT_MOST_MS: u64 = 700;
+/// Time after which a connection that came in and says nothing is closed. Whoever opened it may
+/// have lost its power without a word.
+const IDLE_MOST_MS: u64 = 30_000;
+/// Connections that may come in at once: owners are few, and former ones close theirs.
+const INCOMING_MOST: usize = 64;
+
+struct Link {
+    stream: TcpStream,
+    is_incoming: bool,
+    is_connected: bool,
+    opened_ms: u64,
+    /// When something last came from the peer.
+    heard_ms: u64,
+    outbox: Outbox,
+    inbox: BytesMut,
+    /// It keeps the length of a frame of which only a part has come.
+    codec: LengthDelimitedCodec,
+}
+
+impl Link {
+    /// Takes whole frames from what has come, and tells whether it can be trusted.
+    fn read_frames(&mut self, key: LinkKey, arrivals: &mut Vec<Arrival>) -> bool {
+        loop {
+            match self.codec.decode(&mut self.inbox) {
+                Ok(Some(frame)) => arrivals.push(Arrival::Frame {
+                    link: key,
+                    bytes: frame.to_vec().into(),
+                }),
+                Ok(None) => return true,
+                Err(_) => return false,
+            }
+        }
+    }
+}
+
+/// All connections to and from our own processes.
+#[derive(Default)]
+pub(crate) struct Links {
+    links: SlotMap<LinkKey, Link>,
+}
+
+fn codec() -> LengthDelimitedCodec {
+    LengthDelimitedCodec::builder()
+        .max_frame_length(FRAME_MOST_BYTES)
+        .new_codec()
+}
+
+impl Links {
+    /// Takes in a connection.
+    pub(crate) fn admit(&mut self, stream: TcpStream, clock: Clock, registrar: &Registrar) {
+        let incoming = self.links.values().filter(|link| link.is_incoming).count();
+        if incoming < INCOMING_MOST {
+            self.insert(stream, true, clock, registrar);
+        }
+    }
+
+    /// Opens a connection; `None` if the system has none to give.
+    pub(crate) fn open(
+        &mut self,
+        peer: SocketAddr,
+        clock: Clock,
+        registrar: &Registrar,
+    ) -> Option<LinkKey> {
+        let stream = TcpStream::connect(peer).ok()?;
+        self.insert(stream, false, clock, registrar)
+    }
+
+    fn insert(
+        &mut self,
+        stream: TcpStream,
+        is_incoming: bool,
+        clock: Clock,
+        registrar: &Registrar,
+    ) -> Option<LinkKey> {
+        // The option spares 40 ms on small writes; without it frames are only slower.
+        let _ = stream.set_nodelay(true);
+        let key = self.links.insert(Link {
+            stream,
+            is_incoming,
+            is_connected: is_incoming,
+            opened_ms: clock.now_ms,
+            heard_ms: clock.now_ms,
+            outbox: Outbox::default(),
+            inbox: BytesMut::new(),
+            codec: codec(),
+        });
+        let token = TokenKind::Link.token(key.data().as_ffi());
+        let interest = Interest::READABLE | Interest::WRITABLE;
+        let stream = &mut self.links[key].stream;
+        if registrar.register(stream, token, interest).is_err() {
+            self.links.remove(key);
+            return None;
+        }
+        Some(key)
+    }
+
+    /// Sends a frame, as soon as the connection is made.
+    pub(crate) fn send(&mut self, key: LinkKey, frame: &[u8], arrivals: &mut Vec<Arrival>) {
+        let Some(link) = self.links.get_mut(key) else {
+            return;
+        };
+        let mut bytes = BytesMut::new();
+        let is_fit = link
+            .codec
+            .encode(Bytes::copy_from_slice(frame), &mut bytes)
+            .is_ok();
+        if !is_fit || link.outbox.waiting() > WAITING_MOST_BYTES {
+            return self.close(key, arrivals);
+        }
+        link.outbox.add(&bytes);
+        if link.is_connected && link.outbox.flush(&mut link.stream).is_err() {
+            self.close(key, arrivals);
+        }
+    }
+
+    /// Handles an event of the connection with the given number.
+    pub(crate) fn handle(&mut self, number: u64, clock: Clock, arrivals: &mut Vec<Arrival>) {
+        let key = LinkKey::from(KeyData::from_ffi(number));
+        let Some(link) = self.links.get_mut(key) else {
+            return;
+        };
+        if !link.is_connected {
+            if link.stream.take_error().ok().flatten().is_some() {
+                return self.close(key, arrivals);
+            }
+            if link.stream.peer_addr().is_err() {
+                return;
+            }
+            link.is_connected = true;
+            link.heard_ms = clock.now_ms;
+            arrivals.push(Arrival::LinkOpened { link: key });
+        }
+        let mut bytes = Vec::new();
+        let is_open = link.outbox.flush(&mut link.stream).is_ok()
+            && read_all(&mut link.stream, &mut bytes).is_ok_and(|flow| flow == Flow::Open);
+        if !bytes.is_empty() {
+            link.heard_ms = clock.now_ms;
+            link.inbox.extend_from_slice(&bytes);
+        }
+        let is_sound = link.read_frames(key, arrivals);
+        if !is_open || !is_sound {
+            self.close(key, arrivals);
+        }
+    }
+
+    /// Closes a connection and tells so.
+    pub(crate) fn close(&mut self, key: LinkKey, arrivals: &mut Vec<Arrival>) {
+        if self.links.remove(key).is_some() {
+            arrivals.push(Arrival::LinkLost { link: key });
+        }
+    }
+
+    /// Gives up connections that are not made, and ones that have gone silent.
+    pub(crate) fn expire(&mut self, clock: Clock, arrivals: &mut Vec<Arrival>) {
+        let mut late = Vec::new();
+        for (key, link) in &self.links {
+            let connects_late =
+                !link.is_connected && clock.now_ms > link.opened_ms + CONNECT_MOST_MS;
+            let is_idle = link.is_incoming && clock.now_ms > link.heard_ms + IDLE_MOST_MS;
+            if connects_late || is_idle {
+                late.push(key);
+            }
+        }
+        for key in late {
+            self.close(key, arrivals);
+        }
+    }
+}
--- a/tests/dispatch_links.rs
+++ b/tests/dispatch_links.rs
@@ -48,14 +48,14 @@
         mbit_per_s: 2,
         workers: 85,
         pause_ms: 70,
-        ended_least: 3_400,
+        ended_least: 8_000,
     },
     Case {
         name: "a link that carries a third of them",
         mbit_per_s: 1,
         workers: 85,
         pause_ms: 70,
-        ended_least: 1_300,
+        ended_least: 5_000,
     },
 ];
 
--- a/tests/fleet/carrying.rs
+++ b/tests/fleet/carrying.rs
@@ -126,6 +126,9 @@
                 }
                 self.replies.insert(request, reply);
             }
+            Action::OpenLink { link, address } => self.open_link(number, link, &address),
+            Action::SendFrame { link, bytes } => self.send_frame(number, link, bytes),
+            Action::CloseLink { link } => self.close_link(number, link),
             Action::Note(note) => *self.notes.entry(note.code).or_default() += 1,
             Action::Forget { .. } | Action::Configured => {}
         }
--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -5,6 +5,7 @@
 mod carrying;
 mod fixtures;
 mod link;
+mod peers;
 mod promises;
 mod reading;
 mod rules;
@@ -18,6 +19,8 @@
 pub(crate) use crate::fleet::fixtures::step;
 pub(crate) use crate::fleet::link::Link;
 use crate::fleet::link::answer_bytes;
+use crate::fleet::peers::Peers;
+use crate::fleet::peers::relay_address;
 pub(crate) use crate::fleet::promises::Promises;
 use crate::fleet::reading::Loader;
 use crate::fleet::reading::Reader;
@@ -143,6 +146,9 @@
     pub(crate) store_calls_made: usize,
     /// Runs that went with their worker.
     lost: Vec<(TaskId, u32, Manner)>,
+    /// Connections between hosts, and what they have carried.
+    peers: Peers,
+    pub(crate) frame_bytes: u64,
     /// What hosts said, counted by event.
     pub(crate) notes: BTreeMap<Code, u32>,
 }
@@ -183,6 +189,8 @@
             store_calls_most: 0,
             store_calls_made: 0,
             lost: Vec::new(),
+            peers: Peers::default(),
+            frame_bytes: 0,
             notes: BTreeMap::new(),
         };
         fleet.store.put(Stream::Rules, "config", &[1]);
@@ -235,6 +243,7 @@
     }
 
     pub(crate) fn start(&mut self, number: usize) {
+        self.reset_links(number);
         let host = &mut self.hosts[number];
         host.life += 1;
         host.store_calls = 0;
@@ -250,6 +259,7 @@
             Bounds {
                 cpu_permille: host.cpu_permille,
                 link_bytes_per_s: host.mbit_per_s * 125_000,
+                relay_address: relay_address(number),
                 ..Bounds::default()
             },
             decoders,
@@ -258,6 +268,7 @@
     }
 
     pub(crate) fn kill(&mut self, number: usize) {
+        self.reset_links(number);
         self.hosts[number].entry = None;
         self.hosts[number].life += 1;
     }
--- /dev/null
+++ b/tests/fleet/peers.rs
@@ -0,0 +1,126 @@
+//! Connections between the hosts of the fleet.
+
+use crate::fleet::CALL_MS;
+use crate::fleet::Delivery;
+use crate::fleet::Fleet;
+use goldcrestway_dispatch::Event;
+use goldcrestway_dispatch::LinkId;
+
+/// One end of a connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct End {
+    host: usize,
+    life: u64,
+    link: LinkId,
+}
+
+/// All connections between hosts.
+#[derive(Debug, Default)]
+pub(super) struct Peers {
+    pairs: Vec<(End, End)>,
+    opened: u64,
+}
+
+impl Peers {
+    fn other(&self, host: usize, life: u64, link: LinkId) -> Option<End> {
+        let own = End { host, life, link };
+        for (one, two) in &self.pairs {
+            if *one == own {
+                return Some(*two);
+            }
+            if *two == own {
+                return Some(*one);
+            }
+        }
+        None
+    }
+}
+
+/// Gives the address at which a host takes orders to relay.
+pub(super) fn relay_address(number: usize) -> Box<str> {
+    format!("relay-{number}").into()
+}
+
+impl Fleet {
+    pub(super) fn open_link(&mut self, number: usize, link: LinkId, address: &str) {
+        let life = self.hosts[number].life;
+        let own = End {
+            host: number,
+            life,
+            link,
+        };
+        let count = self.hosts.len();
+        let target = (0..count).find(|other| *relay_address(*other) == *address);
+        let is_there = |other: &usize| self.hosts[*other].entry.is_some() && *other != number;
+        let event = match target.filter(is_there) {
+            Some(host) => {
+                self.peers.opened += 1;
+                let other = End {
+                    host,
+                    life: self.hosts[host].life,
+                    link: LinkId::incoming(self.peers.opened),
+                };
+                self.peers.pairs.push((own, other));
+                Event::LinkOpened { link }
+            }
+            None => Event::LinkLost { link },
+        };
+        let delivery = Delivery::ToEntry(number, life, event);
+        self.deliveries.push((self.now_ms + CALL_MS, delivery));
+    }
+
+    pub(super) fn send_frame(&mut self, number: usize, link: LinkId, bytes: Box<[u8]>) {
+        let life = self.hosts[number].life;
+        let Some(other) = self.peers.other(number, life, link) else {
+            return;
+        };
+        self.frame_bytes += bytes.len() as u64;
+        let length = bytes.len() as u64;
+        let out_ms = self.hosts[number].sending_ms(self.now_ms, length);
+        let in_ms = self.hosts[other.host].receiving_ms(self.now_ms + out_ms, length);
+        let event = Event::Frame {
+            link: other.link,
+            bytes,
+        };
+        let at_ms = self.now_ms + CALL_MS + out_ms + in_ms;
+        let delivery = Delivery::ToEntry(other.host, other.life, event);
+        self.deliveries.push((at_ms, delivery));
+    }
+
+    pub(super) fn close_link(&mut self, number: usize, link: LinkId) {
+        let life = self.hosts[number].life;
+        if let Some(other) = self.peers.other(number, life, link) {
+            self.tell_lost(other);
+        }
+        let own = End {
+            host: number,
+            life,
+            link,
+        };
+        self.peers
+            .pairs
+            .retain(|(one, two)| *one != own && *two != own);
+    }
+
+    /// Ends all connections of a host that is gone.
+    pub(super) fn reset_links(&mut self, number: usize) {
+        let mut others = Vec::new();
+        self.peers.pairs.retain(|(one, two)| {
+            if one.host == number {
+                others.push(*two);
+            } else if two.host == number {
+                others.push(*one);
+            }
+            one.host != number && two.host != number
+        });
+        for other in others {
+            self.tell_lost(other);
+        }
+    }
+
+    fn tell_lost(&mut self, end: End) {
+        let event = Event::LinkLost { link: end.link };
+        let delivery = Delivery::ToEntry(end.host, end.life, event);
+        self.deliveries.push((self.now_ms + CALL_MS, delivery));
+    }
+}
