A host that has claimed gives signs of life while it reads what it is to own

Cause: on links of 2 Mbit/s a successor takes a second and more to read the progress of all jobs; it was silent meanwhile, the next host claimed, and read the same. Change: signs of life go out from the claim on, as long as the load is arriving. The lane that carries them goes over to the owner (its own module now).

--- a/crates/dispatch/src/entry/mod.rs
+++ b/crates/dispatch/src/entry/mod.rs
@@ -30,6 +30,7 @@
 use crate::event::Now;
 use crate::event::ReadEnd;
 use crate::event::Stream;
+use crate::lane::Lane;
 use crate::ledger::Change;
 use crate::ledger::Inheritance;
 use crate::ledger::Ledger;
@@ -61,6 +62,9 @@
     retry_ms: u64,
     /// When it was known to be stored.
     stored: Option<u64>,
+    /// Signs of life since.
+    signs: Lane,
+    beat: u64,
 }
 
 /// The decisions of one entry host.
--- a/crates/dispatch/src/entry/owning.rs
+++ b/crates/dispatch/src/entry/owning.rs
@@ -7,6 +7,8 @@
 use crate::event::Fence;
 use crate::event::Now;
 use crate::event::Stream;
+use crate::lane::BEAT_MS;
+use crate::lane::Lane;
 use crate::ledger::Inheritance;
 use crate::owner::Owner;
 use crate::record::HostRecord;
@@ -103,12 +105,42 @@
                 ticket: None,
                 retry_ms: 0,
                 stored: None,
+                // The claim itself is number 0.
+                signs: Lane::new(Stream::States, 1, now.steady_ms),
+                beat: 0,
             });
         }
         self.send_claim(now, actions);
+        self.show_life(now, actions);
         self.finish_claim(now, actions);
     }
 
+    /// Gives signs of life while the progress of jobs is read. That takes a second and more
+    /// over a thin link; others would take this host for dead meanwhile, claim, and read the
+    /// same, so that nobody would ever own: 22 owners in a minute. A host to which the store
+    /// gives nothing keeps silent, so that another one may try.
+    fn show_life(&mut self, now: Now, actions: &mut Vec<Action>) {
+        let is_reading = self.progress.is_arriving();
+        let Some(claim) = self.claim.as_mut().filter(|claim| claim.stored.is_some()) else {
+            return;
+        };
+        if is_reading && claim.signs.may_begin(now.steady_ms, BEAT_MS) {
+            claim.beat += 1;
+            let record = OwnerRecord {
+                token: claim.fence.epoch,
+                host: self.host.to_string(),
+                is_leaving: false,
+                beat: claim.beat,
+            };
+            let records = vec![(Key::Owner.text(), record.encode_to_vec().into())];
+            claim.signs.begin(records, now.steady_ms);
+        }
+        let epoch = claim.fence.epoch;
+        claim
+            .signs
+            .send(epoch, 0, now.steady_ms, &mut self.tickets, actions);
+    }
+
     fn send_claim(&mut self, now: Now, actions: &mut Vec<Action>) {
         let Some(claim) = &mut self.claim else {
             return;
@@ -155,7 +187,9 @@
         if !self.progress.is_loaded() || !is_read && now_ms < stored_ms + PATIENCE_MS {
             return;
         }
-        self.claim = None;
+        let Some(claim) = self.claim.take() else {
+            return;
+        };
         self.claimed_ms = stored_ms;
         let inheritance = std::mem::take(&mut self.inheritance);
         if !self.workers.is_loaded() {
@@ -167,6 +201,7 @@
             &self.bounds,
             &self.ledger,
             inheritance,
+            claim.signs,
             now,
             actions,
         );
@@ -201,6 +236,12 @@
         let Some(claim) = &mut self.claim else {
             return false;
         };
+        if claim.signs.take(ticket, end, now.steady_ms).is_some() {
+            if end == AppendEnd::Fenced {
+                self.give_up_claim(now);
+            }
+            return true;
+        }
         if claim.ticket != Some(ticket) {
             return false;
         }
@@ -218,17 +259,19 @@
                     format!("token={epoch} offset={offset}"),
                 )));
             }
-            // Another host was faster; it gets the usual time to show itself.
-            AppendEnd::Fenced => {
-                self.claim = None;
-                self.election.raise_floor();
-                self.election.restart(now.steady_ms);
-            }
+            AppendEnd::Fenced => self.give_up_claim(now),
             AppendEnd::Refused | AppendEnd::Unknown => claim.retry_ms = now.steady_ms + RETRY_MS,
         }
         true
     }
 
+    /// Gives way to another host that was faster; it gets the usual time to show itself.
+    fn give_up_claim(&mut self, now: Now) {
+        self.claim = None;
+        self.election.raise_floor();
+        self.election.restart(now.steady_ms);
+    }
+
     /// Tells the other hosts of a claim at once, so that they make none. Should the append
     /// be lost, the owner's own signs of life follow soon.
     fn show_claim(&mut self, epoch: u64, actions: &mut Vec<Action>) {
--- /dev/null
+++ b/crates/dispatch/src/lane.rs
@@ -0,0 +1,104 @@
+//! Appends to one stream under an epoch, one after the other.
+
+use crate::event::Action;
+use crate::event::AppendEnd;
+use crate::event::Fence;
+use crate::event::Stream;
+use crate::owner::records_bytes;
+
+/// Signs of life while nothing else is to be said. Followers claim after three missing ones.
+pub(crate) const BEAT_MS: u64 = 250;
+/// Time after which an append without an answer is repeated. The store answers in 4 ms,
+/// and in 240 ms when it is sixty times slower.
+const APPEND_TIMEOUT_MS: u64 = 700;
+/// Pause before a refused append is repeated.
+const RETRY_MS: u64 = 60;
+
+/// Keys and values.
+pub(crate) type Records = Vec<(Box<str>, Box<[u8]>)>;
+
+/// Appends to one stream: one at a time, so that their order is that of the log. A repeat
+/// has the sequence number of the first try, which makes it harmless.
+#[derive(Debug)]
+pub(crate) struct Lane {
+    stream: Stream,
+    sequence: u64,
+    /// Records that are not stored yet.
+    records: Option<Records>,
+    ticket: Option<u64>,
+    retry_ms: u64,
+    pub(crate) sent_ms: u64,
+    pub(crate) last_ms: u64,
+    /// Bytes of the latest records.
+    pub(crate) last_bytes: u64,
+}
+
+impl Lane {
+    pub(crate) fn new(stream: Stream, sequence: u64, now_ms: u64) -> Self {
+        Self {
+            stream,
+            sequence,
+            records: None,
+            ticket: None,
+            retry_ms: 0,
+            sent_ms: now_ms,
+            last_ms: now_ms,
+            last_bytes: 0,
+        }
+    }
+
+    pub(crate) fn may_begin(&self, now_ms: u64, gap_ms: u64) -> bool {
+        self.records.is_none() && now_ms >= self.last_ms + gap_ms
+    }
+
+    pub(crate) fn begin(&mut self, records: Records, now_ms: u64) {
+        let rows = records.iter().map(|(key, value)| (&**key, &**value));
+        self.last_bytes = records_bytes(rows);
+        self.records = Some(records);
+        self.retry_ms = 0;
+        self.last_ms = now_ms;
+    }
+
+    pub(crate) fn send(
+        &mut self,
+        epoch: u64,
+        slow_ms: u64,
+        now_ms: u64,
+        tickets: &mut u64,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(records) = &self.records else {
+            return;
+        };
+        if self.ticket.is_some() || now_ms < self.retry_ms {
+            return;
+        }
+        *tickets += 1;
+        self.ticket = Some(*tickets);
+        self.sent_ms = now_ms;
+        actions.push(Action::Append {
+            ticket: *tickets,
+            stream: self.stream,
+            fence: Some(Fence {
+                epoch,
+                sequence: self.sequence,
+            }),
+            records: records.clone(),
+            timeout_ms: APPEND_TIMEOUT_MS + slow_ms,
+        });
+    }
+
+    /// Takes in the end of an append. Gives `None` if it is none of this lane, else whether
+    /// its records are stored.
+    pub(crate) fn take(&mut self, ticket: u64, end: AppendEnd, now_ms: u64) -> Option<bool> {
+        self.ticket.take_if(|own| *own == ticket)?;
+        let is_stored = matches!(end, AppendEnd::Stored { .. });
+        if is_stored {
+            self.sequence += 1;
+            self.records = None;
+        } else {
+            self.retry_ms = now_ms + RETRY_MS;
+        }
+        Some(is_stored)
+    }
+}
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -34,6 +34,7 @@
 mod entry;
 mod event;
 mod ids;
+mod lane;
 mod ledger;
 mod owner;
 pub mod policy;
--- a/crates/dispatch/src/owner/mod.rs
+++ b/crates/dispatch/src/owner/mod.rs
@@ -32,6 +32,7 @@
 use crate::event::WorkerCall;
 use crate::ids::JobId;
 use crate::ids::TaskId;
+use crate::lane::Lane;
 use crate::ledger::Inheritance;
 use crate::ledger::Ledger;
 use crate::owner::job::Job;
@@ -187,13 +188,19 @@
 }
 
 impl Owner {
-    /// Begins to own what the ledger holds, under a token that the store has accepted.
+    /// Begins to own what the ledger holds, under a token that the store has accepted. `signs`
+    /// are the signs of life that it has given since.
+    #[expect(
+        clippy::too_many_arguments,
+        reason = "These are what a claim has come to, and what every decision takes."
+    )]
     pub(crate) fn new(
         host: &str,
         token: u64,
         bounds: &Bounds,
         ledger: &Ledger,
         inheritance: Inheritance,
+        signs: Lane,
         now: Now,
         actions: &mut Vec<Action>,
     ) -> Self {
@@ -222,7 +229,7 @@
             interference: Interference::default(),
             durations: Durations::default(),
             permits: Permits::default(),
-            writer: Writer::new(now.steady_ms),
+            writer: Writer::new(signs, now.steady_ms),
             confirmed_ms: now.steady_ms,
             is_leaving: false,
             must_place: true,
--- a/crates/dispatch/src/owner/writing.rs
+++ b/crates/dispatch/src/owner/writing.rs
@@ -7,15 +7,16 @@
 use crate::config::WorkerEntry;
 use crate::event::Action;
 use crate::event::AppendEnd;
-use crate::event::Fence;
 use crate::event::Now;
 use crate::event::Stream;
 use crate::ids::JobId;
 use crate::ids::TaskId;
+use crate::lane::BEAT_MS;
+use crate::lane::Lane;
+use crate::lane::Records;
 use crate::owner::Owner;
 use crate::owner::Stepdown;
 use crate::owner::job::JobKey;
-use crate::owner::link::records_bytes;
 use crate::owner::worker::RunPhase;
 use crate::owner::worker::Worker;
 use crate::owner::worker::WorkerKey;
@@ -32,113 +33,17 @@
 const GAP_MS: u64 = 20;
 /// Pause between appends of states. Callers ask for them a few times a second.
 const STATES_GAP_MS: u64 = 40;
-/// Signs of life while no state changes. Followers claim after three missing ones.
-const BEAT_MS: u64 = 250;
 /// Pause between two records of what was learned. A successor loses as much at most.
 const LEARNED_MS: u64 = 2_500;
 /// The same while workers are silent, whose time runs.
 const SILENT_MS: u64 = 400;
-/// Time after which an append without an answer is repeated. The store answers in 4 ms,
-/// and in 240 ms when it is sixty times slower.
-const APPEND_TIMEOUT_MS: u64 = 700;
 /// How many times what answers of workers take of late, and the link takes for the records, is
 /// added to that. Repeated too early, records of 30 kB would fill a link of 2 Mbit/s by
 /// themselves.
 const SLOW_FACTOR: u64 = 3;
-/// Pause before a refused append is repeated.
-const RETRY_MS: u64 = 60;
 /// Bytes of records in one append, well under what the store takes at once.
 const BATCH_MOST_BYTES: usize = 200_000;
 
-/// Keys and values.
-type Records = Vec<(Box<str>, Box<[u8]>)>;
-
-/// Appends to one stream: one at a time, so that their order is that of the log. A repeat
-/// has the sequence number of the first try, which makes it harmless.
-#[derive(Debug)]
-struct Lane {
-    stream: Stream,
-    sequence: u64,
-    /// Records that are not stored yet.
-    records: Option<Records>,
-    ticket: Option<u64>,
-    retry_ms: u64,
-    sent_ms: u64,
-    last_ms: u64,
-    /// Bytes of the latest records.
-    last_bytes: u64,
-}
-
-impl Lane {
-    fn new(stream: Stream, sequence: u64, now_ms: u64) -> Self {
-        Self {
-            stream,
-            sequence,
-            records: None,
-            ticket: None,
-            retry_ms: 0,
-            sent_ms: now_ms,
-            last_ms: now_ms,
-            last_bytes: 0,
-        }
-    }
-
-    fn may_begin(&self, now_ms: u64, gap_ms: u64) -> bool {
-        self.records.is_none() && now_ms >= self.last_ms + gap_ms
-    }
-
-    fn begin(&mut self, records: Records, now_ms: u64) {
-        let rows = records.iter().map(|(key, value)| (&**key, &**value));
-        self.last_bytes = records_bytes(rows);
-        self.records = Some(records);
-        self.retry_ms = 0;
-        self.last_ms = now_ms;
-    }
-
-    fn send(
-        &mut self,
-        epoch: u64,
-        slow_ms: u64,
-        now_ms: u64,
-        tickets: &mut u64,
-        actions: &mut Vec<Action>,
-    ) {
-        let Some(records) = &self.records else {
-            return;
-        };
-        if self.ticket.is_some() || now_ms < self.retry_ms {
-            return;
-        }
-        *tickets += 1;
-        self.ticket = Some(*tickets);
-        self.sent_ms = now_ms;
-        actions.push(Action::Append {
-            ticket: *tickets,
-            stream: self.stream,
-            fence: Some(Fence {
-                epoch,
-                sequence: self.sequence,
-            }),
-            records: records.clone(),
-            timeout_ms: APPEND_TIMEOUT_MS + slow_ms,
-        });
-    }
-
-    /// Takes in the end of an append. Gives `None` if it is none of this lane, else whether
-    /// its records are stored.
-    fn take(&mut self, ticket: u64, end: AppendEnd, now_ms: u64) -> Option<bool> {
-        self.ticket.take_if(|own| *own == ticket)?;
-        let is_stored = matches!(end, AppendEnd::Stored { .. });
-        if is_stored {
-            self.sequence += 1;
-            self.records = None;
-        } else {
-            self.retry_ms = now_ms + RETRY_MS;
-        }
-        Some(is_stored)
-    }
-}
-
 /// What follows once an append of progress is stored.
 #[derive(Debug, Default)]
 struct Effects {
@@ -168,11 +73,12 @@
 }
 
 impl Writer {
-    pub(crate) fn new(now_ms: u64) -> Self {
+    /// Goes on in the stream of states where the claim has given its signs of life.
+    pub(crate) fn new(states: Lane, now_ms: u64) -> Self {
         Self {
-            // The claim was number 0 in both streams.
+            // The claim was number 0.
             progress: Lane::new(Stream::Progress, 1, now_ms),
-            states: Lane::new(Stream::States, 1, now_ms),
+            states,
             effects: Effects::default(),
             beat: 0,
             must_announce: false,
--- a/tests/dispatch_links.rs
+++ b/tests/dispatch_links.rs
@@ -5,6 +5,7 @@
 use crate::fleet::step;
 use goldcrestway_core::Code;
 use goldcrestway_dispatch::JobState;
+use goldcrestway_dispatch::Step;
 use goldcrestway_dispatch::Submission;
 use googletest::prelude::*;
 use rand::RngExt;
@@ -92,6 +93,40 @@
     }
 }
 
+/// Symptom: a dozen hosts own in turn, each for a moment, and nothing starts meanwhile.
+/// Sequence: the owner dies; its successor reads the progress of all jobs over a thin link, which
+/// takes longer than the silence after which the next host claims. Cause: who has claimed gave
+/// one sign of life, and the next one only when it had read everything.
+#[gtest]
+fn a_host_that_reads_for_long_before_it_owns_is_not_replaced() {
+    let mut fleet = Fleet::with_links(6, 40, 2);
+    let small = Step {
+        cpu_milli: 20,
+        memory_mb: 20,
+        ..step(2, 60_000, &[])
+    };
+    let wide = job(vec![small]);
+    for id in 1..=400 {
+        fleet.submit(id as usize % 6, id, &wide);
+        fleet.run(20);
+    }
+    fleet.run(2_000);
+    let former = fleet.owner().expect("there is an owner");
+    // Each page takes a moment, as it does on a link that other hosts' answers share.
+    fleet.store.answer_ms = 30;
+    let before = fleet.claims;
+    fleet.kill(former);
+    fleet.run(8_000);
+    eprintln!(
+        "{:?} claims {} before {before} now {}",
+        fleet.notes, fleet.claims, fleet.now_ms
+    );
+    // Two hosts whose turns come at the same moment may both claim.
+    expect_that!(fleet.claims - before, le(2));
+    expect_that!(fleet.owners(), eq(1));
+    expect_that!(fleet.promises.broken, is_empty());
+}
+
 /// Sequences of late answers that CI runs.
 const LATE_SEQUENCES: u64 = 60;
 /// Steps of one sequence, and their length.
