--- a/crates/dispatch/src/owner/mod.rs
+++ b/crates/dispatch/src/owner/mod.rs
@@ -381,7 +381,10 @@
         let took_ms = now_ms.saturating_sub(order.sent_ms);
         match end {
             OrderEnd::NotSent => {}
-            OrderEnd::Unknown => self.answers.note_missing(now_ms),
+            OrderEnd::Unknown => {
+                self.answers.note_missing(now_ms);
+                self.pass_over_relay(order.worker, now_ms);
+            }
             _ if took_ms >= order.wait_ms => {
                 self.answers.note_answer(took_ms - order.wait_ms, now_ms);
             }
--- a/crates/dispatch/src/owner/relaying.rs
+++ b/crates/dispatch/src/owner/relaying.rs
@@ -10,9 +10,14 @@
 use crate::policy::relaying::Means;
 use crate::policy::relaying::needs_relays;
 use crate::record::HostRecord;
+use crate::relay::CHOICES;
 use crate::relay::RelayedOrder;
 use std::collections::HashMap;
 
+/// Time for which a relay that had no answer of a worker is passed over there. Cuts last for
+/// seconds.
+const PASSED_OVER_MS: u64 = 5_000;
+
 impl Owner {
     /// Takes in which hosts there are.
     pub(crate) fn note_hosts(&mut self, hosts: &HashMap<Box<str>, HostRecord>) {
@@ -37,8 +42,7 @@
         self.figures.relays = self.relays.usable() as u64;
     }
 
-    /// Gives an order to a relay, and tells whether there is one. After a miss every other
-    /// order goes out directly: it may be the relay that does not reach the worker.
+    /// Gives an order to a relay, and tells whether there is one to take it.
     pub(super) fn relay(
         &mut self,
         ticket: u64,
@@ -47,16 +51,20 @@
         timeout_ms: u64,
         now_ms: u64,
     ) -> bool {
-        let worker = &self.workers[key];
-        if !self.uses_relays || worker.misses % 2 == 1 {
+        if !self.uses_relays {
             return false;
         }
+        let worker = &mut self.workers[key];
+        if now_ms >= worker.relay_until_ms {
+            worker.relay_place = 0;
+        }
         let order = RelayedOrder {
             ticket,
             address: &worker.entry.address,
             worker: &worker.entry.id,
             call,
             timeout_ms,
+            place: worker.relay_place,
         };
         let Some(bytes) = self.relays.relay(&order, now_ms) else {
             return false;
@@ -66,6 +74,21 @@
         true
     }
 
+    /// Has another relay, or none, carry the orders for a worker of which one had no answer: it
+    /// may be the relay that does not reach the worker. Workers would be given up otherwise
+    /// that others still reach.
+    pub(super) fn pass_over_relay(&mut self, key: WorkerKey, now_ms: u64) {
+        if !self.uses_relays {
+            return;
+        }
+        let Some(worker) = self.workers.get_mut(key) else {
+            return;
+        };
+        // The place after the last relay stands for a direct call.
+        worker.relay_place = (worker.relay_place + 1) % (CHOICES + 1);
+        worker.relay_until_ms = now_ms + PASSED_OVER_MS;
+    }
+
     pub(crate) fn note_relay(&mut self, link: LinkId, now: Now) {
         self.relays.note_opened(link, now.steady_ms);
     }
--- a/crates/dispatch/src/owner/worker.rs
+++ b/crates/dispatch/src/owner/worker.rs
@@ -139,6 +139,9 @@
     pub(crate) misses: u32,
     /// Those of them that were sent after its lease was over.
     pub(crate) lapsed_misses: u32,
+    /// Which of its relays carries its orders, and until when that is not the first one.
+    pub(crate) relay_place: usize,
+    pub(crate) relay_until_ms: u64,
     /// It is on record as silent, so a successor may count on its lease running out.
     pub(crate) is_noted_silent: bool,
     /// Its clock, and when it was told.
@@ -181,6 +184,8 @@
             is_known: false,
             misses: 0,
             lapsed_misses: 0,
+            relay_place: 0,
+            relay_until_ms: 0,
             is_noted_silent: false,
             clock: None,
             lapsed_ms,
--- a/crates/dispatch/src/policy/link.rs
+++ b/crates/dispatch/src/policy/link.rs
@@ -60,7 +60,7 @@
 /// Part of the link, in percent, that looks at all workers in turn may take.
 const LOOKS_PERCENT: u64 = 25;
 /// Part of the link, in percent, that records of progress may take.
-const RECORDS_PERCENT: u64 = 25;
+const RECORDS_PERCENT: u64 = 45;
 
 /// One way of a link.
 #[derive(Debug, Clone, Copy)]
--- a/crates/dispatch/src/relay/mod.rs
+++ b/crates/dispatch/src/relay/mod.rs
@@ -17,6 +17,7 @@
 mod serving;
 mod sessions;
 
+pub(crate) use selection::CHOICES;
 pub(crate) use selection::Selection;
 pub(crate) use serving::Relay;
 pub(crate) use sessions::RelayedOrder;
--- a/crates/dispatch/src/relay/selection.rs
+++ b/crates/dispatch/src/relay/selection.rs
@@ -6,7 +6,7 @@
 /// job go through a few relays, each of which gets the job's text once: of 17 relays a step of
 /// 20 tasks then takes about 6, with one each 13. More would need more connections to each
 /// worker.
-const CHOICES: usize = 3;
+pub(crate) const CHOICES: usize = 3;
 
 /// The relays of one worker, the first one before the others.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -41,6 +41,11 @@
         }
     }
 
+    /// Gives the relay in this place.
+    pub(crate) fn get(&self, place: usize) -> Option<K> {
+        self.keys.get(place).copied().flatten()
+    }
+
     /// Lists the relays.
     pub(crate) fn iter(&self) -> impl Iterator<Item = K> + '_ {
         self.keys.iter().filter_map(|key| *key)
--- a/crates/dispatch/src/relay/sessions.rs
+++ b/crates/dispatch/src/relay/sessions.rs
@@ -46,6 +46,8 @@
     pub(crate) worker: &'a str,
     pub(crate) call: &'a WorkerCall,
     pub(crate) timeout_ms: u64,
+    /// Which of the worker's relays is to carry it.
+    pub(crate) place: usize,
 }
 
 /// How far a connection has come.
@@ -250,8 +252,8 @@
         Some(self.peers[key].add(order) as u64)
     }
 
-    /// Chooses the relay of an order: the first one of its worker, but for a start one that
-    /// has the text already.
+    /// Chooses the relay of an order: the one in its place, but for a start one that has the
+    /// text already, unless the first one has just missed its worker.
     fn choose(&mut self, order: &RelayedOrder<'_>) -> Option<RelayKey> {
         if !self.selections.contains_key(order.worker) {
             let usable = self.peers.iter().filter(|(_, peer)| peer.is_usable());
@@ -260,14 +262,16 @@
             self.selections.insert(order.worker.into(), selection);
         }
         let selection = &self.selections[order.worker];
-        if let WorkerCall::Start { task, .. } = order.call {
+        if let WorkerCall::Start { task, .. } = order.call
+            && order.place == 0
+        {
             for key in selection.iter() {
                 if self.peers[key].texts.contains(&task.job) {
                     return Some(key);
                 }
             }
         }
-        selection.iter().next()
+        selection.get(order.place)
     }
 
     /// Sends the orders of this turn.
--- a/tests/dispatch_faults.rs
+++ b/tests/dispatch_faults.rs
@@ -43,6 +43,14 @@
     ),
 ];
 
+/// Who carries the owner's orders in a sequence.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Orders {
+    Direct,
+    /// Other hosts, whose connections may go silent.
+    Relayed,
+}
+
 /// What callers do in a sequence.
 #[derive(Clone, Copy, PartialEq, Eq)]
 enum Callers {
@@ -187,9 +195,12 @@
 }
 
 /// Runs a sequence and gives what it broke.
-fn play(seed: u64, callers: Callers) -> Vec<String> {
+fn play(seed: u64, callers: Callers, orders: Orders) -> Vec<String> {
     let mut random = Pcg64::seed_from_u64(seed);
-    let mut fleet = Fleet::new(HOSTS, WORKERS);
+    let mut fleet = match orders {
+        Orders::Direct => Fleet::new(HOSTS, WORKERS),
+        Orders::Relayed => Fleet::with_relays(HOSTS, WORKERS),
+    };
     if callers == Callers::Restless {
         for worker in fleet.workers.values_mut() {
             worker.stop_ms = 300;
@@ -198,6 +209,9 @@
     let mut jobs = 0;
     for _ in 0..FAULTS {
         strike(&mut fleet, &mut random, &mut jobs, callers);
+        if orders == Orders::Relayed && random.random_range(0..4) == 0 {
+            fleet.silence_links(random.random_range(0..HOSTS));
+        }
         fleet.run(random.random_range(50..1_500));
     }
     heal(&mut fleet);
@@ -240,11 +254,15 @@
 #[gtest]
 fn promises_hold_under_random_faults() {
     for seed in 0..sequences() {
-        expect_that!(play(seed, Callers::Plain), is_empty(), "seed {seed}");
+        expect_that!(
+            play(seed, Callers::Plain, Orders::Direct),
+            is_empty(),
+            "seed {seed}"
+        );
     }
     for (seed, cause) in FORMER_FAILURES {
         expect_that!(
-            play(*seed, Callers::Plain),
+            play(*seed, Callers::Plain, Orders::Direct),
             is_empty(),
             "seed {seed}: {cause}"
         );
@@ -256,7 +274,11 @@
 #[gtest]
 fn promises_hold_with_gangs_copies_and_cancels() {
     for seed in 0..sequences() {
-        expect_that!(play(seed, Callers::Restless), is_empty(), "seed {seed}");
+        expect_that!(
+            play(seed, Callers::Restless, Orders::Direct),
+            is_empty(),
+            "seed {seed}"
+        );
     }
 }
 
@@ -264,6 +286,25 @@
 #[gtest]
 fn promises_hold_with_jobs_handed_in_again() {
     for seed in 0..sequences() {
-        expect_that!(play(seed, Callers::Insistent), is_empty(), "seed {seed}");
+        expect_that!(
+            play(seed, Callers::Insistent, Orders::Direct),
+            is_empty(),
+            "seed {seed}"
+        );
+    }
+}
+
+/// Symptom: the same where other hosts relay the owner's orders. Relays die, stand still or go
+/// silent with orders in hand, and may carry them out seconds later.
+#[gtest]
+fn promises_hold_while_relays_fail() {
+    for seed in 0..sequences() {
+        for callers in [Callers::Plain, Callers::Restless, Callers::Insistent] {
+            expect_that!(
+                play(seed, callers, Orders::Relayed),
+                is_empty(),
+                "seed {seed}"
+            );
+        }
     }
 }
--- a/tests/fleet/carrying.rs
+++ b/tests/fleet/carrying.rs
@@ -166,6 +166,15 @@
                 .push((self.now_ms + late_ms, Delivery::Late(order)));
             return;
         }
+        if self.hosts[number].is_cut_from_workers {
+            let event = Event::Ordered {
+                ticket: order.ticket,
+                end: OrderEnd::Unknown,
+            };
+            let unheard = Delivery::ToEntry(number, life, event);
+            self.deliveries.push((self.now_ms + timeout_ms, unheard));
+            return;
+        }
         let link_ms = self.hosts[number].sending_ms(self.now_ms, order_bytes(&order.call));
         let at_ms = self.now_ms + CALL_MS + link_ms;
         if self.hosts[number].link.is_some() || self.answers_late.is_some() {
--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -92,6 +92,7 @@
     life: u64,
     is_paused: bool,
     is_cut_from_store: bool,
+    is_cut_from_workers: bool,
     /// Calls to the store from before this time get no answer.
     lost_until_ms: u64,
     held: Vec<Event>,
@@ -164,6 +165,12 @@
         Self::build(cpu_permille, workers, None)
     }
 
+    /// The same with hosts that have too little processor time for any worker, so that an owner
+    /// has its orders relayed.
+    pub(crate) fn with_relays(hosts: usize, workers: usize) -> Self {
+        Self::build(&vec![1; hosts], workers, None)
+    }
+
     /// The same with equal hosts on links of so many megabits a second.
     pub(crate) fn with_links(hosts: usize, workers: usize, mbit_per_s: u64) -> Self {
         Self::build(&vec![100; hosts], workers, Some(mbit_per_s))
@@ -206,6 +213,7 @@
                 life: 0,
                 is_paused: false,
                 is_cut_from_store: false,
+                is_cut_from_workers: false,
                 lost_until_ms: 0,
                 held: Vec::new(),
                 store_calls: 0,
@@ -291,6 +299,11 @@
         self.hosts[number].is_cut_from_store = is_cut;
     }
 
+    /// Has a host reach no worker, or all of them again.
+    pub(crate) fn cut_from_workers(&mut self, number: usize, is_cut: bool) {
+        self.hosts[number].is_cut_from_workers = is_cut;
+    }
+
     /// Begins a planned stop.
     pub(crate) fn stop(&mut self, number: usize) {
         self.handle(number, Event::Stop);
--- a/tests/fleet/peers.rs
+++ b/tests/fleet/peers.rs
@@ -14,22 +14,32 @@
     link: LinkId,
 }
 
+/// A connection.
+#[derive(Debug, Clone, Copy)]
+struct Pair {
+    one: End,
+    two: End,
+    /// Nothing comes through any more, and nobody is told.
+    is_silent: bool,
+}
+
 /// All connections between hosts.
 #[derive(Debug, Default)]
 pub(super) struct Peers {
-    pairs: Vec<(End, End)>,
+    pairs: Vec<Pair>,
     opened: u64,
 }
 
 impl Peers {
+    /// Gives the other end, unless the connection has gone silent.
     fn other(&self, host: usize, life: u64, link: LinkId) -> Option<End> {
         let own = End { host, life, link };
-        for (one, two) in &self.pairs {
-            if *one == own {
-                return Some(*two);
+        for pair in self.pairs.iter().filter(|pair| !pair.is_silent) {
+            if pair.one == own {
+                return Some(pair.two);
             }
-            if *two == own {
-                return Some(*one);
+            if pair.two == own {
+                return Some(pair.one);
             }
         }
         None
@@ -60,7 +70,11 @@
                     life: self.hosts[host].life,
                     link: LinkId::incoming(self.peers.opened),
                 };
-                self.peers.pairs.push((own, other));
+                self.peers.pairs.push(Pair {
+                    one: own,
+                    two: other,
+                    is_silent: false,
+                });
                 Event::LinkOpened { link }
             }
             None => Event::LinkLost { link },
@@ -99,25 +113,31 @@
         };
         self.peers
             .pairs
-            .retain(|(one, two)| *one != own && *two != own);
+            .retain(|pair| pair.one != own && pair.two != own);
     }
 
     /// Ends all connections of a host that is gone.
     pub(super) fn reset_links(&mut self, number: usize) {
         let mut others = Vec::new();
-        self.peers.pairs.retain(|(one, two)| {
-            if one.host == number {
-                others.push(*two);
-            } else if two.host == number {
-                others.push(*one);
+        self.peers.pairs.retain(|pair| {
+            let is_own = pair.one.host == number || pair.two.host == number;
+            if is_own && !pair.is_silent {
+                others.extend([pair.one, pair.two]);
             }
-            one.host != number && two.host != number
+            !is_own
         });
-        for other in others {
+        for other in others.into_iter().filter(|end| end.host != number) {
             self.tell_lost(other);
         }
     }
 
+    /// Has all connections of a host to other hosts go silent; new ones work.
+    pub(crate) fn silence_links(&mut self, number: usize) {
+        for pair in &mut self.peers.pairs {
+            pair.is_silent |= pair.one.host == number || pair.two.host == number;
+        }
+    }
+
     fn tell_lost(&mut self, end: End) {
         let event = Event::LinkLost { link: end.link };
         let delivery = Delivery::ToEntry(end.host, end.life, event);
--- a/tests/lib.rs
+++ b/tests/lib.rs
@@ -17,6 +17,7 @@
 mod dispatch_loading;
 mod dispatch_outages;
 mod dispatch_questions;
+mod dispatch_relays;
 mod dispatch_rules;
 mod dispatch_shapes;
 mod edge;
