--- a/crates/core/src/notes.rs
+++ b/crates/core/src/notes.rs
@@ -107,7 +107,7 @@
     WorkerBack = 2502, "A worker answers again.";
     WorkerLeaving = 2503, "A worker is about to leave and gets nothing new.";
     WorkerGone = 2504, "A worker is given up; nothing that ran there can be alive.";
-    LinkCarried = 2601, "What the link of the owner carried since the last such line: for each kind of call its number, bytes sent and bytes received.";
+    LinkCarried = 2601, "What the link of the owner carried since the last such line: for each kind of call its number, bytes sent and bytes received; how full it is, and what was put off so far.";
     RelayLost = 2602, "The connection of the owner to a relay has ended, or the relay gave no answer; its workers are asked over other relays.";
 }
 
--- a/crates/dispatch/src/owner/mod.rs
+++ b/crates/dispatch/src/owner/mod.rs
@@ -96,6 +96,8 @@
     pub appends: u64,
     /// Times that a call was put off since the link is full, by rank.
     pub put_off: [u64; Rank::ALL.len()],
+    /// Time that the link takes for what is under way, out and in.
+    pub backlog_ms: (u64, u64),
     /// What answers of workers take usually.
     pub answer_ms: u64,
     /// Orders that went over relays.
@@ -411,7 +413,13 @@
         self.pace(now.steady_ms, tickets, actions);
         self.write(now, tickets, actions);
         self.relays.flush(self.token, actions);
+        self.show_link();
+    }
+
+    /// Has metrics show how full the link is.
+    fn show_link(&mut self) {
         self.figures.answer_ms = self.answers.usual_ms();
+        self.figures.backlog_ms = self.link.backlog_ms();
         for (rank, count) in self.link.put_off() {
             self.figures.put_off[rank as usize] = count;
         }
--- a/crates/dispatch/src/policy/link.rs
+++ b/crates/dispatch/src/policy/link.rs
@@ -163,12 +163,11 @@
         bytes * 1_000 / self.out.bytes_per_s.max(1)
     }
 
-    /// Gives how long the link still takes for what is under way beyond what should be, out
-    /// and in.
+    /// Gives how long the link still takes for what is under way, out and in.
     pub fn backlog_ms(&self) -> (u64, u64) {
         let backlog_ms = |way: &Way| {
-            let over_bytes = (way.most_bytes() - way.left_bytes).max(0) as u64;
-            over_bytes * 1_000 / way.bytes_per_s.max(1)
+            let under_way_bytes = (way.most_bytes() - way.left_bytes).max(0) as u64;
+            under_way_bytes * 1_000 / way.bytes_per_s.max(1)
         };
         (backlog_ms(&self.out), backlog_ms(&self.into))
     }
