Owners wait a moment for their relays; idle connections close; relays are tried again soon

Cause: a new owner of 3,000 workers called each of them directly before its relays were there, a connection each, and kept them; after all hosts had been killed a relay that was not up yet was left for a second, then two. Change: no looks for 300 ms while connections to relays are being made; connections without a call for a minute close; relays are tried again after 0.25 s, doubled up to 8 s.

--- a/crates/dispatch/src/owner/mod.rs
+++ b/crates/dispatch/src/owner/mod.rs
@@ -175,6 +175,8 @@
     relays: Sessions,
     /// Orders go over relays where there are any.
     uses_relays: bool,
+    /// When orders no longer wait for them.
+    relays_due_ms: u64,
     images: Images,
     interference: Interference,
     durations: Durations,
@@ -227,6 +229,7 @@
             answers: AnswerTimes::default(),
             relays: Sessions::default(),
             uses_relays: false,
+            relays_due_ms: 0,
             images: Images::default(),
             interference: Interference::default(),
             durations: Durations::default(),
@@ -400,7 +403,9 @@
         self.keep_relays(now, tickets, actions);
         self.open_due(now);
         self.check_confirmed(now.steady_ms);
-        self.look_around(now, tickets, actions);
+        if !self.awaits_relays(now.steady_ms) {
+            self.look_around(now, tickets, actions);
+        }
         self.chase_stragglers(now, actions);
         self.stop_strays(now.steady_ms, tickets, actions);
         if self.must_place && now.steady_ms >= self.next_place_ms {
--- a/crates/dispatch/src/owner/relaying.rs
+++ b/crates/dispatch/src/owner/relaying.rs
@@ -14,6 +14,10 @@
 use crate::relay::RelayedOrder;
 use std::collections::HashMap;
 
+/// Time for which an owner that needs relays gives no orders while it connects to them. Without
+/// it 3,000 workers got a connection each from the owner, which it did not need any more a
+/// moment later; leases bear the pause.
+const CONNECTING_MS: u64 = 300;
 /// Time for which a relay that had no answer of a worker is passed over there. Cuts last for
 /// seconds.
 const PASSED_OVER_MS: u64 = 5_000;
@@ -32,7 +36,10 @@
             cpu_permille: self.bounds.cpu_permille,
         };
         // Connections stay when a few workers go: opening them anew costs more.
-        self.uses_relays |= needs_relays(self.workers.len(), means);
+        if !self.uses_relays {
+            self.uses_relays = needs_relays(self.workers.len(), means);
+            self.relays_due_ms = now.steady_ms + CONNECTING_MS;
+        }
         if !self.uses_relays {
             return;
         }
@@ -42,6 +49,11 @@
         self.figures.relays = self.relays.usable() as u64;
     }
 
+    /// Tells whether orders are to wait until there are relays.
+    pub(super) fn awaits_relays(&self, now_ms: u64) -> bool {
+        self.uses_relays && now_ms < self.relays_due_ms && self.relays.are_all_opening()
+    }
+
     /// Gives an order to a relay, and tells whether there is one to take it.
     pub(super) fn relay(
         &mut self,
--- a/crates/dispatch/src/relay/sessions.rs
+++ b/crates/dispatch/src/relay/sessions.rs
@@ -29,9 +29,10 @@
 /// Time that an order may take over a relay beyond what the worker's answer may: two hops, and
 /// the turn of a busy host.
 const HOPS_MS: u64 = 150;
-/// Pause before a relay that could not be reached, or gave no answer, is tried again. It doubles
-/// so many times while it stays away: hosts that are gone for good stay on record.
-const RETRY_MS: u64 = 1_000;
+/// Pause before a relay that could not be reached, or gave no answer, is tried again. Hosts that
+/// start together are there within a moment. It doubles so many times while it stays away, up to
+/// 8 s: hosts that are gone for good stay on record.
+const RETRY_MS: u64 = 250;
 const DOUBLINGS_MOST: u32 = 5;
 /// Relays that an owner uses at most, an eighth of the descriptors of a small host.
 const RELAYS_MOST: usize = 500;
@@ -233,6 +234,11 @@
         self.selections.clear();
     }
 
+    /// Tells whether connections to relays are being made and none takes orders yet.
+    pub(crate) fn are_all_opening(&self) -> bool {
+        !self.links.is_empty() && self.usable() == 0
+    }
+
     /// Tells how many relays take orders.
     pub(crate) fn usable(&self) -> usize {
         self.peers.values().filter(|peer| peer.is_usable()).count()
--- a/crates/net/src/pool.rs
+++ b/crates/net/src/pool.rs
@@ -33,6 +33,10 @@
 /// takes longer is cut off, and the call can be told as not sent.
 const CONNECT_MOST_MS: u64 = 700;
 
+/// Time after which a connection that carries no call is closed. Connections that a burst has
+/// opened would otherwise stay for good, and take the descriptors of the next peers.
+const IDLE_MOST_MS: u64 = 60_000;
+
 struct Pending {
     call: Call,
     give_up_ms: u64,
@@ -294,6 +298,7 @@
         arrivals: &mut Vec<Arrival>,
     ) {
         let mut overdue = Vec::new();
+        let mut idle = Vec::new();
         for (key, line) in &self.lines {
             let connects_late =
                 !line.is_connected && clock.now_ms > line.opened_ms + CONNECT_MOST_MS;
@@ -302,6 +307,12 @@
             if connects_late || is_late {
                 overdue.push(key);
             }
+            if call.is_none() && clock.now_ms > line.heard_ms + IDLE_MOST_MS {
+                idle.push(key);
+            }
+        }
+        for key in idle {
+            self.close(key, arrivals);
         }
         for key in overdue {
             self.close_with_idle(key, arrivals);
