--- /dev/null
+++ b/crates/dispatch/src/owner/calls.rs
@@ -0,0 +1,138 @@
+//! Calls to workers that are under way: what each was for, and who takes in how it ended.
+
+use crate::event::Action;
+use crate::event::Now;
+use crate::event::OrderEnd;
+use crate::event::Refusal;
+use crate::event::WorkerCall;
+use crate::ids::TaskId;
+use crate::owner::Owner;
+use crate::owner::Stepdown;
+use crate::owner::worker::WorkerKey;
+
+/// What an order in flight was for.
+#[derive(Debug, Clone, Copy)]
+pub(super) enum Purpose {
+    Look {
+        sent_ms: u64,
+    },
+    Start {
+        task: TaskId,
+        run: u32,
+    },
+    Stop {
+        task: TaskId,
+        run: u32,
+    },
+    Pace {
+        task: TaskId,
+        run: u32,
+        percent: u32,
+    },
+}
+
+/// An order in flight.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Order {
+    worker: WorkerKey,
+    purpose: Purpose,
+    sent_ms: u64,
+    /// Time for which the worker may hold its answer back.
+    wait_ms: u64,
+}
+
+impl Owner {
+    /// Takes in the end of an order, if it is one of this owner.
+    pub(crate) fn take_order(
+        &mut self,
+        ticket: u64,
+        end: OrderEnd,
+        now: Now,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(order) = self.orders.remove(&ticket) else {
+            return;
+        };
+        self.note_lateness(order, &end, now.steady_ms);
+        let Order {
+            worker, purpose, ..
+        } = order;
+        if end == OrderEnd::Refused(Refusal::Fence) {
+            self.stepdown = Some(Stepdown::Fenced);
+            return;
+        }
+        if !self.workers.contains_key(worker) {
+            return;
+        }
+        if end == OrderEnd::Refused(Refusal::Gone) {
+            self.bury(worker, now, actions);
+            return;
+        }
+        if let OrderEnd::Done { clock_ms, .. } = &end {
+            self.workers[worker].clock = Some((*clock_ms, now.steady_ms));
+        }
+        match purpose {
+            Purpose::Look { sent_ms } => self.end_look(worker, sent_ms, end, now, actions),
+            Purpose::Start { task, run } => self.end_start(worker, task, run, end, now, actions),
+            Purpose::Stop { task, run } => self.end_stop(worker, task, run, end, now),
+            Purpose::Pace { task, run, percent } => {
+                self.end_pace(worker, task, run, percent, &end, now.steady_ms);
+            }
+        }
+    }
+
+    /// Learns what answers take. One that came before its wait was over tells nothing, as the
+    /// worker may have given it at any time.
+    fn note_lateness(&mut self, order: Order, end: &OrderEnd, now_ms: u64) {
+        let took_ms = now_ms.saturating_sub(order.sent_ms);
+        match end {
+            OrderEnd::NotSent => {}
+            OrderEnd::Unknown => {
+                self.answers.note_missing(now_ms);
+                self.pass_over_relay(order.worker, now_ms);
+            }
+            _ if took_ms >= order.wait_ms => {
+                self.answers.note_answer(took_ms - order.wait_ms, now_ms);
+            }
+            _ => {}
+        }
+    }
+
+    /// Gives an order, over a relay of its worker if there is one.
+    pub(super) fn order(
+        &mut self,
+        worker: WorkerKey,
+        purpose: Purpose,
+        call: WorkerCall,
+        now_ms: u64,
+        tickets: &mut u64,
+        actions: &mut Vec<Action>,
+    ) {
+        let wait_ms = match call {
+            WorkerCall::Look { wait_ms, .. } => wait_ms,
+            _ => 0,
+        };
+        *tickets += 1;
+        let order = Order {
+            worker,
+            purpose,
+            sent_ms: now_ms,
+            wait_ms,
+        };
+        self.orders.insert(*tickets, order);
+        let timeout_ms = wait_ms + self.patience_ms(worker);
+        if self.relay(*tickets, worker, &call, timeout_ms, now_ms) {
+            return;
+        }
+        self.charge_order(worker, &call);
+        let entry = &self.workers[worker].entry;
+        actions.push(Action::Order {
+            ticket: *tickets,
+            address: entry.address.clone(),
+            worker: entry.id.clone(),
+            token: self.token,
+            call,
+            timeout_ms,
+        });
+    }
+}
--- a/crates/dispatch/src/owner/mod.rs
+++ b/crates/dispatch/src/owner/mod.rs
@@ -10,6 +10,7 @@
 //!   after which they refuse whatever a former owner still sends.
 
 mod adopting;
+mod calls;
 mod ends;
 mod gangs;
 mod job;
@@ -28,13 +29,11 @@
 use crate::config::WorkerEntry;
 use crate::event::Action;
 use crate::event::Now;
-use crate::event::OrderEnd;
-use crate::event::WorkerCall;
 use crate::ids::JobId;
-use crate::ids::TaskId;
 use crate::lane::Lane;
 use crate::ledger::Inheritance;
 use crate::ledger::Ledger;
+use crate::owner::calls::Order;
 use crate::owner::job::Job;
 use crate::owner::job::JobKey;
 pub(crate) use crate::owner::link::records_bytes;
@@ -96,8 +95,10 @@
     pub appends: u64,
     /// Times that a call was put off since the link is full, by rank.
     pub put_off: [u64; Rank::ALL.len()],
-    /// Time that the link takes for what is under way, out and in.
-    pub backlog_ms: (u64, u64),
+    /// Time that the link still takes for what goes out.
+    pub link_out_ms: u64,
+    /// Time that the link still takes for what comes in.
+    pub link_in_ms: u64,
     /// What answers of workers take usually.
     pub answer_ms: u64,
     /// Orders that went over relays.
@@ -106,37 +107,6 @@
     pub relays: u64,
 }
 
-/// What an order in flight was for.
-#[derive(Debug, Clone, Copy)]
-enum Purpose {
-    Look {
-        sent_ms: u64,
-    },
-    Start {
-        task: TaskId,
-        run: u32,
-    },
-    Stop {
-        task: TaskId,
-        run: u32,
-    },
-    Pace {
-        task: TaskId,
-        run: u32,
-        percent: u32,
-    },
-}
-
-/// An order in flight.
-#[derive(Debug, Clone, Copy)]
-struct Order {
-    worker: WorkerKey,
-    purpose: Purpose,
-    sent_ms: u64,
-    /// Time for which the worker may hold its answer back.
-    wait_ms: u64,
-}
-
 /// Why an owner ends.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Stepdown {
@@ -341,62 +311,6 @@
         self.writer.announce();
     }
 
-    /// Takes in the end of an order, if it is one of this owner.
-    pub(crate) fn take_order(
-        &mut self,
-        ticket: u64,
-        end: OrderEnd,
-        now: Now,
-        actions: &mut Vec<Action>,
-    ) {
-        let Some(order) = self.orders.remove(&ticket) else {
-            return;
-        };
-        self.note_lateness(order, &end, now.steady_ms);
-        let Order {
-            worker, purpose, ..
-        } = order;
-        if end == OrderEnd::Refused(crate::event::Refusal::Fence) {
-            self.stepdown = Some(Stepdown::Fenced);
-            return;
-        }
-        if !self.workers.contains_key(worker) {
-            return;
-        }
-        if end == OrderEnd::Refused(crate::event::Refusal::Gone) {
-            self.bury(worker, now, actions);
-            return;
-        }
-        if let OrderEnd::Done { clock_ms, .. } = &end {
-            self.workers[worker].clock = Some((*clock_ms, now.steady_ms));
-        }
-        match purpose {
-            Purpose::Look { sent_ms } => self.end_look(worker, sent_ms, end, now, actions),
-            Purpose::Start { task, run } => self.end_start(worker, task, run, end, now, actions),
-            Purpose::Stop { task, run } => self.end_stop(worker, task, run, end, now),
-            Purpose::Pace { task, run, percent } => {
-                self.end_pace(worker, task, run, percent, &end, now.steady_ms);
-            }
-        }
-    }
-
-    /// Learns what answers take. One that came before its wait was over tells nothing, as the
-    /// worker may have given it at any time.
-    fn note_lateness(&mut self, order: Order, end: &OrderEnd, now_ms: u64) {
-        let took_ms = now_ms.saturating_sub(order.sent_ms);
-        match end {
-            OrderEnd::NotSent => {}
-            OrderEnd::Unknown => {
-                self.answers.note_missing(now_ms);
-                self.pass_over_relay(order.worker, now_ms);
-            }
-            _ if took_ms >= order.wait_ms => {
-                self.answers.note_answer(took_ms - order.wait_ms, now_ms);
-            }
-            _ => {}
-        }
-    }
-
     /// Does what is due.
     pub(crate) fn advance(&mut self, now: Now, tickets: &mut u64, actions: &mut Vec<Action>) {
         self.link.refill(now.steady_ms);
@@ -424,7 +338,8 @@
     /// Has metrics show how full the link is.
     fn show_link(&mut self) {
         self.figures.answer_ms = self.answers.usual_ms();
-        self.figures.backlog_ms = self.link.backlog_ms();
+        self.figures.link_out_ms = self.link.out_ms();
+        self.figures.link_in_ms = self.link.in_ms();
         for (rank, count) in self.link.put_off() {
             self.figures.put_off[rank as usize] = count;
         }
@@ -473,41 +388,4 @@
     pub(crate) fn token(&self) -> u64 {
         self.token
     }
-
-    fn order(
-        &mut self,
-        worker: WorkerKey,
-        purpose: Purpose,
-        call: WorkerCall,
-        now_ms: u64,
-        tickets: &mut u64,
-        actions: &mut Vec<Action>,
-    ) {
-        let wait_ms = match call {
-            WorkerCall::Look { wait_ms, .. } => wait_ms,
-            _ => 0,
-        };
-        *tickets += 1;
-        let order = Order {
-            worker,
-            purpose,
-            sent_ms: now_ms,
-            wait_ms,
-        };
-        self.orders.insert(*tickets, order);
-        let timeout_ms = wait_ms + self.patience_ms(worker);
-        if self.relay(*tickets, worker, &call, timeout_ms, now_ms) {
-            return;
-        }
-        self.charge_order(worker, &call);
-        let entry = &self.workers[worker].entry;
-        actions.push(Action::Order {
-            ticket: *tickets,
-            address: entry.address.clone(),
-            worker: entry.id.clone(),
-            token: self.token,
-            call,
-            timeout_ms,
-        });
-    }
 }
--- a/crates/dispatch/src/owner/orders.rs
+++ b/crates/dispatch/src/owner/orders.rs
@@ -8,7 +8,7 @@
 use crate::ids::StepId;
 use crate::ids::TaskId;
 use crate::owner::Owner;
-use crate::owner::Purpose;
+use crate::owner::calls::Purpose;
 use crate::owner::worker::Run;
 use crate::owner::worker::RunPhase;
 use crate::owner::worker::WorkerKey;
--- a/crates/dispatch/src/owner/relaying.rs
+++ b/crates/dispatch/src/owner/relaying.rs
@@ -3,7 +3,6 @@
 use crate::event::Action;
 use crate::event::LinkId;
 use crate::event::Now;
-use crate::event::OrderEnd;
 use crate::event::WorkerCall;
 use crate::owner::Owner;
 use crate::owner::worker::WorkerKey;
@@ -12,6 +11,7 @@
 use crate::record::HostRecord;
 use crate::relay::CHOICES;
 use crate::relay::RelayedOrder;
+use crate::relay::TicketEnd;
 use std::collections::HashMap;
 
 /// Time for which an owner that needs relays gives no orders while it connects to them. Without
@@ -122,13 +122,8 @@
         self.take_ends_of_orders(ends, now, actions);
     }
 
-    fn take_ends_of_orders(
-        &mut self,
-        ends: Vec<(u64, OrderEnd)>,
-        now: Now,
-        actions: &mut Vec<Action>,
-    ) {
-        for (ticket, end) in ends {
+    fn take_ends_of_orders(&mut self, ends: Vec<TicketEnd>, now: Now, actions: &mut Vec<Action>) {
+        for TicketEnd { ticket, end } in ends {
             self.take_order(ticket, end, now, actions);
         }
     }
--- a/crates/dispatch/src/policy/link.rs
+++ b/crates/dispatch/src/policy/link.rs
@@ -93,6 +93,11 @@
         self.left_bytes = (self.left_bytes + came_bytes).min(self.most_bytes());
     }
 
+    fn under_way_ms(&self) -> u64 {
+        let bytes = (self.most_bytes() - self.left_bytes).max(0) as u64;
+        bytes * 1_000 / self.bytes_per_s.max(1)
+    }
+
     fn has_room(&self, rank: Rank) -> bool {
         self.left_bytes > self.most_bytes() * rank.left_percent() / 100
     }
@@ -163,13 +168,14 @@
         bytes * 1_000 / self.out.bytes_per_s.max(1)
     }
 
-    /// Gives how long the link still takes for what is under way, out and in.
-    pub fn backlog_ms(&self) -> (u64, u64) {
-        let backlog_ms = |way: &Way| {
-            let under_way_bytes = (way.most_bytes() - way.left_bytes).max(0) as u64;
-            under_way_bytes * 1_000 / way.bytes_per_s.max(1)
-        };
-        (backlog_ms(&self.out), backlog_ms(&self.into))
+    /// Gives how long the link still takes for what goes out.
+    pub fn out_ms(&self) -> u64 {
+        self.out.under_way_ms()
+    }
+
+    /// Gives how long the link still takes for what comes in.
+    pub fn in_ms(&self) -> u64 {
+        self.into.under_way_ms()
     }
 
     /// Gives how many times calls of each rank were put off.
--- a/crates/dispatch/src/policy/patience.rs
+++ b/crates/dispatch/src/policy/patience.rs
@@ -34,11 +34,18 @@
 /// What answers take usually, above which the link of this host is suspected.
 const SUSPECT_MS: u64 = 150;
 
+/// What one call came to.
+#[derive(Debug, Clone, Copy)]
+struct Outcome {
+    at_ms: u64,
+    /// How late its answer was; `None` if none came.
+    late_ms: Option<u64>,
+}
+
 /// What calls to workers came to of late.
 #[derive(Debug, Default)]
 pub struct AnswerTimes {
-    /// When each ended, and how late its answer was; `None` if none came.
-    outcomes: VecDeque<(u64, Option<u64>)>,
+    outcomes: VecDeque<Outcome>,
     unjudged: usize,
     usual_ms: u64,
     is_mostly_missing: bool,
@@ -56,7 +63,8 @@
     }
 
     fn note(&mut self, late_ms: Option<u64>, now_ms: u64) {
-        self.outcomes.push_back((now_ms, late_ms));
+        let at_ms = now_ms;
+        self.outcomes.push_back(Outcome { at_ms, late_ms });
         if self.outcomes.len() > KEPT_MOST {
             self.outcomes.pop_front();
         }
@@ -68,13 +76,13 @@
 
     fn judge(&mut self, now_ms: u64) {
         self.unjudged = 0;
-        while let Some((at_ms, _)) = self.outcomes.front()
-            && at_ms + KEPT_MS < now_ms
+        while let Some(outcome) = self.outcomes.front()
+            && outcome.at_ms + KEPT_MS < now_ms
         {
             self.outcomes.pop_front();
         }
         let mut late_ms: Vec<u64> = Vec::with_capacity(self.outcomes.len());
-        late_ms.extend(self.outcomes.iter().filter_map(|(_, late_ms)| *late_ms));
+        late_ms.extend(self.outcomes.iter().filter_map(|outcome| outcome.late_ms));
         let count = self.outcomes.len();
         self.is_mostly_missing = count >= JUDGED_LEAST && late_ms.len() * 2 < count;
         if late_ms.is_empty() {
--- a/crates/dispatch/src/relay/mod.rs
+++ b/crates/dispatch/src/relay/mod.rs
@@ -12,6 +12,7 @@
 //! carried out later, or never. So a relay may die, stand still or be cut off at any moment.
 
 mod frames;
+mod peer;
 mod rows;
 mod selection;
 mod serving;
@@ -22,3 +23,4 @@
 pub(crate) use serving::Relay;
 pub(crate) use sessions::RelayedOrder;
 pub(crate) use sessions::Sessions;
+pub(crate) use sessions::TicketEnd;
--- a/crates/dispatch/src/relay/serving.rs
+++ b/crates/dispatch/src/relay/serving.rs
@@ -16,10 +16,18 @@
 use std::collections::HashMap;
 use std::rc::Rc;
 
+/// Where a worker is, and which incarnation is meant.
+#[derive(Debug)]
+struct Name {
+    address: Box<str>,
+    id: Box<str>,
+}
+
 /// What one owner has told, and what it is to be told.
 #[derive(Debug, Default)]
 struct Session {
-    workers: HashMap<u32, (Box<str>, Box<str>)>,
+    /// By the numbers that the owner has given them.
+    workers: HashMap<u32, Name>,
     texts: HashMap<JobId, Rc<str>>,
     ends: Vec<OrderEndRow>,
     was_told_leaving: bool,
@@ -62,7 +70,10 @@
             session.texts.clear();
         }
         for worker in frame.workers {
-            let name = (worker.address.into(), worker.id.into());
+            let name = Name {
+                address: worker.address.into(),
+                id: worker.id.into(),
+            };
             session.workers.insert(worker.number, name);
         }
         for text in frame.texts {
@@ -86,7 +97,7 @@
         };
         let call = order_call(row, |job| session.texts.get(&job).cloned());
         let name = session.workers.get(&row.worker);
-        let (Some(call), Some((address, worker))) = (call, name) else {
+        let (Some(call), Some(name)) = (call, name) else {
             // The owner will order it by itself.
             session.ends.push(end_row(row.ticket, &OrderEnd::NotSent));
             return;
@@ -95,8 +106,8 @@
         self.orders.insert(*tickets, (link, row.ticket));
         actions.push(Action::Order {
             ticket: *tickets,
-            address: address.clone(),
-            worker: worker.clone(),
+            address: name.address.clone(),
+            worker: name.id.clone(),
             token,
             call,
             timeout_ms: u64::from(row.timeout_ms),
--- a/crates/dispatch/src/relay/sessions.rs
+++ b/crates/dispatch/src/relay/sessions.rs
@@ -4,15 +4,12 @@
 use crate::event::LinkId;
 use crate::event::OrderEnd;
 use crate::event::WorkerCall;
-use crate::ids::JobId;
 use crate::record::HostRecord;
 use crate::relay::Selection;
 use crate::relay::frames::EndsFrame;
-use crate::relay::frames::JobText;
-use crate::relay::frames::OrdersFrame;
-use crate::relay::frames::WorkerName;
+use crate::relay::peer::Peer;
+use crate::relay::peer::Phase;
 use crate::relay::rows::order_end;
-use crate::relay::rows::order_row;
 use goldcrestway_core::Code;
 use goldcrestway_core::Note;
 use prost::Message;
@@ -36,8 +33,6 @@
 const DOUBLINGS_MOST: u32 = 5;
 /// Relays that an owner uses at most, an eighth of the descriptors of a small host.
 const RELAYS_MOST: usize = 500;
-/// Texts that a relay keeps at most. A relay holds 4 MB of them if all are of 4,000 bytes.
-const TEXTS_MOST: usize = 1_000;
 
 /// An order to be carried by a relay.
 #[derive(Debug)]
@@ -51,112 +46,12 @@
     pub(crate) place: usize,
 }
 
-/// How far a connection has come.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Phase {
-    /// There is none; one may be opened from then on.
-    Closed { retry_ms: u64 },
-    /// It is being opened, or the first orders are on their way.
-    Open { link: LinkId },
-}
-
-/// One relay.
+/// How an order has ended.
 #[derive(Debug)]
-struct Peer {
-    name: Box<str>,
-    address: Box<str>,
-    phase: Phase,
-    is_connected: bool,
-    is_leaving: bool,
-    /// Connections in a row that were not made.
-    failures: u32,
-    /// When it last said something.
-    heard_ms: u64,
-    numbers: HashMap<Box<str>, u32>,
-    texts: HashSet<JobId>,
-    /// Orders that go out at the end of this turn.
-    frame: OrdersFrame,
-}
-
-impl Peer {
-    fn new(name: &str, address: &str) -> Self {
-        Self {
-            name: name.into(),
-            address: address.into(),
-            phase: Phase::Closed { retry_ms: 0 },
-            is_connected: false,
-            is_leaving: false,
-            failures: 0,
-            heard_ms: 0,
-            numbers: HashMap::new(),
-            texts: HashSet::new(),
-            frame: OrdersFrame::default(),
-        }
-    }
-
-    fn is_usable(&self) -> bool {
-        self.is_connected && !self.is_leaving
-    }
-
-    fn close(&mut self, retry_ms: u64) -> Option<LinkId> {
-        let phase = std::mem::replace(&mut self.phase, Phase::Closed { retry_ms });
-        self.is_connected = false;
-        self.is_leaving = false;
-        self.numbers.clear();
-        self.texts.clear();
-        self.frame = OrdersFrame::default();
-        match phase {
-            Phase::Open { link } => Some(link),
-            Phase::Closed { .. } => None,
-        }
-    }
-
-    /// Adds an order to the next frame, and gives the bytes that it takes.
-    fn add(&mut self, order: &RelayedOrder<'_>) -> usize {
-        let mut bytes = 0;
-        let next = self.numbers.len() as u32;
-        let number = *self.numbers.entry(order.worker.into()).or_insert(next);
-        if number == next {
-            let name = WorkerName {
-                number,
-                address: order.address.into(),
-                id: order.worker.into(),
-            };
-            bytes += name.encoded_len();
-            self.frame.workers.push(name);
-        }
-        if let WorkerCall::Start {
-            task,
-            specification,
-            ..
-        } = order.call
-        {
-            bytes += self.add_text(task.job, specification);
-        }
-        let row = order_row(order.ticket, number, order.call, order.timeout_ms);
-        bytes += row.encoded_len();
-        self.frame.orders.push(row);
-        bytes
-    }
-
-    fn add_text(&mut self, job: JobId, text: &str) -> usize {
-        if self.texts.contains(&job) {
-            return 0;
-        }
-        // Texts are forgotten together, and only before a frame that needs none of them.
-        if self.texts.len() >= TEXTS_MOST && self.frame.orders.is_empty() {
-            self.texts.clear();
-            self.frame.forgets_texts = true;
-        }
-        self.texts.insert(job);
-        let text = JobText {
-            job: job.0,
-            text: text.into(),
-        };
-        let bytes = text.encoded_len();
-        self.frame.texts.push(text);
-        bytes
-    }
+pub(crate) struct TicketEnd {
+    /// Number by which the owner knows the order.
+    pub(crate) ticket: u64,
+    pub(crate) end: OrderEnd,
 }
 
 /// An order under way.
@@ -178,6 +73,8 @@
     due: BTreeSet<(u64, u64)>,
     /// Relays of each worker, as long as no relay comes or goes.
     selections: HashMap<Box<str>, Selection<RelayKey>>,
+    /// Relays that take orders.
+    usable: usize,
 }
 
 impl Sessions {
@@ -231,17 +128,23 @@
         peer.is_connected = true;
         peer.failures = 0;
         peer.heard_ms = now_ms;
-        self.selections.clear();
+        self.note_change();
     }
 
     /// Tells whether connections to relays are being made and none takes orders yet.
     pub(crate) fn are_all_opening(&self) -> bool {
-        !self.links.is_empty() && self.usable() == 0
+        !self.links.is_empty() && self.usable == 0
     }
 
     /// Tells how many relays take orders.
     pub(crate) fn usable(&self) -> usize {
-        self.peers.values().filter(|peer| peer.is_usable()).count()
+        self.usable
+    }
+
+    /// Takes in that a relay has come or gone.
+    fn note_change(&mut self) {
+        self.selections.clear();
+        self.usable = self.peers.values().filter(|peer| peer.is_usable()).count();
     }
 
     /// Gives an order to a relay of its worker, and gives the bytes that it takes; `None` if
@@ -305,7 +208,7 @@
         bytes: &[u8],
         now_ms: u64,
         actions: &mut Vec<Action>,
-    ) -> Vec<(u64, OrderEnd)> {
+    ) -> Vec<TicketEnd> {
         let Some(key) = self.links.get(&link).copied() else {
             return Vec::new();
         };
@@ -322,13 +225,16 @@
         peer.heard_ms = now_ms;
         if frame.is_leaving && !peer.is_leaving {
             peer.is_leaving = true;
-            self.selections.clear();
+            self.note_change();
         }
         let mut ends = Vec::with_capacity(frame.ends.len());
         for row in frame.ends {
             // An order that was given up already has had its end.
             if self.end_flight(row.ticket).is_some() {
-                ends.push((row.ticket, order_end(row)));
+                ends.push(TicketEnd {
+                    ticket: row.ticket,
+                    end: order_end(row),
+                });
             }
         }
         ends
@@ -340,7 +246,7 @@
         link: LinkId,
         now_ms: u64,
         actions: &mut Vec<Action>,
-    ) -> Vec<(u64, OrderEnd)> {
+    ) -> Vec<TicketEnd> {
         match self.links.get(&link).copied() {
             Some(key) => self.drop_peer(key, now_ms, actions),
             None => Vec::new(),
@@ -350,11 +256,7 @@
     /// Gives up orders that are overdue. A relay that has said nothing since one of them went
     /// out stands still or is cut off: the others that it has are given up with it, so that
     /// their workers are asked over other relays at once.
-    pub(crate) fn expire(
-        &mut self,
-        now_ms: u64,
-        actions: &mut Vec<Action>,
-    ) -> Vec<(u64, OrderEnd)> {
+    pub(crate) fn expire(&mut self, now_ms: u64, actions: &mut Vec<Action>) -> Vec<TicketEnd> {
         let mut ends = Vec::new();
         let mut silent = BTreeSet::new();
         while let Some((due_ms, ticket)) = self.due.first().copied()
@@ -363,7 +265,10 @@
             let Some(flight) = self.end_flight(ticket) else {
                 break;
             };
-            ends.push((ticket, OrderEnd::Unknown));
+            ends.push(TicketEnd {
+                ticket,
+                end: OrderEnd::Unknown,
+            });
             if self.peers[flight.relay].heard_ms <= flight.sent_ms {
                 silent.insert(flight.relay);
             }
@@ -385,7 +290,7 @@
         key: RelayKey,
         now_ms: u64,
         actions: &mut Vec<Action>,
-    ) -> Vec<(u64, OrderEnd)> {
+    ) -> Vec<TicketEnd> {
         let peer = &mut self.peers[key];
         let was_connected = peer.is_connected;
         let silent_ms = now_ms.saturating_sub(peer.heard_ms);
@@ -396,7 +301,7 @@
             self.links.remove(&link);
             actions.push(Action::CloseLink { link });
         }
-        self.selections.clear();
+        self.note_change();
         let mut ends = Vec::new();
         for (ticket, flight) in &self.flights {
             if flight.relay != key {
@@ -406,10 +311,13 @@
                 true => OrderEnd::NotSent,
                 false => OrderEnd::Unknown,
             };
-            ends.push((*ticket, end));
+            ends.push(TicketEnd {
+                ticket: *ticket,
+                end,
+            });
         }
-        for (ticket, _) in &ends {
-            self.end_flight(*ticket);
+        for end in &ends {
+            self.end_flight(end.ticket);
         }
         if was_connected {
             actions.push(Action::Note(Note::new(
@@ -431,6 +339,6 @@
         self.links.clear();
         self.flights.clear();
         self.due.clear();
-        self.selections.clear();
+        self.note_change();
     }
 }
