Relays are numbered in the same order at each run

Tests in virtual time repeat only if nothing follows the order of a hash table: relays were connected to, and orders of a lost relay ended, in an order that differed from run to run.

--- a/crates/dispatch/src/relay/serving.rs
+++ b/crates/dispatch/src/relay/serving.rs
@@ -13,6 +13,7 @@
 use goldcrestway_core::Code;
 use goldcrestway_core::Note;
 use prost::Message;
+use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::rc::Rc;
 
@@ -36,7 +37,7 @@
 /// Orders of owners under way at this host.
 #[derive(Debug, Default)]
 pub(crate) struct Relay {
-    sessions: HashMap<LinkId, Session>,
+    sessions: BTreeMap<LinkId, Session>,
     /// By the ticket of this host: whose they are, and their tickets there.
     orders: HashMap<u64, (LinkId, u64)>,
     is_leaving: bool,
--- a/crates/dispatch/src/relay/sessions.rs
+++ b/crates/dispatch/src/relay/sessions.rs
@@ -15,6 +15,7 @@
 use prost::Message;
 use slotmap::SlotMap;
 use slotmap::new_key_type;
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::collections::HashSet;
@@ -68,7 +69,7 @@
     peers: SlotMap<RelayKey, Peer>,
     keys: HashMap<Box<str>, RelayKey>,
     links: HashMap<LinkId, RelayKey>,
-    flights: HashMap<u64, Flight>,
+    flights: BTreeMap<u64, Flight>,
     /// When which of them is overdue.
     due: BTreeSet<(u64, u64)>,
     /// Relays of each worker, as long as no relay comes or goes.
@@ -80,23 +81,29 @@
 impl Sessions {
     /// Takes in which hosts there are.
     pub(crate) fn note_hosts(&mut self, own: &str, hosts: &HashMap<Box<str>, HostRecord>) {
+        let mut new = Vec::new();
         for (name, host) in hosts {
             if **name == *own || host.relay_address.is_empty() {
                 continue;
             }
-            if self.peers.len() >= RELAYS_MOST && !self.keys.contains_key(name) {
+            let Some(key) = self.keys.get(name) else {
+                new.push((name, &host.relay_address));
                 continue;
-            }
-            let key = *self
-                .keys
-                .entry(name.clone())
-                .or_insert_with(|| self.peers.insert(Peer::new(name, &host.relay_address)));
-            let peer = &mut self.peers[key];
+            };
+            let peer = &mut self.peers[*key];
             // A host that was replaced has another address; its old connection ends by itself.
             if *peer.address != *host.relay_address {
                 peer.address = host.relay_address.as_str().into();
             }
         }
+        // In the same order at each run, so that tests in virtual time repeat.
+        new.sort_unstable();
+        for (name, address) in new {
+            if self.peers.len() < RELAYS_MOST {
+                let key = self.peers.insert(Peer::new(name, address));
+                self.keys.insert(name.clone(), key);
+            }
+        }
     }
 
     /// Opens connections to relays that have none.
