--- a/tests/dispatch_relays.rs
+++ b/tests/dispatch_relays.rs
@@ -5,6 +5,7 @@
 use crate::fleet::step;
 use goldcrestway_core::Code;
 use goldcrestway_dispatch::JobState;
+use goldcrestway_dispatch::Step;
 use googletest::prelude::*;
 
 const HOSTS: usize = 5;
@@ -52,12 +53,13 @@
     // The owner has no relay left, and gives its orders by itself.
     Case {
         name: "all relays are killed",
-        strike: |fleet, relay| {
+        strike: |fleet, _| {
             let owner = fleet.owner();
-            (0..HOSTS)
-                .filter(|host| Some(*host) != owner)
-                .for_each(|host| fleet.kill(host));
-            let _ = relay;
+            for host in 0..HOSTS {
+                if Some(host) != owner {
+                    fleet.kill(host);
+                }
+            }
         },
         heal: nothing,
         ends_within_ms: 3_500,
@@ -80,12 +82,8 @@
             let mut fleet = Fleet::with_relays(HOSTS, WORKERS);
             let owner = fleet.owner().expect("there is an owner");
             let relay = (owner + 1) % HOSTS;
-            let caller = owner;
-            fleet.submit(
-                caller,
-                JOB,
-                &job(vec![step(40, 1_000, &[]), step(8, 500, &[0])]),
-            );
+            let submission = job(vec![step(40, 1_000, &[]), step(8, 500, &[0])]);
+            fleet.submit(owner, JOB, &submission);
             fleet.run(delay_ms);
             (case.strike)(&mut fleet, relay);
             fleet.run(case.ends_within_ms - delay_ms);
@@ -93,7 +91,7 @@
             expect_that!(fleet.promises.ended.len(), eq(48), "{name}");
             (case.heal)(&mut fleet, relay);
             fleet.run(3_000);
-            let state = fleet.state(caller, JOB);
+            let state = fleet.state(owner, JOB);
             expect_that!(state, some(eq(JobState::Completed)), "{name}");
             expect_that!(fleet.promises.broken, is_empty(), "{name}");
             expect_that!(fleet.frame_bytes, gt(0), "{name}");
@@ -112,7 +110,7 @@
             fleet.cut_from_workers(host, true);
         }
     }
-    let lasting = goldcrestway_dispatch::Step {
+    let lasting = Step {
         is_lasting: true,
         ..step(20, 100, &[])
     };
