One record of a claim; who the hosts are is taken in only with records

Found on reading the whole change: the record that names an owner was put together at four places, three of them alike; and each read of jobs, most of which bring nothing, passed over all hosts once for the election and once for the relays, a pass over thousands of them several times a second at the size to design for. Hosts change only with records.

--- a/crates/dispatch/src/entry/mod.rs
+++ b/crates/dispatch/src/entry/mod.rs
@@ -37,6 +37,7 @@
 use crate::owner::Figures;
 use crate::owner::Owner;
 use crate::owner::records_bytes;
+use crate::record::OwnerRecord;
 use crate::relay::Relay;
 use crate::tail::Progress;
 use crate::tail::Tail;
@@ -67,6 +68,18 @@
     beat: u64,
 }
 
+impl Claim {
+    /// Gives the record that tells the other hosts of this claim.
+    fn record(&self, host: &str) -> OwnerRecord {
+        OwnerRecord {
+            token: self.fence.epoch,
+            host: host.into(),
+            is_leaving: false,
+            beat: self.beat,
+        }
+    }
+}
+
 /// The decisions of one entry host.
 #[derive(Debug)]
 pub struct Entry {
@@ -358,6 +371,10 @@
             let change = self.ledger.apply(record);
             self.take_change(change, now, actions);
         }
+        // Most reads bring nothing, and with thousands of hosts this is a pass over all of them.
+        if progress.records.is_empty() {
+            return;
+        }
         self.election.note_hosts(&self.ledger.hosts);
         if let Some(owner) = &mut self.owner {
             owner.note_hosts(&self.ledger.hosts);
--- a/crates/dispatch/src/entry/owning.rs
+++ b/crates/dispatch/src/entry/owning.rs
@@ -126,13 +126,7 @@
         };
         if is_reading && claim.signs.may_begin(now.steady_ms, BEAT_MS) {
             claim.beat += 1;
-            let record = OwnerRecord {
-                token: claim.fence.epoch,
-                host: self.host.to_string(),
-                is_leaving: false,
-                beat: claim.beat,
-            };
-            let records = vec![(Key::Owner.text(), record.encode_to_vec().into())];
+            let records = vec![claim.record(&self.host).row()];
             claim.signs.begin(records, now.steady_ms);
         }
         let epoch = claim.fence.epoch;
@@ -150,17 +144,12 @@
         }
         self.tickets += 1;
         claim.ticket = Some(self.tickets);
-        let record = OwnerRecord {
-            token: claim.fence.epoch,
-            host: self.host.to_string(),
-            is_leaving: false,
-            beat: 0,
-        };
+        let records = vec![claim.record(&self.host).row()];
         actions.push(Action::Append {
             ticket: self.tickets,
             stream: Stream::Progress,
             fence: Some(claim.fence),
-            records: vec![(Key::Owner.text(), record.encode_to_vec().into())],
+            records,
             timeout_ms: CLAIM_TIMEOUT_MS,
         });
     }
@@ -252,7 +241,8 @@
                 self.progress = Tail::new(Stream::Progress);
                 self.inheritance = Inheritance::default();
                 let epoch = claim.fence.epoch;
-                self.show_claim(epoch, actions);
+                let record = claim.record(&self.host);
+                self.show_claim(&record, actions);
                 actions.push(Action::Note(Note::new(
                     Code::OwnerClaimed,
                     &*self.host,
@@ -274,19 +264,16 @@
 
     /// Tells the other hosts of a claim at once, so that they make none. Should the append
     /// be lost, the owner's own signs of life follow soon.
-    fn show_claim(&mut self, epoch: u64, actions: &mut Vec<Action>) {
+    fn show_claim(&mut self, record: &OwnerRecord, actions: &mut Vec<Action>) {
         self.tickets += 1;
-        let record = OwnerRecord {
-            token: epoch,
-            host: self.host.to_string(),
-            is_leaving: false,
-            beat: 0,
-        };
         actions.push(Action::Append {
             ticket: self.tickets,
             stream: Stream::States,
-            fence: Some(Fence { epoch, sequence: 0 }),
-            records: vec![(Key::Owner.text(), record.encode_to_vec().into())],
+            fence: Some(Fence {
+                epoch: record.token,
+                sequence: 0,
+            }),
+            records: vec![record.row()],
             timeout_ms: CLAIM_TIMEOUT_MS,
         });
     }
--- a/crates/dispatch/src/owner/writing.rs
+++ b/crates/dispatch/src/owner/writing.rs
@@ -305,7 +305,7 @@
             is_leaving: self.is_leaving,
             beat: self.writer.beat,
         };
-        (Key::Owner.text(), record.encode_to_vec().into())
+        record.row()
     }
 
     /// Takes in the end of the append with this ticket, if it is one of this owner. Gives
--- a/crates/dispatch/src/record.rs
+++ b/crates/dispatch/src/record.rs
@@ -372,6 +372,13 @@
     pub(crate) beat: u64,
 }
 
+impl OwnerRecord {
+    /// Gives key and value as they are appended.
+    pub(crate) fn row(&self) -> (Box<str>, Box<[u8]>) {
+        (Key::Owner.text(), self.encode_to_vec().into())
+    }
+}
+
 /// An entry host, as it announces itself.
 #[derive(Clone, PartialEq, Eq, Message)]
 pub(crate) struct HostRecord {
