Say when a run vanishes from its worker's list, and what that worker was told to forget

A run that was there and is missing without an end was started again without a word, so a task that ran twice could not be told from one that was lost with a crash. No change of any decision.

--- a/crates/dispatch/src/owner/looks.rs
+++ b/crates/dispatch/src/owner/looks.rs
@@ -168,7 +168,13 @@
             actions.push(Action::Note(Note::new(
                 Code::WorkerBack,
                 &*worker.entry.id,
-                format!("runs={}", listed.runs.len()),
+                format!(
+                    "runs={} ends={} handled={} told_to_forget={}",
+                    listed.runs.len(),
+                    listed.ends.len(),
+                    worker.handled,
+                    worker.recorded
+                ),
             )));
         }
         worker.misses = 0;
@@ -182,7 +188,7 @@
             self.settle_lost(key, now, actions);
         }
         self.take_ends(key, &listed, now, actions);
-        self.take_runs(key, sent_ms, &listed, now_ms);
+        self.take_runs(key, sent_ms, &listed, now_ms, actions);
         self.judge_fillers(key, now_ms, actions);
         let count = self.workers.len() as u64;
         let link_gap_ms = self.link_gap_ms();
@@ -214,7 +220,14 @@
     }
 
     /// Compares what the worker lists as running with what should be there.
-    fn take_runs(&mut self, key: WorkerKey, sent_ms: u64, listed: &Listed, now_ms: u64) {
+    fn take_runs(
+        &mut self,
+        key: WorkerKey,
+        sent_ms: u64,
+        listed: &Listed,
+        now_ms: u64,
+        actions: &mut Vec<Action>,
+    ) {
         let mut present = HashSet::with_capacity(listed.runs.len());
         for row in &listed.runs {
             present.insert((row.task, row.run));
@@ -239,6 +252,7 @@
             }
         }
         for ((task, number), phase) in absent {
+            self.note_absent(key, task, number, phase, sent_ms, now_ms, actions);
             self.take_absent(key, task, number, phase, sent_ms, now_ms);
         }
     }
@@ -301,6 +315,46 @@
         }
     }
 
+    /// Tells of a run that was there and is missing, though its end was not listed. It will run
+    /// again, so if it has ended well after all, it runs twice.
+    #[expect(
+        clippy::too_many_arguments,
+        reason = "These are what is known of one run."
+    )]
+    fn note_absent(
+        &self,
+        key: WorkerKey,
+        task: TaskId,
+        number: u32,
+        phase: RunPhase,
+        sent_ms: u64,
+        now_ms: u64,
+        actions: &mut Vec<Action>,
+    ) {
+        let RunPhase::Present { since_ms } = phase else {
+            return;
+        };
+        if sent_ms < since_ms {
+            return;
+        }
+        let worker = &self.workers[key];
+        let percent = worker
+            .runs
+            .get(&(task, number))
+            .map_or(0, |run| run.percent);
+        actions.push(Action::Note(Note::new(
+            Code::RunVanished,
+            task.to_string(),
+            format!(
+                "run={number} worker={} present_ms={} percent={percent} handled={} told_to_forget={}",
+                worker.entry.id,
+                now_ms.saturating_sub(since_ms),
+                worker.handled,
+                worker.recorded
+            ),
+        )));
+    }
+
     fn retry_start(&mut self, key: WorkerKey, task: TaskId, number: u32, now_ms: u64) {
         self.workers[key].has_orders = true;
         let Some(run) = self.workers[key].runs.get_mut(&(task, number)) else {
--- a/tests/fleet/carrying.rs
+++ b/tests/fleet/carrying.rs
@@ -143,6 +143,8 @@
             Code::WorkerGone
                 | Code::RunLost
                 | Code::RunOrdered
+                | Code::RunVanished
+                | Code::WorkerBack
                 | Code::TaskSuspected
                 | Code::JobFailed
         );
