Failing test: a task that ended well runs again on a worker that started again

What callers saw: quick jobs late by seconds, as tasks that had ended well ran again elsewhere. The stand-in of a worker can start again under its id now, with its numbers of ends and its clock begun anew.

--- a/tests/fleet/mishaps.rs
+++ b/tests/fleet/mishaps.rs
@@ -18,6 +18,8 @@
     /// Tasks that crash their workers, and after how much time there.
     poisoned: BTreeMap<TaskId, u64>,
     back_ms: u64,
+    /// Workers that are back have the ids that they had.
+    keeps_ids: bool,
     /// Workers that will be back, and entries that will lapse.
     returns: Vec<(u64, Box<str>)>,
     lapses: Vec<(u64, Box<str>)>,
@@ -31,6 +33,7 @@
         Self {
             poisoned: BTreeMap::new(),
             back_ms: BACK_MS,
+            keeps_ids: false,
             returns: Vec::new(),
             lapses: Vec::new(),
             reports: Vec::new(),
@@ -57,6 +60,11 @@
         self.mishaps.back_ms = back_ms;
     }
 
+    /// Has workers that are back from now on have the ids that they had, or others.
+    pub(crate) fn keep_ids(&mut self, keeps_ids: bool) {
+        self.mishaps.keeps_ids = keeps_ids;
+    }
+
     /// Crashes a worker: all that runs there ends unheard, and it is back later.
     pub(crate) fn crash(&mut self, address: &str) {
         self.fail_worker(address, true);
@@ -109,12 +117,22 @@
             self.fail_worker(&address, false);
         }
         for id in take_due(&mut self.mishaps.lapses, now_ms) {
-            self.store.put(Stream::Workers, &id, &[]);
+            let mut workers = self.workers.values();
+            if !workers.any(|worker| worker.id == id && worker.is_alive) {
+                self.store.put(Stream::Workers, &id, &[]);
+            }
         }
         for address in take_due(&mut self.mishaps.returns, now_ms) {
             if self.workers[&address].is_alive {
                 continue;
             }
+            if self.mishaps.keeps_ids {
+                if let Some(worker) = self.workers.get_mut(&address) {
+                    worker.start_again(now_ms);
+                }
+                self.report(&address);
+                continue;
+            }
             self.mishaps.lives += 1;
             let id = format!("reborn-{}", self.mishaps.lives);
             let former = &self.workers[&address];
--- a/tests/fleet/worker.rs
+++ b/tests/fleet/worker.rs
@@ -46,6 +46,8 @@
     pub(crate) room: Room,
     /// When its room last changed.
     resized_ms: u64,
+    /// When it started, which is when its clock began to count.
+    started_ms: u64,
     /// It refuses what does not fit.
     pub(crate) guards: bool,
     token: u64,
@@ -79,6 +81,7 @@
             manners: Manners::Sound,
             room,
             resized_ms: 0,
+            started_ms: 0,
             guards: true,
             token: 0,
             lease_until_ms: 0,
@@ -94,11 +97,29 @@
         }
     }
 
+    /// Starts again under its id: it holds and knows nothing of before, and its counts and its
+    /// clock begin anew.
+    pub(crate) fn start_again(&mut self, now_ms: u64) {
+        *self = Self {
+            started_ms: now_ms,
+            resized_ms: 0,
+            guards: self.guards,
+            stop_ms: self.stop_ms,
+            ..Self::new(&self.id, self.room)
+        };
+    }
+
+    /// Gives the time of its clock.
+    fn clock_ms(&self, now_ms: u64) -> u64 {
+        now_ms - self.started_ms
+    }
+
     /// Lets time pass.
     pub(crate) fn advance(&mut self, now_ms: u64, step_ms: u64, promises: &mut Promises) {
         if !self.is_alive {
             return;
         }
+        let now_ms = self.clock_ms(now_ms);
         if now_ms > self.lease_until_ms {
             self.unlapsed_from = None;
         }
@@ -246,7 +267,7 @@
                     promises.refused_permits += 1;
                     return OrderEnd::Refused(Refusal::Permit);
                 }
-                self.extend(*lease_until_ms, now_ms);
+                self.extend(*lease_until_ms, self.clock_ms(now_ms));
                 if promises.faulty.contains(&task.job) {
                     return OrderEnd::Refused(Refusal::Faulty);
                 }
@@ -260,7 +281,8 @@
                 if let Some(running) = self.running.get_mut(task)
                     && running.run <= *run
                 {
-                    running.stopped_ms.get_or_insert(now_ms + self.stop_ms);
+                    let gone_ms = now_ms - self.started_ms + self.stop_ms;
+                    running.stopped_ms.get_or_insert(gone_ms);
                     if self.stop_ms == 0 {
                         self.end(*task, Manner::Stopped);
                     }
@@ -277,7 +299,7 @@
                 ..
             } => {
                 if let Some(until_ms) = lease_until_ms {
-                    self.extend(*until_ms, now_ms);
+                    self.extend(*until_ms, self.clock_ms(now_ms));
                 }
                 for end in self.ends.iter().filter(|end| end.number <= *seen) {
                     let has_lapsed = self.unlapsed_from.is_none_or(|from| end.number < from);
@@ -293,7 +315,7 @@
             }
         }
         OrderEnd::Done {
-            clock_ms: now_ms,
+            clock_ms: self.clock_ms(now_ms),
             listed,
         }
     }
@@ -323,7 +345,7 @@
         if self.barred.get(&task).is_some_and(|barred| run <= *barred) {
             return Some(Refusal::Old);
         }
-        if until_ms < now_ms {
+        if until_ms < self.clock_ms(now_ms) {
             return Some(Refusal::Late);
         }
         let plan = promises.note_start(&self.id, task, run);
--- a/tests/lib.rs
+++ b/tests/lib.rs
@@ -13,6 +13,7 @@
 mod dispatch_faults;
 mod dispatch_fillers;
 mod dispatch_freshness;
+mod dispatch_incarnations;
 mod dispatch_late_starts;
 mod dispatch_links;
 mod dispatch_loading;
