Failing test: a job stands still on a worker that started again

What callers saw: jobs of several steps never got to their next step, with room free. The test fails on the code as it is: the only task of the first step runs again and again on the same worker and ends well each time, the second step does not begin.

--- a/tests/dispatch_incarnations.rs
+++ b/tests/dispatch_incarnations.rs
@@ -47,3 +47,23 @@
     expect_that!(fleet.promises.broken, is_empty(), "{:#?}", fleet.lines);
     expect_that!(fleet.state(0, JOB), some(eq(JobState::Completed)));
 }
+
+/// A job of several steps stood still for 39 s, until the day was over, with most of the workers'
+/// room free: its second step could run and didn't. A task of its first step ran on the same worker
+/// again and again, `RunOrdered run=20`, `run=21` and `run=22` within four seconds, and ended well
+/// there each time. That worker had started again under its old id 36 s before the job came.
+#[gtest]
+fn a_job_goes_on_with_its_next_step_on_a_worker_that_started_again() {
+    let mut fleet = seasoned(1);
+    crash_all(&mut fleet);
+    fleet.run(BACK_MS + 3_000);
+    let steps = vec![step(1, 1_000, &[]), step(1, 1_000, &[0])];
+    fleet.submit(0, JOB, &job(steps));
+    fleet.run(10_000);
+    expect_that!(
+        fleet.state(0, JOB),
+        some(eq(JobState::Completed)),
+        "{:#?}",
+        fleet.lines
+    );
+}
