A worker that starts again under its id is another worker to its owner

What callers saw: quick jobs ran some of their tasks twice, seconds late; jobs of several steps stood still for good with room free. Both incidents have one cause. All that an owner keeps of a worker stood under its id, and outlived what it was about: ends are numbered from one again after a start, so each end up to the number at which the former life stood was passed over, and the worker was told to forget it. Its run was then missing without an end, and ran again: RunVanished handled=24 told_to_forget=24, RunOrdered run=2. The class: a name that outlives the thing that it names.

Ruled out: a second crash in between (no worker of the 23 starts again before 19 s), a look older than the run (a second lies between), and for the second incident a step that waits for room or for a silent worker (orders go on).

An answer to a look now says of which start it tells, and so does a worker's report; the platform's word for it is read once, in the adapter, into an Incarnation. One that differs from the last answer's ends the worker with all that was believed of it, and begins another one under a key of its own, so that answers to whatever was on its way to the former one are nobody's any more. Only runs that the new one lists itself go over. Incarnations have no order, as clocks are set back: which one lives is known from the worker's own answers. A report of another one, earlier or later, opens it to nothing and has it looked at.

A worker that was merely cut off is no other incarnation: nothing of it starts again.

--- a/crates/bench/src/dispatching.rs
+++ b/crates/bench/src/dispatching.rs
@@ -8,6 +8,7 @@
 use goldcrestway_dispatch::Decoders;
 use goldcrestway_dispatch::Entry;
 use goldcrestway_dispatch::Event;
+use goldcrestway_dispatch::Incarnation;
 use goldcrestway_dispatch::JobId;
 use goldcrestway_dispatch::Listed;
 use goldcrestway_dispatch::ListedRun;
@@ -59,6 +60,7 @@
 fn decode_worker(id: &str, _: &[u8]) -> Result<WorkerEntry, Box<str>> {
     Ok(WorkerEntry {
         id: id.into(),
+        incarnation: Incarnation::UNKNOWN,
         service: "service".into(),
         address: id.into(),
         failure_domain: "hall".into(),
@@ -160,6 +162,7 @@
                 });
             }
             let listed = Listed {
+                incarnation: Incarnation::UNKNOWN,
                 runs,
                 ends: Vec::new(),
             };
--- a/crates/dispatch/src/config.rs
+++ b/crates/dispatch/src/config.rs
@@ -1,5 +1,7 @@
 //! The operator's rules and the list of workers, in the product's words.
 
+use crate::incarnation::Incarnation;
+
 /// Resources: what a task asks for, or what a worker has.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub struct Room {
@@ -113,8 +115,10 @@
 /// A worker as it reports itself.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct WorkerEntry {
-    /// Name of this incarnation.
+    /// Its name.
     pub id: Box<str>,
+    /// The start of which this tells.
+    pub incarnation: Incarnation,
     /// Service whose tasks it runs.
     pub service: Box<str>,
     /// Where it takes orders.
--- a/crates/dispatch/src/event.rs
+++ b/crates/dispatch/src/event.rs
@@ -3,6 +3,7 @@
 use crate::ids::JobId;
 use crate::ids::StepId;
 use crate::ids::TaskId;
+use crate::incarnation::Incarnation;
 use crate::ledger::JobState;
 use crate::record::Submission;
 use goldcrestway_core::Note;
@@ -174,6 +175,8 @@
 /// What a worker lists.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Listed {
+    /// Which start of the worker answers.
+    pub incarnation: Incarnation,
     /// Present runs.
     pub runs: Vec<ListedRun>,
     /// Ends that it was not yet told to forget.
--- a/crates/dispatch/src/owner/adopting.rs
+++ b/crates/dispatch/src/owner/adopting.rs
@@ -50,6 +50,8 @@
                 // Whoever answers at its address tells what became of it.
                 if let Some(entry) = listed.get(name) {
                     worker.entry = entry.clone();
+                    worker.incarnation = entry.incarnation;
+                    worker.was_leaving = entry.is_leaving;
                 }
                 worker.is_noted_silent = noted.contains(name);
                 workers.insert(worker)
@@ -155,8 +157,7 @@
                             format!("runs={}", worker.runs.len()),
                         )));
                     }
-                    worker.is_listed = true;
-                    worker.entry = entry.clone();
+                    worker.take_entry(entry.clone());
                 }
                 None => {
                     let worker = self.meet(entry.clone(), now.steady_ms);
--- a/crates/dispatch/src/owner/calls.rs
+++ b/crates/dispatch/src/owner/calls.rs
@@ -16,6 +16,8 @@
 pub(super) enum Purpose {
     Look {
         sent_ms: u64,
+        /// Newest end that the worker was told to forget.
+        seen: u64,
     },
     Start {
         task: TaskId,
@@ -73,7 +75,9 @@
             self.workers[worker].clock = Some((*clock_ms, now.steady_ms));
         }
         match purpose {
-            Purpose::Look { sent_ms } => self.end_look(worker, sent_ms, end, now, actions),
+            Purpose::Look { sent_ms, seen } => {
+                self.end_look(worker, sent_ms, seen, end, now, actions);
+            }
             Purpose::Start { task, run } => self.end_start(worker, task, run, end, now, actions),
             Purpose::Stop { task, run } => self.end_stop(worker, task, run, end, now),
             Purpose::Pace { task, run, percent } => {
--- a/crates/dispatch/src/owner/crashes.rs
+++ b/crates/dispatch/src/owner/crashes.rs
@@ -157,10 +157,10 @@
             };
             losses.push((self.unit(*task), loss));
         }
-        let is_replaced = fate == Fate::Replaced;
+        let is_replaced = fate.is_replaced();
         Fall {
             worker: worker.entry.id.clone(),
-            is_planned: worker.entry.is_leaving,
+            is_planned: worker.was_leaving,
             is_replaced,
             is_unexplained: (is_replaced || worker.is_silent()) && suspects.is_empty(),
             span: worker.is_known.then(|| worker.span(now_ms)),
--- a/crates/dispatch/src/owner/looks.rs
+++ b/crates/dispatch/src/owner/looks.rs
@@ -111,15 +111,19 @@
             true => WAIT_MS,
             false => 0,
         };
+        let seen = worker.recorded;
         let call = WorkerCall::Look {
-            seen: worker.recorded,
+            seen,
             lease_until_ms,
             wait_ms,
         };
         self.figures.looks += 1;
         self.order(
             key,
-            Purpose::Look { sent_ms: now_ms },
+            Purpose::Look {
+                sent_ms: now_ms,
+                seen,
+            },
             call,
             now_ms,
             tickets,
@@ -132,6 +136,7 @@
         &mut self,
         key: WorkerKey,
         sent_ms: u64,
+        seen: u64,
         end: OrderEnd,
         now: Now,
         actions: &mut Vec<Action>,
@@ -163,17 +168,21 @@
             }
             return;
         };
+        worker.forgotten = worker.forgotten.max(seen);
+        let key = self.meet_incarnation(key, &listed, now, actions);
+        let worker = &mut self.workers[key];
         if worker.is_silent() {
             self.must_place = true;
             actions.push(Action::Note(Note::new(
                 Code::WorkerBack,
                 &*worker.entry.id,
                 format!(
-                    "runs={} ends={} handled={} told_to_forget={}",
+                    "incarnation={} runs={} ends={} handled={} told_to_forget={}",
+                    listed.incarnation,
                     listed.runs.len(),
                     listed.ends.len(),
                     worker.handled,
-                    worker.recorded
+                    worker.forgotten
                 ),
             )));
         }
@@ -262,27 +271,29 @@
     /// ended; without that, a new owner would start too much beside the tasks of a job that
     /// was cancelled just before, where workers start whatever they are told to.
     fn add_stray(&mut self, key: WorkerKey, row: &ListedRun, now_ms: u64) {
-        let job = self.job_keys.get(&row.task.job).copied();
         let phase = match self.unread.contains_key(&row.task.job) {
             true => RunPhase::Present { since_ms: now_ms },
             false => RunPhase::Stopping { again_ms: 0 },
         };
-        let mut run = match job {
-            Some(job) => self.make_run(job, row.task, phase, 0),
-            None => {
-                let step = self.over_step(row.task).unwrap_or_else(|| Step {
-                    // Nothing is known of it, so it may fill the worker.
-                    cpu_milli: self.workers[key].entry.room.cpu_milli,
-                    ..Step::default()
-                });
-                Run::new(&step, ImageKey::default(), phase, 0)
-            }
-        };
+        let mut run = self.make_unknown_run(row.task, phase, key);
         run.is_stray = true;
         self.workers[key].has_orders = true;
         self.workers[key].add(row.task, row.run, run);
     }
 
+    /// Makes a run of a task that may be of no job under way.
+    pub(super) fn make_unknown_run(&mut self, task: TaskId, phase: RunPhase, at: WorkerKey) -> Run {
+        if let Some(job) = self.job_keys.get(&task.job).copied() {
+            return self.make_run(job, task, phase, 0);
+        }
+        let step = self.over_step(task).unwrap_or_else(|| Step {
+            // Nothing is known of it, so it may fill the worker.
+            cpu_milli: self.workers[at].entry.room.cpu_milli,
+            ..Step::default()
+        });
+        Run::new(&step, ImageKey::default(), phase, 0)
+    }
+
     /// Gives the step of a task of a job that is over.
     fn over_step(&self, task: TaskId) -> Option<Step> {
         let submission = self.over.get(&task.job)?;
@@ -350,7 +361,7 @@
                 worker.entry.id,
                 now_ms.saturating_sub(since_ms),
                 worker.handled,
-                worker.recorded
+                worker.forgotten
             ),
         )));
     }
@@ -401,6 +412,7 @@
         if worker.is_listed {
             let id = worker.entry.id.clone();
             let mut again = self.meet(worker.entry, now.steady_ms);
+            again.incarnation = worker.incarnation;
             again.next_look_ms = now.steady_ms + SILENT_GAP_MS;
             let key = self.workers.insert(again);
             self.worker_keys.insert(id, key);
@@ -413,22 +425,29 @@
 impl Owner {
     /// Tells why a worker is given up and what goes with it, so that a task which takes its
     /// workers down can be told from tasks that are merely there, and a crash from a cut.
-    fn note_burial(&mut self, key: WorkerKey, fate: Fate, now_ms: u64, actions: &mut Vec<Action>) {
+    pub(super) fn note_burial(
+        &mut self,
+        key: WorkerKey,
+        fate: Fate,
+        now_ms: u64,
+        actions: &mut Vec<Action>,
+    ) {
         let worker = &self.workers[key];
         actions.push(Action::Note(Note::new(
             Code::WorkerGone,
             &*worker.entry.id,
             format!(
-                "why={fate:?} address={} leaving={} listed={} answer_age_ms={} runs={} now_ms={now_ms}",
+                "why={fate:?} incarnation={} address={} leaving={} listed={} answer_age_ms={} runs={} now_ms={now_ms}",
+                worker.incarnation,
                 worker.entry.address,
-                worker.entry.is_leaving,
+                worker.was_leaving,
                 worker.is_listed,
                 now_ms.saturating_sub(worker.answered_ms),
                 worker.runs.len()
             ),
         )));
         self.figures.workers_gone += 1;
-        self.figures.workers_replaced += u64::from(fate == Fate::Replaced);
+        self.figures.workers_replaced += u64::from(fate.is_replaced());
         self.figures.lost += worker.runs.len() as u64;
         for ((task, number), run) in &worker.runs {
             actions.push(Action::Note(Note::new(
--- a/crates/dispatch/src/owner/mod.rs
+++ b/crates/dispatch/src/owner/mod.rs
@@ -14,6 +14,7 @@
 mod crashes;
 mod ends;
 mod gangs;
+mod incarnations;
 mod job;
 mod link;
 mod looks;
--- a/crates/dispatch/src/owner/worker.rs
+++ b/crates/dispatch/src/owner/worker.rs
@@ -3,6 +3,7 @@
 use crate::config::Room;
 use crate::config::WorkerEntry;
 use crate::ids::TaskId;
+use crate::incarnation::Incarnation;
 use crate::policy::images::ImageKey;
 use crate::policy::interference::Baseline;
 use crate::policy::interference::Window;
@@ -21,12 +22,21 @@
 /// Why a worker is given up.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Fate {
-    /// Another incarnation answers at its address.
+    /// Another worker answers at its address.
     Replaced,
+    /// It has started again under its id.
+    Restarted,
     /// It gives no answer, or is listed no more, and its leases are over.
     GivenUp,
 }
 
+impl Fate {
+    /// Tells whether another incarnation is there in its place.
+    pub(crate) fn is_replaced(self) -> bool {
+        matches!(self, Fate::Replaced | Fate::Restarted)
+    }
+}
+
 /// How far the order to start a run has come.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum RunPhase {
@@ -145,7 +155,13 @@
 /// One worker.
 #[derive(Debug)]
 pub(crate) struct Worker {
+    /// What was last reported of it; of another incarnation than this one, it may be, as the store
+    /// tells of one earlier or later than the worker itself.
     pub(crate) entry: WorkerEntry,
+    /// Which incarnation it is, by its own answers, or on record.
+    pub(crate) incarnation: Incarnation,
+    /// This incarnation has said that it is about to leave.
+    pub(crate) was_leaving: bool,
     /// The platform's list has it.
     pub(crate) is_listed: bool,
     /// It has answered this owner, so what runs there is known.
@@ -174,6 +190,8 @@
     /// Newest end that was handled, and newest that is on record.
     pub(crate) handled: u64,
     pub(crate) recorded: u64,
+    /// Newest end that it has forgotten, as it was told to.
+    pub(crate) forgotten: u64,
     pub(crate) runs: BTreeMap<(TaskId, u32), Run>,
     /// Room that its runs take.
     pub(crate) used: Room,
@@ -198,6 +216,8 @@
 impl Worker {
     pub(crate) fn new(entry: WorkerEntry, lapsed_ms: u64) -> Self {
         Self {
+            incarnation: entry.incarnation,
+            was_leaving: entry.is_leaving,
             entry,
             is_listed: true,
             is_known: false,
@@ -215,6 +235,7 @@
             answered_ms: 0,
             handled: 0,
             recorded: 0,
+            forgotten: 0,
             runs: BTreeMap::new(),
             used: Room::default(),
             filler_milli: 0,
@@ -233,6 +254,7 @@
         let mut worker = Self::new(
             WorkerEntry {
                 id: id.into(),
+                incarnation: Incarnation::UNKNOWN,
                 service: "".into(),
                 address: "".into(),
                 failure_domain: "".into(),
@@ -272,10 +294,29 @@
         !self.runs.is_empty() && (self.is_silent() || !self.is_known)
     }
 
+    /// Takes in what the platform lists of it.
+    pub(crate) fn take_entry(&mut self, entry: WorkerEntry) {
+        self.is_listed = true;
+        self.entry = entry;
+        if !self.is_reported() {
+            // Only an answer tells which incarnation lives.
+            self.next_look_ms = 0;
+            return;
+        }
+        self.was_leaving |= self.entry.is_leaving;
+    }
+
+    /// Tells whether the report is of this incarnation. What another one had says nothing of its
+    /// room, nor of whether it leaves.
+    pub(crate) fn is_reported(&self) -> bool {
+        !self.entry.incarnation.differs_from(self.incarnation)
+    }
+
     /// Tells whether new work may go there.
     pub(crate) fn is_open(&self, now_ms: u64) -> bool {
         self.is_listed
             && self.is_known
+            && self.is_reported()
             && !self.is_silent()
             && !self.is_noted_silent
             && !self.entry.is_leaving
--- a/crates/dispatch/src/owner/writing.rs
+++ b/crates/dispatch/src/owner/writing.rs
@@ -198,6 +198,8 @@
         for worker in self.workers.values().filter(|worker| worker.is_listed) {
             let entry = WorkerEntry {
                 cold_ms: 0,
+                // Its runs that are on record are of this one.
+                incarnation: worker.incarnation,
                 ..worker.entry.clone()
             };
             if self.noted_workers.get(&entry.id) != Some(&entry) {
--- a/crates/dispatch/src/record.rs
+++ b/crates/dispatch/src/record.rs
@@ -365,6 +365,9 @@
     pub(crate) rack: String,
     #[prost(string, repeated, tag = "9")]
     pub(crate) labels: Vec<String>,
+    /// When it started, by its clock.
+    #[prost(uint64, optional, tag = "10")]
+    pub(crate) started_wall_ms: Option<u64>,
 }
 
 impl WorkerRecord {
@@ -379,12 +382,14 @@
             accelerators: entry.room.accelerators,
             rack: entry.rack.to_string(),
             labels: entry.labels.iter().map(|label| label.to_string()).collect(),
+            started_wall_ms: entry.incarnation.started_wall_ms(),
         }
     }
 
     pub(crate) fn entry(&self, id: &str) -> WorkerEntry {
         WorkerEntry {
             id: id.into(),
+            incarnation: self.started_wall_ms.into(),
             service: self.service.as_str().into(),
             address: self.address.as_str().into(),
             failure_domain: self.failure_domain.as_str().into(),
--- a/crates/dispatch/src/relay/frames.rs
+++ b/crates/dispatch/src/relay/frames.rs
@@ -149,6 +149,9 @@
     pub(super) runs: Vec<RunRow>,
     #[prost(message, repeated, tag = "2")]
     pub(super) ends: Vec<RunEndRow>,
+    /// When the worker started, by its clock.
+    #[prost(uint64, optional, tag = "3")]
+    pub(super) started_wall_ms: Option<u64>,
 }
 
 /// A run that is present.
--- a/crates/dispatch/src/relay/rows.rs
+++ b/crates/dispatch/src/relay/rows.rs
@@ -180,7 +180,10 @@
 }
 
 fn listed_rows(listed: &Listed) -> ListedRows {
-    let mut rows = ListedRows::default();
+    let mut rows = ListedRows {
+        started_wall_ms: listed.incarnation.started_wall_ms(),
+        ..ListedRows::default()
+    };
     for run in &listed.runs {
         rows.runs.push(RunRow {
             task: task_row(run.task),
@@ -204,6 +207,7 @@
 
 fn listed(rows: ListedRows) -> Listed {
     let mut listed = Listed {
+        incarnation: rows.started_wall_ms.into(),
         runs: Vec::with_capacity(rows.runs.len()),
         ends: Vec::with_capacity(rows.ends.len()),
     };
--- a/tests/dispatch_incarnations.rs
+++ b/tests/dispatch_incarnations.rs
@@ -1,10 +1,14 @@
 //! Workers that start again under the id that they had, and know nothing of before.
 
 use crate::dispatch::JOB;
+use crate::dispatch::owner;
 use crate::fleet::Fleet;
+use crate::fleet::Mode;
 use crate::fleet::job;
 use crate::fleet::step;
+use goldcrestway_dispatch::JobId;
 use goldcrestway_dispatch::JobState;
+use goldcrestway_dispatch::Step;
 use googletest::prelude::*;
 
 /// Time after which a worker that has crashed is back, a tenth of its lease.
@@ -67,3 +71,262 @@
         fleet.lines
     );
 }
+
+/// A way in which workers start again.
+struct Case {
+    name: &'static str,
+    relays: bool,
+    /// Time after which a worker that has crashed is back.
+    back_ms: u64,
+    /// By how much more its clock is set back each time.
+    set_back_ms: u64,
+    /// Time after which a worker that is back reports itself.
+    report_ms: u64,
+    step: fn() -> Step,
+    /// What happens, each half second for five seconds.
+    besides: fn(&mut Fleet, u64),
+}
+
+const CASE: Case = Case {
+    name: "",
+    relays: false,
+    back_ms: BACK_MS,
+    set_back_ms: 0,
+    report_ms: 0,
+    step: || step(6, 400, &[]),
+    besides: |fleet, half| {
+        if half.is_multiple_of(3) {
+            crash(fleet, half);
+        }
+    },
+};
+
+/// Crashes one worker after the other.
+fn crash(fleet: &mut Fleet, number: u64) {
+    let count = fleet.workers.len();
+    let address = fleet.workers.keys().nth(number as usize % count).cloned();
+    fleet.crash(&address.unwrap_or_default());
+}
+
+fn restart_owner(fleet: &mut Fleet) {
+    let owner = owner(fleet);
+    fleet.kill(owner);
+    fleet.start(owner);
+}
+
+const CASES: &[Case] = &[
+    Case {
+        name: "one after the other",
+        ..CASE
+    },
+    Case {
+        name: "between two looks, so that no answer is missed",
+        back_ms: 5,
+        ..CASE
+    },
+    Case {
+        name: "twice between two looks",
+        back_ms: 5,
+        besides: |fleet, half| {
+            crash(fleet, half);
+            fleet.run(10);
+            crash(fleet, half);
+        },
+        ..CASE
+    },
+    Case {
+        name: "with a clock that was set back",
+        set_back_ms: 60_000,
+        ..CASE
+    },
+    Case {
+        name: "a whole rack at once",
+        besides: |fleet, half| {
+            if half.is_multiple_of(4) {
+                crash_all(fleet);
+            }
+        },
+        ..CASE
+    },
+    Case {
+        name: "behind a cut that is shorter than a lease",
+        besides: |fleet, half| match half {
+            1 => {
+                fleet.cut_workers = fleet.workers.keys().take(2).cloned().collect();
+                crash(fleet, 0);
+                crash(fleet, 1);
+            }
+            6 => fleet.cut_workers.clear(),
+            _ => {}
+        },
+        ..CASE
+    },
+    Case {
+        name: "after their leases are over",
+        back_ms: 7_000,
+        ..CASE
+    },
+    Case {
+        name: "just before their owner dies",
+        besides: |fleet, half| {
+            if half.is_multiple_of(4) {
+                crash_all(fleet);
+                restart_owner(fleet);
+            }
+        },
+        ..CASE
+    },
+    Case {
+        name: "while a new owner begins",
+        back_ms: 1_200,
+        besides: |fleet, half| match half % 5 {
+            0 => restart_owner(fleet),
+            2 => crash_all(fleet),
+            _ => {}
+        },
+        ..CASE
+    },
+    Case {
+        name: "under an owner that stops as planned",
+        besides: |fleet, half| {
+            if half.is_multiple_of(5) {
+                crash(fleet, half);
+                let owner = owner(fleet);
+                fleet.stop(owner);
+            }
+        },
+        ..CASE
+    },
+    Case {
+        name: "as their entry in the store is still the old one",
+        report_ms: 4_000,
+        ..CASE
+    },
+    Case {
+        name: "while the store is away",
+        besides: |fleet, half| {
+            fleet.store.mode = match half {
+                2..=7 => Mode::Silent,
+                _ => Mode::Up,
+            };
+            crash(fleet, half);
+        },
+        ..CASE
+    },
+    Case {
+        name: "with orders carried out late",
+        besides: |fleet, half| {
+            fleet.late_ms = matches!(half, 2..=4).then_some(2_500);
+            if half == 4 {
+                crash_all(fleet);
+            }
+        },
+        ..CASE
+    },
+    Case {
+        name: "with relayed orders",
+        relays: true,
+        ..CASE
+    },
+    Case {
+        name: "under gangs",
+        step: || Step {
+            is_gang: true,
+            ..step(6, 400, &[])
+        },
+        ..CASE
+    },
+    Case {
+        name: "under tasks with copies",
+        step: || Step {
+            is_speculative: true,
+            ..step(6, 400, &[])
+        },
+        ..CASE
+    },
+    Case {
+        name: "under long tasks",
+        step: || step(6, 3_000, &[]),
+        ..CASE
+    },
+];
+
+/// Plays a case and gives the fleet with the numbers of the jobs that came.
+fn play(case: &Case) -> (Fleet, Vec<u64>) {
+    let mut fleet = match case.relays {
+        true => Fleet::with_relays(3, 4),
+        false => Fleet::new(3, 4),
+    };
+    fleet.keep_ids(true);
+    fleet.set_back_ms(case.back_ms);
+    fleet.set_clocks_back(case.set_back_ms);
+    fleet.set_report_ms(case.report_ms);
+    for number in 0..3 {
+        fleet.submit(0, JOB + 100 + number, &job(vec![step(24, 300, &[])]));
+        fleet.run(2_000);
+    }
+    let mut jobs = Vec::new();
+    for half in 0..10 {
+        let submission = job(vec![(case.step)(), step(2, 300, &[0])]);
+        fleet.submit(0, JOB + half, &submission);
+        jobs.push(JOB + half);
+        (case.besides)(&mut fleet, half);
+        fleet.run(500);
+    }
+    fleet.store.mode = Mode::Up;
+    fleet.late_ms = None;
+    fleet.cut_workers.clear();
+    fleet.run(ENDED_MS);
+    (fleet, jobs)
+}
+
+/// Time in which all jobs have ended once nothing disturbs: leases must run out first.
+const ENDED_MS: u64 = 20_000;
+
+/// Guards against tasks that run twice, and jobs that are lost, as workers start again under their
+/// ids in one of these ways.
+#[gtest]
+fn jobs_outlive_workers_that_start_again() {
+    for case in CASES {
+        let (mut fleet, jobs) = play(case);
+        expect_that!(
+            fleet.promises.broken,
+            is_empty(),
+            "{}: {:#?}",
+            case.name,
+            fleet.lines
+        );
+        for id in jobs {
+            let request = fleet.replies.len();
+            let state = fleet.state(0, id);
+            let is_stored = fleet.promises.accepted.contains(&JobId(id));
+            expect_true!(
+                !is_stored || state == Some(JobState::Completed),
+                "{}: job {id:x} is {state:?} after {request} answers: {:#?}",
+                case.name,
+                fleet.lines
+            );
+        }
+    }
+}
+
+/// Guards against taking a worker for another incarnation that was merely cut off: what runs there
+/// goes on, and none of it starts again.
+#[gtest]
+fn a_worker_that_was_cut_off_is_no_other_incarnation() {
+    let mut fleet = seasoned(4);
+    fleet.submit(0, JOB, &job(vec![step(8, 6_000, &[])]));
+    fleet.run(1_000);
+    for _ in 0..3 {
+        fleet.cut_workers = fleet.workers.keys().cloned().collect();
+        fleet.run(1_000);
+        fleet.cut_workers.clear();
+        fleet.run(500);
+    }
+    fleet.run(6_000);
+    let starts = &fleet.promises.starts;
+    let own = starts.iter().filter(|(_, task, _)| task.job == JobId(JOB));
+    expect_that!(own.count(), eq(8), "{:#?}", fleet.lines);
+    expect_that!(fleet.state(0, JOB), some(eq(JobState::Completed)));
+    expect_that!(fleet.promises.broken, is_empty());
+}
--- a/tests/fleet/carrying.rs
+++ b/tests/fleet/carrying.rs
@@ -183,8 +183,9 @@
             };
             let unheard = Delivery::ToEntry(number, life, event);
             self.deliveries.push((self.now_ms + timeout_ms, unheard));
+            let came_to = self.incarnation_at(&order.address);
             self.deliveries
-                .push((self.now_ms + late_ms, Delivery::Late(order)));
+                .push((self.now_ms + late_ms, Delivery::Late(order, came_to)));
             return;
         }
         if self.hosts[number].is_cut_from_workers {
@@ -209,7 +210,7 @@
         }
         let delivery = match order.call {
             WorkerCall::Look { wait_ms, .. } if wait_ms > 0 => {
-                Delivery::Look(number, life, order, at_ms + wait_ms - CALL_MS)
+                Delivery::Look(number, life, order, at_ms + wait_ms - CALL_MS, None)
             }
             _ => Delivery::Order(number, life, order),
         };
--- a/tests/fleet/fixtures.rs
+++ b/tests/fleet/fixtures.rs
@@ -45,8 +45,8 @@
     }
 }
 
-/// Reads a worker: its address, `ready` or `leaving`, and its processors and memory where they
-/// are not the usual ones.
+/// Reads a worker: its address, `ready` or `leaving`, its processors and memory where they are not
+/// the usual ones, and when it started where it tells that.
 pub(crate) fn decode_worker(id: &str, value: &[u8]) -> Result<WorkerEntry, Box<str>> {
     let text = std::str::from_utf8(value).map_err(|_| "not text")?;
     let mut words = text.split(' ');
@@ -57,8 +57,11 @@
         room.cpu_milli = cpu_milli.parse().map_err(|_| "no processors")?;
         room.memory_mb = memory_mb.parse().map_err(|_| "no memory")?;
     }
+    let born = words.next().map(str::parse).transpose();
+    let started_wall_ms: Option<u64> = born.map_err(|_| "no start")?;
     Ok(WorkerEntry {
         id: id.into(),
+        incarnation: started_wall_ms.into(),
         service: "service".into(),
         address: address.into(),
         failure_domain: "hall".into(),
--- a/tests/fleet/mishaps.rs
+++ b/tests/fleet/mishaps.rs
@@ -20,6 +20,10 @@
     back_ms: u64,
     /// Workers that are back have the ids that they had.
     keeps_ids: bool,
+    /// Their clocks are then set back by so much for each start.
+    set_back_ms: u64,
+    /// Time after which they report themselves.
+    report_ms: u64,
     /// Workers that will be back, and entries that will lapse.
     returns: Vec<(u64, Box<str>)>,
     lapses: Vec<(u64, Box<str>)>,
@@ -34,6 +38,8 @@
             poisoned: BTreeMap::new(),
             back_ms: BACK_MS,
             keeps_ids: false,
+            set_back_ms: 0,
+            report_ms: 0,
             returns: Vec::new(),
             lapses: Vec::new(),
             reports: Vec::new(),
@@ -65,6 +71,16 @@
         self.mishaps.keeps_ids = keeps_ids;
     }
 
+    /// Has workers that start again report themselves only after so long.
+    pub(crate) fn set_report_ms(&mut self, report_ms: u64) {
+        self.mishaps.report_ms = report_ms;
+    }
+
+    /// Has the clocks of workers that start again be set back by so much more each time.
+    pub(crate) fn set_clocks_back(&mut self, ms: u64) {
+        self.mishaps.set_back_ms = ms;
+    }
+
     /// Crashes a worker: all that runs there ends unheard, and it is back later.
     pub(crate) fn crash(&mut self, address: &str) {
         self.fail_worker(address, true);
@@ -126,14 +142,16 @@
             if self.workers[&address].is_alive {
                 continue;
             }
+            self.mishaps.lives += 1;
             if self.mishaps.keeps_ids {
+                let born_wall_ms = self.wall_ms() - self.mishaps.lives * self.mishaps.set_back_ms;
                 if let Some(worker) = self.workers.get_mut(&address) {
-                    worker.start_again(now_ms);
+                    worker.start_again(now_ms, born_wall_ms);
                 }
-                self.report(&address);
+                let report_ms = now_ms + self.mishaps.report_ms;
+                self.mishaps.reports.push((report_ms, address));
                 continue;
             }
-            self.mishaps.lives += 1;
             let id = format!("reborn-{}", self.mishaps.lives);
             let former = &self.workers[&address];
             let (room, guards, stop_ms) = (former.room, former.guards, former.stop_ms);
@@ -150,12 +168,16 @@
         }
     }
 
-    fn report(&mut self, address: &str) {
+    pub(super) fn report(&mut self, address: &str) {
         let Some(worker) = self.workers.get(address).filter(|worker| worker.is_alive) else {
             return;
         };
         let room = worker.room;
-        let text = format!("{address} ready {} {}", room.cpu_milli, room.memory_mb);
+        let born_wall_ms = worker.born_wall_ms;
+        let text = format!(
+            "{address} ready {} {} {born_wall_ms}",
+            room.cpu_milli, room.memory_mb
+        );
         self.store.put(Stream::Workers, &worker.id, text.as_bytes());
     }
 }
--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -66,13 +66,14 @@
 enum Delivery {
     ToEntry(usize, u64, Event),
     Order(usize, u64, Order),
-    /// A look that waits for an end, or a read that waits for a record.
-    Look(usize, u64, Order, u64),
+    /// A look that waits for an end at an incarnation of a worker, or a read that waits for a
+    /// record.
+    Look(usize, u64, Order, u64, Option<u64>),
     Read(Reader),
     /// A load of a page that is on its way to the store.
     Load(Loader),
-    /// An order that gets no answer and is carried out late.
-    Late(Order),
+    /// An order that gets no answer and is carried out late, by the incarnation that it came to.
+    Late(Order, Option<u64>),
 }
 
 #[derive(Clone)]
@@ -84,6 +85,16 @@
     call: WorkerCall,
 }
 
+impl Order {
+    /// Gives a look as its worker goes on to hold it: ends are forgotten as it comes in.
+    fn held(mut self) -> Self {
+        if let WorkerCall::Look { seen, .. } = &mut self.call {
+            *seen = 0;
+        }
+        self
+    }
+}
+
 /// One entry host.
 struct Host {
     entry: Option<Entry>,
@@ -249,11 +260,10 @@
 
     /// Starts an incarnation of a worker at an address.
     pub(crate) fn add_worker(&mut self, address: &str, id: &str) {
-        self.store
-            .put(Stream::Workers, id, format!("{address} ready").as_bytes());
-        let former = self
-            .workers
-            .insert(address.into(), Worker::new(id, WORKER_ROOM));
+        let mut worker = Worker::new(id, WORKER_ROOM);
+        worker.born_wall_ms = self.wall_ms();
+        let former = self.workers.insert(address.into(), worker);
+        self.report(address);
         if let Some(mut former) = former {
             for task in former.tasks() {
                 self.promises.note_crash(task, true);
@@ -475,8 +485,17 @@
                 let end = self.obey(&order);
                 self.reply_order(number, life, order.ticket, end);
             }
-            Delivery::Late(order) => drop(self.obey(&order)),
-            Delivery::Look(number, life, order, until_ms) => {
+            Delivery::Late(order, came_to) => {
+                if came_to == self.incarnation_at(&order.address) {
+                    drop(self.obey(&order));
+                }
+            }
+            Delivery::Look(number, life, order, until_ms, held_by) => {
+                let lives = self.incarnation_at(&order.address);
+                // What a worker holds goes with it.
+                if held_by.is_some() && held_by != lives {
+                    return self.reply_order(number, life, order.ticket, OrderEnd::Unknown);
+                }
                 let end = self.obey(&order);
                 let has_end = match &end {
                     OrderEnd::Done { listed, .. } => listed
@@ -487,7 +506,7 @@
                 if has_end || self.now_ms >= until_ms {
                     self.reply_order(number, life, order.ticket, end);
                 } else {
-                    let again = Delivery::Look(number, life, order, until_ms);
+                    let again = Delivery::Look(number, life, order.held(), until_ms, lives);
                     self.deliveries.push((self.now_ms + 20, again));
                 }
             }
@@ -496,6 +515,12 @@
         }
     }
 
+    /// Gives which incarnation lives at an address, if one does.
+    fn incarnation_at(&self, address: &str) -> Option<u64> {
+        let worker = self.workers.get(address).filter(|worker| worker.is_alive);
+        worker.map(|worker| worker.born_wall_ms)
+    }
+
     fn obey(&mut self, order: &Order) -> OrderEnd {
         let is_cut = self.cut_workers.contains(&order.address);
         let Some(worker) = self.workers.get_mut(&order.address) else {
--- a/tests/fleet/worker.rs
+++ b/tests/fleet/worker.rs
@@ -1,6 +1,7 @@
 //! A stand-in of a worker: tokens, leases, runs, ends, orders that come late.
 
 use crate::fleet::promises::Promises;
+use goldcrestway_dispatch::Incarnation;
 use goldcrestway_dispatch::Listed;
 use goldcrestway_dispatch::ListedEnd;
 use goldcrestway_dispatch::ListedRun;
@@ -48,6 +49,8 @@
     resized_ms: u64,
     /// When it started, which is when its clock began to count.
     started_ms: u64,
+    /// What it says of that.
+    pub(crate) born_wall_ms: u64,
     /// It refuses what does not fit.
     pub(crate) guards: bool,
     token: u64,
@@ -82,6 +85,7 @@
             room,
             resized_ms: 0,
             started_ms: 0,
+            born_wall_ms: 0,
             guards: true,
             token: 0,
             lease_until_ms: 0,
@@ -99,9 +103,10 @@
 
     /// Starts again under its id: it holds and knows nothing of before, and its counts and its
     /// clock begin anew.
-    pub(crate) fn start_again(&mut self, now_ms: u64) {
+    pub(crate) fn start_again(&mut self, now_ms: u64, born_wall_ms: u64) {
         *self = Self {
             started_ms: now_ms,
+            born_wall_ms,
             resized_ms: 0,
             guards: self.guards,
             stop_ms: self.stop_ms,
@@ -401,6 +406,7 @@
             });
         }
         Listed {
+            incarnation: Incarnation::new(self.born_wall_ms),
             runs,
             ends: self.ends.clone(),
         }
