A worker is told what to forget only while that can't be another's ends

What callers saw: a task that had ended well ran again, where its worker started again so soon that nobody had missed it. Every look named the newest end on record; the new incarnation took that for its own ends, and forgot what nobody had read.

What is left: a look that names ends and reaches the new incarnation after it has ended something. The platform's calls name an id and no start, so that can't be ruled out, only made rare.

--- a/crates/dispatch/src/owner/looks.rs
+++ b/crates/dispatch/src/owner/looks.rs
@@ -111,7 +111,13 @@
             true => WAIT_MS,
             false => 0,
         };
-        let seen = worker.recorded;
+        // A worker that has started again since would take the figure for its own ends, and forget
+        // what nobody has read. So it is told one only if there is something to forget, and not
+        // after an answer was missing.
+        let seen = match worker.misses == 0 && worker.recorded > worker.forgotten {
+            true => worker.recorded,
+            false => 0,
+        };
         let call = WorkerCall::Look {
             seen,
             lease_until_ms,
--- a/tests/dispatch_incarnations.rs
+++ b/tests/dispatch_incarnations.rs
@@ -9,6 +9,7 @@
 use goldcrestway_dispatch::JobId;
 use goldcrestway_dispatch::JobState;
 use goldcrestway_dispatch::Step;
+use goldcrestway_dispatch::TaskId;
 use googletest::prelude::*;
 
 /// Time after which a worker that has crashed is back, a tenth of its lease.
@@ -330,3 +331,38 @@
     expect_that!(fleet.state(0, JOB), some(eq(JobState::Completed)));
     expect_that!(fleet.promises.broken, is_empty());
 }
+
+/// Guards against a worker that forgets its first ends as it is told a figure of its former life: it
+/// starts again at each moment between two looks, and quick tasks end there before the next one.
+#[gtest]
+fn ends_are_not_forgotten_whenever_a_worker_starts_again() {
+    for offset_ms in (0..800).step_by(5) {
+        let mut fleet = seasoned(2);
+        fleet.set_back_ms(5);
+        fleet.run(offset_ms);
+        crash_all(&mut fleet);
+        fleet.submit(0, JOB, &job(vec![step(8, 10, &[])]));
+        fleet.run(8_000);
+        expect_that!(
+            fleet.promises.broken,
+            is_empty(),
+            "{offset_ms} ms: {:#?}",
+            fleet.lines
+        );
+        expect_that!(
+            fleet.state(0, JOB),
+            some(eq(JobState::Completed)),
+            "{offset_ms} ms"
+        );
+        for index in 0..8 {
+            let task = TaskId {
+                job: JobId(JOB),
+                occurrence: 0,
+                step: 0,
+                index,
+            };
+            let ends = fleet.promises.ends_of(task);
+            expect_that!(ends, eq(1), "{offset_ms} ms: {:#?}", fleet.lines);
+        }
+    }
+}
--- a/tests/fleet/promises.rs
+++ b/tests/fleet/promises.rs
@@ -54,6 +54,8 @@
     excess: BTreeMap<TaskId, u32>,
     /// Tasks that have ended well, noted or not.
     pub(crate) ended: BTreeSet<TaskId>,
+    /// How often tasks have ended well.
+    well_ended: BTreeMap<TaskId, u32>,
     /// Starts, in order.
     pub(crate) starts: Vec<(Box<str>, TaskId, u32)>,
     /// When something was last disturbed, which keeps owners from knowing what workers have.
@@ -183,6 +185,17 @@
         job.is_some_and(|job| job.permit_validity_ms > 0)
     }
 
+    /// Notes that a run of a task has ended well.
+    pub(crate) fn note_well_ended(&mut self, task: TaskId) {
+        self.ended.insert(task);
+        *self.well_ended.entry(task).or_default() += 1;
+    }
+
+    /// Gives how many runs of a task have ended well.
+    pub(crate) fn ends_of(&self, task: TaskId) -> u32 {
+        self.well_ended.get(&task).copied().unwrap_or(0)
+    }
+
     /// Notes that a gang has ended well, which one end of a member stands for.
     pub(crate) fn note_gang_done(&mut self, member: TaskId) {
         let count = self.submitted[&member.job].steps[usize::from(member.step)].count;
--- a/tests/fleet/worker.rs
+++ b/tests/fleet/worker.rs
@@ -157,7 +157,7 @@
         }
         for (task, manner) in ended {
             if manner == Manner::Done {
-                promises.ended.insert(task);
+                promises.note_well_ended(task);
             }
             self.end(task, manner);
         }
