Orders that were meant for a former life are barred before their runs count as lost

What callers saw: a task ran in two places, as an order to start it that had no answer was carried out seconds later by the worker's next incarnation, while the task ran elsewhere. An order names an id, which the new incarnation bears; and whatever the former one had promised, that a stopped run never starts there, is gone with it.

Owners remember for 15 s which orders to start had no answer, by the id. A new incarnation is told to bar them before anything is started in their place; until it has agreed the runs are not lost, and take room there. So are runs of a former owner that were missing at a look. Orders that are carried out later than that (the platform speaks of seconds), or before the first look at the new incarnation, are not held up by anything: the platform offers no guard that names a start.

Test: orders carried out late by whoever lives then, which fails without.

--- a/crates/dispatch/src/owner/adopting.rs
+++ b/crates/dispatch/src/owner/adopting.rs
@@ -171,6 +171,7 @@
                 self.workers[*key].is_listed = false;
             }
         }
+        self.doubtful_starts.expire(now.steady_ms);
         self.is_list_new = true;
         self.must_place = true;
     }
--- a/crates/dispatch/src/owner/incarnations.rs
+++ b/crates/dispatch/src/owner/incarnations.rs
@@ -2,8 +2,9 @@
 //!
 //! The former incarnation is gone with all that it held: what ran there, which ends it had listed
 //! and which were read, its clock, its room, and each promise not to start a run that was stopped.
-//! So the new one is another worker to the owner, under a key of its own. Only runs that it lists
-//! itself go over, as it may have got an order that was meant for the former one.
+//! So the new one is another worker to the owner, under a key of its own. Two things go over: runs
+//! that it lists itself, as it may have got an order that was meant for the former one, and runs
+//! whose order may still reach it, which it has to bar before they count as lost.
 
 use crate::event::Action;
 use crate::event::Listed;
@@ -14,8 +15,57 @@
 use crate::owner::worker::Fate;
 use crate::owner::worker::Run;
 use crate::owner::worker::RunPhase;
+use crate::owner::worker::Worker;
 use crate::owner::worker::WorkerKey;
 use std::collections::BTreeSet;
+use std::collections::HashMap;
+
+/// Time after which an order that had no answer is no longer carried out. Workers are seconds late
+/// with such orders.
+const LATE_MS: u64 = 15_000;
+
+/// An order to start a run that had no answer, and when that was known.
+#[derive(Debug, Clone, Copy)]
+struct DoubtfulStart {
+    task: TaskId,
+    run: u32,
+    since_ms: u64,
+}
+
+/// Orders to start that may still be carried out, by the id of the worker. The id is all that an
+/// order names, so whoever bears it then carries it out.
+#[derive(Debug, Default)]
+pub(super) struct DoubtfulStarts {
+    by_worker: HashMap<Box<str>, Vec<DoubtfulStart>>,
+}
+
+impl DoubtfulStarts {
+    /// Notes that an order may be carried out late.
+    pub(super) fn note(&mut self, worker: &str, task: TaskId, run: u32, now_ms: u64) {
+        let starts = self.by_worker.entry(worker.into()).or_default();
+        starts.retain(|start| now_ms < start.since_ms + LATE_MS);
+        starts.push(DoubtfulStart {
+            task,
+            run,
+            since_ms: now_ms,
+        });
+    }
+
+    /// Lists the orders that a worker may still carry out.
+    fn list(&mut self, worker: &str, now_ms: u64) -> BTreeSet<(TaskId, u32)> {
+        let starts = self.by_worker.get(worker).into_iter().flatten();
+        let open = starts.filter(|start| now_ms < start.since_ms + LATE_MS);
+        open.map(|start| (start.task, start.run)).collect()
+    }
+
+    /// Forgets what is too old to be carried out.
+    pub(super) fn expire(&mut self, now_ms: u64) {
+        self.by_worker.retain(|_, starts| {
+            starts.retain(|start| now_ms < start.since_ms + LATE_MS);
+            !starts.is_empty()
+        });
+    }
+}
 
 impl Owner {
     /// Takes in which incarnation of a worker has answered, and gives the key under which it is
@@ -54,6 +104,7 @@
         let kept = self.take_listed(former, listed);
         self.note_burial(former, Fate::Restarted, now_ms, actions);
         let fall = self.describe_fall(former, Fate::Restarted, now_ms);
+        let doubtful = self.take_doubtful(former, now_ms);
         let key = self.begin_incarnation(former, listed, now_ms);
         for (task, number, mut run) in kept {
             run.phase = match run.phase {
@@ -65,6 +116,10 @@
             };
             self.move_run(former, key, task, number, run);
         }
+        for (task, number, mut run) in doubtful {
+            run.phase = RunPhase::Stopping { again_ms: 0 };
+            self.move_run(former, key, task, number, run);
+        }
         let lost: Vec<(TaskId, u32)> = self.workers[former].runs.keys().copied().collect();
         for (task, run) in lost {
             self.lose_run(former, task, run, now_ms);
@@ -106,6 +161,30 @@
         taken
     }
 
+    /// Takes the runs off a worker whose orders may still be carried out.
+    fn take_doubtful(&mut self, key: WorkerKey, now_ms: u64) -> Vec<(TaskId, u32, Run)> {
+        self.note_unanswered(key, now_ms);
+        let worker = &mut self.workers[key];
+        let mut taken = Vec::new();
+        for (task, number) in self.doubtful_starts.list(&worker.entry.id, now_ms) {
+            if let Some(run) = worker.remove(task, number) {
+                taken.push((task, number, run));
+            }
+        }
+        taken
+    }
+
+    /// Notes the orders to start of which nothing will be heard, as their worker is given up.
+    pub(super) fn note_unanswered(&mut self, key: WorkerKey, now_ms: u64) {
+        let worker = &self.workers[key];
+        for ((task, number), run) in &worker.runs {
+            if run.phase == RunPhase::Sent {
+                let id = &worker.entry.id;
+                self.doubtful_starts.note(id, *task, *number, now_ms);
+            }
+        }
+    }
+
     fn move_run(&mut self, from: WorkerKey, to: WorkerKey, task: TaskId, number: u32, run: Run) {
         self.workers[to].has_orders = true;
         self.workers[to].add(task, number, run);
@@ -123,4 +202,20 @@
             }
         }
     }
+
+    /// Has a worker that answers for the first time bar the runs whose orders may still reach it.
+    pub(super) fn bar_late_starts(&mut self, key: WorkerKey, now_ms: u64) {
+        let id = self.workers[key].entry.id.clone();
+        for (task, number) in self.doubtful_starts.list(&id, now_ms) {
+            if self.workers[key].runs.contains_key(&(task, number)) {
+                continue;
+            }
+            let phase = RunPhase::Stopping { again_ms: 0 };
+            let mut run = self.make_unknown_run(task, phase, key);
+            run.is_stray = true;
+            let worker: &mut Worker = &mut self.workers[key];
+            worker.has_orders = true;
+            worker.add(task, number, run);
+        }
+    }
 }
--- a/crates/dispatch/src/owner/looks.rs
+++ b/crates/dispatch/src/owner/looks.rs
@@ -201,6 +201,7 @@
         self.must_place |= !was_known;
         if !was_known {
             self.settle_lost(key, now, actions);
+            self.bar_late_starts(key, now_ms);
         }
         self.take_ends(key, &listed, now, actions);
         self.take_runs(key, sent_ms, &listed, now_ms, actions);
@@ -318,7 +319,11 @@
         match phase {
             RunPhase::Recording | RunPhase::Sent | RunPhase::Stopping { .. } => {}
             // Orders of a former owner are refused from this look on.
-            RunPhase::Inherited => self.lose_run(key, task, number, now_ms),
+            RunPhase::Inherited => {
+                let id = &self.workers[key].entry.id;
+                self.doubtful_starts.note(id, task, number, now_ms);
+                self.lose_run(key, task, number, now_ms);
+            }
             RunPhase::Stopped { since_ms } if sent_ms >= since_ms => {
                 self.lose_run(key, task, number, now_ms);
             }
@@ -401,6 +406,7 @@
     pub(crate) fn bury(&mut self, key: WorkerKey, fate: Fate, now: Now, actions: &mut Vec<Action>) {
         self.note_burial(key, fate, now.steady_ms, actions);
         let fall = self.describe_fall(key, fate, now.steady_ms);
+        self.note_unanswered(key, now.steady_ms);
         let runs: Vec<(TaskId, u32)> = self.workers[key].runs.keys().copied().collect();
         for (task, run) in runs {
             self.lose_run(key, task, run, now.steady_ms);
--- a/crates/dispatch/src/owner/mod.rs
+++ b/crates/dispatch/src/owner/mod.rs
@@ -37,6 +37,7 @@
 use crate::ledger::Ledger;
 use crate::owner::calls::Order;
 use crate::owner::crashes::Crashes;
+use crate::owner::incarnations::DoubtfulStarts;
 use crate::owner::job::Job;
 use crate::owner::job::JobKey;
 pub(crate) use crate::owner::link::records_bytes;
@@ -163,6 +164,7 @@
     durations: Durations,
     permits: Permits,
     crashes: Crashes,
+    doubtful_starts: DoubtfulStarts,
     writer: Writer,
     /// When the store or most workers last confirmed this owner.
     confirmed_ms: u64,
@@ -219,6 +221,7 @@
             durations: Durations::default(),
             permits: Permits::default(),
             crashes: Crashes::default(),
+            doubtful_starts: DoubtfulStarts::default(),
             writer: Writer::new(signs, now.steady_ms),
             confirmed_ms: now.steady_ms,
             is_leaving: false,
--- a/crates/dispatch/src/owner/orders.rs
+++ b/crates/dispatch/src/owner/orders.rs
@@ -132,6 +132,8 @@
             OrderEnd::Done { .. } => run.phase = RunPhase::Present { since_ms: now_ms },
             OrderEnd::Unknown => {
                 run.phase = RunPhase::Doubtful { since_ms: now_ms };
+                let id = &worker.entry.id;
+                self.doubtful_starts.note(id, task, number, now_ms);
                 // No further lease is given to a worker that may be dead.
                 self.workers[key].miss(now_ms);
             }
--- a/tests/dispatch_incarnations.rs
+++ b/tests/dispatch_incarnations.rs
@@ -224,6 +224,17 @@
         },
         ..CASE
     },
+    Case {
+        name: "with orders carried out late by whoever lives then",
+        besides: |fleet, half| {
+            fleet.outlive_lives = true;
+            fleet.late_ms = matches!(half, 2..=4).then_some(2_500);
+            if half == 4 {
+                crash_all(fleet);
+            }
+        },
+        ..CASE
+    },
     Case {
         name: "with relayed orders",
         relays: true,
--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -146,6 +146,8 @@
     asked: BTreeMap<u64, JobId>,
     /// Orders to workers are carried out so late, and not answered.
     pub(crate) late_ms: Option<u64>,
+    /// Such orders are carried out also if their worker has started again under its id meanwhile.
+    pub(crate) outlive_lives: bool,
     /// Answers of workers take a time drawn from this range, by a seed that moves on.
     pub(crate) answers_late: Option<(u64, u64, u64)>,
     /// Claims to own that were appended.
@@ -204,6 +206,7 @@
             replies: BTreeMap::new(),
             asked: BTreeMap::new(),
             late_ms: None,
+            outlive_lives: false,
             answers_late: None,
             claims: 0,
             cut_workers: Vec::new(),
@@ -486,7 +489,8 @@
                 self.reply_order(number, life, order.ticket, end);
             }
             Delivery::Late(order, came_to) => {
-                if came_to == self.incarnation_at(&order.address) {
+                let lives = self.incarnation_at(&order.address);
+                if came_to == lives || self.outlive_lives {
                     drop(self.obey(&order));
                 }
             }
