A lease by the clock of a worker's former life is waited out

What callers saw: a task ran in two places after its worker had started again and was cut off right then. Leases are times of the worker's own clock. Orders that were meant for the former life name a time far ahead of the new clock, so the new incarnation grants the longest lease that it ever does, 6 to 10 s, while its owner waited for the 5.2 s of what it had asked for.

A clock that has jumped shows in the first answer of any kind, before a look tells which incarnation lives; from then on, and from the first look, the owner counts the longest lease. Tried and left out: to count it for 15 s after each start, as orders may be carried out late with such a lease. Tasks that last would then wait for 10.6 s where a worker crashes for good soon after it has started again. An order that is carried out late by the next incarnation and a cut right after that is not covered.

Test: 40 moments between two looks; with the old wait tasks run in two places.

--- a/crates/dispatch/src/owner/adopting.rs
+++ b/crates/dispatch/src/owner/adopting.rs
@@ -97,6 +97,11 @@
         self.lease_ms() * CLOCK_SKEW_PERMILLE / 1_000 + LAPSE_SLACK_MS
     }
 
+    /// Longest time for which a worker grants a lease, whatever is asked for.
+    pub(crate) fn longest_lease_span_ms(&self) -> u64 {
+        self.bounds.lease_most_ms * CLOCK_SKEW_PERMILLE / 1_000 + LAPSE_SLACK_MS
+    }
+
     fn inherit_runs(&mut self, key: JobKey) {
         let job = &self.jobs[key];
         let mut placed = Vec::new();
--- a/crates/dispatch/src/owner/calls.rs
+++ b/crates/dispatch/src/owner/calls.rs
@@ -11,6 +11,10 @@
 use crate::owner::worker::Fate;
 use crate::owner::worker::WorkerKey;
 
+/// Time by which a worker's clock is off what was expected when it counts anew. Clocks are slow by
+/// 2% and answers late by seconds, which comes to less.
+const CLOCK_JUMP_MS: u64 = 3_000;
+
 /// What an order in flight was for.
 #[derive(Debug, Clone, Copy)]
 pub(super) enum Purpose {
@@ -72,7 +76,7 @@
             return;
         }
         if let OrderEnd::Done { clock_ms, .. } = &end {
-            self.workers[worker].clock = Some((*clock_ms, now.steady_ms));
+            self.set_clock(worker, *clock_ms, now.steady_ms);
         }
         match purpose {
             Purpose::Look { sent_ms, seen } => {
@@ -86,6 +90,20 @@
         }
     }
 
+    /// Takes in the time of a worker's clock. One that has jumped begins to count anew: the worker
+    /// has started again, and what it was told by its former clock it grants for as long as it ever
+    /// does. Answers to orders tell that before a look does.
+    fn set_clock(&mut self, key: WorkerKey, clock_ms: u64, now_ms: u64) {
+        let longest_ms = now_ms + self.longest_lease_span_ms();
+        let worker = &mut self.workers[key];
+        let expected_ms = worker.clock_ms(now_ms);
+        if expected_ms.is_some_and(|expected_ms| expected_ms.abs_diff(clock_ms) > CLOCK_JUMP_MS) {
+            worker.lapsed_ms = worker.lapsed_ms.max(longest_ms);
+            worker.next_look_ms = now_ms;
+        }
+        worker.clock = Some((clock_ms, now_ms));
+    }
+
     /// Learns what answers take. One that came before its wait was over tells nothing, as the
     /// worker may have given it at any time.
     fn note_lateness(&mut self, order: Order, end: &OrderEnd, now_ms: u64) {
--- a/crates/dispatch/src/owner/incarnations.rs
+++ b/crates/dispatch/src/owner/incarnations.rs
@@ -139,6 +139,8 @@
         worker.is_listed = is_listed;
         worker.incarnation = listed.incarnation;
         worker.was_leaving = worker.entry.is_leaving && worker.is_reported();
+        // What it got by the clock of its former life it grants for as long as it ever does.
+        worker.lapsed_ms = now_ms + self.longest_lease_span_ms();
         let id = worker.entry.id.clone();
         let key = self.workers.insert(worker);
         self.worker_keys.insert(id, key);
--- a/crates/dispatch/src/owner/looks.rs
+++ b/crates/dispatch/src/owner/looks.rs
@@ -101,7 +101,7 @@
             _ => None,
         };
         if lease_until_ms.is_some() {
-            worker.lapsed_ms = now_ms + span_ms;
+            worker.lapsed_ms = worker.lapsed_ms.max(now_ms + span_ms);
         }
         let has_unrecorded = worker.handled > worker.recorded;
         let waits =
--- a/tests/dispatch_crashes.rs
+++ b/tests/dispatch_crashes.rs
@@ -281,7 +281,7 @@
 }
 
 /// Gives the addresses of all workers on which something runs.
-fn busy(fleet: &Fleet) -> Vec<Box<str>> {
+pub(crate) fn busy(fleet: &Fleet) -> Vec<Box<str>> {
     let workers = fleet.workers.iter();
     let busy = workers.filter(|(_, worker)| worker.tasks().next().is_some());
     busy.map(|(address, _)| address.clone()).collect()
--- a/tests/dispatch_incarnations.rs
+++ b/tests/dispatch_incarnations.rs
@@ -2,6 +2,7 @@
 
 use crate::dispatch::JOB;
 use crate::dispatch::owner;
+use crate::dispatch_crashes::busy;
 use crate::fleet::Fleet;
 use crate::fleet::Mode;
 use crate::fleet::job;
@@ -377,3 +378,27 @@
         }
     }
 }
+
+/// Guards against tasks that run in two places: a look that was meant for the former life of their
+/// worker extends leases by its clock, so the new one grants the longest that it ever does, and is
+/// cut off right after.
+#[gtest]
+fn a_lease_by_the_clock_of_a_former_life_is_waited_out() {
+    for offset_ms in (500..700).step_by(5) {
+        let mut fleet = seasoned(2);
+        fleet.set_back_ms(5);
+        // Between two looks, so that the next one extends leases as if nothing had happened.
+        fleet.run(offset_ms);
+        crash_all(&mut fleet);
+        fleet.run(30);
+        fleet.submit(0, JOB, &job(vec![step(4, 30_000, &[])]));
+        fleet.run(120);
+        fleet.cut_workers = busy(&fleet);
+        fleet.run(15_000);
+        fleet.cut_workers.clear();
+        fleet.run(35_000);
+        let lines = &fleet.lines;
+        expect_that!(fleet.promises.broken, is_empty(), "{offset_ms}: {lines:#?}");
+        expect_that!(fleet.state(0, JOB), some(eq(JobState::Completed)));
+    }
+}
