Who has crashed is told by the incarnation, not by the id

What callers saw: a task that crashes its workers went on for good where these were back, under their old ids, only after their leases were over: whoever answers under the id of a lost worker was taken for that worker, so the crash counted as a cut. A loss is now kept with the incarnation that it went with, on record as well, and another one under the id or at the address tells of a crash.

Tests: tasks that crash workers which keep their ids, back at once, soon, and after their leases, with owners that die (two of four fail without); workers that leave as planned and keep their ids (fails without).

--- a/crates/dispatch/src/owner/crashes.rs
+++ b/crates/dispatch/src/owner/crashes.rs
@@ -9,6 +9,7 @@
 use crate::event::Now;
 use crate::ids::JobId;
 use crate::ids::TaskId;
+use crate::incarnation::Incarnation;
 use crate::owner::Owner;
 use crate::owner::job::JobKey;
 use crate::owner::job::Loss;
@@ -38,6 +39,7 @@
 #[derive(Debug)]
 struct LostWorker {
     address: Box<str>,
+    incarnation: Incarnation,
     /// Not known of one that a former owner has given up.
     span: Option<Span>,
     /// What was lost there: tasks, or the first members of gangs.
@@ -150,6 +152,7 @@
             let loss = Loss {
                 worker: worker.entry.id.clone(),
                 address: worker.entry.address.clone(),
+                incarnation: worker.incarnation,
                 run: *number,
                 is_suspect: run.is_suspect(),
                 is_alone: suspects.len() == 1,
@@ -198,6 +201,7 @@
             .entry(loss.worker.clone())
             .or_insert_with(|| LostWorker {
                 address: loss.address.clone(),
+                incarnation: loss.incarnation,
                 span,
                 tasks: BTreeSet::new(),
             });
@@ -217,6 +221,7 @@
         for (task, loss) in inherited {
             let lost = LostWorker {
                 address: loss.address.clone(),
+                incarnation: loss.incarnation,
                 span: None,
                 tasks: BTreeSet::new(),
             };
@@ -226,13 +231,17 @@
     }
 
     /// Learns from the first answer of an incarnation what became of those that were lost: the
-    /// former one at its address has crashed, and one that answers itself has not.
+    /// former one at its address, or under its id, has crashed, and one that answers itself has
+    /// not.
     pub(super) fn settle_lost(&mut self, key: WorkerKey, now: Now, actions: &mut Vec<Action>) {
-        let entry = &self.workers[key].entry;
+        let worker = &self.workers[key];
         let mut settled = Vec::new();
         for (id, lost) in &self.crashes.lost {
-            if *id == entry.id || lost.address == entry.address {
-                settled.push((id.clone(), *id != entry.id));
+            if *id == worker.entry.id {
+                let has_crashed = lost.incarnation.differs_from(worker.incarnation);
+                settled.push((id.clone(), has_crashed));
+            } else if lost.address == worker.entry.address {
+                settled.push((id.clone(), true));
             }
         }
         for (id, has_crashed) in settled {
--- a/crates/dispatch/src/owner/job.rs
+++ b/crates/dispatch/src/owner/job.rs
@@ -4,6 +4,7 @@
 use crate::event::Now;
 use crate::ids::JobId;
 use crate::ids::TaskId;
+use crate::incarnation::Incarnation;
 use crate::ledger::JobRecord;
 use crate::owner::permits::ASKED_MOST;
 use crate::owner::worker::WorkerKey;
@@ -52,6 +53,7 @@
 pub(crate) struct Loss {
     pub(crate) worker: Box<str>,
     pub(crate) address: Box<str>,
+    pub(crate) incarnation: Incarnation,
     pub(crate) run: u32,
     /// The run may be the cause if the worker has crashed.
     pub(crate) is_suspect: bool,
@@ -72,6 +74,7 @@
         Self {
             worker: record.worker.as_str().into(),
             address: record.address.as_str().into(),
+            incarnation: record.started_wall_ms.into(),
             run: record.run,
             is_suspect: record.is_suspect,
             is_alone: record.is_alone,
@@ -83,6 +86,7 @@
         LossRecord {
             worker: self.worker.to_string(),
             address: self.address.to_string(),
+            started_wall_ms: self.incarnation.started_wall_ms(),
             run: self.run,
             is_suspect: self.is_suspect,
             is_alone: self.is_alone,
--- a/crates/dispatch/src/record.rs
+++ b/crates/dispatch/src/record.rs
@@ -215,6 +215,9 @@
     /// The worker has answered that the run is there.
     #[prost(bool, tag = "6")]
     pub(crate) is_confirmed: bool,
+    /// When the worker that it went with had started, by its clock.
+    #[prost(uint64, optional, tag = "7")]
+    pub(crate) started_wall_ms: Option<u64>,
 }
 
 /// One step on record. It is empty until a task of it has started.
--- a/tests/dispatch_crashes.rs
+++ b/tests/dispatch_crashes.rs
@@ -58,6 +58,8 @@
     crash_ms: u64,
     /// Time after which a crashed worker is back.
     back_ms: u64,
+    /// It is back under its old id.
+    keeps_ids: bool,
     /// What happens besides, each second.
     besides: fn(&mut Fleet, u64),
     /// Workers that it may take down.
@@ -74,6 +76,7 @@
     poisoned: &[0],
     crash_ms: CRASH_MS,
     back_ms: 3_400,
+    keeps_ids: false,
     besides: |_, _| {},
     crashes_most: 2,
 };
@@ -110,6 +113,32 @@
         back_ms: 50,
         ..CASE
     },
+    Case {
+        name: "workers that are back under their old ids",
+        keeps_ids: true,
+        ..CASE
+    },
+    Case {
+        name: "workers that are back at once under their old ids",
+        back_ms: 5,
+        keeps_ids: true,
+        ..CASE
+    },
+    Case {
+        name: "workers that are back under their old ids after their leases are over",
+        back_ms: 8_000,
+        keeps_ids: true,
+        crashes_most: 3,
+        ..CASE
+    },
+    Case {
+        name: "the same, and owners that die between the crashes",
+        back_ms: 8_000,
+        keeps_ids: true,
+        besides: kill_owner,
+        crashes_most: 5,
+        ..CASE
+    },
     // What was counted must be on record before the next start.
     Case {
         name: "owners that die between the crashes",
@@ -227,6 +256,7 @@
         false => Fleet::new(case.hosts, case.workers),
     };
     fleet.set_back_ms(case.back_ms);
+    fleet.keep_ids(case.keeps_ids);
     for index in case.poisoned {
         fleet.poison(task(JOB, 0, *index), case.crash_ms);
     }
@@ -278,6 +308,8 @@
     steps: fn() -> Vec<Step>,
     /// What happens, each second.
     besides: fn(&mut Fleet, u64),
+    /// Workers that crash are back under their old ids.
+    keeps_ids: bool,
 }
 
 /// Gives the addresses of all workers on which something runs.
@@ -297,6 +329,7 @@
 const LUCKLESS: &[Luckless] = &[
     // All that works there runs elsewhere meanwhile, and has not crashed it.
     Luckless {
+        keeps_ids: false,
         name: "workers that are cut off and come back",
         steps: || vec![step(6, 6_000, &[])],
         besides: |fleet, second| match second {
@@ -307,6 +340,7 @@
     },
     // The failure domain goes dark under runs that have just begun, and again under the next ones.
     Luckless {
+        keeps_ids: false,
         name: "a failure domain that goes dark several times",
         steps: || vec![step(2, 20_000, &[])],
         besides: |fleet, second| {
@@ -320,6 +354,7 @@
     },
     // They serve for longer than hosts live here.
     Luckless {
+        keeps_ids: false,
         name: "tasks that last, on hosts that crash by themselves",
         steps: last_long,
         besides: |fleet, second| {
@@ -331,6 +366,7 @@
         },
     },
     Luckless {
+        keeps_ids: false,
         name: "workers that leave as planned, with another one at their address",
         steps: || vec![step(4, 60_000, &[])],
         besides: |fleet, second| {
@@ -348,6 +384,7 @@
         },
     },
     Luckless {
+        keeps_ids: false,
         name: "a host whose own way to all workers is cut",
         steps: || vec![step(4, 12_000, &[])],
         besides: |fleet, second| {
@@ -355,6 +392,47 @@
             fleet.cut_from_workers(owner, matches!(second, 2..=4 | 9..=11));
         },
     },
+    Luckless {
+        keeps_ids: true,
+        name: "a failure domain that goes dark several times, and keeps its ids",
+        steps: || vec![step(2, 20_000, &[])],
+        besides: |fleet, second| {
+            if matches!(second, 1 | 5 | 9 | 13) {
+                let addresses: Vec<Box<str>> = fleet.workers.keys().cloned().collect();
+                for address in addresses {
+                    fleet.crash(&address);
+                }
+            }
+        },
+    },
+    Luckless {
+        keeps_ids: true,
+        name: "tasks that last, on hosts that crash by themselves and keep their ids",
+        steps: last_long,
+        besides: |fleet, second| {
+            if second.is_multiple_of(6) {
+                for address in busy(fleet) {
+                    fleet.crash(&address);
+                }
+            }
+        },
+    },
+    Luckless {
+        keeps_ids: true,
+        name: "workers that leave as planned and start again under their ids",
+        steps: || vec![step(4, 60_000, &[])],
+        besides: |fleet, second| {
+            if second > 6 {
+                return;
+            }
+            fleet.set_back_ms(500);
+            for address in busy(fleet) {
+                fleet.announce_leave(&address);
+                fleet.run(100);
+                fleet.crash(&address);
+            }
+        },
+    },
 ];
 
 /// Symptom: a job is shown as failed though no task of it did anything. Cause: whatever goes with
@@ -363,6 +441,7 @@
 fn tasks_are_not_given_up_for_what_befalls_their_workers() {
     for case in LUCKLESS {
         let mut fleet = Fleet::new(3, 6);
+        fleet.keep_ids(case.keeps_ids);
         fleet.submit(0, JOB, &job((case.steps)()));
         for second in 1..=40 {
             fleet.run(1_000);
--- a/tests/fleet/mishaps.rs
+++ b/tests/fleet/mishaps.rs
@@ -81,6 +81,20 @@
         self.mishaps.set_back_ms = ms;
     }
 
+    /// Has a worker report that it is about to leave.
+    pub(crate) fn announce_leave(&mut self, address: &str) {
+        let Some(worker) = self.workers.get(address) else {
+            return;
+        };
+        let born_wall_ms = worker.born_wall_ms;
+        let room = worker.room;
+        let text = format!(
+            "{address} leaving {} {} {born_wall_ms}",
+            room.cpu_milli, room.memory_mb
+        );
+        self.store.put(Stream::Workers, &worker.id, text.as_bytes());
+    }
+
     /// Crashes a worker: all that runs there ends unheard, and it is back later.
     pub(crate) fn crash(&mut self, address: &str) {
         self.fail_worker(address, true);
