Losses that may be crashes count towards a task's last starts

What callers saw: a task that crashes its workers was started more than twice after the third crash, where these were away for longer than their leases: no crash is known before somebody answers at the address, and unknown ones counted for nothing.

A start counts if crashes and losses that may be crashes together are three. A task that may have had its last starts so waits until it is known what became of its workers, for 6 s after its newest loss at most, and is given up only for crashes that are known. Bounded, so that a task is not kept from its turn by workers that never come back.

--- a/crates/dispatch/src/owner/crashes.rs
+++ b/crates/dispatch/src/owner/crashes.rs
@@ -180,14 +180,14 @@
             self.crashes.keep(fall.worker.clone(), span, now.steady_ms);
         }
         for (task, loss) in fall.losses {
-            self.note_loss(task, loss, fall.span);
+            self.note_loss(task, loss, fall.span, now.steady_ms);
         }
         if fall.is_replaced {
             self.settle(&fall.worker, true, now, actions);
         }
     }
 
-    fn note_loss(&mut self, task: TaskId, loss: Loss, span: Option<Span>) {
+    fn note_loss(&mut self, task: TaskId, loss: Loss, span: Option<Span>, now_ms: u64) {
         let Some(key) = self.job_keys.get(&task.job).copied() else {
             return;
         };
@@ -206,7 +206,7 @@
                 tasks: BTreeSet::new(),
             });
         lost.tasks.insert(task);
-        state.note_loss(loss);
+        state.note_loss(loss, now_ms);
         job.is_dirty = true;
     }
 
@@ -375,7 +375,7 @@
         if self.unit(task) == task
             && let Some(state) = self.jobs[key].task_mut(task)
         {
-            state.suspicion.note_start();
+            state.suspicion.note_start(state.unsettled());
         }
     }
 
@@ -395,6 +395,11 @@
         state.is_some_and(|state| state.suspicion.is_used_up())
     }
 
+    /// Gives until when a task waits for what became of its workers, if it does.
+    pub(super) fn settles_ms(&self, task: TaskId, now_ms: u64) -> Option<u64> {
+        self.task(self.unit(task))?.settles_ms(now_ms)
+    }
+
     /// Takes in that a run has been at work for long enough: its task crashes nobody. Members of a
     /// gang must all have been: one that has crashed its worker just now leaves others at work.
     pub(super) fn clear_suspicion(&mut self, task: TaskId) {
--- a/crates/dispatch/src/owner/gangs.rs
+++ b/crates/dispatch/src/owner/gangs.rs
@@ -45,6 +45,10 @@
             self.give_up(key, first, now, actions);
             return false;
         }
+        if let Some(until_ms) = self.settles_ms(first, now.steady_ms) {
+            self.wake_ms = self.wake_ms.min(until_ms);
+            return true;
+        }
         let count = wanted.step.count as usize;
         let Some(workers) = self.find_gang(wanted, count, now.steady_ms) else {
             return true;
--- a/crates/dispatch/src/owner/job.rs
+++ b/crates/dispatch/src/owner/job.rs
@@ -47,6 +47,9 @@
 const ALONE_WAIT_MS: u64 = 2_000;
 /// Losses of a task that are kept until it is known what became of their workers.
 const LOSSES_MOST: usize = 4;
+/// Time for which a task that may have had its last starts waits until it is known whether workers
+/// have crashed. Those that crash are back within twice a lease, mostly.
+const SETTLE_MS: u64 = 6_000;
 
 /// A run that went with a worker that was given up.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -119,6 +122,8 @@
     pub(crate) suspicion: Suspicion,
     /// Runs that went with workers of which it is not known whether they have crashed.
     pub(crate) losses: Vec<Loss>,
+    /// When the newest of them was.
+    pub(crate) lost_ms: u64,
 }
 
 impl Task {
@@ -162,13 +167,25 @@
     }
 
     /// Keeps a loss until it is known what became of its worker.
-    pub(crate) fn note_loss(&mut self, loss: Loss) {
+    pub(crate) fn note_loss(&mut self, loss: Loss, now_ms: u64) {
+        self.lost_ms = now_ms;
         if self.losses.len() == LOSSES_MOST {
             self.losses.remove(0);
         }
         self.losses.push(loss);
     }
 
+    /// Gives how many workers may have crashed under it of which that is not known yet.
+    pub(crate) fn unsettled(&self) -> u32 {
+        self.losses.iter().filter(|loss| loss.is_suspect).count() as u32
+    }
+
+    /// Gives until when it waits for what became of its workers, if it does.
+    pub(crate) fn settles_ms(&self, now_ms: u64) -> Option<u64> {
+        let until_ms = self.lost_ms + SETTLE_MS;
+        (self.suspicion.awaits(self.unsettled()) && now_ms < until_ms).then_some(until_ms)
+    }
+
     /// Takes what was lost with a worker.
     pub(crate) fn take_losses(&mut self, worker: &str) -> Vec<Loss> {
         self.losses
--- a/crates/dispatch/src/owner/placing.rs
+++ b/crates/dispatch/src/owner/placing.rs
@@ -209,6 +209,10 @@
                 self.give_up(key, id, now, actions);
                 return false;
             }
+            if let Some(until_ms) = task.settles_ms(now.steady_ms) {
+                self.wake_ms = self.wake_ms.min(until_ms);
+                continue;
+            }
             let is_suspect = task.is_suspect();
             let is_new = step.is_lasting && task.run == 0;
             if is_new && lasting_milli * 100 >= room_milli * LASTING_MOST_PERCENT {
--- a/crates/dispatch/src/policy/suspicion.rs
+++ b/crates/dispatch/src/policy/suspicion.rs
@@ -18,7 +18,7 @@
 //!
 //! What can't be told from a task that had bad luck, as it crashes its workers before they can
 //! answer, only later, always beside others or when others crash, too, has two starts left after the
-//! third crash, unless it works for a while; and it is given up after so many crashes that luck is
+//! third crash, known or likely, unless it works for a while; and it is given up after so many crashes that luck is
 //! no explanation. Of tasks that last only those crashes count after which they have not worked for
 //! a while: hosts crash by themselves in the days for which they run.
 
@@ -89,9 +89,11 @@
         run == self.run
     }
 
-    /// Notes that the task is about to start.
-    pub fn note_start(&mut self) {
-        self.starts += u32::from(self.crashes >= PROBATION_AT);
+    /// Notes that the task is about to start, after so many losses of which it is not known yet
+    /// whether they were crashes. They count here as if they were: workers that crash may be back
+    /// only long after their tasks run elsewhere.
+    pub fn note_start(&mut self, unsettled: u32) {
+        self.starts += u32::from(self.crashes + unsettled >= PROBATION_AT);
     }
 
     /// Takes in that a start was refused.
@@ -102,7 +104,14 @@
     /// Tells whether it must not be started any more: it has had its last starts, and no run of it
     /// was sound.
     pub fn is_used_up(&self) -> bool {
-        self.starts >= STARTS_MORE
+        self.starts >= STARTS_MORE && self.crashes >= PROBATION_AT
+    }
+
+    /// Tells whether it should not be started before it is known what became of the workers that it
+    /// was lost with: if they have crashed, it has had its last starts.
+    pub fn awaits(&self, unsettled: u32) -> bool {
+        let may_be_used_up = self.starts >= STARTS_MORE && self.crashes + unsettled >= PROBATION_AT;
+        may_be_used_up && !self.is_used_up()
     }
 
     /// Counts a crash, and tells whether the task is to blame for good.
--- a/tests/dispatch_faults.rs
+++ b/tests/dispatch_faults.rs
@@ -86,15 +86,25 @@
 ];
 
 /// Who carries the owner's orders in a sequence.
-#[derive(Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Orders {
     Direct,
     /// Other hosts, whose connections may go silent.
     Relayed,
 }
 
-/// What callers do in a sequence.
+/// Which ids workers have that start again.
 #[derive(Clone, Copy, PartialEq, Eq)]
+enum Ids {
+    /// New ones, each time.
+    New,
+    /// Now the old ones, now new ones; workers crash often, and may be back before anybody has
+    /// noticed.
+    OldToo,
+}
+
+/// What callers do in a sequence.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Callers {
     /// They hand in rows of tasks and lasting ones.
     Plain,
@@ -170,6 +180,21 @@
     }
 }
 
+/// Crashes workers that start again under their ids or others, soon or late, with clocks that are
+/// right or set back.
+fn crash_some(fleet: &mut Fleet, random: &mut Pcg64) {
+    const BACK_MS: [u64; 6] = [5, 30, 300, 900, 3_400, 8_000];
+    fleet.keep_ids(random.random_range(0..4) > 0);
+    fleet.set_back_ms(BACK_MS[random.random_range(0..BACK_MS.len())]);
+    fleet.set_clocks_back([0, 60_000][random.random_range(0..2)]);
+    fleet.set_report_ms([0, 1_500, 5_000][random.random_range(0..3)]);
+    for worker in 0..WORKERS {
+        if random.random_range(0..3) == 0 {
+            fleet.crash(&format!("10.0.0.{worker}:80"));
+        }
+    }
+}
+
 /// Takes parts of the store away or back, loses connections, and hands jobs in again.
 fn insist(fleet: &mut Fleet, random: &mut Pcg64, jobs: u64) {
     let host = random.random_range(0..HOSTS);
@@ -299,7 +324,7 @@
 }
 
 /// Runs a sequence and gives what it broke.
-fn play(seed: u64, callers: Callers, orders: Orders) -> Vec<String> {
+fn play(seed: u64, callers: Callers, orders: Orders, ids: Ids) -> Vec<String> {
     let mut random = Pcg64::seed_from_u64(seed);
     let mut fleet = match orders {
         Orders::Direct => Fleet::new(HOSTS, WORKERS),
@@ -319,6 +344,10 @@
     let mut jobs = 0;
     for _ in 0..FAULTS {
         strike(&mut fleet, &mut random, &mut jobs, callers);
+        if ids == Ids::OldToo && random.random_range(0..2) == 0 {
+            fleet.promises.disturbed_ms = fleet.now_ms;
+            crash_some(&mut fleet, &mut random);
+        }
         if orders == Orders::Relayed && random.random_range(0..4) == 0 {
             fleet.silence_links(random.random_range(0..HOSTS));
         }
@@ -372,14 +401,14 @@
 fn promises_hold_under_random_faults() {
     for seed in 0..sequences() {
         expect_that!(
-            play(seed, Callers::Plain, Orders::Direct),
+            play(seed, Callers::Plain, Orders::Direct, Ids::New),
             is_empty(),
             "seed {seed}"
         );
     }
     for (seed, cause) in FORMER_FAILURES {
         expect_that!(
-            play(*seed, Callers::Plain, Orders::Direct),
+            play(*seed, Callers::Plain, Orders::Direct, Ids::New),
             is_empty(),
             "seed {seed}: {cause}"
         );
@@ -392,7 +421,7 @@
 fn promises_hold_with_gangs_copies_and_cancels() {
     for seed in 0..sequences() {
         expect_that!(
-            play(seed, Callers::Restless, Orders::Direct),
+            play(seed, Callers::Restless, Orders::Direct, Ids::New),
             is_empty(),
             "seed {seed}"
         );
@@ -404,7 +433,7 @@
 fn promises_hold_with_jobs_handed_in_again() {
     for seed in 0..sequences() {
         expect_that!(
-            play(seed, Callers::Insistent, Orders::Direct),
+            play(seed, Callers::Insistent, Orders::Direct, Ids::New),
             is_empty(),
             "seed {seed}"
         );
@@ -418,7 +447,7 @@
     for seed in 0..sequences() {
         for callers in [Callers::Plain, Callers::Restless, Callers::Insistent] {
             expect_that!(
-                play(seed, callers, Orders::Relayed),
+                play(seed, callers, Orders::Relayed, Ids::New),
                 is_empty(),
                 "seed {seed}"
             );
@@ -434,10 +463,32 @@
     for seed in (0..sequences()).chain(former) {
         for orders in [Orders::Direct, Orders::Relayed] {
             expect_that!(
-                play(seed, Callers::Poisonous, orders),
+                play(seed, Callers::Poisonous, orders, Ids::New),
                 is_empty(),
                 "seed {seed}"
             );
         }
     }
 }
+
+/// Symptom: a task runs twice or stands still as its worker has started again under its id.
+#[gtest]
+fn promises_hold_with_workers_that_start_again_under_their_ids() {
+    const CALLERS: [Callers; 4] = [
+        Callers::Plain,
+        Callers::Restless,
+        Callers::Insistent,
+        Callers::Poisonous,
+    ];
+    for seed in 0..sequences() {
+        for callers in CALLERS {
+            for orders in [Orders::Direct, Orders::Relayed] {
+                expect_that!(
+                    play(seed, callers, orders, Ids::OldToo),
+                    is_empty(),
+                    "seed {seed}, {callers:?}, {orders:?}"
+                );
+            }
+        }
+    }
+}
--- a/tests/policy_suspicion.rs
+++ b/tests/policy_suspicion.rs
@@ -212,24 +212,24 @@
 fn a_task_that_may_have_crashed_three_workers_has_two_starts_left() {
     let mut suspicion = Suspicion::default();
     for number in 1..=3 {
-        suspicion.note_start();
+        suspicion.note_start(0);
         let crash = Crash {
             run: number,
             ..SHARED
         };
         expect_that!(suspicion.count(&crash), eq(false), "crash {number}");
     }
-    suspicion.note_start();
+    suspicion.note_start(0);
     expect_that!(suspicion.is_used_up(), eq(false));
     let mut sound = suspicion.clone();
     // A start that the worker refused was none.
-    suspicion.note_start();
+    suspicion.note_start(0);
     suspicion.take_back_start();
     expect_that!(suspicion.is_used_up(), eq(false));
-    suspicion.note_start();
+    suspicion.note_start(0);
     expect_that!(suspicion.is_used_up(), eq(true));
     sound.clear(false);
-    sound.note_start();
+    sound.note_start(0);
     expect_that!(sound.is_used_up(), eq(false));
 }
 
@@ -257,7 +257,7 @@
                 is_lasting: case.is_lasting,
                 ..*crash
             };
-            suspicion.note_start();
+            suspicion.note_start(0);
             if suspicion.count(&crash) && to_blame_at == 0 {
                 to_blame_at = number + 1;
             }
@@ -265,3 +265,23 @@
         expect_that!(to_blame_at, eq(case.to_blame_at), "{}", case.name);
     }
 }
+
+/// Symptom: a task is started again and again while its workers are away for longer than their
+/// leases, as no crash is known yet. Losses count towards its last starts; then it waits for what
+/// became of the workers, and is given up only for crashes that are known.
+#[gtest]
+fn losses_that_may_be_crashes_count_towards_the_last_starts() {
+    let mut suspicion = Suspicion::default();
+    for unsettled in 0..4 {
+        expect_that!(suspicion.awaits(unsettled), eq(false), "{unsettled} lost");
+        suspicion.note_start(unsettled);
+    }
+    suspicion.note_start(4);
+    expect_that!(suspicion.awaits(5), eq(true));
+    expect_that!(suspicion.is_used_up(), eq(false));
+    expect_that!(suspicion.awaits(2), eq(false), "the others were cut off");
+    for run in 1..=2 {
+        expect_that!(suspicion.count(&Crash { run, ..SHARED }), eq(false));
+    }
+    expect_that!(suspicion.count(&Crash { run: 3, ..SHARED }), eq(true));
+}
