Ends that a worker lists count though their runs were to be barred

What callers saw: tasks that had ended well on a worker that was cut off, under orders that came late, ran again. Cause, by the sequences that show it: the runs whose orders might still come were added, as strays to be stopped, before the worker's first list was read, and ends of strays mean nothing. They are added after it now, and only those that it does not list.

--- a/crates/dispatch/src/owner/incarnations.rs
+++ b/crates/dispatch/src/owner/incarnations.rs
@@ -206,10 +206,13 @@
     }
 
     /// Has a worker that answers for the first time bar the runs whose orders may still reach it.
-    pub(super) fn bar_late_starts(&mut self, key: WorkerKey, now_ms: u64) {
+    /// Those that it lists have reached it.
+    pub(super) fn bar_late_starts(&mut self, key: WorkerKey, listed: &Listed, now_ms: u64) {
         let id = self.workers[key].entry.id.clone();
         for (task, number) in self.doubtful_starts.list(&id, now_ms) {
-            if self.workers[key].runs.contains_key(&(task, number)) {
+            let mut ends = listed.ends.iter();
+            let has_ended = ends.any(|end| end.task == task && end.run == number);
+            if has_ended || self.workers[key].runs.contains_key(&(task, number)) {
                 continue;
             }
             let phase = RunPhase::Stopping { again_ms: 0 };
--- a/crates/dispatch/src/owner/looks.rs
+++ b/crates/dispatch/src/owner/looks.rs
@@ -201,10 +201,12 @@
         self.must_place |= !was_known;
         if !was_known {
             self.settle_lost(key, now, actions);
-            self.bar_late_starts(key, now_ms);
         }
         self.take_ends(key, &listed, now, actions);
         self.take_runs(key, sent_ms, &listed, now_ms, actions);
+        if !was_known {
+            self.bar_late_starts(key, &listed, now_ms);
+        }
         self.judge_fillers(key, now_ms, actions);
         let count = self.workers.len() as u64;
         let link_gap_ms = self.link_gap_ms();
--- a/tests/dispatch_faults.rs
+++ b/tests/dispatch_faults.rs
@@ -44,6 +44,13 @@
         126,
         "a new owner never told of a job that had begun before it",
     ),
+    (
+        60,
+        "an end was passed over as its run was to be barred, and the task ran again",
+    ),
+    (136, "the same"),
+    (182, "the same, on a worker that had started again"),
+    (307, "the same"),
 ];
 
 /// The same with tasks that crash their workers.
