Say what a task waits for, from logs and metrics alone

Nobody could tell why a given task does not run now: the owner wrote when it ordered a run and when one ended, and nothing of what kept a task from its start. Every second it now tells of the ten steps that have waited for longest, for two seconds at least, with what for (link, pause, members of a gang, fate of lost workers, a worker of its own, the share of lasting tasks, a worker) and how many workers of the service are kept from it by what (TaskWaits, 2409); metrics count all such steps (goldcrestway_waits).

What keeps a task from a worker is an Exclusion now, given by the same functions that price it, so that what is told is what decides. No change of any decision.

--- a/crates/core/src/notes.rs
+++ b/crates/core/src/notes.rs
@@ -106,6 +106,7 @@
     FillersPaced = 2405, "Fillers on a worker got another share: a served task there is over its target, or well again.";
     TaskSuspected = 2407, "A worker has crashed under a task; the detail says whether its run may be the cause, whether nothing else there may be, and how often that was so.";
     RunVanished = 2408, "A run that was there is missing from its worker's list, and no end of it was listed; the detail gives the newest end handled there, and the newest that the worker was told to forget.";
+    TaskWaits = 2409, "A task has waited for long though the steps before it have ended; the detail says what for, and what keeps it from how many workers.";
     WorkerSilent = 2501, "A worker gives no answer; its lease is no longer extended.";
     WorkerBack = 2502, "A worker answers again.";
     WorkerLeaving = 2503, "A worker is about to leave and gets nothing new.";
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -81,5 +81,6 @@
 pub use incarnation::Incarnation;
 pub use ledger::JobState;
 pub use owner::Figures;
+pub use owner::Wait;
 pub use record::Step;
 pub use record::Submission;
--- a/crates/dispatch/src/owner/gangs.rs
+++ b/crates/dispatch/src/owner/gangs.rs
@@ -12,7 +12,7 @@
 use crate::owner::job::JobKey;
 use crate::owner::job::Placed;
 use crate::owner::job::StepState;
-use crate::owner::placing::Wanted;
+use crate::owner::pricing::Wanted;
 use crate::owner::worker::WorkerKey;
 use std::cmp::Reverse;
 use std::collections::BTreeSet;
--- a/crates/dispatch/src/owner/job.rs
+++ b/crates/dispatch/src/owner/job.rs
@@ -201,6 +201,8 @@
     pub(crate) done: u32,
     /// Tasks that run nowhere.
     pub(crate) waiting: u32,
+    /// Since when some of them could run and don't.
+    pub(crate) waits_since_ms: Option<u64>,
     /// Runs that ended well under this owner, and the time that they took together.
     pub(crate) ended: u32,
     pub(crate) ended_ms: u64,
@@ -220,6 +222,16 @@
         self.done as usize == self.tasks.len()
     }
 
+    /// Notes whether some of its tasks wait, of which there were so many before. Those that wait
+    /// while others of them get their turn have not waited for long.
+    pub(crate) fn note_wait(&mut self, waits: bool, before: u32, now_ms: u64) {
+        let since_ms = match self.waiting < before {
+            true => now_ms,
+            false => self.waits_since_ms.unwrap_or(now_ms),
+        };
+        self.waits_since_ms = waits.then_some(since_ms);
+    }
+
     pub(crate) fn recount(&mut self) {
         self.done = 0;
         self.waiting = 0;
--- a/crates/dispatch/src/owner/mod.rs
+++ b/crates/dispatch/src/owner/mod.rs
@@ -22,8 +22,10 @@
 mod pacing;
 mod permits;
 mod placing;
+mod pricing;
 mod relaying;
 mod stragglers;
+mod waits;
 mod worker;
 mod writing;
 
@@ -43,6 +45,7 @@
 pub(crate) use crate::owner::link::records_bytes;
 use crate::owner::permits::Permits;
 use crate::owner::stragglers::Durations;
+pub use crate::owner::waits::Wait;
 use crate::owner::worker::RunPhase;
 use crate::owner::worker::Worker;
 use crate::owner::worker::WorkerKey;
@@ -117,6 +120,8 @@
     pub relayed: u64,
     /// Relays that take orders.
     pub relays: u64,
+    /// Steps that have waited for long, by what for.
+    pub waits: [u64; Wait::ALL.len()],
 }
 
 /// Why an owner ends.
@@ -173,6 +178,8 @@
     next_place_ms: u64,
     /// When the first task that was told to wait may be placed.
     wake_ms: u64,
+    /// When steps that wait for long are told of next.
+    next_waits_ms: u64,
     stepdown: Option<Stepdown>,
     pub(crate) figures: Figures,
 }
@@ -228,6 +235,7 @@
             must_place: true,
             next_place_ms: 0,
             wake_ms: u64::MAX,
+            next_waits_ms: 0,
             stepdown: None,
             figures: Figures::default(),
         };
@@ -355,6 +363,7 @@
         self.write(now, tickets, actions);
         self.relays.flush(self.token, actions);
         self.show_link();
+        self.tell_waits(now, actions);
     }
 
     /// Has metrics show how full the link is.
--- a/crates/dispatch/src/owner/permits.rs
+++ b/crates/dispatch/src/owner/permits.rs
@@ -11,7 +11,7 @@
 use crate::ids::JobId;
 use crate::ids::StepId;
 use crate::owner::Owner;
-use crate::owner::placing::Wanted;
+use crate::owner::pricing::Wanted;
 use crate::owner::worker::WorkerKey;
 use crate::record::Submission;
 use std::cmp::Reverse;
--- a/crates/dispatch/src/owner/worker.rs
+++ b/crates/dispatch/src/owner/worker.rs
@@ -37,6 +37,39 @@
     }
 }
 
+/// What keeps a task from a worker.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Exclusion {
+    /// It is of another service.
+    Service,
+    /// The platform lists it no more.
+    Unlisted,
+    /// It has not answered this owner yet.
+    Unheard,
+    /// It gives no answer, or is on record as silent.
+    Silent,
+    /// It has started again, and has not reported itself since.
+    Unreported,
+    /// It is about to leave.
+    Leaving,
+    /// It failed tasks or refused them just now.
+    Shunned,
+    /// It has too little room.
+    Room,
+    /// It lacks the label.
+    Label,
+    /// It has as many tasks of the step as it may have.
+    Spread,
+    /// A filler would disturb, or is disturbing, who serves there.
+    Disturbed,
+    /// Fillers have taken what is unused there.
+    Crowded,
+    /// Something that may crash it is there already.
+    Suspects,
+    /// No permit is held for it.
+    Permit,
+}
+
 /// How far the order to start a run has come.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum RunPhase {
@@ -312,16 +345,38 @@
         !self.entry.incarnation.differs_from(self.incarnation)
     }
 
-    /// Tells whether new work may go there.
-    pub(crate) fn is_open(&self, now_ms: u64) -> bool {
-        self.is_listed
-            && self.is_known
-            && self.is_reported()
-            && !self.is_silent()
-            && !self.is_noted_silent
-            && !self.entry.is_leaving
-            && self.clock.is_some()
-            && now_ms >= self.shunned_until_ms
+    /// Tells what keeps all new work from there, if anything does.
+    pub(crate) fn exclusion(&self, now_ms: u64) -> Option<Exclusion> {
+        if !self.is_listed {
+            return Some(Exclusion::Unlisted);
+        }
+        if !self.is_known || self.clock.is_none() {
+            return Some(Exclusion::Unheard);
+        }
+        if self.is_silent() || self.is_noted_silent {
+            return Some(Exclusion::Silent);
+        }
+        if !self.is_reported() {
+            return Some(Exclusion::Unreported);
+        }
+        if self.entry.is_leaving {
+            return Some(Exclusion::Leaving);
+        }
+        (now_ms < self.shunned_until_ms).then_some(Exclusion::Shunned)
+    }
+
+    /// Gives how many tasks of a step fit there.
+    pub(crate) fn holds_of(&self, step: &Step) -> u32 {
+        let mut free = self.free();
+        let mut count = 0;
+        while count < step.count && free.holds(step.room()) {
+            free = free.minus(step.room());
+            count += 1;
+        }
+        match step.per_worker_most {
+            0 => count,
+            most => count.min(most),
+        }
     }
 
     pub(crate) fn free(&self) -> Room {
--- a/crates/dispatch/src/policy/link.rs
+++ b/crates/dispatch/src/policy/link.rs
@@ -130,11 +130,16 @@
 
     /// Tells whether a call of this rank may go out now, and counts it if not.
     pub fn admits(&mut self, rank: Rank) -> bool {
-        let has_room = self.out.has_room(rank) && self.into.has_room(rank);
+        let has_room = self.has_room(rank);
         self.put_off[rank as usize] += u64::from(!has_room);
         has_room
     }
 
+    /// Tells whether a call of this rank may go out now.
+    pub fn has_room(&self, rank: Rank) -> bool {
+        self.out.has_room(rank) && self.into.has_room(rank)
+    }
+
     /// Notes a message that goes out, and one that comes in or will come in answer.
     pub fn charge(&mut self, out_bytes: u64, in_bytes: u64) {
         let packet_bytes = |bytes: u64| if bytes > 0 { PACKET_BYTES } else { 0 };
--- a/tests/fleet/carrying.rs
+++ b/tests/fleet/carrying.rs
@@ -144,6 +144,7 @@
                 | Code::RunLost
                 | Code::RunOrdered
                 | Code::RunVanished
+                | Code::TaskWaits
                 | Code::WorkerBack
                 | Code::TaskSuspected
                 | Code::JobFailed
