Failing test: a job waits for good once workers are no longer left alone

What callers saw, in virtual time: a job whose tasks were failed by all of its workers once never runs again, with all workers well and empty: TaskWaits why=Worker since_ms=10770 open=2 room_for=2. Ten causes of a wait are played, each of which must be told and end; and random faults with workers that start again, after which gangs of twelve that need most of a worker each must have begun within three seconds.

--- a/tests/lib.rs
+++ b/tests/lib.rs
@@ -25,6 +25,7 @@
 mod dispatch_rules;
 mod dispatch_shapes;
 mod dispatch_sizes;
+mod dispatch_waits;
 mod edge;
 mod faults;
 mod fleet;
