Tasks that wait for a worker are tried again in time, whatever happens

What callers saw: a job waits for good with all workers well and empty. A worker that has failed tasks is left alone for seconds; the end of that is no event, and placing was only tried after events, so what was passed over meanwhile was never looked at again: TaskWaits why=Worker open=2 room_for=2 for as long as the test lasts. The class: a wait whose end is a time, and nobody is woken by it.

While anything waits, the next go at placing is due when the first worker is no longer left alone, and after 500 ms at the latest: whether a served task has ease to spare for a filler changes with time alone, too. Longer waits than that with a worker open for it can't be.

--- a/crates/dispatch/src/owner/placing.rs
+++ b/crates/dispatch/src/owner/placing.rs
@@ -23,6 +23,8 @@
 /// Tasks placed in one go; what is left follows with the next event, so that looks and
 /// stops are not held up by a burst.
 const PLACED_MOST: usize = 400;
+/// Time after which tasks that wait are tried again though nothing has happened.
+const TRIED_AGAIN_MS: u64 = 500;
 /// Part of a service's room, in percent, that lasting tasks which never ran may fill up to.
 /// A lasting task earns a quarter of what quick ones earn in the same room, and never
 /// gives it back.
@@ -86,6 +88,22 @@
                 return;
             }
         }
+        self.wake_for_waits(now.steady_ms);
+    }
+
+    /// Has tasks that wait for a worker tried again in time. A worker may open, and a served task
+    /// may have ease to spare again, without any event: they would wait for good otherwise.
+    fn wake_for_waits(&mut self, now_ms: u64) {
+        if !self.live.iter().any(|key| self.jobs[*key].has_waiting) {
+            return;
+        }
+        let shunned = self.workers.values().map(|worker| worker.shunned_until_ms);
+        let opens_ms = shunned.filter(|until_ms| *until_ms > now_ms).min();
+        let latest_ms = now_ms + TRIED_AGAIN_MS;
+        self.wake_ms = self
+            .wake_ms
+            .min(opens_ms.unwrap_or(latest_ms))
+            .min(latest_ms);
     }
 
     fn place_job(&mut self, key: JobKey, now: Now, pass: &mut Pass, actions: &mut Vec<Action>) {
--- a/tests/dispatch_waits.rs
+++ b/tests/dispatch_waits.rs
@@ -86,12 +86,21 @@
             ends_within_ms: BEGUN_MS,
         },
         Case {
-            name: "workers that failed its tasks are left alone",
-            cause: |fleet| set_manners(fleet, Manners::Fails),
-            step: wide(4),
+            name: "workers that failed tasks are left alone",
+            cause: |fleet| {
+                let spread = Step {
+                    per_worker_most: 4,
+                    ..step(8, 300, &[])
+                };
+                set_manners(fleet, Manners::Fails);
+                fleet.submit(0, JOB + 1, &job(vec![spread]));
+                fleet.run(30);
+                set_manners(fleet, Manners::Sound);
+            },
+            step: wide(2),
             told: "Shunned=2",
-            end: |fleet| set_manners(fleet, Manners::Sound),
-            ends_within_ms: BEGUN_MS + 3_000,
+            end: |_| {},
+            ends_within_ms: BEGUN_MS,
         },
         Case {
             name: "workers are cut off",
@@ -167,7 +176,7 @@
                 ..wide(1)
             },
             told: "Label=2",
-            end: |fleet| drop(fleet.cancel(0, JOB)),
+            end: |fleet| _ = fleet.cancel(0, JOB),
             ends_within_ms: 500,
         },
         Case {
