A new incarnation opens with the answer that tells of it

What callers saw: a job waits for good after its workers had started again. The clock that came with the look was noted with the former incarnation, so the new one opened only with the next answer, of which placing is not told. The clock goes over with the answer.

--- a/crates/dispatch/src/owner/incarnations.rs
+++ b/crates/dispatch/src/owner/incarnations.rs
@@ -134,9 +134,11 @@
     /// former one; nothing new is given to it until that has changed.
     fn begin_incarnation(&mut self, former: WorkerKey, listed: &Listed, now_ms: u64) -> WorkerKey {
         let former = &self.workers[former];
-        let (entry, is_listed) = (former.entry.clone(), former.is_listed);
+        let (entry, is_listed, clock) = (former.entry.clone(), former.is_listed, former.clock);
         let mut worker = self.meet(entry, now_ms);
         worker.is_listed = is_listed;
+        // It came with the answer that tells of this incarnation.
+        worker.clock = clock;
         worker.incarnation = listed.incarnation;
         worker.was_leaving = worker.entry.is_leaving && worker.is_reported();
         // What it got by the clock of its former life it grants for as long as it ever does.
