Losses count by run, and runs that were hardly there do not

What callers saw: jobs were shown as failed under which no worker had crashed, beside several that crash theirs. A gang that lost members on several workers in one run was counted as several losses towards its last starts; it is one. A run of unknown fate that its worker had agreed to bar counted as a crash when that worker went; it does only if the worker ever said that it was there.

The sequences' workers are away for 3.4 s again once faults have ended: being away for longer is one.

--- a/crates/dispatch/src/owner/crashes.rs
+++ b/crates/dispatch/src/owner/crashes.rs
@@ -97,9 +97,14 @@
 
 impl Run {
     /// Tells whether it may be at work, or may have been until just now. One that is being stopped
-    /// is at work until it has ended.
+    /// is at work until it has ended. One of unknown fate whose worker has agreed to bar it was
+    /// hardly there.
     fn may_have_begun(&self) -> bool {
-        self.phase != RunPhase::Recording || self.tries > 0
+        match self.phase {
+            RunPhase::Recording => self.tries > 0,
+            RunPhase::Stopped { .. } => self.was_there,
+            _ => true,
+        }
     }
 
     /// Tells whether it may be the cause if its worker crashes.
--- a/crates/dispatch/src/owner/job.rs
+++ b/crates/dispatch/src/owner/job.rs
@@ -22,6 +22,7 @@
 use crate::record::TaskPhase;
 use crate::record::TaskProgress;
 use slotmap::new_key_type;
+use std::collections::BTreeSet;
 use std::rc::Rc;
 
 new_key_type! {
@@ -175,9 +176,12 @@
         self.losses.push(loss);
     }
 
-    /// Gives how many workers may have crashed under it of which that is not known yet.
+    /// Gives under how many of its runs workers may have crashed, where that is not known yet. A
+    /// gang may lose several in one run, which counts once.
     pub(crate) fn unsettled(&self) -> u32 {
-        self.losses.iter().filter(|loss| loss.is_suspect).count() as u32
+        let suspects = self.losses.iter().filter(|loss| loss.is_suspect);
+        let runs: BTreeSet<u32> = suspects.map(|loss| loss.run).collect();
+        runs.len() as u32
     }
 
     /// Gives until when it waits for what became of its workers, if it does.
--- a/crates/dispatch/src/owner/looks.rs
+++ b/crates/dispatch/src/owner/looks.rs
@@ -497,6 +497,7 @@
     if row.percent > run.percent {
         run.moved_ms = now_ms;
     }
+    run.was_there = true;
     run.percent = row.percent;
     run.gauge = row.gauge;
     if !row.checkpoint.is_empty() {
--- a/crates/dispatch/src/owner/orders.rs
+++ b/crates/dispatch/src/owner/orders.rs
@@ -129,7 +129,10 @@
         let is_first = run.tries <= 1;
         worker.has_orders = true;
         match end {
-            OrderEnd::Done { .. } => run.phase = RunPhase::Present { since_ms: now_ms },
+            OrderEnd::Done { .. } => {
+                run.phase = RunPhase::Present { since_ms: now_ms };
+                run.was_there = true;
+            }
             OrderEnd::Unknown => {
                 run.phase = RunPhase::Doubtful { since_ms: now_ms };
                 let id = &worker.entry.id;
--- a/crates/dispatch/src/owner/worker.rs
+++ b/crates/dispatch/src/owner/worker.rs
@@ -110,6 +110,8 @@
     pub(crate) is_probe: bool,
     /// Orders to start it that were sent.
     pub(crate) tries: u32,
+    /// Its worker has answered that it is there.
+    pub(crate) was_there: bool,
     pub(crate) checkpoint: Box<str>,
     pub(crate) percent: u32,
     /// When the order to start it was sent.
@@ -152,6 +154,7 @@
             is_sound: false,
             is_probe: false,
             tries: 0,
+            was_there: false,
             checkpoint: "".into(),
             percent: 0,
             begun_ms: now_ms,
--- a/tests/dispatch_faults.rs
+++ b/tests/dispatch_faults.rs
@@ -22,6 +22,8 @@
 
 /// Sequences that CI runs.
 const SEQUENCES: u64 = 40;
+/// Time after which a worker that has crashed is back, where no fault makes that longer.
+const BACK_MS: u64 = 3_400;
 const HOSTS: usize = 3;
 const WORKERS: usize = 4;
 /// Faults in one sequence.
@@ -92,6 +94,12 @@
     ),
 ];
 
+/// The same with workers that start again under their ids.
+const FORMER_FAILURES_REBORN: &[(u64, &str)] = &[(
+    251,
+    "a new incarnation was opened, and nobody looked at what waits",
+)];
+
 /// Who carries the owner's orders in a sequence.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Orders {
@@ -190,9 +198,9 @@
 /// Crashes workers that start again under their ids or others, soon or late, with clocks that are
 /// right or set back.
 fn crash_some(fleet: &mut Fleet, random: &mut Pcg64) {
-    const BACK_MS: [u64; 6] = [5, 30, 300, 900, 3_400, 8_000];
+    const AWAY_MS: [u64; 6] = [5, 30, 300, 900, BACK_MS, 8_000];
     fleet.keep_ids(random.random_range(0..4) > 0);
-    fleet.set_back_ms(BACK_MS[random.random_range(0..BACK_MS.len())]);
+    fleet.set_back_ms(AWAY_MS[random.random_range(0..AWAY_MS.len())]);
     fleet.set_clocks_back([0, 60_000][random.random_range(0..2)]);
     fleet.set_report_ms([0, 1_500, 5_000][random.random_range(0..3)]);
     for worker in 0..WORKERS {
@@ -361,6 +369,9 @@
         fleet.run(random.random_range(50..1_500));
     }
     heal(&mut fleet);
+    if ids == Ids::OldToo {
+        fleet.set_back_ms(BACK_MS);
+    }
     if callers == Callers::Poisonous {
         resize_in_calm(&mut fleet, &mut random, &mut jobs);
         for worker in 0..WORKERS {
@@ -487,7 +498,8 @@
         Callers::Insistent,
         Callers::Poisonous,
     ];
-    for seed in 0..sequences() {
+    let former = FORMER_FAILURES_REBORN.iter().map(|(seed, _)| *seed);
+    for seed in (0..sequences()).chain(former) {
         for callers in CALLERS {
             for orders in [Orders::Direct, Orders::Relayed] {
                 expect_that!(
