Starts of runs that were there count, whatever was answered when

What callers saw: a task that crashes its workers had three more starts after the third crash, where it is a member of a gang.

--- a/crates/dispatch/src/owner/crashes.rs
+++ b/crates/dispatch/src/owner/crashes.rs
@@ -384,12 +384,15 @@
         }
     }
 
-    /// Takes in that a start was refused, so that it was none.
+    /// Takes in that a start was refused, so that it was none; of a gang other members may have
+    /// begun.
     pub(super) fn take_back_start(&mut self, task: TaskId) {
-        let key = self.job_keys.get(&task.job).copied();
-        if self.unit(task) == task
-            && let Some(state) = key.and_then(|key| self.jobs[key].task_mut(task))
-        {
+        let Some(key) = self.job_keys.get(&task.job).copied() else {
+            return;
+        };
+        let job = &mut self.jobs[key];
+        let is_gang = job.step(task).is_some_and(|step| step.is_gang);
+        if let Some(state) = job.task_mut(task).filter(|_| !is_gang) {
             state.suspicion.take_back_start();
         }
     }
--- a/crates/dispatch/src/owner/orders.rs
+++ b/crates/dispatch/src/owner/orders.rs
@@ -123,16 +123,15 @@
         let Some(run) = worker.runs.get_mut(&(task, number)) else {
             return;
         };
+        // It may be told to stop already, and be there all the same.
+        run.was_there |= matches!(end, OrderEnd::Done { .. });
         if run.phase != RunPhase::Sent {
             return;
         }
         let is_first = run.tries <= 1;
         worker.has_orders = true;
         match end {
-            OrderEnd::Done { .. } => {
-                run.phase = RunPhase::Present { since_ms: now_ms };
-                run.was_there = true;
-            }
+            OrderEnd::Done { .. } => run.phase = RunPhase::Present { since_ms: now_ms },
             OrderEnd::Unknown => {
                 run.phase = RunPhase::Doubtful { since_ms: now_ms };
                 let id = &worker.entry.id;
--- a/tests/dispatch_faults.rs
+++ b/tests/dispatch_faults.rs
@@ -84,10 +84,16 @@
         "a task beside several poisoned ones was given up with them",
     ),
     (204, "a run was taken for sound as a new owner saw it once"),
+    (
+        55,
+        "a run that was told to stop before its start was answered counted for nothing",
+    ),
+    (232, "the same"),
     (
         242,
         "starts of a gang that came to nothing were not bounded",
     ),
+    (278, "a run that was told to stop, as above"),
     (
         372,
         "a task beside several poisoned ones was given up with them",
