Relays are told a worker's address anew when it starts again elsewhere

An owner numbers the workers that its relays call by their ids; one that starts again under its id at another address kept the number, and with it the address that the relays had been told. Found by reading, as the same class: a name that outlives what it names. It showed little, as an order without an answer goes over another relay or directly for 5 s; then one look in 5 s went nowhere. Numbers go by id and address now. The test is of the whole way, direct and relayed; it passed before, too.

--- a/crates/dispatch/src/relay/peer.rs
+++ b/crates/dispatch/src/relay/peer.rs
@@ -36,7 +36,8 @@
     pub(super) failures: u32,
     /// When it last said something.
     pub(super) heard_ms: u64,
-    numbers: HashMap<Box<str>, u32>,
+    /// Numbers of workers, by id and address: a worker may start again elsewhere under its id.
+    numbers: HashMap<(Box<str>, Box<str>), u32>,
     pub(super) texts: HashSet<JobId>,
     /// Orders that go out at the end of this turn.
     pub(super) frame: OrdersFrame,
@@ -80,7 +81,8 @@
     pub(super) fn add(&mut self, order: &RelayedOrder<'_>) -> usize {
         let mut bytes = 0;
         let next = self.numbers.len() as u32;
-        let number = *self.numbers.entry(order.worker.into()).or_insert(next);
+        let worker = (order.worker.into(), order.address.into());
+        let number = *self.numbers.entry(worker).or_insert(next);
         if number == next {
             let name = WorkerName {
                 number,
--- a/tests/dispatch_incarnations.rs
+++ b/tests/dispatch_incarnations.rs
@@ -402,3 +402,23 @@
         expect_that!(fleet.state(0, JOB), some(eq(JobState::Completed)));
     }
 }
+
+/// Guards against calls that go where a worker was before: it starts again under its id at another
+/// address, and owners that have their orders relayed told the relays of its former one.
+#[gtest]
+fn a_worker_that_starts_again_at_another_address_is_found_there() {
+    for mut fleet in [Fleet::new(3, 1), Fleet::with_relays(3, 1)] {
+        fleet.submit(0, JOB, &job(vec![step(4, 300, &[])]));
+        fleet.run(1_500);
+        if let Some(worker) = fleet.workers.get_mut("10.0.0.0:80") {
+            worker.die();
+        }
+        fleet.run(500);
+        fleet.add_worker("10.0.0.9:80", "w0-1");
+        fleet.submit(0, JOB + 1, &job(vec![step(4, 300, &[])]));
+        fleet.run(1_500);
+        let state = fleet.state(0, JOB + 1);
+        expect_that!(state, some(eq(JobState::Completed)), "{:#?}", fleet.lines);
+        expect_that!(fleet.promises.broken, is_empty());
+    }
+}
