--- a/crates/dispatch/src/owner/incarnations.rs
+++ b/crates/dispatch/src/owner/incarnations.rs
@@ -125,6 +125,9 @@
             self.lose_run(former, task, run, now_ms);
         }
         self.workers.remove(former);
+        // Connections that were open to the former one may hang.
+        let address = self.workers[key].entry.address.clone();
+        actions.push(Action::Forget { address });
         self.take_fall(fall, now, actions);
         self.must_place = true;
         key
