Owner files by job: tasks, progress, strays, burials; records of workers apart

Tasks and what was lost under them stand in task.rs, what goes on record of them in progress.rs, runs that are no task's own in strays.rs, workers that are given up in burials.rs, records of workers in worker_record.rs; deliveries of the fleet and former failures of the sequences in files of their own. A lost worker is made in one place.

--- a/crates/dispatch/src/ledger.rs
+++ b/crates/dispatch/src/ledger.rs
@@ -11,7 +11,7 @@
 use crate::record::Progress;
 use crate::record::StateRecord;
 use crate::record::Submission;
-use crate::record::WorkerRecord;
+use crate::worker_record::WorkerRecord;
 use prost::Message;
 use std::collections::BTreeMap;
 use std::collections::HashMap;
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -42,6 +42,7 @@
 mod record;
 mod relay;
 mod tail;
+mod worker_record;
 
 pub use bounds::Bounds;
 pub use config::Config;
--- a/crates/dispatch/src/owner/crashes.rs
+++ b/crates/dispatch/src/owner/crashes.rs
@@ -12,8 +12,8 @@
 use crate::incarnation::Incarnation;
 use crate::owner::Owner;
 use crate::owner::job::JobKey;
-use crate::owner::job::Loss;
-use crate::owner::job::Task;
+use crate::owner::task::Loss;
+use crate::owner::task::Task;
 use crate::owner::worker::Fate;
 use crate::owner::worker::Run;
 use crate::owner::worker::RunPhase;
@@ -46,6 +46,17 @@
     tasks: BTreeSet<TaskId>,
 }
 
+impl LostWorker {
+    fn new(loss: &Loss, span: Option<Span>) -> Self {
+        Self {
+            address: loss.address.clone(),
+            incarnation: loss.incarnation,
+            span,
+            tasks: BTreeSet::new(),
+        }
+    }
+}
+
 /// A worker that is given up, and what goes with it.
 pub(super) struct Fall {
     worker: Box<str>,
@@ -204,12 +215,7 @@
             .crashes
             .lost
             .entry(loss.worker.clone())
-            .or_insert_with(|| LostWorker {
-                address: loss.address.clone(),
-                incarnation: loss.incarnation,
-                span,
-                tasks: BTreeSet::new(),
-            });
+            .or_insert_with(|| LostWorker::new(&loss, span));
         lost.tasks.insert(task);
         state.note_loss(loss, now_ms);
         job.is_dirty = true;
@@ -224,12 +230,7 @@
             }
         });
         for (task, loss) in inherited {
-            let lost = LostWorker {
-                address: loss.address.clone(),
-                incarnation: loss.incarnation,
-                span: None,
-                tasks: BTreeSet::new(),
-            };
+            let lost = LostWorker::new(&loss, None);
             let lost = self.crashes.lost.entry(loss.worker).or_insert(lost);
             lost.tasks.insert(task);
         }
--- a/crates/dispatch/src/owner/ends.rs
+++ b/crates/dispatch/src/owner/ends.rs
@@ -6,7 +6,7 @@
 use crate::ids::TaskId;
 use crate::owner::Owner;
 use crate::owner::job::JobKey;
-use crate::owner::job::Placed;
+use crate::owner::task::Placed;
 use crate::owner::worker::WorkerKey;
 use crate::record::JobPhase;
 use goldcrestway_core::Code;
--- a/crates/dispatch/src/owner/incarnations.rs
+++ b/crates/dispatch/src/owner/incarnations.rs
@@ -11,7 +11,7 @@
 use crate::event::Now;
 use crate::ids::TaskId;
 use crate::owner::Owner;
-use crate::owner::job::Placed;
+use crate::owner::task::Placed;
 use crate::owner::worker::Fate;
 use crate::owner::worker::Run;
 use crate::owner::worker::RunPhase;
--- a/crates/dispatch/src/owner/job.rs
+++ b/crates/dispatch/src/owner/job.rs
@@ -4,25 +4,21 @@
 use crate::event::Now;
 use crate::ids::JobId;
 use crate::ids::TaskId;
-use crate::incarnation::Incarnation;
 use crate::ledger::JobRecord;
 use crate::owner::permits::ASKED_MOST;
+use crate::owner::progress::resume_step;
+use crate::owner::progress::step_progress;
+use crate::owner::task::Task;
 use crate::owner::worker::WorkerKey;
 use crate::policy::ordering::Waiting;
 use crate::policy::size::tasks_most;
-use crate::policy::suspicion::Suspicion;
 use crate::record::JobPhase;
-use crate::record::LossRecord;
 use crate::record::OccurrenceProgress;
 use crate::record::Progress;
 use crate::record::StateRecord;
 use crate::record::Step;
-use crate::record::StepProgress;
 use crate::record::Submission;
-use crate::record::TaskPhase;
-use crate::record::TaskProgress;
 use slotmap::new_key_type;
-use std::collections::BTreeSet;
 use std::rc::Rc;
 
 new_key_type! {
@@ -33,171 +29,6 @@
 /// Work of a task when its caller gives no estimate.
 const UNKNOWN_WORK_MS: u64 = 1_000;
 
-/// A run of a task that is on record.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) struct Placed {
-    pub(crate) run: u32,
-    pub(crate) worker: WorkerKey,
-}
-
-/// Times that the wait before the next run of a task doubles: from 30 ms to 1 s after a bad end.
-/// Tasks that last must run again within seconds where they can.
-const DOUBLINGS_MOST: u32 = 5;
-/// Time for which a task that is suspected waits for a worker on which nothing else is. A job that
-/// could run and does not for three seconds counts as lost.
-const ALONE_WAIT_MS: u64 = 2_000;
-/// Losses of a task that are kept until it is known what became of their workers.
-const LOSSES_MOST: usize = 4;
-/// Time for which a task that may have had its last starts waits until it is known whether workers
-/// have crashed. Those that crash are back within twice a lease, mostly.
-const SETTLE_MS: u64 = 6_000;
-
-/// A run that went with a worker that was given up.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub(crate) struct Loss {
-    pub(crate) worker: Box<str>,
-    pub(crate) address: Box<str>,
-    pub(crate) incarnation: Incarnation,
-    pub(crate) run: u32,
-    /// The run may be the cause if the worker has crashed.
-    pub(crate) is_suspect: bool,
-    /// Nothing else there may be.
-    pub(crate) is_alone: bool,
-    /// The worker has answered that the run is there.
-    pub(crate) is_confirmed: bool,
-}
-
-impl Loss {
-    /// Tells whether the run was there for certain and may have crashed the worker. What a new owner
-    /// has never seen there is not suspected: after an outage that would be all tasks of a domain.
-    pub(crate) fn may_be_cause(&self) -> bool {
-        self.is_suspect && self.is_confirmed
-    }
-
-    fn new(record: &LossRecord) -> Self {
-        Self {
-            worker: record.worker.as_str().into(),
-            address: record.address.as_str().into(),
-            incarnation: record.started_wall_ms.into(),
-            run: record.run,
-            is_suspect: record.is_suspect,
-            is_alone: record.is_alone,
-            is_confirmed: record.is_confirmed,
-        }
-    }
-
-    fn record(&self) -> LossRecord {
-        LossRecord {
-            worker: self.worker.to_string(),
-            address: self.address.to_string(),
-            started_wall_ms: self.incarnation.started_wall_ms(),
-            run: self.run,
-            is_suspect: self.is_suspect,
-            is_alone: self.is_alone,
-            is_confirmed: self.is_confirmed,
-        }
-    }
-}
-
-/// One task.
-#[derive(Debug, Clone, Default)]
-pub(crate) struct Task {
-    pub(crate) is_done: bool,
-    /// Number of its latest run; 0 before the first.
-    pub(crate) run: u32,
-    pub(crate) failures: u32,
-    /// Its run, if one may be on a worker.
-    pub(crate) placed: Option<Placed>,
-    /// A second run beside it, of a step that allows copies.
-    pub(crate) copy: Option<Placed>,
-    pub(crate) checkpoint: Box<str>,
-    /// Earliest time of the next run.
-    pub(crate) not_before_ms: u64,
-    /// Runs in a row that ended badly, or were refused, before they had worked for a while.
-    pub(crate) mishaps: u32,
-    /// Worker on which it failed last; another one is tried first.
-    pub(crate) failed_on: Option<WorkerKey>,
-    /// Until when its next run waits for a worker on which nothing else is suspected, if it does.
-    pub(crate) alone_until_ms: Option<u64>,
-    /// What speaks against it when its workers crash.
-    pub(crate) suspicion: Suspicion,
-    /// Runs that went with workers of which it is not known whether they have crashed.
-    pub(crate) losses: Vec<Loss>,
-    /// When the newest of them was.
-    pub(crate) lost_ms: u64,
-}
-
-impl Task {
-    /// Lets go of a run that is over; its copy, if there is one, takes its place. Tells
-    /// whether the run was the task's at all.
-    pub(crate) fn let_go(&mut self, run: Placed) -> bool {
-        if self.placed == Some(run) {
-            self.placed = self.copy.take();
-            return true;
-        }
-        self.copy.take_if(|copy| *copy == run).is_some()
-    }
-
-    /// Has it wait before its next run: at first for as long as given, and twice as long with each
-    /// mishap in a row, so that a task which can't run anywhere does not keep store and workers
-    /// busy.
-    pub(crate) fn wait_longer(&mut self, first_ms: u64, now_ms: u64) {
-        let doublings = self.mishaps.min(DOUBLINGS_MOST);
-        self.not_before_ms = now_ms + (first_ms << doublings);
-        self.mishaps += 1;
-    }
-
-    pub(crate) fn is_waiting(&self) -> bool {
-        !self.is_done && self.placed.is_none()
-    }
-
-    /// Tells whether it may have crashed a worker.
-    pub(crate) fn is_suspect(&self) -> bool {
-        self.suspicion.is_open() || self.losses.iter().any(Loss::may_be_cause)
-    }
-
-    /// Begins, or goes on, to wait for a worker on which nothing else is suspected, as there are
-    /// only others. Gives until when it waits.
-    pub(crate) fn wait_alone(&mut self, now_ms: u64) -> u64 {
-        *self.alone_until_ms.get_or_insert(now_ms + ALONE_WAIT_MS)
-    }
-
-    /// Tells whether it may still wait for such a worker.
-    pub(crate) fn may_wait_alone(&self, now_ms: u64) -> bool {
-        self.alone_until_ms.is_none_or(|until_ms| now_ms < until_ms)
-    }
-
-    /// Keeps a loss until it is known what became of its worker.
-    pub(crate) fn note_loss(&mut self, loss: Loss, now_ms: u64) {
-        self.lost_ms = now_ms;
-        if self.losses.len() == LOSSES_MOST {
-            self.losses.remove(0);
-        }
-        self.losses.push(loss);
-    }
-
-    /// Gives under how many of its runs workers may have crashed, where that is not known yet. A
-    /// gang may lose several in one run, which counts once.
-    pub(crate) fn unsettled(&self) -> u32 {
-        let suspects = self.losses.iter().filter(|loss| loss.is_suspect);
-        let runs: BTreeSet<u32> = suspects.map(|loss| loss.run).collect();
-        runs.len() as u32
-    }
-
-    /// Gives until when it waits for what became of its workers, if it does.
-    pub(crate) fn settles_ms(&self, now_ms: u64) -> Option<u64> {
-        let until_ms = self.lost_ms + SETTLE_MS;
-        (self.suspicion.awaits(self.unsettled()) && now_ms < until_ms).then_some(until_ms)
-    }
-
-    /// Takes what was lost with a worker.
-    pub(crate) fn take_losses(&mut self, worker: &str) -> Vec<Loss> {
-        self.losses
-            .extract_if(.., |loss| *loss.worker == *worker)
-            .collect()
-    }
-}
-
 /// The tasks of one step of one occurrence.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct StepState {
@@ -505,85 +336,6 @@
     }
 }
 
-fn resume_step(
-    state: &mut StepState,
-    step: &StepProgress,
-    worker: &mut impl FnMut(&str) -> WorkerKey,
-) {
-    for task in &mut state.tasks {
-        task.is_done = step.is_done;
-    }
-    for (task, past) in state.tasks.iter_mut().zip(&step.tasks) {
-        task.run = past.run.max(past.copy_run);
-        task.failures = past.failures;
-        task.checkpoint = past.checkpoint.as_str().into();
-        task.is_done = past.phase() == TaskPhase::Done;
-        task.suspicion = Suspicion {
-            crashes: past.crashes,
-            confirmed: past.confirmed,
-            starts: past.suspect_starts,
-            run: past.crashed_run,
-            address: past.crashed_address.as_str().into(),
-        };
-        task.losses = past.losses.iter().map(Loss::new).collect();
-        if past.phase() == TaskPhase::Assigned {
-            task.placed = Some(Placed {
-                run: past.run,
-                worker: worker(&past.worker),
-            });
-        }
-        if !past.copy_worker.is_empty() {
-            task.copy = Some(Placed {
-                run: past.copy_run,
-                worker: worker(&past.copy_worker),
-            });
-        }
-    }
-    state.recount();
-}
-
-fn step_progress(state: &StepState, name: &impl Fn(WorkerKey) -> String) -> StepProgress {
-    if state.is_done() {
-        return StepProgress {
-            is_done: true,
-            tasks: Vec::new(),
-        };
-    }
-    let is_untouched = state.tasks.iter().all(|task| task.run == 0);
-    let mut tasks = Vec::new();
-    for task in &state.tasks {
-        if is_untouched {
-            break;
-        }
-        let phase = match (task.is_done, task.placed) {
-            (true, _) => TaskPhase::Done,
-            (false, Some(_)) => TaskPhase::Assigned,
-            (false, None) => TaskPhase::Waiting,
-        };
-        tasks.push(TaskProgress {
-            phase: phase as i32,
-            run: task.placed.map_or(task.run, |placed| placed.run),
-            failures: task.failures,
-            worker: task
-                .placed
-                .map_or(String::new(), |placed| name(placed.worker)),
-            checkpoint: task.checkpoint.to_string(),
-            copy_run: task.copy.map_or(0, |copy| copy.run),
-            copy_worker: task.copy.map_or(String::new(), |copy| name(copy.worker)),
-            crashes: task.suspicion.crashes,
-            confirmed: task.suspicion.confirmed,
-            suspect_starts: task.suspicion.starts,
-            crashed_run: task.suspicion.run,
-            crashed_address: task.suspicion.address.to_string(),
-            losses: task.losses.iter().map(Loss::record).collect(),
-        });
-    }
-    StepProgress {
-        is_done: false,
-        tasks,
-    }
-}
-
 /// Gives the work of the longest chain of those steps that are `counted`.
 fn chain_ms(submission: &Submission, counted: impl Fn(usize) -> bool) -> u64 {
     let mut ends_ms: Vec<u64> = Vec::with_capacity(submission.steps.len());
--- a/crates/dispatch/src/owner/looks.rs
+++ b/crates/dispatch/src/owner/looks.rs
@@ -9,15 +9,12 @@
 use crate::ids::TaskId;
 use crate::owner::Owner;
 use crate::owner::calls::Purpose;
-use crate::owner::job::Placed;
 use crate::owner::worker::Fate;
 use crate::owner::worker::Run;
 use crate::owner::worker::RunPhase;
 use crate::owner::worker::WorkerKey;
-use crate::policy::images::ImageKey;
 use crate::policy::link::Rank;
 use crate::policy::suspicion::SOUND_MS;
-use crate::record::Step;
 use goldcrestway_core::Code;
 use goldcrestway_core::Note;
 use std::collections::HashSet;
@@ -277,90 +274,6 @@
         }
     }
 
-    /// Takes back a run that was given up and is at work all the same, while its task runs nowhere
-    /// else. Stopped, it would still be there while the next one begins. Tells whether it was.
-    fn take_back(&mut self, key: WorkerKey, row: &ListedRun, now_ms: u64) -> bool {
-        let Some(job_key) = self.job_keys.get(&row.task.job).copied() else {
-            return false;
-        };
-        let job = &mut self.jobs[job_key];
-        // Members of a gang start together, under a number of their own.
-        let is_gang = job.step(row.task).is_some_and(|step| step.is_gang);
-        if is_gang || job.phase.is_final() {
-            return false;
-        }
-        let Some(task) = job.task_mut(row.task) else {
-            return false;
-        };
-        if !task.is_waiting() || task.run != row.run {
-            return false;
-        }
-        task.placed = Some(Placed {
-            run: row.run,
-            worker: key,
-        });
-        if let Some(step) = job.step_mut(row.task) {
-            step.recount();
-        }
-        job.is_dirty = true;
-        let phase = RunPhase::Present { since_ms: now_ms };
-        let mut run = self.make_run(job_key, row.task, phase, now_ms);
-        run.is_probe = self.suspected_at(row.task).is_some();
-        self.workers[key].add(row.task, row.run, run);
-        true
-    }
-
-    /// A run that nobody here knows is stopped: it may be of a job that has ended, or an
-    /// order of a former owner that was carried out late. It takes its room until it has
-    /// ended; without that, a new owner would start too much beside the tasks of a job that
-    /// was cancelled just before, where workers start whatever they are told to.
-    fn add_stray(&mut self, key: WorkerKey, row: &ListedRun, now_ms: u64) {
-        let phase = match self.unread.contains_key(&row.task.job) {
-            true => RunPhase::Present { since_ms: now_ms },
-            false => RunPhase::Stopping { again_ms: 0 },
-        };
-        let mut run = self.make_unknown_run(row.task, phase, key);
-        run.is_stray = true;
-        self.workers[key].has_orders = true;
-        self.workers[key].add(row.task, row.run, run);
-        if self.job_keys.contains_key(&row.task.job) {
-            self.strays.insert(row.task, (key, row.run));
-        }
-    }
-
-    /// Tells whether a run of a task is known to be there that is no more the task's own. The next
-    /// one must not begin beside it.
-    pub(super) fn is_astray(&mut self, task: TaskId) -> bool {
-        let Some((worker, run)) = self.strays.get(&task).copied() else {
-            return false;
-        };
-        let worker = self.workers.get(worker);
-        let is_there = worker.is_some_and(|worker| worker.runs.contains_key(&(task, run)));
-        if !is_there {
-            self.strays.remove(&task);
-        }
-        is_there
-    }
-
-    /// Makes a run of a task that may be of no job under way.
-    pub(super) fn make_unknown_run(&mut self, task: TaskId, phase: RunPhase, at: WorkerKey) -> Run {
-        if let Some(job) = self.job_keys.get(&task.job).copied() {
-            return self.make_run(job, task, phase, 0);
-        }
-        let step = self.over_step(task).unwrap_or_else(|| Step {
-            // Nothing is known of it, so it may fill the worker.
-            cpu_milli: self.workers[at].entry.room.cpu_milli,
-            ..Step::default()
-        });
-        Run::new(&step, ImageKey::default(), phase, 0)
-    }
-
-    /// Gives the step of a task of a job that is over.
-    fn over_step(&self, task: TaskId) -> Option<Step> {
-        let submission = self.over.get(&task.job)?;
-        submission.steps.get(usize::from(task.step)).cloned()
-    }
-
     fn take_absent(
         &mut self,
         key: WorkerKey,
@@ -455,82 +368,6 @@
             run.phase = phase;
         }
     }
-
-    /// Gives up a worker: nothing that was there can be alive.
-    pub(crate) fn bury(&mut self, key: WorkerKey, fate: Fate, now: Now, actions: &mut Vec<Action>) {
-        self.note_burial(key, fate, now.steady_ms, actions);
-        let fall = self.describe_fall(key, fate, now.steady_ms);
-        self.note_unanswered(key, now.steady_ms);
-        let runs: Vec<(TaskId, u32)> = self.workers[key].runs.keys().copied().collect();
-        for (task, run) in runs {
-            self.lose_run(key, task, run, now.steady_ms);
-        }
-        let Some(worker) = self.workers.remove(key) else {
-            return;
-        };
-        self.worker_keys.remove(&worker.entry.id);
-        if !worker.entry.address.is_empty() {
-            actions.push(Action::Forget {
-                address: worker.entry.address.clone(),
-            });
-        }
-        // It may be alive and cut off; then it is met again as one that runs nothing.
-        if worker.is_listed {
-            let id = worker.entry.id.clone();
-            let mut again = self.meet(worker.entry, now.steady_ms);
-            again.incarnation = worker.incarnation;
-            again.next_look_ms = now.steady_ms + SILENT_GAP_MS;
-            let key = self.workers.insert(again);
-            self.worker_keys.insert(id, key);
-        }
-        self.take_fall(fall, now, actions);
-        self.must_place = true;
-    }
-}
-
-impl Owner {
-    /// Tells why a worker is given up and what goes with it, so that a task which takes its
-    /// workers down can be told from tasks that are merely there, and a crash from a cut.
-    pub(super) fn note_burial(
-        &mut self,
-        key: WorkerKey,
-        fate: Fate,
-        now_ms: u64,
-        actions: &mut Vec<Action>,
-    ) {
-        let worker = &self.workers[key];
-        actions.push(Action::Note(Note::new(
-            Code::WorkerGone,
-            &*worker.entry.id,
-            format!(
-                "why={fate:?} incarnation={} address={} leaving={} listed={} answer_age_ms={} runs={} now_ms={now_ms}",
-                worker.incarnation,
-                worker.entry.address,
-                worker.was_leaving,
-                worker.is_listed,
-                now_ms.saturating_sub(worker.answered_ms),
-                worker.runs.len()
-            ),
-        )));
-        self.figures.workers_gone += 1;
-        self.figures.workers_replaced += u64::from(fate.is_replaced());
-        self.figures.lost += worker.runs.len() as u64;
-        for ((task, number), run) in &worker.runs {
-            actions.push(Action::Note(Note::new(
-                Code::RunLost,
-                task.to_string(),
-                format!(
-                    "run={number} worker={} why={fate:?} age_ms={} order_to_answer_ms={} phase={:?} percent={} stray={}",
-                    worker.entry.id,
-                    now_ms.saturating_sub(run.begun_ms),
-                    worker.answered_ms as i64 - run.begun_ms as i64,
-                    run.phase,
-                    run.percent,
-                    run.is_stray
-                ),
-            )));
-        }
-    }
 }
 
 fn note_row(run: &mut Run, row: &ListedRun, now_ms: u64) {
--- a/crates/dispatch/src/owner/mod.rs
+++ b/crates/dispatch/src/owner/mod.rs
@@ -10,6 +10,7 @@
 //!   after which they refuse whatever a former owner still sends.
 
 mod adopting;
+mod burials;
 mod calls;
 mod crashes;
 mod ends;
@@ -23,8 +24,11 @@
 mod permits;
 mod placing;
 mod pricing;
+mod progress;
 mod relaying;
 mod stragglers;
+mod strays;
+mod task;
 mod waits;
 mod worker;
 mod writing;
--- /dev/null
+++ b/crates/dispatch/src/owner/progress.rs
@@ -0,0 +1,92 @@
+//! Steps of jobs as they are put on record, and taken up from there.
+
+use crate::owner::job::StepState;
+use crate::owner::task::Loss;
+use crate::owner::task::Placed;
+use crate::owner::worker::WorkerKey;
+use crate::policy::suspicion::Suspicion;
+use crate::record::StepProgress;
+use crate::record::TaskPhase;
+use crate::record::TaskProgress;
+
+pub(super) fn resume_step(
+    state: &mut StepState,
+    step: &StepProgress,
+    worker: &mut impl FnMut(&str) -> WorkerKey,
+) {
+    for task in &mut state.tasks {
+        task.is_done = step.is_done;
+    }
+    for (task, past) in state.tasks.iter_mut().zip(&step.tasks) {
+        task.run = past.run.max(past.copy_run);
+        task.failures = past.failures;
+        task.checkpoint = past.checkpoint.as_str().into();
+        task.is_done = past.phase() == TaskPhase::Done;
+        task.suspicion = Suspicion {
+            crashes: past.crashes,
+            confirmed: past.confirmed,
+            starts: past.suspect_starts,
+            run: past.crashed_run,
+            address: past.crashed_address.as_str().into(),
+        };
+        task.losses = past.losses.iter().map(Loss::new).collect();
+        if past.phase() == TaskPhase::Assigned {
+            task.placed = Some(Placed {
+                run: past.run,
+                worker: worker(&past.worker),
+            });
+        }
+        if !past.copy_worker.is_empty() {
+            task.copy = Some(Placed {
+                run: past.copy_run,
+                worker: worker(&past.copy_worker),
+            });
+        }
+    }
+    state.recount();
+}
+
+pub(super) fn step_progress(
+    state: &StepState,
+    name: &impl Fn(WorkerKey) -> String,
+) -> StepProgress {
+    if state.is_done() {
+        return StepProgress {
+            is_done: true,
+            tasks: Vec::new(),
+        };
+    }
+    let is_untouched = state.tasks.iter().all(|task| task.run == 0);
+    let mut tasks = Vec::new();
+    for task in &state.tasks {
+        if is_untouched {
+            break;
+        }
+        let phase = match (task.is_done, task.placed) {
+            (true, _) => TaskPhase::Done,
+            (false, Some(_)) => TaskPhase::Assigned,
+            (false, None) => TaskPhase::Waiting,
+        };
+        tasks.push(TaskProgress {
+            phase: phase as i32,
+            run: task.placed.map_or(task.run, |placed| placed.run),
+            failures: task.failures,
+            worker: task
+                .placed
+                .map_or(String::new(), |placed| name(placed.worker)),
+            checkpoint: task.checkpoint.to_string(),
+            copy_run: task.copy.map_or(0, |copy| copy.run),
+            copy_worker: task.copy.map_or(String::new(), |copy| name(copy.worker)),
+            crashes: task.suspicion.crashes,
+            confirmed: task.suspicion.confirmed,
+            suspect_starts: task.suspicion.starts,
+            crashed_run: task.suspicion.run,
+            crashed_address: task.suspicion.address.to_string(),
+            losses: task.losses.iter().map(Loss::record).collect(),
+        });
+    }
+    StepProgress {
+        is_done: false,
+        tasks,
+    }
+}
--- a/crates/dispatch/src/owner/writing.rs
+++ b/crates/dispatch/src/owner/writing.rs
@@ -25,7 +25,7 @@
 use crate::record::OwnerRecord;
 use crate::record::SilentWorker;
 use crate::record::StateRecord;
-use crate::record::WorkerRecord;
+use crate::worker_record::WorkerRecord;
 use prost::Message;
 
 /// Pause between appends of progress. Each costs a call to the store; a start that waits
--- a/crates/dispatch/src/record.rs
+++ b/crates/dispatch/src/record.rs
@@ -4,7 +4,6 @@
 //! of what its key names, and history may be dropped at any time.
 
 use crate::config::Room;
-use crate::config::WorkerEntry;
 use crate::ids::JobId;
 use prost::Message;
 
@@ -347,72 +346,6 @@
     pub(crate) press: f64,
 }
 
-/// A worker as the owner last saw it listed, for a successor that can't read the list.
-#[derive(Clone, PartialEq, Eq, Message)]
-pub(crate) struct WorkerRecord {
-    #[prost(string, tag = "1")]
-    pub(crate) service: String,
-    #[prost(string, tag = "2")]
-    pub(crate) address: String,
-    #[prost(string, tag = "3")]
-    pub(crate) failure_domain: String,
-    #[prost(bool, tag = "4")]
-    pub(crate) is_leaving: bool,
-    #[prost(uint64, tag = "5")]
-    pub(crate) cpu_milli: u64,
-    #[prost(uint64, tag = "6")]
-    pub(crate) memory_mb: u64,
-    #[prost(uint64, tag = "7")]
-    pub(crate) accelerators: u64,
-    #[prost(string, tag = "8")]
-    pub(crate) rack: String,
-    #[prost(string, repeated, tag = "9")]
-    pub(crate) labels: Vec<String>,
-    /// When it started, by its clock.
-    #[prost(uint64, optional, tag = "10")]
-    pub(crate) started_wall_ms: Option<u64>,
-}
-
-impl WorkerRecord {
-    pub(crate) fn new(entry: &WorkerEntry) -> Self {
-        Self {
-            service: entry.service.to_string(),
-            address: entry.address.to_string(),
-            failure_domain: entry.failure_domain.to_string(),
-            is_leaving: entry.is_leaving,
-            cpu_milli: entry.room.cpu_milli,
-            memory_mb: entry.room.memory_mb,
-            accelerators: entry.room.accelerators,
-            rack: entry.rack.to_string(),
-            labels: entry.labels.iter().map(|label| label.to_string()).collect(),
-            started_wall_ms: entry.incarnation.started_wall_ms(),
-        }
-    }
-
-    pub(crate) fn entry(&self, id: &str) -> WorkerEntry {
-        WorkerEntry {
-            id: id.into(),
-            incarnation: self.started_wall_ms.into(),
-            service: self.service.as_str().into(),
-            address: self.address.as_str().into(),
-            failure_domain: self.failure_domain.as_str().into(),
-            is_leaving: self.is_leaving,
-            cold_ms: 0,
-            room: Room {
-                cpu_milli: self.cpu_milli,
-                memory_mb: self.memory_mb,
-                accelerators: self.accelerators,
-            },
-            rack: self.rack.as_str().into(),
-            labels: self
-                .labels
-                .iter()
-                .map(|label| label.as_str().into())
-                .collect(),
-        }
-    }
-}
-
 /// The state of a job as callers are told it.
 #[derive(Clone, Copy, PartialEq, Eq, Message)]
 pub(crate) struct StateRecord {
--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -3,6 +3,7 @@
 
 mod callers;
 mod carrying;
+mod delivering;
 mod fixtures;
 mod link;
 mod mishaps;
@@ -19,7 +20,6 @@
 pub(crate) use crate::fleet::fixtures::job;
 pub(crate) use crate::fleet::fixtures::step;
 pub(crate) use crate::fleet::link::Link;
-use crate::fleet::link::answer_bytes;
 use crate::fleet::mishaps::Mishaps;
 use crate::fleet::peers::Peers;
 use crate::fleet::peers::relay_address;
@@ -40,15 +40,10 @@
 use goldcrestway_dispatch::JobState;
 use goldcrestway_dispatch::Manner;
 use goldcrestway_dispatch::Now;
-use goldcrestway_dispatch::OrderEnd;
-use goldcrestway_dispatch::Refusal;
 use goldcrestway_dispatch::Reply;
 use goldcrestway_dispatch::Stream;
 use goldcrestway_dispatch::TaskId;
 use goldcrestway_dispatch::WorkerCall;
-use rand::RngExt;
-use rand::SeedableRng;
-use rand_pcg::Pcg64;
 use std::collections::BTreeMap;
 
 /// Virtual time moves on by this much.
@@ -451,112 +446,6 @@
         }
     }
 
-    fn deliver(&mut self) {
-        let mut due = Vec::new();
-        let now_ms = self.now_ms;
-        let mut at = 0;
-        while at < self.deliveries.len() {
-            if self.deliveries[at].0 <= now_ms {
-                due.push(self.deliveries.remove(at).1);
-            } else {
-                at += 1;
-            }
-        }
-        for delivery in due {
-            self.deliver_one(delivery);
-        }
-    }
-
-    fn deliver_one(&mut self, delivery: Delivery) {
-        match delivery {
-            Delivery::ToEntry(number, life, event) => {
-                if self.hosts[number].life != life {
-                    return;
-                }
-                if self.hosts[number].is_paused {
-                    self.hosts[number].held.push(event);
-                    return;
-                }
-                let is_store_call = matches!(
-                    event,
-                    Event::Appended { .. } | Event::Read { .. } | Event::Loaded { .. }
-                );
-                self.hosts[number].store_calls -= usize::from(is_store_call);
-                self.handle(number, event);
-            }
-            Delivery::Order(number, life, order) => {
-                let end = self.obey(&order);
-                self.reply_order(number, life, order.ticket, end);
-            }
-            Delivery::Late(order, came_to) => {
-                let lives = self.incarnation_at(&order.address);
-                if came_to == lives || self.outlive_lives {
-                    drop(self.obey(&order));
-                }
-            }
-            Delivery::Look(number, life, order, until_ms, held_by) => {
-                let lives = self.incarnation_at(&order.address);
-                // What a worker holds goes with it.
-                if held_by.is_some() && held_by != lives {
-                    return self.reply_order(number, life, order.ticket, OrderEnd::Unknown);
-                }
-                let end = self.obey(&order);
-                let has_end = match &end {
-                    OrderEnd::Done { listed, .. } => listed
-                        .as_ref()
-                        .is_some_and(|listed| !listed.ends.is_empty()),
-                    _ => true,
-                };
-                if has_end || self.now_ms >= until_ms {
-                    self.reply_order(number, life, order.ticket, end);
-                } else {
-                    let again = Delivery::Look(number, life, order.held(), until_ms, lives);
-                    self.deliveries.push((self.now_ms + 20, again));
-                }
-            }
-            Delivery::Read(reader) => self.read(reader),
-            Delivery::Load(loader) => self.load(loader),
-        }
-    }
-
-    /// Gives which incarnation lives at an address, if one does.
-    fn incarnation_at(&self, address: &str) -> Option<u64> {
-        let worker = self.workers.get(address).filter(|worker| worker.is_alive);
-        worker.map(|worker| worker.born_wall_ms)
-    }
-
-    fn obey(&mut self, order: &Order) -> OrderEnd {
-        let is_cut = self.cut_workers.contains(&order.address);
-        let Some(worker) = self.workers.get_mut(&order.address) else {
-            return OrderEnd::NotSent;
-        };
-        if is_cut || !worker.is_alive {
-            return OrderEnd::Unknown;
-        }
-        if worker.id != order.worker {
-            return OrderEnd::Refused(Refusal::Gone);
-        }
-        worker.obey(self.now_ms, order.token, &order.call, &mut self.promises)
-    }
-
-    fn reply_order(&mut self, number: usize, life: u64, ticket: u64, end: OrderEnd) {
-        let bytes = answer_bytes(&end);
-        let link_ms = self.hosts[number].receiving_ms(self.now_ms, bytes);
-        let delivery = Delivery::ToEntry(number, life, Event::Ordered { ticket, end });
-        let at_ms = self.now_ms + CALL_MS + link_ms + self.draw_lateness();
-        self.deliveries.push((at_ms, delivery));
-    }
-
-    /// Draws how late the next answer of a worker is.
-    fn draw_lateness(&mut self) -> u64 {
-        let Some((least_ms, most_ms, seed)) = &mut self.answers_late else {
-            return 0;
-        };
-        let mut random = Pcg64::seed_from_u64(*seed);
-        *seed = random.random();
-        random.random_range(*least_ms..=*most_ms)
-    }
-
     fn now(&self) -> Now {
         Now {
             steady_ms: self.now_ms,
--- a/tests/lib.rs
+++ b/tests/lib.rs
@@ -12,6 +12,7 @@
 mod dispatch_disturbances;
 mod dispatch_faults;
 mod dispatch_fillers;
+mod dispatch_former_failures;
 mod dispatch_freshness;
 mod dispatch_incarnations;
 mod dispatch_late_starts;
