--- a/tests/dispatch_crashes.rs
+++ b/tests/dispatch_crashes.rs
@@ -319,6 +319,25 @@
     busy.map(|(address, _)| address.clone()).collect()
 }
 
+/// Has all workers go dark at once, now and then.
+fn go_dark(fleet: &mut Fleet, second: u64) {
+    if matches!(second, 1 | 5 | 9 | 13) {
+        let addresses: Vec<Box<str>> = fleet.workers.keys().cloned().collect();
+        for address in addresses {
+            fleet.crash(&address);
+        }
+    }
+}
+
+/// Crashes the workers on which something runs, now and then.
+fn crash_busy(fleet: &mut Fleet, second: u64) {
+    if second.is_multiple_of(6) {
+        for address in busy(fleet) {
+            fleet.crash(&address);
+        }
+    }
+}
+
 fn last_long() -> Vec<Step> {
     vec![Step {
         is_lasting: true,
@@ -343,27 +362,14 @@
         keeps_ids: false,
         name: "a failure domain that goes dark several times",
         steps: || vec![step(2, 20_000, &[])],
-        besides: |fleet, second| {
-            if matches!(second, 1 | 5 | 9 | 13) {
-                let addresses: Vec<Box<str>> = fleet.workers.keys().cloned().collect();
-                for address in addresses {
-                    fleet.crash(&address);
-                }
-            }
-        },
+        besides: go_dark,
     },
     // They serve for longer than hosts live here.
     Luckless {
         keeps_ids: false,
         name: "tasks that last, on hosts that crash by themselves",
         steps: last_long,
-        besides: |fleet, second| {
-            if second.is_multiple_of(6) {
-                for address in busy(fleet) {
-                    fleet.crash(&address);
-                }
-            }
-        },
+        besides: crash_busy,
     },
     Luckless {
         keeps_ids: false,
@@ -396,26 +402,13 @@
         keeps_ids: true,
         name: "a failure domain that goes dark several times, and keeps its ids",
         steps: || vec![step(2, 20_000, &[])],
-        besides: |fleet, second| {
-            if matches!(second, 1 | 5 | 9 | 13) {
-                let addresses: Vec<Box<str>> = fleet.workers.keys().cloned().collect();
-                for address in addresses {
-                    fleet.crash(&address);
-                }
-            }
-        },
+        besides: go_dark,
     },
     Luckless {
         keeps_ids: true,
         name: "tasks that last, on hosts that crash by themselves and keep their ids",
         steps: last_long,
-        besides: |fleet, second| {
-            if second.is_multiple_of(6) {
-                for address in busy(fleet) {
-                    fleet.crash(&address);
-                }
-            }
-        },
+        besides: crash_busy,
     },
     Luckless {
         keeps_ids: true,
