--- a/tests/dispatch_faults.rs
+++ b/tests/dispatch_faults.rs
@@ -6,6 +6,7 @@
 use crate::dispatch_former_failures::FORMER_FAILURES;
 use crate::dispatch_former_failures::FORMER_FAILURES_POISONOUS;
 use crate::dispatch_former_failures::FORMER_FAILURES_REBORN;
+use crate::dispatch_former_failures::OPEN_FAILURES_REBORN;
 use crate::fleet::Fleet;
 use crate::fleet::Manners;
 use crate::fleet::Mode;
@@ -445,3 +446,16 @@
         }
     }
 }
+
+/// Symptom: jobs beside several that crash their workers are given up, or such jobs are not known
+/// half a minute after all other faults have ended. Seeds of wide runs that are not mended.
+#[gtest]
+fn promises_hold_in_sequences_that_are_open() {
+    for seed in OPEN_FAILURES_REBORN {
+        expect_that!(
+            play(*seed, Callers::Poisonous, Orders::Relayed, Ids::OldToo),
+            is_empty(),
+            "seed {seed}"
+        );
+    }
+}
--- a/tests/dispatch_former_failures.rs
+++ b/tests/dispatch_former_failures.rs
@@ -74,3 +74,6 @@
     251,
     "a new incarnation was opened, and nobody looked at what waits",
 )];
+
+/// Seeds that fail still, with workers that start again under their ids.
+pub(crate) const OPEN_FAILURES_REBORN: &[u64] = &[219, 240];
