Ask once whether a run has vanished, and whether an order may still come

The check that a run was there before the look was sent stood twice, in what is told of it and in what is done: the line is written where the run is stopped now. The age up to which an order without an answer may be carried out stood three times. The tests' workers write their reports in one place.

--- a/crates/dispatch/src/owner/incarnations.rs
+++ b/crates/dispatch/src/owner/incarnations.rs
@@ -15,7 +15,6 @@
 use crate::owner::worker::Fate;
 use crate::owner::worker::Run;
 use crate::owner::worker::RunPhase;
-use crate::owner::worker::Worker;
 use crate::owner::worker::WorkerKey;
 use std::collections::BTreeSet;
 use std::collections::HashMap;
@@ -32,6 +31,13 @@
     since_ms: u64,
 }
 
+impl DoubtfulStart {
+    /// Tells whether the order may still be carried out.
+    fn is_open(&self, now_ms: u64) -> bool {
+        now_ms < self.since_ms + LATE_MS
+    }
+}
+
 /// Orders to start that may still be carried out, by the id of the worker. The id is all that an
 /// order names, so whoever bears it then carries it out.
 #[derive(Debug, Default)]
@@ -43,7 +49,7 @@
     /// Notes that an order may be carried out late.
     pub(super) fn note(&mut self, worker: &str, task: TaskId, run: u32, now_ms: u64) {
         let starts = self.by_worker.entry(worker.into()).or_default();
-        starts.retain(|start| now_ms < start.since_ms + LATE_MS);
+        starts.retain(|start| start.is_open(now_ms));
         starts.push(DoubtfulStart {
             task,
             run,
@@ -54,14 +60,14 @@
     /// Lists the orders that a worker may still carry out.
     fn list(&mut self, worker: &str, now_ms: u64) -> BTreeSet<(TaskId, u32)> {
         let starts = self.by_worker.get(worker).into_iter().flatten();
-        let open = starts.filter(|start| now_ms < start.since_ms + LATE_MS);
+        let open = starts.filter(|start| start.is_open(now_ms));
         open.map(|start| (start.task, start.run)).collect()
     }
 
     /// Forgets what is too old to be carried out.
     pub(super) fn expire(&mut self, now_ms: u64) {
         self.by_worker.retain(|_, starts| {
-            starts.retain(|start| now_ms < start.since_ms + LATE_MS);
+            starts.retain(|start| start.is_open(now_ms));
             !starts.is_empty()
         });
     }
@@ -223,7 +229,7 @@
             let phase = RunPhase::Stopping { again_ms: 0 };
             let mut run = self.make_unknown_run(task, phase, key);
             run.is_stray = true;
-            let worker: &mut Worker = &mut self.workers[key];
+            let worker = &mut self.workers[key];
             worker.has_orders = true;
             worker.add(task, number, run);
         }
--- a/crates/dispatch/src/owner/looks.rs
+++ b/crates/dispatch/src/owner/looks.rs
@@ -269,11 +269,14 @@
             }
         }
         for ((task, number), phase) in absent {
-            self.note_absent(key, task, number, phase, sent_ms, now_ms, actions);
-            self.take_absent(key, task, number, phase, sent_ms, now_ms);
+            self.take_absent(key, task, number, phase, sent_ms, now_ms, actions);
         }
     }
 
+    #[expect(
+        clippy::too_many_arguments,
+        reason = "These are what is known of one run."
+    )]
     fn take_absent(
         &mut self,
         key: WorkerKey,
@@ -282,6 +285,7 @@
         phase: RunPhase,
         sent_ms: u64,
         now_ms: u64,
+        actions: &mut Vec<Action>,
     ) {
         match phase {
             RunPhase::Recording | RunPhase::Sent | RunPhase::Stopping { .. } => {}
@@ -298,6 +302,7 @@
                 self.retry_start(key, task, number, now_ms);
             }
             RunPhase::Present { since_ms } if sent_ms >= since_ms => {
+                self.note_vanished(key, task, number, now_ms - since_ms, actions);
                 self.set_phase(key, task, number, RunPhase::Stopping { again_ms: 0 });
             }
             _ => {}
@@ -306,26 +311,14 @@
 
     /// Tells of a run that was there and is missing, though its end was not listed. It will run
     /// again, so if it has ended well after all, it runs twice.
-    #[expect(
-        clippy::too_many_arguments,
-        reason = "These are what is known of one run."
-    )]
-    fn note_absent(
+    fn note_vanished(
         &self,
         key: WorkerKey,
         task: TaskId,
         number: u32,
-        phase: RunPhase,
-        sent_ms: u64,
-        now_ms: u64,
+        present_ms: u64,
         actions: &mut Vec<Action>,
     ) {
-        let RunPhase::Present { since_ms } = phase else {
-            return;
-        };
-        if sent_ms < since_ms {
-            return;
-        }
         let worker = &self.workers[key];
         let percent = worker
             .runs
@@ -337,7 +330,7 @@
             format!(
                 "run={number} worker={} present_ms={} percent={percent} handled={} told_to_forget={}",
                 worker.entry.id,
-                now_ms.saturating_sub(since_ms),
+                present_ms,
                 worker.handled,
                 worker.forgotten
             ),
--- a/tests/fleet/mishaps.rs
+++ b/tests/fleet/mishaps.rs
@@ -83,16 +83,7 @@
 
     /// Has a worker report that it is about to leave.
     pub(crate) fn announce_leave(&mut self, address: &str) {
-        let Some(worker) = self.workers.get(address) else {
-            return;
-        };
-        let born_wall_ms = worker.born_wall_ms;
-        let room = worker.room;
-        let text = format!(
-            "{address} leaving {} {} {born_wall_ms}",
-            room.cpu_milli, room.memory_mb
-        );
-        self.store.put(Stream::Workers, &worker.id, text.as_bytes());
+        self.report_as(address, "leaving");
     }
 
     /// Crashes a worker: all that runs there ends unheard, and it is back later.
@@ -183,13 +174,17 @@
     }
 
     pub(super) fn report(&mut self, address: &str) {
+        self.report_as(address, "ready");
+    }
+
+    fn report_as(&mut self, address: &str, state: &str) {
         let Some(worker) = self.workers.get(address).filter(|worker| worker.is_alive) else {
             return;
         };
         let room = worker.room;
         let born_wall_ms = worker.born_wall_ms;
         let text = format!(
-            "{address} ready {} {} {born_wall_ms}",
+            "{address} {state} {} {} {born_wall_ms}",
             room.cpu_milli, room.memory_mb
         );
         self.store.put(Stream::Workers, &worker.id, text.as_bytes());
