--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -31,6 +31,7 @@
 use crate::fleet::reading::Loader;
 use crate::fleet::reading::Reader;
 pub(crate) use crate::fleet::rules::RulesWatch;
+pub(crate) use crate::fleet::store::Limits;
 pub(crate) use crate::fleet::store::Mode;
 pub(crate) use crate::fleet::store::Store;
 pub(crate) use crate::fleet::worker::Manners;
--- a/tests/fleet/reading.rs
+++ b/tests/fleet/reading.rs
@@ -7,6 +7,7 @@
 use crate::fleet::link::read_bytes;
 use crate::fleet::store::StoreRead;
 use goldcrestway_dispatch::Event;
+use goldcrestway_dispatch::Page;
 use goldcrestway_dispatch::ReadEnd;
 use goldcrestway_dispatch::ReadFault;
 use goldcrestway_dispatch::Stream;
@@ -38,8 +39,11 @@
 impl Fleet {
     pub(super) fn read(&mut self, reader: Reader) {
         let is_lost = self.is_lost(reader.number, reader.sent_ms);
+        let is_new = self.now_ms <= reader.sent_ms + STEP_MS;
+        let is_refused = is_new && !self.store.admits_read(self.now_ms);
         let end = match self.store.read(reader.stream, reader.from) {
             _ if is_lost => None,
+            _ if is_refused => Some(ReadEnd::Failed(ReadFault::Refused)),
             StoreRead::Answered(end) => Some(end),
             StoreRead::Dropped => None,
             StoreRead::Waits if self.now_ms < reader.until_ms => {
@@ -58,8 +62,12 @@
                     ReadEnd::Records { records, .. } => read_bytes(records),
                     _ => 0,
                 };
+                let queue_ms = self.store.give_ms(bytes, self.now_ms);
                 let link_ms = self.hosts[reader.number].receiving_ms(self.now_ms, bytes);
-                (self.answered_ms() + link_ms, end)
+                match self.now_ms + queue_ms > reader.give_up_ms {
+                    true => (reader.give_up_ms, ReadEnd::Failed(ReadFault::NoAnswer)),
+                    false => (self.answered_ms() + queue_ms + link_ms, end),
+                }
             }
             None => (reader.give_up_ms, ReadEnd::Failed(ReadFault::NoAnswer)),
         };
@@ -71,16 +79,25 @@
 
     pub(super) fn load(&mut self, loader: Loader) {
         let is_lost = self.is_lost(loader.number, loader.sent_ms);
-        let page = match self.store.newest(loader.stream, &loader.after) {
+        let is_refused = !self.store.admits_read(self.now_ms);
+        let mut page = match self.store.newest(loader.stream, &loader.after) {
             _ if is_lost => Err(ReadFault::NoAnswer),
+            _ if is_refused => Err(ReadFault::Refused),
             page => page,
         };
+        let mut queue_ms = 0;
+        if let Ok(Page { records, .. }) = &page {
+            queue_ms = self.store.give_ms(read_bytes(records), self.now_ms);
+        }
+        if self.now_ms + queue_ms > loader.give_up_ms {
+            page = Err(ReadFault::NoAnswer);
+        }
         let at_ms = match &page {
             Err(ReadFault::NoAnswer) => loader.give_up_ms,
             Ok(page) => {
                 let bytes = read_bytes(&page.records);
                 let link_ms = self.hosts[loader.number].receiving_ms(self.now_ms, bytes);
-                self.answered_ms() + link_ms
+                self.answered_ms() + queue_ms + link_ms
             }
             Err(_) => self.answered_ms(),
         };
--- a/tests/fleet/store.rs
+++ b/tests/fleet/store.rs
@@ -9,9 +9,44 @@
 use goldcrestway_dispatch::StoredRecord;
 use goldcrestway_dispatch::Stream;
 use std::collections::BTreeMap;
+use std::ops::Bound;
 
 /// Keys on one page, few enough that tests see several pages.
 const PAGE_KEYS: usize = 7;
+const MS_PER_S: u64 = 1_000;
+const US_PER_MS: u64 = 1_000;
+
+/// What the store bears of all hosts together.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Limits {
+    /// Bytes that it gives out in a second, to whoever came first.
+    pub(crate) read_bytes_per_s: u64,
+    /// Reads in a second beyond which it refuses.
+    pub(crate) reads_per_s: u64,
+    /// Keys on one page.
+    pub(crate) page_keys: usize,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            read_bytes_per_s: u64::MAX,
+            reads_per_s: u64::MAX,
+            page_keys: PAGE_KEYS,
+        }
+    }
+}
+
+/// What the store has given out.
+#[derive(Debug, Default)]
+struct Given {
+    bytes: u64,
+    /// When all of it has left.
+    done_us: u64,
+    /// Reads in the second under way.
+    second: u64,
+    reads: u64,
+}
 
 /// One keyed stream.
 #[derive(Default)]
@@ -67,6 +102,8 @@
     pub(crate) record_most_bytes: usize,
     /// Streams that are away while the others are there.
     pub(crate) away: Vec<Stream>,
+    pub(crate) limits: Limits,
+    given: Given,
 }
 
 impl Store {
@@ -78,9 +115,37 @@
             answer_ms: 0,
             record_most_bytes: 262_144,
             away: Vec::new(),
+            limits: Limits::default(),
+            given: Given::default(),
         }
     }
 
+    /// Tells whether one more read may be made in this second.
+    pub(crate) fn admits_read(&mut self, now_ms: u64) -> bool {
+        let second = now_ms / MS_PER_S;
+        if self.given.second != second {
+            self.given.second = second;
+            self.given.reads = 0;
+        }
+        self.given.reads += 1;
+        self.given.reads <= self.limits.reads_per_s
+    }
+
+    /// Gives how long bytes wait behind those that are being given out already.
+    pub(crate) fn give_ms(&mut self, bytes: u64, now_ms: u64) -> u64 {
+        let now_us = now_ms * US_PER_MS;
+        let begins_us = self.given.done_us.max(now_us);
+        let us_per_s = MS_PER_S * US_PER_MS;
+        self.given.done_us = begins_us + bytes * us_per_s / self.limits.read_bytes_per_s;
+        self.given.bytes += bytes;
+        (begins_us - now_us) / US_PER_MS
+    }
+
+    /// Gives the bytes that were read so far.
+    pub(crate) fn given_bytes(&self) -> u64 {
+        self.given.bytes
+    }
+
     /// Gives when an append that comes now will be done.
     pub(crate) fn done_ms(&mut self, stream: Stream, now_ms: u64) -> u64 {
         let append_ms = self.append_ms;
@@ -206,11 +271,13 @@
         let topic = self.topics.entry(stream).or_default();
         let mut records = Vec::new();
         let mut has_more = false;
-        for (key, record) in &topic.newest {
-            if !after.is_empty() && **key <= *after {
-                continue;
-            }
-            if records.len() == PAGE_KEYS {
+        let behind = (Bound::Excluded(Box::from(after)), Bound::Unbounded);
+        for record in topic
+            .newest
+            .range::<Box<str>, _>(behind)
+            .map(|(_, record)| record)
+        {
+            if records.len() == self.limits.page_keys {
                 has_more = true;
                 break;
             }
--- a/tests/lib.rs
+++ b/tests/lib.rs
@@ -8,6 +8,7 @@
 mod capacity;
 mod catalogue;
 mod dispatch;
+mod dispatch_all_lost;
 mod dispatch_crashes;
 mod dispatch_disturbances;
 mod dispatch_evacuations;
