Looks follow what runs at a worker, and not how many workers there are

Callers of short jobs waited three times as long as their work took: the pause between two looks at a worker was 60 ms and a quarter of a millisecond for each worker of the fleet, 1.56 s at 6,000, and each step waited for it. Now workers on which something is about to end are looked at after 60 ms whatever the size; those with lasting tasks within half a lease; those at rest as often as a tenth of the owner's processor bears, at most 10 s apart. While the store is silent and workers have to confirm the owner they are all looked at within a second, as most must answer within two.

Two ways to look less, a look that waits longer and one that waits for what an estimate says is due, are not tried: the owner's processor is no longer what binds.

--- a/crates/dispatch/src/owner/link.rs
+++ b/crates/dispatch/src/owner/link.rs
@@ -105,9 +105,9 @@
         self.link.charge(0, ANSWER_BYTES + bytes);
     }
 
-    /// Gives the pause between looks at a worker that the link bears.
-    pub(super) fn link_gap_ms(&self) -> u64 {
-        let count = self.workers.len() as u64;
+    /// Gives the pause between looks at each of so many workers that the link bears.
+    pub(super) fn link_gap_ms(&self, workers: usize) -> u64 {
+        let count = workers as u64;
         match self.has_relays() {
             true => self.link.looks_gap_ms(count, RELAYED_LOOK_BYTES),
             false => self.link.looks_gap_ms(count, LOOK_BYTES + PACKET_BYTES),
--- a/crates/dispatch/src/owner/looks.rs
+++ b/crates/dispatch/src/owner/looks.rs
@@ -14,6 +14,8 @@
 use crate::owner::worker::RunPhase;
 use crate::owner::worker::WorkerKey;
 use crate::policy::link::Rank;
+use crate::policy::looks::Looks;
+use crate::policy::looks::Work;
 use crate::policy::suspicion::SOUND_MS;
 use goldcrestway_core::Code;
 use goldcrestway_core::Note;
@@ -25,11 +27,8 @@
 /// The same where fillers work beside a task that is over its target: how that goes on
 /// decides whether they are halted in time.
 const PRESSED_WAIT_MS: u64 = 250;
-/// Pause between looks at a worker, so that ends that come together are told together.
-const GAP_MS: u64 = 60;
-/// Workers for each of which that pause is a little longer, so that looks at hundreds of
-/// them leave the owner time for all else.
-const WORKERS_PER_MS: u64 = 4;
+/// Time over which looks that are hastened are spread.
+const HASTENED_MS: u64 = 700;
 /// Pause between looks while ends wait to be recorded, which a look would repeat.
 const HELD_GAP_MS: u64 = 1_000;
 /// Pause before the look that follows one without an answer.
@@ -203,17 +202,49 @@
             self.bar_late_starts(key, &listed, now_ms);
         }
         self.judge_fillers(key, now_ms, actions);
-        let count = self.workers.len() as u64;
-        let link_gap_ms = self.link_gap_ms();
+        let gap_ms = self.look_gap_ms(key);
         let worker = &mut self.workers[key];
         let gap_ms = match worker.handled > worker.recorded {
             true => HELD_GAP_MS,
-            false if was_known => (GAP_MS + count / WORKERS_PER_MS).max(link_gap_ms),
+            false if was_known => gap_ms,
             false => 0,
         };
         worker.next_look_ms = now_ms + gap_ms;
     }
 
+    /// Gives the pause before the next look at a worker.
+    fn look_gap_ms(&mut self, key: WorkerKey) -> u64 {
+        let ending = self.workers.ending();
+        let looks = Looks {
+            at_rest: (self.workers.len() - ending) as u64,
+            cpu_permille: self.bounds.cpu_permille,
+            are_confirming: self.are_workers_confirming,
+        };
+        let work = self.workers[key].work();
+        let link_gap_ms = match work {
+            Work::Ending => self.link_gap_ms(ending),
+            Work::Lasting | Work::None => self.link_gap_ms(self.workers.len()),
+        };
+        looks.gap_ms(work).max(link_gap_ms)
+    }
+
+    /// Has a worker that was at rest looked at like one on which something is about to end.
+    pub(super) fn look_soon(&mut self, key: WorkerKey, now_ms: u64) {
+        let at_ms = now_ms + self.look_gap_ms(key);
+        let worker = &mut self.workers[key];
+        worker.next_look_ms = worker.next_look_ms.min(at_ms);
+    }
+
+    /// Has workers at rest looked at within a second, as they have to confirm this owner.
+    pub(super) fn hasten_looks(&mut self, now_ms: u64) {
+        let mut place = 0;
+        for worker in self.workers.values_mut() {
+            place += 1;
+            let at_ms = now_ms + place % HASTENED_MS;
+            worker.next_look_ms = worker.next_look_ms.min(at_ms);
+        }
+    }
+
     fn take_ends(&mut self, key: WorkerKey, listed: &Listed, now: Now, actions: &mut Vec<Action>) {
         for end in &listed.ends {
             if end.number <= self.workers[key].handled {
--- a/crates/dispatch/src/owner/mod.rs
+++ b/crates/dispatch/src/owner/mod.rs
@@ -192,6 +192,8 @@
     writer: Writer,
     /// When the store or most workers last confirmed this owner.
     confirmed_ms: u64,
+    /// The store does not confirm it, so that the workers have to.
+    are_workers_confirming: bool,
     is_leaving: bool,
     must_place: bool,
     next_place_ms: u64,
@@ -254,6 +256,7 @@
             doubtful_starts: DoubtfulStarts::default(),
             writer: Writer::new(signs, now.steady_ms),
             confirmed_ms: now.steady_ms,
+            are_workers_confirming: false,
             is_leaving: false,
             must_place: true,
             next_place_ms: 0,
@@ -430,7 +433,12 @@
     fn check_confirmed(&mut self, now_ms: u64) {
         const ANSWERED_LATELY_MS: u64 = 2_000;
         // While the store confirms, the workers need not be counted.
-        if now_ms < self.confirmed_ms + CONFIRMED_ANEW_MS {
+        let are_confirming = now_ms >= self.confirmed_ms + CONFIRMED_ANEW_MS;
+        if are_confirming && !self.are_workers_confirming {
+            self.hasten_looks(now_ms);
+        }
+        self.are_workers_confirming = are_confirming;
+        if !are_confirming {
             return;
         }
         let mut count = 0;
--- a/crates/dispatch/src/owner/orders.rs
+++ b/crates/dispatch/src/owner/orders.rs
@@ -179,6 +179,7 @@
                 }
             }
         }
+        self.look_soon(key, now_ms);
     }
 
     fn refuse_start(
--- a/crates/dispatch/src/owner/worker.rs
+++ b/crates/dispatch/src/owner/worker.rs
@@ -8,6 +8,7 @@
 use crate::policy::images::ImageKey;
 use crate::policy::interference::Baseline;
 use crate::policy::interference::Window;
+use crate::policy::looks::Work;
 use crate::policy::stragglers::Pace;
 use crate::record::Step;
 use slotmap::new_key_type;
@@ -357,6 +358,18 @@
         own.map(|(_, run)| run)
     }
 
+    /// Tells what it is about, as far as looks go.
+    pub(crate) fn work(&self) -> Work {
+        if self.runs.is_empty() {
+            return Work::None;
+        }
+        let lasts = |run: &Run| run.is_lasting && matches!(run.phase, RunPhase::Present { .. });
+        match self.is_pressed || !self.runs.values().all(lasts) {
+            true => Work::Ending,
+            false => Work::Lasting,
+        }
+    }
+
     /// Tells whether it may be dead, as far as its answers go.
     pub(crate) fn may_be_dead(&self) -> bool {
         self.is_silent() || !self.is_known || self.entry.address.is_empty()
--- a/crates/dispatch/src/owner/workers.rs
+++ b/crates/dispatch/src/owner/workers.rs
@@ -7,6 +7,7 @@
 
 use crate::owner::worker::Worker;
 use crate::owner::worker::WorkerKey;
+use crate::policy::looks::Work;
 use slotmap::SlotMap;
 use std::collections::BTreeSet;
 use std::ops::Index;
@@ -28,6 +29,8 @@
     in_doubt: BTreeSet<WorkerKey>,
     /// How often a worker was looked over.
     looked_over: u64,
+    /// Those on which something is about to end.
+    ending: BTreeSet<WorkerKey>,
 }
 
 impl Workers {
@@ -40,6 +43,7 @@
             unrecorded: BTreeSet::new(),
             in_doubt: BTreeSet::new(),
             looked_over: 0,
+            ending: BTreeSet::new(),
         }
     }
 
@@ -61,6 +65,7 @@
         self.with_orders.remove(&key);
         self.unrecorded.remove(&key);
         self.in_doubt.remove(&key);
+        self.ending.remove(&key);
         Some(worker)
     }
 
@@ -110,10 +115,12 @@
             let due_ms = worker.attention_ms();
             let (orders, unrecorded) = (worker.has_orders, worker.handled > worker.recorded);
             let in_doubt = worker.is_in_doubt();
+            let ending = worker.work() == Work::Ending;
             self.schedule(key, due_ms);
             keep(&mut self.with_orders, key, orders);
             keep(&mut self.unrecorded, key, unrecorded);
             keep(&mut self.in_doubt, key, in_doubt);
+            keep(&mut self.ending, key, ending);
         }
     }
 
@@ -163,6 +170,11 @@
         self.unrecorded.iter().copied().collect()
     }
 
+    /// Gives on how many workers something is about to end.
+    pub(crate) fn ending(&self) -> usize {
+        self.ending.len()
+    }
+
     /// Lists the workers on which something may run that the owner can't see.
     pub(crate) fn in_doubt(&mut self) -> Vec<WorkerKey> {
         self.settle();
--- a/crates/dispatch/src/policy/mod.rs
+++ b/crates/dispatch/src/policy/mod.rs
@@ -6,6 +6,7 @@
 //! | --- | --- |
 //! | [`interference`] | how much best-effort tasks slow down long-running ones beside them |
 //! | [`link`] | what the owner puts on its link, and what waits |
+//! | [`looks`] | how often the owner looks at each worker |
 //! | [`ordering`] | which job gets what is free |
 //! | [`pacing`] | at which share best-effort tasks work beside a service |
 //! | [`patience`] | how long answers of workers are awaited, and what a missing one means |
@@ -17,6 +18,7 @@
 pub mod images;
 pub mod interference;
 pub mod link;
+pub mod looks;
 pub mod ordering;
 pub mod pacing;
 pub mod patience;
--- a/tests/dispatch_former_failures.rs
+++ b/tests/dispatch_former_failures.rs
@@ -82,4 +82,5 @@
     (219, Orders::Relayed),
     (240, Orders::Relayed),
     (29, Orders::Direct),
+    (9, Orders::Relayed),
 ];
