Hosts read no more of one another before the first owner than their number asks

Before there is an owner each host read each half second which hosts there are, all announcements again and again: hosts times hosts, 19 kB a host at 600 of them and 4 at 60. Now a host reads that when its turn to claim comes, which for most is after the first owner has shown itself; that one connects, and says of all hosts what each needs to find its place. Whoever is not connected to reads them a second later. Before the first owner states are read each quarter of a second and no longer each tenth.

Tried and not kept: reading states once a second there, and at moments drawn for each host; hosts' turns then met one another in a test of claims (three within one claim's time).

--- a/crates/dispatch/src/election.rs
+++ b/crates/dispatch/src/election.rs
@@ -43,8 +43,8 @@
 const WEAKER_MS: u64 = 400;
 /// The same when there never was an owner.
 const FIRST_WEAKER_MS: u64 = 2_500;
-/// Time in which hosts read who else there is when there never was an owner: more than a
-/// pause between reads. Hosts start within 0.3 s of one another, and nothing is to do yet.
+/// Time in which hosts announce themselves when there never was an owner. They start within 0.3 s
+/// of one another, and nothing is to do yet.
 const FIRST_WAIT_MS: u64 = 1_200;
 /// Hosts claim one after the other then, too.
 const FIRST_SPREAD_MS: u64 = 1_500;
@@ -183,7 +183,7 @@
     }
 
     /// Gives the time at which this host may claim, unless it reads of an owner then.
-    fn claim_ms(&self, owner: &OwnerRecord) -> Option<u64> {
+    pub(crate) fn turn_ms(&self, owner: &OwnerRecord) -> Option<u64> {
         let sign_ms = self.sign_ms?;
         let slow_ms = self.latency_ms * LATENCY_FACTOR;
         let leaving_wait_ms = self.spread_permille * (LEAVING_SPREAD_MS + slow_ms) / 1_000;
@@ -203,7 +203,7 @@
     /// Tells whether to claim: a read that was sent when this host's turn had come, at
     /// `fresh_ms`, has reached the end of the stream and found no other owner.
     pub(crate) fn should_claim(&self, fresh_ms: Option<u64>, owner: &OwnerRecord) -> bool {
-        match (self.claim_ms(owner), fresh_ms) {
+        match (self.turn_ms(owner), fresh_ms) {
             (Some(claim_ms), Some(fresh_ms)) => fresh_ms >= claim_ms,
             _ => false,
         }
@@ -211,13 +211,15 @@
 
     /// Tells whether this host's turn has come, so that it should read.
     pub(crate) fn is_due(&self, now_ms: u64, owner: &OwnerRecord) -> bool {
-        self.claim_ms(owner)
+        self.turn_ms(owner)
             .is_some_and(|claim_ms| now_ms >= claim_ms)
     }
 
     /// Gives the pause between reads of the stream.
-    pub(crate) fn poll_ms(&self, now_ms: u64) -> u64 {
+    pub(crate) fn poll_ms(&self, now_ms: u64, owner: &OwnerRecord) -> u64 {
         match self.sign_ms {
+            // There never was an owner, so none is missed.
+            Some(_) if owner.token == 0 => POLL_MS,
             Some(_) if !self.is_watcher => IDLE_POLL_MS,
             Some(sign_ms) if now_ms < sign_ms + 2 * POLL_MS => POLL_MS,
             _ => SUSPECT_POLL_MS,
--- a/crates/dispatch/src/entry/following.rs
+++ b/crates/dispatch/src/entry/following.rs
@@ -17,11 +17,11 @@
 /// for a job that is not known here has them read at once; the store keeps history for 20 s, of
 /// which two reads may be lost.
 const JOBS_POLL_MS: u64 = 6_000;
+/// Time for which a host that sees the first owner waits for its connection before it reads which
+/// other hosts there are.
+const MEET_MS: u64 = 1_000;
 /// The same while appends of this host had no answer: what is read back is told as stored.
 const DOUBTFUL_POLL_MS: u64 = 600;
-/// The same before there ever was an owner: which other hosts there are stands there too, and
-/// the strongest is to claim.
-const FIRST_POLL_MS: u64 = 500;
 /// Pause between two reads of the list of workers by the owner.
 const WORKERS_POLL_MS: u64 = 400;
 /// Time without an answer of the store after which a host turns unready, and refuses at
@@ -67,21 +67,36 @@
         if self.reading.scope == Scope::All {
             self.follow_jobs(now_ms, actions);
         }
-        if now_ms >= self.states_read_ms + self.election.poll_ms(now_ms) {
+        let pause_ms = self.election.poll_ms(now_ms, &self.ledger.owner);
+        if now_ms >= self.states_read_ms + pause_ms {
             self.states_read_ms = now_ms;
             self.states
                 .prompt(now_ms, now_ms, &mut self.tickets, actions);
         }
     }
 
+    /// Has jobs read once the first owner has shown itself: which hosts there are, and with that
+    /// whether this one is among the next, stands among them. An owner that connects tells enough.
+    fn meet_hosts(&mut self, now_ms: u64) {
+        if self.ledger.owner.token == 0 {
+            return;
+        }
+        let meet_ms = *self.meet_ms.get_or_insert(now_ms + MEET_MS);
+        if now_ms >= meet_ms && self.reading.owner_link.is_none() {
+            self.jobs_read_ms = None;
+            self.meet_ms = Some(u64::MAX);
+        }
+    }
+
     fn follow_jobs(&mut self, now_ms: u64, actions: &mut Vec<Action>) {
+        self.meet_hosts(now_ms);
         let pause_ms = match self.callers.has_doubtful() {
-            _ if self.ledger.owner.token == 0 => FIRST_POLL_MS,
             true => DOUBTFUL_POLL_MS,
             false => JOBS_POLL_MS,
         };
-        if now_ms >= self.jobs_read_ms + pause_ms {
-            self.jobs_read_ms = now_ms;
+        let read_ms = self.jobs_read_ms;
+        if read_ms.is_none_or(|read_ms| now_ms >= read_ms + pause_ms) {
+            self.jobs_read_ms = Some(now_ms);
             self.jobs.prompt(now_ms, now_ms, &mut self.tickets, actions);
         }
     }
--- a/crates/dispatch/src/entry/owning.rs
+++ b/crates/dispatch/src/entry/owning.rs
@@ -98,7 +98,7 @@
             self.states
                 .prompt(now.steady_ms, now.steady_ms, &mut self.tickets, actions);
         }
-        if self.claim.is_none() && is_due {
+        if self.claim.is_none() && is_due && self.knows_rivals(now, actions) {
             let owner = &self.ledger.owner;
             actions.push(Action::Note(Note::new(
                 Code::OwnerSuspected,
@@ -125,6 +125,22 @@
         self.finish_claim(now, actions);
     }
 
+    /// Tells whether this host knows which hosts there are, as the strongest is to be the first
+    /// owner. It reads that no sooner than its turn comes: all hosts that read one another's
+    /// announcements again and again would be a load of hosts times hosts.
+    fn knows_rivals(&mut self, now: Now, actions: &mut Vec<Action>) -> bool {
+        let owner = &self.ledger.owner;
+        let Some(turn_ms) = self.election.turn_ms(owner).filter(|_| owner.token == 0) else {
+            return true;
+        };
+        if self.jobs.is_fresh_since(turn_ms) || now.steady_ms >= turn_ms + PATIENCE_MS {
+            return true;
+        }
+        let tickets = &mut self.tickets;
+        self.jobs.prompt(turn_ms, now.steady_ms, tickets, actions);
+        false
+    }
+
     /// Gives signs of life while the progress of jobs is read. That takes a second and more
     /// over a thin link; others would take this host for dead meanwhile, claim, and read the
     /// same, so that nobody would ever own: 22 owners in a minute. A host to which the store
--- a/crates/dispatch/src/entry/scope.rs
+++ b/crates/dispatch/src/entry/scope.rs
@@ -109,21 +109,28 @@
 
     /// Chooses by what the newest owner has said of itself.
     fn choose_scope(&mut self) {
-        let owner = &self.ledger.owner;
-        let survey = Survey {
-            strongest_permille: owner.strongest_permille,
-            strong_hosts: owner.strong_hosts,
-        };
-        if owner.token == 0 || !owner.informs_hosts {
+        if !self.take_survey() {
             return self.read_all();
         }
-        self.election.note_survey(survey);
         match self.election.is_watcher() {
             true => self.read_all(),
             false => self.reading.scope = Scope::Owner,
         }
     }
 
+    /// Takes in what the newest owner says of all hosts; tells whether it informs them.
+    fn take_survey(&mut self) -> bool {
+        let owner = &self.ledger.owner;
+        if !owner.informs_hosts {
+            return false;
+        }
+        self.election.note_survey(Survey {
+            strongest_permille: owner.strongest_permille,
+            strong_hosts: owner.strong_hosts,
+        });
+        true
+    }
+
     /// Notices that the owner is heard, and that it no longer is.
     fn note_owner_link(&mut self, now_ms: u64, actions: &mut Vec<Action>) {
         let link = self.relay.owner_link(self.ledger.owner.token, now_ms);
@@ -178,7 +185,11 @@
         let is_heard = self.reading.owner_link.is_some();
         let is_settled = now_ms >= self.reading.changed_ms + SETTLED_MS;
         let acts = self.owner.is_some() || self.claim.is_some();
-        if !is_heard || !is_settled || acts || self.election.is_watcher() {
+        if !is_heard || !is_settled || acts {
+            return;
+        }
+        // Whoever has not read which hosts there are goes by what the owner says of them.
+        if self.ledger.hosts.len() <= 1 && !self.take_survey() || self.election.is_watcher() {
             return;
         }
         self.reading.scope = Scope::Owner;
--- a/tests/dispatch_store_calls.rs
+++ b/tests/dispatch_store_calls.rs
@@ -28,3 +28,29 @@
     let most = (CALM_MS / EACH_MS + 1) as usize * usize::from(PARTS) * (HOSTS - 1);
     expect_that!(short_reads(&parts), le(most));
 }
+
+/// What a host read and wrote until there was a first owner, on average.
+struct FirstStart {
+    calls: usize,
+    bytes: u64,
+}
+
+fn start_first(hosts: usize) -> FirstStart {
+    let fleet = Fleet::with_relays(hosts, 4);
+    expect_that!(fleet.owners(), eq(1), "{hosts} hosts");
+    FirstStart {
+        calls: fleet.store_calls_made / hosts,
+        bytes: fleet.store.given_bytes() / hosts as u64,
+    }
+}
+
+/// Symptom: a third of a calm day's calls are made in its first seconds. Cause: before there is an
+/// owner all hosts read again and again which hosts there are, which is hosts times hosts.
+#[gtest]
+fn what_hosts_read_before_the_first_owner_does_not_grow_with_their_number() {
+    let few = start_first(60);
+    let many = start_first(600);
+    expect_that!(many.calls, le(few.calls * 5 / 4));
+    // A few hosts read of all others: those whose turn to claim comes before the first owner shows.
+    expect_that!(many.bytes, le(few.bytes * 2));
+}
