Hosts that hear the owner notice soon that the store is away

A call that is late or has failed now raises a doubt, which a short read settles; after 0.6 s without an answer the store counts as away, jobs are refused at once, and callers go elsewhere.

--- a/crates/dispatch/src/entry/callers.rs
+++ b/crates/dispatch/src/entry/callers.rs
@@ -29,6 +29,8 @@
 /// A store that takes longer than this for an append is slow. A stream takes its appends
 /// one by one, so a slow one gets one of this host at a time, with all that waits.
 const SLOW_MS: u64 = 60;
+/// Time after which an append counts as late, where nothing else tells how the store is.
+const LATE_MS: u64 = 200;
 /// An append to a slow store is given up after so many times what the latest ones took.
 const SLOW_FACTOR: u64 = 4;
 /// Pause before a refused append is repeated, at another part.
@@ -141,6 +143,12 @@
         }
     }
 
+    /// Tells whether an append takes longer than one does on a store that is well.
+    pub(crate) fn has_late_append(&self, now_ms: u64) -> bool {
+        let mut flights = self.flights.values();
+        flights.any(|flight| now_ms >= flight.sent_ms + LATE_MS)
+    }
+
     fn flights_most(&self) -> usize {
         if self.append_ms > SLOW_MS {
             1
@@ -306,7 +314,7 @@
             AppendEnd::Fenced | AppendEnd::Stored { .. } => {
                 self.contact.note_answer(self.quiet_ms(), now.steady_ms);
             }
-            AppendEnd::Refused | AppendEnd::Unknown => self.contact.note_miss(now.steady_ms),
+            AppendEnd::Refused | AppendEnd::Unknown => self.contact.note_doubt(now.steady_ms),
         }
         if self.take_announced(ticket, end, now) || self.take_claim(ticket, end, now, actions) {
             return;
--- a/crates/dispatch/src/entry/contact.rs
+++ b/crates/dispatch/src/entry/contact.rs
@@ -15,19 +15,25 @@
     /// When it answered first after a silence. A call from before may have been dropped, and
     /// whoever awaits it may wait in vain.
     pub(super) since_ms: u64,
-    /// When a call was last without an answer, or refused.
-    missed_ms: u64,
+    /// Since when a call is late or has failed, and no answer has come since.
+    doubt_ms: Option<u64>,
 }
 
 impl Contact {
-    /// Tells whether a call failed since the last answer.
-    pub(super) fn has_missed(&self) -> bool {
-        self.missed_ms > self.answered_ms
+    /// Tells whether a call is late or has failed since the last answer.
+    pub(super) fn is_in_doubt(&self) -> bool {
+        self.doubt_ms.is_some()
     }
 
-    /// Notes a call that brought nothing.
-    pub(super) fn note_miss(&mut self, now_ms: u64) {
-        self.missed_ms = now_ms;
+    /// Tells whether that has lasted for so long.
+    pub(super) fn has_been_in_doubt_for(&self, ms: u64, now_ms: u64) -> bool {
+        self.doubt_ms
+            .is_some_and(|doubt_ms| now_ms >= doubt_ms + ms)
+    }
+
+    /// Notes a call that is late or has failed.
+    pub(super) fn note_doubt(&mut self, now_ms: u64) {
+        self.doubt_ms.get_or_insert(now_ms);
     }
 
     /// Notes an answer of a store that may be asked for nothing for so long.
@@ -36,6 +42,7 @@
             self.since_ms = now_ms;
         }
         self.answered_ms = self.answered_ms.max(now_ms);
+        self.doubt_ms.take_if(|doubt_ms| now_ms > *doubt_ms);
     }
 }
 
--- a/crates/dispatch/src/entry/following.rs
+++ b/crates/dispatch/src/entry/following.rs
@@ -27,6 +27,8 @@
 /// Time without an answer of the store after which a host turns unready, and refuses at
 /// once what it could not store.
 const STORE_AWAY_MS: u64 = 1_800;
+/// The same after a call was late or failed, on a host that otherwise asks the store for nothing.
+const DOUBT_MOST_MS: u64 = 600;
 /// Time for which a job is told about after it was final, over what is asked for.
 const STATUS_SLACK_MS: u64 = 60_000;
 /// Pause between two looks for jobs that need not be told about any more.
@@ -61,9 +63,12 @@
             return;
         }
         // A follower that takes no callers needs no more than to hear that the store is back.
-        if self.is_store_away || self.reading.is_quiet() {
+        if self.is_store_away {
             return;
         }
+        if self.reading.is_quiet() {
+            return self.probe_in_doubt(now_ms, actions);
+        }
         if self.reading.scope == Scope::All {
             self.follow_jobs(now_ms, actions);
         }
@@ -115,14 +120,26 @@
         }
     }
 
+    /// Asks the store whether it is there, where a call to it is late or has failed and no other one
+    /// is about to tell.
+    fn probe_in_doubt(&mut self, now_ms: u64, actions: &mut Vec<Action>) {
+        if self.callers.has_late_append(now_ms) {
+            self.contact.note_doubt(now_ms);
+        }
+        if self.contact.is_in_doubt() {
+            self.rules.probe(now_ms, &mut self.tickets, actions);
+        }
+    }
+
     /// Notices that the store does not answer this host, and that it does again.
     pub(super) fn watch_store(&mut self, now: Now, actions: &mut Vec<Action>) {
-        let mut limit_ms = STORE_AWAY_MS + self.listen_ms() * u64::from(self.owner.is_some());
-        // A call without an answer tells sooner.
-        if !self.contact.has_missed() {
-            limit_ms += self.quiet_ms();
-        }
-        let is_silent = now.steady_ms > self.contact.answered_ms + limit_ms;
+        let owner_ms = self.listen_ms() * u64::from(self.owner.is_some());
+        let limit_ms = STORE_AWAY_MS + owner_ms + self.quiet_ms();
+        let is_silent = now.steady_ms > self.contact.answered_ms + limit_ms
+            || self.reading.is_quiet()
+                && self
+                    .contact
+                    .has_been_in_doubt_for(DOUBT_MOST_MS, now.steady_ms);
         // Rules may have changed meanwhile: a host that took callers by those from before
         // would accept for queues that are gone, and deny those that have come.
         let is_behind = self.is_store_away && !self.have_rules_been_asked_for(now);
--- a/crates/dispatch/src/entry/mod.rs
+++ b/crates/dispatch/src/entry/mod.rs
@@ -311,6 +311,9 @@
     }
 
     fn read(&mut self, ticket: u64, mut end: ReadEnd, now: Now, actions: &mut Vec<Action>) {
+        if matches!(end, ReadEnd::Failed(_)) {
+            self.contact.note_doubt(now.steady_ms);
+        }
         if let (Some(owner), ReadEnd::Records { records, .. }) = (&mut self.owner, &end) {
             let rows = records.iter().map(|record| (&*record.key, &*record.value));
             owner.charge_read(records_bytes(rows));
--- a/tests/dispatch_outages.rs
+++ b/tests/dispatch_outages.rs
@@ -282,3 +282,31 @@
         expect_that!(fleet.promises.broken, is_empty(), "part {part}");
     }
 }
+
+/// Symptom: while the store is away for some hosts, callers there wait for their whole time and learn
+/// nothing. Cause: a host that hears the owner asks the store for nothing but rules, and took seconds
+/// to notice that it is away.
+#[gtest]
+fn a_host_that_hears_the_owner_notices_soon_that_the_store_is_away() {
+    /// A late append, and the doubt that it raises.
+    const NOTICED_MS: u64 = 1_000;
+    for mode in [Mode::Silent, Mode::Refuses] {
+        let mut fleet = Fleet::with_relays(12, 12);
+        fleet.run(4_000);
+        let owner = fleet.owner().expect("there is an owner");
+        let host = (owner + 1) % 12;
+        fleet.store.mode = mode;
+        fleet.run(50);
+        fleet.submit(host, JOB, &job(vec![step(1, 100, &[])]));
+        fleet.run(NOTICED_MS);
+        let request = fleet.submit(host, JOB + 1, &job(vec![step(1, 100, &[])]));
+        fleet.run(10);
+        let refused = Reply::NotDone {
+            retry_after_ms: 1_000,
+        };
+        expect_that!(fleet.replies.get(&request), some(eq(&refused)), "{mode:?}");
+        fleet.store.mode = Mode::Up;
+        fleet.run(BACK_MS);
+        expect_true!(fleet.is_ready(host));
+    }
+}
