The list of workers is read in pieces that the owner's link bears

On a link of 20 Mbit/s starts and looks were put off for a quarter of the time: the reports of 6,000 workers came in one answer each 0.4 s, 270 kB, and took the link for 108 ms, more than may be under way. The pause between two reads now follows what the latest one brought: an answer takes the link for 20 ms, unless the reads would be more than ten a second.

--- a/crates/dispatch/src/entry/following.rs
+++ b/crates/dispatch/src/entry/following.rs
@@ -22,8 +22,6 @@
 const MEET_MS: u64 = 1_000;
 /// The same while appends of this host had no answer: what is read back is told as stored.
 const DOUBTFUL_POLL_MS: u64 = 600;
-/// Pause between two reads of the list of workers by the owner.
-const WORKERS_POLL_MS: u64 = 400;
 /// Time without an answer of the store after which a host turns unready, and refuses at
 /// once what it could not store.
 const STORE_AWAY_MS: u64 = 1_800;
@@ -56,7 +54,7 @@
             self.workers.load(now_ms, tickets, actions);
             self.jobs.listen(listen_ms, now_ms, tickets, actions);
             self.jobs.confirm(listen_ms, now_ms, tickets, actions);
-            if now_ms >= self.workers_read_ms + WORKERS_POLL_MS {
+            if now_ms >= self.workers_read_ms + self.workers_pause_ms {
                 self.workers_read_ms = now_ms;
                 self.workers.prompt(now_ms, now_ms, tickets, actions);
             }
--- a/crates/dispatch/src/entry/mod.rs
+++ b/crates/dispatch/src/entry/mod.rs
@@ -41,6 +41,8 @@
 use crate::owner::Figures;
 use crate::owner::Owner;
 use crate::owner::records_bytes;
+use crate::policy::link::LIST_PAUSE_MOST_MS;
+use crate::policy::link::list_pause_ms;
 use crate::record::OwnerRecord;
 use crate::relay::Relay;
 use crate::tail::Progress;
@@ -109,6 +111,8 @@
     meet_ms: Option<u64>,
     states_read_ms: u64,
     workers_read_ms: u64,
+    /// Pause before the next read of the list of workers.
+    workers_pause_ms: u64,
     purge_ms: u64,
     ledger: Ledger,
     config: Option<Rc<Config>>,
@@ -158,6 +162,7 @@
             meet_ms: None,
             states_read_ms: 0,
             workers_read_ms: 0,
+            workers_pause_ms: LIST_PAUSE_MOST_MS,
             purge_ms: 0,
             ledger: Ledger::default(),
             config: None,
@@ -442,6 +447,12 @@
         if progress.is_reloaded {
             self.worker_entries.clear();
         }
+        let rows = progress.records.iter();
+        let bytes = records_bytes(rows.map(|record| (&*record.key, &*record.value)));
+        if !progress.is_reloaded && bytes > 0 {
+            let link_bytes_per_s = self.bounds.link_bytes_per_s;
+            self.workers_pause_ms = list_pause_ms(self.workers_pause_ms, bytes, link_bytes_per_s);
+        }
         let mut changed = Vec::with_capacity(progress.records.len());
         for record in progress.records {
             changed.push(record.key.clone());
--- a/crates/dispatch/src/policy/link.rs
+++ b/crates/dispatch/src/policy/link.rs
@@ -62,6 +62,20 @@
 /// Part of the link, in percent, that records of progress may take.
 const RECORDS_PERCENT: u64 = 45;
 
+/// Longest and shortest pause between two reads of the list of workers.
+pub(crate) const LIST_PAUSE_MOST_MS: u64 = 400;
+const LIST_PAUSE_LEAST_MS: u64 = 100;
+/// Time that the link may take for what one such read brings, as all else waits behind it.
+const LIST_BURST_MS: u64 = 20;
+
+/// Gives the pause before the next read of the list of workers, by what the latest one brought after
+/// its pause. Reports of thousands of workers come all the time; read seldom, they come at once.
+pub fn list_pause_ms(pause_ms: u64, bytes: u64, link_bytes_per_s: u64) -> u64 {
+    let burst_bytes = link_bytes_per_s * LIST_BURST_MS / 1_000;
+    let fitting_ms = pause_ms * burst_bytes / bytes.max(1);
+    fitting_ms.clamp(LIST_PAUSE_LEAST_MS, LIST_PAUSE_MOST_MS)
+}
+
 /// One way of a link.
 #[derive(Debug, Clone, Copy)]
 struct Way {
--- a/tests/policy_link.rs
+++ b/tests/policy_link.rs
@@ -2,6 +2,7 @@
 
 use goldcrestway_dispatch::policy::link::LinkBudget;
 use goldcrestway_dispatch::policy::link::Rank;
+use goldcrestway_dispatch::policy::link::list_pause_ms;
 use googletest::prelude::*;
 
 /// Two megabits a second.
@@ -82,3 +83,54 @@
     expect_that!(link.looks_gap_ms(540, 215), le(60));
     expect_that!(link.records_gap_ms(20_000), le(20));
 }
+
+/// Reports of workers that came in a while, and the pause before the next read of them.
+struct ListCase {
+    name: &'static str,
+    pause_ms: u64,
+    bytes: u64,
+    link_bytes_per_s: u64,
+    next_ms: u64,
+}
+
+const LIST_CASES: &[ListCase] = &[
+    ListCase {
+        name: "few workers",
+        pause_ms: 400,
+        bytes: 4_000,
+        link_bytes_per_s: 2_500_000,
+        next_ms: 400,
+    },
+    ListCase {
+        name: "thousands of workers on a wide link",
+        pause_ms: 400,
+        bytes: 270_000,
+        link_bytes_per_s: 125_000_000,
+        next_ms: 400,
+    },
+    // Answers of workers would wait for a tenth of a second behind each read.
+    ListCase {
+        name: "thousands of workers on a thin link",
+        pause_ms: 400,
+        bytes: 270_000,
+        link_bytes_per_s: 2_500_000,
+        next_ms: 100,
+    },
+    ListCase {
+        name: "half of them have gone",
+        pause_ms: 100,
+        bytes: 16_000,
+        link_bytes_per_s: 2_500_000,
+        next_ms: 312,
+    },
+];
+
+/// Symptom: on a link of 20 Mbit/s starts and looks are put off for a quarter of the time. Cause: the
+/// reports of 6,000 workers came in one answer, which took the link for more than may be under way.
+#[gtest]
+fn the_list_of_workers_is_read_in_pieces_that_the_link_bears() {
+    for case in LIST_CASES {
+        let next_ms = list_pause_ms(case.pause_ms, case.bytes, case.link_bytes_per_s);
+        expect_that!(next_ms, eq(case.next_ms), "{}", case.name);
+    }
+}
