A new owner begins with the list on record, and looks first where something runs

With small hosts only (0.12 cores), owners of 6,000 workers took one another's place: a new one read the platform's list beside the one on record, 2.2 MB in all, began without either after 0.6 s, and looked at all workers in one turn, in which it gave no sign of life. Now it begins with the list on record and reads the platform's afterwards; looks at workers that run something come first, a hundred in a turn at most; the others are spread by what its processor bears.

--- a/crates/dispatch/src/entry/following.rs
+++ b/crates/dispatch/src/entry/following.rs
@@ -51,7 +51,11 @@
         }
         let acts = self.owner.is_some() || self.claim.is_some();
         if acts {
-            self.workers.load(now_ms, tickets, actions);
+            // A list on record is enough to begin with; the platform's own is as long again.
+            let has_list = !self.progress.is_loaded() || !self.inheritance.workers.is_empty();
+            if self.owner.is_some() || !has_list {
+                self.workers.load(now_ms, tickets, actions);
+            }
             self.jobs.listen(listen_ms, now_ms, tickets, actions);
             self.jobs.confirm(listen_ms, now_ms, tickets, actions);
             if now_ms >= self.workers_read_ms + self.workers_pause_ms {
--- a/crates/dispatch/src/entry/owning.rs
+++ b/crates/dispatch/src/entry/owning.rs
@@ -198,7 +198,8 @@
         if !self.jobs.is_fresh_since(stored_ms) {
             self.jobs.prompt(stored_ms, now_ms, tickets, actions);
         }
-        let is_read = self.jobs.is_fresh_since(stored_ms) && self.workers.is_loaded();
+        let has_list = self.workers.is_loaded() || !self.inheritance.workers.is_empty();
+        let is_read = self.jobs.is_fresh_since(stored_ms) && has_list;
         let has_read_least = self.progress.is_loaded() && self.states.is_loaded();
         if !has_read_least || !is_read && now_ms < stored_ms + PATIENCE_MS {
             return;
--- a/crates/dispatch/src/owner/adopting.rs
+++ b/crates/dispatch/src/owner/adopting.rs
@@ -160,6 +160,7 @@
         for id in entries.keys().chain(&unlisted) {
             self.list_worker(id, entries.get(id), now, actions);
         }
+        self.spread_first_looks(now.steady_ms);
     }
 
     /// Takes in what the platform says of a worker, if it lists it. Most reports say what the
--- a/crates/dispatch/src/owner/looks.rs
+++ b/crates/dispatch/src/owner/looks.rs
@@ -16,6 +16,7 @@
 use crate::policy::link::Rank;
 use crate::policy::looks::Looks;
 use crate::policy::looks::Work;
+use crate::policy::looks::first_gap_us;
 use crate::policy::suspicion::SOUND_MS;
 use goldcrestway_core::Code;
 use goldcrestway_core::Note;
@@ -27,6 +28,9 @@
 /// The same where fillers work beside a task that is over its target: how that goes on
 /// decides whether they are halted in time.
 const PRESSED_WAIT_MS: u64 = 250;
+/// Looks that are sent in one turn, and in a millisecond where turns are shorter.
+const LOOKS_MOST: usize = 100;
+const LOOKS_A_MS: u64 = 20;
 /// Time over which looks that are hastened are spread.
 const HASTENED_MS: u64 = 700;
 /// Pause between looks while ends wait to be recorded, which a look would repeat.
@@ -64,15 +68,23 @@
                     true => Rank::Lease,
                     false => Rank::Look,
                 };
-                due.push((rank, worker.lapsed_ms, key));
+                due.push((rank, worker.runs.is_empty(), worker.lapsed_ms, key));
             }
         }
         for key in dead {
             self.bury(key, Fate::GivenUp, now, actions);
         }
-        // Those whose leases are over first come first.
+        // Those on which something runs come first, in the order in which leases end. Should all be
+        // due at once, as they are for a new owner, the rest has to wait for the next turns: signs
+        // of life go out between them.
         due.sort_unstable();
-        for (rank, _, key) in due {
+        let passed_ms = now_ms.saturating_sub(self.looked_ms);
+        self.looked_ms = now_ms;
+        let refill = (passed_ms * LOOKS_A_MS).min(LOOKS_MOST as u64) as usize;
+        self.looks_left = (self.looks_left + refill).min(LOOKS_MOST);
+        due.truncate(self.looks_left);
+        self.looks_left -= due.len();
+        for (rank, _, _, key) in due {
             if self.link.admits(rank) {
                 self.look(key, now_ms, tickets, actions);
             }
@@ -235,6 +247,20 @@
         worker.next_look_ms = worker.next_look_ms.min(at_ms);
     }
 
+    /// Spreads the first looks at workers on which nothing runs, by what the owner's processor bears.
+    /// Those that run something are looked at first.
+    pub(crate) fn spread_first_looks(&mut self, now_ms: u64) {
+        let gap_us = first_gap_us(self.bounds.cpu_permille);
+        let mut waits_us = 0;
+        for worker in self.workers.values_mut() {
+            let was_looked_at = worker.is_known || worker.next_look_ms > 0;
+            if worker.runs.is_empty() && !was_looked_at {
+                worker.next_look_ms = now_ms + waits_us / 1_000;
+                waits_us += gap_us;
+            }
+        }
+    }
+
     /// Has workers at rest looked at within a second, as they have to confirm this owner.
     pub(super) fn hasten_looks(&mut self, now_ms: u64) {
         let mut place = 0;
--- a/crates/dispatch/src/owner/mod.rs
+++ b/crates/dispatch/src/owner/mod.rs
@@ -197,6 +197,9 @@
     /// The store does not confirm it, so that the workers have to.
     are_workers_confirming: bool,
     is_leaving: bool,
+    /// Looks that may be sent in this turn, and when that was last counted.
+    looks_left: usize,
+    looked_ms: u64,
     must_place: bool,
     next_place_ms: u64,
     /// When the first task that was told to wait may be placed.
@@ -260,6 +263,8 @@
             confirmed_ms: now.steady_ms,
             are_workers_confirming: false,
             is_leaving: false,
+            looks_left: 0,
+            looked_ms: 0,
             must_place: true,
             next_place_ms: 0,
             wake_ms: u64::MAX,
--- a/crates/dispatch/src/policy/looks.rs
+++ b/crates/dispatch/src/policy/looks.rs
@@ -24,10 +24,18 @@
 const LOOK_US: u64 = 40;
 /// Part of the owner's processor, in percent, that looks at workers at rest may take.
 const IDLE_PERCENT: u64 = 10;
+/// The same while a new owner looks at them for the first time. Nothing new starts on those that it
+/// has not heard.
+const FIRST_PERCENT: u64 = 30;
 /// Longest pause while the workers are what confirms the owner: most of them must have answered
 /// within two seconds.
 const CONFIRMING_GAP_MOST_MS: u64 = 1_000;
 
+/// Gives the time, in microseconds, between the first looks of a new owner at workers at rest.
+pub fn first_gap_us(cpu_permille: u64) -> u64 {
+    LOOK_US * 1_000 * 100 / (cpu_permille * FIRST_PERCENT).max(1)
+}
+
 /// What a worker is about, as far as looks go.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Work {
--- a/tests/dispatch_turns.rs
+++ b/tests/dispatch_turns.rs
@@ -5,6 +5,8 @@
 use crate::fleet::job;
 use crate::fleet::step;
 use goldcrestway_dispatch::Figures;
+use goldcrestway_dispatch::JobState;
+use goldcrestway_dispatch::Stream;
 use googletest::prelude::*;
 
 const JOB: u64 = 1;
@@ -38,3 +40,39 @@
         expect_that!(looked_over, le(CHANGES_A_LOOK * looks), "{workers} workers");
     }
 }
+
+/// Symptom: with small hosts only, each new owner of 6,000 workers is taken for dead before it has
+/// begun to act, and another one claims. Cause: it read the platform's list of workers beside the one
+/// on record, and looked at all of them in one turn, in which it gave no sign of life.
+#[gtest]
+fn a_new_owner_begins_with_what_is_on_record_and_looks_at_few_workers_a_turn() {
+    const WORKERS: usize = 1_200;
+    const LOOKS_A_TURN: u64 = 100;
+    /// More that may follow within a step of virtual time.
+    const LOOKS_IN_STEP: u64 = 100;
+    let mut fleet = Fleet::with_shares(&[400; 3], WORKERS);
+    fleet.store.limits.page_keys = 500;
+    fleet.run(2_000);
+    let former = owner(&fleet);
+    fleet.submit(former, JOB, &job(vec![step(20, 10_000, &[])]));
+    fleet.run(1_000);
+    fleet.kill(former);
+    fleet.loads.clear();
+    while fleet.owner().is_none() {
+        fleet.run(5);
+    }
+    // The first page is asked for as it begins.
+    expect_that!(fleet.loads.get(&Stream::Workers), none().or(some(eq(&1))));
+    let next = owner(&fleet);
+    let mut looks = fleet.figures(next).looks;
+    expect_that!(looks, le(LOOKS_A_TURN));
+    for _ in 0..200 {
+        fleet.run(5);
+        let now_looks = fleet.figures(next).looks;
+        expect_that!(now_looks - looks, le(LOOKS_A_TURN + LOOKS_IN_STEP));
+        looks = now_looks;
+    }
+    fleet.run(12_000);
+    expect_that!(fleet.state(next, JOB), some(eq(JobState::Completed)));
+    expect_that!(fleet.promises.starts.len(), eq(20));
+}
--- a/tests/fleet/carrying.rs
+++ b/tests/fleet/carrying.rs
@@ -91,6 +91,7 @@
                 after,
                 patience,
             } => {
+                *self.loads.entry(stream).or_default() += 1;
                 let loader = Loader {
                     number,
                     life,
--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -166,6 +166,8 @@
     pub(crate) store_calls_made: usize,
     /// Reads that were to be answered at once, by stream.
     pub(crate) short_reads: BTreeMap<Stream, usize>,
+    /// Pages that were loaded, by stream.
+    pub(crate) loads: BTreeMap<Stream, usize>,
     mishaps: Mishaps,
     /// Runs that went with their worker.
     lost: Vec<(TaskId, u32, Manner)>,
@@ -222,6 +224,7 @@
             store_calls_most: 0,
             store_calls_made: 0,
             short_reads: BTreeMap::new(),
+            loads: BTreeMap::new(),
             mishaps: Mishaps::default(),
             lost: Vec::new(),
             peers: Peers::default(),
