Placing pauses by what it has weighed, and weighs only workers that are open

Much waits in a full fleet, or before a new owner has heard its workers; each end or answer had all workers weighed for each step that waits, a hundred times a second: jobs times workers, and leases and signs of life waited behind it. Only workers that may get new work are weighed, and the pause after a try follows what it has weighed, so that placing takes a quarter of the owner's processor at most. Counts are in the metrics (workers_weighed).

--- a/crates/dispatch/src/owner/mod.rs
+++ b/crates/dispatch/src/owner/mod.rs
@@ -64,6 +64,7 @@
 use crate::policy::link::LinkBudget;
 use crate::policy::link::Rank;
 use crate::policy::patience::AnswerTimes;
+use crate::policy::placing::placing_gap_ms;
 use crate::record::JobPhase;
 use crate::record::Progress;
 use crate::record::Submission;
@@ -89,9 +90,6 @@
 const CLOCK_SKEW_PERMILLE: u64 = 1_030;
 const LAPSE_SLACK_MS: u64 = 300;
 
-/// Pause between two goes at placing what waits, half of that between appends.
-const PLACE_GAP_MS: u64 = 10;
-
 /// Counts that the metrics show.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub struct Figures {
@@ -117,6 +115,8 @@
     pub looks: u64,
     /// How often the state of a worker was looked over in a turn.
     pub looked_over: u64,
+    /// How often a worker was weighed for a step that waits.
+    pub weighed: u64,
     /// Changes of a filler's share.
     pub paces: u64,
     /// Appends to the stream of progress.
@@ -397,12 +397,15 @@
         self.chase_stragglers(now, actions);
         self.stop_strays(now.steady_ms, tickets, actions);
         self.must_place |= now.steady_ms >= self.wake_ms;
+        self.workers.settle();
         if self.must_place && now.steady_ms >= self.next_place_ms {
             self.must_place = false;
             self.wake_ms = u64::MAX;
-            self.next_place_ms = now.steady_ms + PLACE_GAP_MS;
             self.permits.begin_pass();
+            let before = self.workers.weighed();
             self.place(now, actions);
+            let weighed = self.workers.weighed() - before;
+            self.next_place_ms = now.steady_ms + placing_gap_ms(weighed, self.bounds.cpu_permille);
         }
         self.ask_permits(now, tickets, actions);
         self.pace(now.steady_ms, tickets, actions);
@@ -414,6 +417,7 @@
 
     /// Has metrics show how full the link is.
     fn show_link(&mut self) {
+        self.figures.weighed = self.workers.weighed();
         self.figures.looked_over = self.workers.looked_over();
         self.figures.answer_ms = self.answers.usual_ms();
         self.figures.link_out_ms = self.link.out_ms();
--- a/crates/dispatch/src/owner/pricing.rs
+++ b/crates/dispatch/src/owner/pricing.rs
@@ -66,7 +66,7 @@
         now_ms: u64,
     ) -> BinaryHeap<Reverse<(i64, WorkerKey)>> {
         let mut ranked = BinaryHeap::new();
-        for (key, worker) in &self.workers {
+        for (key, worker) in self.workers.open() {
             if let Ok(cost) = self.price_at(key, worker, wanted, now_ms) {
                 ranked.push(Reverse((cost, key)));
             }
--- a/crates/dispatch/src/owner/worker.rs
+++ b/crates/dispatch/src/owner/worker.rs
@@ -421,6 +421,13 @@
 
     /// Tells what keeps all new work from there, if anything does.
     pub(crate) fn exclusion(&self, now_ms: u64) -> Option<Exclusion> {
+        let is_shunned = now_ms < self.shunned_until_ms;
+        let shunned = is_shunned.then_some(Exclusion::Shunned);
+        self.lasting_exclusion().or(shunned)
+    }
+
+    /// The same but for what ends by time alone.
+    pub(crate) fn lasting_exclusion(&self) -> Option<Exclusion> {
         if !self.is_listed {
             return Some(Exclusion::Unlisted);
         }
@@ -436,7 +443,7 @@
         if self.entry.is_leaving {
             return Some(Exclusion::Leaving);
         }
-        (now_ms < self.shunned_until_ms).then_some(Exclusion::Shunned)
+        None
     }
 
     /// Gives how many tasks of a step fit there.
--- a/crates/dispatch/src/owner/workers.rs
+++ b/crates/dispatch/src/owner/workers.rs
@@ -9,6 +9,7 @@
 use crate::owner::worker::WorkerKey;
 use crate::policy::looks::Work;
 use slotmap::SlotMap;
+use std::cell::Cell;
 use std::collections::BTreeSet;
 use std::ops::Index;
 use std::ops::IndexMut;
@@ -31,6 +32,10 @@
     looked_over: u64,
     /// Those on which something is about to end.
     ending: BTreeSet<WorkerKey>,
+    /// Those that may get new work.
+    open: BTreeSet<WorkerKey>,
+    /// How often one of them was weighed for some task.
+    weighed: Cell<u64>,
 }
 
 impl Workers {
@@ -44,6 +49,8 @@
             in_doubt: BTreeSet::new(),
             looked_over: 0,
             ending: BTreeSet::new(),
+            open: BTreeSet::new(),
+            weighed: Cell::new(0),
         }
     }
 
@@ -66,6 +73,7 @@
         self.unrecorded.remove(&key);
         self.in_doubt.remove(&key);
         self.ending.remove(&key);
+        self.open.remove(&key);
         Some(worker)
     }
 
@@ -105,7 +113,7 @@
     }
 
     /// Looks over the workers that may have changed.
-    fn settle(&mut self) {
+    pub(crate) fn settle(&mut self) {
         for key in std::mem::take(&mut self.marked) {
             let Some(worker) = self.slots.get_mut(key) else {
                 continue;
@@ -116,11 +124,13 @@
             let (orders, unrecorded) = (worker.has_orders, worker.handled > worker.recorded);
             let in_doubt = worker.is_in_doubt();
             let ending = worker.work() == Work::Ending;
+            let open = worker.lasting_exclusion().is_none();
             self.schedule(key, due_ms);
             keep(&mut self.with_orders, key, orders);
             keep(&mut self.unrecorded, key, unrecorded);
             keep(&mut self.in_doubt, key, in_doubt);
             keep(&mut self.ending, key, ending);
+            keep(&mut self.open, key, open);
         }
     }
 
@@ -170,6 +180,18 @@
         self.unrecorded.iter().copied().collect()
     }
 
+    /// Lists the workers that might get new work as of when they were last looked over.
+    pub(crate) fn open(&self) -> impl Iterator<Item = (WorkerKey, &Worker)> {
+        let count = self.open.len() as u64;
+        self.weighed.set(self.weighed.get() + count);
+        self.open.iter().map(|key| (*key, &self.slots[*key]))
+    }
+
+    /// Gives how often a worker was weighed for some task.
+    pub(crate) fn weighed(&self) -> u64 {
+        self.weighed.get()
+    }
+
     /// Gives on how many workers something is about to end.
     pub(crate) fn ending(&self) -> usize {
         self.ending.len()
--- a/crates/dispatch/src/policy/mod.rs
+++ b/crates/dispatch/src/policy/mod.rs
@@ -10,6 +10,7 @@
 //! | [`ordering`] | which job gets what is free |
 //! | [`pacing`] | at which share best-effort tasks work beside a service |
 //! | [`patience`] | how long answers of workers are awaited, and what a missing one means |
+//! | [`placing`] | how often what waits is placed |
 //! | [`relaying`] | whether other hosts carry the owner's orders to the workers |
 //! | [`size`] | how large a job may be |
 //! | [`stragglers`] | which workers slow down what runs there |
@@ -22,6 +23,7 @@
 pub mod ordering;
 pub mod pacing;
 pub mod patience;
+pub mod placing;
 pub mod relaying;
 pub mod size;
 pub mod stragglers;
--- a/tests/dispatch_turns.rs
+++ b/tests/dispatch_turns.rs
@@ -6,6 +6,7 @@
 use crate::fleet::step;
 use goldcrestway_dispatch::Figures;
 use goldcrestway_dispatch::JobState;
+use goldcrestway_dispatch::Step;
 use goldcrestway_dispatch::Stream;
 use googletest::prelude::*;
 
@@ -76,3 +77,30 @@
     expect_that!(fleet.state(next, JOB), some(eq(JobState::Completed)));
     expect_that!(fleet.promises.starts.len(), eq(20));
 }
+
+/// Symptom: an owner gives no sign of life for a second while much waits in a fleet that is full. Cause:
+/// each end was a reason to weigh all workers for each step that waits, a hundred times a second.
+#[gtest]
+fn a_full_fleet_costs_the_owner_no_more_than_its_part() {
+    const WORKERS: usize = 300;
+    const JOBS: u64 = 160;
+    const CPU_PERMILLE: u64 = 20;
+    /// A quarter of the owner's processor, at 40 ns each.
+    const WEIGHED_A_MS: u64 = CPU_PERMILLE * 25 / 100 * 1_000 / 40;
+    let mut fleet = Fleet::with_shares(&[CPU_PERMILLE; 3], WORKERS);
+    let owner = owner(&fleet);
+    for id in 0..JOBS {
+        // Each task takes a whole worker, and they end at all times.
+        let whole = Step {
+            cpu_milli: 8_000,
+            ..step(20, 700 + 17 * id, &[])
+        };
+        fleet.submit(owner, id, &job(vec![whole]));
+    }
+    fleet.run(2_000);
+    let before = fleet.figures(owner).weighed;
+    fleet.run(WATCHED_MS);
+    let weighed = fleet.figures(owner).weighed - before;
+    let one_try = JOBS * WORKERS as u64;
+    expect_that!(weighed, le(WEIGHED_A_MS * WATCHED_MS + one_try));
+}
--- a/tests/lib.rs
+++ b/tests/lib.rs
@@ -43,6 +43,7 @@
 mod policy_ordering;
 mod policy_pacing;
 mod policy_patience;
+mod policy_placing;
 mod policy_stragglers;
 mod policy_suspicion;
 mod scenarios;
