--- a/crates/core/src/notes.rs
+++ b/crates/core/src/notes.rs
@@ -79,7 +79,7 @@
     StoreAway = 2001, "A call to the store had no answer or was refused.";
     StoreBack = 2002, "The store answers again.";
     StreamsLoading = 2003, "A host that has started still reads jobs or their states; the detail says which streams are missing.";
-    StreamsLoaded = 2004, "A host that has started has read all jobs and their states.";
+    StreamsLoaded = 2004, "A host that has started has read what it needs: all jobs and their states, or who owns.";
     ReadFailed = 2005, "A read of a stream of the store brought nothing; the detail says why, when it was sent, and how old what is known from that stream is.";
     ClockJumped = 2006, "The time of day ran ahead of the steady clock: the host was suspended, or its clock was set. What it believes counts as that much older.";
     OwnerClaimed = 2101, "This host has claimed to own the progress of all jobs.";
--- a/tests/capacity.rs
+++ b/tests/capacity.rs
@@ -5,7 +5,7 @@
 use googletest::prelude::*;
 
 const SLOPES: &str = include_str!("../docs/dev/slopes.json");
-const PAGE: &str = include_str!("../docs/CAPACITY.md");
+const PAGE: &str = include_str!("../docs/dev/own-log-capacity.md");
 
 /// Symptom: a figure on the page that no measurement gave. Cause: the page was
 /// edited by hand, or slopes were measured anew and the page was not written.
