--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -210,7 +210,10 @@
 fn write_capacity(arguments: &Capacity) -> Result<(), Box<dyn Error>> {
     let all: Vec<Series> = serde_json::from_str(&std::fs::read_to_string(&arguments.slopes)?)?;
     let docs = Path::new(&arguments.docs);
-    std::fs::write(docs.join("dev/own-log-capacity.md"), capacity::render(&all)?)?;
+    std::fs::write(
+        docs.join("dev/own-log-capacity.md"),
+        capacity::render(&all)?,
+    )?;
     let folder = docs.join("dev/plots");
     std::fs::create_dir_all(&folder)?;
     for series in &all {
--- a/crates/dispatch/src/entry/callers.rs
+++ b/crates/dispatch/src/entry/callers.rs
@@ -225,14 +225,7 @@
             Some(record) if record.submission.is_some() => {
                 self.write_cancel(request, job, patience_ms, now, actions);
             }
-            _ => self.callers.questions.push(Question {
-                asker: Asker::Caller(request),
-                about: About::Cancel(job, patience_ms),
-                asked_ms: now.steady_ms,
-                asked_after: self.tickets,
-                flight: None,
-                reply: None,
-            }),
+            _ => self.ask(Asker::Caller(request), About::Cancel(job, patience_ms), now),
         }
     }
 
@@ -423,19 +416,16 @@
         if !self.reading.is_quiet() {
             return;
         }
+        let mut due = Vec::new();
         for write in &mut self.callers.writes {
             if !write.is_doubtful || write.is_read_back || now.steady_ms < write.ask_ms {
                 continue;
             }
             write.ask_ms = now.steady_ms + ASK_AGAIN_MS;
-            self.callers.questions.push(Question {
-                asker: Asker::Write(write.request),
-                about: About::State(write.job),
-                asked_ms: now.steady_ms,
-                asked_after: self.tickets,
-                flight: None,
-                reply: None,
-            });
+            due.push((write.request, write.job));
+        }
+        for (request, job) in due {
+            self.ask(Asker::Write(request), About::State(job), now);
         }
     }
 
--- a/crates/dispatch/src/entry/following.rs
+++ b/crates/dispatch/src/entry/following.rs
@@ -137,15 +137,15 @@
     pub(super) fn watch_store(&mut self, now: Now, actions: &mut Vec<Action>) {
         let owner_ms = self.listen_ms() * u64::from(self.owner.is_some());
         let limit_ms = STORE_AWAY_MS + owner_ms + self.quiet_ms();
-        let is_silent = now.steady_ms > self.contact.answered_ms + limit_ms
-            || self.reading.is_quiet()
-                && self
-                    .contact
-                    .has_been_in_doubt_for(DOUBT_MOST_MS, now.steady_ms);
+        let is_silent = now.steady_ms > self.contact.answered_ms + limit_ms;
+        let is_doubted = self
+            .contact
+            .has_been_in_doubt_for(DOUBT_MOST_MS, now.steady_ms);
+        let has_cause = self.reading.is_quiet() && is_doubted;
         // Rules may have changed meanwhile: a host that took callers by those from before
         // would accept for queues that are gone, and deny those that have come.
         let is_behind = self.is_store_away && !self.have_rules_been_asked_for(now);
-        let is_away = is_silent || is_behind;
+        let is_away = is_silent || has_cause || is_behind;
         if is_away != self.is_store_away {
             self.is_store_away = is_away;
             let code = if is_away {
--- a/crates/dispatch/src/entry/questions.rs
+++ b/crates/dispatch/src/entry/questions.rs
@@ -103,7 +103,8 @@
         self.ask(Asker::Caller(request), About::State(job), now);
     }
 
-    fn ask(&mut self, asker: Asker, about: About, now: Now) {
+    /// Has a question answered once that can be done.
+    pub(super) fn ask(&mut self, asker: Asker, about: About, now: Now) {
         self.callers.questions.push(Question {
             asker,
             about,
