Reports of workers are not read twice at once

On a copy of the fleet with small hosts only an owner that had taken over extended no lease for nine seconds, and again later: its link brought 2.36 MB a second, all of it reports of workers (LinkCarried read_workers=6/708/2359121, put_off=lease:131538). Now a read waits for the one under way.

--- a/crates/dispatch/src/entry/following.rs
+++ b/crates/dispatch/src/entry/following.rs
@@ -60,7 +60,8 @@
             self.jobs.confirm(listen_ms, now_ms, tickets, actions);
             if now_ms >= self.workers_read_ms + self.workers_pause_ms {
                 self.workers_read_ms = now_ms;
-                self.workers.prompt(now_ms, now_ms, tickets, actions);
+                // One beside another would bring the same reports once more.
+                self.workers.prompt(0, now_ms, tickets, actions);
             }
             return;
         }
--- a/tests/dispatch_store_calls.rs
+++ b/tests/dispatch_store_calls.rs
@@ -54,3 +54,18 @@
     // A few hosts read of all others: those whose turn to claim comes before the first owner shows.
     expect_that!(many.bytes, le(few.bytes * 2));
 }
+
+/// Symptom: for ten seconds after it began, an owner on a thin link extends no lease. Cause: it had
+/// thousands of reports of workers to catch up with, and read the same ones three times at once, as
+/// each read was under way when the next was due.
+#[gtest]
+fn reports_of_workers_are_not_read_twice_at_once() {
+    const ANSWER_MS: u64 = 1_000;
+    let mut fleet = Fleet::new(3, 4);
+    fleet.store.answer_ms = ANSWER_MS;
+    fleet.run(3_000);
+    fleet.short_reads.clear();
+    fleet.run(CALM_MS);
+    let reads = fleet.short_reads.get(&Stream::Workers).copied();
+    expect_that!(reads, some(le((CALM_MS / ANSWER_MS) as usize)));
+}
