--- a/crates/dispatch/src/entry/callers.rs
+++ b/crates/dispatch/src/entry/callers.rs
@@ -1,5 +1,7 @@
 //! Callers who await that something is stored: submissions and cancellations.
 
+mod read_back;
+
 use crate::entry::Entry;
 use crate::entry::questions::About;
 use crate::entry::questions::Asker;
@@ -11,7 +13,6 @@
 use crate::event::StoredRecord;
 use crate::event::Stream;
 use crate::ids::JobId;
-use crate::ledger::JobState;
 use crate::policy::size::tasks_most;
 use crate::record::Key;
 use crate::record::Submission;
@@ -42,8 +43,6 @@
 const FLIGHTS_MOST: usize = 4;
 /// Records in one append.
 const BATCH_MOST: usize = 64;
-/// Pause between two questions to the owner for a write whose append had no answer.
-const ASK_AGAIN_MS: u64 = 600;
 /// Time that the way back to the caller may take.
 const WAY_MS: u64 = 150;
 /// Time that a caller of unknown patience is made to wait at most.
@@ -380,68 +379,6 @@
         });
     }
 
-    /// Answers those whose append had no answer and is read back.
-    fn settle_read_writes(&mut self, now: Now, actions: &mut Vec<Action>) {
-        let jobs = &self.ledger.jobs;
-        let mut settled = Vec::new();
-        self.callers.writes.retain(|write| {
-            let record = jobs.get(&write.job);
-            let is_stored = write.is_doubtful
-                && match write.key {
-                    _ if write.is_read_back => true,
-                    Key::Cancelled(_) => record.is_some_and(|record| record.is_cancelled),
-                    _ => record.is_some_and(|record| record.submission.is_some()),
-                };
-            if is_stored {
-                settled.push((write.request, write.job, write.taken_ms));
-            }
-            !is_stored
-        });
-        for (request, job, taken_ms) in settled {
-            let took_ms = now.steady_ms - taken_ms;
-            actions.push(Action::Note(Note::new(
-                Code::JobStored,
-                job.to_string(),
-                format!("what=read_back took_ms={took_ms}"),
-            )));
-            actions.push(Action::Answer {
-                request,
-                reply: Reply::Stored,
-            });
-        }
-    }
-
-    /// Asks the owner for writes whose append had no answer, where this host does not read jobs.
-    fn ask_for_writes(&mut self, now: Now) {
-        if !self.reading.is_quiet() {
-            return;
-        }
-        let mut due = Vec::new();
-        for write in &mut self.callers.writes {
-            if !write.is_doubtful || write.is_read_back || now.steady_ms < write.ask_ms {
-                continue;
-            }
-            write.ask_ms = now.steady_ms + ASK_AGAIN_MS;
-            due.push((write.request, write.job));
-        }
-        for (request, job) in due {
-            self.ask(Asker::Write(request), About::State(job), now);
-        }
-    }
-
-    /// Takes in what the owner says of the job of a write.
-    pub(super) fn note_read_back(&mut self, request: u64, reply: &Reply) {
-        let Reply::State(state) = reply else {
-            return;
-        };
-        for write in &mut self.callers.writes {
-            if write.request == request {
-                let is_cancelling = matches!(write.key, Key::Cancelled(_));
-                write.is_read_back |= !is_cancelling || *state == JobState::Cancelled;
-            }
-        }
-    }
-
     /// Sends what waits, answers what can be answered, gives up what is late.
     pub(crate) fn serve(&mut self, now: Now, actions: &mut Vec<Action>) {
         self.ask_for_writes(now);
--- /dev/null
+++ b/crates/dispatch/src/entry/callers/read_back.rs
@@ -0,0 +1,80 @@
+//! Writes whose append had no answer: whether they are stored shows by reading them back, or by
+//! asking the owner where this host does not read jobs.
+
+use crate::entry::Entry;
+use crate::entry::questions::About;
+use crate::entry::questions::Asker;
+use crate::event::Action;
+use crate::event::Now;
+use crate::event::Reply;
+use crate::ledger::JobState;
+use crate::record::Key;
+use goldcrestway_core::Code;
+use goldcrestway_core::Note;
+
+/// Pause between two questions to the owner for a write whose append had no answer.
+const ASK_AGAIN_MS: u64 = 600;
+
+impl Entry {
+    /// Answers those whose append had no answer and is read back.
+    pub(super) fn settle_read_writes(&mut self, now: Now, actions: &mut Vec<Action>) {
+        let jobs = &self.ledger.jobs;
+        let mut settled = Vec::new();
+        self.callers.writes.retain(|write| {
+            let record = jobs.get(&write.job);
+            let is_stored = write.is_doubtful
+                && match write.key {
+                    _ if write.is_read_back => true,
+                    Key::Cancelled(_) => record.is_some_and(|record| record.is_cancelled),
+                    _ => record.is_some_and(|record| record.submission.is_some()),
+                };
+            if is_stored {
+                settled.push((write.request, write.job, write.taken_ms));
+            }
+            !is_stored
+        });
+        for (request, job, taken_ms) in settled {
+            let took_ms = now.steady_ms - taken_ms;
+            actions.push(Action::Note(Note::new(
+                Code::JobStored,
+                job.to_string(),
+                format!("what=read_back took_ms={took_ms}"),
+            )));
+            actions.push(Action::Answer {
+                request,
+                reply: Reply::Stored,
+            });
+        }
+    }
+
+    /// Asks the owner for writes whose append had no answer, where this host does not read jobs.
+    pub(super) fn ask_for_writes(&mut self, now: Now) {
+        if !self.reading.is_quiet() {
+            return;
+        }
+        let mut due = Vec::new();
+        for write in &mut self.callers.writes {
+            if !write.is_doubtful || write.is_read_back || now.steady_ms < write.ask_ms {
+                continue;
+            }
+            write.ask_ms = now.steady_ms + ASK_AGAIN_MS;
+            due.push((write.request, write.job));
+        }
+        for (request, job) in due {
+            self.ask(Asker::Write(request), About::State(job), now);
+        }
+    }
+
+    /// Takes in what the owner says of the job of a write.
+    pub(in crate::entry) fn note_read_back(&mut self, request: u64, reply: &Reply) {
+        let Reply::State(state) = reply else {
+            return;
+        };
+        for write in &mut self.callers.writes {
+            if write.request == request {
+                let is_cancelling = matches!(write.key, Key::Cancelled(_));
+                write.is_read_back |= !is_cancelling || *state == JobState::Cancelled;
+            }
+        }
+    }
+}
--- a/crates/dispatch/src/entry/mod.rs
+++ b/crates/dispatch/src/entry/mod.rs
@@ -12,6 +12,7 @@
 mod rules;
 mod scope;
 mod suspension;
+mod worker_list;
 
 use crate::bounds::Bounds;
 use crate::config::Config;
@@ -42,13 +43,10 @@
 use crate::owner::Owner;
 use crate::owner::records_bytes;
 use crate::policy::link::LIST_PAUSE_MOST_MS;
-use crate::policy::link::list_pause_ms;
 use crate::record::OwnerRecord;
 use crate::relay::Relay;
 use crate::tail::Progress;
 use crate::tail::Tail;
-use goldcrestway_core::Code;
-use goldcrestway_core::Note;
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
@@ -443,49 +441,6 @@
         }
     }
 
-    fn take_workers(&mut self, progress: Progress, now: Now, actions: &mut Vec<Action>) {
-        if progress.is_reloaded {
-            self.worker_entries.clear();
-        }
-        let rows = progress.records.iter();
-        let bytes = records_bytes(rows.map(|record| (&*record.key, &*record.value)));
-        if !progress.is_reloaded && bytes > 0 {
-            let link_bytes_per_s = self.bounds.link_bytes_per_s;
-            self.workers_pause_ms = list_pause_ms(self.workers_pause_ms, bytes, link_bytes_per_s);
-        }
-        let mut changed = Vec::with_capacity(progress.records.len());
-        for record in progress.records {
-            changed.push(record.key.clone());
-            if record.value.is_empty() {
-                self.worker_entries.remove(&record.key);
-                continue;
-            }
-            match (self.decoders.worker)(&record.key, &record.value) {
-                Ok(entry) => drop(self.worker_entries.insert(record.key, entry)),
-                Err(fault) => {
-                    // What it said before no longer holds; what runs there goes on.
-                    self.worker_entries.remove(&record.key);
-                    actions.push(Action::Note(Note::new(
-                        Code::RulesUnreadable,
-                        &*record.key,
-                        fault.to_string(),
-                    )));
-                }
-            }
-        }
-        let Some(owner) = &mut self.owner else {
-            return;
-        };
-        if progress.is_reloaded {
-            owner.list_workers(&self.worker_entries, now, actions);
-        } else {
-            for id in changed {
-                owner.list_worker(&id, self.worker_entries.get(&id), now, actions);
-            }
-        }
-        owner.expire_doubts(now);
-    }
-
     /// Does what is due by now.
     fn advance(&mut self, now: Now, actions: &mut Vec<Action>) {
         self.note_contact();
