--- a/crates/dispatch/src/entry/questions.rs
+++ b/crates/dispatch/src/entry/questions.rs
@@ -142,7 +142,8 @@
         }
     }
 
-    /// Takes in what the owner has answered. A question that it can't answer is asked again.
+    /// Takes in what the owner has answered. A question that it can't answer waits on until it is
+    /// late, or until another owner is heard and asked.
     pub(super) fn take_answers(&mut self) {
         for answer in self.relay.take_answers() {
             let is_meant = |question: &&mut Question| {
