--- a/crates/core/src/node/keys/mod.rs
+++ b/crates/core/src/node/keys/mod.rs
@@ -177,7 +177,7 @@
         apply_batch(now_ms, &mut cell, &handover.records);
         cell.jobs.resume(now_ms, self.config.inventory());
         let records = cell.snapshot_records();
-        cell.writer.push_alone(records);
+        cell.writer.push_snapshot(records);
         self.keys.insert(handover.number, cell);
     }
 
--- a/crates/core/src/node/keys/stream.rs
+++ b/crates/core/src/node/keys/stream.rs
@@ -45,7 +45,7 @@
             return;
         };
         let Some(offset) = offset else {
-            cell.writer.lost(now_ms, &limits);
+            cell.writer.mark_unresolved(now_ms, &limits);
             return;
         };
         if !cell.is_open {
@@ -82,7 +82,7 @@
             let is_admitted = cell.filter.admit(batch);
             if batch.term == cell.term {
                 is_found |= cell.writer.is_latest(batch);
-                committed.extend(cell.writer.seen(batch));
+                committed.extend(cell.writer.commit_read(batch));
             } else if is_admitted && !cell.is_open {
                 apply_batch(now_ms, cell, &batch.records);
             }
@@ -135,7 +135,7 @@
         if is_found {
             return;
         }
-        if let Some(Step::Append(batch)) = cell.writer.absent(now_ms) {
+        if let Some(Step::Append(batch)) = cell.writer.retry_missing(now_ms) {
             let stream = Stream::Keys(number);
             self.note(Code::BatchRepeated, stream.to_string(), "");
             self.out.push(Action::Append { stream, batch });
@@ -192,7 +192,7 @@
         cell.records_since_snapshot = 0;
         cell.last_snapshot_ms = now_ms;
         let records = cell.snapshot_records();
-        cell.writer.push_alone(records);
+        cell.writer.push_snapshot(records);
         self.note(Code::StateCarried, format!("keys-{number}"), "");
     }
 }
--- a/crates/core/src/node/logs.rs
+++ b/crates/core/src/node/logs.rs
@@ -153,7 +153,7 @@
                 };
                 match offset {
                     Some(_) => drop(writer.committed(sequence)),
-                    None => writer.lost(now_ms, &limits),
+                    None => writer.mark_unresolved(now_ms, &limits),
                 }
                 self.follower(stream).2.read_soon();
             }
@@ -217,7 +217,7 @@
             Stream::Config => &mut self.config_writer,
             _ => &mut self.claims_writer,
         };
-        if let Some(Step::Append(batch)) = writer.absent(now_ms) {
+        if let Some(Step::Append(batch)) = writer.retry_missing(now_ms) {
             self.note(Code::BatchRepeated, stream.to_string(), "");
             self.out.push(Action::Append { stream, batch });
         }
@@ -249,7 +249,7 @@
             Stream::Config => &mut self.config_writer,
             _ => &mut self.claims_writer,
         };
-        if !writer.seen_records(&batch.records).is_empty() {
+        if !writer.commit_read_records(&batch.records).is_empty() {
             self.note(Code::BatchResolved, stream.to_string(), "");
         }
     }
--- a/crates/core/src/writer.rs
+++ b/crates/core/src/writer.rs
@@ -111,7 +111,7 @@
     /// that are queued later, and which has no further effect when it is committed.
     /// Otherwise a reader could find a part of it, and the writer would treat its
     /// records as new ones and act on them again.
-    pub fn push_alone(&mut self, records: Vec<Record>) {
+    pub fn push_snapshot(&mut self, records: Vec<Record>) {
         self.snapshot = Some(records);
     }
 
@@ -143,7 +143,7 @@
                 if now_ms < sent_ms + limits.append_timeout_ms * 4 {
                     return None;
                 }
-                self.lost(now_ms, limits);
+                self.mark_unresolved(now_ms, limits);
                 None
             }
             Phase::Unresolved { retry_ms } => {
@@ -207,7 +207,7 @@
     }
 
     /// Records that the answer to an append was lost or was a failure.
-    pub fn lost(&mut self, now_ms: u64, limits: &Limits) {
+    pub fn mark_unresolved(&mut self, now_ms: u64, limits: &Limits) {
         if !matches!(self.phase, Phase::Appending { .. }) {
             return;
         }
@@ -226,16 +226,16 @@
 
     /// Handles a batch that was read from the stream; returns its records if it was
     /// the unresolved one.
-    pub fn seen(&mut self, batch: &Batch) -> Vec<Record> {
+    pub fn commit_read(&mut self, batch: &Batch) -> Vec<Record> {
         if !self.is_latest(batch) {
             return Vec::new();
         }
         self.committed(batch.sequence)
     }
 
-    /// Does the same as [`Writer::seen`] in a stream with several writers, where a
+    /// Does the same as [`Writer::commit_read`] in a stream with several writers, where a
     /// batch is recognized by its records.
-    pub fn seen_records(&mut self, records: &[Record]) -> Vec<Record> {
+    pub fn commit_read_records(&mut self, records: &[Record]) -> Vec<Record> {
         if self.under_way.is_empty() || *self.under_way != *records {
             return Vec::new();
         }
@@ -244,7 +244,7 @@
 
     /// Handles that the stream was read to its end without the unresolved batch;
     /// returns the step that appends it again.
-    pub fn absent(&mut self, now_ms: u64) -> Option<Step> {
+    pub fn retry_missing(&mut self, now_ms: u64) -> Option<Step> {
         match self.phase {
             Phase::Unresolved { .. } => Some(self.send(now_ms)),
             _ => None,
--- a/crates/wire/src/message/decode.rs
+++ b/crates/wire/src/message/decode.rs
@@ -40,13 +40,13 @@
 pub fn decode_message(kind: &Kind) -> Result<Message, WireFault> {
     let message = match kind {
         Kind::Heartbeat(heartbeat) => Message::Heartbeat {
-            member: decode_member(require(heartbeat.life.as_ref(), "life")?)?,
+            member: decode_member(require(heartbeat.member.as_ref(), "member")?)?,
             sent_ms: heartbeat.sent_ms,
             config_version: heartbeat.config_version,
             is_leaving: heartbeat.flag,
         },
         Kind::LeaseVote(vote) => Message::LeaseVote {
-            member: decode_member(require(vote.life.as_ref(), "life")?)?,
+            member: decode_member(require(vote.member.as_ref(), "member")?)?,
             sent_ms: vote.sent_ms,
             is_granted: vote.flag,
             config_version: vote.config_version,
@@ -57,9 +57,9 @@
             digest: alive.digest,
             members: decode_members(&alive.members)?,
             inherited: alive
-                .carried
+                .inherited
                 .iter()
-                .map(decode_carried_life)
+                .map(decode_inherited_member)
                 .collect::<DecodeResult<_>>()?,
         },
         Kind::StateRequest(_) => Message::StateRequest,
@@ -196,10 +196,10 @@
     Ok(message)
 }
 
-fn decode_carried_life(carried: &proto::CarriedLife) -> DecodeResult<(Member, Seat)> {
-    let life = decode_member(require(carried.life.as_ref(), "life")?)?;
-    let seat = u16::try_from(carried.seat).map_err(|_| missing("seat"))?;
-    Ok((life, Seat(seat)))
+fn decode_inherited_member(inherited: &proto::InheritedMember) -> DecodeResult<(Member, Seat)> {
+    let member = decode_member(require(inherited.member.as_ref(), "member")?)?;
+    let seat = u16::try_from(inherited.seat).map_err(|_| missing("seat"))?;
+    Ok((member, Seat(seat)))
 }
 
 fn decode_handover(handover: &proto::Handover) -> DecodeResult<Handover> {
@@ -221,7 +221,7 @@
         }
     }
     Ok(Handover {
-        member: decode_member(require(handover.life.as_ref(), "life")?)?,
+        member: decode_member(require(handover.member.as_ref(), "member")?)?,
         keys: keys.into(),
         workers: workers.into(),
         upstreams: upstreams.into(),
--- a/crates/wire/src/message/encode.rs
+++ b/crates/wire/src/message/encode.rs
@@ -33,7 +33,7 @@
             config_version,
             is_leaving,
         } => Kind::Heartbeat(proto::Heartbeat {
-            life: Some(encode_member(*member)),
+            member: Some(encode_member(*member)),
             ..heartbeat(*sent_ms, *config_version, *is_leaving, 0)
         }),
         Message::LeaseVote {
@@ -43,7 +43,7 @@
             config_version,
             alive,
         } => Kind::LeaseVote(proto::Heartbeat {
-            life: Some(encode_member(*member)),
+            member: Some(encode_member(*member)),
             ..heartbeat(*sent_ms, *config_version, *is_granted, *alive)
         }),
         Message::AliveRequest => Kind::AliveRequest(proto::Empty {}),
@@ -54,10 +54,10 @@
         } => Kind::Alive(proto::Alive {
             digest: *digest,
             members: encode_members(members),
-            carried: inherited
+            inherited: inherited
                 .iter()
-                .map(|(life, seat)| proto::CarriedLife {
-                    life: Some(encode_member(*life)),
+                .map(|(member, seat)| proto::InheritedMember {
+                    member: Some(encode_member(*member)),
                     seat: u32::from(seat.0),
                 })
                 .collect(),
@@ -226,7 +226,7 @@
 fn encode_handover(handover: &Handover) -> proto::Handover {
     let mut cells = Vec::new();
     for keys in &handover.keys {
-        cells.push(proto::HandedCell {
+        cells.push(proto::HandedOverCell {
             cell: Some(encode_cell(Cell::Keys(keys.number))),
             term: keys.term.0,
             count: keys.sequence,
@@ -234,7 +234,7 @@
         });
     }
     for (number, term, calls) in &handover.workers {
-        cells.push(proto::HandedCell {
+        cells.push(proto::HandedOverCell {
             cell: Some(encode_cell(Cell::Workers(*number))),
             term: term.0,
             count: *calls,
@@ -242,13 +242,13 @@
         });
     }
     for number in &handover.upstreams {
-        cells.push(proto::HandedCell {
+        cells.push(proto::HandedOverCell {
             cell: Some(encode_cell(Cell::Upstreams(*number))),
-            ..proto::HandedCell::default()
+            ..proto::HandedOverCell::default()
         });
     }
     proto::Handover {
-        life: Some(encode_member(handover.member)),
+        member: Some(encode_member(handover.member)),
         cells,
     }
 }
@@ -259,7 +259,7 @@
         config_version,
         flag,
         alive,
-        life: None,
+        member: None,
     }
 }
 
--- a/crates/wire/src/proto.rs
+++ b/crates/wire/src/proto.rs
@@ -109,7 +109,7 @@
 }
 
 #[derive(Clone, PartialEq, Message)]
-pub struct ClaimsCarried {
+pub struct ClaimsSnapshot {
     #[prost(uint64, tag = "1")]
     pub as_of: u64,
     #[prost(message, repeated, tag = "2")]
@@ -131,7 +131,7 @@
 }
 
 #[derive(Clone, PartialEq, Message)]
-pub struct ConfigCarried {
+pub struct ConfigSnapshot {
     #[prost(uint64, tag = "1")]
     pub as_of: u64,
     #[prost(uint64, tag = "2")]
@@ -178,11 +178,11 @@
     #[prost(message, tag = "3")]
     Release(Cells),
     #[prost(message, tag = "4")]
-    ClaimsSnapshot(ClaimsCarried),
+    ClaimsSnapshot(ClaimsSnapshot),
     #[prost(message, tag = "5")]
     Config(Config),
     #[prost(message, tag = "6")]
-    ConfigSnapshot(ConfigCarried),
+    ConfigSnapshot(ConfigSnapshot),
     #[prost(message, tag = "7")]
     Open(Member),
     #[prost(message, tag = "8")]
@@ -232,7 +232,7 @@
     #[prost(fixed64, tag = "4")]
     pub alive: u64,
     #[prost(message, optional, tag = "5")]
-    pub life: Option<Member>,
+    pub member: Option<Member>,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -242,20 +242,20 @@
     #[prost(message, repeated, tag = "2")]
     pub members: Vec<Member>,
     #[prost(message, repeated, tag = "3")]
-    pub carried: Vec<CarriedLife>,
+    pub inherited: Vec<InheritedMember>,
 }
 
 /// A process incarnation whose duties a process at another seat has taken over.
 #[derive(Clone, PartialEq, Message)]
-pub struct CarriedLife {
+pub struct InheritedMember {
     #[prost(message, optional, tag = "1")]
-    pub life: Option<Member>,
+    pub member: Option<Member>,
     #[prost(uint32, tag = "2")]
     pub seat: u32,
 }
 
 #[derive(Clone, PartialEq, Message)]
-pub struct HandedCell {
+pub struct HandedOverCell {
     #[prost(message, optional, tag = "1")]
     pub cell: Option<Cell>,
     #[prost(uint64, tag = "2")]
@@ -271,9 +271,9 @@
 #[derive(Clone, PartialEq, Message)]
 pub struct Handover {
     #[prost(message, optional, tag = "1")]
-    pub life: Option<Member>,
+    pub member: Option<Member>,
     #[prost(message, repeated, tag = "2")]
-    pub cells: Vec<HandedCell>,
+    pub cells: Vec<HandedOverCell>,
 }
 
 #[derive(Clone, PartialEq, Message)]
--- a/crates/wire/src/record.rs
+++ b/crates/wire/src/record.rs
@@ -66,7 +66,7 @@
             as_of,
             owners,
             deposed,
-        } => RecordKind::ClaimsSnapshot(proto::ClaimsCarried {
+        } => RecordKind::ClaimsSnapshot(proto::ClaimsSnapshot {
             as_of: *as_of,
             owners: owners
                 .iter()
@@ -88,7 +88,7 @@
             as_of,
             version,
             changes,
-        } => RecordKind::ConfigSnapshot(proto::ConfigCarried {
+        } => RecordKind::ConfigSnapshot(proto::ConfigSnapshot {
             as_of: *as_of,
             version: *version,
             changes: changes.iter().map(encode_change).collect(),
@@ -158,14 +158,14 @@
             cells: decode_cells(&release.cells)?,
             successor: release.successor.as_ref().map(decode_member).transpose()?,
         },
-        RecordKind::ClaimsSnapshot(carried) => Record::ClaimsSnapshot {
-            as_of: carried.as_of,
-            owners: carried
+        RecordKind::ClaimsSnapshot(snapshot) => Record::ClaimsSnapshot {
+            as_of: snapshot.as_of,
+            owners: snapshot
                 .owners
                 .iter()
                 .map(decode_ownership)
                 .collect::<DecodeResult<_>>()?,
-            deposed: decode_members(&carried.deposed)?,
+            deposed: decode_members(&snapshot.deposed)?,
         },
         RecordKind::Config(config) => Record::Config(ConfigChange {
             base: config.base,
@@ -173,10 +173,10 @@
             author: config.author.as_str().into(),
             changes: config.changes.iter().map(decode_change).collect(),
         }),
-        RecordKind::ConfigSnapshot(carried) => Record::ConfigSnapshot {
-            as_of: carried.as_of,
-            version: carried.version,
-            changes: carried.changes.iter().map(decode_change).collect(),
+        RecordKind::ConfigSnapshot(snapshot) => Record::ConfigSnapshot {
+            as_of: snapshot.as_of,
+            version: snapshot.version,
+            changes: snapshot.changes.iter().map(decode_change).collect(),
         },
         RecordKind::Open(member) => Record::Open {
             member: decode_member(member)?,
