--- a/crates/core/src/interference.rs
+++ b/crates/core/src/interference.rs
@@ -10,7 +10,8 @@
 //! - reduce the CPU share of batch tasks when measurements come near the limit, which
 //!   can be undone within seconds;
 //! - have a task of the most harmful kind evicted, only when a low share has not
-//!   helped for a while, because an eviction may cost a double confirmation.
+//!   helped for a while, because a task that restarts may repeat what it has already sent to
+//!   customers, such as a confirmation.
 //!
 //! A single bad measurement has no effect: the median of the last three counts.
 //! Learned values are raised fast and lowered slowly, which keeps fluctuating noise
