Owner: answers queries of the other hosts without relays where there are many

Cause: each count of a queue costs up to five reads of the store and each question about a job one to four, unless the host that is asked is the owner.

Change: `policy/informing.rs` decides by hosts, watchers, workers, link and descriptors whether the owner keeps connections to the other hosts. Orders go directly as before. Hosts ask the owner over the connection, and read on by themselves every 8 s, so that they answer at once by reads when the owner has not answered for 250 ms, has closed the connection, or does not know. `informs_hosts` of the owner's record stays with relays: only there do hosts read nothing. An owner that neither store nor workers confirm does not answer other hosts.

--- a/crates/dispatch/src/election.rs
+++ b/crates/dispatch/src/election.rs
@@ -29,7 +29,7 @@
 const READ_INTERVAL_MS: u64 = 250;
 /// Hosts that monitor the owner: the owner itself and the seven hosts that would claim first. Each
 /// read has a cost; when all of 34 hosts monitored the owner, these reads were half of all calls.
-const WATCHERS: usize = 8;
+pub(crate) const WATCHERS: usize = 8;
 /// Interval between reads of a host that is no watcher. If all watchers are down, a claim is later
 /// by up to this time.
 const IDLE_READ_INTERVAL_MS: u64 = 1_000;
--- a/crates/dispatch/src/entry/following.rs
+++ b/crates/dispatch/src/entry/following.rs
@@ -18,6 +18,9 @@
 /// that is not known here triggers a read at once. The store retains history for 20 s, so two reads
 /// may be lost.
 const JOBS_POLL_MS: u64 = 6_000;
+/// Interval between reads of jobs and states by a host whose queries the owner answers. Of the 20 s
+/// of history that the store retains, one read may be lost.
+const RELYING_POLL_MS: u64 = 8_000;
 /// Time for which a host that sees the first owner waits for the owner's connection before it reads
 /// which other hosts exist.
 const HOSTS_READ_MS: u64 = 1_000;
@@ -40,6 +43,7 @@
     pub(super) fn follow_streams(&mut self, now: Now, actions: &mut Vec<Action>) {
         let now_ms = now.steady_ms;
         let long_poll_ms = self.long_poll_ms();
+        let is_owner_or_claiming = self.is_owner_or_claiming();
         let tickets = &mut self.tickets;
         for tail in [&mut self.rules, &mut self.states] {
             tail.load(now_ms, tickets, actions);
@@ -54,7 +58,6 @@
                 .rules
                 .read_if_overdue(long_poll_ms, now_ms, tickets, actions),
         }
-        let is_owner_or_claiming = self.owner.is_some() || self.claim.is_some();
         if is_owner_or_claiming {
             // A recorded list of workers is enough to start with. Reading the platform's own list
             // would take as long again.
@@ -78,12 +81,18 @@
         if self.reading.reads_only_rules() {
             return self.check_store_in_doubt(now_ms, actions);
         }
+        if self.relies_on_owner() {
+            self.check_store_in_doubt(now_ms, actions);
+        }
         if self.reading.scope == Scope::All {
             self.follow_jobs(now_ms, actions);
         }
-        let interval_ms = self
-            .election
-            .read_interval_ms(now_ms, &self.job_table.owner);
+        let interval_ms = match self.relies_on_owner() {
+            true => RELYING_POLL_MS,
+            false => self
+                .election
+                .read_interval_ms(now_ms, &self.job_table.owner),
+        };
         if now_ms >= self.last_states_read_ms + interval_ms {
             self.last_states_read_ms = now_ms;
             self.states
@@ -107,8 +116,9 @@
 
     fn follow_jobs(&mut self, now_ms: u64, actions: &mut Vec<Action>) {
         self.read_hosts(now_ms);
-        let interval_ms = match self.callers.has_doubtful() {
-            true => DOUBTFUL_POLL_MS,
+        let interval_ms = match self.relies_on_owner() {
+            _ if self.callers.has_doubtful() => DOUBTFUL_POLL_MS,
+            true => RELYING_POLL_MS,
             false => JOBS_POLL_MS,
         };
         let read_ms = self.last_jobs_read_ms;
@@ -124,10 +134,15 @@
         self.bounds.rules_in_force_ms * LONG_POLL_PERCENT / 100
     }
 
-    /// Returns the time for which a healthy store may not answer this host: on a host that reads
-    /// only the rules, the long poll for them is the only call.
+    /// Returns whether the long poll for the rules is the only call that this host sends regularly.
+    fn mostly_reads_rules(&self) -> bool {
+        self.reading.reads_only_rules() || self.relies_on_owner()
+    }
+
+    /// Returns the time for which a healthy store may not answer this host: on a host that hardly
+    /// reads anything but the rules, that of the long poll for them.
     pub(super) fn expected_silence_ms(&self) -> u64 {
-        match self.reading.reads_only_rules() {
+        match self.mostly_reads_rules() {
             true => self.long_poll_ms(),
             false => 0,
         }
@@ -152,7 +167,7 @@
         let is_long_in_doubt = self
             .contact
             .has_been_in_doubt_for(MAX_DOUBT_MS, now.steady_ms);
-        let has_cause = self.reading.reads_only_rules() && is_long_in_doubt;
+        let has_cause = self.mostly_reads_rules() && is_long_in_doubt;
         // The rules may have changed in the meantime. With outdated rules a host would accept jobs
         // for queues that were removed, and reject jobs for new ones.
         let lacks_rules = self.is_store_unavailable && !self.has_tried_to_read_rules(now);
--- a/crates/dispatch/src/entry/mod.rs
+++ b/crates/dispatch/src/entry/mod.rs
@@ -5,6 +5,7 @@
 mod callers;
 mod contact;
 mod following;
+mod forwarding;
 mod job_tails;
 mod loading;
 mod ownership;
@@ -469,6 +470,9 @@
         self.run_owner(now, actions);
         self.answer_callers(now, actions);
         self.relay.flush(actions);
+        if let Some(owner) = &mut self.owner {
+            owner.flush_frames(now.steady_ms, actions);
+        }
         self.purge(now, actions);
     }
 }
--- a/crates/dispatch/src/entry/ownership.rs
+++ b/crates/dispatch/src/entry/ownership.rs
@@ -104,7 +104,8 @@
         {
             return;
         }
-        if self.reading.reads_only_rules() {
+        // The owner is alive, and a heartbeat that this host has not read is no evidence.
+        if self.reading.reads_only_rules() || self.relies_on_owner() {
             return;
         }
         let owner = &self.job_table.owner;
--- a/crates/dispatch/src/entry/queries.rs
+++ b/crates/dispatch/src/entry/queries.rs
@@ -24,7 +24,7 @@
 
 /// Time for which a query waits for a fresh read. After it the caller gets the known state, or is
 /// told to retry.
-const MAX_QUERY_MS: u64 = 900;
+pub(super) const MAX_QUERY_MS: u64 = 900;
 
 /// Maximum age of the data from which waiting jobs are counted. Callers are promised that a count
 /// is at most two seconds old; the difference is for the transfer of the answer.
@@ -44,8 +44,9 @@
 /// A query that was forwarded to the owner.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Flight {
-    conn: ConnectionId,
-    ticket: u64,
+    pub(super) conn: ConnectionId,
+    pub(super) ticket: u64,
+    pub(super) sent_ms: u64,
 }
 
 /// A query that awaits a read or the owner's answer.
@@ -61,11 +62,13 @@
     pub(crate) flight: Option<Flight>,
     /// The owner's answer.
     pub(crate) reply: Option<Reply>,
+    /// The owner does not know the answer.
+    pub(crate) is_declined: bool,
 }
 
 impl PendingQuery {
     /// Returns the subject of the query to the owner.
-    fn subject(&self) -> QuerySubject {
+    pub(super) fn subject(&self) -> QuerySubject {
         match &self.kind {
             QueryKind::State(job) | QueryKind::Cancel(job, _) => QuerySubject::State(*job),
             QueryKind::Waiting(queue) => QuerySubject::Waiting(queue.clone()),
@@ -114,6 +117,7 @@
             after_ticket: self.tickets,
             flight: None,
             reply: None,
+            is_declined: false,
         });
     }
 
@@ -136,7 +140,14 @@
         let Some(owner) = &mut self.owner else {
             return;
         };
+        // An owner that neither the store nor the workers confirm may have been replaced.
+        let is_confirmed = owner.is_confirmed(now.steady_ms);
         for RemoteQuery { requester, subject } in owner.drain_queries() {
+            if !is_confirmed {
+                let retry_after_ms = RETRY_AFTER_MS;
+                self.answer_host(requester, &Reply::NotDone { retry_after_ms });
+                continue;
+            }
             let kind = match subject {
                 QuerySubject::State(job) => QueryKind::State(job),
                 QuerySubject::Waiting(queue) => QueryKind::Waiting(queue),
@@ -145,20 +156,6 @@
         }
     }
 
-    /// Applies the owner's answers. A query that the owner can't answer remains pending until it
-    /// times out, or until another owner connects and gets it.
-    pub(super) fn apply_owner_answers(&mut self) {
-        for answer in self.relay.drain_answers() {
-            let is_answered = |query: &&mut PendingQuery| {
-                let flight = query.flight;
-                flight.is_some_and(|flight| flight.ticket == answer.ticket)
-            };
-            if let Some(query) = self.callers.queries.iter_mut().find(is_answered) {
-                query.reply = answer.reply;
-            }
-        }
-    }
-
     pub(crate) fn answer_queries(&mut self, now: Now, actions: &mut Vec<Action>) {
         let queries = std::mem::take(&mut self.callers.queries);
         for query in queries {
@@ -180,7 +177,7 @@
             self.is_store_unavailable || now.steady_ms >= query.received_ms + MAX_QUERY_MS;
         let reply = match self.reading.asks_owner() {
             true => self.answer_by_owner(&mut query, is_late, now),
-            false => self.answer_by_reading(&query, is_late, now, actions),
+            false => self.answer_by_owner_or_reading(&mut query, is_late, now, actions),
         };
         let Some(reply) = reply else {
             return Some(query);
@@ -219,17 +216,19 @@
                 }
                 actions.push(Action::Answer { request, reply });
             }
-            Requester::Host(requester) => {
-                if let Some(owner) = &mut self.owner {
-                    owner.answer_host(requester, &reply);
-                }
-            }
+            Requester::Host(requester) => self.answer_host(requester, &reply),
             Requester::Write(request) => self.record_read_back(request, &reply),
         }
     }
 
+    fn answer_host(&mut self, requester: relay::RemoteRequester, reply: &Reply) {
+        if let Some(owner) = &mut self.owner {
+            owner.answer_host(requester, reply);
+        }
+    }
+
     /// Answers from the data that this host has read, if it is recent enough.
-    fn answer_by_reading(
+    pub(super) fn answer_by_reading(
         &mut self,
         query: &PendingQuery,
         is_late: bool,
@@ -254,42 +253,6 @@
         }
     }
 
-    /// Forwards a query to the owner, and returns the owner's answer once it is there.
-    fn answer_by_owner(
-        &mut self,
-        query: &mut PendingQuery,
-        is_late: bool,
-        now: Now,
-    ) -> Option<Reply> {
-        let are_rules_current = self.are_rules_current(now);
-        if let QueryKind::Waiting(queue) = &query.kind {
-            let config = self.config.as_ref().filter(|_| are_rules_current);
-            if config.is_some_and(|config| config.queue(queue).is_none()) {
-                return Some(Reply::NoSuchQueue);
-            }
-        }
-        match query.reply.take() {
-            // The rules that define the queue must be current on this host as well.
-            Some(Reply::Waiting(count)) if are_rules_current => return Some(Reply::Waiting(count)),
-            Some(Reply::Waiting(_) | Reply::NoSuchQueue) | None => {}
-            Some(reply) => return Some(reply),
-        }
-        if is_late {
-            return Some(Reply::NotDone {
-                retry_after_ms: RETRY_AFTER_MS,
-            });
-        }
-        let conn = self.reading.owner_connection?;
-        // A query that was sent over a connection that has closed is sent again.
-        if query.flight.is_none_or(|flight| flight.conn != conn) {
-            self.tickets += 1;
-            let ticket = self.tickets;
-            query.flight = Some(Flight { conn, ticket });
-            self.relay.send_query(conn, ticket, query.subject());
-        }
-        None
-    }
-
     fn answer_state(
         &mut self,
         job: JobId,
@@ -332,6 +295,14 @@
         None
     }
 
+    /// Returns whether the data from which waiting jobs are counted is as recent as promised to a
+    /// caller whose query arrived at `received_ms`.
+    pub(super) fn is_count_recent(&self, received_ms: u64) -> bool {
+        let since_ms = received_ms.saturating_sub(MAX_COUNT_AGE_MS);
+        let are_states_recent = self.owner.is_some() || self.states.is_fresh_since(since_ms);
+        self.jobs.is_fresh_since(since_ms) && are_states_recent
+    }
+
     /// Counts waiting jobs once the data is no older than promised and the rules that define the
     /// queue are current.
     fn answer_waiting(
@@ -342,10 +313,7 @@
         now: Now,
         actions: &mut Vec<Action>,
     ) -> Option<Reply> {
-        let since_ms = received_ms.saturating_sub(MAX_COUNT_AGE_MS);
-        let is_own = self.owner.is_some();
-        let is_fresh =
-            self.jobs.is_fresh_since(since_ms) && (is_own || self.states.is_fresh_since(since_ms));
+        let is_fresh = self.is_count_recent(received_ms);
         let are_rules_current = self.are_rules_current(now);
         let config = self.config.as_ref().filter(|_| are_rules_current);
         if config.is_some_and(|config| config.queue(queue).is_none()) {
@@ -362,7 +330,7 @@
         let tickets = &mut self.tickets;
         self.jobs
             .read_now(received_ms, now.steady_ms, tickets, actions);
-        if !is_own {
+        if self.owner.is_none() {
             self.states
                 .read_now(received_ms, now.steady_ms, tickets, actions);
         }
--- a/crates/dispatch/src/entry/scope.rs
+++ b/crates/dispatch/src/entry/scope.rs
@@ -7,6 +7,10 @@
 //! and the owner's record, and query the owner for what callers ask. Hosts that monitor the owner
 //! read everything, as one of them is the next owner. So does, after a while, a host to which the
 //! owner does not connect.
+//!
+//! An owner without relays may keep connections as well, only to answer queries. The other hosts
+//! then read everything as before, but rarely: often enough to continue by themselves at once when
+//! the owner does not answer.
 
 use crate::election::HostSurvey;
 use crate::entry::Entry;
@@ -54,6 +58,8 @@
     connection_changed_ms: u64,
     /// Time since which an owner is alive and does not connect.
     unconnected_since_ms: Option<u64>,
+    /// Time of the newest query that the owner left unanswered.
+    unanswered_ms: Option<u64>,
 }
 
 impl Reading {
@@ -63,6 +69,7 @@
             owner_connection: None,
             connection_changed_ms: 0,
             unconnected_since_ms: None,
+            unanswered_ms: None,
         }
     }
 
@@ -76,6 +83,11 @@
         self.asks_owner() && self.owner_connection.is_some()
     }
 
+    /// Records that the owner has not answered a query in time.
+    pub(super) fn record_unanswered_query(&mut self, now_ms: u64) {
+        self.unanswered_ms = Some(now_ms);
+    }
+
     fn has_been_unconnected_for(&self, ms: u64, now_ms: u64) -> bool {
         self.unconnected_since_ms
             .is_some_and(|since_ms| now_ms >= since_ms + ms)
@@ -158,6 +170,30 @@
         }
     }
 
+    /// Returns whether this host reads everything, but rarely, as the owner answers its queries.
+    /// Watchers read the owner's record often in any case.
+    pub(super) fn relies_on_owner(&self) -> bool {
+        self.reading.scope == Scope::All
+            && self.reading.owner_connection.is_some()
+            && !self.is_owner_or_claiming()
+            && !self.election.is_watcher()
+    }
+
+    /// Returns the connection over which to query the owner instead of reading. An owner that has
+    /// left a query unanswered gets the next one after it has sent a frame.
+    pub(super) fn responsive_owner(&self) -> Option<ConnectionId> {
+        let conn = self.reading.owner_connection?;
+        let may_hang = self
+            .reading
+            .unanswered_ms
+            .is_some_and(|unanswered_ms| self.relay.last_received_ms(conn) <= unanswered_ms);
+        (!may_hang && !self.is_owner_or_claiming()).then_some(conn)
+    }
+
+    pub(super) fn is_owner_or_claiming(&self) -> bool {
+        self.owner.is_some() || self.claim.is_some()
+    }
+
     /// Records since when an owner is alive that does not connect to this host.
     fn record_unconnected_owner(&mut self, now_ms: u64) {
         let is_alive = self
@@ -191,8 +227,11 @@
         let is_connected = self.reading.owner_connection.is_some();
         let is_connection_stable =
             now_ms >= self.reading.connection_changed_ms + STABLE_CONNECTION_MS;
-        let is_owner_or_claiming = self.owner.is_some() || self.claim.is_some();
-        if !is_connected || !is_connection_stable || is_owner_or_claiming {
+        if !is_connected || !is_connection_stable || self.is_owner_or_claiming() {
+            return;
+        }
+        // An owner that only answers queries leaves it to the other hosts to read.
+        if !self.job_table.owner.informs_hosts {
             return;
         }
         // A host that has not read which hosts exist uses the owner's survey.
--- a/crates/dispatch/src/owner/mod.rs
+++ b/crates/dispatch/src/owner/mod.rs
@@ -139,6 +139,10 @@
     pub relay_selections: u64,
     /// Steps that have waited for a long time, by the reason.
     pub waits: [u64; WaitReason::ALL.len()],
+    /// Hosts that are connected and whose queries this owner answers.
+    pub informed_hosts: u64,
+    /// Queries of other hosts.
+    pub host_queries: u64,
 }
 
 /// Reason for which an owner stops.
@@ -179,6 +183,10 @@
     relays: Sessions,
     /// Orders are sent over relays where there are any.
     uses_relays: bool,
+    /// There are connections to the other hosts, over which their queries are answered.
+    answers_hosts: bool,
+    /// Number of hosts that have announced themselves.
+    host_count: usize,
     survey: HostSurvey,
     /// Time from which on orders no longer wait for the relays to be connected.
     relays_due_ms: u64,
@@ -251,6 +259,8 @@
             answers: AnswerLatencies::default(),
             relays: Sessions::new(bounds.descriptors),
             uses_relays: false,
+            answers_hosts: false,
+            host_count: 0,
             survey: HostSurvey::default(),
             relays_due_ms: 0,
             images: Images::default(),
@@ -391,7 +401,7 @@
     /// Carries out all work that is due.
     pub(crate) fn advance(&mut self, now: Now, tickets: &mut u64, actions: &mut Vec<Action>) {
         self.link.refill(now.steady_ms);
-        self.maintain_relays(now, tickets, actions);
+        self.maintain_connections(now, tickets, actions);
         self.open_due_occurrences(now);
         self.check_confirmed(now.steady_ms);
         if !self.awaits_relays(now.steady_ms) {
@@ -414,7 +424,6 @@
         self.request_permits(now, tickets, actions);
         self.send_share_changes(now.steady_ms, tickets, actions);
         self.write(now, tickets, actions);
-        self.relays.flush(self.token, now.steady_ms, actions);
         self.update_link_stats();
         self.report_waits(now, actions);
     }
@@ -472,7 +481,7 @@
     }
 
     /// Returns whether this owner may extend leases and start tasks.
-    fn is_confirmed(&self, now_ms: u64) -> bool {
+    pub(crate) fn is_confirmed(&self, now_ms: u64) -> bool {
         now_ms < self.confirmed_ms + MAX_UNCONFIRMED_MS
     }
 
--- a/crates/dispatch/src/owner/relaying.rs
+++ b/crates/dispatch/src/owner/relaying.rs
@@ -1,6 +1,7 @@
-//! Sends orders of the owner over relays.
+//! The owner's connections to other hosts: sends orders over relays, and receives queries.
 
 use crate::election::HostSurvey;
+use crate::election::WATCHERS;
 use crate::event::Action;
 use crate::event::ConnectionId;
 use crate::event::Now;
@@ -8,6 +9,8 @@
 use crate::event::WorkerCall;
 use crate::owner::Owner;
 use crate::owner::worker::WorkerKey;
+use crate::policy::informing::Deployment;
+use crate::policy::informing::should_inform;
 use crate::policy::relaying::OwnerCapacity;
 use crate::policy::relaying::needs_relays;
 use crate::record::HostRecord;
@@ -27,39 +30,55 @@
 const RELAY_AVOID_MS: u64 = 5_000;
 
 impl Owner {
-    /// Updates the hosts that may serve as relays.
+    /// Updates the hosts to which this owner may connect.
     pub(crate) fn update_hosts(&mut self, hosts: &HashMap<Box<str>, HostRecord>) {
         self.survey = HostSurvey::of(hosts);
+        self.host_count = hosts.len();
         self.relays.update_hosts(&self.host, hosts);
     }
 
-    /// Maintains connections to relays if there are too many workers for this host, and times out
-    /// overdue orders.
-    pub(super) fn maintain_relays(
+    /// Maintains connections to other hosts if there are too many workers for this host, or many
+    /// hosts, and times out overdue orders.
+    pub(super) fn maintain_connections(
         &mut self,
         now: Now,
         tickets: &mut u64,
         actions: &mut Vec<Action>,
     ) {
-        let capacity = OwnerCapacity {
-            link_bytes_per_s: self.bounds.link_bytes_per_s,
-            cpu_permille: self.bounds.cpu_permille,
-        };
-        // Connections are kept when a few workers are removed, as it costs more to open them again.
-        if !self.uses_relays {
-            self.uses_relays = needs_relays(self.workers.len(), capacity);
-            self.relays_due_ms = now.steady_ms + CONNECTING_MS;
-        }
-        if !self.uses_relays {
+        self.decide_connections(now.steady_ms);
+        if !self.uses_relays && !self.answers_hosts {
             return;
         }
         self.relays.connect(now.steady_ms, tickets, actions);
         let outcomes = self.relays.expire(now.steady_ms, actions);
         self.handle_order_outcomes(outcomes, now, actions);
-        self.stats.relays = self.relays.usable_count() as u64;
+        self.stats.informed_hosts = self.relays.usable_count() as u64;
+        self.stats.relays = self.stats.informed_hosts * u64::from(self.uses_relays);
         self.stats.relay_selections = self.relays.selection_count();
     }
 
+    /// Decides whether orders are relayed, and whether queries of hosts are answered. Connections
+    /// are kept when a few workers or hosts are removed, as it costs more to open them again.
+    fn decide_connections(&mut self, now_ms: u64) {
+        if !self.uses_relays {
+            let capacity = OwnerCapacity {
+                link_bytes_per_s: self.bounds.link_bytes_per_s,
+                cpu_permille: self.bounds.cpu_permille,
+            };
+            self.uses_relays = needs_relays(self.workers.len(), capacity);
+            self.relays_due_ms = now_ms + CONNECTING_MS;
+        }
+        if !self.answers_hosts && self.bounds.policy.owner_answers {
+            self.answers_hosts = should_inform(Deployment {
+                hosts: self.host_count,
+                watchers: WATCHERS,
+                workers: self.workers.len(),
+                link_bytes_per_s: self.bounds.link_bytes_per_s,
+                descriptors: self.bounds.descriptors,
+            });
+        }
+    }
+
     /// Returns whether orders are to wait until a relay is connected.
     pub(super) fn awaits_relays(&self, now_ms: u64) -> bool {
         self.uses_relays && now_ms < self.relays_due_ms && self.relays.are_all_opening()
@@ -154,7 +173,9 @@
 
     /// Removes and returns the queries of other hosts.
     pub(crate) fn drain_queries(&mut self) -> Vec<RemoteQuery> {
-        self.relays.drain_queries()
+        let queries = self.relays.drain_queries();
+        self.stats.host_queries += queries.len() as u64;
+        queries
     }
 
     /// Answers a query of another host.
@@ -162,6 +183,11 @@
         self.relays.answer(requester, reply);
     }
 
+    /// Sends the orders and answers of this turn to the hosts that they are for.
+    pub(crate) fn flush_frames(&mut self, now_ms: u64, actions: &mut Vec<Action>) {
+        self.relays.flush(self.token, now_ms, actions);
+    }
+
     /// Closes the connections to all relays, as this owner stops.
     pub(crate) fn close_relays(&mut self, actions: &mut Vec<Action>) {
         self.relays.close(actions);
--- a/crates/dispatch/src/policy/mod.rs
+++ b/crates/dispatch/src/policy/mod.rs
@@ -11,12 +11,14 @@
 //! | [`answer_timeouts`] | how long answers of workers are awaited, and what a missing one means |
 //! | [`placing`] | how often the owner tries to place waiting steps |
 //! | [`relaying`] | whether other hosts relay the owner's orders to the workers |
+//! | [`informing`] | whether the owner answers queries of the other hosts |
 //! | [`size`] | how large a job may be |
 //! | [`stragglers`] | which workers slow down the tasks that run there |
 //! | [`suspicion`] | which task is the cause when a worker has crashed |
 
 pub mod answer_timeouts;
 pub mod images;
+pub mod informing;
 pub mod interference;
 pub mod link;
 pub mod ordering;
--- a/crates/dispatch/src/relay/serving.rs
+++ b/crates/dispatch/src/relay/serving.rs
@@ -177,6 +177,12 @@
         found.map(|(_, conn)| conn)
     }
 
+    /// Returns when the newest frame of an owner arrived over this connection; 0 if there is none.
+    pub(crate) fn last_received_ms(&self, conn: ConnectionId) -> u64 {
+        let session = self.sessions.get(&conn);
+        session.map_or(0, |session| session.last_received_ms)
+    }
+
     /// Sends a query to an owner with the next frame.
     pub(crate) fn send_query(&mut self, conn: ConnectionId, ticket: u64, subject: QuerySubject) {
         if let Some(session) = self.sessions.get_mut(&conn) {
--- /dev/null
+++ b/tests/dispatch_owner_answers.rs
@@ -0,0 +1,210 @@
+//! Queries that hosts forward to an owner without relays, and failures on the way.
+
+use crate::fleet::Fleet;
+use crate::fleet::job;
+use crate::fleet::step;
+use goldcrestway_dispatch::JobState;
+use goldcrestway_dispatch::Reply;
+use googletest::prelude::*;
+
+/// More than twice the number of hosts that monitor the owner.
+const HOSTS: usize = 20;
+/// Too few hosts for the owner to connect to them.
+const FEW_HOSTS: usize = 9;
+const WORKERS: usize = 8;
+const JOB: u64 = 1;
+/// Number of queries to each host.
+const ROUNDS: usize = 10;
+const ROUND_MS: u64 = 500;
+/// Age of its states from which on a host is certainly no watcher.
+const RARELY_READ_MS: u64 = 1_500;
+
+/// Returns a fleet with a job that runs for a while, of which all hosts know.
+fn fleet_with_job(hosts: usize) -> Fleet {
+    let mut fleet = Fleet::new(hosts, WORKERS);
+    let owner = fleet.owner().expect("there is an owner");
+    fleet.submit(owner, JOB, &job(vec![step(8, 60_000, &[])]));
+    fleet.run(10_000);
+    fleet
+}
+
+/// Counts the reads of all hosts, beside their long polls, while callers query each host `rounds`
+/// times for the state of a job and for the length of a queue.
+fn reads_of_queries(fleet: &mut Fleet, rounds: usize) -> usize {
+    fleet.short_reads.clear();
+    let mut requests = Vec::new();
+    for round in 0..ROUNDS {
+        for host in 0..HOSTS {
+            if round < rounds {
+                requests.push((fleet.query(host, JOB), Reply::State(JobState::Running)));
+                requests.push((fleet.count(host), Reply::Waiting(0)));
+            }
+        }
+        fleet.run(ROUND_MS);
+    }
+    for (request, reply) in &requests {
+        expect_that!(fleet.replies.get(request), some(eq(reply)));
+    }
+    fleet.short_reads.values().sum()
+}
+
+/// Two of three calls to the store were reads for callers who had asked a host that is not the
+/// owner: five for the length of a queue, one to four for the state of a job.
+#[gtest]
+fn queries_to_many_hosts_cost_no_reads_of_the_store() {
+    let mut fleet = fleet_with_job(HOSTS);
+    let quiet_reads = reads_of_queries(&mut fleet, 0);
+    let reads = reads_of_queries(&mut fleet, ROUNDS);
+    // The rare reads of a host may fall into one period or the other.
+    expect_that!(reads, le(quiet_reads + 5 * HOSTS));
+    let owner = fleet.owner().expect("there is an owner");
+    let stats = fleet.stats(owner);
+    expect_that!(stats.informed_hosts, eq(HOSTS as u64 - 1));
+    expect_that!(stats.relayed, eq(0), "orders go directly to workers");
+    expect_that!(fleet.promises.broken, is_empty());
+}
+
+/// Guards against connections of an owner whose few other hosts all monitor it in any case.
+#[gtest]
+fn an_owner_of_few_hosts_connects_to_none() {
+    let fleet = fleet_with_job(FEW_HOSTS);
+    expect_that!(fleet.frame_bytes, eq(0));
+}
+
+/// Guards against hosts that claim because they have read no heartbeat of a live owner for seconds.
+#[gtest]
+fn hosts_that_rely_on_the_owner_do_not_claim() {
+    let mut fleet = fleet_with_job(HOSTS);
+    fleet.run(60_000);
+    expect_that!(fleet.claims, eq(1));
+}
+
+/// A failure between hosts that forward queries and the owner.
+struct Failure {
+    name: &'static str,
+    inject: fn(&mut Fleet, owner: usize, host: usize),
+    /// Time within which the host answers queries that it gets right after the failure.
+    answers_within_ms: u64,
+}
+
+const FAILURES: &[Failure] = &[
+    Failure {
+        name: "the owner is killed",
+        inject: |fleet, owner, _| fleet.kill(owner),
+        answers_within_ms: 300,
+    },
+    Failure {
+        name: "the owner hangs",
+        inject: |fleet, owner, _| fleet.pause(owner),
+        answers_within_ms: 300,
+    },
+    Failure {
+        name: "the owner is cut off from all hosts",
+        inject: |fleet, owner, _| fleet.silence_connections(owner),
+        answers_within_ms: 300,
+    },
+    Failure {
+        name: "the owner is cut off from one host",
+        inject: |fleet, _, host| fleet.silence_connections(host),
+        answers_within_ms: 300,
+    },
+    Failure {
+        name: "the owner is cut off from the store",
+        inject: |fleet, owner, _| fleet.cut_from_store(owner, true),
+        answers_within_ms: 300,
+    },
+    Failure {
+        name: "a host is cut off from the store",
+        inject: |fleet, _, host| fleet.cut_from_store(host, true),
+        answers_within_ms: 300,
+    },
+    Failure {
+        name: "the owner is stopped as planned",
+        inject: |fleet, owner, _| fleet.stop(owner),
+        answers_within_ms: 300,
+    },
+    Failure {
+        name: "the host is stopped as planned",
+        inject: |fleet, _, host| fleet.stop(host),
+        answers_within_ms: 300,
+    },
+];
+
+/// Guards against callers who wait, or are told to come again, as the host that they ask relies on
+/// an owner that does not answer it: a host continues to read, and answers by itself.
+#[gtest]
+fn queries_are_answered_when_the_owner_does_not_answer() {
+    for failure in FAILURES {
+        // Queries that are in flight when it happens, and queries right after it.
+        for in_flight in [true, false] {
+            let mut fleet = fleet_with_job(HOSTS);
+            let owner = fleet.owner().expect("there is an owner");
+            let host = relying_hosts(&mut fleet)[0];
+            let name = format!("{}, in flight: {in_flight}", failure.name);
+            if !in_flight {
+                (failure.inject)(&mut fleet, owner, host);
+            }
+            let state = fleet.query(host, JOB);
+            let count = fleet.count(host);
+            if in_flight {
+                (failure.inject)(&mut fleet, owner, host);
+            }
+            fleet.run(failure.answers_within_ms);
+            let running = Reply::State(JobState::Running);
+            expect_that!(fleet.replies.get(&state), some(eq(&running)), "{name}");
+            let none_waits = Reply::Waiting(0);
+            expect_that!(fleet.replies.get(&count), some(eq(&none_waits)), "{name}");
+        }
+    }
+}
+
+/// Returns hosts that are neither owner nor watchers.
+fn relying_hosts(fleet: &mut Fleet) -> Vec<usize> {
+    let mut oldest_ms = [0; HOSTS];
+    for _ in 0..40 {
+        fleet.run(100);
+        for (host, oldest_ms) in oldest_ms.iter_mut().enumerate() {
+            let age_ms = fleet.ages(host).states_ms.unwrap_or(0);
+            *oldest_ms = age_ms.max(*oldest_ms);
+        }
+    }
+    let owner = fleet.owner();
+    let mut hosts: Vec<usize> = (0..HOSTS).collect();
+    hosts.retain(|host| oldest_ms[*host] >= RARELY_READ_MS && Some(*host) != owner);
+    hosts
+}
+
+/// Guards against a fleet without an owner when the owner and all hosts that monitor it are lost at
+/// once: the others have read no heartbeat for seconds.
+#[gtest]
+fn hosts_that_rely_on_the_owner_claim_when_all_watchers_are_lost() {
+    let mut fleet = fleet_with_job(HOSTS);
+    let remaining = relying_hosts(&mut fleet);
+    expect_that!(remaining.len(), ge(HOSTS / 2));
+    for host in 0..HOSTS {
+        if !remaining.contains(&host) {
+            fleet.kill(host);
+        }
+    }
+    fleet.run(3_500);
+    expect_that!(fleet.owners(), eq(1));
+    expect_that!(fleet.promises.broken, is_empty());
+}
+
+/// Guards against a host that reads for each query for the rest of its life, as the owner does not
+/// connect to its new incarnation.
+#[gtest]
+fn a_restarted_host_is_connected_again() {
+    let mut fleet = fleet_with_job(HOSTS);
+    let owner = fleet.owner().expect("there is an owner");
+    let host = relying_hosts(&mut fleet)[0];
+    fleet.kill(host);
+    fleet.run(2_000);
+    expect_that!(fleet.stats(owner).informed_hosts, eq(HOSTS as u64 - 2));
+    fleet.start(host);
+    fleet.run(9_000);
+    expect_that!(fleet.stats(owner).informed_hosts, eq(HOSTS as u64 - 1));
+    let before = fleet.stats(owner).host_queries;
+    expect_that!(fleet.state(host, JOB), some(eq(JobState::Running)));
+    expect_that!(fleet.stats(owner).host_queries, eq(before + 1));
+}
--- a/tests/fleet/callers.rs
+++ b/tests/fleet/callers.rs
@@ -2,6 +2,7 @@
 
 use crate::fleet::Fleet;
 use crate::fleet::WALL_MS;
+use goldcrestway_dispatch::Ages;
 use goldcrestway_dispatch::Event;
 use goldcrestway_dispatch::JobId;
 use goldcrestway_dispatch::JobState;
@@ -61,6 +62,12 @@
         self.requests
     }
 
+    /// Returns the ages of the data of a host.
+    pub(crate) fn ages(&self, number: usize) -> Ages {
+        let entry = self.hosts[number].entry.as_ref();
+        entry.map_or(Ages::default(), |entry| entry.ages(self.now()))
+    }
+
     /// Queries a host for the state of a job, and waits for the answer.
     pub(crate) fn state(&mut self, number: usize, id: u64) -> Option<JobState> {
         let request = self.query(number, id);
