Owner: tells the hosts that monitor it of its heartbeats in the store

Change: frames to other hosts say up to which offset the owner's records of states are stored, to watchers five times a second as long as that moves on. A watcher that has heard so within 0.5 s reads as rarely as other hosts. It takes as evidence only what the store has confirmed, so an owner that is cut off from the store is replaced as soon as before, and it still claims only after reads that find nothing.

--- a/crates/dispatch/src/appender.rs
+++ b/crates/dispatch/src/appender.rs
@@ -33,6 +33,8 @@
     pub(crate) last_begin_ms: u64,
     /// Size of the latest records.
     pub(crate) last_bytes: u64,
+    /// Offset after the newest records that are known to be stored.
+    pub(crate) stored_end: u64,
 }
 
 impl Appender {
@@ -46,6 +48,7 @@
             sent_ms: now_ms,
             last_begin_ms: now_ms,
             last_bytes: 0,
+            stored_end: 0,
         }
     }
 
@@ -99,13 +102,13 @@
         now_ms: u64,
     ) -> Option<bool> {
         self.ticket.take_if(|own| *own == ticket)?;
-        let is_stored = matches!(outcome, AppendOutcome::Stored { .. });
-        if is_stored {
-            self.sequence += 1;
-            self.records = None;
-        } else {
+        let AppendOutcome::Stored { offset } = outcome else {
             self.retry_ms = now_ms + RETRY_MS;
-        }
-        Some(is_stored)
+            return Some(false);
+        };
+        let count = self.records.take().map_or(0, |records| records.len());
+        self.stored_end = offset + count as u64;
+        self.sequence += 1;
+        Some(true)
     }
 }
--- a/crates/dispatch/src/election.rs
+++ b/crates/dispatch/src/election.rs
@@ -10,6 +10,7 @@
 use crate::record::HostRecord;
 use crate::record::OwnerRecord;
 use std::collections::HashMap;
+use std::collections::HashSet;
 use xxhash_rust::xxh3::xxh3_64;
 
 /// Time without a heartbeat after which a host claims. A healthy owner writes at least every
@@ -62,6 +63,26 @@
     strongest_permille * 100 >= cpu_permille * MIN_STRONGER_PERCENT
 }
 
+/// Returns a host's place in the order of claims.
+fn claim_order(name: &str, cpu_permille: u64, strongest_permille: u64) -> (bool, u64) {
+    let is_weaker = is_weaker(cpu_permille, strongest_permille);
+    (is_weaker, position_permille(name))
+}
+
+/// Returns the names of the hosts that monitor the owner.
+pub(crate) fn watchers(hosts: &HashMap<Box<str>, HostRecord>) -> HashSet<&str> {
+    let strongest_permille = HostSurvey::of(hosts).strongest_permille;
+    let mut names = Vec::with_capacity(hosts.len());
+    for (name, host) in hosts {
+        names.push((
+            claim_order(name, host.cpu_permille, strongest_permille),
+            &**name,
+        ));
+    }
+    names.sort_unstable();
+    names.iter().take(WATCHERS).map(|(_, name)| *name).collect()
+}
+
 /// Summary of all hosts that the owner publishes, so that each host can compute its own position in
 /// the order of claims.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
@@ -99,6 +120,10 @@
     salt: u64,
     /// When the newest heartbeat was read, or when silence began to count.
     heartbeat_ms: Option<u64>,
+    /// When the newest heartbeat was heard from the owner itself, and the offset after it in the
+    /// stream.
+    heard_ms: Option<u64>,
+    heard_end: u64,
     /// When it first became known that the owner is leaving.
     leaving_ms: Option<u64>,
     /// Number of epochs that this host has used.
@@ -119,6 +144,8 @@
             is_watcher: true,
             salt,
             heartbeat_ms: None,
+            heard_ms: None,
+            heard_end: 0,
             leaving_ms: None,
             claims: 0,
             min_token: 0,
@@ -134,12 +161,11 @@
     /// Updates this host's position among the hosts that have announced themselves.
     pub(crate) fn update_hosts(&mut self, hosts: &HashMap<Box<str>, HostRecord>) {
         let strongest_permille = HostSurvey::of(hosts).strongest_permille;
-        let is_weaker = |cpu_permille| is_weaker(cpu_permille, strongest_permille);
-        self.is_weaker = is_weaker(self.cpu_permille);
+        self.is_weaker = is_weaker(self.cpu_permille, strongest_permille);
         let own = (self.is_weaker, self.position_permille);
         let mut earlier = 0;
         for (name, host) in hosts {
-            let other = (is_weaker(host.cpu_permille), position_permille(name));
+            let other = claim_order(name, host.cpu_permille, strongest_permille);
             earlier += usize::from(other < own);
         }
         self.is_watcher = earlier < WATCHERS;
@@ -158,9 +184,13 @@
         self.is_watcher
     }
 
-    /// Records that a read found a record of the owner.
-    pub(crate) fn record_heartbeat(&mut self, now_ms: u64, owner: &OwnerRecord) {
-        self.heartbeat_ms = Some(now_ms);
+    /// Records that a read found records of the owner, of which the newest is at `offset`. Those of
+    /// which the owner itself has told this host are no news.
+    pub(crate) fn record_heartbeat(&mut self, offset: u64, now_ms: u64, owner: &OwnerRecord) {
+        let is_heard = offset < self.heard_end && self.has_heard_within(SILENCE_MS, now_ms);
+        if !is_heard {
+            self.heartbeat_ms = Some(now_ms);
+        }
         if !owner.is_leaving {
             self.leaving_ms = None;
         } else if self.leaving_ms.is_none() {
@@ -168,6 +198,23 @@
         }
     }
 
+    /// Records that the owner has told this host at `heard_ms` of a heartbeat in the store.
+    pub(crate) fn record_heard(&mut self, heard_ms: u64, end: u64) {
+        self.heard_ms = Some(heard_ms);
+        self.heard_end = end;
+        self.heartbeat_ms = self.heartbeat_ms.map(|known_ms| known_ms.max(heard_ms));
+    }
+
+    fn has_heard_within(&self, ms: u64, now_ms: u64) -> bool {
+        self.heard_ms.is_some_and(|heard_ms| now_ms < heard_ms + ms)
+    }
+
+    /// Returns whether the owner itself tells this host of its heartbeats in time, so that they need
+    /// not be read.
+    pub(crate) fn hears_owner(&self, now_ms: u64) -> bool {
+        self.leaving_ms.is_none() && self.has_heard_within(2 * READ_INTERVAL_MS, now_ms)
+    }
+
     /// Returns whether a heartbeat was read at `since_ms` or later.
     pub(crate) fn has_heartbeat_since(&self, since_ms: u64) -> bool {
         self.heartbeat_ms
--- a/crates/dispatch/src/entry/mod.rs
+++ b/crates/dispatch/src/entry/mod.rs
@@ -448,9 +448,9 @@
         for record in &progress.records {
             self.job_table.apply(record);
         }
-        if !progress.records.is_empty() {
+        if let Some(newest) = progress.records.iter().map(|record| record.offset).max() {
             self.election
-                .record_heartbeat(now.steady_ms, &self.job_table.owner);
+                .record_heartbeat(newest, now.steady_ms, &self.job_table.owner);
         }
         if self.states.is_loaded() {
             self.election.record_loaded(now.steady_ms);
--- a/crates/dispatch/src/entry/scope.rs
+++ b/crates/dispatch/src/entry/scope.rs
@@ -60,6 +60,8 @@
     unconnected_since_ms: Option<u64>,
     /// Time of the newest query that the owner left unanswered.
     unanswered_ms: Option<u64>,
+    /// Everything is read, but rarely.
+    is_relying: bool,
 }
 
 impl Reading {
@@ -70,6 +72,7 @@
             connection_changed_ms: 0,
             unconnected_since_ms: None,
             unanswered_ms: None,
+            is_relying: false,
         }
     }
 
@@ -119,6 +122,7 @@
             Scope::All => self.stop_reading_jobs(now_ms),
             Scope::Undecided => {}
         }
+        self.reading.is_relying = self.can_rely_on_owner(now_ms);
     }
 
     /// Chooses the scope by the newest owner's record.
@@ -171,12 +175,21 @@
     }
 
     /// Returns whether this host reads everything, but rarely, as the owner answers its queries.
-    /// Watchers read the owner's record often in any case.
     pub(super) fn relies_on_owner(&self) -> bool {
-        self.reading.scope == Scope::All
-            && self.reading.owner_connection.is_some()
-            && !self.is_owner_or_claiming()
-            && !self.election.is_watcher()
+        self.reading.is_relying && !self.is_owner_or_claiming()
+    }
+
+    /// Returns whether the owner's connection is enough for this host. A watcher also needs to hear
+    /// of the owner's heartbeats in the store.
+    fn can_rely_on_owner(&mut self, now_ms: u64) -> bool {
+        let Some(conn) = self.reading.owner_connection else {
+            return false;
+        };
+        if let Some((heard_ms, heartbeat)) = self.relay.heartbeat(conn) {
+            self.election.record_heard(heard_ms, heartbeat.stored_end);
+        }
+        let is_monitored = !self.election.is_watcher() || self.election.hears_owner(now_ms);
+        self.reading.scope == Scope::All && is_monitored
     }
 
     /// Returns the connection over which to query the owner instead of reading. An owner that has
--- a/crates/dispatch/src/owner/relaying.rs
+++ b/crates/dispatch/src/owner/relaying.rs
@@ -2,6 +2,7 @@
 
 use crate::election::HostSurvey;
 use crate::election::WATCHERS;
+use crate::election::watchers;
 use crate::event::Action;
 use crate::event::ConnectionId;
 use crate::event::Now;
@@ -14,6 +15,7 @@
 use crate::policy::relaying::OwnerCapacity;
 use crate::policy::relaying::needs_relays;
 use crate::record::HostRecord;
+use crate::relay::OwnerHeartbeat;
 use crate::relay::RELAYS_PER_WORKER;
 use crate::relay::RelayedOrder;
 use crate::relay::RelayedOutcome;
@@ -35,6 +37,7 @@
         self.survey = HostSurvey::of(hosts);
         self.host_count = hosts.len();
         self.relays.update_hosts(&self.host, hosts);
+        self.relays.update_watchers(&watchers(hosts));
     }
 
     /// Maintains connections to other hosts if there are too many workers for this host, or many
@@ -185,7 +188,15 @@
 
     /// Sends the orders and answers of this turn to the hosts that they are for.
     pub(crate) fn flush_frames(&mut self, now_ms: u64, actions: &mut Vec<Action>) {
-        self.relays.flush(self.token, now_ms, actions);
+        let heartbeat = OwnerHeartbeat {
+            // An owner that needs relays leaves its heartbeats to the store.
+            stored_end: match self.uses_relays {
+                true => 0,
+                false => self.stored_states_end(),
+            },
+            is_leaving: self.is_leaving,
+        };
+        self.relays.flush(self.token, heartbeat, now_ms, actions);
     }
 
     /// Closes the connections to all relays, as this owner stops.
--- a/crates/dispatch/src/owner/writing.rs
+++ b/crates/dispatch/src/owner/writing.rs
@@ -308,6 +308,12 @@
         self.writer.states.begin(records, now_ms);
     }
 
+    /// Returns the offset after the newest record that this owner has stored in the stream of
+    /// states; 0 if there is none.
+    pub(super) fn stored_states_end(&self) -> u64 {
+        self.writer.states.stored_end
+    }
+
     fn owner_record(&mut self) -> (Box<str>, Box<[u8]>) {
         self.writer.heartbeat += 1;
         let record = OwnerRecord {
--- a/crates/dispatch/src/relay/frames.rs
+++ b/crates/dispatch/src/relay/frames.rs
@@ -23,6 +23,13 @@
     /// Answers to queries of the host.
     #[prost(message, repeated, tag = "6")]
     pub(super) answers: Vec<AnswerRow>,
+    /// Offset after the owner's newest stored record in the stream of states; 0 if the host must
+    /// read the owner's heartbeats from the store.
+    #[prost(uint64, tag = "7")]
+    pub(super) stored_end: u64,
+    /// The owner is shutting down.
+    #[prost(bool, tag = "8")]
+    pub(super) is_leaving: bool,
 }
 
 impl OrdersFrame {
--- a/crates/dispatch/src/relay/mod.rs
+++ b/crates/dispatch/src/relay/mod.rs
@@ -28,6 +28,7 @@
 pub(crate) use selection::RELAYS_PER_WORKER;
 pub(crate) use selection::Selection;
 pub(crate) use serving::Relay;
+pub(crate) use sessions::OwnerHeartbeat;
 pub(crate) use sessions::RelayedOrder;
 pub(crate) use sessions::RelayedOutcome;
 pub(crate) use sessions::Sessions;
--- a/crates/dispatch/src/relay/peer.rs
+++ b/crates/dispatch/src/relay/peer.rs
@@ -7,7 +7,10 @@
 use crate::relay::frames::OrdersFrame;
 use crate::relay::frames::WorkerRow;
 use crate::relay::rows::order_row;
+use crate::relay::sessions::HEARTBEAT_INTERVAL_MS;
+use crate::relay::sessions::OwnerHeartbeat;
 use crate::relay::sessions::RelayedOrder;
+use crate::relay::sessions::WATCHER_INTERVAL_MS;
 use prost::Message;
 use std::collections::HashMap;
 use std::collections::HashSet;
@@ -40,6 +43,10 @@
     pub(super) phase: Phase,
     pub(super) is_connected: bool,
     pub(super) is_leaving: bool,
+    /// It monitors the owner, and gets the owner's heartbeats more often.
+    pub(super) is_watcher: bool,
+    /// What the latest frame to it said of the owner.
+    pub(super) sent_heartbeat: OwnerHeartbeat,
     /// Consecutive failures to connect.
     pub(super) failures: u32,
     /// Time of the last frame from the relay, or of the attempt to connect.
@@ -61,6 +68,8 @@
             phase: Phase::Closed { retry_ms: 0 },
             is_connected: false,
             is_leaving: false,
+            is_watcher: false,
+            sent_heartbeat: OwnerHeartbeat::default(),
             failures: 0,
             last_received_ms: 0,
             last_sent_ms: 0,
@@ -74,6 +83,17 @@
         self.is_connected && !self.is_leaving
     }
 
+    /// Returns whether the host is to get a frame even if it contains nothing else.
+    pub(super) fn is_heartbeat_due(&self, heartbeat: OwnerHeartbeat, now_ms: u64) -> bool {
+        let has_news = heartbeat.stored_end > self.sent_heartbeat.stored_end;
+        let interval_ms = match self.is_watcher && has_news {
+            true => WATCHER_INTERVAL_MS,
+            false => HEARTBEAT_INTERVAL_MS,
+        };
+        let is_leaving_news = heartbeat.is_leaving && !self.sent_heartbeat.is_leaving;
+        self.is_connected && (is_leaving_news || now_ms >= self.last_sent_ms + interval_ms)
+    }
+
     /// Drops the connection and the state that belongs to it. Returns the connection if there was
     /// one.
     pub(super) fn close(&mut self, retry_ms: u64) -> Option<ConnectionId> {
@@ -81,6 +101,7 @@
         self.is_connected = false;
         self.is_leaving = false;
         self.last_sent_ms = 0;
+        self.sent_heartbeat = OwnerHeartbeat::default();
         self.numbers.clear();
         self.texts.clear();
         self.frame = OrdersFrame::default();
--- a/crates/dispatch/src/relay/serving.rs
+++ b/crates/dispatch/src/relay/serving.rs
@@ -19,6 +19,7 @@
 use crate::relay::rows::order_call;
 use crate::relay::rows::outcome_row;
 use crate::relay::sessions::HEARTBEAT_INTERVAL_MS;
+use crate::relay::sessions::OwnerHeartbeat;
 use goldcrestway_core::Code;
 use goldcrestway_core::Note;
 use prost::Message;
@@ -44,6 +45,9 @@
     /// The owner's token; 0 before its first frame.
     token: u64,
     last_received_ms: u64,
+    heartbeat: OwnerHeartbeat,
+    /// When a frame first said that the store holds the newest heartbeat.
+    heartbeat_ms: u64,
     queries: Vec<QueryRow>,
     /// Workers by the numbers that the owner has assigned.
     workers: HashMap<u32, WorkerIdentity>,
@@ -90,6 +94,11 @@
         let session = self.sessions.entry(conn).or_default();
         session.token = frame.token;
         session.last_received_ms = now_ms;
+        if frame.stored_end > session.heartbeat.stored_end {
+            session.heartbeat.stored_end = frame.stored_end;
+            session.heartbeat_ms = now_ms;
+        }
+        session.heartbeat.is_leaving |= frame.is_leaving;
         self.answers.extend(frame.answers.iter().map(answer));
         if frame.clears_texts {
             session.texts.clear();
@@ -183,6 +192,14 @@
         session.map_or(0, |session| session.last_received_ms)
     }
 
+    /// Returns the newest heartbeat of an owner over this connection, and when it arrived. `None`
+    /// if the owner has sent none, or is shutting down.
+    pub(crate) fn heartbeat(&self, conn: ConnectionId) -> Option<(u64, OwnerHeartbeat)> {
+        let session = self.sessions.get(&conn)?;
+        let is_valid = session.heartbeat.stored_end > 0 && !session.heartbeat.is_leaving;
+        is_valid.then_some((session.heartbeat_ms, session.heartbeat))
+    }
+
     /// Sends a query to an owner with the next frame.
     pub(crate) fn send_query(&mut self, conn: ConnectionId, ticket: u64, subject: QuerySubject) {
         if let Some(session) = self.sessions.get_mut(&conn) {
--- a/crates/dispatch/src/relay/sessions.rs
+++ b/crates/dispatch/src/relay/sessions.rs
@@ -39,6 +39,8 @@
 const MAX_DOUBLINGS: u32 = 5;
 /// Time without a frame to a host after which it gets a heartbeat.
 pub(super) const HEARTBEAT_INTERVAL_MS: u64 = 1_000;
+/// The same for hosts that monitor the owner, if its heartbeats in the store have continued.
+pub(super) const WATCHER_INTERVAL_MS: u64 = 200;
 /// Divisor for the part of an owner's descriptors that its connections to other hosts may take. The
 /// rest is for workers that it calls directly, for callers and for the store.
 const DESCRIPTORS_DIVISOR: u64 = 2;
@@ -56,6 +58,15 @@
     pub(crate) relay_index: usize,
 }
 
+/// What each frame says of the owner.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub(crate) struct OwnerHeartbeat {
+    /// Offset after its newest stored record in the stream of states.
+    pub(crate) stored_end: u64,
+    /// It is shutting down.
+    pub(crate) is_leaving: bool,
+}
+
 /// Outcome of a relayed order.
 #[derive(Debug)]
 pub(crate) struct RelayedOutcome {
@@ -136,6 +147,13 @@
         }
     }
 
+    /// Updates which hosts monitor the owner.
+    pub(crate) fn update_watchers(&mut self, watchers: &HashSet<&str>) {
+        for peer in self.peers.values_mut() {
+            peer.is_watcher = watchers.contains(&*peer.name);
+        }
+    }
+
     /// Opens connections to relays that have none.
     pub(crate) fn connect(&mut self, now_ms: u64, tickets: &mut u64, actions: &mut Vec<Action>) {
         for (key, peer) in &mut self.peers {
@@ -263,17 +281,25 @@
     }
 
     /// Sends the frames of this turn, and heartbeats to hosts that got no frame for a while.
-    pub(crate) fn flush(&mut self, token: u64, now_ms: u64, actions: &mut Vec<Action>) {
+    pub(crate) fn flush(
+        &mut self,
+        token: u64,
+        heartbeat: OwnerHeartbeat,
+        now_ms: u64,
+        actions: &mut Vec<Action>,
+    ) {
         for peer in self.peers.values_mut() {
             let Phase::Open { conn } = peer.phase else {
                 continue;
             };
-            let is_quiet = !peer.is_connected || now_ms < peer.last_sent_ms + HEARTBEAT_INTERVAL_MS;
-            if peer.frame.is_empty() && is_quiet {
+            if peer.frame.is_empty() && !peer.is_heartbeat_due(heartbeat, now_ms) {
                 continue;
             }
             peer.last_sent_ms = now_ms;
+            peer.sent_heartbeat = heartbeat;
             peer.frame.token = token;
+            peer.frame.stored_end = heartbeat.stored_end;
+            peer.frame.is_leaving = heartbeat.is_leaving;
             let frame = std::mem::take(&mut peer.frame);
             actions.push(Action::SendFrame {
                 conn,
--- a/tests/dispatch_owner_answers.rs
+++ b/tests/dispatch_owner_answers.rs
@@ -5,6 +5,7 @@
 use crate::fleet::step;
 use goldcrestway_dispatch::JobState;
 use goldcrestway_dispatch::Reply;
+use goldcrestway_dispatch::Stream;
 use googletest::prelude::*;
 
 /// More than twice the number of hosts that monitor the owner.
@@ -16,8 +17,12 @@
 /// Number of queries to each host.
 const ROUNDS: usize = 10;
 const ROUND_MS: u64 = 500;
-/// Age of its states from which on a host is certainly no watcher.
+/// Hosts that monitor the owner, without the owner itself.
+const WATCHERS: usize = 7;
+/// Time after which they no longer rely on an owner that they do not hear, while other hosts do.
 const RARELY_READ_MS: u64 = 1_500;
+/// Maximum age of the states on a host that reads the owner's record often.
+const OFTEN_READ_MS: u64 = 300;
 
 /// Returns a fleet with a job that runs for a while, of which all hosts know.
 fn fleet_with_job(hosts: usize) -> Fleet {
@@ -79,6 +84,85 @@
     expect_that!(fleet.claims, eq(1));
 }
 
+/// Of the calls that were left, most were reads of the owner's heartbeats by the hosts that monitor
+/// it: four a second each. They hear of the heartbeats over their connections.
+#[gtest]
+fn watchers_that_hear_the_owner_read_its_heartbeats_rarely() {
+    const QUIET_MS: u64 = 32_000;
+    /// Interval between reads of a host that hears the owner.
+    const INTERVAL_MS: u64 = 8_000;
+    let mut fleet = fleet_with_job(HOSTS);
+    fleet.short_reads.clear();
+    fleet.run(QUIET_MS);
+    let reads = fleet.short_reads.get(&Stream::States).copied();
+    let max_reads = (QUIET_MS / INTERVAL_MS + 1) as usize * (HOSTS - 1);
+    expect_that!(reads, some(le(max_reads)));
+}
+
+/// An owner that is lost, and the time within which another host has claimed.
+struct Loss {
+    name: &'static str,
+    inject: fn(&mut Fleet, owner: usize),
+    claimed_within_ms: u64,
+}
+
+const LOSSES: &[Loss] = &[
+    Loss {
+        name: "killed",
+        inject: |fleet, owner| fleet.kill(owner),
+        claimed_within_ms: 1_000,
+    },
+    Loss {
+        name: "hangs",
+        inject: |fleet, owner| fleet.pause(owner),
+        claimed_within_ms: 1_000,
+    },
+    // It still answers the other hosts, but has no news of its heartbeats in the store.
+    Loss {
+        name: "cut off from the store",
+        inject: |fleet, owner| fleet.cut_from_store(owner, true),
+        claimed_within_ms: 1_000,
+    },
+    Loss {
+        name: "stopped as planned",
+        inject: |fleet, owner| fleet.stop(owner),
+        claimed_within_ms: 700,
+    },
+];
+
+/// Guards against a later change of owner where the watchers hear its heartbeats in place of
+/// reading them.
+#[gtest]
+fn an_owner_that_is_lost_is_replaced_as_soon_as_if_its_heartbeats_were_read() {
+    for loss in LOSSES {
+        let mut fleet = fleet_with_job(HOSTS);
+        let owner = fleet.owner().expect("there is an owner");
+        let lost_ms = fleet.now_ms;
+        (loss.inject)(&mut fleet, owner);
+        while fleet.claims < 2 && fleet.now_ms < lost_ms + 5_000 {
+            fleet.run(10);
+        }
+        let took_ms = fleet.now_ms - lost_ms;
+        expect_that!(took_ms, le(loss.claimed_within_ms), "{}", loss.name);
+        fleet.resume(owner);
+        fleet.run(5_000);
+        expect_that!(fleet.owners(), eq(1), "{}", loss.name);
+        expect_that!(fleet.promises.broken, is_empty(), "{}", loss.name);
+    }
+}
+
+/// Guards against a healthy owner that is replaced, as the watchers do not hear it over a
+/// connection that has gone silent: they read its heartbeats again.
+#[gtest]
+fn an_owner_that_is_not_heard_but_read_is_kept() {
+    let mut fleet = fleet_with_job(HOSTS);
+    let owner = fleet.owner().expect("there is an owner");
+    fleet.silence_connections(owner);
+    fleet.run(20_000);
+    expect_that!(fleet.claims, eq(1));
+    expect_that!(fleet.owner(), some(eq(owner)));
+}
+
 /// A failure between hosts that forward queries and the owner.
 struct Failure {
     name: &'static str,
@@ -139,7 +223,7 @@
         for in_flight in [true, false] {
             let mut fleet = fleet_with_job(HOSTS);
             let owner = fleet.owner().expect("there is an owner");
-            let host = relying_hosts(&mut fleet)[0];
+            let host = (owner + 1) % HOSTS;
             let name = format!("{}, in flight: {in_flight}", failure.name);
             if !in_flight {
                 (failure.inject)(&mut fleet, owner, host);
@@ -158,19 +242,18 @@
     }
 }
 
-/// Returns hosts that are neither owner nor watchers.
-fn relying_hosts(fleet: &mut Fleet) -> Vec<usize> {
-    let mut oldest_ms = [0; HOSTS];
-    for _ in 0..40 {
-        fleet.run(100);
-        for (host, oldest_ms) in oldest_ms.iter_mut().enumerate() {
-            let age_ms = fleet.ages(host).states_ms.unwrap_or(0);
-            *oldest_ms = age_ms.max(*oldest_ms);
-        }
-    }
-    let owner = fleet.owner();
+/// Returns the hosts of [`fleet_with_job`] that monitor the owner: those that read the owner's
+/// record at once when they no longer hear it.
+fn watchers() -> Vec<usize> {
+    let mut fleet = fleet_with_job(HOSTS);
+    let owner = fleet.owner().expect("there is an owner");
+    fleet.silence_connections(owner);
+    fleet.run(RARELY_READ_MS);
     let mut hosts: Vec<usize> = (0..HOSTS).collect();
-    hosts.retain(|host| oldest_ms[*host] >= RARELY_READ_MS && Some(*host) != owner);
+    hosts.retain(|host| {
+        let age_ms = fleet.ages(*host).states_ms;
+        *host != owner && age_ms.is_some_and(|age_ms| age_ms < OFTEN_READ_MS)
+    });
     hosts
 }
 
@@ -178,14 +261,14 @@
 /// once: the others have read no heartbeat for seconds.
 #[gtest]
 fn hosts_that_rely_on_the_owner_claim_when_all_watchers_are_lost() {
+    let watchers = watchers();
+    expect_that!(watchers.len(), eq(WATCHERS));
     let mut fleet = fleet_with_job(HOSTS);
-    let remaining = relying_hosts(&mut fleet);
-    expect_that!(remaining.len(), ge(HOSTS / 2));
-    for host in 0..HOSTS {
-        if !remaining.contains(&host) {
-            fleet.kill(host);
-        }
+    let owner = fleet.owner().expect("there is an owner");
+    for host in watchers {
+        fleet.kill(host);
     }
+    fleet.kill(owner);
     fleet.run(3_500);
     expect_that!(fleet.owners(), eq(1));
     expect_that!(fleet.promises.broken, is_empty());
@@ -197,7 +280,7 @@
 fn a_restarted_host_is_connected_again() {
     let mut fleet = fleet_with_job(HOSTS);
     let owner = fleet.owner().expect("there is an owner");
-    let host = relying_hosts(&mut fleet)[0];
+    let host = (owner + 1) % HOSTS;
     fleet.kill(host);
     fleet.run(2_000);
     expect_that!(fleet.stats(owner).informed_hosts, eq(HOSTS as u64 - 2));
