--- a/tests/dispatch_faults.rs
+++ b/tests/dispatch_faults.rs
@@ -30,6 +30,8 @@
 /// Time after which a crashed worker restarts, unless a fault changes it.
 const RESTART_MS: u64 = 3_400;
 const HOSTS: usize = 3;
+/// Number of hosts of which most rely on the owner.
+const MANY_HOSTS: usize = 18;
 const WORKERS: usize = 4;
 /// Number of faults in a sequence.
 const FAULTS: usize = 14;
@@ -43,6 +45,8 @@
     Direct,
     /// Other hosts relay them; their connections may stop carrying data without being closed.
     Relayed,
+    /// Directly, and many hosts forward queries to the owner over connections of the same kind.
+    DirectWithQueries,
 }
 
 /// Under which ids workers restart. Failures print the variants by their names.
@@ -95,7 +99,7 @@
 }
 
 fn inject_faults(fleet: &mut Fleet, random: &mut Pcg64, jobs: &mut u64, callers: Callers) {
-    let host = random.random_range(0..HOSTS);
+    let host = random.random_range(0..fleet.host_count());
     let worker = random.random_range(0..WORKERS);
     let address: Box<str> = format!("10.0.0.{worker}:80").into();
     match random.random_range(0..18) {
@@ -174,7 +178,7 @@
 /// Makes partitions of the store unavailable or available, breaks connections or crashes hosts, and
 /// repeats submissions.
 fn repeat_submissions(fleet: &mut Fleet, random: &mut Pcg64, jobs: u64) {
-    let host = random.random_range(0..HOSTS);
+    let host = random.random_range(0..fleet.host_count());
     match random.random_range(0..4) {
         0 => {
             let partitions = random.random_range(1..4);
@@ -190,7 +194,7 @@
         // Callers repeat their most recent submissions.
         let id = random.random_range(jobs.saturating_sub(4).max(1)..=jobs.max(1));
         if let Some(submission) = fleet.promises.submitted.get(&JobId(id)).cloned() {
-            fleet.submit(random.random_range(0..HOSTS), id, &submission);
+            fleet.submit(random.random_range(0..fleet.host_count()), id, &submission);
         }
     }
 }
@@ -220,7 +224,11 @@
                 index: random.random_range(0..step.count) as u16,
             };
             fleet.poison(crashing, random.random_range(5..700));
-            fleet.submit(random.random_range(0..HOSTS), *jobs, &job(vec![step]));
+            fleet.submit(
+                random.random_range(0..fleet.host_count()),
+                *jobs,
+                &job(vec![step]),
+            );
         }
     }
 }
@@ -252,7 +260,7 @@
 
 /// Submits a gang or a job with speculative copies, cancels a job, or shuts a host down as planned.
 fn vary_jobs(fleet: &mut Fleet, random: &mut Pcg64, jobs: &mut u64) {
-    let host = random.random_range(0..HOSTS);
+    let host = random.random_range(0..fleet.host_count());
     let gang = Step {
         is_gang: true,
         ..step(
@@ -293,7 +301,7 @@
     for worker in fleet.workers.values_mut() {
         worker.behaviour = Behaviour::Healthy;
     }
-    for host in 0..HOSTS {
+    for host in 0..fleet.host_count() {
         fleet.cut_from_store(host, false);
         fleet.resume(host);
         fleet.kill(host);
@@ -315,6 +323,7 @@
     let mut fleet = match orders {
         Orders::Direct => Fleet::new(HOSTS, WORKERS),
         Orders::Relayed => Fleet::with_relays(HOSTS, WORKERS),
+        Orders::DirectWithQueries => Fleet::new(MANY_HOSTS, WORKERS),
     };
     if matches!(callers, Callers::Restless | Callers::Poisonous) {
         for worker in fleet.workers.values_mut() {
@@ -338,8 +347,8 @@
         if domains == Domains::Evacuated {
             change_evacuations(&mut fleet, &mut random_domains);
         }
-        if orders == Orders::Relayed && random.random_range(0..4) == 0 {
-            fleet.silence_connections(random.random_range(0..HOSTS));
+        if orders != Orders::Direct && random.random_range(0..4) == 0 {
+            fleet.silence_connections(random.random_range(0..fleet.host_count()));
         }
         fleet.run(random.random_range(50..1_500));
     }
@@ -526,6 +535,22 @@
     }
 }
 
+/// Guards against lost or repeated work, and wrong answers, where most hosts rely on the owner and
+/// hardly read the store.
+#[gtest]
+fn guarantees_hold_with_many_hosts_that_query_the_owner() {
+    for seed in 0..sequence_count().div_ceil(4) {
+        for callers in [Callers::Plain, Callers::Restless, Callers::Insistent] {
+            let orders = Orders::DirectWithQueries;
+            expect_that!(
+                run_sequence(seed, callers, orders, Ids::New, Domains::Open),
+                is_empty(),
+                "seed {seed}, {callers:?}"
+            );
+        }
+    }
+}
+
 /// Guards against starts in an evacuated failure domain, and against lost work while domains are
 /// evacuated and evacuations are revoked.
 #[gtest]
--- a/tests/fleet/callers.rs
+++ b/tests/fleet/callers.rs
@@ -62,6 +62,11 @@
         self.requests
     }
 
+    /// Returns the number of hosts, with those that are down.
+    pub(crate) fn host_count(&self) -> usize {
+        self.hosts.len()
+    }
+
     /// Returns the ages of the data of a host.
     pub(crate) fn ages(&self, number: usize) -> Ages {
         let entry = self.hosts[number].entry.as_ref();
