Hosts rely on the owner only while they hear of its heartbeats in the store

Cause: an owner that is cut off from the store together with all hosts that monitor it kept its connections to the others, which did not claim. Test: hosts_that_hear_an_owner_without_heartbeats_in_the_store_claim.

Change: a host that has heard of no newer stored heartbeat for 3 s reads as before.

--- a/crates/dispatch/src/election.rs
+++ b/crates/dispatch/src/election.rs
@@ -36,6 +36,10 @@
 const IDLE_READ_INTERVAL_MS: u64 = 1_000;
 /// Interval between reads while heartbeats are overdue.
 const OVERDUE_READ_INTERVAL_MS: u64 = 100;
+/// Time without news of the owner's heartbeats from the owner itself after which a watcher reads
+/// them, and after which any other host does, which gets such news once a second.
+const WATCHER_UNHEARD_MS: u64 = 2 * READ_INTERVAL_MS;
+const UNHEARD_MS: u64 = 3_000;
 /// CPU share of the strongest host, in percent of a host's own, from which the host delays its
 /// claims.
 const MIN_STRONGER_PERCENT: u64 = 150;
@@ -212,7 +216,11 @@
     /// Returns whether the owner itself tells this host of its heartbeats in time, so that they need
     /// not be read.
     pub(crate) fn hears_owner(&self, now_ms: u64) -> bool {
-        self.leaving_ms.is_none() && self.has_heard_within(2 * READ_INTERVAL_MS, now_ms)
+        let unheard_ms = match self.is_watcher {
+            true => WATCHER_UNHEARD_MS,
+            false => UNHEARD_MS,
+        };
+        self.leaving_ms.is_none() && self.has_heard_within(unheard_ms, now_ms)
     }
 
     /// Returns whether a heartbeat was read at `since_ms` or later.
--- a/crates/dispatch/src/entry/scope.rs
+++ b/crates/dispatch/src/entry/scope.rs
@@ -179,8 +179,8 @@
         self.reading.is_relying && !self.is_owner_or_claiming()
     }
 
-    /// Returns whether the owner's connection is enough for this host. A watcher also needs to hear
-    /// of the owner's heartbeats in the store.
+    /// Returns whether the owner's connection is enough for this host: over it, the host must hear
+    /// of the owner's heartbeats in the store. An owner without them may have been replaced.
     fn can_rely_on_owner(&mut self, now_ms: u64) -> bool {
         let Some(conn) = self.reading.owner_connection else {
             return false;
@@ -188,8 +188,7 @@
         if let Some((heard_ms, heartbeat)) = self.relay.heartbeat(conn) {
             self.election.record_heard(heard_ms, heartbeat.stored_end);
         }
-        let is_monitored = !self.election.is_watcher() || self.election.hears_owner(now_ms);
-        self.reading.scope == Scope::All && is_monitored
+        self.reading.scope == Scope::All && self.election.hears_owner(now_ms)
     }
 
     /// Returns the connection over which to query the owner instead of reading. An owner that has
--- a/tests/dispatch_owner_answers.rs
+++ b/tests/dispatch_owner_answers.rs
@@ -274,6 +274,23 @@
     expect_that!(fleet.promises.broken, is_empty());
 }
 
+/// Guards against a fleet without an owner when the owner and all hosts that monitor it are cut off
+/// from the store: the others still hear the owner.
+#[gtest]
+fn hosts_that_hear_an_owner_without_heartbeats_in_the_store_claim() {
+    let watchers = watchers();
+    let mut fleet = fleet_with_job(HOSTS);
+    let owner = fleet.owner().expect("there is an owner");
+    for host in watchers {
+        fleet.cut_from_store(host, true);
+    }
+    fleet.cut_from_store(owner, true);
+    fleet.run(6_000);
+    expect_that!(fleet.claims, eq(2));
+    expect_that!(fleet.owner(), some(not(eq(owner))));
+    expect_that!(fleet.promises.broken, is_empty());
+}
+
 /// Guards against a host that reads for each query for the rest of its life, as the owner does not
 /// connect to its new incarnation.
 #[gtest]
