--- a/crates/dispatch/src/entry/mod.rs
+++ b/crates/dispatch/src/entry/mod.rs
@@ -5,6 +5,7 @@
 mod callers;
 mod contact;
 mod following;
+mod forwarding;
 mod job_tails;
 mod loading;
 mod ownership;
@@ -447,9 +448,9 @@
         for record in &progress.records {
             self.job_table.apply(record);
         }
-        if !progress.records.is_empty() {
+        if let Some(newest) = progress.records.iter().map(|record| record.offset).max() {
             self.election
-                .record_heartbeat(now.steady_ms, &self.job_table.owner);
+                .record_heartbeat(newest, now.steady_ms, &self.job_table.owner);
         }
         if self.states.is_loaded() {
             self.election.record_loaded(now.steady_ms);
@@ -469,6 +470,9 @@
         self.run_owner(now, actions);
         self.answer_callers(now, actions);
         self.relay.flush(actions);
+        if let Some(owner) = &mut self.owner {
+            owner.flush_frames(now.steady_ms, actions);
+        }
         self.purge(now, actions);
     }
 }
