Job times: an account of each job's time by phase, and a log budget that keeps whole jobs

An operator could not see where the time of a late job went: lines were dropped in the order in which they came, and no metric split a job's time. The owner now accounts for each millisecond from acceptance to the published end (owner/timeline.rs), writes it as JobTimes and as a histogram, and policy/log_budget.rs decides which lines are written by whole job.

--- a/crates/dispatch/src/event.rs
+++ b/crates/dispatch/src/event.rs
@@ -5,6 +5,7 @@
 use crate::ids::TaskId;
 use crate::incarnation::Incarnation;
 use crate::job_table::JobState;
+use crate::job_times::JobTimes;
 use crate::record::Submission;
 use goldcrestway_core::Note;
 use std::rc::Rc;
@@ -437,4 +438,6 @@
     Configured,
     /// Log an event.
     Note(Note),
+    /// Log and measure where the time of a job went whose end is published.
+    JobTimed(Box<JobTimes>),
 }
--- a/crates/dispatch/src/owner/adopting.rs
+++ b/crates/dispatch/src/owner/adopting.rs
@@ -77,6 +77,7 @@
         let key = self.jobs.insert(job);
         self.job_keys.insert(id, key);
         self.live_jobs.push(key);
+        self.begin_times(key, now);
         self.recover_runs(key);
         self.recover_lost_runs(key);
         self.must_place |= is_new;
--- a/crates/dispatch/src/owner/costs.rs
+++ b/crates/dispatch/src/owner/costs.rs
@@ -6,6 +6,7 @@
 use crate::ids::StepId;
 use crate::ids::TaskId;
 use crate::owner::Owner;
+use crate::owner::phases::Ranking;
 use crate::owner::worker::Exclusion;
 use crate::owner::worker::Worker;
 use crate::owner::worker::WorkerKey;
@@ -73,11 +74,15 @@
         now_ms: u64,
     ) -> BinaryHeap<Reverse<(i64, WorkerKey)>> {
         let mut ranked = BinaryHeap::new();
+        let mut ranking = Ranking::default();
         for (key, worker) in self.workers.eligible() {
-            if let Ok(cost) = self.permitted_cost(key, worker, requirements, now_ms) {
+            let cost = self.permitted_cost(key, worker, requirements, now_ms);
+            ranking.count(&cost);
+            if let Ok(cost) = cost {
                 ranked.push(Reverse((cost, key)));
             }
         }
+        self.ranking.set(Some(ranking));
         ranked
     }
 
--- a/crates/dispatch/src/owner/exits.rs
+++ b/crates/dispatch/src/owner/exits.rs
@@ -4,6 +4,7 @@
 use crate::event::ExitReason;
 use crate::event::Now;
 use crate::ids::TaskId;
+use crate::job_times::Phase;
 use crate::owner::Owner;
 use crate::owner::job::JobKey;
 use crate::owner::task::Placement;
@@ -110,6 +111,7 @@
         if job.task_mut(id).is_none_or(|task| task.is_done) {
             return;
         }
+        self.timeline.end_task(id, 0, "", now.steady_ms);
         self.complete_task(key, id);
         if self.jobs[key].is_finished() {
             self.finish(key, JobPhase::Completed, now, actions);
@@ -203,6 +205,8 @@
         }
         if exit_reason == ExitReason::Done && !is_long_running {
             task.release_run(ended);
+            let worker = &self.workers[worker].entry.id;
+            self.timeline.end_task(id, number, worker, now.steady_ms);
             self.complete_task(key, id);
             if self.jobs[key].is_finished() {
                 self.finish(key, JobPhase::Completed, now, actions);
@@ -219,6 +223,9 @@
             task.failures += u32::from(!is_long_running);
         }
         let failures = task.failures;
+        if task.is_waiting() {
+            self.timeline.enter(id, Phase::WaitPause, now.steady_ms);
+        }
         job.has_waiting = true;
         job.is_dirty = true;
         let is_gang = job.step(id).is_some_and(|step| step.is_gang);
@@ -280,6 +287,9 @@
             task.checkpoint = run.checkpoint;
         }
         task.not_before_ms = now_ms;
+        if task.is_waiting() {
+            self.timeline.enter(id, Phase::WaitPause, now_ms);
+        }
         job.has_waiting = true;
         job.is_dirty = true;
         let is_gang = job.step(id).is_some_and(|step| step.is_gang);
--- a/crates/dispatch/src/owner/mod.rs
+++ b/crates/dispatch/src/owner/mod.rs
@@ -22,6 +22,7 @@
 mod orders;
 mod orphans;
 mod permits;
+mod phases;
 mod placing;
 mod polls;
 mod progress;
@@ -29,6 +30,7 @@
 mod shares;
 mod stragglers;
 mod task;
+mod timeline;
 mod waits;
 mod worker;
 mod worker_removal;
@@ -53,7 +55,9 @@
 use crate::owner::job::JobKey;
 pub(crate) use crate::owner::link::records_bytes;
 use crate::owner::permits::Permits;
+use crate::owner::phases::Ranking;
 use crate::owner::stragglers::Durations;
+use crate::owner::timeline::Timeline;
 pub use crate::owner::waits::WaitReason;
 use crate::owner::worker::RunPhase;
 use crate::owner::worker::WorkerKey;
@@ -72,6 +76,7 @@
 use goldcrestway_core::Code;
 use goldcrestway_core::Note;
 use slotmap::SlotMap;
+use std::cell::Cell;
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::collections::HashMap;
@@ -210,6 +215,9 @@
     /// When steps that have waited for a long time are reported next.
     next_waits_report_ms: u64,
     stepdown: Option<Stepdown>,
+    timeline: Timeline,
+    /// Result of the latest ranking for the step that is being placed.
+    ranking: Cell<Option<Ranking>>,
     pub(crate) stats: OwnerStats,
 }
 
@@ -273,6 +281,8 @@
             wake_ms: u64::MAX,
             next_waits_report_ms: 0,
             stepdown: None,
+            timeline: Timeline::default(),
+            ranking: Cell::default(),
             stats: OwnerStats::default(),
         };
         // The time since that record was written is unknown, so it is not subtracted.
@@ -326,6 +336,7 @@
         job.has_waiting = false;
         job.is_dirty = true;
         let id = job.id;
+        self.finish_times(key, now.steady_ms);
         self.permits.remove_job(id);
         self.crashes.forget(id);
         self.orphans.retain(|task, _| task.job != id);
--- a/crates/dispatch/src/owner/orders.rs
+++ b/crates/dispatch/src/owner/orders.rs
@@ -7,6 +7,7 @@
 use crate::event::WorkerCall;
 use crate::ids::StepId;
 use crate::ids::TaskId;
+use crate::job_times::Phase;
 use crate::owner::Owner;
 use crate::owner::calls::Purpose;
 use crate::owner::worker::Run;
@@ -86,6 +87,7 @@
             run.first_ms = now_ms;
         }
         self.stats.starts += 1;
+        self.timeline.enter(task, Phase::StartCall, now_ms);
         actions.push(Action::Note(Note::new(
             Code::RunOrdered,
             task.to_string(),
@@ -138,6 +140,9 @@
         }
         let is_first = run.start_attempts <= 1;
         worker.has_orders = true;
+        if matches!(outcome, OrderOutcome::Done { .. } | OrderOutcome::Unknown) {
+            self.timeline.enter(task, Phase::Run, now_ms);
+        }
         match outcome {
             OrderOutcome::Done { .. } => run.phase = RunPhase::Present { since_ms: now_ms },
             OrderOutcome::Unknown => {
--- a/crates/dispatch/src/owner/placing.rs
+++ b/crates/dispatch/src/owner/placing.rs
@@ -4,6 +4,7 @@
 use crate::event::Now;
 use crate::ids::StepId;
 use crate::ids::TaskId;
+use crate::job_times::Phase;
 use crate::owner::Owner;
 use crate::owner::costs::TaskRequirements;
 use crate::owner::job::JobKey;
@@ -69,6 +70,7 @@
 impl Owner {
     /// Places waiting tasks, the most urgent jobs first.
     pub(crate) fn place(&mut self, now: Now, actions: &mut Vec<Action>) {
+        self.account_holds(now.steady_ms);
         if self.are_starts_paused {
             return self.record_waits(now.steady_ms);
         }
@@ -139,7 +141,9 @@
                     index: 0,
                 };
                 let waiting_before = occurrence.steps[number].waiting;
+                self.ranking.set(None);
                 let step_waits = self.place_step(key, first, step, now, pass, actions);
+                self.account_wait(key, first, step, now.steady_ms);
                 if step_waits && submission.needs_permits() {
                     self.permits.request(StepId::of(first));
                 }
@@ -395,6 +399,7 @@
         }
         let text_bytes = checkpoint_bytes + job.specification.len();
         self.charge_start(text_bytes);
+        self.enter_phase(id, Phase::Recording, now.steady_ms);
         self.workers[worker].add(id, number, run);
         self.writer.start_once_stored(worker, id, number);
     }
--- a/crates/dispatch/src/owner/polls.rs
+++ b/crates/dispatch/src/owner/polls.rs
@@ -227,6 +227,7 @@
         if !was_known {
             self.resolve_lost_workers(key, now, actions);
         }
+        self.timeline.exit_delay_ms = (now_ms - sent_ms).min(self.answers.typical_delay_ms());
         self.apply_run_exits(key, &report, now, actions);
         self.apply_run_reports(key, sent_ms, &report, now_ms, actions);
         if !was_known {
--- a/crates/dispatch/src/owner/writing.rs
+++ b/crates/dispatch/src/owner/writing.rs
@@ -299,6 +299,7 @@
             records.push((Key::State(job).text(), Box::default()));
         }
         for (job, state) in self.writer.unpublished.drain(..) {
+            self.timeline.begin_publishing(job);
             records.push((Key::State(job).text(), state.encode_to_vec().into()));
         }
         if records.is_empty() || self.writer.must_announce {
@@ -338,10 +339,14 @@
             None => {
                 let is_stored = self.writer.states.handle_outcome(ticket, outcome, now_ms)?;
                 self.apply_append_outcome(outcome, is_stored, self.writer.states.sent_ms);
+                if is_stored {
+                    self.report_published(now_ms, actions);
+                }
                 return Some(Vec::new());
             }
         };
         self.apply_append_outcome(outcome, is_progress, self.writer.progress.sent_ms);
+        self.account_append(outcome, self.writer.progress.sent_ms, now_ms);
         if !is_progress {
             return Some(Vec::new());
         }
--- a/crates/dispatch/src/policy/mod.rs
+++ b/crates/dispatch/src/policy/mod.rs
@@ -5,6 +5,7 @@
 //! | --- | --- |
 //! | [`interference`] | how much best-effort tasks slow down latency-critical tasks beside them |
 //! | [`link`] | which calls the owner sends over its link now, and which are deferred |
+//! | [`log_budget`] | which log lines are written when there are too many |
 //! | [`polls`] | how often the owner polls each worker |
 //! | [`ordering`] | which waiting job gets free resources first |
 //! | [`shares`] | which CPU share best-effort tasks get beside latency-critical tasks |
@@ -19,6 +20,7 @@
 pub mod images;
 pub mod interference;
 pub mod link;
+pub mod log_budget;
 pub mod ordering;
 pub mod placing;
 pub mod polls;
--- a/crates/dispatch/src/policy/switches.rs
+++ b/crates/dispatch/src/policy/switches.rs
@@ -22,6 +22,8 @@
     pub feasible_first: bool,
     /// Jobs that have started go before others.
     pub begun_first: bool,
+    /// The time of each job is accounted for by phases.
+    pub accounts_times: bool,
 }
 
 impl Default for Policy {
@@ -35,6 +37,7 @@
             avoids_failing_workers: true,
             feasible_first: true,
             begun_first: true,
+            accounts_times: true,
         }
     }
 }
--- a/tests/fleet/actions.rs
+++ b/tests/fleet/actions.rs
@@ -137,6 +137,7 @@
             Action::SendFrame { conn, bytes } => self.send_frame(number, conn, bytes),
             Action::CloseConnection { conn } => self.disconnect(number, conn),
             Action::Note(note) => self.record_note(&note),
+            Action::JobTimed(times) => self.job_times.push((self.now_ms, *times)),
             Action::Disconnect { .. } | Action::Configured => {}
         }
     }
--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -44,6 +44,7 @@
 use goldcrestway_dispatch::ExitReason;
 use goldcrestway_dispatch::JobId;
 use goldcrestway_dispatch::JobState;
+use goldcrestway_dispatch::JobTimes;
 use goldcrestway_dispatch::Now;
 use goldcrestway_dispatch::OwnerStats;
 use goldcrestway_dispatch::Reply;
@@ -184,6 +185,8 @@
     pub(crate) note_counts: BTreeMap<Code, u32>,
     /// Logged events about the results of jobs and workers, as text.
     pub(crate) log_lines: Vec<String>,
+    /// Accounts of the time of jobs that have ended, and when they were given.
+    pub(crate) job_times: Vec<(u64, JobTimes)>,
 }
 
 impl Fleet {
@@ -236,6 +239,7 @@
             frame_bytes: 0,
             note_counts: BTreeMap::new(),
             log_lines: Vec::new(),
+            job_times: Vec::new(),
         };
         fleet.store.put(Stream::Rules, "config", &[1]);
         for number in 0..workers {
