--- a/crates/dispatch/src/policy/log_budget.rs
+++ b/crates/dispatch/src/policy/log_budget.rs
@@ -29,7 +29,7 @@
 const BELIEFS_PER_S: u64 = 75;
 const BELIEFS_BURST: u64 = 2_000;
 /// Number of jobs for which it is remembered whether their lines are written. The memory of it
-/// takes about 50 bytes each.
+/// takes about 40 bytes each.
 const MAX_JOBS: usize = 8_192;
 /// Number of lines that a job is assumed to have before any has ended, in thousandths.
 const FIRST_ESTIMATE_MILLI: u64 = 50_000;
@@ -156,8 +156,8 @@
     is_kept: bool,
     has_ended: bool,
     /// Lines written so far, and lines that were taken from the budget in advance.
-    written: u64,
-    reserved: u64,
+    written: u32,
+    reserved: u32,
 }
 
 /// Decides which lines are written.
@@ -219,9 +219,10 @@
         }
         lines.has_ended = true;
         let unused = lines.reserved.saturating_sub(lines.written);
-        self.job_lines.available_milli += unused as i64 * 1_000;
+        self.job_lines.available_milli += i64::from(unused) * 1_000;
         lines.reserved = lines.written;
-        let total_milli = self.estimate_milli * (ESTIMATE_JOBS - 1) + lines.written * 1_000;
+        let total_milli =
+            self.estimate_milli * (ESTIMATE_JOBS - 1) + u64::from(lines.written) * 1_000;
         self.estimate_milli = total_milli / ESTIMATE_JOBS;
     }
 
@@ -257,9 +258,9 @@
             self.jobs.remove(&oldest);
         }
         let is_kept = self.job_lines.available_milli >= 1_000;
-        let estimate_lines = self.estimate_milli.div_ceil(1_000);
+        let estimate_lines = self.estimate_milli.div_ceil(1_000) as u32;
         let reserved = if is_kept { estimate_lines } else { 0 };
-        self.job_lines.take(reserved);
+        self.job_lines.take(u64::from(reserved));
         self.order.push_back(job);
         self.jobs.insert(
             job,
