--- a/crates/dispatch/src/owner/exits.rs
+++ b/crates/dispatch/src/owner/exits.rs
@@ -224,7 +224,8 @@
         }
         let failures = task.failures;
         if task.is_waiting() {
-            self.timeline.enter(id, Phase::WaitPause, now.steady_ms);
+            let worker = &self.workers[worker].entry.id;
+            self.timeline.end_run(id, number, worker, now.steady_ms);
         }
         job.has_waiting = true;
         job.is_dirty = true;
--- a/crates/dispatch/src/owner/timeline.rs
+++ b/crates/dispatch/src/owner/timeline.rs
@@ -151,6 +151,8 @@
     steps: Vec<StepTimeline>,
     /// Step and number of the task whose phase changed last.
     latest: (usize, u16),
+    /// Its run that ended last without success, if any did, and the worker of that run.
+    latest_broken: (u32, Box<str>),
     finished: Option<Finished>,
 }
 
@@ -239,8 +241,8 @@
         Some(CriticalTask {
             step: step as u16,
             index,
-            run: 0,
-            worker: "".into(),
+            run: self.latest_broken.0,
+            worker: self.latest_broken.1.clone(),
             times: track.times,
         })
     }
@@ -277,6 +279,7 @@
             before,
             begun_ms: now_ms,
             latest: (0, 0),
+            latest_broken: (0, "".into()),
             finished: None,
         };
         for (step, (done, _)) in progress.iter().enumerate() {
@@ -341,6 +344,14 @@
         }
     }
 
+    /// Ends a run of a task that has not succeeded, so that the task waits again.
+    pub(super) fn end_run(&mut self, task: TaskId, run: u32, worker: &str, now_ms: u64) {
+        self.enter(task, Phase::WaitPause, now_ms);
+        if let Some(job) = self.jobs.get_mut(&task.job) {
+            job.latest_broken = (run, worker.into());
+        }
+    }
+
     /// Records why the waiting tasks of a step wait.
     pub(super) fn enter_waiting(&mut self, first: TaskId, phase: Phase, now_ms: u64) {
         let job = self.jobs.get_mut(&first.job);
--- a/tests/dispatch_job_times.rs
+++ b/tests/dispatch_job_times.rs
@@ -12,7 +12,10 @@
 use goldcrestway_dispatch::JobId;
 use goldcrestway_dispatch::Phase;
 use goldcrestway_dispatch::Step;
+use goldcrestway_dispatch::policy::log_budget::LineKind;
+use goldcrestway_dispatch::policy::log_budget::LogBudget;
 use googletest::prelude::*;
+use std::collections::BTreeMap;
 
 /// A disturbance of a job, and the phase that it prolongs.
 struct Case {
@@ -176,6 +179,56 @@
     }
 }
 
+/// A job failed, and its account did not say where.
+#[gtest]
+fn the_account_of_a_failed_job_names_its_last_run() {
+    let mut fleet = Fleet::new(3, 3);
+    for worker in fleet.workers.values_mut() {
+        worker.behaviour = Behaviour::Fails;
+    }
+    fleet.submit(0, JOB, &job(wide_steps()));
+    fleet.run(5_000);
+    let (_, times) = &fleet.job_times[0];
+    expect_that!(times.end, eq(JobEnd::Failed));
+    let last = &times.chain[0];
+    expect_that!(last.run, eq(3), "{}", times.note().detail);
+    expect_that!(*last.worker, not(eq("")));
+}
+
+/// Under overload, lines on starts displaced everything else, and most late jobs had none.
+#[gtest]
+fn every_job_that_misses_its_objective_under_overload_has_its_account_in_the_log() {
+    const JOBS: u64 = 150;
+    let mut fleet = Fleet::new(3, 4);
+    for number in 0..JOBS {
+        let host = number as usize % 3;
+        fleet.submit(
+            host,
+            JOB + number,
+            &job(vec![step(6, 400, &[]), step(2, 200, &[0])]),
+        );
+        fleet.run(40);
+    }
+    fleet.run(60_000);
+    expect_that!(fleet.job_times.len() as u64, eq(JOBS));
+    let mut budget = LogBudget::default();
+    let mut lines: BTreeMap<JobId, u32> = BTreeMap::new();
+    let mut missed = 0;
+    for (ms, times) in &fleet.job_times {
+        // Far more starts than may be logged.
+        for number in 0..1_000 {
+            budget.admits(LineKind::Job(JobId(ms * 1_000 + number)), *ms);
+        }
+        missed += u32::from(times.is_missed());
+        if times.is_missed() && budget.admits(LineKind::of_times(times), *ms) {
+            *lines.entry(times.job).or_default() += 1;
+        }
+    }
+    expect_that!(missed, ge(50));
+    expect_that!(lines.len() as u32, eq(missed));
+    expect_that!(lines.values().copied().max(), some(eq(1)));
+}
+
 /// A job that waits behind another one seemed to wait for room of its own.
 #[gtest]
 fn a_step_behind_a_more_urgent_one_waits_for_its_turn() {
