--- a/crates/dispatch/src/job_times.rs
+++ b/crates/dispatch/src/job_times.rs
@@ -152,6 +152,8 @@
     pub run: u32,
     /// Worker of that run; empty if unknown.
     pub worker: Box<str>,
+    /// Duration that the caller has estimated for it, in milliseconds; 0 for none.
+    pub estimated_ms: u64,
     /// Time of the step, by phases of this task.
     pub times: PhaseTimes,
 }
@@ -199,14 +201,16 @@
 
     /// Returns the log line.
     pub fn note(&self) -> Note {
+        let estimates_ms = self.chain.iter().map(|task| task.estimated_ms);
         let mut detail = format!(
-            "how={:?} missed={} queue={} priority={} total_ms={} late_ms={}",
+            "how={:?} missed={} queue={} priority={} total_ms={} late_ms={} estimated_ms={}",
             self.end,
             self.is_missed(),
             self.queue,
             self.priority,
             self.times.total_ms(),
-            self.late_ms
+            self.late_ms,
+            estimates_ms.sum::<u64>()
         );
         for (phase, ms) in self.times.iter() {
             // Writing to a string can't fail.
--- a/crates/dispatch/src/owner/phases.rs
+++ b/crates/dispatch/src/owner/phases.rs
@@ -11,6 +11,7 @@
 use crate::job_times::Phase;
 use crate::owner::Owner;
 use crate::owner::job::JobKey;
+use crate::owner::task::Task;
 use crate::owner::timeline::Hold;
 use crate::owner::worker::Exclusion;
 use crate::policy::link::CallPriority;
@@ -145,21 +146,25 @@
             index: index as u16,
             ..first
         };
-        let is_held_back = self.orphans.contains_key(&id)
-            || self.undecided_until_ms(id, now_ms).is_some()
-            || self
-                .task(id)
-                .is_some_and(|task| task.isolation_until_ms.is_some());
         let phase = match self.ranking.get() {
             _ if not_before_ms > now_ms => Phase::WaitPause,
-            _ if is_held_back => Phase::WaitOther,
+            None if !step.is_gang => Phase::WaitOrder,
+            None => Phase::WaitOther,
+            Some(_) if self.is_held_back(id, now_ms) => Phase::WaitOther,
             Some(ranking) => ranking.phase(),
-            None if step.is_gang => Phase::WaitOther,
-            None => Phase::WaitOrder,
         };
         self.timeline.enter_waiting(first, phase, now_ms);
     }
 
+    /// Returns whether a task waits for what became of its previous runs, or for a worker of its
+    /// own.
+    fn is_held_back(&self, id: TaskId, now_ms: u64) -> bool {
+        let is_isolated = |task: &Task| task.isolation_until_ms.is_some();
+        self.orphans.contains_key(&id)
+            || self.undecided_until_ms(id, now_ms).is_some()
+            || self.task(id).is_some_and(is_isolated)
+    }
+
     /// Reports the jobs whose final states are published now.
     pub(super) fn report_published(&mut self, now_ms: u64, actions: &mut Vec<Action>) {
         for times in self.timeline.take_published(now_ms) {
--- a/crates/dispatch/src/owner/timeline.rs
+++ b/crates/dispatch/src/owner/timeline.rs
@@ -243,6 +243,7 @@
             index,
             run: self.latest_broken.0,
             worker: self.latest_broken.1.clone(),
+            estimated_ms: self.submission.steps[step].estimated_ms,
             times: track.times,
         })
     }
@@ -418,6 +419,7 @@
             index,
             run,
             worker: worker.into(),
+            estimated_ms: job.submission.steps[number].estimated_ms,
             times,
         }));
         job.open_steps(now_ms, &self.holds);
