--- a/crates/dispatch/src/owner/mod.rs
+++ b/crates/dispatch/src/owner/mod.rs
@@ -31,6 +31,7 @@
 mod stragglers;
 mod task;
 mod timeline;
+mod track;
 mod waits;
 mod worker;
 mod worker_removal;
--- a/crates/dispatch/src/owner/phases.rs
+++ b/crates/dispatch/src/owner/phases.rs
@@ -12,7 +12,7 @@
 use crate::owner::Owner;
 use crate::owner::job::JobKey;
 use crate::owner::task::Task;
-use crate::owner::timeline::Hold;
+use crate::owner::track::Hold;
 use crate::owner::worker::Exclusion;
 use crate::policy::link::CallPriority;
 use crate::record::JobPhase;
--- a/crates/dispatch/src/owner/timeline.rs
+++ b/crates/dispatch/src/owner/timeline.rs
@@ -16,6 +16,9 @@
 use crate::job_times::JobTimes;
 use crate::job_times::Phase;
 use crate::job_times::PhaseTimes;
+use crate::owner::track::Hold;
+use crate::owner::track::HoldTimes;
+use crate::owner::track::Track;
 use crate::record::Submission;
 use std::collections::BTreeMap;
 use std::collections::HashMap;
@@ -25,104 +28,6 @@
 /// further task counts as [`Phase::Untracked`].
 const MAX_TRACKS: usize = 32_768;
 
-/// What keeps many tasks from going on at once. Its times are kept once, and not for each task.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) enum Hold {
-    /// The rules are too old.
-    Rules,
-    /// The link is full.
-    Link,
-    /// The store does not store anything.
-    Store,
-}
-
-impl Hold {
-    const ALL: [Hold; 3] = [Hold::Rules, Hold::Link, Hold::Store];
-
-    fn phase(self) -> Phase {
-        match self {
-            Hold::Rules => Phase::WaitRules,
-            Hold::Link => Phase::WaitLink,
-            Hold::Store => Phase::WaitStore,
-        }
-    }
-
-    fn stops(self, phase: Phase) -> bool {
-        match self {
-            Hold::Rules | Hold::Link => phase.is_waiting(),
-            Hold::Store => matches!(phase, Phase::Recording | Phase::Publishing),
-        }
-    }
-}
-
-/// Total time for which a hold was in force.
-#[derive(Debug, Clone, Copy, Default)]
-struct HoldTime {
-    ended_ms: u64,
-    since_ms: Option<u64>,
-}
-
-impl HoldTime {
-    fn total_ms(&self, now_ms: u64) -> u64 {
-        let current_ms = self
-            .since_ms
-            .map(|since_ms| now_ms.saturating_sub(since_ms));
-        self.ended_ms + current_ms.unwrap_or(0)
-    }
-}
-
-type HoldTimes = [HoldTime; Hold::ALL.len()];
-
-/// Times of a task, or of all tasks of a step that have no run yet.
-#[derive(Debug, Clone, Copy)]
-struct Track {
-    phase: Phase,
-    since_ms: u64,
-    /// Total time of each hold at the beginning of the phase.
-    held_ms: [u64; Hold::ALL.len()],
-    times: PhaseTimes,
-}
-
-impl Track {
-    fn new(phase: Phase, now_ms: u64, holds: &HoldTimes) -> Self {
-        Self {
-            phase,
-            since_ms: now_ms,
-            held_ms: holds.map(|hold| hold.total_ms(now_ms)),
-            times: PhaseTimes::default(),
-        }
-    }
-
-    /// Ends the current phase and begins another one.
-    fn enter(&mut self, phase: Phase, now_ms: u64, holds: &HoldTimes) {
-        if self.phase == phase {
-            return;
-        }
-        let is_lost = matches!(self.phase, Phase::StartCall | Phase::Run) && phase.is_waiting();
-        let spent = if is_lost { Phase::LostRun } else { self.phase };
-        self.spend(spent, now_ms, holds);
-        self.phase = phase;
-    }
-
-    /// Counts the time since the beginning of the current phase, except for holds, as spent in a
-    /// phase.
-    fn spend(&mut self, phase: Phase, now_ms: u64, holds: &HoldTimes) {
-        let mut left_ms = now_ms.saturating_sub(self.since_ms);
-        for hold in Hold::ALL {
-            let total_ms = holds[hold as usize].total_ms(now_ms);
-            if hold.stops(self.phase) {
-                let held_ms = total_ms.saturating_sub(self.held_ms[hold as usize]);
-                let held_ms = held_ms.min(left_ms);
-                self.times.add(hold.phase(), held_ms);
-                left_ms -= held_ms;
-            }
-            self.held_ms[hold as usize] = total_ms;
-        }
-        self.times.add(phase, left_ms);
-        self.since_ms = now_ms;
-    }
-}
-
 /// Times of a step.
 #[derive(Debug, Default)]
 struct StepTimeline {
@@ -483,14 +388,6 @@
 
     /// Begins or ends a hold.
     pub(super) fn set_hold(&mut self, hold: Hold, since_ms: Option<u64>, now_ms: u64) {
-        let time = &mut self.holds[hold as usize];
-        match (time.since_ms, since_ms) {
-            (None, Some(_)) => time.since_ms = since_ms,
-            (Some(_), None) => {
-                time.ended_ms = time.total_ms(now_ms);
-                time.since_ms = None;
-            }
-            _ => {}
-        }
+        self.holds[hold as usize].set(since_ms, now_ms);
     }
 }
