--- a/crates/dispatch/src/owner/adopting.rs
+++ b/crates/dispatch/src/owner/adopting.rs
@@ -68,6 +68,7 @@
         if job.phase.stage() > job.published.stage() {
             job.published = job.phase;
             self.writer.publish(id, job.state());
+            self.begin_inherited_end(&job, now);
         }
         if job.phase.is_final() {
             self.finished_jobs.insert(id, job.submission);
--- a/crates/dispatch/src/owner/phases.rs
+++ b/crates/dispatch/src/owner/phases.rs
@@ -10,6 +10,7 @@
 use crate::job_times::JobEnd;
 use crate::job_times::Phase;
 use crate::owner::Owner;
+use crate::owner::job::Job;
 use crate::owner::job::JobKey;
 use crate::owner::task::Task;
 use crate::owner::track::Hold;
@@ -17,6 +18,7 @@
 use crate::policy::link::CallPriority;
 use crate::record::JobPhase;
 use crate::record::Step;
+use crate::record::Submission;
 
 /// What a ranking of workers has found.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
@@ -62,14 +64,11 @@
         self.timeline.enter(task, phase, now_ms);
     }
 
-    /// Begins the account of a job that this owner has just read. Jobs that repeat or that run
-    /// until they are cancelled have no end that callers wait for, and are left out.
+    /// Begins the account of a job that this owner has just read.
     pub(super) fn begin_times(&mut self, key: JobKey, now: Now) {
         let job = &self.jobs[key];
         let submission = job.submission.clone();
-        let is_endless = |step: &Step| step.is_long_running;
-        let is_timed = submission.repetitions == 0 && !submission.steps.iter().any(is_endless);
-        if !self.bounds.policy.accounts_times || !is_timed {
+        if !self.is_timed(&submission) {
             return;
         }
         let Some(occurrence) = job.occurrences.first() else {
@@ -99,15 +98,39 @@
         );
     }
 
+    /// Begins and ends the account of a job whose final state a previous owner has recorded and not
+    /// published.
+    pub(super) fn begin_inherited_end(&mut self, job: &Job, now: Now) {
+        if !job.phase.is_final() || !self.is_timed(&job.submission) {
+            return;
+        }
+        let submission = job.submission.clone();
+        let age_ms = now.wall_ms.saturating_sub(submission.accepted_wall_ms);
+        let mut progress = Vec::new();
+        for step in &submission.steps {
+            progress.push((step.count, Vec::new()));
+        }
+        let before = (Phase::Inherited, age_ms);
+        self.timeline
+            .begin(job.id, submission, before, progress, now.steady_ms);
+        self.timeline
+            .finish(job.id, end_of(job.phase), job.due_ms, now.steady_ms);
+    }
+
     /// Ends the account of a job that has reached its final phase.
     pub(super) fn finish_times(&mut self, key: JobKey, now_ms: u64) {
         let job = &self.jobs[key];
-        let end = match job.phase {
-            JobPhase::Failed => JobEnd::Failed,
-            JobPhase::Cancelled => JobEnd::Cancelled,
-            JobPhase::Completed | JobPhase::Queued | JobPhase::Running => JobEnd::Completed,
-        };
-        self.timeline.finish(job.id, end, job.due_ms, now_ms);
+        self.timeline
+            .finish(job.id, end_of(job.phase), job.due_ms, now_ms);
+    }
+
+    /// Returns whether the time of a job is accounted for. Jobs that repeat or that run until they
+    /// are cancelled have no end that callers wait for.
+    fn is_timed(&self, submission: &Submission) -> bool {
+        let is_endless = |step: &Step| step.is_long_running;
+        self.bounds.policy.accounts_times
+            && submission.repetitions == 0
+            && !submission.steps.iter().any(is_endless)
     }
 
     /// Records what keeps all tasks from starting, if anything does.
@@ -172,3 +195,11 @@
         }
     }
 }
+
+fn end_of(phase: JobPhase) -> JobEnd {
+    match phase {
+        JobPhase::Failed => JobEnd::Failed,
+        JobPhase::Cancelled => JobEnd::Cancelled,
+        JobPhase::Completed | JobPhase::Queued | JobPhase::Running => JobEnd::Completed,
+    }
+}
--- a/tests/dispatch_job_times.rs
+++ b/tests/dispatch_job_times.rs
@@ -12,6 +12,7 @@
 use goldcrestway_dispatch::JobId;
 use goldcrestway_dispatch::Phase;
 use goldcrestway_dispatch::Step;
+use goldcrestway_dispatch::Stream;
 use goldcrestway_dispatch::policy::log_budget::LineKind;
 use goldcrestway_dispatch::policy::log_budget::LogBudget;
 use googletest::prelude::*;
@@ -195,6 +196,28 @@
     expect_that!(*last.worker, not(eq("")));
 }
 
+/// An owner that died after it had recorded the end of a late job, and before it could publish it,
+/// took the account with it.
+#[gtest]
+fn a_new_owner_accounts_for_jobs_whose_end_it_publishes() {
+    let mut fleet = Fleet::new(3, 3);
+    fleet.submit(0, JOB, &job(vec![step(2, 300, &[])]));
+    fleet.run(200);
+    fleet.store.unavailable = vec![Stream::States];
+    fleet.run(1_500);
+    expect_that!(fleet.job_times, is_empty());
+    let owner = owner(&fleet);
+    fleet.kill(owner);
+    fleet.store.unavailable.clear();
+    fleet.run(6_000);
+    expect_that!(fleet.job_times.len(), eq(1));
+    let (_, times) = &fleet.job_times[0];
+    expect_that!(times.end, eq(JobEnd::Completed));
+    expect_that!(times.is_missed(), eq(true));
+    let inherited_ms = times.times.get(Phase::Inherited);
+    expect_that!(inherited_ms, ge(1_500), "{}", times.note().detail);
+}
+
 /// Under overload, lines on starts displaced everything else, and most late jobs had none.
 #[gtest]
 fn every_job_that_misses_its_objective_under_overload_has_its_account_in_the_log() {
