Job times: only the append with the final state ends an account

While an append of states is in flight, the begin of a job waits for the next one. If the job ended in the meantime, the append that published its begin was taken for the one that publishes its end: the account came before the end was recorded, and the time until then was missing from publishing, total_ms and late_ms. The check that accounts add up could not see it, as it compares with the time of the account itself.

--- a/crates/dispatch/src/owner/timeline.rs
+++ b/crates/dispatch/src/owner/timeline.rs
@@ -1,8 +1,7 @@
 //! Accounts for the time of each job by phases.
 //!
-//! This module makes no decisions. Others call [`Owner::enter_phase`](super::Owner::enter_phase)
-//! when the phase of a task
-//! changes, and read nothing from here. A step takes as long as the task that ends last, so the
+//! This module makes no decisions. Others call it when the phase of a task changes, and read
+//! nothing from here. A step takes as long as the task that ends last, so the
 //! times of each task under way are kept until its end, and those of the last task count. The steps
 //! that determine a job's duration are found at its end, from the last step backwards.
 //!
@@ -348,9 +347,9 @@
         });
     }
 
-    /// Records that the append that begins now publishes the state of a job.
+    /// Records that the append that begins now publishes the final state of a job.
     pub(super) fn begin_publishing(&mut self, id: JobId) {
-        if self.jobs.get(&id).is_some_and(|job| job.finished.is_some()) {
+        if self.jobs.contains_key(&id) {
             self.in_append.push(id);
         }
     }
--- a/crates/dispatch/src/owner/writing.rs
+++ b/crates/dispatch/src/owner/writing.rs
@@ -299,7 +299,9 @@
             records.push((Key::State(job).text(), Box::default()));
         }
         for (job, state) in self.writer.unpublished.drain(..) {
-            self.timeline.begin_publishing(job);
+            if state.phase().is_final() {
+                self.timeline.begin_publishing(job);
+            }
             records.push((Key::State(job).text(), state.encode_to_vec().into()));
         }
         if records.is_empty() || self.writer.must_announce {
--- a/tests/dispatch_job_times.rs
+++ b/tests/dispatch_job_times.rs
@@ -218,6 +218,29 @@
     expect_that!(inherited_ms, ge(1_500), "{}", times.note().detail);
 }
 
+/// The append that published the begin of a job was taken for the one that publishes its end, and
+/// the time until its end was recorded and published was missing from the account.
+#[gtest]
+fn the_account_waits_for_the_append_with_the_final_state() {
+    let mut fleet = Fleet::new(3, 3);
+    // A heartbeat is in flight, so the begin of the job has to wait for its answer.
+    fleet.store.unavailable = vec![Stream::States];
+    fleet.run(300);
+    fleet.submit(0, JOB, &job(vec![step(2, 300, &[])]));
+    fleet.run(250);
+    fleet.store.unavailable.push(Stream::Progress);
+    fleet.run(500);
+    fleet.store.unavailable = vec![Stream::Progress];
+    fleet.run(500);
+    expect_that!(fleet.job_times, is_empty());
+    fleet.store.unavailable.clear();
+    fleet.run(2_000);
+    expect_that!(fleet.job_times.len(), eq(1));
+    let (_, times) = &fleet.job_times[0];
+    expect_that!(times.times.get(Phase::Run), ge(290));
+    expect_that!(times.times.total_ms(), ge(1_250));
+}
+
 /// Under overload, lines on starts displaced everything else, and most late jobs had none.
 #[gtest]
 fn every_job_that_misses_its_objective_under_overload_has_its_account_in_the_log() {
