Log budget: answers to callers reserve nothing, and the average of lines has a bound

These lines are now of the kind 'other', with a budget of its own (50 a second out of the 250 of jobs), so that they don't wait behind the jobs' reservations.

The average number of lines of a job rose by a quarter with each line of a job that repeats or never ends, without bound: after an hour of ten lines a second the next job reserved 9,050 lines, which cut the lines of all others for 40 s. It is now one burst at most, and lines after a job's end don't count.

--- a/crates/dispatch/src/policy/log_budget.rs
+++ b/crates/dispatch/src/policy/log_budget.rs
@@ -6,8 +6,9 @@
 //! **Without it** lines are dropped in the order in which they come. Most jobs then have some of
 //! their lines, and nobody can tell which are missing; the loss of a worker or of the store is
 //! dropped behind a thousand starts. It shows as jobs without a line on their start. Therefore a
-//! job keeps all of its lines or none, and a job that missed its objective always keeps the line
-//! that accounts for its time. Lines on what a host believes of others have a budget of their own.
+//! job keeps all of its owner's lines or none, and a job that missed its objective always keeps the
+//! line that accounts for its time. Lines on what a host believes of others, and answers to callers,
+//! have budgets of their own.
 //!
 //! **Limits:** the rates of all kinds together are what a twentieth of a core writes. The bursts
 //! cover a failure domain that falls silent, and the backlog of jobs that ends with an outage.
@@ -20,8 +21,11 @@
 use std::collections::VecDeque;
 
 /// Lines of jobs that may be written in a second on average, and at once.
-const JOB_LINES_PER_S: u64 = 250;
+const JOB_LINES_PER_S: u64 = 200;
 const JOB_LINES_BURST: u64 = 500;
+/// Answers to callers and changes of CPU shares, likewise.
+const OTHERS_PER_S: u64 = 50;
+const OTHERS_BURST: u64 = 200;
 /// Accounts of jobs that missed their objectives, likewise.
 const SUMMARIES_PER_S: u64 = 75;
 const SUMMARIES_BURST: u64 = 2_000;
@@ -38,6 +42,9 @@
 /// Increase of that average, in thousandths, with each line that a job has beyond it. The jobs that
 /// are under way may all be larger than those before, and the budget must not be promised twice.
 const ESTIMATE_STEP_MILLI: u64 = 250;
+/// Maximum of that average, in thousandths. Jobs that repeat or never end raise it with each line,
+/// and a job that reserved more than the burst would keep all others from being logged for long.
+const MAX_ESTIMATE_MILLI: u64 = JOB_LINES_BURST * 1_000;
 
 /// What a line is about, as far as the budget depends on it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -46,9 +53,9 @@
     Belief,
     /// The account of a job that missed its objective.
     Missed,
-    /// Anything else about a job.
+    /// Anything else that the owner does with a job.
     Job(JobId),
-    /// Answers to callers and changes of CPU shares.
+    /// Answers to callers, also about jobs, and changes of CPU shares.
     Other,
 }
 
@@ -57,10 +64,7 @@
     pub fn of(note: &Note) -> Self {
         let is_about_job = matches!(
             note.code,
-            Code::JobStored
-                | Code::JobRefused
-                | Code::JobUnknown
-                | Code::JobBegun
+            Code::JobBegun
                 | Code::JobFailed
                 | Code::JobFinished
                 | Code::JobTimes
@@ -75,7 +79,13 @@
         );
         let is_other = matches!(
             note.code,
-            Code::QueueUnknown | Code::QueueCounted | Code::QuestionPutOff | Code::FillersPaced
+            Code::JobStored
+                | Code::JobRefused
+                | Code::JobUnknown
+                | Code::QueueUnknown
+                | Code::QueueCounted
+                | Code::QuestionPutOff
+                | Code::FillersPaced
         );
         let job = note.subject.get(..16).and_then(JobId::parse);
         match job.filter(|_| is_about_job) {
@@ -164,6 +174,7 @@
 #[derive(Debug)]
 pub struct LogBudget {
     job_lines: Bucket,
+    others: Bucket,
     summaries: Bucket,
     beliefs: Bucket,
     jobs: HashMap<JobId, JobLines>,
@@ -177,6 +188,7 @@
     fn default() -> Self {
         Self {
             job_lines: Bucket::new(JOB_LINES_PER_S, JOB_LINES_BURST),
+            others: Bucket::new(OTHERS_PER_S, OTHERS_BURST),
             summaries: Bucket::new(SUMMARIES_PER_S, SUMMARIES_BURST),
             beliefs: Bucket::new(BELIEFS_PER_S, BELIEFS_BURST),
             jobs: HashMap::new(),
@@ -199,8 +211,8 @@
                 self.summaries.take_one()
             }
             LineKind::Other => {
-                self.job_lines.refill(now_ms);
-                self.job_lines.take_one()
+                self.others.refill(now_ms);
+                self.others.take_one()
             }
             LineKind::Job(job) => {
                 self.job_lines.refill(now_ms);
@@ -209,7 +221,8 @@
         }
     }
 
-    /// Returns to the budget what was reserved for a job that has ended.
+    /// Returns to the budget what was reserved for a job that has ended. Has no effect the second
+    /// time.
     pub fn end_job(&mut self, job: JobId) {
         let Some(lines) = self.jobs.get_mut(&job) else {
             return;
@@ -223,7 +236,7 @@
         lines.reserved = lines.written;
         let total_milli =
             self.estimate_milli * (ESTIMATE_JOBS - 1) + u64::from(lines.written) * 1_000;
-        self.estimate_milli = total_milli / ESTIMATE_JOBS;
+        self.estimate_milli = (total_milli / ESTIMATE_JOBS).min(MAX_ESTIMATE_MILLI);
     }
 
     fn admits_job_line(&mut self, job: JobId) -> bool {
@@ -243,7 +256,10 @@
         lines.written += 1;
         if lines.written > lines.reserved {
             self.job_lines.take(1);
-            self.estimate_milli += ESTIMATE_STEP_MILLI;
+            if !lines.has_ended {
+                let raised_milli = self.estimate_milli + ESTIMATE_STEP_MILLI;
+                self.estimate_milli = raised_milli.min(MAX_ESTIMATE_MILLI);
+            }
         }
         true
     }
