Job times: one way to tell a phase, and no scan of tasks for jobs without an account

enter_phase only handed on to Timeline::enter and was called once; the other calls went there directly. Steps of jobs that repeat or run until they are cancelled were scanned for a waiting task in each placement pass, for an account that they do not have.

--- a/crates/dispatch/src/owner/phases.rs
+++ b/crates/dispatch/src/owner/phases.rs
@@ -58,12 +58,6 @@
 }
 
 impl Owner {
-    /// Records that a task is in another phase from now on. Before its first run a task shares the
-    /// phase of its step. A gang counts as one task.
-    pub(super) fn enter_phase(&mut self, task: TaskId, phase: Phase, now_ms: u64) {
-        self.timeline.enter(task, phase, now_ms);
-    }
-
     /// Begins the account of a job that this owner has just read.
     pub(super) fn begin_times(&mut self, key: JobKey, now: Now) {
         let job = &self.jobs[key];
@@ -155,7 +149,7 @@
 
     /// Records why a step waits that a placement pass has just considered.
     pub(super) fn account_wait(&mut self, key: JobKey, first: TaskId, step: &Step, now_ms: u64) {
-        if !self.bounds.policy.accounts_times {
+        if !self.timeline.contains(first.job) {
             return;
         }
         let waiting = self.jobs[key].step_mut(first).and_then(|state| {
--- a/crates/dispatch/src/owner/placing.rs
+++ b/crates/dispatch/src/owner/placing.rs
@@ -399,7 +399,7 @@
         }
         let text_bytes = checkpoint_bytes + job.specification.len();
         self.charge_start(text_bytes);
-        self.enter_phase(id, Phase::Recording, now.steady_ms);
+        self.timeline.enter(id, Phase::Recording, now.steady_ms);
         self.workers[worker].add(id, number, run);
         self.writer.start_once_stored(worker, id, number);
     }
--- a/crates/dispatch/src/owner/timeline.rs
+++ b/crates/dispatch/src/owner/timeline.rs
@@ -1,7 +1,7 @@
 //! Accounts for the time of each job by phases.
 //!
 //! This module makes no decisions. Others call it when the phase of a task changes, and read
-//! nothing from here. A step takes as long as the task that ends last, so the
+//! nothing from here that they decide by. A step takes as long as the task that ends last, so the
 //! times of each task under way are kept until its end, and those of the last task count. The steps
 //! that determine a job's duration are found at its end, from the last step backwards.
 //!
@@ -211,7 +211,13 @@
         }
     }
 
-    /// Begins a phase of a task.
+    /// Returns whether there is an account of a job.
+    pub(super) fn contains(&self, job: JobId) -> bool {
+        self.jobs.contains_key(&job)
+    }
+
+    /// Records that a task is in another phase from now on. Before its first run a task shares the
+    /// phase of its step. A gang counts as one task.
     pub(super) fn enter(&mut self, task: TaskId, phase: Phase, now_ms: u64) {
         let Some(job) = self.jobs.get_mut(&task.job) else {
             return;
@@ -301,22 +307,14 @@
         if step.done < count {
             return;
         }
-        let mut times = PhaseTimes::default();
-        if let Some(mut track) = track {
-            let is_run = matches!(track.phase, Phase::StartCall | Phase::Run);
-            if is_run {
-                let ended_ms = now_ms
-                    .saturating_sub(self.exit_delay_ms)
-                    .max(track.since_ms);
-                track.enter(Phase::ExitNoticed, ended_ms, &self.holds);
+        let times = match (track, step.waiting.take()) {
+            (Some(track), _) => track.end(now_ms, self.exit_delay_ms, &self.holds),
+            (None, Some(mut waiting)) => {
+                waiting.spend(Phase::Untracked, now_ms, &self.holds);
+                waiting.times
             }
-            track.spend(track.phase, now_ms, &self.holds);
-            times = track.times;
-        } else if let Some(mut track) = step.waiting.take() {
-            track.spend(Phase::Untracked, now_ms, &self.holds);
-            times = track.times;
-        }
-        step.waiting = None;
+            (None, None) => PhaseTimes::default(),
+        };
         step.ended_ms = Some(now_ms);
         step.critical = Some(Box::new(CriticalTask {
             step: task.step,
--- a/crates/dispatch/src/owner/track.rs
+++ b/crates/dispatch/src/owner/track.rs
@@ -94,6 +94,17 @@
         self.phase = phase;
     }
 
+    /// Ends a task that has succeeded, and returns its times. The answer that told it was on its way
+    /// for `exit_delay_ms`.
+    pub(super) fn end(mut self, now_ms: u64, exit_delay_ms: u64, holds: &HoldTimes) -> PhaseTimes {
+        if matches!(self.phase, Phase::StartCall | Phase::Run) {
+            let ended_ms = now_ms.saturating_sub(exit_delay_ms).max(self.since_ms);
+            self.enter(Phase::ExitNoticed, ended_ms, holds);
+        }
+        self.spend(self.phase, now_ms, holds);
+        self.times
+    }
+
     /// Counts the time since the beginning of the current phase, except for holds, as spent in a
     /// phase.
     pub(super) fn spend(&mut self, phase: Phase, now_ms: u64, holds: &HoldTimes) {
