--- a/crates/dispatch/src/owner/adopting.rs
+++ b/crates/dispatch/src/owner/adopting.rs
@@ -68,6 +68,7 @@
         if job.phase.stage() > job.published.stage() {
             job.published = job.phase;
             self.writer.publish(id, job.state());
+            self.begin_inherited_end(&job, now);
         }
         if job.phase.is_final() {
             self.finished_jobs.insert(id, job.submission);
@@ -77,6 +78,7 @@
         let key = self.jobs.insert(job);
         self.job_keys.insert(id, key);
         self.live_jobs.push(key);
+        self.begin_times(key, now);
         self.recover_runs(key);
         self.recover_lost_runs(key);
         self.must_place |= is_new;
--- a/crates/dispatch/src/policy/switches.rs
+++ b/crates/dispatch/src/policy/switches.rs
@@ -24,6 +24,8 @@
     pub begun_first: bool,
     /// Where there are many hosts, the owner answers their queries even if it uses no relays.
     pub owner_answers: bool,
+    /// The time of each job is accounted for by phases.
+    pub accounts_times: bool,
 }
 
 impl Default for Policy {
@@ -38,6 +40,7 @@
             feasible_first: true,
             begun_first: true,
             owner_answers: true,
+            accounts_times: true,
         }
     }
 }
