--- a/crates/dispatch/src/owner/costs.rs
+++ b/crates/dispatch/src/owner/costs.rs
@@ -11,14 +11,12 @@
 use crate::owner::worker::WorkerKey;
 use crate::policy::images::ImageKey;
 use crate::policy::interference::ImageUsage;
+use crate::policy::protection::AVERAGE_USE_PERCENT;
 use crate::policy::shares::SuspendDelays;
 use crate::record::Step;
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 
-/// Part of its requested CPU that a long-running task is expected to use, in percent. Best-effort
-/// tasks get the rest. On days without disturbances, it is 42.
-const LONG_RUNNING_USE_PERCENT: u64 = 50;
 /// Headroom that best-effort tasks must leave to a serving task. Below 1, the task misses its
 /// target, and the task's own load reduces the headroom by a third at its peak.
 const MIN_HEADROOM: f64 = 1.9;
@@ -121,7 +119,12 @@
         let interference_cost = self
             .interference_cost(worker, requirements, now_ms)
             .ok_or(Exclusion::Disturbed)?;
-        let cost = resource_cost(worker, requirements).ok_or(Exclusion::Crowded)?;
+        let available_milli = match self.protects(worker) {
+            true => worker.processors().unused_milli(worker.best_effort_milli),
+            false => unused_milli(worker),
+        };
+        let cost =
+            resource_cost(worker, requirements, available_milli).ok_or(Exclusion::Crowded)?;
         let crash_risk_cost = crash_risk_cost(worker, requirements).ok_or(Exclusion::Suspects)?;
         // Checked last, so that an evacuation is only reported if nothing else excludes the worker.
         if self.is_evacuated(worker) {
@@ -274,9 +277,12 @@
 
 /// Returns the cost of a task by the resources, health and location of a worker. Returns `None` if
 /// a best-effort task would only slow down those that are already there.
-fn resource_cost(worker: &Worker, requirements: &TaskRequirements<'_>) -> Option<i64> {
+fn resource_cost(
+    worker: &Worker,
+    requirements: &TaskRequirements<'_>,
+    available_milli: i64,
+) -> Option<i64> {
     let step = requirements.step;
-    let available_milli = unused_milli(worker);
     let mut cost = -available_milli;
     if !step.is_best_effort && !step.is_long_running {
         // Best fit: workers with much free CPU remain available for large tasks.
@@ -309,7 +315,7 @@
 /// Returns the CPU that is expected to be unused on a worker, in thousandths of a core. It is
 /// negative if the best-effort tasks there already request more than that.
 fn unused_milli(worker: &Worker) -> i64 {
-    let unused_by_long_running = worker.long_running_milli * (100 - LONG_RUNNING_USE_PERCENT) / 100;
+    let unused_by_long_running = worker.long_running_milli * (100 - AVERAGE_USE_PERCENT) / 100;
     worker.entry.resources.cpu_milli as i64 - worker.used.cpu_milli as i64
         + unused_by_long_running as i64
         - worker.best_effort_milli as i64
--- a/crates/dispatch/src/owner/placing.rs
+++ b/crates/dispatch/src/owner/placing.rs
@@ -395,7 +395,11 @@
         }
         let text_bytes = checkpoint_bytes + job.specification.len();
         self.charge_start(text_bytes);
+        let is_best_effort = run.is_best_effort;
         self.workers[worker].add(id, number, run);
+        if !is_best_effort {
+            self.set_shares(worker, now.steady_ms, actions);
+        }
         self.writer.start_once_stored(worker, id, number);
     }
 }
--- a/crates/dispatch/src/owner/shares.rs
+++ b/crates/dispatch/src/owner/shares.rs
@@ -21,6 +21,9 @@
 use crate::policy::interference::InterferenceModel;
 use crate::policy::interference::add_usage;
 use crate::policy::interference::headroom;
+use crate::policy::protection::BestEffortTask;
+use crate::policy::protection::choose_shares;
+use crate::policy::protection::used_milli;
 use crate::policy::shares::ColocatedTask;
 use crate::policy::shares::HEALTHY_HEADROOM;
 use crate::policy::shares::SuspendDelays;
@@ -76,18 +79,32 @@
                 run.over_since_ms = None;
             }
         }
+        self.update_used(key, &usage);
+        let worker = &mut self.workers[key];
         if worker.best_effort_milli == 0 {
             worker.is_over_target = false;
             return;
         }
         let throttles_best_effort = self.bounds.policy.throttles_best_effort;
-        if let Some(changes) = choose_shares(
+        choose_headroom_shares(
             worker,
             &self.interference,
             suspend_delays,
             throttles_best_effort,
             now_ms,
-        ) {
+        );
+        self.set_shares(key, now_ms, actions);
+    }
+
+    /// Sets the shares of the best-effort tasks on a worker: for each the lower one by the
+    /// processor time and by the headroom of the other tasks.
+    pub(super) fn set_shares(&mut self, key: WorkerKey, now_ms: u64, actions: &mut Vec<Action>) {
+        if self.workers[key].best_effort_milli == 0 {
+            return;
+        }
+        self.choose_processor_shares(key);
+        let worker = &mut self.workers[key];
+        if let Some(changes) = set_target_shares(worker) {
             actions.push(Action::Note(Note::new(
                 Code::FillersPaced,
                 &*worker.entry.id,
@@ -102,6 +119,71 @@
         }
     }
 
+    /// Updates what the tasks on a worker use. `best_effort_usage` is of the same interval as the
+    /// tail latencies of the serving tasks.
+    fn update_used(&mut self, key: WorkerKey, best_effort_usage: &[ImageUsage]) {
+        let worker = &mut self.workers[key];
+        let mut long_running_milli = 0;
+        for run in worker.runs.values_mut() {
+            if is_serving(run) {
+                let headroom = headroom(run.tail_latency_target_ms, run.gauge);
+                let loss = self
+                    .interference
+                    .headroom_loss(run.image, best_effort_usage);
+                let average_headroom = self.interference.solo_headroom(run.image);
+                run.used_milli = used_milli(run.cpu_milli, headroom + loss, average_headroom);
+            } else if run.is_best_effort && run.gauge > 0 && run.applied_share_percent == 100 {
+                run.used_milli = run.gauge.min(run.cpu_milli);
+            }
+            if run.is_long_running {
+                long_running_milli += run.used_milli;
+            }
+        }
+        worker.long_running_used_milli = long_running_milli;
+    }
+
+    /// Returns whether best-effort tasks on a worker get what the serving tasks there leave now.
+    pub(super) fn protects(&self, worker: &Worker) -> bool {
+        self.bounds.policy.protects_serving && worker.long_running_milli > 0
+    }
+
+    /// Chooses the shares of the best-effort tasks on a worker by the processor time that its
+    /// other tasks leave.
+    fn choose_processor_shares(&mut self, key: WorkerKey) {
+        let is_protecting = self.protects(&self.workers[key]);
+        let worker = &mut self.workers[key];
+        if !is_protecting {
+            for run in worker.runs.values_mut() {
+                run.processor_share_percent = 100;
+            }
+            return;
+        }
+        let mut serving_images = Vec::new();
+        for run in worker.runs.values() {
+            if is_serving(run) && !serving_images.contains(&run.image) {
+                serving_images.push(run.image);
+            }
+        }
+        let mut tasks = Vec::new();
+        for run in worker.runs.values().filter(|run| run.is_best_effort) {
+            let cores = run.used_milli as f64 / 1_000.0;
+            let losses = serving_images
+                .iter()
+                .map(|image| self.interference.coefficient(*image, run.image) * cores);
+            tasks.push(BestEffortTask {
+                cpu_milli: run.used_milli,
+                share_percent: run.processor_share_percent,
+                progress_percent: run.percent,
+                headroom_loss: losses.fold(0.0, f64::max),
+            });
+        }
+        choose_shares(&worker.processors(), &mut tasks);
+        let best_effort = worker.runs.values_mut().filter(|run| run.is_best_effort);
+        for (run, task) in best_effort.zip(&tasks) {
+            run.processor_share_percent = task.share_percent;
+        }
+    }
+
     /// Sends the orders to change shares that are due.
     pub(crate) fn send_share_changes(
         &mut self,
@@ -212,16 +294,16 @@
     worst.map_or("served=0".into(), |(_, text)| text)
 }
 
-/// Chooses the target share of each best-effort task on a worker. Returns what has changed, or
-/// `None` if nothing has. Between two changes, tasks are given time to show their effect. Only a
-/// suspension is immediate, as time over the target that counts as harm keeps accumulating.
-fn choose_shares(
+/// Chooses the share of each best-effort task on a worker by the headroom of the serving tasks.
+/// Between two changes, tasks are given time to show their effect. Only a suspension is immediate,
+/// as time over the target that counts as harm keeps accumulating.
+fn choose_headroom_shares(
     worker: &mut Worker,
     interference: &InterferenceModel,
     suspend_delays: SuspendDelays,
     throttles_best_effort: bool,
     now_ms: u64,
-) -> Option<ShareChanges> {
+) {
     let may_change = now_ms >= worker.next_share_change_ms;
     let mut serving_tasks = Vec::new();
     for run in worker.runs.values() {
@@ -231,12 +313,12 @@
             serving_tasks.push((run.image, headroom, over_ms));
         }
     }
-    let mut changes = ShareChanges::default();
+    let mut has_changed = false;
     for run in worker.runs.values_mut() {
         if !run.is_best_effort {
             continue;
         }
-        let before = run.target_share_percent;
+        let before = run.headroom_share_percent;
         let cores = run.cpu_milli as f64 / 1_000.0;
         let colocated = serving_tasks
             .iter()
@@ -246,22 +328,35 @@
                 headroom_loss: interference.coefficient(*serving_image, run.image) * cores,
             });
         let colocated: Vec<ColocatedTask> = colocated.collect();
-        run.target_share_percent = choose_share(
+        run.headroom_share_percent = choose_share(
             before,
             &colocated,
             suspend_delays,
             may_change,
             throttles_best_effort,
         );
-        changes.suspended += u32::from(run.target_share_percent == 0 && before > 0);
-        changes.throttled +=
-            u32::from(run.target_share_percent > 0 && before > run.target_share_percent);
-        changes.raised += u32::from(before < run.target_share_percent);
+        has_changed |= run.headroom_share_percent != before;
+    }
+    if has_changed {
+        worker.next_share_change_ms = now_ms + MIN_CHANGE_INTERVAL_MS;
+    }
+}
+
+/// Sets the target share of each best-effort task on a worker: the lower one of its shares by
+/// processor time and by headroom. Returns what has changed, or `None` if nothing has.
+fn set_target_shares(worker: &mut Worker) -> Option<ShareChanges> {
+    let mut changes = ShareChanges::default();
+    for run in worker.runs.values_mut() {
+        let before = run.target_share_percent;
+        let after = run.processor_share_percent.min(run.headroom_share_percent);
+        run.target_share_percent = after;
+        changes.suspended += u32::from(after == 0 && before > 0);
+        changes.throttled += u32::from(after > 0 && before > after);
+        changes.raised += u32::from(before < after);
     }
     if changes.suspended + changes.throttled + changes.raised == 0 {
         return None;
     }
     worker.has_orders = true;
-    worker.next_share_change_ms = now_ms + MIN_CHANGE_INTERVAL_MS;
     Some(changes)
 }
--- a/crates/dispatch/src/owner/worker.rs
+++ b/crates/dispatch/src/owner/worker.rs
@@ -9,6 +9,8 @@
 use crate::policy::interference::Baseline;
 use crate::policy::interference::UsageWindow;
 use crate::policy::polls::Activity;
+use crate::policy::protection::AVERAGE_USE_PERCENT;
+use crate::policy::protection::Processors;
 use crate::policy::stragglers::Speed;
 use crate::record::Step;
 use slotmap::new_key_type;
@@ -135,6 +137,12 @@
     pub(crate) baseline: Baseline,
     /// Since when its tail latency is over its target.
     pub(crate) over_since_ms: Option<u64>,
+    /// Processor time that it is expected to use, at full share.
+    pub(crate) used_milli: u64,
+    /// Its share by the processor time that latency-critical tasks leave, and by the headroom that
+    /// it takes from them. The lower one applies.
+    pub(crate) processor_share_percent: u32,
+    pub(crate) headroom_share_percent: u32,
     /// CPU share that the worker has last accepted.
     pub(crate) applied_share_percent: u32,
     /// CPU share that it should have.
@@ -171,6 +179,12 @@
             previous_gauge: 0,
             baseline: Baseline::default(),
             over_since_ms: None,
+            used_milli: match step.is_long_running {
+                true => step.cpu_milli * AVERAGE_USE_PERCENT / 100,
+                false => step.cpu_milli,
+            },
+            processor_share_percent: 100,
+            headroom_share_percent: 100,
             applied_share_percent: 100,
             target_share_percent: 100,
             is_share_change_pending: false,
@@ -243,6 +257,8 @@
     pub(crate) window: UsageWindow,
     /// Processor time reserved by long-running tasks, which use a part of it.
     pub(crate) long_running_milli: u64,
+    /// Processor time that they are expected to use.
+    pub(crate) long_running_used_milli: u64,
     /// It gets no new tasks before this time.
     pub(crate) avoided_until_ms: u64,
     /// Speeds of runs that exited there recently, and when they did.
@@ -289,6 +305,7 @@
             best_effort_milli: 0,
             window: UsageWindow::default(),
             long_running_milli: 0,
+            long_running_used_milli: 0,
             avoided_until_ms: 0,
             ended_speeds: VecDeque::new(),
             consecutive_failures: 0,
@@ -466,6 +483,15 @@
         self.entry.resources.minus(self.used)
     }
 
+    /// Returns what is known of the use of its processors, without best-effort tasks.
+    pub(crate) fn processors(&self) -> Processors {
+        Processors {
+            capacity_milli: self.entry.resources.cpu_milli,
+            reserved_milli: self.used.cpu_milli.saturating_sub(self.long_running_milli),
+            long_running_milli: self.long_running_used_milli,
+        }
+    }
+
     /// Returns the estimated time of its clock.
     pub(crate) fn clock_ms(&self, now_ms: u64) -> Option<u64> {
         let (clock_ms, at_ms) = self.clock?;
@@ -479,6 +505,7 @@
         }
         if run.is_long_running {
             self.long_running_milli += run.cpu_milli;
+            self.long_running_used_milli += run.used_milli;
         }
         self.probes += u32::from(run.is_probe);
         self.runs.insert((task, number), run);
@@ -495,6 +522,8 @@
         }
         if run.is_long_running {
             self.long_running_milli = self.long_running_milli.saturating_sub(run.cpu_milli);
+            self.long_running_used_milli =
+                self.long_running_used_milli.saturating_sub(run.used_milli);
         }
         Some(run)
     }
--- a/crates/dispatch/src/policy/mod.rs
+++ b/crates/dispatch/src/policy/mod.rs
@@ -13,6 +13,7 @@
 //! | [`relaying`] | whether other hosts relay the owner's orders to the workers |
 //! | [`size`] | how large a job may be |
 //! | [`stragglers`] | which workers slow down the tasks that run there |
+//! | [`protection`] | how much best-effort work the latency-critical tasks on a worker bear now |
 //! | [`suspicion`] | which task is the cause when a worker has crashed |
 
 pub mod answer_timeouts;
@@ -22,6 +23,7 @@
 pub mod ordering;
 pub mod placing;
 pub mod polls;
+pub mod protection;
 pub mod relaying;
 pub mod shares;
 pub mod size;
--- /dev/null
+++ b/crates/dispatch/src/policy/protection.rs
@@ -0,0 +1,142 @@
+//! How much best-effort work the latency-critical tasks on a worker bear now.
+//!
+//! **Load pattern:** best-effort tasks fill the processor time that latency-critical tasks have
+//! reserved and do not use. How much that is changes within seconds, since the load of each
+//! latency-critical task swings. Meanwhile, tasks that reserve their processors start beside them.
+//!
+//! **Without it** the processors of a worker are in demand for more than they can do, and the
+//! latency-critical tasks there queue. It shows as all latency-critical tasks of a worker whose
+//! tail latency multiplies from one poll to the next, most of all those at the peak of their own
+//! load, although no best-effort image beside them interferes by what was learned.
+//!
+//! What a latency-critical task uses is not reported. It follows from its headroom, which falls in
+//! proportion to its load, and from what it uses on average. The best-effort tasks get the rest,
+//! and those that cost most for what they have done are throttled first.
+//!
+//! **Limits:** the demand for processors stays below what the worker has by as much as loads change
+//! until the next poll has been answered and an order has taken effect, about a second.
+
+/// Part of the processor time that a long-running task reserves and uses on average, in percent.
+/// On days without disturbances, it is 42.
+pub const AVERAGE_USE_PERCENT: u64 = 50;
+/// Largest part that a latency-critical task is taken to use, in percent. When processors are
+/// short, tail latencies show the shortage and no longer the load.
+const MAX_USE_PERCENT: u64 = 75;
+/// Part of a worker's processors up to which new best-effort tasks are placed, in percent.
+const PLACING_LIMIT_PERCENT: u64 = 100;
+/// Part above which best-effort tasks are throttled, in percent.
+const THROTTLE_LIMIT_PERCENT: u64 = 108;
+/// Part below which throttled tasks get a greater share, in percent.
+const RAISE_LIMIT_PERCENT: u64 = 102;
+/// Share below which a task is suspended instead.
+const MIN_SHARE_PERCENT: u32 = 20;
+
+/// Returns the processor time, in thousandths of a core, that a latency-critical task uses.
+///
+/// `solo_headroom` is its headroom now without the best-effort tasks beside it, `average_headroom`
+/// the average of its image.
+pub fn used_milli(reserved_milli: u64, solo_headroom: f64, average_headroom: f64) -> u64 {
+    let unused_percent = (100 - AVERAGE_USE_PERCENT) as f64 * solo_headroom / average_headroom;
+    let used_percent = (100.0 - unused_percent).clamp(0.0, MAX_USE_PERCENT as f64);
+    (reserved_milli as f64 * used_percent / 100.0) as u64
+}
+
+/// Processor time of a worker, in thousandths of a core.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Processors {
+    /// What the worker has.
+    pub capacity_milli: u64,
+    /// What tasks that are neither long-running nor best-effort reserve.
+    pub reserved_milli: u64,
+    /// What its long-running tasks use now.
+    pub long_running_milli: u64,
+}
+
+impl Processors {
+    /// Returns what new best-effort tasks may use where the present ones use `best_effort_milli`;
+    /// negative if they already use more.
+    pub fn unused_milli(&self, best_effort_milli: u64) -> i64 {
+        self.budget_milli(PLACING_LIMIT_PERCENT) - best_effort_milli as i64
+    }
+
+    fn budget_milli(&self, limit_percent: u64) -> i64 {
+        let limit_milli = self.capacity_milli * limit_percent / 100;
+        limit_milli as i64 - (self.reserved_milli + self.long_running_milli) as i64
+    }
+}
+
+/// A best-effort task beside latency-critical ones.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct BestEffortTask {
+    /// Processor time that it uses at full share, in thousandths of a core.
+    pub cpu_milli: u64,
+    /// Its share, as chosen here.
+    pub share_percent: u32,
+    /// Progress of its work.
+    pub progress_percent: u32,
+    /// Headroom that it takes from the latency-critical task which loses most by it.
+    pub headroom_loss: f64,
+}
+
+impl BestEffortTask {
+    fn used_milli(&self) -> i64 {
+        (self.cpu_milli * u64::from(self.share_percent) / 100) as i64
+    }
+}
+
+/// Chooses the shares of the best-effort tasks on a worker. Lowers the shares of as few tasks as
+/// possible, and only as far as needed. Where the demand is well below the limit, raises them again,
+/// in the reverse order.
+pub fn choose_shares(processors: &Processors, tasks: &mut [BestEffortTask]) {
+    let demand_milli: i64 = tasks.iter().map(BestEffortTask::used_milli).sum();
+    let excess_milli = demand_milli - processors.budget_milli(THROTTLE_LIMIT_PERCENT);
+    let spare_milli = processors.budget_milli(RAISE_LIMIT_PERCENT) - demand_milli;
+    let mut order: Vec<usize> = (0..tasks.len()).collect();
+    order.sort_by(|left, right| {
+        let (left, right) = (&tasks[*left], &tasks[*right]);
+        right
+            .headroom_loss
+            .total_cmp(&left.headroom_loss)
+            .then(left.progress_percent.cmp(&right.progress_percent))
+    });
+    if excess_milli > 0 {
+        lower(tasks, &order, excess_milli);
+    } else if spare_milli > 0 {
+        order.reverse();
+        raise(tasks, &order, spare_milli);
+    }
+}
+
+fn lower(tasks: &mut [BestEffortTask], order: &[usize], mut excess_milli: i64) {
+    for index in order {
+        let task = &mut tasks[*index];
+        let used_milli = task.used_milli();
+        if excess_milli <= 0 || task.cpu_milli == 0 {
+            continue;
+        }
+        let left_milli = (used_milli - excess_milli).max(0) as u64;
+        let share_percent = (left_milli * 100 / task.cpu_milli) as u32;
+        task.share_percent = match share_percent < MIN_SHARE_PERCENT {
+            true => 0,
+            false => share_percent,
+        };
+        excess_milli -= used_milli - task.used_milli();
+    }
+}
+
+fn raise(tasks: &mut [BestEffortTask], order: &[usize], mut spare_milli: i64) {
+    for index in order {
+        let task = &mut tasks[*index];
+        if task.share_percent >= 100 || task.cpu_milli == 0 {
+            continue;
+        }
+        let used_milli = task.used_milli();
+        let may_use_milli = (used_milli + spare_milli).max(0) as u64;
+        let share_percent = (may_use_milli * 100 / task.cpu_milli).min(100) as u32;
+        if share_percent < MIN_SHARE_PERCENT {
+            continue;
+        }
+        task.share_percent = share_percent;
+        spare_milli -= task.used_milli() - used_milli;
+    }
+}
--- a/crates/dispatch/src/policy/switches.rs
+++ b/crates/dispatch/src/policy/switches.rs
@@ -22,6 +22,9 @@
     pub feasible_first: bool,
     /// Jobs that have started go before others.
     pub begun_first: bool,
+    /// Best-effort tasks get the processor time that the latency-critical tasks beside them leave
+    /// now, by their present load.
+    pub protects_serving: bool,
 }
 
 impl Default for Policy {
@@ -35,6 +38,7 @@
             avoids_failing_workers: true,
             feasible_first: true,
             begun_first: true,
+            protects_serving: true,
         }
     }
 }
