--- a/crates/dispatch/src/owner/costs.rs
+++ b/crates/dispatch/src/owner/costs.rs
@@ -46,6 +46,10 @@
 /// remote data, as other jobs would lose the work.
 const AT_STAKE_COST: i64 = 1_000;
 
+/// Cost of each thousandth of a core that best-effort tasks have to release to a task that reserves
+/// it.
+const CONTENTION_COST: i64 = 10;
+
 /// Requirements of a step for the worker of one of its tasks.
 #[derive(Clone)]
 pub(crate) struct TaskRequirements<'a> {
@@ -125,12 +129,16 @@
         };
         let cost =
             resource_cost(worker, requirements, available_milli).ok_or(Exclusion::Crowded)?;
+        let contention_cost = match self.protects(worker) {
+            true => contention_cost(requirements.step, available_milli),
+            false => 0,
+        };
         let crash_risk_cost = crash_risk_cost(worker, requirements).ok_or(Exclusion::Suspects)?;
         // Checked last, so that an evacuation is only reported if nothing else excludes the worker.
         if self.is_evacuated(worker) {
             return Err(Exclusion::Evacuated);
         }
-        Ok(cost + interference_cost + crash_risk_cost)
+        Ok(cost + interference_cost + contention_cost + crash_risk_cost)
     }
 
     /// Returns the cost of the interference between a task and the tasks on a worker: what a
@@ -312,6 +320,16 @@
     Some(cost)
 }
 
+/// Returns the cost of a task that reserves its processors where best-effort tasks use them now.
+/// Until these are throttled, all of them slow down the latency-critical tasks.
+fn contention_cost(step: &Step, available_milli: i64) -> i64 {
+    if step.is_best_effort || step.is_long_running {
+        return 0;
+    }
+    let missing_milli = step.cpu_milli as i64 - available_milli;
+    missing_milli.max(0) * CONTENTION_COST
+}
+
 /// Returns the CPU that is expected to be unused on a worker, in thousandths of a core. It is
 /// negative if the best-effort tasks there already request more than that.
 fn unused_milli(worker: &Worker) -> i64 {
