--- a/crates/dispatch/src/owner/costs.rs
+++ b/crates/dispatch/src/owner/costs.rs
@@ -22,6 +22,7 @@
 const MIN_HEADROOM: f64 = 1.9;
 /// Maximum total headroom loss that best-effort tasks may cause to a serving task.
 const MAX_HEADROOM_LOSS: f64 = 0.40;
+const MIN_PRESENT_HEADROOM: f64 = 1.2;
 /// Cost, in thousandths of a core, of a headroom loss of 1.
 const HEADROOM_LOSS_COST: f64 = 40_000.0;
 /// Headroom loss from which on a best-effort task is kept away from a serving task that is already
@@ -185,6 +186,7 @@
         own_usage: ImageUsage,
         now_ms: u64,
     ) -> Option<i64> {
+        let protects = self.protects(worker);
         let mut others = None;
         let mut max_loss: f64 = 0.0;
         for run in worker.runs.values() {
@@ -201,11 +203,19 @@
                     return None;
                 }
             }
-            if headroom_loss < MIN_HEADROOM_LOSS {
+            let is_slight = headroom_loss < MIN_HEADROOM_LOSS;
+            let may_bear = !protects || headroom_loss < SLIGHT_HEADROOM_LOSS || run.solo_headroom > 1.8;
+            if is_slight && may_bear {
                 continue;
             }
             let others = others.get_or_insert_with(|| best_effort_demands(worker));
             let total_loss = headroom_loss + self.interference.headroom_loss(run.image, others);
+            if protects && run.solo_headroom - total_loss < MIN_PRESENT_HEADROOM {
+                return None;
+            }
+            if is_slight {
+                continue;
+            }
             let is_tight = self.interference.solo_headroom(run.image) - total_loss < MIN_HEADROOM;
             if is_tight || total_loss > MAX_HEADROOM_LOSS {
                 return None;
--- a/crates/dispatch/src/owner/shares.rs
+++ b/crates/dispatch/src/owner/shares.rs
@@ -131,7 +131,8 @@
                     .interference
                     .headroom_loss(run.image, best_effort_usage);
                 let average_headroom = self.interference.solo_headroom(run.image);
-                run.used_milli = used_milli(run.cpu_milli, headroom + loss, average_headroom);
+                run.solo_headroom = headroom + loss;
+                run.used_milli = used_milli(run.cpu_milli, run.solo_headroom, average_headroom);
             } else if run.is_best_effort && run.gauge > 0 && run.applied_share_percent == 100 {
                 run.used_milli = run.gauge.min(run.cpu_milli);
             }
--- a/crates/dispatch/src/owner/worker.rs
+++ b/crates/dispatch/src/owner/worker.rs
@@ -139,6 +139,8 @@
     pub(crate) over_since_ms: Option<u64>,
     /// Processor time that it is expected to use, at full share.
     pub(crate) used_milli: u64,
+    /// Its headroom now without the best-effort tasks beside it, if it is latency-critical.
+    pub(crate) solo_headroom: f64,
     /// Its share by the processor time that latency-critical tasks leave, and by the headroom that
     /// it takes from them. The lower one applies.
     pub(crate) processor_share_percent: u32,
@@ -183,6 +185,7 @@
                 true => step.cpu_milli * AVERAGE_USE_PERCENT / 100,
                 false => step.cpu_milli,
             },
+            solo_headroom: f64::INFINITY,
             processor_share_percent: 100,
             headroom_share_percent: 100,
             applied_share_percent: 100,
