--- a/crates/dispatch/src/owner/costs.rs
+++ b/crates/dispatch/src/owner/costs.rs
@@ -204,7 +204,8 @@
                 }
             }
             let is_slight = headroom_loss < MIN_HEADROOM_LOSS;
-            let may_bear = !protects || headroom_loss < SLIGHT_HEADROOM_LOSS || run.solo_headroom > 1.8;
+            let may_bear =
+                !protects || headroom_loss < SLIGHT_HEADROOM_LOSS || run.solo_headroom > 1.8;
             if is_slight && may_bear {
                 continue;
             }
--- a/crates/dispatch/src/owner/shares.rs
+++ b/crates/dispatch/src/owner/shares.rs
@@ -22,6 +22,7 @@
 use crate::policy::interference::add_usage;
 use crate::policy::interference::headroom;
 use crate::policy::protection::BestEffortTask;
+use crate::policy::protection::Limits;
 use crate::policy::protection::choose_shares;
 use crate::policy::protection::used_milli;
 use crate::policy::shares::ColocatedTask;
@@ -124,6 +125,7 @@
     fn update_used(&mut self, key: WorkerKey, best_effort_usage: &[ImageUsage]) {
         let worker = &mut self.workers[key];
         let mut long_running_milli = 0;
+        worker.limits = Limits::NONE;
         for run in worker.runs.values_mut() {
             if is_serving(run) {
                 let headroom = headroom(run.tail_latency_target_ms, run.gauge);
@@ -132,6 +134,7 @@
                     .headroom_loss(run.image, best_effort_usage);
                 let average_headroom = self.interference.solo_headroom(run.image);
                 run.solo_headroom = headroom + loss;
+                worker.limits = worker.limits.min(Limits::new(headroom, average_headroom));
                 run.used_milli = used_milli(run.cpu_milli, run.solo_headroom, average_headroom);
             } else if run.is_best_effort && run.gauge > 0 && run.applied_share_percent == 100 {
                 run.used_milli = run.gauge.min(run.cpu_milli);
--- a/crates/dispatch/src/owner/worker.rs
+++ b/crates/dispatch/src/owner/worker.rs
@@ -10,6 +10,7 @@
 use crate::policy::interference::UsageWindow;
 use crate::policy::polls::Activity;
 use crate::policy::protection::AVERAGE_USE_PERCENT;
+use crate::policy::protection::Limits;
 use crate::policy::protection::Processors;
 use crate::policy::stragglers::Speed;
 use crate::record::Step;
@@ -262,6 +263,8 @@
     pub(crate) long_running_milli: u64,
     /// Processor time that they are expected to use.
     pub(crate) long_running_used_milli: u64,
+    /// Demand for its processors that its latency-critical tasks bear now.
+    pub(crate) limits: Limits,
     /// It gets no new tasks before this time.
     pub(crate) avoided_until_ms: u64,
     /// Speeds of runs that exited there recently, and when they did.
@@ -309,6 +312,7 @@
             window: UsageWindow::default(),
             long_running_milli: 0,
             long_running_used_milli: 0,
+            limits: Limits::NONE,
             avoided_until_ms: 0,
             ended_speeds: VecDeque::new(),
             consecutive_failures: 0,
@@ -492,6 +496,7 @@
             capacity_milli: self.entry.resources.cpu_milli,
             reserved_milli: self.used.cpu_milli.saturating_sub(self.long_running_milli),
             long_running_milli: self.long_running_used_milli,
+            limits: self.limits,
         }
     }
 
--- a/crates/dispatch/src/policy/protection.rs
+++ b/crates/dispatch/src/policy/protection.rs
@@ -22,12 +22,15 @@
 /// Largest part that a latency-critical task is taken to use, in percent. When processors are
 /// short, tail latencies show the shortage and no longer the load.
 const MAX_USE_PERCENT: u64 = 75;
-/// Part of a worker's processors up to which new best-effort tasks are placed, in percent.
-const PLACING_LIMIT_PERCENT: u64 = 100;
-/// Part above which best-effort tasks are throttled, in percent.
-const THROTTLE_LIMIT_PERCENT: u64 = 108;
-/// Part below which throttled tasks get a greater share, in percent.
-const RAISE_LIMIT_PERCENT: u64 = 102;
+/// Headroom that best-effort tasks leave to each latency-critical task where a new one is placed,
+/// where throttled ones get a greater share, and where they are not throttled yet. Below 1, the
+/// latency target is missed; a tail latency of half a second varies by a tenth and more.
+const PLACING_HEADROOM: f64 = 1.5;
+const RAISE_HEADROOM: f64 = 1.3;
+const THROTTLE_HEADROOM: f64 = 1.15;
+/// Bounds of the demand for processors, in percent of what a worker has.
+const MIN_LIMIT_PERCENT: u64 = 85;
+const MAX_LIMIT_PERCENT: u64 = 125;
 /// Share below which a task is suspended instead.
 const MIN_SHARE_PERCENT: u32 = 20;
 
@@ -41,8 +44,59 @@
     (reserved_milli as f64 * used_percent / 100.0) as u64
 }
 
+/// Demand for the processors of a worker up to which its latency-critical tasks meet their targets,
+/// in percent of what the worker has.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Limits {
+    /// For new best-effort tasks.
+    pub placing_percent: u64,
+    /// For a greater share of throttled ones.
+    pub raise_percent: u64,
+    /// For those that are there.
+    pub throttle_percent: u64,
+}
+
+impl Limits {
+    /// Limits of a worker without latency-critical tasks.
+    pub const NONE: Limits = Limits {
+        placing_percent: MAX_LIMIT_PERCENT,
+        raise_percent: MAX_LIMIT_PERCENT,
+        throttle_percent: MAX_LIMIT_PERCENT,
+    };
+
+    /// Returns the limits for one latency-critical task, by its headroom now and the average
+    /// headroom of its image.
+    pub fn new(headroom: f64, average_headroom: f64) -> Self {
+        Self {
+            placing_percent: bearable_percent(headroom, average_headroom, PLACING_HEADROOM),
+            raise_percent: bearable_percent(headroom, average_headroom, RAISE_HEADROOM),
+            throttle_percent: bearable_percent(headroom, average_headroom, THROTTLE_HEADROOM),
+        }
+    }
+
+    /// Returns the limits that meet both.
+    pub fn min(self, other: Self) -> Self {
+        Self {
+            placing_percent: self.placing_percent.min(other.placing_percent),
+            raise_percent: self.raise_percent.min(other.raise_percent),
+            throttle_percent: self.throttle_percent.min(other.throttle_percent),
+        }
+    }
+}
+
+/// Returns the demand for processors, in percent of what a worker has, at which a latency-critical
+/// task still has `min_headroom`. Where the demand is greater than that, the task gets its part of
+/// the processors only, which has the effect of a greater load.
+fn bearable_percent(headroom: f64, average_headroom: f64, min_headroom: f64) -> u64 {
+    let idle_headroom = average_headroom * 100.0 / (100 - AVERAGE_USE_PERCENT) as f64;
+    let load = (idle_headroom - headroom).max(0.1);
+    let max_load = (idle_headroom - min_headroom).max(0.0);
+    let percent = (max_load * 100.0 / load) as u64;
+    percent.clamp(MIN_LIMIT_PERCENT, MAX_LIMIT_PERCENT)
+}
+
 /// Processor time of a worker, in thousandths of a core.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Processors {
     /// What the worker has.
     pub capacity_milli: u64,
@@ -50,13 +104,15 @@
     pub reserved_milli: u64,
     /// What its long-running tasks use now.
     pub long_running_milli: u64,
+    /// Demand that its latency-critical tasks bear now.
+    pub limits: Limits,
 }
 
 impl Processors {
     /// Returns what new best-effort tasks may use where the present ones use `best_effort_milli`;
     /// negative if they already use more.
     pub fn unused_milli(&self, best_effort_milli: u64) -> i64 {
-        self.budget_milli(PLACING_LIMIT_PERCENT) - best_effort_milli as i64
+        self.budget_milli(self.limits.placing_percent) - best_effort_milli as i64
     }
 
     fn budget_milli(&self, limit_percent: u64) -> i64 {
@@ -89,8 +145,8 @@
 /// in the reverse order.
 pub fn choose_shares(processors: &Processors, tasks: &mut [BestEffortTask]) {
     let demand_milli: i64 = tasks.iter().map(BestEffortTask::used_milli).sum();
-    let excess_milli = demand_milli - processors.budget_milli(THROTTLE_LIMIT_PERCENT);
-    let spare_milli = processors.budget_milli(RAISE_LIMIT_PERCENT) - demand_milli;
+    let excess_milli = demand_milli - processors.budget_milli(processors.limits.throttle_percent);
+    let spare_milli = processors.budget_milli(processors.limits.raise_percent) - demand_milli;
     let mut order: Vec<usize> = (0..tasks.len()).collect();
     order.sort_by(|left, right| {
         let (left, right) = (&tasks[*left], &tasks[*right]);
