--- a/crates/dispatch/src/owner/costs.rs
+++ b/crates/dispatch/src/owner/costs.rs
@@ -22,7 +22,10 @@
 const MIN_HEADROOM: f64 = 1.9;
 /// Maximum total headroom loss that best-effort tasks may cause to a serving task.
 const MAX_HEADROOM_LOSS: f64 = 0.40;
-const MIN_PRESENT_HEADROOM: f64 = 1.2;
+/// Headroom without best-effort tasks below which a serving task is at the peak of its load, and
+/// headroom that best-effort tasks must leave to it there.
+const PEAK_HEADROOM: f64 = 1.8;
+const MIN_PEAK_HEADROOM: f64 = 1.2;
 /// Cost, in thousandths of a core, of a headroom loss of 1.
 const HEADROOM_LOSS_COST: f64 = 40_000.0;
 /// Headroom loss from which on a best-effort task is kept away from a serving task that is already
@@ -124,15 +127,16 @@
         let interference_cost = self
             .interference_cost(worker, requirements, now_ms)
             .ok_or(Exclusion::Disturbed)?;
-        let available_milli = match self.protects(worker) {
-            true => worker.processors().unused_milli(worker.best_effort_milli),
-            false => unused_milli(worker),
+        let processors = self.protected_processors(worker);
+        let available_milli = match processors {
+            Some(processors) => processors.unused_milli(worker.best_effort_milli),
+            None => unused_milli(worker),
         };
         let cost =
             resource_cost(worker, requirements, available_milli).ok_or(Exclusion::Crowded)?;
-        let contention_cost = match self.protects(worker) {
-            true => contention_cost(requirements.step, available_milli),
-            false => 0,
+        let contention_cost = match processors {
+            Some(_) => contention_cost(requirements.step, available_milli),
+            None => 0,
         };
         let crash_risk_cost = crash_risk_cost(worker, requirements).ok_or(Exclusion::Suspects)?;
         // Checked last, so that an evacuation is only reported if nothing else excludes the worker.
@@ -186,7 +190,7 @@
         own_usage: ImageUsage,
         now_ms: u64,
     ) -> Option<i64> {
-        let protects = self.protects(worker);
+        let is_protecting = self.protected_processors(worker).is_some();
         let mut others = None;
         let mut max_loss: f64 = 0.0;
         for run in worker.runs.values() {
@@ -204,14 +208,13 @@
                 }
             }
             let is_slight = headroom_loss < MIN_HEADROOM_LOSS;
-            let may_bear =
-                !protects || headroom_loss < SLIGHT_HEADROOM_LOSS || run.solo_headroom > 1.8;
-            if is_slight && may_bear {
+            let is_at_peak = is_protecting && run.solo_headroom < PEAK_HEADROOM;
+            if is_slight && !(is_at_peak && headroom_loss >= SLIGHT_HEADROOM_LOSS) {
                 continue;
             }
             let others = others.get_or_insert_with(|| best_effort_demands(worker));
             let total_loss = headroom_loss + self.interference.headroom_loss(run.image, others);
-            if protects && run.solo_headroom - total_loss < MIN_PRESENT_HEADROOM {
+            if is_at_peak && run.solo_headroom - total_loss < MIN_PEAK_HEADROOM {
                 return None;
             }
             if is_slight {
--- a/crates/dispatch/src/owner/shares.rs
+++ b/crates/dispatch/src/owner/shares.rs
@@ -23,6 +23,7 @@
 use crate::policy::interference::headroom;
 use crate::policy::protection::BestEffortTask;
 use crate::policy::protection::Limits;
+use crate::policy::protection::Processors;
 use crate::policy::protection::choose_shares;
 use crate::policy::protection::used_milli;
 use crate::policy::shares::ColocatedTask;
@@ -103,7 +104,7 @@
         if self.workers[key].best_effort_milli == 0 {
             return;
         }
-        self.choose_processor_shares(key);
+        self.choose_processor_shares(key, now_ms);
         let worker = &mut self.workers[key];
         if let Some(changes) = set_target_shares(worker) {
             actions.push(Action::Note(Note::new(
@@ -125,7 +126,7 @@
     fn update_used(&mut self, key: WorkerKey, best_effort_usage: &[ImageUsage]) {
         let worker = &mut self.workers[key];
         let mut long_running_milli = 0;
-        worker.limits = Limits::NONE;
+        worker.limits = None;
         for run in worker.runs.values_mut() {
             if is_serving(run) {
                 let headroom = headroom(run.tail_latency_target_ms, run.gauge);
@@ -134,7 +135,9 @@
                     .headroom_loss(run.image, best_effort_usage);
                 let average_headroom = self.interference.solo_headroom(run.image);
                 run.solo_headroom = headroom + loss;
-                worker.limits = worker.limits.min(Limits::new(headroom, average_headroom));
+                let limits = Limits::new(headroom, average_headroom);
+                let lowest = worker.limits.map_or(limits, |other| other.min(limits));
+                worker.limits = Some(lowest);
                 run.used_milli = used_milli(run.cpu_milli, run.solo_headroom, average_headroom);
             } else if run.is_best_effort && run.gauge > 0 && run.applied_share_percent == 100 {
                 run.used_milli = run.gauge.min(run.cpu_milli);
@@ -146,22 +149,26 @@
         worker.long_running_used_milli = long_running_milli;
     }
 
-    /// Returns whether best-effort tasks on a worker get what the serving tasks there leave now.
-    pub(super) fn protects(&self, worker: &Worker) -> bool {
-        self.bounds.policy.protects_serving && worker.long_running_milli > 0
+    /// Returns the use of a worker's processors, if best-effort tasks get what its serving tasks
+    /// leave now.
+    pub(super) fn protected_processors(&self, worker: &Worker) -> Option<Processors> {
+        match self.bounds.policy.protects_serving {
+            true => worker.processors(),
+            false => None,
+        }
     }
 
     /// Chooses the shares of the best-effort tasks on a worker by the processor time that its
     /// other tasks leave.
-    fn choose_processor_shares(&mut self, key: WorkerKey) {
-        let is_protecting = self.protects(&self.workers[key]);
+    fn choose_processor_shares(&mut self, key: WorkerKey, now_ms: u64) {
+        let processors = self.protected_processors(&self.workers[key]);
         let worker = &mut self.workers[key];
-        if !is_protecting {
+        let Some(processors) = processors else {
             for run in worker.runs.values_mut() {
                 run.processor_share_percent = 100;
             }
             return;
-        }
+        };
         let mut serving_images = Vec::new();
         for run in worker.runs.values() {
             if is_serving(run) && !serving_images.contains(&run.image) {
@@ -181,11 +188,17 @@
                 headroom_loss: losses.fold(0.0, f64::max),
             });
         }
-        choose_shares(&worker.processors(), &mut tasks);
+        let may_raise = now_ms >= worker.next_share_raise_ms;
+        choose_shares(&processors, &mut tasks, may_raise);
+        let mut has_lowered = false;
         let best_effort = worker.runs.values_mut().filter(|run| run.is_best_effort);
         for (run, task) in best_effort.zip(&tasks) {
+            has_lowered |= task.share_percent < run.processor_share_percent;
             run.processor_share_percent = task.share_percent;
         }
+        if has_lowered {
+            worker.next_share_raise_ms = now_ms + MIN_CHANGE_INTERVAL_MS;
+        }
     }
 
     /// Sends the orders to change shares that are due.
--- a/crates/dispatch/src/owner/worker.rs
+++ b/crates/dispatch/src/owner/worker.rs
@@ -263,8 +263,8 @@
     pub(crate) long_running_milli: u64,
     /// Processor time that they are expected to use.
     pub(crate) long_running_used_milli: u64,
-    /// Demand for its processors that its latency-critical tasks bear now.
-    pub(crate) limits: Limits,
+    /// Demand for its processors that its latency-critical tasks bear now; `None` if it has none.
+    pub(crate) limits: Option<Limits>,
     /// It gets no new tasks before this time.
     pub(crate) avoided_until_ms: u64,
     /// Speeds of runs that exited there recently, and when they did.
@@ -277,8 +277,10 @@
     pub(crate) is_changed: bool,
     /// Its time in the queue of due workers.
     pub(crate) queued_due_ms: Option<u64>,
-    /// Earliest time of the next change of CPU shares.
+    /// Earliest time of the next change of CPU shares by headroom.
     pub(crate) next_share_change_ms: u64,
+    /// Earliest time at which shares that were lowered for lack of processors are raised.
+    pub(crate) next_share_raise_ms: u64,
     /// Best-effort tasks run beside a latency-critical task that is over its target.
     pub(crate) is_over_target: bool,
 }
@@ -312,7 +314,7 @@
             window: UsageWindow::default(),
             long_running_milli: 0,
             long_running_used_milli: 0,
-            limits: Limits::NONE,
+            limits: None,
             avoided_until_ms: 0,
             ended_speeds: VecDeque::new(),
             consecutive_failures: 0,
@@ -320,6 +322,7 @@
             is_changed: false,
             queued_due_ms: None,
             next_share_change_ms: 0,
+            next_share_raise_ms: 0,
             is_over_target: false,
         }
     }
@@ -490,14 +493,15 @@
         self.entry.resources.minus(self.used)
     }
 
-    /// Returns what is known of the use of its processors, without best-effort tasks.
-    pub(crate) fn processors(&self) -> Processors {
-        Processors {
+    /// Returns the use of its processors by all but best-effort tasks, if it has latency-critical
+    /// ones.
+    pub(crate) fn processors(&self) -> Option<Processors> {
+        Some(Processors {
             capacity_milli: self.entry.resources.cpu_milli,
             reserved_milli: self.used.cpu_milli.saturating_sub(self.long_running_milli),
             long_running_milli: self.long_running_used_milli,
-            limits: self.limits,
-        }
+            limits: self.limits?,
+        })
     }
 
     /// Returns the estimated time of its clock.
--- a/crates/dispatch/src/policy/protection.rs
+++ b/crates/dispatch/src/policy/protection.rs
@@ -57,13 +57,6 @@
 }
 
 impl Limits {
-    /// Limits of a worker without latency-critical tasks.
-    pub const NONE: Limits = Limits {
-        placing_percent: MAX_LIMIT_PERCENT,
-        raise_percent: MAX_LIMIT_PERCENT,
-        throttle_percent: MAX_LIMIT_PERCENT,
-    };
-
     /// Returns the limits for one latency-critical task, by its headroom now and the average
     /// headroom of its image.
     pub fn new(headroom: f64, average_headroom: f64) -> Self {
@@ -141,9 +134,9 @@
 }
 
 /// Chooses the shares of the best-effort tasks on a worker. Lowers the shares of as few tasks as
-/// possible, and only as far as needed. Where the demand is well below the limit, raises them again,
-/// in the reverse order.
-pub fn choose_shares(processors: &Processors, tasks: &mut [BestEffortTask]) {
+/// possible, and only as far as needed. Where the demand is below the limit for that, raises them
+/// again in the reverse order, if they `may_raise`.
+pub fn choose_shares(processors: &Processors, tasks: &mut [BestEffortTask], may_raise: bool) {
     let demand_milli: i64 = tasks.iter().map(BestEffortTask::used_milli).sum();
     let excess_milli = demand_milli - processors.budget_milli(processors.limits.throttle_percent);
     let spare_milli = processors.budget_milli(processors.limits.raise_percent) - demand_milli;
@@ -157,7 +150,7 @@
     });
     if excess_milli > 0 {
         lower(tasks, &order, excess_milli);
-    } else if spare_milli > 0 {
+    } else if spare_milli > 0 && may_raise {
         order.reverse();
         raise(tasks, &order, spare_milli);
     }
