--- /dev/null
+++ b/tests/dispatch_protection.rs
@@ -0,0 +1,113 @@
+//! Processors of workers beside serving tasks: best-effort tasks get what the present load leaves.
+
+use crate::fleet::Fleet;
+use crate::fleet::job;
+use crate::fleet::step;
+use goldcrestway_dispatch::Step;
+use googletest::prelude::*;
+
+/// Latency target of the serving task, and its tail latency at low load and at the peak of its
+/// load, where it is still within its target.
+const TARGET_MS: u64 = 20;
+const LOW_LOAD_TAIL_MS: u64 = 6;
+const PEAK_TAIL_MS: u64 = 15;
+
+/// Returns a fleet of one worker with 8 cores. Its serving task reserves 6 of them.
+fn fleet_with_serving_task(tail_ms: u64) -> Fleet {
+    let mut fleet = Fleet::new(3, 1);
+    let serving = Step {
+        is_long_running: true,
+        cpu_milli: 6_000,
+        image: "served".into(),
+        tail_latency_target_ms: TARGET_MS,
+        ..step(1, 1_000, &[])
+    };
+    fleet.submit(0, 0x1, &job(vec![serving]));
+    set_tail(&mut fleet, tail_ms);
+    fleet.run(3_000);
+    fleet
+}
+
+/// Returns a step of best-effort tasks that use one core each.
+fn best_effort(count: u32) -> Step {
+    Step {
+        is_best_effort: true,
+        image: "filler".into(),
+        ..step(count, 60_000, &[])
+    }
+}
+
+fn set_tail(fleet: &mut Fleet, tail_ms: u64) {
+    for worker in fleet.workers.values_mut() {
+        worker.tail_ms = tail_ms;
+    }
+}
+
+fn shares(fleet: &Fleet) -> Vec<u32> {
+    let workers = fleet.workers.values();
+    workers.flat_map(|worker| worker.shares()).collect()
+}
+
+/// Guards against processors in demand for more than they can do when the load of a serving task
+/// rises. Best-effort tasks were throttled only once the task had missed its target.
+#[gtest]
+fn best_effort_tasks_are_throttled_before_a_serving_task_misses_its_target() {
+    let mut fleet = fleet_with_serving_task(LOW_LOAD_TAIL_MS);
+    fleet.submit(0, 0x2, &job(vec![best_effort(5)]));
+    fleet.run(3_000);
+    expect_that!(shares(&fleet), eq(&vec![100; 5]));
+    set_tail(&mut fleet, PEAK_TAIL_MS);
+    fleet.run(1_500);
+    let throttled = shares(&fleet);
+    expect_that!(throttled.iter().sum::<u32>(), lt(500));
+    expect_that!(throttled, contains(eq(&100)), "not all are throttled");
+    set_tail(&mut fleet, LOW_LOAD_TAIL_MS);
+    fleet.run(2_500);
+    expect_that!(shares(&fleet), eq(&vec![100; 5]), "all resume");
+}
+
+/// Guards against shares that alternate while the load of a serving task stays the same: each
+/// change delays a task and costs an order.
+#[gtest]
+fn shares_stay_while_the_load_stays() {
+    let mut fleet = fleet_with_serving_task(LOW_LOAD_TAIL_MS);
+    fleet.submit(0, 0x2, &job(vec![best_effort(5)]));
+    fleet.run(3_000);
+    set_tail(&mut fleet, PEAK_TAIL_MS);
+    fleet.run(3_000);
+    let settled = shares(&fleet);
+    for _ in 0..20 {
+        fleet.run(200);
+        expect_that!(shares(&fleet), eq(&settled));
+    }
+}
+
+/// Guards against best-effort tasks that are placed by the average load of a serving task while it
+/// is at its peak.
+#[gtest]
+fn fewer_best_effort_tasks_are_placed_at_the_peak_of_load() {
+    let running = |tail_ms: u64| {
+        let mut fleet = fleet_with_serving_task(tail_ms);
+        fleet.submit(0, 0x2, &job(vec![best_effort(8)]));
+        fleet.run(1_000);
+        shares(&fleet).len()
+    };
+    expect_that!(running(LOW_LOAD_TAIL_MS), gt(running(PEAK_TAIL_MS) + 2));
+}
+
+/// Guards against urgent tasks that are placed where best-effort tasks use the processors which
+/// they reserve, while another worker has idle ones.
+#[gtest]
+fn urgent_tasks_avoid_workers_whose_processors_are_in_use() {
+    let mut fleet = fleet_with_serving_task(LOW_LOAD_TAIL_MS);
+    fleet.submit(0, 0x2, &job(vec![best_effort(5)]));
+    fleet.run(2_000);
+    fleet.add_worker("10.0.0.77:80", "idle-worker");
+    fleet.run(3_000);
+    set_tail(&mut fleet, PEAK_TAIL_MS);
+    fleet.run(1_000);
+    fleet.submit(0, 0x3, &job(vec![step(1, 60_000, &[])]));
+    fleet.run(1_000);
+    let idle = &fleet.workers["10.0.0.77:80"];
+    expect_that!(idle.shares().len(), eq(1));
+}
