--- a/crates/core/src/notes.rs
+++ b/crates/core/src/notes.rs
@@ -107,6 +107,7 @@
     RunLagging = 2403, "A run makes no progress or is far slower than its siblings; it is started elsewhere, or gets a copy.";
     RunLost = 2404, "A run was lost with its worker; the detail gives why the worker was removed, the age of the run, and how long after the order the worker last answered.";
     FillersPaced = 2405, "Best-effort tasks on a worker got another CPU share: a serving task there is over its latency target, or meets it again.";
+    ProcessorsShort = 2406, "Best-effort tasks on a worker got a smaller CPU share: its latency-critical tasks need the processors; the detail gives the demand and the limit in percent of what the worker has.";
     TaskSuspected = 2407, "A worker has crashed under a task; the detail says whether its run may be the cause, whether it is the only possible one, and how often that was so.";
     RunVanished = 2408, "A confirmed run is missing from its worker's report, and no exit of it was reported; the detail gives the newest exit handled there, and the newest that the worker was told to forget.";
     TaskWaits = 2409, "A task has waited for long though the steps before it have ended; the detail gives what it waits for, and what excludes how many workers.";
--- a/crates/dispatch/src/owner/mod.rs
+++ b/crates/dispatch/src/owner/mod.rs
@@ -25,6 +25,7 @@
 mod placing;
 mod polls;
 mod progress;
+mod protection;
 mod relaying;
 mod shares;
 mod stragglers;
@@ -65,6 +66,7 @@
 use crate::policy::link::CallPriority;
 use crate::policy::link::LinkBudget;
 use crate::policy::placing::placing_gap_ms;
+use crate::policy::protection::OverTargetCause;
 use crate::record::JobPhase;
 use crate::record::Progress;
 use crate::record::Submission;
@@ -139,6 +141,12 @@
     pub relay_selections: u64,
     /// Steps that have waited for a long time, by the reason.
     pub waits: [u64; WaitReason::ALL.len()],
+    /// Time in milliseconds that latency-critical tasks were over their target, by cause.
+    pub over_target_ms: [u64; OverTargetCause::ALL.len()],
+    /// Number of times that a best-effort task was suspended.
+    pub suspensions: u64,
+    /// Number of times that one resumed.
+    pub resumptions: u64,
 }
 
 /// Reason for which an owner stops.
--- a/crates/dispatch/src/owner/placing.rs
+++ b/crates/dispatch/src/owner/placing.rs
@@ -398,7 +398,7 @@
         let is_best_effort = run.is_best_effort;
         self.workers[worker].add(id, number, run);
         if !is_best_effort {
-            self.set_shares(worker, now.steady_ms, actions);
+            self.set_target_shares(worker, actions);
         }
         self.writer.start_once_stored(worker, id, number);
     }
--- a/crates/dispatch/src/owner/shares.rs
+++ b/crates/dispatch/src/owner/shares.rs
@@ -6,6 +6,8 @@
 //! interference coefficients require, and regain their share step by step as far as the
 //! coefficients permit. If a serving task stays over its target nevertheless, all best-effort tasks
 //! beside it are suspended, whatever was learned.
+//!
+//! These are the shares by headroom. See [`crate::owner::protection`] for those by processors.
 
 use crate::event::Action;
 use crate::event::OrderOutcome;
@@ -21,11 +23,6 @@
 use crate::policy::interference::InterferenceModel;
 use crate::policy::interference::add_usage;
 use crate::policy::interference::headroom;
-use crate::policy::protection::BestEffortTask;
-use crate::policy::protection::Limits;
-use crate::policy::protection::Processors;
-use crate::policy::protection::choose_shares;
-use crate::policy::protection::used_milli;
 use crate::policy::shares::ColocatedTask;
 use crate::policy::shares::HEALTHY_HEADROOM;
 use crate::policy::shares::SuspendDelays;
@@ -81,32 +78,20 @@
                 run.over_since_ms = None;
             }
         }
-        self.update_used(key, &usage);
+        self.update_processors(key, &usage, now_ms);
         let worker = &mut self.workers[key];
         if worker.best_effort_milli == 0 {
             worker.is_over_target = false;
             return;
         }
         let throttles_best_effort = self.bounds.policy.throttles_best_effort;
-        choose_headroom_shares(
+        if let Some(changes) = choose_shares(
             worker,
             &self.interference,
             suspend_delays,
             throttles_best_effort,
             now_ms,
-        );
-        self.set_shares(key, now_ms, actions);
-    }
-
-    /// Sets the shares of the best-effort tasks on a worker: for each the lower one by the
-    /// processor time and by the headroom of the other tasks.
-    pub(super) fn set_shares(&mut self, key: WorkerKey, now_ms: u64, actions: &mut Vec<Action>) {
-        if self.workers[key].best_effort_milli == 0 {
-            return;
-        }
-        self.choose_processor_shares(key, now_ms);
-        let worker = &mut self.workers[key];
-        if let Some(changes) = set_target_shares(worker) {
+        ) {
             actions.push(Action::Note(Note::new(
                 Code::FillersPaced,
                 &*worker.entry.id,
@@ -119,86 +104,7 @@
                 ),
             )));
         }
-    }
-
-    /// Updates what the tasks on a worker use. `best_effort_usage` is of the same interval as the
-    /// tail latencies of the serving tasks.
-    fn update_used(&mut self, key: WorkerKey, best_effort_usage: &[ImageUsage]) {
-        let worker = &mut self.workers[key];
-        let mut long_running_milli = 0;
-        worker.limits = None;
-        for run in worker.runs.values_mut() {
-            if is_serving(run) {
-                let headroom = headroom(run.tail_latency_target_ms, run.gauge);
-                let loss = self
-                    .interference
-                    .headroom_loss(run.image, best_effort_usage);
-                let average_headroom = self.interference.solo_headroom(run.image);
-                run.solo_headroom = headroom + loss;
-                let limits = Limits::new(headroom, average_headroom);
-                let lowest = worker.limits.map_or(limits, |other| other.min(limits));
-                worker.limits = Some(lowest);
-                run.used_milli = used_milli(run.cpu_milli, run.solo_headroom, average_headroom);
-            } else if run.is_best_effort && run.gauge > 0 && run.applied_share_percent == 100 {
-                run.used_milli = run.gauge.min(run.cpu_milli);
-            }
-            if run.is_long_running {
-                long_running_milli += run.used_milli;
-            }
-        }
-        worker.long_running_used_milli = long_running_milli;
-    }
-
-    /// Returns the use of a worker's processors, if best-effort tasks get what its serving tasks
-    /// leave now.
-    pub(super) fn protected_processors(&self, worker: &Worker) -> Option<Processors> {
-        match self.bounds.policy.protects_serving {
-            true => worker.processors(),
-            false => None,
-        }
-    }
-
-    /// Chooses the shares of the best-effort tasks on a worker by the processor time that its
-    /// other tasks leave.
-    fn choose_processor_shares(&mut self, key: WorkerKey, now_ms: u64) {
-        let processors = self.protected_processors(&self.workers[key]);
-        let worker = &mut self.workers[key];
-        let Some(processors) = processors else {
-            for run in worker.runs.values_mut() {
-                run.processor_share_percent = 100;
-            }
-            return;
-        };
-        let mut serving_images = Vec::new();
-        for run in worker.runs.values() {
-            if is_serving(run) && !serving_images.contains(&run.image) {
-                serving_images.push(run.image);
-            }
-        }
-        let mut tasks = Vec::new();
-        for run in worker.runs.values().filter(|run| run.is_best_effort) {
-            let cores = run.used_milli as f64 / 1_000.0;
-            let losses = serving_images
-                .iter()
-                .map(|image| self.interference.coefficient(*image, run.image) * cores);
-            tasks.push(BestEffortTask {
-                cpu_milli: run.used_milli,
-                share_percent: run.processor_share_percent,
-                progress_percent: run.percent,
-                headroom_loss: losses.fold(0.0, f64::max),
-            });
-        }
-        let may_raise = now_ms >= worker.next_share_raise_ms;
-        choose_shares(&processors, &mut tasks, may_raise);
-        let mut has_lowered = false;
-        let best_effort = worker.runs.values_mut().filter(|run| run.is_best_effort);
-        for (run, task) in best_effort.zip(&tasks) {
-            has_lowered |= task.share_percent < run.processor_share_percent;
-            run.processor_share_percent = task.share_percent;
-        }
-        if has_lowered {
-            worker.next_share_raise_ms = now_ms + MIN_CHANGE_INTERVAL_MS;
-        }
+        self.set_target_shares(key, actions);
     }
 
     /// Sends the orders to change shares that are due.
@@ -262,7 +168,7 @@
 }
 
 /// Returns whether a run is a serving task whose tail latency is known.
-fn is_serving(run: &Run) -> bool {
+pub(super) fn is_serving(run: &Run) -> bool {
     run.is_long_running && run.tail_latency_target_ms > 0 && run.percent >= 100 && run.gauge > 0
 }
 
@@ -311,16 +217,16 @@
     worst.map_or("served=0".into(), |(_, text)| text)
 }
 
-/// Chooses the share of each best-effort task on a worker by the headroom of the serving tasks.
-/// Between two changes, tasks are given time to show their effect. Only a suspension is immediate,
-/// as time over the target that counts as harm keeps accumulating.
-fn choose_headroom_shares(
+/// Chooses the share by headroom of each best-effort task on a worker. Returns what has changed, or
+/// `None` if nothing has. Between two changes, tasks are given time to show their effect. Only a
+/// suspension is immediate, as time over the target that counts as harm keeps accumulating.
+fn choose_shares(
     worker: &mut Worker,
     interference: &InterferenceModel,
     suspend_delays: SuspendDelays,
     throttles_best_effort: bool,
     now_ms: u64,
-) {
+) -> Option<ShareChanges> {
     let may_change = now_ms >= worker.next_share_change_ms;
     let mut serving_tasks = Vec::new();
     for run in worker.runs.values() {
@@ -330,7 +236,7 @@
             serving_tasks.push((run.image, headroom, over_ms));
         }
     }
-    let mut has_changed = false;
+    let mut changes = ShareChanges::default();
     for run in worker.runs.values_mut() {
         if !run.is_best_effort {
             continue;
@@ -352,28 +258,14 @@
             may_change,
             throttles_best_effort,
         );
-        has_changed |= run.headroom_share_percent != before;
-    }
-    if has_changed {
-        worker.next_share_change_ms = now_ms + MIN_CHANGE_INTERVAL_MS;
-    }
-}
-
-/// Sets the target share of each best-effort task on a worker: the lower one of its shares by
-/// processor time and by headroom. Returns what has changed, or `None` if nothing has.
-fn set_target_shares(worker: &mut Worker) -> Option<ShareChanges> {
-    let mut changes = ShareChanges::default();
-    for run in worker.runs.values_mut() {
-        let before = run.target_share_percent;
-        let after = run.processor_share_percent.min(run.headroom_share_percent);
-        run.target_share_percent = after;
-        changes.suspended += u32::from(after == 0 && before > 0);
-        changes.throttled += u32::from(after > 0 && before > after);
-        changes.raised += u32::from(before < after);
+        changes.suspended += u32::from(run.headroom_share_percent == 0 && before > 0);
+        changes.throttled +=
+            u32::from(run.headroom_share_percent > 0 && before > run.headroom_share_percent);
+        changes.raised += u32::from(before < run.headroom_share_percent);
     }
     if changes.suspended + changes.throttled + changes.raised == 0 {
         return None;
     }
-    worker.has_orders = true;
+    worker.next_share_change_ms = now_ms + MIN_CHANGE_INTERVAL_MS;
     Some(changes)
 }
--- a/crates/dispatch/src/owner/worker.rs
+++ b/crates/dispatch/src/owner/worker.rs
@@ -279,8 +279,8 @@
     pub(crate) queued_due_ms: Option<u64>,
     /// Earliest time of the next change of CPU shares by headroom.
     pub(crate) next_share_change_ms: u64,
-    /// Earliest time at which shares that were lowered for lack of processors are raised.
-    pub(crate) next_share_raise_ms: u64,
+    /// When its gauges were last read.
+    pub(crate) gauged_ms: u64,
     /// Best-effort tasks run beside a latency-critical task that is over its target.
     pub(crate) is_over_target: bool,
 }
@@ -322,7 +322,7 @@
             is_changed: false,
             queued_due_ms: None,
             next_share_change_ms: 0,
-            next_share_raise_ms: 0,
+            gauged_ms: 0,
             is_over_target: false,
         }
     }
--- a/crates/dispatch/src/policy/protection.rs
+++ b/crates/dispatch/src/policy/protection.rs
@@ -88,6 +88,54 @@
     percent.clamp(MIN_LIMIT_PERCENT, MAX_LIMIT_PERCENT)
 }
 
+/// Why a latency-critical task is over its target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum OverTargetCause {
+    /// Best-effort tasks take more headroom than it can spare, as was learned.
+    Interference,
+    /// The processors of its worker are in demand for more than they can do.
+    Processors,
+    /// Its own load, or something that is not known.
+    Other,
+}
+
+impl OverTargetCause {
+    /// All causes, in the order of their numbers.
+    pub const ALL: [OverTargetCause; 3] = [
+        OverTargetCause::Interference,
+        OverTargetCause::Processors,
+        OverTargetCause::Other,
+    ];
+
+    /// Returns the name that metrics show.
+    pub fn name(self) -> &'static str {
+        match self {
+            OverTargetCause::Interference => "interference",
+            OverTargetCause::Processors => "processors",
+            OverTargetCause::Other => "other",
+        }
+    }
+}
+
+/// Returns why a task with this headroom is over its target, if it is. Best-effort tasks take
+/// `headroom_loss` from it.
+pub fn over_target_cause(
+    headroom: f64,
+    headroom_loss: f64,
+    demand_percent: u64,
+) -> Option<OverTargetCause> {
+    if headroom >= 1.0 {
+        return None;
+    }
+    Some(if demand_percent >= 100 {
+        OverTargetCause::Processors
+    } else if headroom + headroom_loss >= 1.0 {
+        OverTargetCause::Interference
+    } else {
+        OverTargetCause::Other
+    })
+}
+
 /// Processor time of a worker, in thousandths of a core.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Processors {
@@ -108,6 +156,13 @@
         self.budget_milli(self.limits.placing_percent) - best_effort_milli as i64
     }
 
+    /// Returns the demand in percent of what the worker has, where best-effort tasks use
+    /// `best_effort_milli`.
+    pub fn demand_percent(&self, best_effort_milli: u64) -> u64 {
+        let demand_milli = self.reserved_milli + self.long_running_milli + best_effort_milli;
+        demand_milli * 100 / self.capacity_milli.max(1)
+    }
+
     fn budget_milli(&self, limit_percent: u64) -> i64 {
         let limit_milli = self.capacity_milli * limit_percent / 100;
         limit_milli as i64 - (self.reserved_milli + self.long_running_milli) as i64
@@ -135,8 +190,8 @@
 
 /// Chooses the shares of the best-effort tasks on a worker. Lowers the shares of as few tasks as
 /// possible, and only as far as needed. Where the demand is below the limit for that, raises them
-/// again in the reverse order, if they `may_raise`.
-pub fn choose_shares(processors: &Processors, tasks: &mut [BestEffortTask], may_raise: bool) {
+/// again in the reverse order.
+pub fn choose_shares(processors: &Processors, tasks: &mut [BestEffortTask]) {
     let demand_milli: i64 = tasks.iter().map(BestEffortTask::used_milli).sum();
     let excess_milli = demand_milli - processors.budget_milli(processors.limits.throttle_percent);
     let spare_milli = processors.budget_milli(processors.limits.raise_percent) - demand_milli;
@@ -150,7 +205,7 @@
     });
     if excess_milli > 0 {
         lower(tasks, &order, excess_milli);
-    } else if spare_milli > 0 && may_raise {
+    } else if spare_milli > 0 {
         order.reverse();
         raise(tasks, &order, spare_milli);
     }
