A new owner sets the shares of tasks that its predecessor may have throttled

Cause: a new owner took every inherited run for running at full share, so a run that its predecessor had suspended got no order and stood still until it was started elsewhere. Found on reading; protection throttles more often, so it would show more often. Change: the share of an inherited best-effort run that uses clearly less than it requests counts as unknown, and is ordered anew. Test: a_new_owner_resumes_tasks_that_the_previous_one_has_suspended.

--- a/crates/dispatch/src/owner/polls.rs
+++ b/crates/dispatch/src/owner/polls.rs
@@ -45,6 +45,9 @@
 /// a worker is removed even though the link of the owner's own host is suspected. The platform
 /// lists such a worker, so it is likely alive and may hold exits of tasks that would run again.
 const MAX_MISSED_WHILE_SUSPECT: u32 = 3;
+/// Part of the requested CPU that a best-effort run uses at least at full share, in percent. If it
+/// uses less, a previous owner may have throttled it.
+const FULL_SHARE_USE_PERCENT: u64 = 90;
 /// Maximum number of orders to start a run. If the last one has timed out and the run is not there,
 /// it is stopped.
 const MAX_START_ATTEMPTS: u32 = 2;
@@ -450,6 +453,10 @@
         run.first_ms = now_ms;
         run.first_percent = row.percent;
         run.progressed_ms = now_ms;
+        // A throttled run uses less than it requests.
+        if run.is_best_effort && row.gauge * 100 < run.cpu_milli * FULL_SHARE_USE_PERCENT {
+            run.applied_share_percent = None;
+        }
     }
     // A resumed run starts with the progress that its checkpoint contains.
     if run.percent == 0 && !run.checkpoint.is_empty() && run.first_percent == 0 {
--- a/crates/dispatch/src/owner/protection.rs
+++ b/crates/dispatch/src/owner/protection.rs
@@ -54,7 +54,8 @@
                 if let Some(cause) = over_target_cause(headroom, loss, demand_percent) {
                     self.stats.over_target_ms[cause as usize] += interval_ms;
                 }
-            } else if run.is_best_effort && run.gauge > 0 && run.applied_share_percent == 100 {
+            } else if run.is_best_effort && run.gauge > 0 && run.applied_share_percent == Some(100)
+            {
                 run.used_milli = run.gauge.min(run.cpu_milli);
             }
             if run.is_long_running {
@@ -87,7 +88,7 @@
             let before = run.target_share_percent;
             let after = run.processor_share_percent.min(run.headroom_share_percent);
             run.target_share_percent = after;
-            worker.has_orders |= before != after;
+            worker.has_orders |= before != after || run.applied_share_percent.is_none();
             lowered += u32::from(after < before);
             self.stats.suspensions += u64::from(after == 0 && before > 0);
             self.stats.resumptions += u64::from(after > 0 && before == 0);
--- a/crates/dispatch/src/owner/shares.rs
+++ b/crates/dispatch/src/owner/shares.rs
@@ -123,8 +123,9 @@
             let mut has_more = false;
             for ((task, number), run) in &mut worker.runs {
                 let is_stopping = matches!(run.phase, RunPhase::Stopping { .. });
-                let differs = run.applied_share_percent.abs_diff(run.target_share_percent)
-                    >= MIN_CHANGE_PERCENT;
+                let differs = run.applied_share_percent.is_none_or(|percent| {
+                    percent.abs_diff(run.target_share_percent) >= MIN_CHANGE_PERCENT
+                });
                 has_more |= is_stopping || differs;
                 let is_present = matches!(run.phase, RunPhase::Present { .. });
                 if !differs
@@ -161,7 +162,7 @@
         };
         run.is_share_change_pending = false;
         match outcome {
-            OrderOutcome::Done { .. } => run.applied_share_percent = percent,
+            OrderOutcome::Done { .. } => run.applied_share_percent = Some(percent),
             _ => run.share_retry_ms = now_ms + MIN_CHANGE_INTERVAL_MS,
         }
     }
--- a/crates/dispatch/src/owner/stragglers.rs
+++ b/crates/dispatch/src/owner/stragglers.rs
@@ -218,7 +218,7 @@
             for ((task, number), run) in &state.runs {
                 let is_present = matches!(run.phase, RunPhase::Present { .. });
                 let is_throttled =
-                    run.target_share_percent < 100 || run.applied_share_percent < 100;
+                    run.target_share_percent < 100 || run.applied_share_percent != Some(100);
                 if !is_present || run.is_long_running || run.is_orphan || is_throttled {
                     continue;
                 }
--- a/crates/dispatch/src/owner/worker.rs
+++ b/crates/dispatch/src/owner/worker.rs
@@ -146,8 +146,9 @@
     /// it takes from them. The lower one applies.
     pub(crate) processor_share_percent: u32,
     pub(crate) headroom_share_percent: u32,
-    /// CPU share that the worker has last accepted.
-    pub(crate) applied_share_percent: u32,
+    /// CPU share that the worker has last accepted; `None` if a previous owner may have set another
+    /// one.
+    pub(crate) applied_share_percent: Option<u32>,
     /// CPU share that it should have.
     pub(crate) target_share_percent: u32,
     /// An order to change its CPU share was sent and has no answer yet.
@@ -189,7 +190,7 @@
             solo_headroom: f64::INFINITY,
             processor_share_percent: 100,
             headroom_share_percent: 100,
-            applied_share_percent: 100,
+            applied_share_percent: Some(100),
             target_share_percent: 100,
             is_share_change_pending: false,
             share_retry_ms: 0,
--- a/crates/dispatch/src/policy/protection.rs
+++ b/crates/dispatch/src/policy/protection.rs
@@ -13,22 +13,23 @@
 //! proportion to its load, and from what it uses on average. The best-effort tasks get the rest,
 //! and those that cost most for what they have done are throttled first.
 //!
-//! **Limits:** the demand for processors stays below what the worker has by as much as loads change
-//! until the next poll has been answered and an order has taken effect, about a second.
+//! **Limits:** from a change of load to the effect of an order, about a second passes: half of one
+//! that the tail latency covers, and the rest for the poll and the order. Within it, the headroom of
+//! a latency-critical task changes by up to a third. The limits leave as much of it, and more where
+//! a decision lasts longer.
 
 /// Part of the processor time that a long-running task reserves and uses on average, in percent.
-/// On days without disturbances, it is 42.
 pub const AVERAGE_USE_PERCENT: u64 = 50;
 /// Largest part that a latency-critical task is taken to use, in percent. When processors are
 /// short, tail latencies show the shortage and no longer the load.
 const MAX_USE_PERCENT: u64 = 75;
-/// Headroom that best-effort tasks leave to each latency-critical task where a new one is placed,
-/// where throttled ones get a greater share, and where they are not throttled yet. Below 1, the
-/// latency target is missed; a tail latency of half a second varies by a tenth and more.
+/// Headroom that a latency-critical task keeps if a new best-effort task is placed, if throttled
+/// ones get a greater share, and if none is throttled. Below 1, the latency target is missed.
 const PLACING_HEADROOM: f64 = 1.5;
 const RAISE_HEADROOM: f64 = 1.3;
 const THROTTLE_HEADROOM: f64 = 1.15;
-/// Bounds of the demand for processors, in percent of what a worker has.
+/// Bounds of the limits, in percent of the worker's processors. Beyond them, the rough figures of a
+/// single poll would decide alone.
 const MIN_LIMIT_PERCENT: u64 = 85;
 const MAX_LIMIT_PERCENT: u64 = 125;
 /// Share below which a task is suspended instead.
--- a/tests/dispatch_protection.rs
+++ b/tests/dispatch_protection.rs
@@ -76,6 +76,7 @@
     set_tail(&mut fleet, PEAK_TAIL_MS);
     fleet.run(3_000);
     let settled = shares(&fleet);
+    expect_that!(settled.iter().sum::<u32>(), lt(700));
     for _ in 0..20 {
         fleet.run(200);
         expect_that!(shares(&fleet), eq(&settled));
@@ -111,3 +112,21 @@
     let idle = &fleet.workers["10.0.0.77:80"];
     expect_that!(idle.shares().len(), eq(1));
 }
+
+/// Guards against best-effort tasks that stay suspended when the owner which has suspended them is
+/// gone: its successor took them for running at full share and sent no order.
+#[gtest]
+fn a_new_owner_resumes_tasks_that_the_previous_one_has_suspended() {
+    let mut fleet = fleet_with_serving_task(LOW_LOAD_TAIL_MS);
+    fleet.submit(0, 0x2, &job(vec![best_effort(3)]));
+    fleet.run(2_000);
+    set_tail(&mut fleet, TARGET_MS * 2);
+    fleet.run(3_000);
+    expect_that!(shares(&fleet), eq(&vec![0; 3]));
+    if let Some(owner) = fleet.owner() {
+        fleet.kill(owner);
+    }
+    set_tail(&mut fleet, LOW_LOAD_TAIL_MS);
+    fleet.run(8_000);
+    expect_that!(shares(&fleet), eq(&vec![100; 3]));
+}
