Workers whose serving tasks are close to their target are polled sooner

Cause: between two polls 0.7 s pass where no run ends, and the tail latency is half a second old by itself. Change: 250 ms, as for workers over their target, where the limit for throttling is below 105%.

--- a/crates/dispatch/src/owner/costs.rs
+++ b/crates/dispatch/src/owner/costs.rs
@@ -12,6 +12,8 @@
 use crate::policy::images::ImageKey;
 use crate::policy::interference::ImageUsage;
 use crate::policy::protection::AVERAGE_USE_PERCENT;
+use crate::policy::protection::bears_loss;
+use crate::policy::protection::is_at_peak;
 use crate::policy::shares::SuspendDelays;
 use crate::record::Step;
 use std::cmp::Reverse;
@@ -22,10 +24,6 @@
 const MIN_HEADROOM: f64 = 1.9;
 /// Maximum total headroom loss that best-effort tasks may cause to a serving task.
 const MAX_HEADROOM_LOSS: f64 = 0.40;
-/// Headroom without best-effort tasks below which a serving task is at the peak of its load, and
-/// headroom that best-effort tasks must leave to it there.
-const PEAK_HEADROOM: f64 = 1.8;
-const MIN_PEAK_HEADROOM: f64 = 1.2;
 /// Cost, in thousandths of a core, of a headroom loss of 1.
 const HEADROOM_LOSS_COST: f64 = 40_000.0;
 /// Headroom loss from which on a best-effort task is kept away from a serving task that is already
@@ -208,13 +206,13 @@
                 }
             }
             let is_slight = headroom_loss < MIN_HEADROOM_LOSS;
-            let is_at_peak = is_protecting && run.solo_headroom < PEAK_HEADROOM;
+            let is_at_peak = is_protecting && is_at_peak(run.solo_headroom);
             if is_slight && !(is_at_peak && headroom_loss >= SLIGHT_HEADROOM_LOSS) {
                 continue;
             }
             let others = others.get_or_insert_with(|| best_effort_demands(worker));
             let total_loss = headroom_loss + self.interference.headroom_loss(run.image, others);
-            if is_at_peak && run.solo_headroom - total_loss < MIN_PEAK_HEADROOM {
+            if is_at_peak && !bears_loss(run.solo_headroom, total_loss) {
                 return None;
             }
             if is_slight {
--- a/crates/dispatch/src/owner/polls.rs
+++ b/crates/dispatch/src/owner/polls.rs
@@ -25,8 +25,8 @@
 /// Time for which a worker delays the answer to a poll until a run ends. It bounds how late a
 /// silent worker is noticed, and how old the tail latencies of latency-critical tasks are.
 const LONG_POLL_MS: u64 = 700;
-/// The same where best-effort tasks run beside a latency-critical task that is over its target: the
-/// next answer decides whether they are suspended in time.
+/// The same where best-effort tasks run beside a latency-critical task that is over its target, or
+/// close to it: the next answer decides whether they are suspended or throttled in time.
 const OVER_TARGET_LONG_POLL_MS: u64 = 250;
 /// Maximum number of polls in one turn, and in one millisecond where turns are shorter.
 const MAX_POLLS: usize = 100;
@@ -112,6 +112,7 @@
         let span_ms = self.lease_span_ms();
         let lease_ms = self.lease_ms();
         let is_own_link_suspect = self.answers.is_link_suspect();
+        let is_near_target = self.is_near_target(&self.workers[key]);
         let worker = &mut self.workers[key];
         // The leases of a silent worker must expire at some time, as its tasks are started
         // elsewhere only then; a poll whose answer is lost would extend them. While the answers of
@@ -134,7 +135,7 @@
             && !has_unrecorded
             && worker.clock.is_some();
         let wait_ms = match waits {
-            true if worker.is_over_target => OVER_TARGET_LONG_POLL_MS,
+            true if worker.is_over_target || is_near_target => OVER_TARGET_LONG_POLL_MS,
             true => LONG_POLL_MS,
             false => 0,
         };
--- a/crates/dispatch/src/owner/protection.rs
+++ b/crates/dispatch/src/owner/protection.rs
@@ -74,6 +74,14 @@
         }
     }
 
+    /// Returns whether best-effort tasks on a worker run beside a serving task that is close to its
+    /// target.
+    pub(super) fn is_near_target(&self, worker: &Worker) -> bool {
+        let processors = self.protected_processors(worker);
+        worker.best_effort_milli > 0
+            && processors.is_some_and(|processors| processors.limits.are_tight())
+    }
+
     /// Sets the shares of the best-effort tasks on a worker: for each the lower one of its shares by
     /// processors and by headroom.
     pub(super) fn set_target_shares(&mut self, key: WorkerKey, actions: &mut Vec<Action>) {
--- a/crates/dispatch/src/policy/protection.rs
+++ b/crates/dispatch/src/policy/protection.rs
@@ -28,10 +28,17 @@
 const PLACING_HEADROOM: f64 = 1.5;
 const RAISE_HEADROOM: f64 = 1.3;
 const THROTTLE_HEADROOM: f64 = 1.15;
+/// Headroom without best-effort tasks below which a latency-critical task is at the peak of its
+/// load.
+const PEAK_HEADROOM: f64 = 1.8;
+/// Headroom that best-effort tasks which interfere with it must leave to it there.
+const MIN_PEAK_HEADROOM: f64 = 1.2;
 /// Bounds of the limits, in percent of the worker's processors. Beyond them, the rough figures of a
 /// single poll would decide alone.
 const MIN_LIMIT_PERCENT: u64 = 85;
 const MAX_LIMIT_PERCENT: u64 = 125;
+/// Limit for throttling below which the latency-critical task that sets it is close to its target.
+const TIGHT_LIMIT_PERCENT: u64 = 105;
 /// Share below which a task is suspended instead.
 const MIN_SHARE_PERCENT: u32 = 20;
 
@@ -45,6 +52,18 @@
     (reserved_milli as f64 * used_percent / 100.0) as u64
 }
 
+/// Returns whether a latency-critical task with this headroom, without best-effort tasks, is at the
+/// peak of its load.
+pub fn is_at_peak(solo_headroom: f64) -> bool {
+    solo_headroom < PEAK_HEADROOM
+}
+
+/// Returns whether a latency-critical task bears it that best-effort tasks take `headroom_loss` from
+/// it now.
+pub fn bears_loss(solo_headroom: f64, headroom_loss: f64) -> bool {
+    solo_headroom - headroom_loss >= MIN_PEAK_HEADROOM
+}
+
 /// Demand for the processors of a worker up to which its latency-critical tasks meet their targets,
 /// in percent of what the worker has.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -68,6 +87,12 @@
         }
     }
 
+    /// Returns whether a change of load within a second may require that best-effort tasks are
+    /// throttled.
+    pub fn are_tight(&self) -> bool {
+        self.throttle_percent < TIGHT_LIMIT_PERCENT
+    }
+
     /// Returns the limits that meet both.
     pub fn min(self, other: Self) -> Self {
         Self {
--- a/tests/policy_protection.rs
+++ b/tests/policy_protection.rs
@@ -2,8 +2,12 @@
 
 use goldcrestway_dispatch::policy::protection::BestEffortTask;
 use goldcrestway_dispatch::policy::protection::Limits;
+use goldcrestway_dispatch::policy::protection::OverTargetCause;
 use goldcrestway_dispatch::policy::protection::Processors;
+use goldcrestway_dispatch::policy::protection::bears_loss;
 use goldcrestway_dispatch::policy::protection::choose_shares;
+use goldcrestway_dispatch::policy::protection::is_at_peak;
+use goldcrestway_dispatch::policy::protection::over_target_cause;
 use goldcrestway_dispatch::policy::protection::used_milli;
 use googletest::prelude::*;
 
@@ -123,6 +127,105 @@
     }
 }
 
+/// Load: a task close to its target, whose next poll decides whether others are throttled in time.
+#[gtest]
+fn a_task_close_to_its_target_is_polled_sooner() {
+    expect_that!(Limits::new(1.5, AVERAGE_HEADROOM).are_tight(), eq(false));
+    expect_that!(Limits::new(1.2, AVERAGE_HEADROOM).are_tight(), eq(true));
+}
+
+/// A latency-critical task by its headroom without best-effort tasks, and what these take from it.
+struct PeakCase {
+    name: &'static str,
+    solo_headroom: f64,
+    headroom_loss: f64,
+    is_at_peak: bool,
+    bears_loss: bool,
+}
+
+const PEAK_CASES: &[PeakCase] = &[
+    PeakCase {
+        name: "average load",
+        solo_headroom: AVERAGE_HEADROOM,
+        headroom_loss: 0.4,
+        is_at_peak: false,
+        bears_loss: true,
+    },
+    PeakCase {
+        name: "peak, beside tasks that hardly interfere",
+        solo_headroom: 1.5,
+        headroom_loss: 0.1,
+        is_at_peak: true,
+        bears_loss: true,
+    },
+    // Load: many tasks that interfere a little each, at the peak of a latency-critical task.
+    PeakCase {
+        name: "peak, beside tasks that interfere together",
+        solo_headroom: 1.5,
+        headroom_loss: 0.35,
+        is_at_peak: true,
+        bears_loss: false,
+    },
+];
+
+#[gtest]
+fn less_interference_is_borne_at_the_peak_of_load() {
+    for case in PEAK_CASES {
+        let at_peak = is_at_peak(case.solo_headroom);
+        expect_that!(at_peak, eq(case.is_at_peak), "{}", case.name);
+        let bears = bears_loss(case.solo_headroom, case.headroom_loss);
+        expect_that!(bears, eq(case.bears_loss), "{}", case.name);
+    }
+}
+
+/// A latency-critical task by its headroom, and why it is over its target.
+struct CauseCase {
+    name: &'static str,
+    headroom: f64,
+    headroom_loss: f64,
+    demand_percent: u64,
+    cause: Option<OverTargetCause>,
+}
+
+const CAUSE_CASES: &[CauseCase] = &[
+    CauseCase {
+        name: "it meets its target",
+        headroom: 1.0,
+        headroom_loss: 0.4,
+        demand_percent: 120,
+        cause: None,
+    },
+    CauseCase {
+        name: "the processors are short",
+        headroom: 0.8,
+        headroom_loss: 0.4,
+        demand_percent: 100,
+        cause: Some(OverTargetCause::Processors),
+    },
+    CauseCase {
+        name: "best-effort tasks interfere",
+        headroom: 0.8,
+        headroom_loss: 0.4,
+        demand_percent: 80,
+        cause: Some(OverTargetCause::Interference),
+    },
+    CauseCase {
+        name: "nothing that is known",
+        headroom: 0.3,
+        headroom_loss: 0.4,
+        demand_percent: 80,
+        cause: Some(OverTargetCause::Other),
+    },
+];
+
+#[gtest]
+fn the_cause_of_time_over_target_is_told() {
+    for case in CAUSE_CASES {
+        let cause = over_target_cause(case.headroom, case.headroom_loss, case.demand_percent);
+        expect_that!(cause, eq(case.cause), "{}", case.name);
+    }
+}
+
 /// The task with the least headroom decides.
 #[gtest]
 fn a_worker_bears_what_each_of_its_tasks_bears() {
