--- a/crates/dispatch/src/owner/costs.rs
+++ b/crates/dispatch/src/owner/costs.rs
@@ -12,14 +12,14 @@
 use crate::owner::worker::WorkerKey;
 use crate::policy::images::ImageKey;
 use crate::policy::interference::ImageUsage;
+use crate::policy::protection::AVERAGE_USE_PERCENT;
+use crate::policy::protection::bears_loss;
+use crate::policy::protection::is_at_peak;
 use crate::policy::shares::SuspendDelays;
 use crate::record::Step;
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 
-/// Part of its requested CPU that a long-running task is expected to use, in percent. Best-effort
-/// tasks get the rest. On days without disturbances, it is 42.
-const LONG_RUNNING_USE_PERCENT: u64 = 50;
 /// Headroom that best-effort tasks must leave to a serving task. Below 1, the task misses its
 /// target, and the task's own load reduces the headroom by a third at its peak.
 const MIN_HEADROOM: f64 = 1.9;
@@ -49,6 +49,10 @@
 /// remote data, as other jobs would lose the work.
 const AT_STAKE_COST: i64 = 1_000;
 
+/// Cost of each thousandth of a core that best-effort tasks have to release to a task that reserves
+/// it.
+const CONTENTION_COST: i64 = 10;
+
 /// Requirements of a step for the worker of one of its tasks.
 #[derive(Clone)]
 pub(crate) struct TaskRequirements<'a> {
@@ -126,13 +130,23 @@
         let interference_cost = self
             .interference_cost(worker, requirements, now_ms)
             .ok_or(Exclusion::Disturbed)?;
-        let cost = resource_cost(worker, requirements).ok_or(Exclusion::Crowded)?;
+        let processors = self.protected_processors(worker);
+        let available_milli = match processors {
+            Some(processors) => processors.unused_milli(worker.best_effort_milli),
+            None => unused_milli(worker),
+        };
+        let cost =
+            resource_cost(worker, requirements, available_milli).ok_or(Exclusion::Crowded)?;
+        let contention_cost = match processors {
+            Some(_) => contention_cost(requirements.step, available_milli),
+            None => 0,
+        };
         let crash_risk_cost = crash_risk_cost(worker, requirements).ok_or(Exclusion::Suspects)?;
         // Checked last, so that an evacuation is only reported if nothing else excludes the worker.
         if self.is_evacuated(worker) {
             return Err(Exclusion::Evacuated);
         }
-        Ok(cost + interference_cost + crash_risk_cost)
+        Ok(cost + interference_cost + contention_cost + crash_risk_cost)
     }
 
     /// Returns the cost of the interference between a task and the tasks on a worker: what a
@@ -179,6 +193,7 @@
         own_usage: ImageUsage,
         now_ms: u64,
     ) -> Option<i64> {
+        let is_protecting = self.protected_processors(worker).is_some();
         let mut others = None;
         let mut max_loss: f64 = 0.0;
         for run in worker.runs.values() {
@@ -195,11 +210,19 @@
                     return None;
                 }
             }
-            if headroom_loss < MIN_HEADROOM_LOSS {
+            let is_slight = headroom_loss < MIN_HEADROOM_LOSS;
+            let is_at_peak = is_protecting && is_at_peak(run.solo_headroom);
+            if is_slight && !(is_at_peak && headroom_loss >= SLIGHT_HEADROOM_LOSS) {
                 continue;
             }
             let others = others.get_or_insert_with(|| best_effort_demands(worker));
             let total_loss = headroom_loss + self.interference.headroom_loss(run.image, others);
+            if is_at_peak && !bears_loss(run.solo_headroom, total_loss) {
+                return None;
+            }
+            if is_slight {
+                continue;
+            }
             let is_tight = self.interference.solo_headroom(run.image) - total_loss < MIN_HEADROOM;
             if is_tight || total_loss > MAX_HEADROOM_LOSS {
                 return None;
@@ -279,9 +302,12 @@
 
 /// Returns the cost of a task by the resources, health and location of a worker. Returns `None` if
 /// a best-effort task would only slow down those that are already there.
-fn resource_cost(worker: &Worker, requirements: &TaskRequirements<'_>) -> Option<i64> {
+fn resource_cost(
+    worker: &Worker,
+    requirements: &TaskRequirements<'_>,
+    available_milli: i64,
+) -> Option<i64> {
     let step = requirements.step;
-    let available_milli = unused_milli(worker);
     let mut cost = -available_milli;
     if !step.is_best_effort && !step.is_long_running {
         // Best fit: workers with much free CPU remain available for large tasks.
@@ -311,10 +337,20 @@
     Some(cost)
 }
 
+/// Returns the cost of a task that reserves its processors where best-effort tasks use them now.
+/// Until these are throttled, all of them slow down the latency-critical tasks.
+fn contention_cost(step: &Step, available_milli: i64) -> i64 {
+    if step.is_best_effort || step.is_long_running {
+        return 0;
+    }
+    let missing_milli = step.cpu_milli as i64 - available_milli;
+    missing_milli.max(0) * CONTENTION_COST
+}
+
 /// Returns the CPU that is expected to be unused on a worker, in thousandths of a core. It is
 /// negative if the best-effort tasks there already request more than that.
 fn unused_milli(worker: &Worker) -> i64 {
-    let unused_by_long_running = worker.long_running_milli * (100 - LONG_RUNNING_USE_PERCENT) / 100;
+    let unused_by_long_running = worker.long_running_milli * (100 - AVERAGE_USE_PERCENT) / 100;
     worker.entry.resources.cpu_milli as i64 - worker.used.cpu_milli as i64
         + unused_by_long_running as i64
         - worker.best_effort_milli as i64
--- a/crates/dispatch/src/owner/placing.rs
+++ b/crates/dispatch/src/owner/placing.rs
@@ -400,7 +400,11 @@
         let text_bytes = checkpoint_bytes + job.specification.len();
         self.charge_start(text_bytes);
         self.timeline.enter(id, Phase::Recording, now.steady_ms);
+        let is_best_effort = run.is_best_effort;
         self.workers[worker].add(id, number, run);
+        if !is_best_effort {
+            self.set_target_shares(worker, actions);
+        }
         self.writer.start_once_stored(worker, id, number);
     }
 }
--- a/crates/dispatch/src/owner/worker.rs
+++ b/crates/dispatch/src/owner/worker.rs
@@ -9,6 +9,9 @@
 use crate::policy::interference::Baseline;
 use crate::policy::interference::UsageWindow;
 use crate::policy::polls::Activity;
+use crate::policy::protection::AVERAGE_USE_PERCENT;
+use crate::policy::protection::Limits;
+use crate::policy::protection::Processors;
 use crate::policy::stragglers::Speed;
 use crate::record::Step;
 use slotmap::new_key_type;
@@ -135,8 +138,17 @@
     pub(crate) baseline: Baseline,
     /// Since when its tail latency is over its target.
     pub(crate) over_since_ms: Option<u64>,
-    /// CPU share that the worker has last accepted.
-    pub(crate) applied_share_percent: u32,
+    /// Processor time that it is expected to use, at full share.
+    pub(crate) used_milli: u64,
+    /// Its headroom now without the best-effort tasks beside it, if it is latency-critical.
+    pub(crate) solo_headroom: f64,
+    /// Its share by the processor time that latency-critical tasks leave, and by the headroom that
+    /// it takes from them. The lower one applies.
+    pub(crate) processor_share_percent: u32,
+    pub(crate) headroom_share_percent: u32,
+    /// CPU share that the worker has last accepted; `None` if a previous owner may have set another
+    /// one.
+    pub(crate) applied_share_percent: Option<u32>,
     /// CPU share that it should have.
     pub(crate) target_share_percent: u32,
     /// An order to change its CPU share was sent and has no answer yet.
@@ -171,7 +183,14 @@
             previous_gauge: 0,
             baseline: Baseline::default(),
             over_since_ms: None,
-            applied_share_percent: 100,
+            used_milli: match step.is_long_running {
+                true => step.cpu_milli * AVERAGE_USE_PERCENT / 100,
+                false => step.cpu_milli,
+            },
+            solo_headroom: f64::INFINITY,
+            processor_share_percent: 100,
+            headroom_share_percent: 100,
+            applied_share_percent: Some(100),
             target_share_percent: 100,
             is_share_change_pending: false,
             share_retry_ms: 0,
@@ -243,6 +262,10 @@
     pub(crate) window: UsageWindow,
     /// Processor time reserved by long-running tasks, which use a part of it.
     pub(crate) long_running_milli: u64,
+    /// Processor time that they are expected to use.
+    pub(crate) long_running_used_milli: u64,
+    /// Demand for its processors that its latency-critical tasks bear now; `None` if it has none.
+    pub(crate) limits: Option<Limits>,
     /// It gets no new tasks before this time.
     pub(crate) avoided_until_ms: u64,
     /// Speeds of runs that exited there recently, and when they did.
@@ -255,8 +278,10 @@
     pub(crate) is_changed: bool,
     /// Its time in the queue of due workers.
     pub(crate) queued_due_ms: Option<u64>,
-    /// Earliest time of the next change of CPU shares.
+    /// Earliest time of the next change of CPU shares by headroom.
     pub(crate) next_share_change_ms: u64,
+    /// When its gauges were last read.
+    pub(crate) gauged_ms: u64,
     /// Best-effort tasks run beside a latency-critical task that is over its target.
     pub(crate) is_over_target: bool,
 }
@@ -289,6 +314,8 @@
             best_effort_milli: 0,
             window: UsageWindow::default(),
             long_running_milli: 0,
+            long_running_used_milli: 0,
+            limits: None,
             avoided_until_ms: 0,
             ended_speeds: VecDeque::new(),
             consecutive_failures: 0,
@@ -296,6 +323,7 @@
             is_changed: false,
             queued_due_ms: None,
             next_share_change_ms: 0,
+            gauged_ms: 0,
             is_over_target: false,
         }
     }
@@ -466,6 +494,17 @@
         self.entry.resources.minus(self.used)
     }
 
+    /// Returns the use of its processors by all but best-effort tasks, if it has latency-critical
+    /// ones.
+    pub(crate) fn processors(&self) -> Option<Processors> {
+        Some(Processors {
+            capacity_milli: self.entry.resources.cpu_milli,
+            reserved_milli: self.used.cpu_milli.saturating_sub(self.long_running_milli),
+            long_running_milli: self.long_running_used_milli,
+            limits: self.limits?,
+        })
+    }
+
     /// Returns the estimated time of its clock.
     pub(crate) fn clock_ms(&self, now_ms: u64) -> Option<u64> {
         let (clock_ms, at_ms) = self.clock?;
@@ -479,6 +518,7 @@
         }
         if run.is_long_running {
             self.long_running_milli += run.cpu_milli;
+            self.long_running_used_milli += run.used_milli;
         }
         self.probes += u32::from(run.is_probe);
         self.runs.insert((task, number), run);
@@ -495,6 +535,8 @@
         }
         if run.is_long_running {
             self.long_running_milli = self.long_running_milli.saturating_sub(run.cpu_milli);
+            self.long_running_used_milli =
+                self.long_running_used_milli.saturating_sub(run.used_milli);
         }
         Some(run)
     }
--- a/crates/dispatch/src/policy/mod.rs
+++ b/crates/dispatch/src/policy/mod.rs
@@ -15,6 +15,7 @@
 //! | [`informing`] | whether the owner answers queries of the other hosts |
 //! | [`size`] | how large a job may be |
 //! | [`stragglers`] | which workers slow down the tasks that run there |
+//! | [`protection`] | how much best-effort work the latency-critical tasks on a worker bear now |
 //! | [`suspicion`] | which task is the cause when a worker has crashed |
 
 pub mod answer_timeouts;
@@ -26,6 +27,7 @@
 pub mod ordering;
 pub mod placing;
 pub mod polls;
+pub mod protection;
 pub mod relaying;
 pub mod shares;
 pub mod size;
--- a/crates/dispatch/src/policy/switches.rs
+++ b/crates/dispatch/src/policy/switches.rs
@@ -26,6 +26,9 @@
     pub owner_answers: bool,
     /// The time of each job is accounted for by phases.
     pub accounts_times: bool,
+    /// Best-effort tasks get the processor time that the latency-critical tasks beside them leave
+    /// now, by their present load.
+    pub protects_serving: bool,
 }
 
 impl Default for Policy {
@@ -41,6 +44,7 @@
             begun_first: true,
             owner_answers: true,
             accounts_times: true,
+            protects_serving: true,
         }
     }
 }
