Run times: learned durations decide when jobs are due and will end

Cause: callers estimate the mean duration of a task, wrong by a factor per step; the tasks of a step differ little. Ruled out: a difference by image (medians 0.94 to 1.26 of 18 images, within the spread between steps).

Change: policy/run_times.rs learns for each queue the mean of a step to its estimate and a task to the mean of its step; owner/projections.rs derives objective and projected end of a job. Stragglers use the same expectation.

--- a/crates/dispatch/src/owner/adopting.rs
+++ b/crates/dispatch/src/owner/adopting.rs
@@ -77,7 +77,7 @@
         let key = self.jobs.insert(job);
         self.job_keys.insert(id, key);
         self.live_jobs.push(key);
-        self.recover_runs(key);
+        self.recover_runs(key, now.steady_ms);
         self.recover_lost_runs(key);
         self.must_place |= is_new;
         if record.is_cancelled {
@@ -107,7 +107,7 @@
         self.bounds.max_lease_ms * CLOCK_SKEW_PERMILLE / 1_000 + LEASE_SLACK_MS
     }
 
-    fn recover_runs(&mut self, key: JobKey) {
+    fn recover_runs(&mut self, key: JobKey, now_ms: u64) {
         let job = &self.jobs[key];
         let mut placement = Vec::new();
         job.for_each_task(|id, task| {
@@ -115,7 +115,7 @@
             placement.extend(task.copy.map(|copy| (id, copy)));
         });
         for (id, at) in placement {
-            let mut run = self.make_run(key, id, RunPhase::Inherited, 0);
+            let mut run = self.make_run(key, id, RunPhase::Inherited, now_ms);
             run.is_probe = self.suspected_at(id).is_some();
             if let Some(worker) = self.workers.get_mut(at.worker) {
                 // Its exit may have been listed and skipped before the job was read. A run that
--- a/crates/dispatch/src/owner/exits.rs
+++ b/crates/dispatch/src/owner/exits.rs
@@ -68,20 +68,18 @@
         let Some(job) = self.job_keys.get(&task.job).copied() else {
             return;
         };
-        if exit_reason == ExitReason::Done && run.first_percent == 0 {
-            let took_ms = now.steady_ms.saturating_sub(run.started_ms);
-            let job = &mut self.jobs[job];
-            self.durations
-                .add(&job.submission.queue, run.is_best_effort, took_ms);
-            if let Some(step) = job.step_mut(task) {
-                step.ended += 1;
-                step.ended_ms += took_ms;
-                let speed = Speed {
-                    projected_ms: took_ms,
-                    sibling_ms: step.ended_ms / u64::from(step.ended),
-                };
-                self.workers[key].record_speed(speed, now.steady_ms);
-            }
+        let is_done = exit_reason == ExitReason::Done;
+        // A worker that fails whatever it starts says nothing of how long its tasks would run.
+        let is_own_failure = exit_reason == ExitReason::Failed
+            && self.workers[key].consecutive_failures < MAX_CONSECUTIVE_FAILURES;
+        if (is_done || is_own_failure)
+            && let Some(sibling_ms) = self.measure_run(job, task, &run, is_done, now)
+        {
+            let speed = Speed {
+                projected_ms: now.steady_ms.saturating_sub(run.started_ms),
+                sibling_ms,
+            };
+            self.workers[key].record_speed(speed, now.steady_ms);
         }
         self.end_run(
             job,
@@ -138,6 +136,7 @@
         step.recount();
         job.is_dirty = true;
         job.has_waiting = true;
+        self.learn_step(key, id);
         for (task, duplicate) in duplicates {
             self.stop_duplicate(task, duplicate);
         }
--- a/crates/dispatch/src/owner/job.rs
+++ b/crates/dispatch/src/owner/job.rs
@@ -8,9 +8,12 @@
 use crate::owner::permits::MAX_ASKED;
 use crate::owner::progress::resume_step;
 use crate::owner::progress::step_progress;
+use crate::owner::projections::Expectation;
+use crate::owner::projections::KnownTimes;
 use crate::owner::task::Task;
 use crate::owner::worker::WorkerKey;
 use crate::policy::ordering::WaitingJob;
+use crate::policy::run_times::JobTimes;
 use crate::policy::size::max_tasks;
 use crate::record::JobPhase;
 use crate::record::OccurrenceProgress;
@@ -38,7 +41,8 @@
     pub(crate) waiting: u32,
     /// Time since which some of its tasks could run and do not.
     pub(crate) waiting_since_ms: Option<u64>,
-    /// Number of runs that ended successfully under this owner, and their total duration.
+    /// Number of tasks whose duration this owner has measured from start to success, and their
+    /// total duration.
     pub(crate) ended: u32,
     pub(crate) ended_ms: u64,
 }
@@ -86,7 +90,7 @@
 }
 
 impl Occurrence {
-    fn new(number: u32, submission: &Submission) -> Self {
+    pub(super) fn new(number: u32, submission: &Submission) -> Self {
         let mut steps = Vec::with_capacity(submission.steps.len());
         for step in &submission.steps {
             steps.push(StepState::new(step));
@@ -121,10 +125,15 @@
     pub(crate) published: JobPhase,
     /// Its progress has changed since it was last recorded.
     pub(crate) is_dirty: bool,
+    arrived_ms: u64,
     /// Time by which its caller wants it to be completed.
     pub(crate) due_ms: u64,
     /// Time after which its completion has no value to its caller.
     pub(crate) no_value_after_ms: u64,
+    /// Its expected work and projected end.
+    pub(crate) known: KnownTimes,
+    /// What was expected of it when its first task was assigned, if this owner has assigned it.
+    pub(crate) expected: Option<Expectation>,
     pub(crate) final_wall_ms: u64,
     /// Some of its tasks wait only for a worker, or it is not known whether any do.
     pub(crate) has_waiting: bool,
@@ -144,8 +153,6 @@
     ) -> Option<Self> {
         let submission = record.submission.clone()?;
         let age_ms = now.wall_ms.saturating_sub(submission.accepted_wall_ms);
-        let allowed_ms = submission.target_latency_ms
-            + longest_chain_ms(&submission, |_| true) * submission.stretch_permille / 1_000;
         let arrived_ms = now.steady_ms.saturating_sub(age_ms);
         let mut job = Self {
             id,
@@ -155,8 +162,11 @@
             phase: progress.map_or(JobPhase::Queued, Progress::phase),
             published: record.phase(),
             is_dirty: false,
-            due_ms: arrived_ms + allowed_ms,
-            no_value_after_ms: arrived_ms + allowed_ms * NO_VALUE_FACTOR,
+            arrived_ms,
+            due_ms: 0,
+            no_value_after_ms: 0,
+            known: KnownTimes::default(),
+            expected: None,
             final_wall_ms: 0,
             has_waiting: true,
             submission,
@@ -164,6 +174,7 @@
         if let Some(progress) = progress {
             job.resume(progress, worker);
         }
+        job.estimate_times();
         Some(job)
     }
 
@@ -227,13 +238,35 @@
             has_started: self.phase != JobPhase::Queued,
             due_ms: self.due_ms + due_offset_ms,
             no_value_after_ms: self.no_value_after_ms + due_offset_ms,
-            remaining_ms: self.remaining_ms(),
+            remaining_ms: self.known.times.remaining_ms,
         }
     }
 
+    /// Sets its times by the estimates of its caller alone.
+    pub(crate) fn estimate_times(&mut self) {
+        self.known.times = JobTimes {
+            chain_ms: longest_chain_ms(&self.submission, |_| true),
+            remaining_ms: self.remaining_ms(),
+        };
+        self.set_objective(self.known.times.chain_ms);
+    }
+
+    /// Sets its objective by the work of its longest chain of steps.
+    pub(crate) fn set_objective(&mut self, chain_ms: u64) {
+        self.due_ms = self.due_of_ms(chain_ms);
+        let allowed_ms = self.due_ms - self.arrived_ms;
+        self.no_value_after_ms = self.arrived_ms + allowed_ms * NO_VALUE_FACTOR;
+    }
+
+    /// Returns when it is due if its longest chain of steps takes the given time.
+    pub(crate) fn due_of_ms(&self, chain_ms: u64) -> u64 {
+        let stretched_ms = chain_ms * self.submission.stretch_permille / 1_000;
+        self.arrived_ms + self.submission.target_latency_ms + stretched_ms
+    }
+
     /// Returns the time in milliseconds from the acceptance of the job until its first unfinished
     /// occurrence is due, at most until now. Returns 0 for jobs without repetitions.
-    fn due_offset_ms(&self, now: Now) -> u64 {
+    pub(crate) fn due_offset_ms(&self, now: Now) -> u64 {
         let open = self
             .occurrences
             .iter()
@@ -259,13 +292,7 @@
     }
 
     pub(crate) fn task(&self, id: TaskId) -> Option<&Task> {
-        let mut occurrences = self.occurrences.iter();
-        occurrences
-            .find(|occurrence| occurrence.number == id.occurrence)?
-            .steps
-            .get(usize::from(id.step))?
-            .tasks
-            .get(usize::from(id.index))
+        self.step_state(id)?.tasks.get(usize::from(id.index))
     }
 
     /// Calls `visit` for all tasks of open occurrences.
@@ -289,6 +316,14 @@
         self.step_mut(id)?.tasks.get_mut(usize::from(id.index))
     }
 
+    pub(crate) fn step_state(&self, id: TaskId) -> Option<&StepState> {
+        let mut occurrences = self.occurrences.iter();
+        occurrences
+            .find(|occurrence| occurrence.number == id.occurrence)?
+            .steps
+            .get(usize::from(id.step))
+    }
+
     pub(crate) fn step_mut(&mut self, id: TaskId) -> Option<&mut StepState> {
         self.occurrences
             .iter_mut()
@@ -343,9 +378,18 @@
     }
 }
 
+/// Returns the duration in milliseconds of the call for permits before each step of a job.
+pub(crate) fn permit_call_ms(submission: &Submission) -> u64 {
+    match submission.needs_permits() {
+        true => submission.permit_call_ms(MAX_ASKED),
+        false => 0,
+    }
+}
+
 /// Returns the duration in milliseconds of the longest chain of steps, in which only those count
 /// for which `counted` returns true.
 fn longest_chain_ms(submission: &Submission, counted: impl Fn(usize) -> bool) -> u64 {
+    let call_ms = permit_call_ms(submission);
     let mut ends_ms: Vec<u64> = Vec::with_capacity(submission.steps.len());
     for (number, step) in submission.steps.iter().enumerate() {
         let mut start_ms = 0;
@@ -356,10 +400,6 @@
             0 => UNKNOWN_WORK_MS,
             work_ms => work_ms,
         };
-        let call_ms = match submission.needs_permits() {
-            true => submission.permit_call_ms(MAX_ASKED),
-            false => 0,
-        };
         let took_ms = if counted(number) {
             call_ms + work_ms
         } else {
--- a/crates/dispatch/src/owner/mod.rs
+++ b/crates/dispatch/src/owner/mod.rs
@@ -25,6 +25,7 @@
 mod placing;
 mod polls;
 mod progress;
+mod projections;
 mod relaying;
 mod shares;
 mod stragglers;
@@ -53,7 +54,6 @@
 use crate::owner::job::JobKey;
 pub(crate) use crate::owner::link::records_bytes;
 use crate::owner::permits::Permits;
-use crate::owner::stragglers::Durations;
 pub use crate::owner::waits::WaitReason;
 use crate::owner::worker::RunPhase;
 use crate::owner::worker::WorkerKey;
@@ -65,6 +65,7 @@
 use crate::policy::link::CallPriority;
 use crate::policy::link::LinkBudget;
 use crate::policy::placing::placing_gap_ms;
+use crate::policy::run_times::RunTimes;
 use crate::record::JobPhase;
 use crate::record::Progress;
 use crate::record::Submission;
@@ -184,7 +185,8 @@
     relays_due_ms: u64,
     images: Images,
     interference: InterferenceModel,
-    durations: Durations,
+    run_times: RunTimes,
+    next_straggler_search_ms: u64,
     permits: Permits,
     evacuations: Rc<Evacuations>,
     /// The rules are too old to start tasks.
@@ -255,7 +257,8 @@
             relays_due_ms: 0,
             images: Images::default(),
             interference: InterferenceModel::default(),
-            durations: Durations::default(),
+            run_times: RunTimes::default(),
+            next_straggler_search_ms: 0,
             permits: Permits::default(),
             evacuations: Rc::default(),
             are_starts_paused: false,
@@ -287,6 +290,7 @@
             owner
                 .interference
                 .resume(&recovered.learned, &mut owner.images);
+            owner.run_times.resume(&recovered.learned.run_times);
         }
         let mut ids: Vec<JobId> = job_table.jobs.keys().copied().collect();
         ids.sort_unstable();
@@ -308,15 +312,19 @@
 
     /// Ends a job and stops all of its runs.
     fn finish(&mut self, key: JobKey, phase: JobPhase, now: Now, actions: &mut Vec<Action>) {
-        let job = &mut self.jobs[key];
-        if job.phase.is_final() {
+        if self.jobs[key].phase.is_final() {
             return;
         }
+        let expectation = match phase {
+            JobPhase::Completed => self.describe_expectation(key, now),
+            _ => String::new(),
+        };
+        let job = &mut self.jobs[key];
         actions.push(Action::Note(Note::new(
             Code::JobFinished,
             job.id.to_string(),
             format!(
-                "how={phase:?} queue={} spare_ms={}",
+                "how={phase:?} queue={} spare_ms={}{expectation}",
                 job.submission.queue,
                 job.due_ms as i64 - now.steady_ms as i64
             ),
--- a/crates/dispatch/src/owner/placing.rs
+++ b/crates/dispatch/src/owner/placing.rs
@@ -7,6 +7,7 @@
 use crate::owner::Owner;
 use crate::owner::costs::TaskRequirements;
 use crate::owner::job::JobKey;
+use crate::owner::projections::Expectation;
 use crate::owner::task::Placement;
 use crate::owner::worker::RunPhase;
 use crate::owner::worker::WorkerKey;
@@ -77,14 +78,15 @@
             return;
         }
         let mut order = Vec::new();
-        for key in &self.live_jobs {
-            let job = &self.jobs[*key];
-            if job.has_waiting {
-                order.push((
-                    Urgency::new(&job.waiting(now), &self.bounds.policy, now.steady_ms),
-                    *key,
-                ));
+        for index in 0..self.live_jobs.len() {
+            let key = self.live_jobs[index];
+            if !self.jobs[key].has_waiting {
+                continue;
             }
+            self.refresh_times(key, now);
+            let waiting = self.jobs[key].waiting(now);
+            let urgency = Urgency::new(&waiting, &self.bounds.policy, now.steady_ms);
+            order.push((urgency, key));
         }
         order.sort_unstable();
         let mut pass = PlacementPass {
@@ -369,10 +371,21 @@
         job.is_dirty = true;
         if job.phase == JobPhase::Queued {
             job.phase = JobPhase::Running;
+            let waiting = job.waiting(now);
+            let expected = Expectation {
+                begun_ms: now.steady_ms,
+                times: job.known.times,
+                is_late: now.steady_ms + waiting.remaining_ms > waiting.due_ms,
+            };
+            job.expected = Some(expected);
             actions.push(Action::Note(Note::new(
                 Code::JobBegun,
                 id.job.to_string(),
-                format!("due_in_ms={}", job.due_ms as i64 - now.steady_ms as i64),
+                format!(
+                    "due_in_ms={} projected_ms={}",
+                    waiting.due_ms as i64 - now.steady_ms as i64,
+                    waiting.remaining_ms
+                ),
             )));
         }
         let Some(task) = job.task_mut(id) else {
--- a/crates/dispatch/src/owner/shares.rs
+++ b/crates/dispatch/src/owner/shares.rs
@@ -156,7 +156,10 @@
         };
         run.is_share_change_pending = false;
         match outcome {
-            OrderOutcome::Done { .. } => run.applied_share_percent = percent,
+            OrderOutcome::Done { .. } => {
+                run.applied_share_percent = percent;
+                run.was_throttled |= percent < 100;
+            }
             _ => run.share_retry_ms = now_ms + MIN_CHANGE_INTERVAL_MS,
         }
     }
--- a/crates/dispatch/src/owner/stragglers.rs
+++ b/crates/dispatch/src/owner/stragglers.rs
@@ -13,6 +13,7 @@
 use crate::ids::TaskId;
 use crate::owner::Owner;
 use crate::owner::job::JobKey;
+use crate::owner::projections::class;
 use crate::owner::worker::Run;
 use crate::owner::worker::RunPhase;
 use crate::owner::worker::Worker;
@@ -53,15 +54,13 @@
 /// Maximum number of runs of a task. After that, it is not replaced any more, as it may just be
 /// longer than its siblings.
 const MAX_RUNS: u32 = 6;
-/// Weight of a new duration in the mean of its queue, in percent.
-const MEAN_PERCENT: u64 = 5;
-/// Factor by which a task may exceed the mean duration of its queue if nothing else is known. Half
-/// of the jobs are within a factor of 1.6, and nearly all within 3.
-const QUEUE_MEAN_FACTOR: u64 = 3;
+/// Factor by which a task may exceed the expected duration for its class if nothing else is known.
+/// Half of the jobs are within a factor of 1.6, and nearly all within 3.
+const CLASS_FACTOR: u64 = 3;
 
 /// Minimum number of siblings whose speed must be known before tasks are compared with each other.
 const MIN_SPEEDS: usize = 3;
-/// Assumed duration of a task if no task of its queue has ended yet.
+/// Assumed duration of a task of an unknown step.
 const DEFAULT_TASK_MS: u64 = 1_000;
 
 /// A step of one occurrence of a job.
@@ -71,8 +70,8 @@
 #[derive(Debug, Clone, Copy)]
 struct ExpectedDuration {
     total_ms: u64,
-    /// The duration was derived from siblings. Otherwise it is only an upper estimate from the mean
-    /// of the queue.
+    /// The duration was derived from siblings. Otherwise it is only an upper estimate for the class
+    /// of the task.
     is_measured: bool,
 }
 
@@ -90,28 +89,6 @@
     }
 }
 
-/// Mean durations of the tasks of each queue, with separate means for best-effort tasks.
-#[derive(Debug, Default)]
-pub(crate) struct Durations {
-    mean_ms: HashMap<(Box<str>, bool), u64>,
-    next_search_ms: u64,
-}
-
-impl Durations {
-    /// Adds the duration of a successful run.
-    pub(crate) fn add(&mut self, queue: &str, is_best_effort: bool, took_ms: u64) {
-        let mean_ms = self
-            .mean_ms
-            .entry((queue.into(), is_best_effort))
-            .or_insert(took_ms);
-        *mean_ms = (*mean_ms * (100 - MEAN_PERCENT) + took_ms * MEAN_PERCENT) / 100;
-    }
-
-    fn usual_ms(&self, queue: &str, is_best_effort: bool) -> Option<u64> {
-        self.mean_ms.get(&(queue.into(), is_best_effort)).copied()
-    }
-}
-
 impl Worker {
     /// Records the speed of a successful run on this worker.
     pub(crate) fn record_speed(&mut self, speed: Speed, now_ms: u64) {
@@ -133,11 +110,11 @@
 impl Owner {
     /// Searches for stragglers and replaces them.
     pub(crate) fn replace_stragglers(&mut self, now: Now, actions: &mut Vec<Action>) {
-        let is_due = now.steady_ms >= self.durations.next_search_ms && !self.are_starts_paused;
+        let is_due = now.steady_ms >= self.next_straggler_search_ms && !self.are_starts_paused;
         if !is_due || !self.bounds.policy.replaces_stragglers {
             return;
         }
-        self.durations.next_search_ms = now.steady_ms + SEARCH_INTERVAL_MS;
+        self.next_straggler_search_ms = now.steady_ms + SEARCH_INTERVAL_MS;
         let candidates = self.list_candidates(now.steady_ms);
         let expected = self.estimate_all(&candidates);
         let slow = self.list_slow_workers(&candidates, &expected, now.steady_ms);
@@ -237,7 +214,7 @@
     }
 
     /// Returns the expected duration of a task: the mean of its siblings that have ended, else the
-    /// median projection of those that run, else an estimate from its queue. As tasks are only
+    /// median projection of those that run, else an estimate for its class. As tasks are only
     /// compared with their siblings, a job whose tasks all take long has no stragglers.
     fn estimate(&self, candidate: &Candidate, speeds: &mut [u64]) -> ExpectedDuration {
         let job = &self.jobs[candidate.job];
@@ -263,12 +240,12 @@
                 is_measured: true,
             };
         }
-        let is_best_effort = job.step(task).is_some_and(|step| step.is_best_effort);
-        let usual_ms = self
-            .durations
-            .usual_ms(&job.submission.queue, is_best_effort);
+        let usual_ms = match job.step(task) {
+            Some(step) => self.run_times.task_ms(class(&job.submission, step)),
+            None => DEFAULT_TASK_MS,
+        };
         ExpectedDuration {
-            total_ms: usual_ms.unwrap_or(DEFAULT_TASK_MS) * QUEUE_MEAN_FACTOR,
+            total_ms: usual_ms * CLASS_FACTOR,
             is_measured: false,
         }
     }
@@ -318,7 +295,7 @@
 
 /// Returns the projected duration of a whole run at its speed so far, or `None` if it has not run
 /// for long enough.
-fn projected_ms(run: &Run) -> Option<u64> {
+pub(crate) fn projected_ms(run: &Run) -> Option<u64> {
     // Progress is measured up to the latest poll that reported an increase.
     let measured_ms = run.progressed_ms.saturating_sub(run.first_ms);
     let progress_percent = u64::from(run.percent.saturating_sub(run.first_percent));
--- a/crates/dispatch/src/owner/task.rs
+++ b/crates/dispatch/src/owner/task.rs
@@ -81,6 +81,11 @@
     /// Number of its latest run; 0 before the first.
     pub(crate) run: u32,
     pub(crate) failures: u32,
+    /// Total duration of its runs that succeeded or failed by themselves, where this owner has
+    /// measured them.
+    pub(crate) ran_ms: u64,
+    /// Duration of its run that succeeded, if that was measured from start to end.
+    pub(crate) took_ms: Option<u64>,
     /// Its current run, if one may be on a worker.
     pub(crate) placement: Option<Placement>,
     /// A speculative second run, if its step allows copies.
--- a/crates/dispatch/src/owner/worker.rs
+++ b/crates/dispatch/src/owner/worker.rs
@@ -135,6 +135,8 @@
     pub(crate) baseline: Baseline,
     /// Since when its tail latency is over its target.
     pub(crate) over_since_ms: Option<u64>,
+    /// It had less than its full CPU share at some time.
+    pub(crate) was_throttled: bool,
     /// CPU share that the worker has last accepted.
     pub(crate) applied_share_percent: u32,
     /// CPU share that it should have.
@@ -171,6 +173,7 @@
             previous_gauge: 0,
             baseline: Baseline::default(),
             over_since_ms: None,
+            was_throttled: false,
             applied_share_percent: 100,
             target_share_percent: 100,
             is_share_change_pending: false,
--- a/crates/dispatch/src/owner/writing.rs
+++ b/crates/dispatch/src/owner/writing.rs
@@ -166,6 +166,7 @@
             // The images come from callers, who may name a great many.
             if learned.encoded_len() as u64 > self.bounds.max_record_bytes {
                 learned.images.clear();
+                learned.run_times.clear();
             }
             records.push((Key::Learned.text(), learned.encode_to_vec().into()));
         }
@@ -239,6 +240,7 @@
         Learned {
             images: self.interference.learned(&self.images),
             silent,
+            run_times: self.run_times.learned(),
         }
     }
 
--- a/crates/dispatch/src/policy/mod.rs
+++ b/crates/dispatch/src/policy/mod.rs
@@ -10,6 +10,7 @@
 //! | [`shares`] | which CPU share best-effort tasks get beside latency-critical tasks |
 //! | [`answer_timeouts`] | how long answers of workers are awaited, and what a missing one means |
 //! | [`placing`] | how often the owner tries to place waiting steps |
+//! | [`run_times`] | how long tasks take, and when a job will end |
 //! | [`relaying`] | whether other hosts relay the owner's orders to the workers |
 //! | [`size`] | how large a job may be |
 //! | [`stragglers`] | which workers slow down the tasks that run there |
@@ -22,7 +23,9 @@
 pub mod ordering;
 pub mod placing;
 pub mod polls;
+mod ratios;
 pub mod relaying;
+pub mod run_times;
 pub mod shares;
 pub mod size;
 pub mod stragglers;
--- a/crates/dispatch/src/policy/switches.rs
+++ b/crates/dispatch/src/policy/switches.rs
@@ -22,6 +22,9 @@
     pub feasible_first: bool,
     /// Jobs that have started go before others.
     pub begun_first: bool,
+    /// Objectives and ends of jobs follow from learned durations instead of the estimates of their
+    /// callers.
+    pub learns_run_times: bool,
 }
 
 impl Default for Policy {
@@ -35,6 +38,7 @@
             avoids_failing_workers: true,
             feasible_first: true,
             begun_first: true,
+            learns_run_times: true,
         }
     }
 }
--- a/crates/dispatch/src/record.rs
+++ b/crates/dispatch/src/record.rs
@@ -319,6 +319,33 @@
     /// Workers that do not answer and whose leases are not extended.
     #[prost(message, repeated, tag = "2")]
     pub(crate) silent: Vec<SilentWorker>,
+    #[prost(message, repeated, tag = "3")]
+    pub(crate) run_times: Vec<LearnedRunTimes>,
+}
+
+/// Durations learned for one class of tasks of a queue.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub(crate) struct LearnedRunTimes {
+    #[prost(string, tag = "1")]
+    pub(crate) queue: String,
+    /// Index of the class.
+    #[prost(uint32, tag = "2")]
+    pub(crate) class: u32,
+    /// Mean duration of the tasks of a step to their estimate.
+    #[prost(message, repeated, tag = "3")]
+    pub(crate) steps: Vec<LearnedRatio>,
+    /// Duration of a task to the mean of its step.
+    #[prost(message, repeated, tag = "4")]
+    pub(crate) tasks: Vec<LearnedRatio>,
+}
+
+/// One bucket of the histogram of a ratio.
+#[derive(Clone, Copy, PartialEq, Eq, Message)]
+pub(crate) struct LearnedRatio {
+    #[prost(uint64, tag = "1")]
+    pub(crate) permille: u64,
+    #[prost(uint32, tag = "2")]
+    pub(crate) samples: u32,
 }
 
 /// A worker that does not answer.
