--- a/crates/dispatch/src/owner/projections.rs
+++ b/crates/dispatch/src/owner/projections.rs
@@ -12,6 +12,7 @@
 use crate::owner::worker::Run;
 use crate::owner::worker::RunPhase;
 use crate::policy::run_times::JobTimes;
+use crate::policy::run_times::MeasuredTask;
 use crate::policy::run_times::RunningTask;
 use crate::policy::run_times::StepView;
 use crate::policy::run_times::TaskClass;
@@ -169,10 +170,19 @@
         if !state.is_done() {
             return;
         }
-        let took_ms: Vec<u64> = state.tasks.iter().filter_map(|task| task.took_ms).collect();
+        let mut tasks = Vec::with_capacity(state.tasks.len());
+        for task in &state.tasks {
+            if task.ran_ms == 0 {
+                continue;
+            }
+            tasks.push(MeasuredTask {
+                took_ms: task.took_ms,
+                ran_ms: task.ran_ms,
+            });
+        }
         let class = class(&job.submission, step);
         self.run_times
-            .learn(class, state.tasks.len() as u64, &took_ms);
+            .learn(class, state.tasks.len() as u64, &tasks);
     }
 
     /// Records the duration of a run that has succeeded or failed by itself. Of a run that a
--- a/crates/dispatch/src/policy/run_times.rs
+++ b/crates/dispatch/src/policy/run_times.rs
@@ -11,8 +11,8 @@
 //! shows as jobs that are believed to be late at their start and end in time.
 //!
 //! **Limits:** two ratios are learned for each queue, separately for best-effort tasks and for
-//! tasks without estimate: the mean duration of a step to its estimate, and the duration of a task
-//! to the mean of its step. The longest of `n` tasks is expected at quantile `n / (n + 1)` of the
+//! tasks without estimate: the mean duration of a step to its estimate, and the duration of a task,
+//! with its runs that failed by themselves, to the mean of its step. The longest of `n` tasks is expected at quantile `n / (n + 1)` of the
 //! second. Once tasks of a step have ended or show their progress, their durations count instead of
 //! the estimate. Before a class has [`MIN_STEPS`] steps, the estimate counts as it is.
 
@@ -60,6 +60,16 @@
     }
 }
 
+/// Durations of a task that has succeeded, in milliseconds.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct MeasuredTask {
+    /// Duration of its run that succeeded, if that was measured from start to end and did not
+    /// resume from a checkpoint.
+    pub took_ms: Option<u64>,
+    /// Total duration of that run and of those that failed by themselves.
+    pub ran_ms: u64,
+}
+
 /// A running task.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct RunningTask {
@@ -126,20 +136,24 @@
 }
 
 impl RunTimes {
-    /// Learns from a step that has ended, by the durations in milliseconds of those of its tasks
-    /// that were measured from start to success. If these are less than half of its tasks, they are
-    /// no fair sample.
-    pub fn learn(&mut self, class: TaskClass<'_>, count: u64, took_ms: &[u64]) {
-        let measured = took_ms.len() as u64;
+    /// Learns from a step of `count` tasks that has ended. If less than half of its tasks were
+    /// measured, they are no fair sample.
+    pub fn learn(&mut self, class: TaskClass<'_>, count: u64, tasks: &[MeasuredTask]) {
+        let mut measured = 0;
+        let mut sum_ms = 0;
+        for took_ms in tasks.iter().filter_map(|task| task.took_ms) {
+            measured += 1;
+            sum_ms += took_ms;
+        }
         if measured == 0 || measured * 2 < count {
             return;
         }
-        let mean_ms = (took_ms.iter().sum::<u64>() as f64 / measured as f64).max(1.0);
+        let mean_ms = (sum_ms as f64 / measured as f64).max(1.0);
         let times = self.class_mut(class.queue, class.index());
         times.step.add(mean_ms / class.estimated_ms() as f64);
         if measured >= MIN_SIBLINGS {
-            for took_ms in took_ms {
-                times.task.add(*took_ms as f64 / mean_ms);
+            for task in tasks {
+                times.task.add(task.ran_ms as f64 / mean_ms);
             }
         }
         self.steps_learned += 1;
