--- a/crates/dispatch/src/policy/ordering.rs
+++ b/crates/dispatch/src/policy/ordering.rs
@@ -50,7 +50,7 @@
     pub fn new(job: &WaitingJob, policy: &Policy, now_ms: u64) -> Self {
         let fits = now_ms + job.remaining_ms <= job.due_ms;
         Self {
-            has_no_value: now_ms > job.no_value_after_ms && !job.is_long_running,
+            has_no_value: now_ms + job.remaining_ms > job.no_value_after_ms && !job.is_long_running,
             priority: job.priority,
             is_finite: !job.is_long_running,
             is_late: !fits && !job.is_long_running && policy.feasible_first,
