--- a/crates/dispatch/src/owner/job.rs
+++ b/crates/dispatch/src/owner/job.rs
@@ -237,6 +237,7 @@
                 .any(|step| step.is_long_running),
             has_started: self.phase != JobPhase::Queued,
             due_ms: self.due_ms + due_offset_ms,
+            allowed_ms: self.due_ms - self.arrived_ms,
             no_value_after_ms: self.no_value_after_ms + due_offset_ms,
             remaining_ms: self.known.times.remaining_ms,
         }
--- a/crates/dispatch/src/policy/ordering.rs
+++ b/crates/dispatch/src/policy/ordering.rs
@@ -7,12 +7,23 @@
 //! can only just finish in time, and finishes late: all jobs are served, and hardly any in time. It
 //! shows as a queue whose oldest job is past its objective and whose jobs all finish a little late.
 //!
-//! **Limits:** a job counts as late when its longest chain of steps, as estimated by its caller, no
-//! longer fits before its objective. It then waits for jobs that can still meet theirs. Among
-//! these, a started job goes first: its completed work has a value only together with the rest.
+//! If a job is started as long as it just fits, it ends late all the same: it waits again before
+//! each of its steps and for its last tasks. Under overload the oldest jobs that just fit then get
+//! all resources, wide jobs among them most rarely in time.
+//!
+//! **Limits:** a job counts as late when what is left of its longest chain of steps no longer fits
+//! before its objective. It then waits for jobs that can still meet theirs. Among these, a started
+//! job goes first: its completed work has a value only together with the rest. A job that has not
+//! started must besides have half of the time left for which it could wait when it was submitted,
+//! so that its own steps can wait for as long as it has itself. A job that can no longer end before
+//! its result has no value goes last.
 
 use crate::policy::Policy;
 
+/// Part of the time that a job could wait when it was submitted, in percent, that must be left when
+/// it starts.
+const RESERVE_PERCENT: u64 = 50;
+
 /// Properties of a waiting job that decide its place in the order.
 #[derive(Debug, Clone, Copy)]
 pub struct WaitingJob {
@@ -24,15 +35,17 @@
     pub has_started: bool,
     /// Objective: time by which its caller wants it finished, in milliseconds.
     pub due_ms: u64,
+    /// Time from its submission to its objective, in milliseconds.
+    pub allowed_ms: u64,
     /// Time after which its result has no value to its caller.
     pub no_value_after_ms: u64,
-    /// Estimated time that its longest chain of remaining steps takes without disturbance.
+    /// Expected time until it ends if it does not wait any more, in milliseconds.
     pub remaining_ms: u64,
 }
 
 /// Position of a job in the order; the smallest goes first.
 ///
-/// Jobs whose result no longer has a value go last. Long-running tasks go first among their equals:
+/// Jobs whose result will have no value go last. Long-running tasks go first among their equals:
 /// a short task occupies resources for a second, and an endless sequence of short tasks would keep
 /// a long-running one from ever starting again.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -45,15 +58,27 @@
     due_ms: u64,
 }
 
+impl WaitingJob {
+    /// Returns whether it can be expected to meet its objective.
+    fn is_feasible(&self, now_ms: u64) -> bool {
+        let spare_ms = self.allowed_ms.saturating_sub(self.remaining_ms);
+        let reserve_ms = match self.has_started {
+            true => 0,
+            false => spare_ms * RESERVE_PERCENT / 100,
+        };
+        now_ms + self.remaining_ms + reserve_ms <= self.due_ms
+    }
+}
+
 impl Urgency {
     /// Returns the position of a job that waits at `now_ms`.
     pub fn new(job: &WaitingJob, policy: &Policy, now_ms: u64) -> Self {
-        let fits = now_ms + job.remaining_ms <= job.due_ms;
+        let is_late = !job.is_feasible(now_ms);
         Self {
             has_no_value: now_ms + job.remaining_ms > job.no_value_after_ms && !job.is_long_running,
             priority: job.priority,
             is_finite: !job.is_long_running,
-            is_late: !fits && !job.is_long_running && policy.feasible_first,
+            is_late: is_late && !job.is_long_running && policy.feasible_first,
             has_not_started: !job.has_started && policy.begun_first,
             due_ms: job.due_ms,
         }
--- a/tests/policy_ordering.rs
+++ b/tests/policy_ordering.rs
@@ -13,6 +13,7 @@
     is_long_running: false,
     has_started: false,
     due_ms: NOW_MS + 6_000,
+    allowed_ms: 8_000,
     no_value_after_ms: NOW_MS + 22_000,
     remaining_ms: 3_400,
 };
@@ -36,12 +37,30 @@
     Case {
         name: "a job whose last step is short can still meet its objective",
         first: WaitingJob {
+            has_started: true,
             due_ms: NOW_MS + 3_000,
             remaining_ms: 1_700,
             ..JOB
         },
         second: JOB,
     },
+    Case {
+        name: "a job that has not started needs half of the time left for which it could wait",
+        first: JOB,
+        second: WaitingJob {
+            due_ms: NOW_MS + 5_000,
+            ..JOB
+        },
+    },
+    Case {
+        name: "a started job may use up the time for which it could wait",
+        first: WaitingJob {
+            has_started: true,
+            due_ms: NOW_MS + 3_400,
+            ..JOB
+        },
+        second: JOB,
+    },
     Case {
         name: "a started job before one that has not started",
         first: WaitingJob {
@@ -81,6 +100,18 @@
             ..JOB
         },
     },
+    Case {
+        name: "a late job before one that cannot end before its result has no value",
+        first: WaitingJob {
+            due_ms: NOW_MS,
+            ..JOB
+        },
+        second: WaitingJob {
+            due_ms: NOW_MS - 1,
+            no_value_after_ms: NOW_MS + 3_399,
+            ..JOB
+        },
+    },
     Case {
         name: "a long-running job is never late",
         first: WaitingJob {
@@ -123,6 +154,7 @@
             submitted += 1;
             waiting.push(WaitingJob {
                 due_ms: submitted_ms + ALLOWED_MS,
+                allowed_ms: ALLOWED_MS,
                 no_value_after_ms: submitted_ms + 3 * ALLOWED_MS,
                 remaining_ms: WORK_MS,
                 ..JOB
