--- a/crates/dispatch/src/owner/mod.rs
+++ b/crates/dispatch/src/owner/mod.rs
@@ -140,6 +140,12 @@
     pub relay_selections: u64,
     /// Steps that have waited for a long time, by the reason.
     pub waits: [u64; WaitReason::ALL.len()],
+    /// Steps whose durations this owner has learned.
+    pub steps_learned: u64,
+    /// Classes of tasks whose durations are expected by what was learned.
+    pub classes_learned: u64,
+    /// Waiting jobs that were expected to end after their objective when tasks were last placed.
+    pub jobs_expected_late: u64,
 }
 
 /// Reason for which an owner stops.
@@ -427,10 +433,12 @@
         self.report_waits(now, actions);
     }
 
-    /// Updates the statistics of the link, of answers and of evaluated workers.
+    /// Updates the statistics of the link, of answers, of evaluated workers and of run times.
     fn update_link_stats(&mut self) {
         self.stats.evaluated = self.workers.evaluated();
         self.stats.workers_refreshed = self.workers.workers_refreshed();
+        self.stats.steps_learned = self.run_times.steps_learned();
+        self.stats.classes_learned = self.run_times.classes_learned();
         self.stats.answer_ms = self.answers.typical_delay_ms();
         self.stats.link_out_ms = self.link.outbound_ms();
         self.stats.link_in_ms = self.link.inbound_ms();
--- a/crates/dispatch/src/owner/placing.rs
+++ b/crates/dispatch/src/owner/placing.rs
@@ -78,6 +78,7 @@
             return;
         }
         let mut order = Vec::new();
+        self.stats.jobs_expected_late = 0;
         for index in 0..self.live_jobs.len() {
             let key = self.live_jobs[index];
             if !self.jobs[key].has_waiting {
@@ -86,6 +87,7 @@
             self.refresh_times(key, now);
             let waiting = self.jobs[key].waiting(now);
             let urgency = Urgency::new(&waiting, &self.bounds.policy, now.steady_ms);
+            self.stats.jobs_expected_late += u64::from(waiting.is_late(now.steady_ms));
             order.push((urgency, key));
         }
         order.sort_unstable();
@@ -375,7 +377,7 @@
             let expected = Expectation {
                 begun_ms: now.steady_ms,
                 times: job.known.times,
-                is_late: now.steady_ms + waiting.remaining_ms > waiting.due_ms,
+                is_late: waiting.is_late(now.steady_ms),
             };
             job.expected = Some(expected);
             actions.push(Action::Note(Note::new(
--- a/crates/dispatch/src/policy/ordering.rs
+++ b/crates/dispatch/src/policy/ordering.rs
@@ -14,9 +14,9 @@
 //! **Limits:** a job counts as late when what is left of its longest chain of steps no longer fits
 //! before its objective. It then waits for jobs that can still meet theirs. Among these, a started
 //! job goes first: its completed work has a value only together with the rest. A job that has not
-//! started must besides have half of the time left for which it could wait when it was submitted,
-//! so that its own steps can wait for as long as it has itself. A job that can no longer end before
-//! its result has no value goes last.
+//! started goes after these unless half of the time is left for which it could wait when it was
+//! submitted, so that its own steps can wait for as long as it has itself. A job that can no longer
+//! end before its result has no value goes last.
 
 use crate::policy::Policy;
 
@@ -53,32 +53,53 @@
     has_no_value: bool,
     priority: u32,
     is_finite: bool,
-    is_late: bool,
+    outlook: Outlook,
     has_not_started: bool,
     due_ms: u64,
 }
 
+/// Whether a job can be expected to meet its objective.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Outlook {
+    /// It can wait again before its steps and for its last tasks.
+    InTime,
+    /// It has not started and can hardly wait any more.
+    Tight,
+    Late,
+}
+
 impl WaitingJob {
-    /// Returns whether it can be expected to meet its objective.
-    fn is_feasible(&self, now_ms: u64) -> bool {
+    /// Returns whether it is expected to end after its objective, if it does not wait any more.
+    pub fn is_late(&self, now_ms: u64) -> bool {
+        !self.is_long_running && now_ms + self.remaining_ms > self.due_ms
+    }
+
+    fn outlook(&self, now_ms: u64) -> Outlook {
+        if self.is_late(now_ms) {
+            return Outlook::Late;
+        }
         let spare_ms = self.allowed_ms.saturating_sub(self.remaining_ms);
-        let reserve_ms = match self.has_started {
-            true => 0,
-            false => spare_ms * RESERVE_PERCENT / 100,
-        };
-        now_ms + self.remaining_ms + reserve_ms <= self.due_ms
+        let reserve_ms = spare_ms * RESERVE_PERCENT / 100;
+        let latest_end_ms = now_ms + self.remaining_ms + reserve_ms;
+        match self.has_started || self.is_long_running || latest_end_ms <= self.due_ms {
+            true => Outlook::InTime,
+            false => Outlook::Tight,
+        }
     }
 }
 
 impl Urgency {
     /// Returns the position of a job that waits at `now_ms`.
     pub fn new(job: &WaitingJob, policy: &Policy, now_ms: u64) -> Self {
-        let is_late = !job.is_feasible(now_ms);
+        let outlook = match policy.feasible_first {
+            true => job.outlook(now_ms),
+            false => Outlook::InTime,
+        };
         Self {
             has_no_value: now_ms + job.remaining_ms > job.no_value_after_ms && !job.is_long_running,
             priority: job.priority,
             is_finite: !job.is_long_running,
-            is_late: is_late && !job.is_long_running && policy.feasible_first,
+            outlook,
             has_not_started: !job.has_started && policy.begun_first,
             due_ms: job.due_ms,
         }
--- a/crates/dispatch/src/policy/run_times.rs
+++ b/crates/dispatch/src/policy/run_times.rs
@@ -135,6 +135,12 @@
     }
 }
 
+impl ClassTimes {
+    fn is_known(&self) -> bool {
+        self.step.samples() >= MIN_STEPS
+    }
+}
+
 impl RunTimes {
     /// Learns from a step of `count` tasks that has ended. If less than half of its tasks were
     /// measured, they are no fair sample.
@@ -164,6 +170,12 @@
         self.steps_learned
     }
 
+    /// Returns the number of classes that are expected by what was learned.
+    pub fn classes_learned(&self) -> u64 {
+        let classes = self.queues.values().flatten();
+        classes.filter(|times| times.is_known()).count() as u64
+    }
+
     /// Returns the expected duration of a task, in milliseconds.
     pub fn task_ms(&self, class: TaskClass<'_>) -> u64 {
         let ratio = self
@@ -230,7 +242,6 @@
                 task: Ratios::restore(MAX_TASKS, &row.tasks),
             };
         }
-        self.steps_learned += 1;
     }
 
     fn class_mut(&mut self, queue: &str, index: usize) -> &mut ClassTimes {
@@ -241,7 +252,7 @@
     /// Returns the times of a class, if they are known well enough.
     fn class(&self, class: TaskClass<'_>) -> Option<&ClassTimes> {
         let times = &self.queues.get(class.queue)?[class.index()];
-        (times.step.samples() >= MIN_STEPS).then_some(times)
+        times.is_known().then_some(times)
     }
 
     /// Returns the expected ratio of the longest of `count` tasks to the mean of their step.
--- a/tests/lib.rs
+++ b/tests/lib.rs
@@ -27,6 +27,7 @@
 mod dispatch_repeats;
 mod dispatch_resizes;
 mod dispatch_rules;
+mod dispatch_run_times;
 mod dispatch_shapes;
 mod dispatch_sizes;
 mod dispatch_store_calls;
--- a/tests/policy_ordering.rs
+++ b/tests/policy_ordering.rs
@@ -52,6 +52,18 @@
             ..JOB
         },
     },
+    Case {
+        name: "a job without that time before one that cannot meet its objective",
+        first: WaitingJob {
+            due_ms: NOW_MS + 3_400,
+            ..JOB
+        },
+        second: WaitingJob {
+            has_started: true,
+            due_ms: NOW_MS + 3_399,
+            ..JOB
+        },
+    },
     Case {
         name: "a started job may use up the time for which it could wait",
         first: WaitingJob {
