Run times: classes with too few steps are not handed over; long-running jobs keep their estimates

records_of_old_jobs_are_deleted_from_the_store found one key more in the store: the record of what was learned, which was empty there before and so never kept. Classes that are not used yet are not recorded now. Times of a job without repetitions are worked out once instead of twice.

--- a/crates/dispatch/src/owner/job.rs
+++ b/crates/dispatch/src/owner/job.rs
@@ -230,11 +230,7 @@
         let due_offset_ms = self.due_offset_ms(now);
         WaitingJob {
             priority: self.submission.priority,
-            is_long_running: self
-                .submission
-                .steps
-                .iter()
-                .any(|step| step.is_long_running),
+            is_long_running: self.is_long_running(),
             has_started: self.phase != JobPhase::Queued,
             due_ms: self.due_ms + due_offset_ms,
             allowed_ms: self.due_ms - self.arrived_ms,
@@ -243,6 +239,12 @@
         }
     }
 
+    /// Returns whether it has tasks that run until it is cancelled.
+    pub(crate) fn is_long_running(&self) -> bool {
+        let mut steps = self.submission.steps.iter();
+        steps.any(|step| step.is_long_running)
+    }
+
     /// Sets its times by the estimates of its caller alone.
     pub(crate) fn estimate_times(&mut self) {
         self.known.times = JobTimes {
--- a/crates/dispatch/src/owner/projections.rs
+++ b/crates/dispatch/src/owner/projections.rs
@@ -69,11 +69,10 @@
 impl Owner {
     /// Updates the objective and the projected end of a job unless they are current.
     pub(crate) fn refresh_times(&mut self, key: JobKey, now: Now) {
-        if !self.bounds.policy.learns_run_times {
-            self.jobs[key].estimate_times();
-            return;
-        }
         let job = &self.jobs[key];
+        if !self.bounds.policy.learns_run_times || job.is_long_running() {
+            return self.jobs[key].estimate_times();
+        }
         let has_started = job.phase != JobPhase::Queued;
         let steps_learned = self.run_times.steps_learned();
         if job
@@ -97,18 +96,21 @@
     pub(crate) fn job_times(&self, key: JobKey, now_ms: u64) -> JobTimes {
         let job = &self.jobs[key];
         let call_ms = permit_call_ms(&job.submission);
-        let first = Occurrence::new(0, &job.submission);
-        let mut current = job
-            .occurrences
-            .iter()
-            .find(|occurrence| !occurrence.is_done());
-        current = current.or(job.occurrences.last());
-        let steps = self.step_views(job, current.unwrap_or(&first), now_ms);
-        let mut times = self.run_times.job_times(&steps, call_ms);
+        if job.occurrences.is_empty() {
+            let first = Occurrence::new(0, &job.submission);
+            let steps = self.step_views(job, &first, now_ms);
+            return self.run_times.job_times(&steps, call_ms);
+        }
+        let mut times = JobTimes::default();
+        let mut has_unfinished = false;
         for occurrence in &job.occurrences {
             let steps = self.step_views(job, occurrence, now_ms);
             let occurrence_times = self.run_times.job_times(&steps, call_ms);
             times.remaining_ms = times.remaining_ms.max(occurrence_times.remaining_ms);
+            if !has_unfinished {
+                times.chain_ms = occurrence_times.chain_ms;
+                has_unfinished = !occurrence.is_done();
+            }
         }
         times
     }
@@ -186,7 +188,8 @@
     }
 
     /// Records the duration of a run that has succeeded or failed by itself. Of a run that a
-    /// previous owner has ordered, or that was ordered twice, the start is not known.
+    /// previous owner has ordered, or that was ordered twice, the start is not known. Returns the
+    /// mean duration of the tasks of its step, in milliseconds, if the run counts in it.
     pub(crate) fn measure_run(
         &mut self,
         key: JobKey,
--- a/crates/dispatch/src/policy/run_times.rs
+++ b/crates/dispatch/src/policy/run_times.rs
@@ -216,7 +216,7 @@
         let mut rows = Vec::new();
         for (queue, classes) in &self.queues {
             for (index, times) in classes.iter().enumerate() {
-                if times.step.samples() == 0 {
+                if !times.is_known() {
                     continue;
                 }
                 rows.push(LearnedRunTimes {
