--- a/crates/dispatch/src/owner/mod.rs
+++ b/crates/dispatch/src/owner/mod.rs
@@ -26,6 +26,7 @@
 mod placing;
 mod polls;
 mod progress;
+mod projections;
 mod protection;
 mod relaying;
 mod shares;
@@ -58,7 +59,6 @@
 pub(crate) use crate::owner::link::records_bytes;
 use crate::owner::permits::Permits;
 use crate::owner::phases::Ranking;
-use crate::owner::stragglers::Durations;
 use crate::owner::timeline::Timeline;
 pub use crate::owner::waits::WaitReason;
 use crate::owner::worker::RunPhase;
@@ -72,6 +72,7 @@
 use crate::policy::link::LinkBudget;
 use crate::policy::placing::placing_gap_ms;
 use crate::policy::protection::OverTargetCause;
+use crate::policy::run_times::RunTimes;
 use crate::record::JobPhase;
 use crate::record::Progress;
 use crate::record::Submission;
@@ -157,6 +158,12 @@
     pub suspensions: u64,
     /// Number of times that one resumed.
     pub resumptions: u64,
+    /// Steps whose durations this owner has learned.
+    pub steps_learned: u64,
+    /// Classes of tasks whose durations are expected by what was learned.
+    pub classes_learned: u64,
+    /// Waiting jobs that were expected to end after their objective when tasks were last placed.
+    pub jobs_expected_late: u64,
 }
 
 /// Reason for which an owner stops.
@@ -206,7 +213,8 @@
     relays_due_ms: u64,
     images: Images,
     interference: InterferenceModel,
-    durations: Durations,
+    run_times: RunTimes,
+    next_straggler_search_ms: u64,
     permits: Permits,
     evacuations: Rc<Evacuations>,
     /// The rules are too old to start tasks.
@@ -282,7 +290,8 @@
             relays_due_ms: 0,
             images: Images::default(),
             interference: InterferenceModel::default(),
-            durations: Durations::default(),
+            run_times: RunTimes::default(),
+            next_straggler_search_ms: 0,
             permits: Permits::default(),
             evacuations: Rc::default(),
             are_starts_paused: false,
@@ -316,6 +325,7 @@
             owner
                 .interference
                 .resume(&recovered.learned, &mut owner.images);
+            owner.run_times.resume(&recovered.learned.run_times);
         }
         let mut ids: Vec<JobId> = job_table.jobs.keys().copied().collect();
         ids.sort_unstable();
@@ -337,15 +347,19 @@
 
     /// Ends a job and stops all of its runs.
     fn finish(&mut self, key: JobKey, phase: JobPhase, now: Now, actions: &mut Vec<Action>) {
-        let job = &mut self.jobs[key];
-        if job.phase.is_final() {
+        if self.jobs[key].phase.is_final() {
             return;
         }
+        let expectation = match phase {
+            JobPhase::Completed => self.describe_expectation(key, now),
+            _ => String::new(),
+        };
+        let job = &mut self.jobs[key];
         actions.push(Action::Note(Note::new(
             Code::JobFinished,
             job.id.to_string(),
             format!(
-                "how={phase:?} queue={} spare_ms={}",
+                "how={phase:?} queue={} spare_ms={}{expectation}",
                 job.submission.queue,
                 job.due_ms as i64 - now.steady_ms as i64
             ),
@@ -448,10 +462,12 @@
         self.report_waits(now, actions);
     }
 
-    /// Updates the statistics of the link, of answers and of evaluated workers.
+    /// Updates the statistics of the link, of answers, of evaluated workers and of run times.
     fn update_link_stats(&mut self) {
         self.stats.evaluated = self.workers.evaluated();
         self.stats.workers_refreshed = self.workers.workers_refreshed();
+        self.stats.steps_learned = self.run_times.steps_learned();
+        self.stats.classes_learned = self.run_times.classes_learned();
         self.stats.answer_ms = self.answers.typical_delay_ms();
         self.stats.link_out_ms = self.link.outbound_ms();
         self.stats.link_in_ms = self.link.inbound_ms();
--- a/crates/dispatch/src/owner/worker.rs
+++ b/crates/dispatch/src/owner/worker.rs
@@ -149,6 +149,8 @@
     /// CPU share that the worker has last accepted; `None` if a previous owner may have set another
     /// one.
     pub(crate) applied_share_percent: Option<u32>,
+    /// It had less than its full CPU share at some time.
+    pub(crate) was_throttled: bool,
     /// CPU share that it should have.
     pub(crate) target_share_percent: u32,
     /// An order to change its CPU share was sent and has no answer yet.
@@ -191,6 +193,7 @@
             processor_share_percent: 100,
             headroom_share_percent: 100,
             applied_share_percent: Some(100),
+            was_throttled: false,
             target_share_percent: 100,
             is_share_change_pending: false,
             share_retry_ms: 0,
--- a/crates/dispatch/src/policy/mod.rs
+++ b/crates/dispatch/src/policy/mod.rs
@@ -11,6 +11,7 @@
 //! | [`shares`] | which CPU share best-effort tasks get beside latency-critical tasks |
 //! | [`answer_timeouts`] | how long answers of workers are awaited, and what a missing one means |
 //! | [`placing`] | how often the owner tries to place waiting steps |
+//! | [`run_times`] | how long tasks take, and when a job will end |
 //! | [`relaying`] | whether other hosts relay the owner's orders to the workers |
 //! | [`informing`] | whether the owner answers queries of the other hosts |
 //! | [`size`] | how large a job may be |
@@ -28,7 +29,9 @@
 pub mod placing;
 pub mod polls;
 pub mod protection;
+mod ratios;
 pub mod relaying;
+pub mod run_times;
 pub mod shares;
 pub mod size;
 pub mod stragglers;
--- a/crates/dispatch/src/policy/ordering.rs
+++ b/crates/dispatch/src/policy/ordering.rs
@@ -7,12 +7,23 @@
 //! can only just finish in time, and finishes late: all jobs are served, and hardly any in time. It
 //! shows as a queue whose oldest job is past its objective and whose jobs all finish a little late.
 //!
-//! **Limits:** a job counts as late when its longest chain of steps, as estimated by its caller, no
-//! longer fits before its objective. It then waits for jobs that can still meet theirs. Among
-//! these, a started job goes first: its completed work has a value only together with the rest.
+//! If a job is started as long as it just fits, it ends late all the same: it waits again before
+//! each of its steps and for its last tasks. Under overload the oldest jobs that just fit then get
+//! all resources, wide jobs among them most rarely in time.
+//!
+//! **Limits:** a job counts as late when what is left of its longest chain of steps no longer fits
+//! before its objective. It then waits for jobs that can still meet theirs. Among these, a started
+//! job goes first: its completed work has a value only together with the rest. A job that has not
+//! started goes after these unless half of the time is left for which it could wait when it was
+//! submitted, so that its own steps can wait for as long as it has itself. A job that can no longer
+//! end before its result has no value goes last.
 
 use crate::policy::Policy;
 
+/// Part of the time that a job could wait when it was submitted, in percent, that must be left when
+/// it starts.
+const RESERVE_PERCENT: u64 = 50;
+
 /// Properties of a waiting job that decide its place in the order.
 #[derive(Debug, Clone, Copy)]
 pub struct WaitingJob {
@@ -24,15 +35,17 @@
     pub has_started: bool,
     /// Objective: time by which its caller wants it finished, in milliseconds.
     pub due_ms: u64,
+    /// Time from its submission to its objective, in milliseconds.
+    pub allowed_ms: u64,
     /// Time after which its result has no value to its caller.
     pub no_value_after_ms: u64,
-    /// Estimated time that its longest chain of remaining steps takes without disturbance.
+    /// Expected time until it ends if it does not wait any more, in milliseconds.
     pub remaining_ms: u64,
 }
 
 /// Position of a job in the order; the smallest goes first.
 ///
-/// Jobs whose result no longer has a value go last. Long-running tasks go first among their equals:
+/// Jobs whose result will have no value go last. Long-running tasks go first among their equals:
 /// a short task occupies resources for a second, and an endless sequence of short tasks would keep
 /// a long-running one from ever starting again.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -40,20 +53,53 @@
     has_no_value: bool,
     priority: u32,
     is_finite: bool,
-    is_late: bool,
+    outlook: Outlook,
     has_not_started: bool,
     due_ms: u64,
 }
 
+/// Whether a job can be expected to meet its objective.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Outlook {
+    /// It can wait again before its steps and for its last tasks.
+    InTime,
+    /// It has not started and can hardly wait any more.
+    Tight,
+    Late,
+}
+
+impl WaitingJob {
+    /// Returns whether it is expected to end after its objective, if it does not wait any more.
+    pub fn is_late(&self, now_ms: u64) -> bool {
+        !self.is_long_running && now_ms + self.remaining_ms > self.due_ms
+    }
+
+    fn outlook(&self, now_ms: u64) -> Outlook {
+        if self.is_late(now_ms) {
+            return Outlook::Late;
+        }
+        let spare_ms = self.allowed_ms.saturating_sub(self.remaining_ms);
+        let reserve_ms = spare_ms * RESERVE_PERCENT / 100;
+        let latest_end_ms = now_ms + self.remaining_ms + reserve_ms;
+        match self.has_started || self.is_long_running || latest_end_ms <= self.due_ms {
+            true => Outlook::InTime,
+            false => Outlook::Tight,
+        }
+    }
+}
+
 impl Urgency {
     /// Returns the position of a job that waits at `now_ms`.
     pub fn new(job: &WaitingJob, policy: &Policy, now_ms: u64) -> Self {
-        let fits = now_ms + job.remaining_ms <= job.due_ms;
+        let outlook = match policy.feasible_first {
+            true => job.outlook(now_ms),
+            false => Outlook::InTime,
+        };
         Self {
-            has_no_value: now_ms > job.no_value_after_ms && !job.is_long_running,
+            has_no_value: now_ms + job.remaining_ms > job.no_value_after_ms && !job.is_long_running,
             priority: job.priority,
             is_finite: !job.is_long_running,
-            is_late: !fits && !job.is_long_running && policy.feasible_first,
+            outlook,
             has_not_started: !job.has_started && policy.begun_first,
             due_ms: job.due_ms,
         }
--- a/crates/dispatch/src/policy/switches.rs
+++ b/crates/dispatch/src/policy/switches.rs
@@ -29,6 +29,9 @@
     /// Best-effort tasks get the processor time that the latency-critical tasks beside them leave
     /// now, by their present load.
     pub protects_serving: bool,
+    /// Objectives and ends of jobs follow from learned durations instead of the estimates of their
+    /// callers.
+    pub learns_run_times: bool,
 }
 
 impl Default for Policy {
@@ -45,6 +48,7 @@
             owner_answers: true,
             accounts_times: true,
             protects_serving: true,
+            learns_run_times: true,
         }
     }
 }
