Queues of one priority get equal shares, and room is kept for wide tasks

Cause: nobody kept who had got what. Queues of one priority were served by due time alone, so one that submits three times as much got three times as much, and a wide task or a gang was passed over for as long as narrow tasks waited.

Change: policy/fair_shares.rs ranks queues of one service, priority and kind by what they hold of their dominant resource, tilted by at most a quarter of an equal part by what they have held of late (half-life 10 s). Usage is in the record Learned (tag 4). Switch fair_shares, events 2412 and 2413, metrics goldcrestway_queue, rooms_kept, rooms_kept_in_vain, fairness_permille.

Ruled out: usage by decayed mean alone (a queue that comes back gets everything for a half-life).

policy_ordering.rs: its jobs get the neutral rank, as the type has one field more; checks unchanged.

--- a/crates/dispatch/src/config.rs
+++ b/crates/dispatch/src/config.rs
@@ -3,7 +3,7 @@
 use crate::incarnation::Incarnation;
 
 /// Resources that a task requests, or that a worker has.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default)]
 pub struct Resources {
     /// Processor time in thousandths of a core.
     pub cpu_milli: u64,
@@ -30,6 +30,15 @@
         }
     }
 
+    /// Returns `count` times the resources.
+    pub fn times(self, count: u64) -> Resources {
+        Resources {
+            cpu_milli: self.cpu_milli * count,
+            memory_mb: self.memory_mb * count,
+            accelerators: self.accelerators * count,
+        }
+    }
+
     /// Returns the difference of both resources, saturating at zero.
     pub fn minus(self, other: Resources) -> Resources {
         Resources {
--- a/crates/dispatch/src/entry/mod.rs
+++ b/crates/dispatch/src/entry/mod.rs
@@ -42,6 +42,7 @@
 use crate::owner::Owner;
 use crate::owner::OwnerStats;
 use crate::owner::records_bytes;
+use crate::policy::fair_shares::QueueShare;
 use crate::policy::link::MAX_LIST_PAUSE_MS;
 use crate::record::OwnerRecord;
 use crate::relay::Relay;
@@ -217,6 +218,11 @@
         }
     }
 
+    /// Returns the shares of all queues if this host is the owner.
+    pub fn queue_shares(&self) -> Vec<QueueShare> {
+        self.owner.as_ref().map_or(Vec::new(), Owner::queue_shares)
+    }
+
     /// Returns whether this host has read what it needs to accept jobs.
     fn is_caught_up(&self) -> bool {
         let has_jobs = self.reading.asks_owner() || self.jobs.is_usable();
--- a/crates/dispatch/src/owner/adopting.rs
+++ b/crates/dispatch/src/owner/adopting.rs
@@ -73,6 +73,7 @@
             self.finished_jobs.insert(id, job.submission);
             return;
         }
+        job.queue = self.queue_key(&job.submission);
         let is_new = job.open_occurrences(now, &self.bounds);
         let key = self.jobs.insert(job);
         self.job_keys.insert(id, key);
--- a/crates/dispatch/src/owner/costs.rs
+++ b/crates/dispatch/src/owner/costs.rs
@@ -11,6 +11,7 @@
 use crate::owner::worker::WorkerKey;
 use crate::policy::images::ImageKey;
 use crate::policy::interference::ImageUsage;
+use crate::policy::kept_room::Precedence;
 use crate::policy::shares::SuspendDelays;
 use crate::record::Step;
 use std::cmp::Reverse;
@@ -56,6 +57,7 @@
     pub(crate) image: ImageKey,
     /// The first task of the step.
     pub(crate) task: TaskId,
+    pub(crate) precedence: Precedence,
     /// Only workers with a permit are eligible.
     pub(crate) needs_permits: bool,
     /// Address of the worker that the task is suspected to have crashed; `None` if the task is not
@@ -215,8 +217,11 @@
     if !worker.free().can_fit(step.resources()) {
         return Err(Exclusion::Room);
     }
-    let mut labels = worker.entry.labels.iter();
-    if !step.label.is_empty() && !labels.any(|label| **label == *step.label) {
+    let free = worker.free_for(StepId::of(requirements.task), requirements.precedence);
+    if !free.can_fit(step.resources()) {
+        return Err(Exclusion::Kept);
+    }
+    if !worker.has_label(&step.label) {
         return Err(Exclusion::Label);
     }
     if step.max_per_worker == 0 {
--- a/crates/dispatch/src/owner/gangs.rs
+++ b/crates/dispatch/src/owner/gangs.rs
@@ -7,6 +7,7 @@
 
 use crate::event::Action;
 use crate::event::Now;
+use crate::ids::StepId;
 use crate::ids::TaskId;
 use crate::owner::Owner;
 use crate::owner::costs::TaskRequirements;
@@ -146,7 +147,7 @@
                 continue;
             }
             let resources = requirements.step.resources();
-            let mut free = worker.free();
+            let mut free = worker.free_for(StepId::of(requirements.task), requirements.precedence);
             let mut members = 0;
             while chosen.len() < count && free.can_fit(resources) {
                 if requirements.step.max_per_worker > 0
--- a/crates/dispatch/src/owner/job.rs
+++ b/crates/dispatch/src/owner/job.rs
@@ -1,6 +1,7 @@
 //! Jobs as the owner knows them, with their occurrences, steps and tasks.
 
 use crate::bounds::Bounds;
+use crate::config::Resources;
 use crate::event::Now;
 use crate::ids::JobId;
 use crate::ids::TaskId;
@@ -10,6 +11,8 @@
 use crate::owner::progress::step_progress;
 use crate::owner::task::Task;
 use crate::owner::worker::WorkerKey;
+use crate::policy::fair_shares::JobDemand;
+use crate::policy::fair_shares::QueueKey;
 use crate::policy::ordering::WaitingJob;
 use crate::policy::size::max_tasks;
 use crate::record::JobPhase;
@@ -57,6 +60,11 @@
         self.done as usize == self.tasks.len()
     }
 
+    /// Returns the number of tasks that run.
+    pub(crate) fn running(&self) -> u64 {
+        (self.tasks.len() as u64).saturating_sub(u64::from(self.done) + u64::from(self.waiting))
+    }
+
     /// Records whether some of its tasks still wait after a placement pass, before which
     /// `waiting_before` tasks waited. If some tasks were placed, the others have not waited for
     /// long: their time starts anew.
@@ -113,6 +121,8 @@
 pub(crate) struct Job {
     pub(crate) id: JobId,
     pub(crate) submission: Rc<Submission>,
+    /// Its queue, for its share.
+    pub(crate) queue: QueueKey,
     pub(crate) specification: Rc<str>,
     pub(crate) occurrences: Vec<Occurrence>,
     pub(crate) next_occurrence: u32,
@@ -159,6 +169,7 @@
             no_value_after_ms: arrived_ms + allowed_ms * NO_VALUE_FACTOR,
             final_wall_ms: 0,
             has_waiting: true,
+            queue: QueueKey::default(),
             submission,
         };
         if let Some(progress) = progress {
@@ -215,7 +226,7 @@
     /// Returns what determines the job's place in the order of placement. Each occurrence of a
     /// repeated job is due separately: measured by the first occurrence, all later ones would be
     /// long past their objective and wait behind all other jobs.
-    pub(crate) fn waiting(&self, now: Now) -> WaitingJob {
+    pub(crate) fn waiting(&self, rank: u32, now: Now) -> WaitingJob {
         let due_offset_ms = self.due_offset_ms(now);
         WaitingJob {
             priority: self.submission.priority,
@@ -224,6 +235,7 @@
                 .steps
                 .iter()
                 .any(|step| step.is_long_running),
+            rank,
             has_started: self.phase != JobPhase::Queued,
             due_ms: self.due_ms + due_offset_ms,
             no_value_after_ms: self.no_value_after_ms + due_offset_ms,
@@ -231,6 +243,26 @@
         }
     }
 
+    /// Returns the resources that its tasks have, and whether some of them wait.
+    pub(crate) fn demand(&self) -> JobDemand {
+        let mut held = Resources::default();
+        for occurrence in &self.occurrences {
+            for (state, step) in occurrence.steps.iter().zip(&self.submission.steps) {
+                held = held.plus(step.requested().times(state.running()));
+            }
+        }
+        JobDemand {
+            queue: self.queue,
+            held,
+            waits: self.has_waiting,
+        }
+    }
+
+    /// Returns the time that its caller allows for it, in milliseconds.
+    pub(crate) fn allowed_ms(&self) -> u64 {
+        (self.no_value_after_ms - self.due_ms) / (NO_VALUE_FACTOR - 1)
+    }
+
     /// Returns the time in milliseconds from the acceptance of the job until its first unfinished
     /// occurrence is due, at most until now. Returns 0 for jobs without repetitions.
     fn due_offset_ms(&self, now: Now) -> u64 {
@@ -297,6 +329,13 @@
             .get_mut(usize::from(id.step))
     }
 
+    /// Returns the state of the step of a task.
+    pub(crate) fn step_state(&self, id: TaskId) -> Option<&StepState> {
+        let mut occurrences = self.occurrences.iter();
+        let occurrence = occurrences.find(|occurrence| occurrence.number == id.occurrence)?;
+        occurrence.steps.get(usize::from(id.step))
+    }
+
     pub(crate) fn step(&self, id: TaskId) -> Option<&Step> {
         self.submission.steps.get(usize::from(id.step))
     }
--- /dev/null
+++ b/crates/dispatch/src/owner/kept_room.rs
@@ -0,0 +1,305 @@
+//! Room on workers that is kept for a step with wide tasks.
+
+use crate::config::Resources;
+use crate::event::Action;
+use crate::event::Now;
+use crate::ids::StepId;
+use crate::ids::TaskId;
+use crate::owner::Owner;
+use crate::owner::job::JobKey;
+use crate::owner::waits::WaitReason;
+use crate::owner::worker::Run;
+use crate::owner::worker::Worker;
+use crate::owner::worker::WorkerKey;
+use crate::policy::kept_room::Candidate;
+use crate::policy::kept_room::Need;
+use crate::policy::kept_room::Precedence;
+use crate::policy::kept_room::choose;
+use crate::policy::kept_room::keep_ms;
+use crate::policy::kept_room::max_wait_ms;
+use crate::record::Step;
+use crate::record::Submission;
+use goldcrestway_core::Code;
+use goldcrestway_core::Note;
+use std::collections::BTreeMap;
+
+/// Interval between two searches for workers on which to keep room.
+const SEARCH_INTERVAL_MS: u64 = 250;
+/// Maximum number of steps considered by one search.
+const MAX_CONSIDERED: usize = 4;
+
+/// Room on a worker that is kept for a step.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct KeptRoom {
+    pub(crate) step: StepId,
+    pub(crate) resources: Resources,
+    pub(crate) precedence: Precedence,
+}
+
+/// A step for which room is kept.
+#[derive(Debug)]
+struct Keep {
+    job: JobKey,
+    step: StepId,
+    workers: Vec<WorkerKey>,
+    until_ms: u64,
+    /// How long no room is kept for it if it has waited in vain.
+    paused_ms: u64,
+}
+
+/// A step that waits for longer than its job can bear.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct BlockedStep {
+    pub(crate) job: JobKey,
+    pub(crate) step: StepId,
+    pub(crate) waiting_since_ms: u64,
+}
+
+/// Steps for which room is kept.
+#[derive(Debug, Default)]
+pub(crate) struct KeptRooms {
+    /// One step at most for each service.
+    by_service: BTreeMap<Box<str>, Keep>,
+    /// Steps for which room was kept in vain, and until when none is kept for them again.
+    paused_until_ms: BTreeMap<StepId, u64>,
+    next_search_ms: u64,
+}
+
+impl Precedence {
+    /// Returns the precedence of a job.
+    pub(crate) fn of(submission: &Submission) -> Self {
+        Self {
+            priority: submission.priority,
+            is_finite: !submission.steps.iter().any(|step| step.is_long_running),
+        }
+    }
+}
+
+impl Worker {
+    /// Returns the resources that are free for tasks of a step, without room that is kept for
+    /// another one.
+    pub(crate) fn free_for(&self, step: StepId, precedence: Precedence) -> Resources {
+        match &self.kept {
+            Some(kept) if kept.step != step && precedence >= kept.precedence => {
+                self.free().minus(kept.resources)
+            }
+            _ => self.free(),
+        }
+    }
+
+    /// Reduces the room that is kept for a step by what a task of it has got here.
+    pub(crate) fn use_kept_room(&mut self, step: StepId, resources: Resources) {
+        if let Some(kept) = &mut self.kept
+            && kept.step == step
+        {
+            kept.resources = kept.resources.minus(resources);
+        }
+    }
+}
+
+impl Owner {
+    /// Releases the rooms of steps that no longer wait or that have waited there in vain, and those
+    /// on workers that take no tasks any more.
+    pub(super) fn release_rooms(&mut self, now_ms: u64) {
+        let mut rooms = std::mem::take(&mut self.kept_rooms);
+        rooms
+            .paused_until_ms
+            .retain(|_, until_ms| now_ms < *until_ms);
+        rooms.by_service.retain(|_, keep| {
+            let waits = self.waiting_tasks(keep.job, keep.step) > 0;
+            let is_usable = |key: &WorkerKey| {
+                let worker = self.workers.get(*key);
+                worker.is_some_and(|worker| {
+                    worker.untimed_exclusion().is_none() && !self.is_evacuated(worker)
+                })
+            };
+            if waits && now_ms < keep.until_ms && keep.workers.iter().all(is_usable) {
+                return true;
+            }
+            for key in &keep.workers {
+                if let Some(worker) = self.workers.get_mut(*key) {
+                    worker.kept = None;
+                }
+            }
+            if waits && now_ms >= keep.until_ms {
+                let paused_until_ms = now_ms + keep.paused_ms;
+                rooms.paused_until_ms.insert(keep.step, paused_until_ms);
+                self.stats.rooms_kept_in_vain += 1;
+            }
+            false
+        });
+        self.kept_rooms = rooms;
+    }
+
+    /// Returns a step that has waited for longer than its job can bear, if it is one for which room
+    /// may be kept. Best-effort tasks reserve no processors, and a permit names other workers than
+    /// those where the task would fit.
+    pub(super) fn blocked_step(
+        &self,
+        job: JobKey,
+        first: TaskId,
+        step: &Step,
+        now_ms: u64,
+    ) -> Option<BlockedStep> {
+        let owner = &self.jobs[job];
+        let waiting_since_ms = owner.step_state(first)?.waiting_since_ms?;
+        let is_too_long = now_ms >= waiting_since_ms + max_wait_ms(owner.allowed_ms());
+        let may_be_kept = !step.is_best_effort && !owner.submission.needs_permits();
+        let is_on = self.bounds.policy.fair_shares;
+        (is_on && may_be_kept && is_too_long).then_some(BlockedStep {
+            job,
+            step: StepId::of(first),
+            waiting_since_ms,
+        })
+    }
+
+    /// Keeps room for the first of some steps that has waited for too long while narrower tasks
+    /// have started. They are in the order of their urgency.
+    pub(super) fn keep_rooms(
+        &mut self,
+        blocked: &[BlockedStep],
+        now: Now,
+        actions: &mut Vec<Action>,
+    ) {
+        if blocked.is_empty() || now.steady_ms < self.kept_rooms.next_search_ms {
+            return;
+        }
+        self.kept_rooms.next_search_ms = now.steady_ms + SEARCH_INTERVAL_MS;
+        let latest_starts = self.latest_starts();
+        let mut considered = 0;
+        for blocked in blocked {
+            let submission = &self.jobs[blocked.job].submission;
+            let service = submission.service.as_str();
+            let is_taken = self.kept_rooms.by_service.contains_key(service);
+            let is_paused = self.kept_rooms.paused_until_ms.contains_key(&blocked.step);
+            let resources = submission.steps[usize::from(blocked.step.step)].resources();
+            let is_passed_over = latest_starts.get(service).is_some_and(|starts| {
+                starts.iter().any(|(started, started_ms)| {
+                    *started_ms > blocked.waiting_since_ms && !started.can_fit(resources)
+                })
+            });
+            if is_taken || is_paused || !is_passed_over {
+                continue;
+            }
+            if considered == MAX_CONSIDERED {
+                return;
+            }
+            considered += 1;
+            self.keep_room(*blocked, now, actions);
+        }
+    }
+
+    /// Returns for each service when the latest run that requests certain resources was started.
+    fn latest_starts(&self) -> BTreeMap<Box<str>, BTreeMap<Resources, u64>> {
+        let mut latest: BTreeMap<Box<str>, BTreeMap<Resources, u64>> = BTreeMap::new();
+        for worker in self.workers.values() {
+            if worker.runs.is_empty() {
+                continue;
+            }
+            let starts = latest.entry(worker.entry.service.clone()).or_default();
+            for run in worker.runs.values() {
+                if run.is_best_effort {
+                    continue;
+                }
+                let started_ms = starts.entry(run.resources).or_default();
+                *started_ms = run.started_ms.max(*started_ms);
+            }
+        }
+        latest
+    }
+
+    fn keep_room(&mut self, blocked: BlockedStep, now: Now, actions: &mut Vec<Action>) {
+        let submission = self.jobs[blocked.job].submission.clone();
+        let Some(step) = submission.steps.get(usize::from(blocked.step.step)) else {
+            return;
+        };
+        if self.wait_reason_of(blocked, step, now.steady_ms) != WaitReason::Worker {
+            return;
+        }
+        let need = Need {
+            task: step.resources(),
+            tasks: self.waiting_tasks(blocked.job, blocked.step) as usize,
+            max_per_worker: step.max_per_worker as usize,
+            is_gang: step.is_gang,
+        };
+        let mut candidates = Vec::new();
+        for (key, worker) in self.workers.eligible() {
+            if *worker.entry.service != *submission.service
+                || worker.exclusion(now.steady_ms).is_some()
+                || self.is_evacuated(worker)
+                || !worker.has_label(&step.label)
+            {
+                continue;
+            }
+            let mut ends = Vec::new();
+            for ((task, _), run) in &worker.runs {
+                if !run.is_long_running {
+                    ends.push((self.ends_in_ms(*task, run, now.steady_ms), run.resources));
+                }
+            }
+            candidates.push(Candidate {
+                key,
+                free: worker.free(),
+                ends,
+            });
+        }
+        let Some(choice) = choose(need, candidates) else {
+            return;
+        };
+        let waited_ms = now.steady_ms - blocked.waiting_since_ms;
+        let keep_ms = keep_ms(waited_ms, choice.fits_in_ms);
+        let precedence = Precedence::of(&submission);
+        for (key, tasks) in &choice.workers {
+            self.workers[*key].kept = Some(KeptRoom {
+                step: blocked.step,
+                resources: need.task.times(*tasks as u64),
+                precedence,
+            });
+        }
+        self.stats.rooms_kept += 1;
+        actions.push(Action::Note(Note::new(
+            Code::RoomKept,
+            blocked.step.to_string(),
+            format!(
+                "queue={} waited_ms={waited_ms} tasks={} workers={} fits_in_ms={} at_most_ms={keep_ms}",
+                submission.queue,
+                need.tasks,
+                choice.workers.len(),
+                choice.fits_in_ms
+            ),
+        )));
+        let keep = Keep {
+            job: blocked.job,
+            step: blocked.step,
+            workers: choice.workers.into_keys().collect(),
+            until_ms: now.steady_ms + keep_ms,
+            paused_ms: keep_ms,
+        };
+        let service = submission.service.as_str().into();
+        self.kept_rooms.by_service.insert(service, keep);
+    }
+
+    /// Returns the number of tasks of a step that wait.
+    fn waiting_tasks(&self, job: JobKey, step: StepId) -> u32 {
+        let job = self.jobs.get(job);
+        let state = job.and_then(|job| job.step_state(step.first_task()));
+        state.map_or(0, |state| state.waiting)
+    }
+
+    /// Returns the time in milliseconds until a run should end, by its progress or by the estimate of
+    /// its caller. A run that takes longer than estimated is taken to be half done.
+    fn ends_in_ms(&self, task: TaskId, run: &Run, now_ms: u64) -> u64 {
+        let elapsed_ms = now_ms.saturating_sub(run.started_ms);
+        if run.percent > 0 && run.first_percent == 0 {
+            let left_percent = u64::from(100_u32.saturating_sub(run.percent));
+            return elapsed_ms * left_percent / u64::from(run.percent);
+        }
+        let key = self.job_keys.get(&task.job);
+        let step = key.and_then(|key| self.jobs[*key].step(task));
+        let estimated_ms = step.map_or(0, |step| step.estimated_ms);
+        match estimated_ms > elapsed_ms {
+            true => estimated_ms - elapsed_ms,
+            false => elapsed_ms,
+        }
+    }
+}
--- a/crates/dispatch/src/owner/mod.rs
+++ b/crates/dispatch/src/owner/mod.rs
@@ -15,9 +15,11 @@
 mod crashes;
 mod evacuating;
 mod exits;
+mod fair_shares;
 mod gangs;
 mod incarnations;
 mod job;
+mod kept_room;
 mod link;
 mod orders;
 mod orphans;
@@ -51,6 +53,7 @@
 use crate::owner::incarnations::DoubtfulStarts;
 use crate::owner::job::Job;
 use crate::owner::job::JobKey;
+use crate::owner::kept_room::KeptRooms;
 pub(crate) use crate::owner::link::records_bytes;
 use crate::owner::permits::Permits;
 use crate::owner::stragglers::Durations;
@@ -60,6 +63,7 @@
 use crate::owner::workers::Workers;
 use crate::owner::writing::Writer;
 use crate::policy::answer_timeouts::AnswerLatencies;
+use crate::policy::fair_shares::FairShares;
 use crate::policy::images::Images;
 use crate::policy::interference::InterferenceModel;
 use crate::policy::link::CallPriority;
@@ -139,6 +143,12 @@
     pub relay_selections: u64,
     /// Steps that have waited for a long time, by the reason.
     pub waits: [u64; WaitReason::ALL.len()],
+    /// Number of times that room was kept for a wide task or a gang.
+    pub rooms_kept: u64,
+    /// Number of those times after which the task still waited.
+    pub rooms_kept_in_vain: u64,
+    /// Jain's index of the usage of queues that compete, in thousandths.
+    pub fairness_permille: u64,
 }
 
 /// Reason for which an owner stops.
@@ -209,6 +219,10 @@
     wake_ms: u64,
     /// When steps that have waited for a long time are reported next.
     next_waits_report_ms: u64,
+    fair_shares: FairShares,
+    /// When the resources of the services are summed next.
+    next_sum_ms: u64,
+    kept_rooms: KeptRooms,
     stepdown: Option<Stepdown>,
     pub(crate) stats: OwnerStats,
 }
@@ -272,6 +286,9 @@
             next_place_ms: 0,
             wake_ms: u64::MAX,
             next_waits_report_ms: 0,
+            fair_shares: FairShares::default(),
+            next_sum_ms: 0,
+            kept_rooms: KeptRooms::default(),
             stepdown: None,
             stats: OwnerStats::default(),
         };
@@ -288,6 +305,7 @@
                 .interference
                 .resume(&recovered.learned, &mut owner.images);
         }
+        owner.fair_shares.resume(&recovered.learned.queues);
         let mut ids: Vec<JobId> = job_table.jobs.keys().copied().collect();
         ids.sort_unstable();
         owner.update_hosts(&job_table.hosts);
--- a/crates/dispatch/src/owner/permits.rs
+++ b/crates/dispatch/src/owner/permits.rs
@@ -13,6 +13,7 @@
 use crate::owner::Owner;
 use crate::owner::costs::TaskRequirements;
 use crate::owner::worker::WorkerKey;
+use crate::policy::kept_room::Precedence;
 use crate::record::Submission;
 use std::cmp::Reverse;
 use std::collections::HashMap;
@@ -164,6 +165,7 @@
             service: &submission.service,
             image: self.images.key(&step.image),
             task: step_id.first_task(),
+            precedence: Precedence::of(&submission),
             needs_permits: false,
             suspected_at: None,
             waits_for_isolation: false,
--- a/crates/dispatch/src/owner/placing.rs
+++ b/crates/dispatch/src/owner/placing.rs
@@ -7,10 +7,12 @@
 use crate::owner::Owner;
 use crate::owner::costs::TaskRequirements;
 use crate::owner::job::JobKey;
+use crate::owner::kept_room::BlockedStep;
 use crate::owner::task::Placement;
 use crate::owner::worker::RunPhase;
 use crate::owner::worker::WorkerKey;
 use crate::policy::images::ImageKey;
+use crate::policy::kept_room::Precedence;
 use crate::policy::link::CallPriority;
 use crate::policy::ordering::Urgency;
 use crate::record::JobPhase;
@@ -37,6 +39,8 @@
     /// Best-effort tasks for which no worker was found: service, image and requested CPU in
     /// thousandths of a core.
     unplaceable: Vec<(Box<str>, ImageKey, u64)>,
+    /// Steps that wait for longer than their jobs can bear.
+    blocked: Vec<BlockedStep>,
 }
 
 impl PlacementPass {
@@ -76,20 +80,22 @@
             self.must_place = true;
             return;
         }
+        self.release_rooms(now.steady_ms);
+        self.rank_queues(now.steady_ms);
         let mut order = Vec::new();
         for key in &self.live_jobs {
             let job = &self.jobs[*key];
             if job.has_waiting {
-                order.push((
-                    Urgency::new(&job.waiting(now), &self.bounds.policy, now.steady_ms),
-                    *key,
-                ));
+                let waiting = job.waiting(self.queue_rank(job), now);
+                let urgency = Urgency::new(&waiting, &self.bounds.policy, now.steady_ms);
+                order.push((urgency, *key));
             }
         }
         order.sort_unstable();
         let mut pass = PlacementPass {
             remaining: MAX_PLACED_PER_PASS,
             unplaceable: Vec::new(),
+            blocked: Vec::new(),
         };
         for (_, key) in order {
             self.place_job(key, now, &mut pass, actions);
@@ -98,6 +104,7 @@
                 return;
             }
         }
+        self.keep_rooms(&pass.blocked, now, actions);
         self.schedule_retry(now.steady_ms);
     }
 
@@ -147,6 +154,8 @@
                 if let Some(state) = self.jobs[key].step_mut(first) {
                     state.record_wait(step_waits, waiting_before, now.steady_ms);
                 }
+                pass.blocked
+                    .extend(self.blocked_step(key, first, step, now.steady_ms));
             }
         }
         self.jobs[key].has_waiting = job_waits;
@@ -168,6 +177,7 @@
             service: &submission.service,
             image: self.images.key(&step.image),
             task: first,
+            precedence: Precedence::of(&submission),
             needs_permits: submission.needs_permits(),
             suspected_at: match step.is_gang {
                 true => self.suspected_at(first),
@@ -340,6 +350,7 @@
             service: &submission.service,
             image: self.images.key(&step.image),
             task: id,
+            precedence: Precedence::of(&submission),
             needs_permits: submission.needs_permits(),
             suspected_at: self.suspected_at(id),
             waits_for_isolation: false,
@@ -395,6 +406,7 @@
         }
         let text_bytes = checkpoint_bytes + job.specification.len();
         self.charge_start(text_bytes);
+        self.workers[worker].use_kept_room(StepId::of(id), run.resources);
         self.workers[worker].add(id, number, run);
         self.writer.start_once_stored(worker, id, number);
     }
--- a/crates/dispatch/src/owner/waits.rs
+++ b/crates/dispatch/src/owner/waits.rs
@@ -9,7 +9,9 @@
 use crate::owner::Owner;
 use crate::owner::costs::TaskRequirements;
 use crate::owner::job::JobKey;
+use crate::owner::kept_room::BlockedStep;
 use crate::owner::worker::Exclusion;
+use crate::policy::kept_room::Precedence;
 use crate::policy::link::CallPriority;
 use crate::record::Step;
 use goldcrestway_core::Code;
@@ -96,6 +98,7 @@
             return;
         }
         self.next_waits_report_ms = now.steady_ms + SEARCH_INTERVAL_MS;
+        self.report_shares(now, actions);
         self.stats.waits = [0; WaitReason::ALL.len()];
         let mut waiting = self.list_waiting(now.steady_ms);
         waiting.sort_by_key(|step| step.since_ms);
@@ -175,6 +178,21 @@
         list
     }
 
+    /// Returns the reason why a step waits.
+    pub(super) fn wait_reason_of(
+        &self,
+        blocked: BlockedStep,
+        step: &Step,
+        now_ms: u64,
+    ) -> WaitReason {
+        let waiting = WaitingStep {
+            job: blocked.job,
+            first: blocked.step.first_task(),
+            since_ms: blocked.waiting_since_ms,
+        };
+        self.find_wait_reason(&waiting, step, now_ms).1
+    }
+
     /// Returns the first waiting task of a step, and the reason why it waits.
     fn find_wait_reason(
         &self,
@@ -246,6 +264,7 @@
             service: &submission.service,
             image: self.images.find(&step.image),
             task: waiting.first,
+            precedence: Precedence::of(submission),
             needs_permits: submission.needs_permits(),
             suspected_at: None,
             waits_for_isolation: false,
--- a/crates/dispatch/src/owner/worker.rs
+++ b/crates/dispatch/src/owner/worker.rs
@@ -5,6 +5,7 @@
 use crate::ids::JobId;
 use crate::ids::TaskId;
 use crate::incarnation::Incarnation;
+use crate::owner::kept_room::KeptRoom;
 use crate::policy::images::ImageKey;
 use crate::policy::interference::Baseline;
 use crate::policy::interference::UsageWindow;
@@ -74,6 +75,8 @@
     Permit,
     /// Its failure domain is evacuated, and there is no other reason.
     Evacuated,
+    /// Its room is kept for another step.
+    Kept,
 }
 
 /// Phase of a run, from the order to start it to its end. Logs print the variants by their names.
@@ -259,6 +262,8 @@
     pub(crate) next_share_change_ms: u64,
     /// Best-effort tasks run beside a latency-critical task that is over its target.
     pub(crate) is_over_target: bool,
+    /// Room that is kept for a step.
+    pub(crate) kept: Option<KeptRoom>,
 }
 
 impl Worker {
@@ -297,6 +302,7 @@
             queued_due_ms: None,
             next_share_change_ms: 0,
             is_over_target: false,
+            kept: None,
         }
     }
 
@@ -448,6 +454,11 @@
         None
     }
 
+    /// Returns whether it has a label; each has the empty one.
+    pub(crate) fn has_label(&self, label: &str) -> bool {
+        label.is_empty() || self.entry.labels.iter().any(|own| **own == *label)
+    }
+
     /// Returns how many tasks of a step fit.
     pub(crate) fn capacity_for(&self, step: &Step) -> u32 {
         let mut free = self.free();
--- a/crates/dispatch/src/owner/writing.rs
+++ b/crates/dispatch/src/owner/writing.rs
@@ -167,6 +167,9 @@
             if learned.encoded_len() as u64 > self.bounds.max_record_bytes {
                 learned.images.clear();
             }
+            if learned.encoded_len() as u64 > self.bounds.max_record_bytes {
+                learned.queues.clear();
+            }
             records.push((Key::Learned.text(), learned.encode_to_vec().into()));
         }
         if !records.is_empty() {
@@ -239,6 +242,7 @@
         Learned {
             images: self.interference.learned(&self.images),
             silent,
+            queues: self.fair_shares.learned(),
         }
     }
 
--- a/crates/dispatch/src/policy/mod.rs
+++ b/crates/dispatch/src/policy/mod.rs
@@ -14,10 +14,14 @@
 //! | [`size`] | how large a job may be |
 //! | [`stragglers`] | which workers slow down the tasks that run there |
 //! | [`suspicion`] | which task is the cause when a worker has crashed |
+//! | [`fair_shares`] | which queue goes first among queues of the same priority |
+//! | [`kept_room`] | on which workers room is kept for a wide task, and for how long |
 
 pub mod answer_timeouts;
+pub mod fair_shares;
 pub mod images;
 pub mod interference;
+pub mod kept_room;
 pub mod link;
 pub mod ordering;
 pub mod placing;
--- a/crates/dispatch/src/policy/ordering.rs
+++ b/crates/dispatch/src/policy/ordering.rs
@@ -10,6 +10,11 @@
 //! **Limits:** a job counts as late when its longest chain of steps, as estimated by its caller, no
 //! longer fits before its objective. It then waits for jobs that can still meet theirs. Among
 //! these, a started job goes first: its completed work has a value only together with the rest.
+//!
+//! Among queues of the same priority, the rank of the queue goes before all that. Otherwise a queue
+//! with many jobs that are still in time would keep back those of a queue that has had little, and
+//! these would be late for it. Started jobs in time count one rank less, so that a small difference
+//! between two queues does not keep half-done jobs waiting.
 
 use crate::policy::Policy;
 
@@ -20,6 +25,8 @@
     pub priority: u32,
     /// Whether it has tasks that run until it is cancelled.
     pub is_long_running: bool,
+    /// Rank of its queue among queues of the same priority; the smallest goes first.
+    pub rank: u32,
     /// Whether at least one of its tasks has started.
     pub has_started: bool,
     /// Objective: time by which its caller wants it finished, in milliseconds.
@@ -40,6 +47,7 @@
     has_no_value: bool,
     priority: u32,
     is_finite: bool,
+    rank: u32,
     is_late: bool,
     has_not_started: bool,
     due_ms: u64,
@@ -49,12 +57,16 @@
     /// Returns the position of a job that waits at `now_ms`.
     pub fn new(job: &WaitingJob, policy: &Policy, now_ms: u64) -> Self {
         let fits = now_ms + job.remaining_ms <= job.due_ms;
+        let is_late = !fits && !job.is_long_running && policy.feasible_first;
+        let has_not_started = !job.has_started && policy.begun_first;
+        let is_favoured = job.has_started && policy.begun_first && !is_late;
         Self {
             has_no_value: now_ms > job.no_value_after_ms && !job.is_long_running,
             priority: job.priority,
             is_finite: !job.is_long_running,
-            is_late: !fits && !job.is_long_running && policy.feasible_first,
-            has_not_started: !job.has_started && policy.begun_first,
+            rank: job.rank.saturating_sub(u32::from(is_favoured)),
+            is_late,
+            has_not_started,
             due_ms: job.due_ms,
         }
     }
--- a/crates/dispatch/src/policy/switches.rs
+++ b/crates/dispatch/src/policy/switches.rs
@@ -22,6 +22,9 @@
     pub feasible_first: bool,
     /// Jobs that have started go before others.
     pub begun_first: bool,
+    /// Queues of the same priority get equal shares, and room is kept for wide tasks that have waited
+    /// for long.
+    pub fair_shares: bool,
 }
 
 impl Default for Policy {
@@ -35,6 +38,7 @@
             avoids_failing_workers: true,
             feasible_first: true,
             begun_first: true,
+            fair_shares: true,
         }
     }
 }
--- a/crates/dispatch/src/record.rs
+++ b/crates/dispatch/src/record.rs
@@ -75,6 +75,15 @@
 }
 
 impl Step {
+    /// Returns the resources that a task requests, even if it reserves no processor time.
+    pub(crate) fn requested(&self) -> Resources {
+        Resources {
+            cpu_milli: self.cpu_milli,
+            memory_mb: self.memory_mb,
+            accelerators: self.accelerators,
+        }
+    }
+
     /// Returns the resources that a task reserves on a worker.
     pub fn resources(&self) -> Resources {
         Resources {
@@ -311,7 +320,7 @@
 }
 
 /// Learned data that an owner hands to the next one: how best-effort images interfere with
-/// latency-critical tasks, and which workers are silent.
+/// latency-critical tasks, which workers are silent, and what each queue has held.
 #[derive(Clone, PartialEq, Message)]
 pub(crate) struct Learned {
     #[prost(message, repeated, tag = "1")]
@@ -319,6 +328,23 @@
     /// Workers that do not answer and whose leases are not extended.
     #[prost(message, repeated, tag = "2")]
     pub(crate) silent: Vec<SilentWorker>,
+    /// Usage of queues that compete.
+    #[prost(message, repeated, tag = "4")]
+    pub(crate) queues: Vec<LearnedQueue>,
+}
+
+/// What jobs of one kind of a queue have held of late.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub(crate) struct LearnedQueue {
+    #[prost(string, tag = "1")]
+    pub(crate) queue: String,
+    #[prost(bool, tag = "2")]
+    pub(crate) is_long_running: bool,
+    #[prost(bool, tag = "3")]
+    pub(crate) is_best_effort: bool,
+    /// Part of the service's resources, in millionths.
+    #[prost(uint32, tag = "4")]
+    pub(crate) usage_ppm: u32,
 }
 
 /// A worker that does not answer.
--- a/tests/fleet/callers.rs
+++ b/tests/fleet/callers.rs
@@ -2,11 +2,13 @@
 
 use crate::fleet::Fleet;
 use crate::fleet::WALL_MS;
+use goldcrestway_dispatch::Entry;
 use goldcrestway_dispatch::Event;
 use goldcrestway_dispatch::JobId;
 use goldcrestway_dispatch::JobState;
 use goldcrestway_dispatch::Reply;
 use goldcrestway_dispatch::Submission;
+use goldcrestway_dispatch::policy::fair_shares::QueueShare;
 
 impl Fleet {
     /// Submits a job to a host, and returns the number of the request.
@@ -61,6 +63,12 @@
         self.requests
     }
 
+    /// Returns the shares of all queues, as a host knows them.
+    pub(crate) fn queue_shares(&self, number: usize) -> Vec<QueueShare> {
+        let entry = self.hosts[number].entry.as_ref();
+        entry.map_or(Vec::new(), Entry::queue_shares)
+    }
+
     /// Queries a host for the state of a job, and waits for the answer.
     pub(crate) fn state(&mut self, number: usize, id: u64) -> Option<JobState> {
         let request = self.query(number, id);
--- a/tests/fleet/promises.rs
+++ b/tests/fleet/promises.rs
@@ -60,6 +60,8 @@
     completions: BTreeMap<TaskId, u32>,
     /// Starts in order, as worker, task and run.
     pub(crate) starts: Vec<(Box<str>, TaskId, u32)>,
+    /// When each task started first.
+    pub(crate) first_starts_ms: BTreeMap<TaskId, u64>,
     /// Time of the last disturbance that may keep owners from knowing what workers have.
     pub(crate) disturbed_ms: u64,
     /// Starts that exceeded the resources of a worker, whether refused or not.
@@ -79,6 +81,7 @@
     /// Records that a worker is ordered to start a run, and returns the properties of the task.
     pub(crate) fn record_start_attempt(&mut self, worker: &str, task: TaskId, run: u32) -> Plan {
         self.starts.push((worker.into(), task, run));
+        self.first_starts_ms.entry(task).or_insert(self.now_ms);
         if self.acknowledged.contains(&task) {
             self.broken.push(format!(
                 "{task} run {run} starts at {worker} after its exit was acknowledged"
--- a/tests/policy_ordering.rs
+++ b/tests/policy_ordering.rs
@@ -1,6 +1,7 @@
 //! Tests which of many waiting jobs gets free resources.
 
 use goldcrestway_dispatch::policy::Policy;
+use goldcrestway_dispatch::policy::fair_shares::NEUTRAL_RANK;
 use goldcrestway_dispatch::policy::ordering::Urgency;
 use goldcrestway_dispatch::policy::ordering::WaitingJob;
 use googletest::prelude::*;
@@ -11,6 +12,7 @@
 const JOB: WaitingJob = WaitingJob {
     priority: 2,
     is_long_running: false,
+    rank: NEUTRAL_RANK,
     has_started: false,
     due_ms: NOW_MS + 6_000,
     no_value_after_ms: NOW_MS + 22_000,
