--- a/crates/dispatch/src/policy/fair_shares.rs
+++ b/crates/dispatch/src/policy/fair_shares.rs
@@ -41,6 +41,9 @@
 const MAX_IDLE_QUEUES: usize = 1_000;
 /// Usage below which a queue without jobs is forgotten, as a part of the service.
 const MIN_USAGE: f64 = 0.000_1;
+/// Time for which jobs of a queue have waited when it is reported that they go after those of others.
+/// Jobs that have just been submitted wait until the next pass even if there is room for all.
+const HELD_BACK_AFTER_MS: u64 = 500;
 /// Interval between two reports about the same queue.
 const REPORT_INTERVAL_MS: u64 = 10_000;
 
@@ -115,7 +118,9 @@
     jobs: u64,
     waiting: u64,
     rank: u32,
-    /// Its jobs went after those of another queue since the last report.
+    /// Since when some of its jobs wait.
+    waits_since_ms: Option<u64>,
+    /// They went after those of another queue since the last report.
     was_held_back: bool,
     reported_ms: Option<u64>,
 }
@@ -160,6 +165,7 @@
             jobs: 0,
             waiting: 0,
             rank: NEUTRAL_RANK,
+            waits_since_ms: None,
             was_held_back: false,
             reported_ms: None,
         });
@@ -201,7 +207,7 @@
         }
         self.forget_idle();
         for keys in self.keys.values() {
-            rank_group(&mut self.queues, keys);
+            rank_group(&mut self.queues, keys, now_ms);
         }
     }
 
@@ -367,7 +373,11 @@
 }
 
 /// Ranks the queues of a group. A queue that competes with none gets the neutral rank.
-fn rank_group(queues: &mut SlotMap<QueueKey, Usage>, keys: &BTreeMap<Box<str>, QueueKey>) {
+fn rank_group(
+    queues: &mut SlotMap<QueueKey, Usage>,
+    keys: &BTreeMap<Box<str>, QueueKey>,
+    now_ms: u64,
+) {
     let waiting = waiting(queues, keys);
     let equal = equal_share(&waiting);
     let competes = waiting.len() > 1 && equal > 0.0;
@@ -389,7 +399,14 @@
     }
     for key in keys.values() {
         let usage = &mut queues[*key];
-        usage.was_held_back |= usage.rank > NEUTRAL_RANK && usage.rank > lowest;
+        if usage.waiting == 0 {
+            usage.waits_since_ms = None;
+            continue;
+        }
+        let since_ms = *usage.waits_since_ms.get_or_insert(now_ms);
+        let waits_long = now_ms >= since_ms + HELD_BACK_AFTER_MS;
+        let is_behind = usage.rank > NEUTRAL_RANK && usage.rank > lowest;
+        usage.was_held_back |= waits_long && is_behind;
     }
 }
 
