Kept room: several steps of a service at a time, each for a time that follows from its job

Now a tenth of the workers is shared by all steps, and the search pauses by the runs that it has gone through.

--- a/crates/dispatch/src/owner/kept_room.rs
+++ b/crates/dispatch/src/owner/kept_room.rs
@@ -18,16 +18,21 @@
 use crate::policy::kept_room::choose;
 use crate::policy::kept_room::keep_ms;
 use crate::policy::kept_room::max_wait_ms;
+use crate::policy::kept_room::max_workers;
+use crate::policy::placing::placing_gap_ms;
 use crate::record::Step;
 use crate::record::Submission;
 use goldcrestway_core::Code;
 use goldcrestway_core::Note;
 use std::collections::BTreeMap;
 
-/// Interval between two searches for workers on which to keep room.
+/// Shortest interval between two searches for workers on which to keep room.
 const SEARCH_INTERVAL_MS: u64 = 250;
 /// Maximum number of steps considered by one search.
-const MAX_CONSIDERED: usize = 4;
+const MAX_CONSIDERED: u64 = 4;
+
+/// When the latest run that reserves certain resources was started, by service.
+type LatestStarts = BTreeMap<Box<str>, BTreeMap<Resources, u64>>;
 
 /// Room on a worker that is kept for a step.
 #[derive(Debug, Clone, Copy)]
@@ -42,6 +47,7 @@
 struct Keep {
     job: JobKey,
     step: StepId,
+    service: Box<str>,
     workers: Vec<WorkerKey>,
     until_ms: u64,
     /// Since when runs reserve less than half of the service's processors.
@@ -72,8 +78,7 @@
 /// Steps for which room is kept.
 #[derive(Debug, Default)]
 pub(crate) struct KeptRooms {
-    /// One step at most for each service.
-    by_service: BTreeMap<Box<str>, Keep>,
+    keeps: Vec<Keep>,
     /// Steps for which room was kept in vain, and until when none is kept for them again.
     paused_until_ms: BTreeMap<StepId, u64>,
     next_search_ms: u64,
@@ -119,8 +124,8 @@
         rooms
             .paused_until_ms
             .retain(|_, until_ms| now_ms < *until_ms);
-        rooms.by_service.retain(|service, keep| {
-            if self.is_half_empty(service) {
+        rooms.keeps.retain_mut(|keep| {
+            if self.is_half_empty(&keep.service) {
                 keep.half_empty_since_ms.get_or_insert(now_ms);
             } else {
                 keep.half_empty_since_ms = None;
@@ -201,8 +206,8 @@
         })
     }
 
-    /// Keeps room for the first of some steps that has waited for too long while narrower tasks
-    /// have started. They are in the order of their urgency.
+    /// Keeps room for the first of some steps that have waited for too long while narrower tasks have
+    /// started. They are in the order of their urgency.
     pub(super) fn keep_rooms(
         &mut self,
         blocked: &[BlockedStep],
@@ -212,34 +217,42 @@
         if blocked.is_empty() || now.steady_ms < self.kept_rooms.next_search_ms {
             return;
         }
-        self.kept_rooms.next_search_ms = now.steady_ms + SEARCH_INTERVAL_MS;
         let latest_starts = self.latest_starts();
         let mut considered = 0;
         for blocked in blocked {
-            let submission = &self.jobs[blocked.job].submission;
-            let service = submission.service.as_str();
-            let is_taken = self.kept_rooms.by_service.contains_key(service);
-            let is_paused = self.kept_rooms.paused_until_ms.contains_key(&blocked.step);
-            let resources = submission.steps[usize::from(blocked.step.step)].resources();
-            let is_passed_over = latest_starts.get(service).is_some_and(|starts| {
-                starts.iter().any(|(started, started_ms)| {
-                    *started_ms > blocked.waiting_since_ms && !started.can_fit(resources)
-                })
-            });
-            if is_taken || is_paused || !is_passed_over {
+            if !self.is_passed_over(*blocked, &latest_starts) {
                 continue;
             }
             if considered == MAX_CONSIDERED {
-                return;
+                break;
             }
             considered += 1;
             self.keep_room(*blocked, now, actions);
         }
+        let runs: usize = self.workers.values().map(|worker| worker.runs.len()).sum();
+        let gap_ms = placing_gap_ms(runs as u64 * (1 + considered), self.bounds.cpu_permille);
+        self.kept_rooms.next_search_ms = now.steady_ms + gap_ms.max(SEARCH_INTERVAL_MS);
     }
 
-    /// Returns for each service when the latest run that requests certain resources was started.
-    fn latest_starts(&self) -> BTreeMap<Box<str>, BTreeMap<Resources, u64>> {
-        let mut latest: BTreeMap<Box<str>, BTreeMap<Resources, u64>> = BTreeMap::new();
+    /// Returns whether narrower tasks have started while a step waited, and room may be kept for it.
+    fn is_passed_over(&self, blocked: BlockedStep, latest_starts: &LatestStarts) -> bool {
+        let rooms = &self.kept_rooms;
+        let is_kept = rooms.keeps.iter().any(|keep| keep.step == blocked.step);
+        if is_kept || rooms.paused_until_ms.contains_key(&blocked.step) {
+            return false;
+        }
+        let submission = &self.jobs[blocked.job].submission;
+        let resources = submission.steps[usize::from(blocked.step.step)].resources();
+        let Some(starts) = latest_starts.get(submission.service.as_str()) else {
+            return false;
+        };
+        starts.iter().any(|(started, started_ms)| {
+            *started_ms > blocked.waiting_since_ms && !started.can_fit(resources)
+        })
+    }
+
+    fn latest_starts(&self) -> LatestStarts {
+        let mut latest = LatestStarts::new();
         for worker in self.workers.values() {
             if worker.runs.is_empty() {
                 continue;
@@ -271,6 +284,7 @@
             is_gang: step.is_gang,
         };
         let mut candidates = Vec::new();
+        let mut kept_workers = 0;
         for (key, worker) in self.workers.eligible() {
             if *worker.entry.service != *submission.service
                 || worker.exclusion(now.steady_ms).is_some()
@@ -279,6 +293,10 @@
             {
                 continue;
             }
+            if worker.kept.is_some() {
+                kept_workers += 1;
+                continue;
+            }
             let mut ends = Vec::new();
             for ((task, _), run) in &worker.runs {
                 if !run.is_long_running {
@@ -291,11 +309,12 @@
                 ends,
             });
         }
-        let Some(choice) = choose(need, candidates) else {
+        let max_workers = max_workers(candidates.len() + kept_workers).saturating_sub(kept_workers);
+        let Some(choice) = choose(need, candidates, max_workers) else {
             return;
         };
         let waited_ms = now.steady_ms - blocked.waiting_since_ms;
-        let keep_ms = keep_ms(waited_ms, choice.fits_in_ms);
+        let keep_ms = keep_ms(self.jobs[blocked.job].allowed_ms(), choice.fits_in_ms);
         let precedence = Precedence::of(&submission);
         for (key, tasks) in &choice.workers {
             self.workers[*key].kept = Some(KeptRoom {
@@ -319,13 +338,13 @@
         let keep = Keep {
             job: blocked.job,
             step: blocked.step,
+            service: submission.service.as_str().into(),
             workers: choice.workers.into_keys().collect(),
             until_ms: now.steady_ms + keep_ms,
             half_empty_since_ms: None,
             paused_ms: keep_ms,
         };
-        let service = submission.service.as_str().into();
-        self.kept_rooms.by_service.insert(service, keep);
+        self.kept_rooms.keeps.push(keep);
     }
 
     /// Returns the number of tasks of a step that wait.
--- a/crates/dispatch/src/policy/kept_room.rs
+++ b/crates/dispatch/src/policy/kept_room.rs
@@ -15,8 +15,8 @@
 //! should have ended, as estimates are rough. If that was not enough, everything may start there
 //! again for as long, so the room is idle for less than half of the time whatever happens. It ends
 //! early if it has emptied half of the service. A step
-//! that waits for kept room holds nothing that others wait for, and each service keeps room for one
-//! step at a time, so no two can wait for each other.
+//! that waits for kept room holds nothing that others wait for, and a worker keeps room for one step at
+//! a time, so no two can wait for each other.
 
 use crate::config::Resources;
 use std::cmp::Reverse;
@@ -35,8 +35,7 @@
 /// Time for which room is kept while less than half of a service is in use. A job that could run
 /// there must start within three seconds.
 pub const MAX_HALF_EMPTY_MS: u64 = 2_000;
-/// Maximum part of a service's workers with room kept for the tasks of a step that run without each
-/// other.
+/// Maximum part of a service's workers on which room is kept for tasks that run without each other.
 const MAX_WORKERS_PERCENT: usize = 10;
 
 /// Returns how long a step waits before room is kept for it. Its caller allows `allowed_ms` for the
@@ -45,12 +44,10 @@
     (allowed_ms * WAIT_PERCENT / 100).clamp(MIN_WAIT_MS, MAX_WAIT_MS)
 }
 
-/// Returns for how long room is kept for a step that has waited for `waited_ms` and is estimated to
-/// fit in `fits_in_ms`, and then for how long none is kept for it if it still waits.
-pub fn keep_ms(waited_ms: u64, fits_in_ms: u64) -> u64 {
-    (fits_in_ms * KEEP_FACTOR)
-        .max(waited_ms)
-        .clamp(MIN_WAIT_MS, MAX_KEEP_MS)
+/// Returns for how long room is kept for a step that is estimated to fit in `fits_in_ms`, and then for
+/// how long none is kept for it if it still waits. Its caller allows `allowed_ms` for the whole job.
+pub fn keep_ms(allowed_ms: u64, fits_in_ms: u64) -> u64 {
+    (fits_in_ms * KEEP_FACTOR).clamp(max_wait_ms(allowed_ms), MAX_KEEP_MS)
 }
 
 /// A worker on which room may be kept.
@@ -96,10 +93,19 @@
     pub fits_in_ms: u64,
 }
 
-/// Chooses the workers on which the tasks of a step fit soonest. Returns `None` if no task will fit,
-/// or not all of a gang.
-pub fn choose<K: Copy + Ord>(need: Need, mut candidates: Vec<Candidate<K>>) -> Option<Choice<K>> {
-    let max_workers = (candidates.len() * MAX_WORKERS_PERCENT / 100).max(1);
+/// Returns on how many of a service's workers room is kept at most for tasks that run without each
+/// other.
+pub fn max_workers(workers: usize) -> usize {
+    (workers * MAX_WORKERS_PERCENT / 100).max(1)
+}
+
+/// Chooses the workers on which the tasks of a step fit soonest, `max_workers` at most but for a gang.
+/// Returns `None` if no task will fit, or not all of a gang.
+pub fn choose<K: Copy + Ord>(
+    need: Need,
+    mut candidates: Vec<Candidate<K>>,
+    max_workers: usize,
+) -> Option<Choice<K>> {
     let mut soonest = BinaryHeap::new();
     for (index, candidate) in candidates.iter_mut().enumerate() {
         candidate
--- a/tests/dispatch_fair_shares.rs
+++ b/tests/dispatch_fair_shares.rs
@@ -215,7 +215,7 @@
     submit_narrow(&mut fleet, 3_000);
     let wide = &wide_steps()[0].step;
     fleet.submit(0, 1, &job_of("burst", vec![wide.clone()]));
-    while fleet.note_counts.get(&Code::RoomKept).is_none() && fleet.now_ms < 20_000 {
+    while !fleet.note_counts.contains_key(&Code::RoomKept) && fleet.now_ms < 20_000 {
         submit_narrow(&mut fleet, 15);
     }
     let killed = owner(&fleet);
--- a/tests/policy_kept_room.rs
+++ b/tests/policy_kept_room.rs
@@ -6,6 +6,7 @@
 use goldcrestway_dispatch::policy::kept_room::choose;
 use goldcrestway_dispatch::policy::kept_room::keep_ms;
 use goldcrestway_dispatch::policy::kept_room::max_wait_ms;
+use goldcrestway_dispatch::policy::kept_room::max_workers;
 use googletest::prelude::*;
 
 fn cores(cores: u64) -> Resources {
@@ -112,7 +113,8 @@
 #[gtest]
 fn room_is_kept_where_tasks_fit_soonest() {
     for case in cases() {
-        let choice = choose(case.need, case.workers);
+        let max_workers = max_workers(case.workers.len());
+        let choice = choose(case.need, case.workers, max_workers);
         let found = choice.map(|choice| {
             let workers: Vec<(u32, usize)> = choice.workers.into_iter().collect();
             (workers, choice.fits_in_ms)
@@ -132,7 +134,7 @@
         expect_that!(wait_ms, le(10_000));
     }
     for fits_in_ms in [0, 1_000, 1_000_000] {
-        expect_that!(keep_ms(1_500, fits_in_ms), le(20_000));
-        expect_that!(keep_ms(1_500, fits_in_ms), ge(1_500));
+        expect_that!(keep_ms(6_000, fits_in_ms), le(20_000));
+        expect_that!(keep_ms(6_000, fits_in_ms), ge(1_500));
     }
 }
