--- a/crates/dispatch/src/owner/job.rs
+++ b/crates/dispatch/src/owner/job.rs
@@ -1,6 +1,7 @@
 //! Jobs as the owner knows them, with their occurrences, steps and tasks.
 
 use crate::bounds::Bounds;
+use crate::config::Resources;
 use crate::event::Now;
 use crate::ids::JobId;
 use crate::ids::TaskId;
@@ -12,6 +13,8 @@
 use crate::owner::projections::KnownTimes;
 use crate::owner::task::Task;
 use crate::owner::worker::WorkerKey;
+use crate::policy::fair_shares::JobDemand;
+use crate::policy::fair_shares::QueueKey;
 use crate::policy::ordering::WaitingJob;
 use crate::policy::run_times::JobTimes;
 use crate::policy::size::max_tasks;
@@ -61,6 +64,11 @@
         self.done as usize == self.tasks.len()
     }
 
+    /// Returns the number of tasks that run.
+    pub(crate) fn running(&self) -> u64 {
+        (self.tasks.len() as u64).saturating_sub(u64::from(self.done) + u64::from(self.waiting))
+    }
+
     /// Records whether some of its tasks still wait after a placement pass, before which
     /// `waiting_before` tasks waited. If some tasks were placed, the others have not waited for
     /// long: their time starts anew.
@@ -117,6 +125,8 @@
 pub(crate) struct Job {
     pub(crate) id: JobId,
     pub(crate) submission: Rc<Submission>,
+    /// Its queue, for its share.
+    pub(crate) queue: QueueKey,
     pub(crate) specification: Rc<str>,
     pub(crate) occurrences: Vec<Occurrence>,
     pub(crate) next_occurrence: u32,
@@ -169,6 +179,7 @@
             expected: None,
             final_wall_ms: 0,
             has_waiting: true,
+            queue: QueueKey::default(),
             submission,
         };
         if let Some(progress) = progress {
@@ -226,14 +237,15 @@
     /// Returns what determines the job's place in the order of placement. Each occurrence of a
     /// repeated job is due separately: measured by the first occurrence, all later ones would be
     /// long past their objective and wait behind all other jobs.
-    pub(crate) fn waiting(&self, now: Now) -> WaitingJob {
+    pub(crate) fn waiting(&self, rank: u32, now: Now) -> WaitingJob {
         let due_offset_ms = self.due_offset_ms(now);
         WaitingJob {
             priority: self.submission.priority,
             is_long_running: self.is_long_running(),
+            rank,
             has_started: self.phase != JobPhase::Queued,
             due_ms: self.due_ms + due_offset_ms,
-            allowed_ms: self.due_ms - self.arrived_ms,
+            allowed_ms: self.allowed_ms(),
             no_value_after_ms: self.no_value_after_ms + due_offset_ms,
             remaining_ms: self.known.times.remaining_ms,
         }
@@ -257,8 +269,7 @@
     /// Sets its objective by the work of its longest chain of steps.
     pub(crate) fn set_objective(&mut self, chain_ms: u64) {
         self.due_ms = self.due_of_ms(chain_ms);
-        let allowed_ms = self.due_ms - self.arrived_ms;
-        self.no_value_after_ms = self.arrived_ms + allowed_ms * NO_VALUE_FACTOR;
+        self.no_value_after_ms = self.arrived_ms + self.allowed_ms() * NO_VALUE_FACTOR;
     }
 
     /// Returns when it is due if its longest chain of steps takes the given time.
@@ -267,6 +278,26 @@
         self.arrived_ms + self.submission.target_latency_ms + stretched_ms
     }
 
+    /// Returns the resources that its tasks have, and whether some of them wait.
+    pub(crate) fn demand(&self) -> JobDemand {
+        let mut held = Resources::default();
+        for occurrence in &self.occurrences {
+            for (state, step) in occurrence.steps.iter().zip(&self.submission.steps) {
+                held = held.plus(step.requested().times(state.running()));
+            }
+        }
+        JobDemand {
+            queue: self.queue,
+            held,
+            waits: self.has_waiting,
+        }
+    }
+
+    /// Returns the time that its caller allows for it, in milliseconds.
+    pub(crate) fn allowed_ms(&self) -> u64 {
+        self.due_ms - self.arrived_ms
+    }
+
     /// Returns the time in milliseconds from the acceptance of the job until its first unfinished
     /// occurrence is due, at most until now. Returns 0 for jobs without repetitions.
     pub(crate) fn due_offset_ms(&self, now: Now) -> u64 {
@@ -319,14 +350,6 @@
         self.step_mut(id)?.tasks.get_mut(usize::from(id.index))
     }
 
-    pub(crate) fn step_state(&self, id: TaskId) -> Option<&StepState> {
-        let mut occurrences = self.occurrences.iter();
-        occurrences
-            .find(|occurrence| occurrence.number == id.occurrence)?
-            .steps
-            .get(usize::from(id.step))
-    }
-
     pub(crate) fn step_mut(&mut self, id: TaskId) -> Option<&mut StepState> {
         self.occurrences
             .iter_mut()
@@ -335,6 +358,13 @@
             .get_mut(usize::from(id.step))
     }
 
+    /// Returns the state of the step of a task.
+    pub(crate) fn step_state(&self, id: TaskId) -> Option<&StepState> {
+        let mut occurrences = self.occurrences.iter();
+        let occurrence = occurrences.find(|occurrence| occurrence.number == id.occurrence)?;
+        occurrence.steps.get(usize::from(id.step))
+    }
+
     pub(crate) fn step(&self, id: TaskId) -> Option<&Step> {
         self.submission.steps.get(usize::from(id.step))
     }
--- a/crates/dispatch/src/owner/worker.rs
+++ b/crates/dispatch/src/owner/worker.rs
@@ -5,6 +5,7 @@
 use crate::ids::JobId;
 use crate::ids::TaskId;
 use crate::incarnation::Incarnation;
+use crate::owner::kept_room::KeptRoom;
 use crate::policy::images::ImageKey;
 use crate::policy::interference::Baseline;
 use crate::policy::interference::UsageWindow;
@@ -77,6 +78,8 @@
     Permit,
     /// Its failure domain is evacuated, and there is no other reason.
     Evacuated,
+    /// Its room is kept for another step.
+    Kept,
 }
 
 /// Phase of a run, from the order to start it to its end. Logs print the variants by their names.
@@ -287,6 +290,8 @@
     pub(crate) gauged_ms: u64,
     /// Best-effort tasks run beside a latency-critical task that is over its target.
     pub(crate) is_over_target: bool,
+    /// Room that is kept for a step.
+    pub(crate) kept: Option<KeptRoom>,
 }
 
 impl Worker {
@@ -328,6 +333,7 @@
             next_share_change_ms: 0,
             gauged_ms: 0,
             is_over_target: false,
+            kept: None,
         }
     }
 
@@ -479,6 +485,11 @@
         None
     }
 
+    /// Returns whether it has a label; each has the empty one.
+    pub(crate) fn has_label(&self, label: &str) -> bool {
+        label.is_empty() || self.entry.labels.iter().any(|own| **own == *label)
+    }
+
     /// Returns how many tasks of a step fit.
     pub(crate) fn capacity_for(&self, step: &Step) -> u32 {
         let mut free = self.free();
--- a/crates/dispatch/src/owner/writing.rs
+++ b/crates/dispatch/src/owner/writing.rs
@@ -168,6 +168,9 @@
                 learned.images.clear();
                 learned.run_times.clear();
             }
+            if learned.encoded_len() as u64 > self.bounds.max_record_bytes {
+                learned.queues.clear();
+            }
             records.push((Key::Learned.text(), learned.encode_to_vec().into()));
         }
         if !records.is_empty() {
@@ -241,6 +244,7 @@
             images: self.interference.learned(&self.images),
             silent,
             run_times: self.run_times.learned(),
+            queues: self.fair_shares.learned(),
         }
     }
 
--- a/crates/dispatch/src/policy/mod.rs
+++ b/crates/dispatch/src/policy/mod.rs
@@ -18,11 +18,16 @@
 //! | [`stragglers`] | which workers slow down the tasks that run there |
 //! | [`protection`] | how much best-effort work the latency-critical tasks on a worker bear now |
 //! | [`suspicion`] | which task is the cause when a worker has crashed |
+//! | [`fair_shares`] | which queue goes first among queues of the same priority |
+//! | [`shown_queues`] | which queues metrics show by name |
+//! | [`kept_room`] | on which workers room is kept for a wide task, and for how long |
 
 pub mod answer_timeouts;
+pub mod fair_shares;
 pub mod images;
 pub mod informing;
 pub mod interference;
+pub mod kept_room;
 pub mod link;
 pub mod log_budget;
 pub mod ordering;
@@ -33,6 +38,7 @@
 pub mod relaying;
 pub mod run_times;
 pub mod shares;
+pub mod shown_queues;
 pub mod size;
 pub mod stragglers;
 pub mod suspicion;
--- a/crates/dispatch/src/policy/ordering.rs
+++ b/crates/dispatch/src/policy/ordering.rs
@@ -17,6 +17,11 @@
 //! started goes after these unless half of the time is left for which it could wait when it was
 //! submitted, so that its own steps can wait for as long as it has itself. A job that can no longer
 //! end before its result has no value goes last.
+//!
+//! Among queues of the same priority, the rank of the queue goes before all that. Otherwise a queue
+//! with many jobs that are still in time would keep back those of a queue that has had little, and
+//! these would be late for it. Started jobs in time count one rank less, so that a small difference
+//! between two queues does not keep half-done jobs waiting.
 
 use crate::policy::Policy;
 
@@ -31,6 +36,8 @@
     pub priority: u32,
     /// Whether it has tasks that run until it is cancelled.
     pub is_long_running: bool,
+    /// Rank of its queue among queues of the same priority; the smallest goes first.
+    pub rank: u32,
     /// Whether at least one of its tasks has started.
     pub has_started: bool,
     /// Objective: time by which its caller wants it finished, in milliseconds.
@@ -53,6 +60,7 @@
     has_no_value: bool,
     priority: u32,
     is_finite: bool,
+    rank: u32,
     outlook: Outlook,
     has_not_started: bool,
     due_ms: u64,
@@ -95,12 +103,15 @@
             true => job.outlook(now_ms),
             false => Outlook::InTime,
         };
+        let has_not_started = !job.has_started && policy.begun_first;
+        let is_favoured = job.has_started && policy.begun_first && outlook != Outlook::Late;
         Self {
             has_no_value: now_ms + job.remaining_ms > job.no_value_after_ms && !job.is_long_running,
             priority: job.priority,
             is_finite: !job.is_long_running,
+            rank: job.rank.saturating_sub(u32::from(is_favoured)),
             outlook,
-            has_not_started: !job.has_started && policy.begun_first,
+            has_not_started,
             due_ms: job.due_ms,
         }
     }
--- a/crates/dispatch/src/policy/switches.rs
+++ b/crates/dispatch/src/policy/switches.rs
@@ -32,6 +32,9 @@
     /// Objectives and ends of jobs follow from learned durations instead of the estimates of their
     /// callers.
     pub learns_run_times: bool,
+    /// Queues of the same priority get equal shares, and room is kept for wide tasks that have waited
+    /// for long.
+    pub fair_shares: bool,
 }
 
 impl Default for Policy {
@@ -49,6 +52,7 @@
             accounts_times: true,
             protects_serving: true,
             learns_run_times: true,
+            fair_shares: true,
         }
     }
 }
--- a/tests/policy_overload.rs
+++ b/tests/policy_overload.rs
@@ -2,6 +2,7 @@
 //! many of them end in time.
 
 use goldcrestway_dispatch::policy::Policy;
+use goldcrestway_dispatch::policy::fair_shares::NEUTRAL_RANK;
 use goldcrestway_dispatch::policy::ordering::Urgency;
 use goldcrestway_dispatch::policy::ordering::WaitingJob;
 use goldcrestway_dispatch::policy::run_times::JobTimes;
@@ -155,6 +156,7 @@
         WaitingJob {
             priority: 2,
             is_long_running: false,
+            rank: NEUTRAL_RANK,
             has_started: !matches!(self.steps[0].tasks[0], Task::Waiting),
             due_ms: self.submitted_ms + allowed_ms,
             allowed_ms,
