Raising a share does not lower others by rounding

Where another task took all spare processor time, the share of a task whose CPU request is no multiple of 100 fell by a percent: 95% of 333 milli are 316, which are 94%. Each poll with spare time repeated it. Raising now skips a task whose share would not grow; a case in best_effort_tasks_get_what_others_leave gave 94 before and gives 95 now.

--- a/crates/dispatch/src/policy/protection.rs
+++ b/crates/dispatch/src/policy/protection.rs
@@ -263,7 +263,7 @@
         let used_milli = task.used_milli();
         let may_use_milli = (used_milli + spare_milli).max(0) as u64;
         let share_percent = (may_use_milli * 100 / task.cpu_milli).min(100) as u32;
-        if share_percent < MIN_SHARE_PERCENT {
+        if share_percent < MIN_SHARE_PERCENT || share_percent <= task.share_percent {
             continue;
         }
         task.share_percent = share_percent;
--- a/tests/policy_protection.rs
+++ b/tests/policy_protection.rs
@@ -329,6 +329,25 @@
         ],
         shares: &[50, 100, 100, 100],
     },
+    // 95% of 333 milli are 316, which are 94.9%.
+    SharesCase {
+        name: "no share falls by rounding while another one is raised",
+        long_running_milli: 27_684,
+        reserved_milli: 0,
+        tasks: &[
+            BestEffortTask {
+                cpu_milli: 333,
+                share_percent: 95,
+                headroom_loss: 0.3,
+                ..TASK
+            },
+            BestEffortTask {
+                share_percent: 50,
+                ..TASK
+            },
+        ],
+        shares: &[95, 100],
+    },
     // Otherwise shares alternate with each poll at a demand close to the limit.
     SharesCase {
         name: "no share is raised between the two limits",
