shares_stay_while_the_load_stays fails without protection

Rerun with the switch off it passed: placement then puts five tasks on the worker in place of seven, so the sum of the shares is 500, below the 700 that the test expects after throttling. It now expects seven tasks at full share before the peak.

--- a/tests/dispatch_protection.rs
+++ b/tests/dispatch_protection.rs
@@ -73,6 +73,7 @@
     let mut fleet = fleet_with_serving_task(LOW_LOAD_TAIL_MS);
     fleet.submit(0, 0x2, &job(vec![best_effort(7)]));
     fleet.run(3_000);
+    assert_that!(shares(&fleet), eq(&vec![100; 7]));
     set_tail(&mut fleet, PEAK_TAIL_MS);
     fleet.run(3_000);
     let settled = shares(&fleet);
