Shares rise again after lost and late answers to orders

Two faults left a best-effort task throttled for good, because shares now change at each poll.

- The answer to an order was lost, the order was carried out, and the load fell before the order was sent again: the owner took the share for the previous one.
It now counts as unknown and is ordered anew.
- The target went back to the accepted share while the order was on its way: the worker lost its mark of due orders, and the answer did not set it.
The answer sets it now.

--- a/crates/dispatch/src/owner/shares.rs
+++ b/crates/dispatch/src/owner/shares.rs
@@ -157,14 +157,22 @@
         outcome: &OrderOutcome,
         now_ms: u64,
     ) {
-        let Some(run) = self.workers[key].runs.get_mut(&(task, number)) else {
+        let worker = &mut self.workers[key];
+        let Some(run) = worker.runs.get_mut(&(task, number)) else {
             return;
         };
         run.is_share_change_pending = false;
         match outcome {
             OrderOutcome::Done { .. } => run.applied_share_percent = Some(percent),
-            _ => run.share_retry_ms = now_ms + MIN_CHANGE_INTERVAL_MS,
+            outcome => {
+                if *outcome == OrderOutcome::Unknown {
+                    run.applied_share_percent = None;
+                }
+                run.share_retry_ms = now_ms + MIN_CHANGE_INTERVAL_MS;
+            }
         }
+        // The target share may have changed while the order was on its way.
+        worker.has_orders = true;
     }
 }
 
--- a/crates/dispatch/src/owner/worker.rs
+++ b/crates/dispatch/src/owner/worker.rs
@@ -146,8 +146,8 @@
     /// it takes from them. The lower one applies.
     pub(crate) processor_share_percent: u32,
     pub(crate) headroom_share_percent: u32,
-    /// CPU share that the worker has last accepted; `None` if a previous owner may have set another
-    /// one.
+    /// CPU share that the worker has last accepted; `None` if it may have another one, as a previous
+    /// owner may have set it or the answer to an order was lost.
     pub(crate) applied_share_percent: Option<u32>,
     /// CPU share that it should have.
     pub(crate) target_share_percent: u32,
--- a/tests/dispatch_protection.rs
+++ b/tests/dispatch_protection.rs
@@ -131,3 +131,48 @@
     fleet.run(8_000);
     expect_that!(shares(&fleet), eq(&vec![100; 3]));
 }
+
+/// Guards against a best-effort task that stays throttled because the order to throttle it was
+/// carried out and its answer was lost, and the load fell before it was sent again.
+#[gtest]
+fn shares_rise_again_after_the_answer_to_an_order_is_lost() {
+    let mut fleet = fleet_with_serving_task(LOW_LOAD_TAIL_MS);
+    fleet.submit(0, 0x2, &job(vec![best_effort(7)]));
+    fleet.run(3_000);
+    assert_that!(shares(&fleet), eq(&vec![100; 7]));
+    // The poll that waits at the worker is answered, and the orders that follow from it are not.
+    set_tail(&mut fleet, PEAK_TAIL_MS);
+    fleet.order_delay_ms = Some(1);
+    for _ in 0..1_000 {
+        fleet.run(1);
+        if shares(&fleet) != vec![100; 7] {
+            break;
+        }
+    }
+    assert_that!(shares(&fleet), not(eq(&vec![100; 7])));
+    fleet.order_delay_ms = None;
+    set_tail(&mut fleet, LOW_LOAD_TAIL_MS);
+    fleet.run(6_000);
+    expect_that!(shares(&fleet), eq(&vec![100; 7]));
+}
+
+/// Guards against a best-effort task that stays throttled because a poll shows that the load has
+/// fallen while the answer to the order to throttle it is on its way.
+#[gtest]
+fn shares_rise_again_after_late_answers() {
+    for seed in 0..20 {
+        let mut fleet = fleet_with_serving_task(LOW_LOAD_TAIL_MS);
+        fleet.submit(0, 0x2, &job(vec![best_effort(7)]));
+        fleet.run(3_000);
+        fleet.answer_delays = Some((0, 1_500, seed));
+        for round in 0..10 {
+            set_tail(&mut fleet, PEAK_TAIL_MS);
+            fleet.run(400 + 30 * round);
+            set_tail(&mut fleet, LOW_LOAD_TAIL_MS);
+            fleet.run(400 + 30 * round);
+        }
+        fleet.answer_delays = None;
+        fleet.run(6_000);
+        expect_that!(shares(&fleet), eq(&vec![100; 7]), "seed {}", seed);
+    }
+}
