A share between 96 and 99% is raised to 100

Shares by processors take any value, and changes below 5% are not ordered. So a task that had been given 96 to 99% kept that share: it counted as throttled for the rest of its run, was left out of the search for slow workers, and its use was not measured any more. An order is now always sent for full share. Shares by headroom are multiples of 25, so nothing changes with the switch off. Seen by reading; the case of needs_order fails without the condition.

--- a/crates/dispatch/src/owner/shares.rs
+++ b/crates/dispatch/src/owner/shares.rs
@@ -27,14 +27,13 @@
 use crate::policy::shares::HEALTHY_HEADROOM;
 use crate::policy::shares::SuspendDelays;
 use crate::policy::shares::choose_share;
+use crate::policy::shares::needs_order;
 use goldcrestway_core::Code;
 use goldcrestway_core::Note;
 
 /// Minimum time between two changes of shares on the same worker: the tail latency covers the last
 /// half second, and an order takes a tenth of a second to take effect.
 const MIN_CHANGE_INTERVAL_MS: u64 = 700;
-/// Minimum change of a share for which an order is sent.
-const MIN_CHANGE_PERCENT: u32 = 5;
 
 /// Number of best-effort tasks on a worker whose target share was changed, by kind of change.
 #[derive(Debug, Default)]
@@ -123,9 +122,7 @@
             let mut has_more = false;
             for ((task, number), run) in &mut worker.runs {
                 let is_stopping = matches!(run.phase, RunPhase::Stopping { .. });
-                let differs = run.applied_share_percent.is_none_or(|percent| {
-                    percent.abs_diff(run.target_share_percent) >= MIN_CHANGE_PERCENT
-                });
+                let differs = needs_order(run.applied_share_percent, run.target_share_percent);
                 has_more |= is_stopping || differs;
                 let is_present = matches!(run.phase, RunPhase::Present { .. });
                 if !differs
--- a/crates/dispatch/src/policy/shares.rs
+++ b/crates/dispatch/src/policy/shares.rs
@@ -31,6 +31,8 @@
 const RAISE_STEP_PERCENT: u32 = 25;
 /// Share below which a task is suspended instead, so that it causes no interference at all.
 const SUSPEND_BELOW_PERCENT: u32 = 20;
+/// Minimum change of a share for which an order is sent.
+const MIN_CHANGE_PERCENT: u32 = 5;
 /// Headroom loss by one task at its full share from which it counts as a cause, or as a suspect.
 const CAUSE_HEADROOM_LOSS: f64 = 0.12;
 const SUSPECT_HEADROOM_LOSS: f64 = 0.04;
@@ -121,3 +123,15 @@
         PreferredChange::Raise => (current_percent + RAISE_STEP_PERCENT).min(100),
     }
 }
+
+/// Returns whether an order is needed for a task to get the share `target_percent`. Its worker has
+/// last accepted `applied_percent`, `None` if that is not known.
+///
+/// Small changes are not worth an order, but no task stays just below its full share.
+pub fn needs_order(applied_percent: Option<u32>, target_percent: u32) -> bool {
+    let Some(applied_percent) = applied_percent else {
+        return true;
+    };
+    let regains_full_share = target_percent == 100 && applied_percent < 100;
+    regains_full_share || applied_percent.abs_diff(target_percent) >= MIN_CHANGE_PERCENT
+}
--- a/tests/policy_shares.rs
+++ b/tests/policy_shares.rs
@@ -3,6 +3,7 @@
 use goldcrestway_dispatch::policy::shares::ColocatedTask;
 use goldcrestway_dispatch::policy::shares::SuspendDelays;
 use goldcrestway_dispatch::policy::shares::choose_share;
+use goldcrestway_dispatch::policy::shares::needs_order;
 use googletest::prelude::*;
 
 /// Time over target that counts as harm.
@@ -133,3 +134,55 @@
         expect_that!(share, eq(case.share), "{}", case.name);
     }
 }
+
+/// A share that a worker has accepted, and the one that a task should have.
+struct OrderCase {
+    name: &'static str,
+    applied_percent: Option<u32>,
+    target_percent: u32,
+    needs_order: bool,
+}
+
+const ORDER_CASES: &[OrderCase] = &[
+    OrderCase {
+        name: "the share is not known",
+        applied_percent: None,
+        target_percent: 100,
+        needs_order: true,
+    },
+    OrderCase {
+        name: "the task has its share",
+        applied_percent: Some(100),
+        target_percent: 100,
+        needs_order: false,
+    },
+    OrderCase {
+        name: "a small change",
+        applied_percent: Some(50),
+        target_percent: 54,
+        needs_order: false,
+    },
+    OrderCase {
+        name: "a greater change",
+        applied_percent: Some(50),
+        target_percent: 45,
+        needs_order: true,
+    },
+    // Otherwise it counts as throttled for the rest of its run.
+    OrderCase {
+        name: "a small change to full share",
+        applied_percent: Some(97),
+        target_percent: 100,
+        needs_order: true,
+    },
+];
+
+/// Guards against an order for each small change, and against tasks that stay just below their full
+/// share.
+#[gtest]
+fn orders_are_sent_for_changes_that_matter() {
+    for case in ORDER_CASES {
+        let needed = needs_order(case.applied_percent, case.target_percent);
+        expect_that!(needed, eq(case.needs_order), "{}", case.name);
+    }
+}
