Reported use of a best-effort task does not overflow

The gauge comes from the worker and the request from the caller, neither is bounded, and builds for tests and the soak stop at an overflow. Seen by reading.

--- a/crates/dispatch/src/owner/polls.rs
+++ b/crates/dispatch/src/owner/polls.rs
@@ -455,7 +455,9 @@
         run.first_percent = row.percent;
         run.progressed_ms = now_ms;
         // A throttled run uses less than it requests.
-        if run.is_best_effort && row.gauge * 100 < run.cpu_milli * FULL_SHARE_USE_PERCENT {
+        if run.is_best_effort
+            && row.gauge.saturating_mul(100) < run.cpu_milli.saturating_mul(FULL_SHARE_USE_PERCENT)
+        {
             run.applied_share_percent = None;
         }
     }
