--- a/tests/dispatch_protection.rs
+++ b/tests/dispatch_protection.rs
@@ -195,3 +195,57 @@
         expect_that!(shares(&fleet), eq(&vec![100; 7]), "seed {}", seed);
     }
 }
+
+/// Guards against processors in demand for more than they can do until the next poll after an
+/// urgent task has started.
+#[gtest]
+fn best_effort_tasks_are_throttled_when_an_urgent_task_starts() {
+    let urgent = Step {
+        cpu_milli: 2_000,
+        ..step(1, 60_000, &[])
+    };
+    // The task starts at any time between two polls.
+    for offset_ms in (0..800).step_by(100) {
+        let mut fleet = fleet_with_serving_task(LOW_LOAD_TAIL_MS);
+        fleet.submit(0, 0x2, &job(vec![best_effort(7)]));
+        fleet.run(3_000 + offset_ms);
+        assert_that!(shares(&fleet), eq(&vec![100; 7]));
+        fleet.submit(0, 0x3, &job(vec![urgent.clone()]));
+        for _ in 0..200 {
+            fleet.run(10);
+            if shares(&fleet).len() > 7 {
+                break;
+            }
+        }
+        fleet.run(50);
+        let shares = shares(&fleet);
+        expect_that!(shares.len(), eq(8));
+        expect_that!(
+            shares.iter().sum::<u32>(),
+            lt(800),
+            "after {} ms",
+            offset_ms
+        );
+    }
+}
+
+/// Guards against a worker that is polled as late as any other while a serving task there is close
+/// to its target.
+#[gtest]
+fn workers_with_a_serving_task_close_to_its_target_are_polled_sooner() {
+    let polls_in_10_s = |tail_ms: u64| {
+        let mut fleet = fleet_with_serving_task(LOW_LOAD_TAIL_MS);
+        fleet.submit(0, 0x2, &job(vec![best_effort(7)]));
+        fleet.run(3_000);
+        set_tail(&mut fleet, tail_ms);
+        fleet.run(1_000);
+        let owner = fleet.owner().unwrap();
+        let before = fleet.stats(owner).polls;
+        fleet.run(10_000);
+        fleet.stats(owner).polls - before
+    };
+    expect_that!(
+        polls_in_10_s(TARGET_MS - 2),
+        gt(2 * polls_in_10_s(LOW_LOAD_TAIL_MS))
+    );
+}
