--- a/tests/dispatch_protection.rs
+++ b/tests/dispatch_protection.rs
@@ -66,6 +66,25 @@
     expect_that!(shares(&fleet), eq(&vec![100; 7]), "all resume");
 }
 
+/// Guards against an event that gives the demand which is left once tasks are throttled.
+#[gtest]
+fn the_event_gives_the_demand_that_exceeds_the_limit() {
+    let mut fleet = fleet_with_serving_task(LOW_LOAD_TAIL_MS);
+    fleet.submit(0, 0x2, &job(vec![best_effort(7)]));
+    fleet.run(3_000);
+    set_tail(&mut fleet, PEAK_TAIL_MS);
+    fleet.run(1_500);
+    let mut lines = fleet.log_lines.iter();
+    let line = lines.find(|line| line.contains("ProcessorsShort")).unwrap();
+    let percent_of = |name: &str| -> Option<u64> {
+        let mut fields = line.split(' ');
+        fields.find_map(|field| field.strip_prefix(name)?.parse().ok())
+    };
+    let demand_percent = percent_of("demand_percent=");
+    expect_that!(demand_percent, some(anything()));
+    expect_that!(demand_percent, gt(percent_of("limit_percent=")), "{}", line);
+}
+
 /// Guards against shares that alternate while the load of a serving task stays the same: each
 /// change delays a task and costs an order.
 #[gtest]
@@ -73,6 +92,7 @@
     let mut fleet = fleet_with_serving_task(LOW_LOAD_TAIL_MS);
     fleet.submit(0, 0x2, &job(vec![best_effort(7)]));
     fleet.run(3_000);
+    assert_that!(shares(&fleet), eq(&vec![100; 7]));
     set_tail(&mut fleet, PEAK_TAIL_MS);
     fleet.run(3_000);
     let settled = shares(&fleet);
@@ -130,3 +150,102 @@
     fleet.run(8_000);
     expect_that!(shares(&fleet), eq(&vec![100; 3]));
 }
+
+/// Guards against a best-effort task that stays throttled because the order to throttle it was
+/// carried out and its answer was lost, and the load fell before it was sent again.
+#[gtest]
+fn shares_rise_again_after_the_answer_to_an_order_is_lost() {
+    let mut fleet = fleet_with_serving_task(LOW_LOAD_TAIL_MS);
+    fleet.submit(0, 0x2, &job(vec![best_effort(7)]));
+    fleet.run(3_000);
+    assert_that!(shares(&fleet), eq(&vec![100; 7]));
+    // The poll that waits at the worker is answered, and the orders that follow from it are not.
+    set_tail(&mut fleet, PEAK_TAIL_MS);
+    fleet.order_delay_ms = Some(1);
+    for _ in 0..1_000 {
+        fleet.run(1);
+        if shares(&fleet) != vec![100; 7] {
+            break;
+        }
+    }
+    assert_that!(shares(&fleet), not(eq(&vec![100; 7])));
+    fleet.order_delay_ms = None;
+    set_tail(&mut fleet, LOW_LOAD_TAIL_MS);
+    fleet.run(6_000);
+    expect_that!(shares(&fleet), eq(&vec![100; 7]));
+}
+
+/// Guards against a best-effort task that stays throttled because a poll shows that the load has
+/// fallen while the answer to the order to throttle it is on its way.
+#[gtest]
+fn shares_rise_again_after_late_answers() {
+    for seed in 0..20 {
+        let mut fleet = fleet_with_serving_task(LOW_LOAD_TAIL_MS);
+        fleet.submit(0, 0x2, &job(vec![best_effort(7)]));
+        fleet.run(3_000);
+        fleet.answer_delays = Some((0, 1_500, seed));
+        for round in 0..10 {
+            set_tail(&mut fleet, PEAK_TAIL_MS);
+            fleet.run(400 + 30 * round);
+            set_tail(&mut fleet, LOW_LOAD_TAIL_MS);
+            fleet.run(400 + 30 * round);
+        }
+        fleet.answer_delays = None;
+        fleet.run(6_000);
+        expect_that!(shares(&fleet), eq(&vec![100; 7]), "seed {}", seed);
+    }
+}
+
+/// Guards against processors in demand for more than they can do until the next poll after an
+/// urgent task has started.
+#[gtest]
+fn best_effort_tasks_are_throttled_when_an_urgent_task_starts() {
+    let urgent = Step {
+        cpu_milli: 2_000,
+        ..step(1, 60_000, &[])
+    };
+    // The task starts at any time between two polls.
+    for offset_ms in (0..800).step_by(100) {
+        let mut fleet = fleet_with_serving_task(LOW_LOAD_TAIL_MS);
+        fleet.submit(0, 0x2, &job(vec![best_effort(7)]));
+        fleet.run(3_000 + offset_ms);
+        assert_that!(shares(&fleet), eq(&vec![100; 7]));
+        fleet.submit(0, 0x3, &job(vec![urgent.clone()]));
+        for _ in 0..200 {
+            fleet.run(10);
+            if shares(&fleet).len() > 7 {
+                break;
+            }
+        }
+        fleet.run(50);
+        let shares = shares(&fleet);
+        expect_that!(shares.len(), eq(8));
+        expect_that!(
+            shares.iter().sum::<u32>(),
+            lt(800),
+            "after {} ms",
+            offset_ms
+        );
+    }
+}
+
+/// Guards against a worker that is polled as late as any other while a serving task there is close
+/// to its target.
+#[gtest]
+fn workers_with_a_serving_task_close_to_its_target_are_polled_sooner() {
+    let polls_in_10_s = |tail_ms: u64| {
+        let mut fleet = fleet_with_serving_task(LOW_LOAD_TAIL_MS);
+        fleet.submit(0, 0x2, &job(vec![best_effort(7)]));
+        fleet.run(3_000);
+        set_tail(&mut fleet, tail_ms);
+        fleet.run(1_000);
+        let owner = fleet.owner().unwrap();
+        let before = fleet.stats(owner).polls;
+        fleet.run(10_000);
+        fleet.stats(owner).polls - before
+    };
+    expect_that!(
+        polls_in_10_s(TARGET_MS - 2),
+        gt(2 * polls_in_10_s(LOW_LOAD_TAIL_MS))
+    );
+}
