Fair shares: bounded sums, reports and names of queues

Three faults: - With the switch off, each new name of a queue was remembered and nothing forgot it, as only the placement pass with the switch on does. Sums saturate, and a share is at most 1,000 times the service, so that all of them fit in the record. - Of more than ten queues that are held back, the first ten were reported every ten seconds and the others never. The reports now take turns, the oldest first.

--- a/crates/dispatch/src/config.rs
+++ b/crates/dispatch/src/config.rs
@@ -24,18 +24,18 @@
     /// Returns the sum of both resources.
     pub fn plus(self, other: Resources) -> Resources {
         Resources {
-            cpu_milli: self.cpu_milli + other.cpu_milli,
-            memory_mb: self.memory_mb + other.memory_mb,
-            accelerators: self.accelerators + other.accelerators,
+            cpu_milli: self.cpu_milli.saturating_add(other.cpu_milli),
+            memory_mb: self.memory_mb.saturating_add(other.memory_mb),
+            accelerators: self.accelerators.saturating_add(other.accelerators),
         }
     }
 
     /// Returns `count` times the resources.
     pub fn times(self, count: u64) -> Resources {
         Resources {
-            cpu_milli: self.cpu_milli * count,
-            memory_mb: self.memory_mb * count,
-            accelerators: self.accelerators * count,
+            cpu_milli: self.cpu_milli.saturating_mul(count),
+            memory_mb: self.memory_mb.saturating_mul(count),
+            accelerators: self.accelerators.saturating_mul(count),
         }
     }
 
--- a/crates/dispatch/src/owner/fair_shares.rs
+++ b/crates/dispatch/src/owner/fair_shares.rs
@@ -17,12 +17,13 @@
 
 /// Interval between two sums of the resources of each service.
 const SUM_INTERVAL_MS: u64 = 1_000;
-/// Maximum number of queues reported at once.
-const MAX_REPORTED: usize = 10;
 
 impl Owner {
-    /// Returns the key of the queue of a job.
+    /// Returns the key of the queue of a job; the default key if queues have no shares.
     pub(super) fn queue_key(&mut self, submission: &Submission) -> QueueKey {
+        if !self.bounds.policy.fair_shares {
+            return QueueKey::default();
+        }
         let group = Group {
             service: submission.service.as_str().into(),
             priority: submission.priority,
@@ -66,9 +67,7 @@
     /// Reports the queues that are held back, and updates the statistics.
     pub(super) fn report_shares(&mut self, now: Now, actions: &mut Vec<Action>) {
         self.stats.fairness_permille = self.fair_shares.fairness_permille();
-        let mut held_back = self.fair_shares.held_back(now.steady_ms);
-        held_back.truncate(MAX_REPORTED);
-        for queue in held_back {
+        for queue in self.fair_shares.held_back(now.steady_ms) {
             actions.push(Action::Note(Note::new(
                 Code::QueueHeldBack,
                 &*queue.share.queue,
--- a/crates/dispatch/src/policy/fair_shares.rs
+++ b/crates/dispatch/src/policy/fair_shares.rs
@@ -46,6 +46,10 @@
 const HELD_BACK_AFTER_MS: u64 = 500;
 /// Interval between two reports about the same queue.
 const REPORT_INTERVAL_MS: u64 = 10_000;
+/// Maximum number of queues reported at once.
+const MAX_REPORTED: usize = 10;
+/// Largest share. Best-effort tasks may request any multiple of what the service has.
+const MAX_SHARE: f64 = 1_000.0;
 
 new_key_type! {
     /// Key of a queue and kind of job.
@@ -248,29 +252,36 @@
         (lowest * 1_000.0).round() as u64
     }
 
-    /// Returns the queues whose waiting jobs went after those of others since the last call, each at
-    /// most once in ten seconds.
+    /// Returns queues whose waiting jobs went after those of others since the last call, each at most
+    /// once in ten seconds. If there are many, those whose last report is the oldest come first, and
+    /// the others with the next calls.
     pub fn held_back(&mut self, now_ms: u64) -> Vec<HeldBack> {
-        let mut list = Vec::new();
+        let mut due = Vec::new();
         for keys in self.keys.values() {
             let waiting = waiting(&self.queues, keys);
             let equal_ppm = ppm(equal_share(&waiting));
             for key in keys.values() {
                 let usage = &mut self.queues[*key];
-                let was_held_back = std::mem::take(&mut usage.was_held_back);
-                let is_due = usage
+                usage.was_held_back &= usage
                     .reported_ms
                     .is_none_or(|reported_ms| now_ms >= reported_ms + REPORT_INTERVAL_MS);
-                if !was_held_back || !is_due {
-                    continue;
+                if usage.was_held_back {
+                    due.push((usage.reported_ms, *key, equal_ppm));
                 }
-                usage.reported_ms = Some(now_ms);
-                list.push(HeldBack {
-                    share: usage.share(),
-                    equal_ppm,
-                });
             }
         }
+        due.sort_by_key(|(reported_ms, ..)| *reported_ms);
+        due.truncate(MAX_REPORTED);
+        let mut list = Vec::with_capacity(due.len());
+        for (_, key, equal_ppm) in due {
+            let usage = &mut self.queues[key];
+            usage.was_held_back = false;
+            usage.reported_ms = Some(now_ms);
+            list.push(HeldBack {
+                share: usage.share(),
+                equal_ppm,
+            });
+        }
         list
     }
 
@@ -284,7 +295,7 @@
             };
             let share = f64::from(queue.usage_ppm) / 1_000_000.0;
             self.inherited
-                .insert((queue.queue.as_str().into(), kind), share);
+                .insert((queue.queue.as_str().into(), kind), share.min(MAX_SHARE));
         }
     }
 
@@ -346,6 +357,7 @@
     part(held.cpu_milli, resources.cpu_milli)
         .max(part(held.memory_mb, resources.memory_mb))
         .max(part(held.accelerators, resources.accelerators))
+        .min(MAX_SHARE)
 }
 
 /// Returns the queues of a group that have waiting jobs.
--- a/tests/lib.rs
+++ b/tests/lib.rs
@@ -46,6 +46,7 @@
 mod policy_ordering;
 mod policy_placing;
 mod policy_polls;
+mod policy_queue_limits;
 mod policy_shares;
 mod policy_stragglers;
 mod policy_suspicion;
--- a/tests/policy_fair_shares.rs
+++ b/tests/policy_fair_shares.rs
@@ -9,18 +9,15 @@
 use goldcrestway_dispatch::policy::fair_shares::JobKind;
 use goldcrestway_dispatch::policy::fair_shares::NEUTRAL_RANK;
 use goldcrestway_dispatch::policy::fair_shares::QueueKey;
-use goldcrestway_dispatch::policy::fair_shares::QueueShare;
 use goldcrestway_dispatch::policy::ordering::Urgency;
 use goldcrestway_dispatch::policy::ordering::WaitingJob;
-use goldcrestway_dispatch::policy::shown_queues::OTHERS;
-use goldcrestway_dispatch::policy::shown_queues::ShownQueues;
 use googletest::prelude::*;
 use rand::RngExt;
 use rand::SeedableRng;
 use rand_pcg::Pcg64;
 use std::collections::BTreeMap;
 
-const FINITE: JobKind = JobKind {
+pub(crate) const FINITE: JobKind = JobKind {
     is_long_running: false,
     is_best_effort: false,
 };
@@ -31,7 +28,7 @@
     accelerators: 0,
 };
 const SLOTS: usize = 100;
-const TASK: Resources = Resources {
+pub(crate) const TASK: Resources = Resources {
     cpu_milli: 1_000,
     memory_mb: 1_000,
     accelerators: 0,
@@ -41,7 +38,7 @@
 const WORK_MS: u64 = 2_000;
 const ALLOWED_MS: u64 = 6_000;
 
-fn group(priority: u32, kind: JobKind) -> Group {
+pub(crate) fn group(priority: u32, kind: JobKind) -> Group {
     Group {
         service: "service".into(),
         priority,
@@ -49,7 +46,7 @@
     }
 }
 
-fn shares() -> FairShares {
+pub(crate) fn shares() -> FairShares {
     let mut shares = FairShares::default();
     shares.set_resources(BTreeMap::from([("service".into(), SERVICE)]));
     shares
@@ -437,58 +434,6 @@
     expect_that!(usage_ppm(&shares), eq(&vec![200_000, 599_609]));
 }
 
-/// Guards against memory that grows with the names of queues. Load: a thousand queues a second for a
-/// minute, each with one job, and 490 that stay.
-#[gtest]
-fn queues_without_jobs_are_forgotten() {
-    let mut shares = shares();
-    let mut most = 0;
-    for second in 0..60 {
-        let mut demands = Vec::new();
-        for number in 0..1_490 {
-            let name = match number {
-                0..490 => format!("stays-{number}"),
-                _ => format!("passes-{second}-{number}"),
-            };
-            demands.push(JobDemand {
-                queue: shares.queue(&group(2, FINITE), &name),
-                held: TASK,
-                waits: false,
-            });
-        }
-        shares.refresh(&demands, second * 1_000);
-        most = most.max(shares.shares().len());
-    }
-    expect_that!(most, le(2_490));
-    shares.refresh(&[], 60_000);
-    expect_that!(shares.shares().len(), le(1_000));
-    shares.refresh(&[], 600_000);
-    expect_that!(shares.shares(), is_empty());
-}
-
-/// Guards against metrics whose rows grow with the number of queues that were ever there, and against
-/// the work of queues that no row shows.
-#[gtest]
-fn metrics_show_a_bounded_number_of_queues() {
-    let mut shown = ShownQueues::default();
-    for day in 0..20 {
-        let mut shares = Vec::new();
-        for number in 0..490 {
-            shares.push(QueueShare {
-                queue: format!("day-{day}-{number}").into(),
-                usage_ppm: number,
-                held_ppm: 1,
-                waiting: 1,
-            });
-        }
-        let rows = shown.rows(shares);
-        expect_that!(rows.len(), le(17));
-        expect_that!(rows.iter().map(|row| row.waiting).sum::<u64>(), eq(490));
-        expect_true!(rows.iter().any(|row| *row.queue == *"day-0-489"));
-        expect_true!(rows.iter().any(|row| *row.queue == *OTHERS));
-    }
-}
-
 /// Guards against another order of jobs whose queues don't compete: whatever the jobs, the neutral
 /// rank orders them by value, priority, lateness, start and objective.
 #[gtest]
