Kept room: none where the task fits only after its end

Room is kept for 20 s at most, and was kept too where the task fits after a minute: it idles for 20 s of each 40 and is in vain for certain. Workers where a task fits later than that no longer count. Two cases of room_is_kept_where_tasks_fit_soonest, which fail on the code before.

--- a/crates/dispatch/src/policy/kept_room.rs
+++ b/crates/dispatch/src/policy/kept_room.rs
@@ -100,7 +100,7 @@
 }
 
 /// Chooses the workers on which the tasks of a step fit soonest, `max_workers` at most but for a gang.
-/// Returns `None` if no task will fit, or not all of a gang.
+/// Returns `None` if no task will fit while room is kept, or not all of a gang.
 pub fn choose<K: Copy + Ord>(
     need: Need,
     mut candidates: Vec<Candidate<K>>,
@@ -122,6 +122,9 @@
         let Some(Reverse((fits_in_ms, key, index))) = soonest.pop() else {
             break;
         };
+        if fits_in_ms > MAX_KEEP_MS {
+            break;
+        }
         let is_new = !workers.contains_key(&key);
         if is_new && !need.is_gang && workers.len() == max_workers {
             continue;
--- a/tests/policy_kept_room.rs
+++ b/tests/policy_kept_room.rs
@@ -65,6 +65,22 @@
             workers: vec![worker(1, 2, &[(300, 2)]), worker(2, 0, &[])],
             expected: None,
         },
+        Case {
+            name: "the task fits after room is no longer kept",
+            need: WIDE,
+            workers: vec![worker(1, 2, &[(20_001, 6)])],
+            expected: None,
+        },
+        Case {
+            name: "some members of a gang fit only after room is no longer kept",
+            need: Need {
+                tasks: 2,
+                is_gang: true,
+                ..WIDE
+            },
+            workers: vec![worker(1, 8, &[]), worker(2, 2, &[(20_001, 6)])],
+            expected: None,
+        },
         Case {
             name: "all members of a gang, several on one worker",
             need: Need {
