Kept room: turns for all steps, and no way round the pause

Faults: - A search considered the four most urgent steps. Four that never find room (gangs larger than the service, or steps beyond the tenth of the workers) kept all others from being considered. A step for which no room is found has its next turn after a second. - A step whose kept room ended as a worker was lost got room again at once and with a new end, so the pause that bounds idle room to half of the time never came where workers come and go. It now waits for as long as its room was kept. - Room was kept on workers that already run as many tasks of the step as anti-affinity permits. - The pause after a search counted runs, so that searches on thousands of idle workers cost nothing.

Tests of fleets can set the switches.

--- a/crates/dispatch/src/owner/costs.rs
+++ b/crates/dispatch/src/owner/costs.rs
@@ -224,17 +224,7 @@
     if !worker.has_label(&step.label) {
         return Err(Exclusion::Label);
     }
-    if step.max_per_worker == 0 {
-        return Ok(());
-    }
-    let mut count = 0;
-    for (other, _) in worker.runs.keys() {
-        let is_same = other.job == requirements.task.job
-            && other.occurrence == requirements.task.occurrence
-            && other.step == requirements.task.step;
-        count += u32::from(is_same);
-    }
-    match count < step.max_per_worker {
+    match worker.may_add(step, StepId::of(requirements.task)) {
         true => Ok(()),
         false => Err(Exclusion::Spread),
     }
--- a/crates/dispatch/src/owner/kept_room.rs
+++ b/crates/dispatch/src/owner/kept_room.rs
@@ -33,6 +33,9 @@
 const CHECK_INTERVAL_MS: u64 = 250;
 /// Maximum number of steps considered by one search.
 const MAX_CONSIDERED: u64 = 4;
+/// Time for which a step is not considered again if no room could be kept for it, so that others have
+/// their turn.
+const RETRY_MS: u64 = 1_000;
 
 /// When the latest run that reserves certain resources was started, by service.
 type LatestStarts = BTreeMap<Box<str>, BTreeMap<Resources, u64>>;
@@ -55,6 +58,7 @@
     until_ms: u64,
     /// Since when runs reserve less than half of the service's processors.
     half_empty_since_ms: Option<u64>,
+    since_ms: u64,
     /// How long no room is kept for it if it has waited in vain.
     paused_ms: u64,
 }
@@ -68,6 +72,8 @@
     Ended,
     /// Its step has waited for too long.
     InVain,
+    /// One of its workers takes no tasks any more.
+    Unusable,
 }
 
 /// A step that waits for longer than its job can bear.
@@ -82,7 +88,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct KeptRooms {
     keeps: Vec<Keep>,
-    /// Steps for which room was kept in vain, and until when none is kept for them again.
+    /// Steps for which room was or could not be kept, and until when none is kept for them again.
     paused_until_ms: BTreeMap<StepId, u64>,
     next_search_ms: u64,
     /// Services of whose processors runs reserve less than half, and when that is checked next.
@@ -149,11 +155,17 @@
                     worker.kept = None;
                 }
             }
-            if progress == KeepProgress::InVain {
-                let paused_until_ms = now_ms + keep.paused_ms;
+            // Workers that come and go must not make it last.
+            let paused_ms = match progress {
+                KeepProgress::InVain => keep.paused_ms,
+                KeepProgress::Unusable => now_ms - keep.since_ms,
+                KeepProgress::Waits | KeepProgress::Ended => 0,
+            };
+            if paused_ms > 0 {
+                let paused_until_ms = now_ms + paused_ms;
                 rooms.paused_until_ms.insert(keep.step, paused_until_ms);
-                self.stats.rooms_kept_in_vain += 1;
             }
+            self.stats.rooms_kept_in_vain += u64::from(progress == KeepProgress::InVain);
             false
         });
         self.kept_rooms = rooms;
@@ -175,7 +187,8 @@
             .is_some_and(|since_ms| now_ms >= since_ms + MAX_HALF_EMPTY_MS);
         match () {
             () if self.waiting_tasks(keep.job, keep.step) == 0 => KeepProgress::Ended,
-            () if is_used_up || !is_usable => KeepProgress::Ended,
+            () if !is_usable => KeepProgress::Unusable,
+            () if is_used_up => KeepProgress::Ended,
             () if is_idle || now_ms >= keep.until_ms => KeepProgress::InVain,
             () => KeepProgress::Waits,
         }
@@ -242,10 +255,15 @@
                 break;
             }
             considered += 1;
-            self.keep_room(*blocked, now, actions);
+            if !self.keep_room(*blocked, now, actions) {
+                let paused_until_ms = now.steady_ms + RETRY_MS;
+                let paused = &mut self.kept_rooms.paused_until_ms;
+                paused.insert(blocked.step, paused_until_ms);
+            }
         }
-        let runs: usize = self.workers.values().map(|worker| worker.runs.len()).sum();
-        let gap_ms = placing_gap_ms(runs as u64 * (1 + considered), self.bounds.cpu_permille);
+        let looked_at = |worker: &Worker| worker.runs.len().max(1) as u64;
+        let looked_at: u64 = self.workers.values().map(looked_at).sum();
+        let gap_ms = placing_gap_ms(looked_at * (1 + considered), self.bounds.cpu_permille);
         self.kept_rooms.next_search_ms = now.steady_ms + gap_ms.max(SEARCH_INTERVAL_MS);
     }
 
@@ -284,13 +302,14 @@
         latest
     }
 
-    fn keep_room(&mut self, blocked: BlockedStep, now: Now, actions: &mut Vec<Action>) {
+    /// Keeps room for a step, and returns whether there is any.
+    fn keep_room(&mut self, blocked: BlockedStep, now: Now, actions: &mut Vec<Action>) -> bool {
         let submission = self.jobs[blocked.job].submission.clone();
         let Some(step) = submission.steps.get(usize::from(blocked.step.step)) else {
-            return;
+            return false;
         };
         if self.wait_reason_of(blocked, step, now.steady_ms) != WaitReason::Worker {
-            return;
+            return false;
         }
         let need = Need {
             task: step.resources(),
@@ -305,6 +324,7 @@
                 || worker.exclusion(now.steady_ms).is_some()
                 || self.is_evacuated(worker)
                 || !worker.has_label(&step.label)
+                || !worker.may_add(step, blocked.step)
             {
                 continue;
             }
@@ -326,7 +346,7 @@
         }
         let max_workers = max_workers(candidates.len() + kept_workers).saturating_sub(kept_workers);
         let Some(choice) = choose(need, candidates, max_workers) else {
-            return;
+            return false;
         };
         let waited_ms = now.steady_ms - blocked.waiting_since_ms;
         let keep_ms = keep_ms(self.jobs[blocked.job].allowed_ms(), choice.fits_in_ms);
@@ -357,9 +377,11 @@
             workers: choice.workers.into_keys().collect(),
             until_ms: now.steady_ms + keep_ms,
             half_empty_since_ms: None,
+            since_ms: now.steady_ms,
             paused_ms: keep_ms,
         };
         self.kept_rooms.keeps.push(keep);
+        true
     }
 
     /// Returns the number of tasks of a step that wait.
--- a/crates/dispatch/src/owner/worker.rs
+++ b/crates/dispatch/src/owner/worker.rs
@@ -3,6 +3,7 @@
 use crate::config::Resources;
 use crate::config::WorkerEntry;
 use crate::ids::JobId;
+use crate::ids::StepId;
 use crate::ids::TaskId;
 use crate::incarnation::Incarnation;
 use crate::owner::kept_room::KeptRoom;
@@ -459,6 +460,15 @@
         label.is_empty() || self.entry.labels.iter().any(|own| **own == *label)
     }
 
+    /// Returns whether the number of tasks of a step that run here permits one more.
+    pub(crate) fn may_add(&self, step: &Step, id: StepId) -> bool {
+        if step.max_per_worker == 0 {
+            return true;
+        }
+        let own = self.runs.keys().filter(|(task, _)| StepId::of(*task) == id);
+        own.count() < step.max_per_worker as usize
+    }
+
     /// Returns how many tasks of a step fit.
     pub(crate) fn capacity_for(&self, step: &Step) -> u32 {
         let mut free = self.free();
--- a/tests/dispatch_fair_shares.rs
+++ b/tests/dispatch_fair_shares.rs
@@ -6,6 +6,7 @@
 use crate::fleet::step;
 use goldcrestway_core::Code;
 use goldcrestway_dispatch::JobId;
+use goldcrestway_dispatch::JobState;
 use goldcrestway_dispatch::Step;
 use goldcrestway_dispatch::Submission;
 use goldcrestway_dispatch::TaskId;
@@ -331,3 +332,122 @@
     expect_that!(narrow.count(), eq(40));
     expect_that!(fleet.promises.broken, is_empty());
 }
+
+/// Guards against memory that grows with the names of queues where shares are off, as nothing then
+/// forgets queues without jobs.
+#[gtest]
+fn no_queue_is_remembered_where_shares_are_off() {
+    let mut fleet = Fleet::new(3, WORKERS);
+    fleet.policy.fair_shares = false;
+    for number in 0..3 {
+        fleet.kill(number);
+        fleet.start(number);
+    }
+    fleet.run(10_000);
+    for id in 1..=40 {
+        let queue = format!("queue-{id}");
+        fleet.submit(0, id, &job_of(&queue, vec![step(1, 100, &[])]));
+    }
+    fleet.run(3_000);
+    expect_that!(fleet.state(0, 40), some(eq(JobState::Completed)));
+    expect_that!(fleet.queue_shares(owner(&fleet)), is_empty());
+}
+
+/// Guards against a wide task that is never considered, as more urgent gangs that will never fit are
+/// considered each time.
+#[gtest]
+fn a_wide_task_starts_behind_gangs_that_never_fit() {
+    let mut fleet = Fleet::new(3, WORKERS);
+    let gang = Step {
+        cpu_milli: 8_000,
+        is_gang: true,
+        ..step(WORKERS as u32 + 1, 2_000, &[])
+    };
+    for id in 2..8 {
+        fleet.submit(0, id, &job_of("burst", vec![gang.clone()]));
+    }
+    let low = |steps| Submission {
+        priority: 2,
+        ..job_of("low", steps)
+    };
+    let narrow = low(vec![step(1, WORK_MS, &[])]);
+    let mut jobs = FIRST_OF_BURST..;
+    let mut submit_narrow = |fleet: &mut Fleet, ms: u64| {
+        for (_, id) in (0..ms / 20).zip(&mut jobs) {
+            fleet.submit(0, id, &narrow);
+            fleet.run(20);
+        }
+    };
+    submit_narrow(&mut fleet, 2_000);
+    let submitted_ms = fleet.now_ms;
+    let wide = wide_steps()[0].step.clone();
+    fleet.submit(0, 1, &low(vec![wide]));
+    submit_narrow(&mut fleet, 8_000);
+    let mut starts = fleet.promises.first_starts_ms.iter();
+    let start = starts.find(|(task, _)| task.job == JobId(1));
+    let wait_ms = start.map(|(_, started_ms)| started_ms - submitted_ms);
+    expect_that!(wait_ms, some(le(MAX_WIDE_WAIT_MS + 1_000)));
+    expect_that!(fleet.promises.broken, is_empty());
+}
+
+/// Guards against room that is kept on a worker that already runs as many tasks of the step as it may.
+#[gtest]
+fn no_room_is_kept_where_a_step_has_all_of_its_tasks() {
+    let mut fleet = Fleet::new(3, 2);
+    let low = |steps| job_of("low", steps);
+    // The second worker never has room for the second task of the step.
+    let long = Step {
+        cpu_milli: 6_000,
+        ..step(1, 60_000, &[])
+    };
+    fleet.submit(0, 2, &low(vec![long]));
+    fleet.run(200);
+    let spread = Step {
+        cpu_milli: 4_000,
+        max_per_worker: 1,
+        ..step(2, 30_000, &[])
+    };
+    fleet.submit(0, 1, &low(vec![spread]));
+    fleet.run(200);
+    for id in 10..60 {
+        fleet.submit(0, id, &low(vec![step(4, 300, &[])]));
+        fleet.run(400);
+    }
+    expect_that!(fleet.note_counts.get(&Code::RoomKept), none());
+    expect_that!(fleet.state(0, 59), some(eq(JobState::Completed)));
+    expect_that!(fleet.promises.broken, is_empty());
+}
+
+/// Guards against room that is kept all the time for a gang whose workers come and go: after a worker
+/// is lost, none is kept for as long as it was before.
+#[gtest]
+fn a_lost_worker_does_not_make_kept_room_last() {
+    let mut fleet = Fleet::new(3, 5);
+    let long = Step {
+        cpu_milli: 5_000,
+        max_per_worker: 1,
+        ..step(5, 15_000, &[])
+    };
+    fleet.submit(0, 2, &job_of("burst", vec![long]));
+    fleet.run(200);
+    let gang = Step {
+        cpu_milli: 8_000,
+        is_gang: true,
+        ..step(4, 1_000, &[])
+    };
+    fleet.submit(0, 1, &job_of("burst", vec![gang]));
+    let narrow = job_of("burst", vec![step(1, 100, &[])]);
+    let mut jobs = FIRST_OF_BURST..;
+    let mut submit_narrow = |fleet: &mut Fleet, ms: u64| {
+        for (_, id) in (0..ms / 100).zip(&mut jobs) {
+            fleet.submit(0, id, &narrow);
+            fleet.run(100);
+        }
+    };
+    submit_narrow(&mut fleet, 5_000);
+    expect_that!(fleet.note_counts.get(&Code::RoomKept), some(eq(&1)));
+    fleet.crash("10.0.0.0:80");
+    submit_narrow(&mut fleet, 1_500);
+    expect_that!(fleet.note_counts.get(&Code::RoomKept), some(eq(&1)));
+    expect_that!(fleet.promises.broken, is_empty());
+}
--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -50,6 +50,7 @@
 use goldcrestway_dispatch::Stream;
 use goldcrestway_dispatch::TaskId;
 use goldcrestway_dispatch::WorkerCall;
+use goldcrestway_dispatch::policy::Policy;
 use std::collections::BTreeMap;
 
 /// Step of virtual time.
@@ -175,6 +176,8 @@
     /// Loaded pages, by stream.
     pub(crate) loads: BTreeMap<Stream, usize>,
     worker_faults: WorkerFaults,
+    /// Switches of hosts that are started from now on.
+    pub(crate) policy: Policy,
     /// Runs that were lost with their worker.
     lost: Vec<(TaskId, u32, ExitReason)>,
     /// Connections between hosts, and the bytes that they have transferred.
@@ -231,6 +234,7 @@
             short_reads: BTreeMap::new(),
             loads: BTreeMap::new(),
             worker_faults: WorkerFaults::default(),
+            policy: Policy::default(),
             lost: Vec::new(),
             peers: Peers::default(),
             frame_bytes: 0,
@@ -320,6 +324,7 @@
                 link_bytes_per_s: host.mbit_per_s * 125_000,
                 relay_address: relay_address(number),
                 max_record_bytes: self.store.max_record_bytes as u64,
+                policy: self.policy,
                 ..Bounds::default()
             },
             decoders,
