--- a/tests/lib.rs
+++ b/tests/lib.rs
@@ -55,6 +55,7 @@
 mod policy_polls;
 mod policy_protection;
 mod policy_run_times;
+mod policy_queue_limits;
 mod policy_shares;
 mod policy_stragglers;
 mod policy_suspicion;
