Owner answers: a new connection of an owner is no news of its heartbeats

Callers saw a fleet without an owner for as long as the connections of an owner that is cut off from the store broke and opened again: every 400 ms kept all watchers from claiming (no claim in 20 s). A new session counted the stored end that its first frame repeats as a heartbeat. An end counts as news only if it is beyond the known one.

A planned stop was taken over after 330 to 550 ms: the frame of an owner that leaves ends what is heard, and a connection without a heartbeat kept the hosts relying on it. They read again at once (slowest of ten phases 310 ms).

After the owner hung and all watchers were lost, all other hosts claimed at once (13 claims in place of 2), as the silence that they had not measured was older than all their places in the order of claims. When a host stops relying on the owner, silence counts from at most SILENCE_MS before.

Tests: each loss at ten phases, a planned stop within 350 ms, one loss with breaking connections, claims without watchers at ten phases. Without the change they fail (stop at phases 1 to 8, breaks at all phases, claims).

--- a/crates/dispatch/src/election.rs
+++ b/crates/dispatch/src/election.rs
@@ -204,11 +204,22 @@
 
     /// Records that the owner has told this host at `heard_ms` of a heartbeat in the store.
     pub(crate) fn record_heard(&mut self, heard_ms: u64, end: u64) {
+        // A new connection of an owner repeats what is known.
+        if end <= self.heard_end {
+            return;
+        }
         self.heard_ms = Some(heard_ms);
         self.heard_end = end;
         self.heartbeat_ms = self.heartbeat_ms.map(|known_ms| known_ms.max(heard_ms));
     }
 
+    /// Lets the claims of hosts that relied on the owner follow one another as usual, although its
+    /// silence began long ago.
+    pub(crate) fn end_reliance(&mut self, now_ms: u64) {
+        let earliest_ms = now_ms.saturating_sub(SILENCE_MS);
+        self.heartbeat_ms = self.heartbeat_ms.map(|known_ms| known_ms.max(earliest_ms));
+    }
+
     fn has_heard_within(&self, ms: u64, now_ms: u64) -> bool {
         self.heard_ms.is_some_and(|heard_ms| now_ms < heard_ms + ms)
     }
--- a/crates/dispatch/src/entry/scope.rs
+++ b/crates/dispatch/src/entry/scope.rs
@@ -122,7 +122,11 @@
             Scope::All => self.stop_reading_jobs(now_ms),
             Scope::Undecided => {}
         }
-        self.reading.is_relying = self.can_rely_on_owner(now_ms);
+        let is_relying = self.can_rely_on_owner(now_ms);
+        let was_relying = std::mem::replace(&mut self.reading.is_relying, is_relying);
+        if was_relying && !is_relying {
+            self.election.end_reliance(now_ms);
+        }
     }
 
     /// Chooses the scope by the newest owner's record.
@@ -185,9 +189,10 @@
         let Some(conn) = self.reading.owner_connection else {
             return false;
         };
-        if let Some((heard_ms, heartbeat)) = self.relay.heartbeat(conn) {
-            self.election.record_heard(heard_ms, heartbeat.stored_end);
-        }
+        let Some((heard_ms, heartbeat)) = self.relay.heartbeat(conn) else {
+            return false;
+        };
+        self.election.record_heard(heard_ms, heartbeat.stored_end);
         self.reading.scope == Scope::All && self.election.hears_owner(now_ms)
     }
 
--- a/tests/dispatch_owner_answers.rs
+++ b/tests/dispatch_owner_answers.rs
@@ -104,6 +104,8 @@
     name: &'static str,
     inject: fn(&mut Fleet, owner: usize),
     claimed_within_ms: u64,
+    /// Interval at which its connections to other hosts break, if they do.
+    break_interval_ms: Option<u64>,
 }
 
 const LOSSES: &[Loss] = &[
@@ -111,43 +113,71 @@
         name: "killed",
         inject: |fleet, owner| fleet.kill(owner),
         claimed_within_ms: 1_000,
+        break_interval_ms: None,
     },
     Loss {
         name: "hangs",
         inject: |fleet, owner| fleet.pause(owner),
         claimed_within_ms: 1_000,
+        break_interval_ms: None,
     },
     // It still answers the other hosts, but has no news of its heartbeats in the store.
     Loss {
         name: "cut off from the store",
         inject: |fleet, owner| fleet.cut_from_store(owner, true),
         claimed_within_ms: 1_000,
+        break_interval_ms: None,
     },
     Loss {
         name: "stopped as planned",
         inject: |fleet, owner| fleet.stop(owner),
-        claimed_within_ms: 700,
+        claimed_within_ms: 350,
+        break_interval_ms: None,
+    },
+    // Each new connection repeats what is known of its heartbeats.
+    Loss {
+        name: "cut off from the store, and its connections break",
+        inject: |fleet, owner| fleet.cut_from_store(owner, true),
+        claimed_within_ms: 1_000,
+        break_interval_ms: Some(400),
     },
 ];
 
+/// Phases of the rare reads and of heartbeats at which the owner is lost.
+const PHASES: u64 = 10;
+const PHASE_MS: u64 = 27;
+
+/// Loses the owner, and returns the time until another host has claimed, at most 5 s.
+fn time_to_claim(fleet: &mut Fleet, owner: usize, loss: &Loss) -> u64 {
+    let lost_ms = fleet.now_ms;
+    (loss.inject)(fleet, owner);
+    while fleet.claims < 2 && fleet.now_ms < lost_ms + 5_000 {
+        fleet.run(10);
+        let interval_ms = loss.break_interval_ms;
+        if interval_ms.is_some_and(|ms| (fleet.now_ms - lost_ms).is_multiple_of(ms)) {
+            fleet.break_connections(owner);
+        }
+    }
+    fleet.now_ms - lost_ms
+}
+
 /// Guards against a later change of owner where the watchers hear its heartbeats in place of
 /// reading them.
 #[gtest]
 fn an_owner_that_is_lost_is_replaced_as_soon_as_if_its_heartbeats_were_read() {
     for loss in LOSSES {
-        let mut fleet = fleet_with_job(HOSTS);
-        let owner = fleet.owner().expect("there is an owner");
-        let lost_ms = fleet.now_ms;
-        (loss.inject)(&mut fleet, owner);
-        while fleet.claims < 2 && fleet.now_ms < lost_ms + 5_000 {
-            fleet.run(10);
+        for phase in 0..PHASES {
+            let name = format!("{}, phase {phase}", loss.name);
+            let mut fleet = fleet_with_job(HOSTS);
+            fleet.run(phase * PHASE_MS);
+            let owner = fleet.owner().expect("there is an owner");
+            let took_ms = time_to_claim(&mut fleet, owner, loss);
+            expect_that!(took_ms, le(loss.claimed_within_ms), "{name}");
+            fleet.resume(owner);
+            fleet.run(5_000);
+            expect_that!(fleet.owners(), eq(1), "{name}");
+            expect_that!(fleet.promises.broken, is_empty(), "{name}");
         }
-        let took_ms = fleet.now_ms - lost_ms;
-        expect_that!(took_ms, le(loss.claimed_within_ms), "{}", loss.name);
-        fleet.resume(owner);
-        fleet.run(5_000);
-        expect_that!(fleet.owners(), eq(1), "{}", loss.name);
-        expect_that!(fleet.promises.broken, is_empty(), "{}", loss.name);
     }
 }
 
@@ -274,6 +304,27 @@
     expect_that!(fleet.promises.broken, is_empty());
 }
 
+/// Guards against claims of all other hosts at once when the owner hangs and all hosts that monitor
+/// it are lost: they relied on the owner, and its silence began long before they read again.
+#[gtest]
+fn hosts_that_relied_on_the_owner_do_not_claim_all_at_once() {
+    const PHASES: u64 = 10;
+    const PHASE_MS: u64 = 790;
+    let watchers = watchers();
+    for phase in 0..PHASES {
+        let mut fleet = fleet_with_job(HOSTS);
+        fleet.run(phase * PHASE_MS);
+        let owner = fleet.owner().expect("there is an owner");
+        for host in &watchers {
+            fleet.kill(*host);
+        }
+        fleet.pause(owner);
+        fleet.run(7_000);
+        expect_that!(fleet.claims, eq(2), "phase {phase}");
+        expect_that!(fleet.promises.broken, is_empty(), "phase {phase}");
+    }
+}
+
 /// Guards against a fleet without an owner when the owner and all hosts that monitor it are cut off
 /// from the store: the others still hear the owner.
 #[gtest]
--- a/tests/fleet/connections.rs
+++ b/tests/fleet/connections.rs
@@ -142,6 +142,21 @@
         }
     }
 
+    /// Closes all present connections of a host to other hosts; new ones work.
+    pub(crate) fn break_connections(&mut self, number: usize) {
+        let mut ends = Vec::new();
+        self.peers.pairs.retain(|pair| {
+            let is_own = pair.one.host == number || pair.two.host == number;
+            if is_own {
+                ends.extend([pair.one, pair.two]);
+            }
+            !is_own
+        });
+        for end in ends {
+            self.send_connection_lost(end);
+        }
+    }
+
     fn send_connection_lost(&mut self, end: End) {
         let event = Event::ConnectionLost { conn: end.conn };
         let delivery = Delivery::ToEntry(end.host, end.generation, event);
