Owner answers: a host's current rules decide before the owner's count

A count of the owner was taken before the host looked at its own rules, so a caller could get a count of a queue that the host already knew to be removed. An owner that did not know a queue yet left its caller waiting 250 ms for an answer that had arrived already. Recent data of the host come first now, and the owner's NoSuchQueue counts as declined, so that the host reads at once.

The two tests guard both cases; they pass without the change as well, as the fleet of the tests has not met the moment between the two rules.

--- a/crates/dispatch/src/entry/forwarding.rs
+++ b/crates/dispatch/src/entry/forwarding.rs
@@ -29,7 +29,7 @@
                 flight.is_some_and(|flight| flight.ticket == answer.ticket)
             };
             if let Some(query) = self.callers.queries.iter_mut().find(is_answered) {
-                query.is_declined = answer.reply.is_none();
+                query.is_declined = matches!(answer.reply, None | Some(Reply::NoSuchQueue));
                 query.reply = answer.reply;
             }
         }
@@ -44,11 +44,13 @@
         now: Now,
         actions: &mut Vec<Action>,
     ) -> Option<Reply> {
-        if let Some(reply) = self.take_owner_reply(query, now) {
-            return Some(reply);
-        }
-        if !self.has_recent_data(query, now) && self.awaits_owner(query, now) {
-            return None;
+        if !self.has_recent_data(query, now) {
+            if let Some(reply) = self.take_owner_reply(query, now) {
+                return Some(reply);
+            }
+            if self.awaits_owner(query, now) {
+                return None;
+            }
         }
         self.answer_by_reading(query, is_late, now, actions)
     }
--- a/tests/dispatch_owner_answers.rs
+++ b/tests/dispatch_owner_answers.rs
@@ -272,6 +272,54 @@
     }
 }
 
+/// Guards against callers who wait for an owner that has answered that there is no such queue: its
+/// rules are older than those of the host.
+#[gtest]
+fn queues_that_the_owner_does_not_know_yet_are_counted_by_reading() {
+    const ANSWERS_WITHIN_MS: u64 = 150;
+    let mut fleet = fleet_with_job(HOSTS);
+    let owner = fleet.owner().expect("there is an owner");
+    let host = (owner + 1) % HOSTS;
+    fleet.cut_from_store(owner, true);
+    fleet.store.put(Stream::Rules, "config", &[2, b'a']);
+    fleet.run(100);
+    let count = fleet.count_in(host, "a");
+    fleet.run(ANSWERS_WITHIN_MS);
+    expect_that!(fleet.replies.get(&count), some(eq(&Reply::Waiting(0))));
+}
+
+/// Guards against a count of a queue that the host knows to be removed when the owner's answer
+/// arrives.
+#[gtest]
+fn counts_of_a_queue_end_once_a_host_knows_that_it_is_removed() {
+    let mut fleet = fleet_with_job(HOSTS);
+    let owner = fleet.owner().expect("there is an owner");
+    let host = (owner + 1) % HOSTS;
+    fleet.store.put(Stream::Rules, "config", &[2, b'a']);
+    fleet.run(1_000);
+    fleet.cut_from_store(owner, true);
+    fleet.store.put(Stream::Rules, "config", &[3]);
+    let mut counts = Vec::new();
+    let mut is_removed = false;
+    for _ in 0..20 {
+        counts.push(fleet.count_in(host, "a"));
+        fleet.run(10);
+        let mut is_counted = false;
+        counts.retain(|count| match fleet.replies.get(count) {
+            Some(Reply::Waiting(_)) => {
+                is_counted = true;
+                false
+            }
+            reply => {
+                is_removed |= reply == Some(&Reply::NoSuchQueue);
+                reply.is_none()
+            }
+        });
+        expect_false!(is_removed && is_counted);
+    }
+    expect_true!(is_removed);
+}
+
 /// Returns the hosts of [`fleet_with_job`] that monitor the owner: those that read the owner's
 /// record at once when they no longer hear it.
 fn watchers() -> Vec<usize> {
--- a/tests/fleet/callers.rs
+++ b/tests/fleet/callers.rs
@@ -53,10 +53,14 @@
     }
 
     pub(crate) fn count(&mut self, number: usize) -> u64 {
+        self.count_in(number, "batch")
+    }
+
+    pub(crate) fn count_in(&mut self, number: usize, queue: &str) -> u64 {
         self.requests += 1;
         let event = Event::Count {
             request: self.requests,
-            queue: "batch".into(),
+            queue: queue.into(),
         };
         self.handle(number, event);
         self.requests
