Owner answers: drop the connection to the former address of a host

A host that lost power and came back under another address was never connected again by an owner without relays, and read for each query from then on: `expire` drops silent connections only for pending orders, which there are none of. When an announced host has another address, its old connection is dropped in the next turn, and the new address is connected after the usual delay. Pending orders of relays count as unknown, as after any lost connection; a connection that has closed meanwhile is passed over.

Test: `a_host_that_was_replaced_is_connected_again`, which fails without the change. The fleet of the tests lets a host move to another address, and sets the number of descriptors.

--- a/crates/dispatch/src/relay/sessions.rs
+++ b/crates/dispatch/src/relay/sessions.rs
@@ -90,6 +90,8 @@
     peers: SlotMap<RelayKey, Peer>,
     keys: HashMap<Box<str>, RelayKey>,
     conns: HashMap<ConnectionId, RelayKey>,
+    /// Connections to former addresses of hosts.
+    replaced: Vec<ConnectionId>,
     flights: BTreeMap<u64, Flight>,
     /// Deadlines of pending orders, with their tickets.
     deadlines: BTreeSet<(u64, u64)>,
@@ -111,6 +113,7 @@
             peers: SlotMap::with_key(),
             keys: HashMap::new(),
             conns: HashMap::new(),
+            replaced: Vec::new(),
             flights: BTreeMap::new(),
             deadlines: BTreeSet::new(),
             selections: HashMap::new(),
@@ -132,9 +135,13 @@
                 continue;
             };
             let peer = &mut self.peers[*key];
-            // A host that was replaced has another address. Its old connection closes by itself.
-            if *peer.address != *host.relay_address {
-                peer.address = host.relay_address.as_str().into();
+            if *peer.address == *host.relay_address {
+                continue;
+            }
+            peer.address = host.relay_address.as_str().into();
+            // The host was replaced. If it lost power, its old connection never closes by itself.
+            if let Phase::Open { conn } = peer.phase {
+                self.replaced.push(conn);
             }
         }
         // The order is the same in each run, so that tests in virtual time are reproducible.
@@ -366,10 +373,13 @@
 
     /// Times out orders that are overdue. A relay that has sent nothing since one of them was sent
     /// hangs or is partitioned: all its other orders time out as well, so that their workers are
-    /// called over other relays at once.
+    /// called over other relays at once. The same holds for a relay whose address has changed.
     pub(crate) fn expire(&mut self, now_ms: u64, actions: &mut Vec<Action>) -> Vec<RelayedOutcome> {
         let mut outcomes = Vec::new();
         let mut silent = BTreeSet::new();
+        for conn in std::mem::take(&mut self.replaced) {
+            silent.extend(self.conns.get(&conn).copied());
+        }
         while let Some((due_ms, ticket)) = self.deadlines.first().copied()
             && due_ms <= now_ms
         {
@@ -448,6 +458,7 @@
             }
         }
         self.conns.clear();
+        self.replaced.clear();
         self.flights.clear();
         self.deadlines.clear();
         self.selections.clear();
--- a/tests/dispatch_owner_answers.rs
+++ b/tests/dispatch_owner_answers.rs
@@ -407,3 +407,18 @@
     expect_that!(fleet.state(host, JOB), some(eq(JobState::Running)));
     expect_that!(fleet.stats(owner).host_queries, eq(before + 1));
 }
+
+/// Guards against an owner that keeps the connection to the former address of a host, which lost
+/// power and has closed nothing: without relays, nothing is pending on it that would time out.
+#[gtest]
+fn a_host_that_was_replaced_is_connected_again() {
+    let mut fleet = fleet_with_job(HOSTS);
+    let owner = fleet.owner().expect("there is an owner");
+    let host = (owner + 1) % HOSTS;
+    fleet.replace(host);
+    fleet.run(9_000);
+    expect_that!(fleet.stats(owner).informed_hosts, eq(HOSTS as u64 - 1));
+    let before = fleet.stats(owner).host_queries;
+    expect_that!(fleet.state(host, JOB), some(eq(JobState::Running)));
+    expect_that!(fleet.stats(owner).host_queries, eq(before + 1));
+}
--- a/tests/fleet/connections.rs
+++ b/tests/fleet/connections.rs
@@ -50,9 +50,10 @@
     }
 }
 
-/// Returns the address at which a host accepts orders to relay.
-pub(super) fn relay_address(number: usize) -> Box<str> {
-    format!("relay-{number}").into()
+/// Returns the address at which a host accepts orders to relay, after it has moved a number of
+/// times.
+pub(super) fn relay_address(number: usize, moves: u64) -> Box<str> {
+    format!("relay-{number}-{moves}").into()
 }
 
 impl Fleet {
@@ -64,7 +65,8 @@
             conn,
         };
         let count = self.hosts.len();
-        let target = (0..count).find(|other| *relay_address(*other) == *address);
+        let target =
+            (0..count).find(|other| *relay_address(*other, self.hosts[*other].moves) == *address);
         let is_there = |other: &usize| self.hosts[*other].entry.is_some() && *other != number;
         let event = match target.filter(is_there) {
             Some(host) => {
--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -107,6 +107,8 @@
     mbit_per_s: u64,
     /// Number of its starts and stops, which tells its instances apart.
     generation: u64,
+    /// Number of times that it has got another address.
+    moves: u64,
     is_paused: bool,
     is_cut_from_store: bool,
     is_cut_from_workers: bool,
@@ -180,6 +182,8 @@
     /// Connections between hosts, and the bytes that they have transferred.
     peers: Peers,
     pub(crate) frame_bytes: u64,
+    /// File descriptors of hosts that start from now on.
+    pub(crate) descriptors: u64,
     /// Logged events of all hosts, counted by code.
     pub(crate) note_counts: BTreeMap<Code, u32>,
     /// Logged events about the results of jobs and workers, as text.
@@ -234,6 +238,7 @@
             lost: Vec::new(),
             peers: Peers::default(),
             frame_bytes: 0,
+            descriptors: Bounds::default().descriptors,
             note_counts: BTreeMap::new(),
             log_lines: Vec::new(),
         };
@@ -248,6 +253,7 @@
                 cpu_permille: *cpu_permille,
                 mbit_per_s: mbit_per_s.unwrap_or(WIDE_MBIT_PER_S),
                 generation: 0,
+                moves: 0,
                 is_paused: false,
                 is_cut_from_store: false,
                 is_cut_from_workers: false,
@@ -318,7 +324,8 @@
             Bounds {
                 cpu_permille: host.cpu_permille,
                 link_bytes_per_s: host.mbit_per_s * 125_000,
-                relay_address: relay_address(number),
+                relay_address: relay_address(number, host.moves),
+                descriptors: self.descriptors,
                 max_record_bytes: self.store.max_record_bytes as u64,
                 ..Bounds::default()
             },
@@ -333,6 +340,14 @@
         self.hosts[number].generation += 1;
     }
 
+    /// Ends a host that closes none of its connections, and starts it at another address.
+    pub(crate) fn replace(&mut self, number: usize) {
+        self.silence_connections(number);
+        self.kill(number);
+        self.hosts[number].moves += 1;
+        self.start(number);
+    }
+
     pub(crate) fn pause(&mut self, number: usize) {
         self.hosts[number].is_paused = true;
     }
