Owner answers: a fleet that grows stays within its limits

Once an owner had connected to the other hosts, it never asked again whether it may: a fleet that grew afterwards went beyond the limits of descriptors and link, at the cost of callers, workers and the store. It asks each turn now, and closes the connections beyond twice the limits, unless orders need them. Between the limit and its double nothing changes, so that a fleet at the limit does not open and close connections repeatedly. Hosts whose connection closes read by themselves, as after any lost owner.

Tests: `an_owner_whose_workers_grow_closes_its_connections_to_hosts`, and cases for a link of 10 Mbit/s, the exact limits and their double.

--- a/crates/dispatch/src/owner/relaying.rs
+++ b/crates/dispatch/src/owner/relaying.rs
@@ -12,6 +12,7 @@
 use crate::owner::worker::WorkerKey;
 use crate::policy::informing::Deployment;
 use crate::policy::informing::should_inform;
+use crate::policy::informing::should_keep_informing;
 use crate::policy::relaying::OwnerCapacity;
 use crate::policy::relaying::needs_relays;
 use crate::record::HostRecord;
@@ -48,8 +49,13 @@
         tickets: &mut u64,
         actions: &mut Vec<Action>,
     ) {
+        let had_connections = self.answers_hosts;
         self.decide_connections(now.steady_ms);
         if !self.uses_relays && !self.answers_hosts {
+            if had_connections {
+                self.relays.close(actions);
+                self.stats.informed_hosts = 0;
+            }
             return;
         }
         self.relays.connect(now.steady_ms, tickets, actions);
@@ -71,14 +77,23 @@
             self.uses_relays = needs_relays(self.workers.len(), capacity);
             self.relays_due_ms = now_ms + CONNECTING_MS;
         }
-        if !self.answers_hosts && self.bounds.policy.owner_answers {
-            self.answers_hosts = should_inform(Deployment {
-                hosts: self.host_count,
-                watchers: WATCHERS,
-                workers: self.workers.len(),
-                link_bytes_per_s: self.bounds.link_bytes_per_s,
-                descriptors: self.bounds.descriptors,
-            });
+        self.answers_hosts = self.decide_answers();
+    }
+
+    fn decide_answers(&self) -> bool {
+        if !self.bounds.policy.owner_answers {
+            return false;
+        }
+        let deployment = Deployment {
+            hosts: self.host_count,
+            watchers: WATCHERS,
+            workers: self.workers.len(),
+            link_bytes_per_s: self.bounds.link_bytes_per_s,
+            descriptors: self.bounds.descriptors,
+        };
+        match self.answers_hosts {
+            true => self.uses_relays || should_keep_informing(deployment),
+            false => should_inform(deployment),
         }
     }
 
--- a/tests/dispatch_owner_answers.rs
+++ b/tests/dispatch_owner_answers.rs
@@ -422,3 +422,39 @@
     expect_that!(fleet.state(host, JOB), some(eq(JobState::Running)));
     expect_that!(fleet.stats(owner).host_queries, eq(before + 1));
 }
+
+/// Guards against connections to hosts that a growing number of workers has left no descriptors
+/// for.
+#[gtest]
+fn an_owner_whose_workers_grow_closes_its_connections_to_hosts() {
+    const DESCRIPTORS: u64 = 64;
+    let mut fleet = Fleet::new(HOSTS, WORKERS);
+    fleet.descriptors = DESCRIPTORS;
+    for host in 0..HOSTS {
+        fleet.kill(host);
+        fleet.start(host);
+    }
+    fleet.run(10_000);
+    // The number of workers, and whether the owner is connected to the other hosts.
+    for (workers, is_connected) in [(12, true), (44, true), (45, false)] {
+        for number in fleet.workers.len()..workers {
+            fleet.add_worker(&format!("10.0.1.{number}:80"), &format!("w{number}-1"));
+        }
+        fleet.run(5_000);
+        let owner = fleet.owner().expect("there is an owner");
+        let expected = u64::from(is_connected) * (HOSTS as u64 - 1);
+        let informed_hosts = fleet.stats(owner).informed_hosts;
+        expect_that!(informed_hosts, eq(expected), "{workers} workers");
+        let host = (owner + 1) % HOSTS;
+        fleet.submit(owner, JOB, &job(vec![step(1, 60_000, &[])]));
+        fleet.run(1_000);
+        let before = fleet.stats(owner).host_queries;
+        expect_that!(fleet.state(host, JOB), some(eq(JobState::Running)));
+        let queries = fleet.stats(owner).host_queries - before;
+        expect_that!(queries, eq(u64::from(is_connected)), "{workers} workers");
+    }
+    let frame_bytes = fleet.frame_bytes;
+    fleet.run(5_000);
+    expect_that!(fleet.frame_bytes, eq(frame_bytes));
+    expect_that!(fleet.promises.broken, is_empty());
+}
--- a/tests/policy_informing.rs
+++ b/tests/policy_informing.rs
@@ -3,6 +3,7 @@
 
 use goldcrestway_dispatch::policy::informing::Deployment;
 use goldcrestway_dispatch::policy::informing::should_inform;
+use goldcrestway_dispatch::policy::informing::should_keep_informing;
 use googletest::prelude::*;
 
 /// An owner that can afford connections to 44 hosts.
@@ -19,6 +20,8 @@
     name: &'static str,
     deployment: Deployment,
     is_expected: bool,
+    /// Whether an owner that informs them already continues to do so.
+    is_kept: bool,
 }
 
 const CASES: &[Case] = &[
@@ -26,12 +29,14 @@
         name: "many hosts that callers query",
         deployment: STRONG,
         is_expected: true,
+        is_kept: true,
     },
     // All of them monitor the owner in any case.
     Case {
         name: "few hosts",
         deployment: Deployment { hosts: 9, ..STRONG },
         is_expected: false,
+        is_kept: true,
     },
     Case {
         name: "as many other hosts as watchers",
@@ -40,6 +45,7 @@
             ..STRONG
         },
         is_expected: true,
+        is_kept: true,
     },
     Case {
         name: "one host less",
@@ -48,6 +54,7 @@
             ..STRONG
         },
         is_expected: false,
+        is_kept: true,
     },
     // Heartbeats and answers would displace orders to workers.
     Case {
@@ -57,6 +64,7 @@
             ..STRONG
         },
         is_expected: false,
+        is_kept: true,
     },
     // Callers and the store need descriptors as well.
     Case {
@@ -66,6 +74,90 @@
             ..STRONG
         },
         is_expected: false,
+        is_kept: true,
+    },
+    // 44 hosts take 22,000 bytes a second, a tenth of this link.
+    Case {
+        name: "the limit of the link",
+        deployment: Deployment {
+            link_bytes_per_s: 220_000,
+            ..STRONG
+        },
+        is_expected: true,
+        is_kept: true,
+    },
+    Case {
+        name: "a byte less",
+        deployment: Deployment {
+            link_bytes_per_s: 219_999,
+            ..STRONG
+        },
+        is_expected: false,
+        is_kept: true,
+    },
+    Case {
+        name: "a fifth of the link",
+        deployment: Deployment {
+            link_bytes_per_s: 110_000,
+            ..STRONG
+        },
+        is_expected: false,
+        is_kept: true,
+    },
+    Case {
+        name: "more than a fifth of the link",
+        deployment: Deployment {
+            link_bytes_per_s: 109_999,
+            ..STRONG
+        },
+        is_expected: false,
+        is_kept: false,
+    },
+    Case {
+        name: "10 Mbit/s",
+        deployment: Deployment {
+            link_bytes_per_s: 1_250_000,
+            ..STRONG
+        },
+        is_expected: true,
+        is_kept: true,
+    },
+    // 394 connections.
+    Case {
+        name: "the limit of descriptors",
+        deployment: Deployment {
+            descriptors: 788,
+            ..STRONG
+        },
+        is_expected: true,
+        is_kept: true,
+    },
+    Case {
+        name: "a descriptor less",
+        deployment: Deployment {
+            descriptors: 787,
+            ..STRONG
+        },
+        is_expected: false,
+        is_kept: true,
+    },
+    Case {
+        name: "as many connections as descriptors",
+        deployment: Deployment {
+            descriptors: 394,
+            ..STRONG
+        },
+        is_expected: false,
+        is_kept: true,
+    },
+    Case {
+        name: "more connections than descriptors",
+        deployment: Deployment {
+            descriptors: 393,
+            ..STRONG
+        },
+        is_expected: false,
+        is_kept: false,
     },
 ];
 
@@ -74,5 +166,7 @@
     for case in CASES {
         let informs = should_inform(case.deployment);
         expect_that!(informs, eq(case.is_expected), "{}", case.name);
+        let keeps = should_keep_informing(case.deployment);
+        expect_that!(keeps, eq(case.is_kept), "{}", case.name);
     }
 }
