Owner answers: the switch also ends queries of hosts that read jobs

With `owner_answers = off`, the watchers of a relaying owner queried it all the same, so that the ablation did not compare with the code before. A host whose switch is off neither queries the owner in place of reading, nor relies on what it hears.

Test: `watchers_do_not_query_a_relaying_owner_if_that_is_switched_off`, which fails without the change (one query in place of none).

--- a/crates/dispatch/src/entry/scope.rs
+++ b/crates/dispatch/src/entry/scope.rs
@@ -186,6 +186,9 @@
     /// Returns whether the owner's connection is enough for this host: over it, the host must hear
     /// of the owner's heartbeats in the store. An owner without them may have been replaced.
     fn can_rely_on_owner(&mut self, now_ms: u64) -> bool {
+        if !self.bounds.policy.owner_answers {
+            return false;
+        }
         let Some(conn) = self.reading.owner_connection else {
             return false;
         };
@@ -199,6 +202,9 @@
     /// Returns the connection over which to query the owner instead of reading. An owner that has
     /// left a query unanswered gets the next one after it has sent a frame.
     pub(super) fn responsive_owner(&self) -> Option<ConnectionId> {
+        if !self.bounds.policy.owner_answers {
+            return None;
+        }
         let conn = self.reading.owner_connection?;
         let may_hang = self
             .reading
--- a/tests/dispatch_owner_answers.rs
+++ b/tests/dispatch_owner_answers.rs
@@ -458,3 +458,27 @@
     expect_that!(fleet.frame_bytes, eq(frame_bytes));
     expect_that!(fleet.promises.broken, is_empty());
 }
+
+/// Guards against hosts that read jobs and yet query the owner although the switch is off: a
+/// relaying owner is connected to them in any case.
+#[gtest]
+fn watchers_do_not_query_a_relaying_owner_if_that_is_switched_off() {
+    for is_on in [true, false] {
+        let mut fleet = Fleet::with_relays(FEW_HOSTS - 1, WORKERS);
+        fleet.policy.owner_answers = is_on;
+        for host in 0..fleet.host_count() {
+            fleet.kill(host);
+            fleet.start(host);
+        }
+        fleet.run(10_000);
+        let owner = fleet.owner().expect("there is an owner");
+        fleet.submit(owner, JOB, &job(vec![step(1, 60_000, &[])]));
+        fleet.run(1_000);
+        expect_that!(fleet.stats(owner).relays, gt(0));
+        let host = (owner + 1) % fleet.host_count();
+        let running = some(eq(JobState::Running));
+        expect_that!(fleet.state(host, JOB), running, "on: {is_on}");
+        let queries = fleet.stats(owner).host_queries;
+        expect_that!(queries, eq(u64::from(is_on)), "on: {is_on}");
+    }
+}
