--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -330,7 +330,7 @@
                 link_bytes_per_s: host.mbit_per_s * 125_000,
                 relay_address: relay_address(number, host.moves),
                 descriptors: self.descriptors,
-                policy: self.policy.clone(),
+                policy: self.policy,
                 max_record_bytes: self.store.max_record_bytes as u64,
                 ..Bounds::default()
             },
