Election: one order of hosts for the owner and for each host

The owner breaks ties of positions by name when it chooses the watchers, while a host counted those of equal position as later. Two hosts at the last place could both believe to be watchers, and the owner told only one of them of its heartbeats often. Both use the same order with the name.

No test: positions are derived from names, and the names of the tests' fleet have no such tie at the last place.

--- a/crates/dispatch/src/election.rs
+++ b/crates/dispatch/src/election.rs
@@ -67,10 +67,10 @@
     strongest_permille * 100 >= cpu_permille * MIN_STRONGER_PERCENT
 }
 
-/// Returns a host's place in the order of claims.
-fn claim_order(name: &str, cpu_permille: u64, strongest_permille: u64) -> (bool, u64) {
+/// Returns a host's place in the order of claims. Names decide between hosts of equal position.
+fn claim_order(name: &str, cpu_permille: u64, strongest_permille: u64) -> (bool, u64, &str) {
     let is_weaker = is_weaker(cpu_permille, strongest_permille);
-    (is_weaker, position_permille(name))
+    (is_weaker, position_permille(name), name)
 }
 
 /// Returns the names of the hosts that monitor the owner.
@@ -78,13 +78,14 @@
     let strongest_permille = HostSurvey::of(hosts).strongest_permille;
     let mut names = Vec::with_capacity(hosts.len());
     for (name, host) in hosts {
-        names.push((
-            claim_order(name, host.cpu_permille, strongest_permille),
-            &**name,
-        ));
+        names.push(claim_order(name, host.cpu_permille, strongest_permille));
     }
     names.sort_unstable();
-    names.iter().take(WATCHERS).map(|(_, name)| *name).collect()
+    names
+        .iter()
+        .take(WATCHERS)
+        .map(|(.., name)| *name)
+        .collect()
 }
 
 /// Summary of all hosts that the owner publishes, so that each host can compute its own position in
@@ -114,6 +115,7 @@
 /// A host's view of the owner's health, and the host's position in the order of claims.
 #[derive(Debug)]
 pub(crate) struct Election {
+    host: Box<str>,
     cpu_permille: u64,
     /// This host's position in the order of claims.
     position_permille: u64,
@@ -142,6 +144,7 @@
 impl Election {
     pub(crate) fn new(host: &str, bounds: &Bounds, salt: u64) -> Self {
         Self {
+            host: host.into(),
             cpu_permille: bounds.cpu_permille,
             position_permille: position_permille(host),
             is_weaker: false,
@@ -166,7 +169,7 @@
     pub(crate) fn update_hosts(&mut self, hosts: &HashMap<Box<str>, HostRecord>) {
         let strongest_permille = HostSurvey::of(hosts).strongest_permille;
         self.is_weaker = is_weaker(self.cpu_permille, strongest_permille);
-        let own = (self.is_weaker, self.position_permille);
+        let own = claim_order(&self.host, self.cpu_permille, strongest_permille);
         let mut earlier = 0;
         for (name, host) in hosts {
             let other = claim_order(name, host.cpu_permille, strongest_permille);
