--- a/crates/dispatch/src/entry/scope.rs
+++ b/crates/dispatch/src/entry/scope.rs
@@ -122,7 +122,11 @@
             Scope::All => self.stop_reading_jobs(now_ms),
             Scope::Undecided => {}
         }
-        self.reading.is_relying = self.can_rely_on_owner(now_ms);
+        let is_relying = self.can_rely_on_owner(now_ms);
+        let was_relying = std::mem::replace(&mut self.reading.is_relying, is_relying);
+        if was_relying && !is_relying {
+            self.election.end_reliance(now_ms);
+        }
     }
 
     /// Chooses the scope by the newest owner's record.
@@ -182,18 +186,25 @@
     /// Returns whether the owner's connection is enough for this host: over it, the host must hear
     /// of the owner's heartbeats in the store. An owner without them may have been replaced.
     fn can_rely_on_owner(&mut self, now_ms: u64) -> bool {
+        if !self.bounds.policy.owner_answers {
+            return false;
+        }
         let Some(conn) = self.reading.owner_connection else {
             return false;
         };
-        if let Some((heard_ms, heartbeat)) = self.relay.heartbeat(conn) {
-            self.election.record_heard(heard_ms, heartbeat.stored_end);
-        }
+        let Some((heard_ms, heartbeat)) = self.relay.heartbeat(conn) else {
+            return false;
+        };
+        self.election.record_heard(heard_ms, heartbeat.stored_end);
         self.reading.scope == Scope::All && self.election.hears_owner(now_ms)
     }
 
     /// Returns the connection over which to query the owner instead of reading. An owner that has
     /// left a query unanswered gets the next one after it has sent a frame.
     pub(super) fn responsive_owner(&self) -> Option<ConnectionId> {
+        if !self.bounds.policy.owner_answers {
+            return None;
+        }
         let conn = self.reading.owner_connection?;
         let may_hang = self
             .reading
--- a/tests/dispatch_owner_answers.rs
+++ b/tests/dispatch_owner_answers.rs
@@ -104,6 +104,8 @@
     name: &'static str,
     inject: fn(&mut Fleet, owner: usize),
     claimed_within_ms: u64,
+    /// Interval at which its connections to other hosts break, if they do.
+    break_interval_ms: Option<u64>,
 }
 
 const LOSSES: &[Loss] = &[
@@ -111,43 +113,71 @@
         name: "killed",
         inject: |fleet, owner| fleet.kill(owner),
         claimed_within_ms: 1_000,
+        break_interval_ms: None,
     },
     Loss {
         name: "hangs",
         inject: |fleet, owner| fleet.pause(owner),
         claimed_within_ms: 1_000,
+        break_interval_ms: None,
     },
     // It still answers the other hosts, but has no news of its heartbeats in the store.
     Loss {
         name: "cut off from the store",
         inject: |fleet, owner| fleet.cut_from_store(owner, true),
         claimed_within_ms: 1_000,
+        break_interval_ms: None,
     },
     Loss {
         name: "stopped as planned",
         inject: |fleet, owner| fleet.stop(owner),
-        claimed_within_ms: 700,
+        claimed_within_ms: 350,
+        break_interval_ms: None,
+    },
+    // Each new connection repeats what is known of its heartbeats.
+    Loss {
+        name: "cut off from the store, and its connections break",
+        inject: |fleet, owner| fleet.cut_from_store(owner, true),
+        claimed_within_ms: 1_000,
+        break_interval_ms: Some(400),
     },
 ];
 
+/// Phases of the rare reads and of heartbeats at which the owner is lost.
+const PHASES: u64 = 10;
+const PHASE_MS: u64 = 27;
+
+/// Loses the owner, and returns the time until another host has claimed, at most 5 s.
+fn time_to_claim(fleet: &mut Fleet, owner: usize, loss: &Loss) -> u64 {
+    let lost_ms = fleet.now_ms;
+    (loss.inject)(fleet, owner);
+    while fleet.claims < 2 && fleet.now_ms < lost_ms + 5_000 {
+        fleet.run(10);
+        let interval_ms = loss.break_interval_ms;
+        if interval_ms.is_some_and(|ms| (fleet.now_ms - lost_ms).is_multiple_of(ms)) {
+            fleet.break_connections(owner);
+        }
+    }
+    fleet.now_ms - lost_ms
+}
+
 /// Guards against a later change of owner where the watchers hear its heartbeats in place of
 /// reading them.
 #[gtest]
 fn an_owner_that_is_lost_is_replaced_as_soon_as_if_its_heartbeats_were_read() {
     for loss in LOSSES {
-        let mut fleet = fleet_with_job(HOSTS);
-        let owner = fleet.owner().expect("there is an owner");
-        let lost_ms = fleet.now_ms;
-        (loss.inject)(&mut fleet, owner);
-        while fleet.claims < 2 && fleet.now_ms < lost_ms + 5_000 {
-            fleet.run(10);
+        for phase in 0..PHASES {
+            let name = format!("{}, phase {phase}", loss.name);
+            let mut fleet = fleet_with_job(HOSTS);
+            fleet.run(phase * PHASE_MS);
+            let owner = fleet.owner().expect("there is an owner");
+            let took_ms = time_to_claim(&mut fleet, owner, loss);
+            expect_that!(took_ms, le(loss.claimed_within_ms), "{name}");
+            fleet.resume(owner);
+            fleet.run(5_000);
+            expect_that!(fleet.owners(), eq(1), "{name}");
+            expect_that!(fleet.promises.broken, is_empty(), "{name}");
         }
-        let took_ms = fleet.now_ms - lost_ms;
-        expect_that!(took_ms, le(loss.claimed_within_ms), "{}", loss.name);
-        fleet.resume(owner);
-        fleet.run(5_000);
-        expect_that!(fleet.owners(), eq(1), "{}", loss.name);
-        expect_that!(fleet.promises.broken, is_empty(), "{}", loss.name);
     }
 }
 
@@ -242,6 +272,54 @@
     }
 }
 
+/// Guards against callers who wait for an owner that has answered that there is no such queue: its
+/// rules are older than those of the host.
+#[gtest]
+fn queues_that_the_owner_does_not_know_yet_are_counted_by_reading() {
+    const ANSWERS_WITHIN_MS: u64 = 150;
+    let mut fleet = fleet_with_job(HOSTS);
+    let owner = fleet.owner().expect("there is an owner");
+    let host = (owner + 1) % HOSTS;
+    fleet.cut_from_store(owner, true);
+    fleet.store.put(Stream::Rules, "config", &[2, b'a']);
+    fleet.run(100);
+    let count = fleet.count_in(host, "a");
+    fleet.run(ANSWERS_WITHIN_MS);
+    expect_that!(fleet.replies.get(&count), some(eq(&Reply::Waiting(0))));
+}
+
+/// Guards against a count of a queue that the host knows to be removed when the owner's answer
+/// arrives.
+#[gtest]
+fn counts_of_a_queue_end_once_a_host_knows_that_it_is_removed() {
+    let mut fleet = fleet_with_job(HOSTS);
+    let owner = fleet.owner().expect("there is an owner");
+    let host = (owner + 1) % HOSTS;
+    fleet.store.put(Stream::Rules, "config", &[2, b'a']);
+    fleet.run(1_000);
+    fleet.cut_from_store(owner, true);
+    fleet.store.put(Stream::Rules, "config", &[3]);
+    let mut counts = Vec::new();
+    let mut is_removed = false;
+    for _ in 0..20 {
+        counts.push(fleet.count_in(host, "a"));
+        fleet.run(10);
+        let mut is_counted = false;
+        counts.retain(|count| match fleet.replies.get(count) {
+            Some(Reply::Waiting(_)) => {
+                is_counted = true;
+                false
+            }
+            reply => {
+                is_removed |= reply == Some(&Reply::NoSuchQueue);
+                reply.is_none()
+            }
+        });
+        expect_false!(is_removed && is_counted);
+    }
+    expect_true!(is_removed);
+}
+
 /// Returns the hosts of [`fleet_with_job`] that monitor the owner: those that read the owner's
 /// record at once when they no longer hear it.
 fn watchers() -> Vec<usize> {
@@ -274,6 +352,27 @@
     expect_that!(fleet.promises.broken, is_empty());
 }
 
+/// Guards against claims of all other hosts at once when the owner hangs and all hosts that monitor
+/// it are lost: they relied on the owner, and its silence began long before they read again.
+#[gtest]
+fn hosts_that_relied_on_the_owner_do_not_claim_all_at_once() {
+    const PHASES: u64 = 10;
+    const PHASE_MS: u64 = 790;
+    let watchers = watchers();
+    for phase in 0..PHASES {
+        let mut fleet = fleet_with_job(HOSTS);
+        fleet.run(phase * PHASE_MS);
+        let owner = fleet.owner().expect("there is an owner");
+        for host in &watchers {
+            fleet.kill(*host);
+        }
+        fleet.pause(owner);
+        fleet.run(7_000);
+        expect_that!(fleet.claims, eq(2), "phase {phase}");
+        expect_that!(fleet.promises.broken, is_empty(), "phase {phase}");
+    }
+}
+
 /// Guards against a fleet without an owner when the owner and all hosts that monitor it are cut off
 /// from the store: the others still hear the owner.
 #[gtest]
@@ -308,3 +407,78 @@
     expect_that!(fleet.state(host, JOB), some(eq(JobState::Running)));
     expect_that!(fleet.stats(owner).host_queries, eq(before + 1));
 }
+
+/// Guards against an owner that keeps the connection to the former address of a host, which lost
+/// power and has closed nothing: without relays, nothing is pending on it that would time out.
+#[gtest]
+fn a_host_that_was_replaced_is_connected_again() {
+    let mut fleet = fleet_with_job(HOSTS);
+    let owner = fleet.owner().expect("there is an owner");
+    let host = (owner + 1) % HOSTS;
+    fleet.replace(host);
+    fleet.run(9_000);
+    expect_that!(fleet.stats(owner).informed_hosts, eq(HOSTS as u64 - 1));
+    let before = fleet.stats(owner).host_queries;
+    expect_that!(fleet.state(host, JOB), some(eq(JobState::Running)));
+    expect_that!(fleet.stats(owner).host_queries, eq(before + 1));
+}
+
+/// Guards against connections to hosts that a growing number of workers has left no descriptors
+/// for.
+#[gtest]
+fn an_owner_whose_workers_grow_closes_its_connections_to_hosts() {
+    const DESCRIPTORS: u64 = 64;
+    let mut fleet = Fleet::new(HOSTS, WORKERS);
+    fleet.descriptors = DESCRIPTORS;
+    for host in 0..HOSTS {
+        fleet.kill(host);
+        fleet.start(host);
+    }
+    fleet.run(10_000);
+    // The number of workers, and whether the owner is connected to the other hosts.
+    for (workers, is_connected) in [(12, true), (44, true), (45, false)] {
+        for number in fleet.workers.len()..workers {
+            fleet.add_worker(&format!("10.0.1.{number}:80"), &format!("w{number}-1"));
+        }
+        fleet.run(5_000);
+        let owner = fleet.owner().expect("there is an owner");
+        let expected = u64::from(is_connected) * (HOSTS as u64 - 1);
+        let informed_hosts = fleet.stats(owner).informed_hosts;
+        expect_that!(informed_hosts, eq(expected), "{workers} workers");
+        let host = (owner + 1) % HOSTS;
+        fleet.submit(owner, JOB, &job(vec![step(1, 60_000, &[])]));
+        fleet.run(1_000);
+        let before = fleet.stats(owner).host_queries;
+        expect_that!(fleet.state(host, JOB), some(eq(JobState::Running)));
+        let queries = fleet.stats(owner).host_queries - before;
+        expect_that!(queries, eq(u64::from(is_connected)), "{workers} workers");
+    }
+    let frame_bytes = fleet.frame_bytes;
+    fleet.run(5_000);
+    expect_that!(fleet.frame_bytes, eq(frame_bytes));
+    expect_that!(fleet.promises.broken, is_empty());
+}
+
+/// Guards against hosts that read jobs and yet query the owner although the switch is off: a
+/// relaying owner is connected to them in any case.
+#[gtest]
+fn watchers_do_not_query_a_relaying_owner_if_that_is_switched_off() {
+    for is_on in [true, false] {
+        let mut fleet = Fleet::with_relays(FEW_HOSTS - 1, WORKERS);
+        fleet.policy.owner_answers = is_on;
+        for host in 0..fleet.host_count() {
+            fleet.kill(host);
+            fleet.start(host);
+        }
+        fleet.run(10_000);
+        let owner = fleet.owner().expect("there is an owner");
+        fleet.submit(owner, JOB, &job(vec![step(1, 60_000, &[])]));
+        fleet.run(1_000);
+        expect_that!(fleet.stats(owner).relays, gt(0));
+        let host = (owner + 1) % fleet.host_count();
+        let running = some(eq(JobState::Running));
+        expect_that!(fleet.state(host, JOB), running, "on: {is_on}");
+        let queries = fleet.stats(owner).host_queries;
+        expect_that!(queries, eq(u64::from(is_on)), "on: {is_on}");
+    }
+}
--- a/tests/fleet/connections.rs
+++ b/tests/fleet/connections.rs
@@ -50,9 +50,10 @@
     }
 }
 
-/// Returns the address at which a host accepts orders to relay.
-pub(super) fn relay_address(number: usize) -> Box<str> {
-    format!("relay-{number}").into()
+/// Returns the address at which a host accepts orders to relay, after it has moved a number of
+/// times.
+pub(super) fn relay_address(number: usize, moves: u64) -> Box<str> {
+    format!("relay-{number}-{moves}").into()
 }
 
 impl Fleet {
@@ -64,7 +65,8 @@
             conn,
         };
         let count = self.hosts.len();
-        let target = (0..count).find(|other| *relay_address(*other) == *address);
+        let target =
+            (0..count).find(|other| *relay_address(*other, self.hosts[*other].moves) == *address);
         let is_there = |other: &usize| self.hosts[*other].entry.is_some() && *other != number;
         let event = match target.filter(is_there) {
             Some(host) => {
@@ -142,6 +144,21 @@
         }
     }
 
+    /// Closes all present connections of a host to other hosts; new ones work.
+    pub(crate) fn break_connections(&mut self, number: usize) {
+        let mut ends = Vec::new();
+        self.peers.pairs.retain(|pair| {
+            let is_own = pair.one.host == number || pair.two.host == number;
+            if is_own {
+                ends.extend([pair.one, pair.two]);
+            }
+            !is_own
+        });
+        for end in ends {
+            self.send_connection_lost(end);
+        }
+    }
+
     fn send_connection_lost(&mut self, end: End) {
         let event = Event::ConnectionLost { conn: end.conn };
         let delivery = Delivery::ToEntry(end.host, end.generation, event);
