--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -188,8 +188,6 @@
     pub(crate) frame_bytes: u64,
     /// File descriptors of hosts that start from now on.
     pub(crate) descriptors: u64,
-    /// Their policy.
-    pub(crate) policy: Policy,
     /// Logged events of all hosts, counted by code.
     pub(crate) note_counts: BTreeMap<Code, u32>,
     /// Logged events about the results of jobs and workers, as text.
@@ -248,7 +246,6 @@
             peers: Peers::default(),
             frame_bytes: 0,
             descriptors: Bounds::default().descriptors,
-            policy: Policy::default(),
             note_counts: BTreeMap::new(),
             log_lines: Vec::new(),
             job_times: Vec::new(),
@@ -337,7 +334,6 @@
                 link_bytes_per_s: host.mbit_per_s * 125_000,
                 relay_address: relay_address(number, host.moves),
                 descriptors: self.descriptors,
-                policy: self.policy,
                 max_record_bytes: self.store.max_record_bytes as u64,
                 policy: self.policy,
                 ..Bounds::default()
