Run times: bounded memory, off means off, and a floor for stragglers

Found in review. Queues are named by callers: their times were kept for ever, four histograms each; now 1,000 queues at most, and a class takes memory once it is measured. The record of what was learned dropped interference together with run times where it was too large; now run times go first, then usage of queues. With run_times off the reserve and the new rule for jobs without value stayed in force; now the order is the one of before. A ratio below 0.0005 was kept as 0, so a task that is estimated at an hour and takes a second was expected to take no time. A task with an estimate far below its queue's mean counted as a straggler after 950 ms; the mean of the queue is the floor again.

--- a/crates/dispatch/src/owner/projections.rs
+++ b/crates/dispatch/src/owner/projections.rs
@@ -205,14 +205,17 @@
         let step = self.jobs[key].step_mut(id)?;
         let task = step.tasks.get_mut(usize::from(id.index))?;
         task.ran_ms += ran_ms;
-        // The checkpoint that it has started from, if there was one.
+        // A run that has resumed from a checkpoint did not do all of the work.
         if !is_done || !task.checkpoint.is_empty() {
             return None;
         }
         task.took_ms = Some(ran_ms);
         step.ended += 1;
         step.ended_ms += ran_ms;
-        Some(step.ended_ms / u64::from(step.ended))
+        let mean_ms = step.ended_ms / u64::from(step.ended);
+        let queue = &self.jobs[key].submission.queue;
+        self.run_times.record_run(queue, run.is_best_effort, ran_ms);
+        Some(mean_ms)
     }
 
     /// Returns for the log what was expected of a job at its start, beside its real times.
--- a/crates/dispatch/src/owner/stragglers.rs
+++ b/crates/dispatch/src/owner/stragglers.rs
@@ -12,6 +12,7 @@
 use crate::event::Now;
 use crate::ids::TaskId;
 use crate::owner::Owner;
+use crate::owner::job::Job;
 use crate::owner::job::JobKey;
 use crate::owner::projections::class;
 use crate::owner::worker::Run;
@@ -240,16 +241,28 @@
                 is_measured: true,
             };
         }
-        let usual_ms = match job.step(task) {
-            Some(step) => self.run_times.task_ms(class(&job.submission, step)),
-            None => DEFAULT_TASK_MS,
-        };
         ExpectedDuration {
-            total_ms: usual_ms * CLASS_FACTOR,
+            total_ms: self.usual_task_ms(job, task) * CLASS_FACTOR,
             is_measured: false,
         }
     }
 
+    /// Returns the usual duration of a task in milliseconds if nothing is known of its siblings: what
+    /// is expected of its class, but not less than the mean of its queue. A caller that estimates
+    /// far too little would otherwise have its tasks replaced while they run well.
+    fn usual_task_ms(&self, job: &Job, task: TaskId) -> u64 {
+        let Some(step) = job.step(task) else {
+            return DEFAULT_TASK_MS;
+        };
+        let queue = &job.submission.queue;
+        let mean_ms = self.run_times.queue_mean_ms(queue, step.is_best_effort);
+        if !self.bounds.policy.learns_run_times {
+            return mean_ms.unwrap_or(DEFAULT_TASK_MS);
+        }
+        let expected_ms = self.run_times.task_ms(class(&job.submission, step));
+        expected_ms.max(mean_ms.unwrap_or(0))
+    }
+
     fn replace(&mut self, straggler: &Candidate, now: Now, actions: &mut Vec<Action>) {
         let Candidate {
             worker,
--- a/crates/dispatch/src/owner/writing.rs
+++ b/crates/dispatch/src/owner/writing.rs
@@ -163,14 +163,7 @@
         if self.must_record_learned(now_ms) {
             self.writer.learned_ms = now_ms;
             let mut learned = self.learned(now_ms, &mut no_longer_silent);
-            // The images come from callers, who may name a great many.
-            if learned.encoded_len() as u64 > self.bounds.max_record_bytes {
-                learned.images.clear();
-                learned.run_times.clear();
-            }
-            if learned.encoded_len() as u64 > self.bounds.max_record_bytes {
-                learned.queues.clear();
-            }
+            learned.shorten(self.bounds.max_record_bytes);
             records.push((Key::Learned.text(), learned.encode_to_vec().into()));
         }
         if !records.is_empty() {
--- a/crates/dispatch/src/policy/ordering.rs
+++ b/crates/dispatch/src/policy/ordering.rs
@@ -82,10 +82,17 @@
         !self.is_long_running && now_ms + self.remaining_ms > self.due_ms
     }
 
-    fn outlook(&self, now_ms: u64) -> Outlook {
+    fn outlook(&self, policy: &Policy, now_ms: u64) -> Outlook {
+        if !policy.feasible_first {
+            return Outlook::InTime;
+        }
         if self.is_late(now_ms) {
             return Outlook::Late;
         }
+        // A caller's estimate is too rough to keep a reserve by.
+        if !policy.learns_run_times {
+            return Outlook::InTime;
+        }
         let spare_ms = self.allowed_ms.saturating_sub(self.remaining_ms);
         let reserve_ms = spare_ms * RESERVE_PERCENT / 100;
         let latest_end_ms = now_ms + self.remaining_ms + reserve_ms;
@@ -94,19 +101,26 @@
             false => Outlook::Tight,
         }
     }
+
+    /// Returns whether its result will have no value. By a caller's estimate alone, only a time that
+    /// has passed is certain.
+    fn has_no_value(&self, policy: &Policy, now_ms: u64) -> bool {
+        let end_ms = match policy.learns_run_times {
+            true => now_ms + self.remaining_ms,
+            false => now_ms,
+        };
+        !self.is_long_running && end_ms > self.no_value_after_ms
+    }
 }
 
 impl Urgency {
     /// Returns the position of a job that waits at `now_ms`.
     pub fn new(job: &WaitingJob, policy: &Policy, now_ms: u64) -> Self {
-        let outlook = match policy.feasible_first {
-            true => job.outlook(now_ms),
-            false => Outlook::InTime,
-        };
+        let outlook = job.outlook(policy, now_ms);
         let has_not_started = !job.has_started && policy.begun_first;
         let is_favoured = job.has_started && policy.begun_first && outlook != Outlook::Late;
         Self {
-            has_no_value: now_ms + job.remaining_ms > job.no_value_after_ms && !job.is_long_running,
+            has_no_value: job.has_no_value(policy, now_ms),
             priority: job.priority,
             is_finite: !job.is_long_running,
             rank: job.rank.saturating_sub(u32::from(is_favoured)),
--- a/crates/dispatch/src/policy/ratios.rs
+++ b/crates/dispatch/src/policy/ratios.rs
@@ -31,8 +31,8 @@
     }
 
     pub(crate) fn add(&mut self, ratio: f64) {
-        self.histogram
-            .saturating_record((ratio * 1_000.0).round() as u64);
+        let permille = ((ratio * 1_000.0).round() as u64).max(MIN_PERMILLE);
+        self.histogram.saturating_record(permille);
         if self.histogram.len() >= self.max_samples {
             self.fade();
         }
@@ -75,7 +75,8 @@
         let mut ratios = Self::new(max_samples);
         for row in rows {
             let samples = u64::from(row.samples).min(max_samples) as u32;
-            ratios.histogram.saturating_record_n(row.permille, samples);
+            let permille = row.permille.max(MIN_PERMILLE);
+            ratios.histogram.saturating_record_n(permille, samples);
         }
         ratios
     }
--- a/crates/dispatch/src/policy/run_times.rs
+++ b/crates/dispatch/src/policy/run_times.rs
@@ -12,9 +12,9 @@
 //!
 //! **Limits:** two ratios are learned for each queue, separately for best-effort tasks and for
 //! tasks without estimate: the mean duration of a step to its estimate, and the duration of a task,
-//! with its runs that failed by themselves, to the mean of its step. The longest of `n` tasks is expected at quantile `n / (n + 1)` of the
-//! second. Once tasks of a step have ended or show their progress, their durations count instead of
-//! the estimate. Before a class has [`MIN_STEPS`] steps, the estimate counts as it is.
+//! with its runs that failed by themselves, to the mean of its step. The longest of `n` tasks is
+//! expected at quantile `n / (n + 1)` of the second. Once tasks of a step have ended or show their
+//! progress, their durations count instead of the estimate. Before a class has [`MIN_STEPS`] steps, the estimate counts as it is.
 
 use crate::policy::ratios::Ratios;
 use crate::record::LearnedRunTimes;
@@ -35,6 +35,10 @@
 const CLASS_WEIGHT: f64 = 0.5;
 /// Number of classes of a queue.
 const CLASSES: usize = 4;
+/// Maximum number of queues that are remembered. Callers may name a great many.
+const MAX_QUEUES: usize = 1_000;
+/// Weight of a new duration in the mean of its queue, in percent.
+const MEAN_PERCENT: u64 = 5;
 
 /// Class of tasks whose durations are learned together.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -114,8 +118,20 @@
 /// Learned durations of all queues.
 #[derive(Debug, Default)]
 pub struct RunTimes {
-    queues: HashMap<Box<str>, [ClassTimes; CLASSES]>,
+    queues: HashMap<Box<str>, QueueTimes>,
     steps_learned: u64,
+    /// Number of changes to any queue.
+    changes: u64,
+}
+
+/// Durations of the tasks of one queue.
+#[derive(Debug, Default)]
+struct QueueTimes {
+    classes: [Option<Box<ClassTimes>>; CLASSES],
+    /// Mean duration of a run in milliseconds, of best-effort tasks the second.
+    mean_ms: [Option<u64>; 2],
+    /// Number of the latest change to it.
+    changed: u64,
 }
 
 #[derive(Debug, Clone)]
@@ -155,7 +171,8 @@
             return;
         }
         let mean_ms = (sum_ms as f64 / measured as f64).max(1.0);
-        let times = self.class_mut(class.queue, class.index());
+        let slot = &mut self.queue_mut(class.queue).classes[class.index()];
+        let times = slot.get_or_insert_default();
         times.step.add(mean_ms / class.estimated_ms() as f64);
         if measured >= MIN_SIBLINGS {
             for task in tasks {
@@ -165,6 +182,23 @@
         self.steps_learned += 1;
     }
 
+    /// Records the duration of a run that has succeeded, for the mean of its queue.
+    pub fn record_run(&mut self, queue: &str, is_best_effort: bool, took_ms: u64) {
+        let slot = &mut self.queue_mut(queue).mean_ms[usize::from(is_best_effort)];
+        let mean_ms = slot.unwrap_or(took_ms);
+        *slot = Some((mean_ms * (100 - MEAN_PERCENT) + took_ms * MEAN_PERCENT) / 100);
+    }
+
+    /// Returns the mean duration of the runs of a queue in milliseconds, if any has succeeded.
+    pub fn queue_mean_ms(&self, queue: &str, is_best_effort: bool) -> Option<u64> {
+        self.queues.get(queue)?.mean_ms[usize::from(is_best_effort)]
+    }
+
+    /// Returns the number of queues that are remembered.
+    pub fn queues(&self) -> usize {
+        self.queues.len()
+    }
+
     /// Returns the number of steps that it was learned from. Expectations change only with it.
     pub fn steps_learned(&self) -> u64 {
         self.steps_learned
@@ -172,8 +206,8 @@
 
     /// Returns the number of classes that are expected by what was learned.
     pub fn classes_learned(&self) -> u64 {
-        let classes = self.queues.values().flatten();
-        classes.filter(|times| times.is_known()).count() as u64
+        let classes = self.queues.values().flat_map(|times| &times.classes);
+        classes.flatten().filter(|times| times.is_known()).count() as u64
     }
 
     /// Returns the expected duration of a task, in milliseconds.
@@ -214,11 +248,11 @@
     /// Returns what was learned, to be stored for the next owner.
     pub(crate) fn learned(&self) -> Vec<LearnedRunTimes> {
         let mut rows = Vec::new();
-        for (queue, classes) in &self.queues {
-            for (index, times) in classes.iter().enumerate() {
-                if !times.is_known() {
+        for (queue, queue_times) in &self.queues {
+            for (index, times) in queue_times.classes.iter().enumerate() {
+                let Some(times) = times.as_ref().filter(|times| times.is_known()) else {
                     continue;
-                }
+                };
                 rows.push(LearnedRunTimes {
                     queue: queue.to_string(),
                     class: index as u32,
@@ -237,21 +271,32 @@
             if index >= CLASSES {
                 continue;
             }
-            *self.class_mut(&row.queue, index) = ClassTimes {
+            let times = ClassTimes {
                 step: Ratios::restore(MAX_STEPS, &row.steps),
                 task: Ratios::restore(MAX_TASKS, &row.tasks),
             };
+            self.queue_mut(&row.queue).classes[index] = Some(Box::new(times));
         }
     }
 
-    fn class_mut(&mut self, queue: &str, index: usize) -> &mut ClassTimes {
-        let classes = self.queues.entry(queue.into()).or_default();
-        &mut classes[index]
+    /// Returns the times of a queue. If too many are remembered, the one that has not changed for
+    /// longest is forgotten.
+    fn queue_mut(&mut self, queue: &str) -> &mut QueueTimes {
+        if self.queues.len() >= MAX_QUEUES && !self.queues.contains_key(queue) {
+            let oldest = self.queues.iter().min_by_key(|(_, times)| times.changed);
+            if let Some(oldest) = oldest.map(|(name, _)| name.clone()) {
+                self.queues.remove(&oldest);
+            }
+        }
+        self.changes += 1;
+        let times = self.queues.entry(queue.into()).or_default();
+        times.changed = self.changes;
+        times
     }
 
     /// Returns the times of a class, if they are known well enough.
     fn class(&self, class: TaskClass<'_>) -> Option<&ClassTimes> {
-        let times = &self.queues.get(class.queue)?[class.index()];
+        let times = self.queues.get(class.queue)?.classes[class.index()].as_deref()?;
         times.is_known().then_some(times)
     }
 
--- a/crates/dispatch/src/record.rs
+++ b/crates/dispatch/src/record.rs
@@ -335,6 +335,24 @@
     pub(crate) queues: Vec<LearnedQueue>,
 }
 
+impl Learned {
+    /// Shortens a record that would be larger than `max_bytes`. Images and queues are named by
+    /// callers, who may name a great many. What is learned again soonest is left out first.
+    pub(crate) fn shorten(&mut self, max_bytes: u64) {
+        let clears: [fn(&mut Self); 3] = [
+            |learned| learned.run_times.clear(),
+            |learned| learned.queues.clear(),
+            |learned| learned.images.clear(),
+        ];
+        for clear in clears {
+            if self.encoded_len() as u64 <= max_bytes {
+                return;
+            }
+            clear(self);
+        }
+    }
+}
+
 /// Durations learned for one class of tasks of a queue.
 #[derive(Clone, PartialEq, Eq, Message)]
 pub(crate) struct LearnedRunTimes {
--- a/tests/policy_run_times.rs
+++ b/tests/policy_run_times.rs
@@ -246,3 +246,33 @@
     expect_that!(run_times.task_ms(CLASS), all!(ge(950), le(1_050)));
     expect_that!(run_times.longest_ms(CLASS, 20), all!(ge(1_800), le(2_000)));
 }
+
+/// Guards against tasks that are expected to take no time, as their caller estimates an hour for
+/// what takes a second.
+#[gtest]
+fn a_task_far_below_its_estimate_takes_some_time() {
+    let class = TaskClass {
+        estimated_ms: 3_600_000,
+        ..CLASS
+    };
+    let mut run_times = RunTimes::default();
+    for _ in 0..20 {
+        run_times.learn(class, 1, &[succeeded(1_000)]);
+    }
+    expect_that!(run_times.task_ms(class), all!(gt(0), le(7_200)));
+}
+
+/// Guards against memory that grows with each name that a caller gives to a queue.
+#[gtest]
+fn only_the_queues_that_changed_last_are_remembered() {
+    const MAX_QUEUES: usize = 1_000;
+    let mut run_times = RunTimes::default();
+    for number in 0..MAX_QUEUES + 10 {
+        run_times.record_run(&format!("queue-{number}"), false, 500);
+        run_times.record_run("steady", false, 700);
+    }
+    expect_that!(run_times.queues(), eq(MAX_QUEUES));
+    expect_that!(run_times.queue_mean_ms("queue-0", false), none());
+    expect_that!(run_times.queue_mean_ms("queue-1009", false), some(eq(500)));
+    expect_that!(run_times.queue_mean_ms("steady", false), some(eq(700)));
+}
