--- a/crates/dispatch/src/policy/informing.rs
+++ b/crates/dispatch/src/policy/informing.rs
@@ -24,9 +24,9 @@
 /// is for callers and for the store.
 const MAX_DESCRIPTORS_PERCENT: u64 = 50;
 
-/// Multiple of the limits of the link and of the descriptors up to which existing connections are
+/// Percentage of the limits of the link and of the descriptors up to which existing connections are
 /// kept: with a single limit, a fleet about as large as it would open and close them repeatedly.
-const KEPT_FACTOR: u64 = 2;
+const KEPT_PERCENT: u64 = 150;
 
 /// What an owner knows of its deployment.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -45,16 +45,16 @@
 
 /// Returns whether the owner is to connect to the other hosts and answer their queries.
 pub fn should_inform(deployment: Deployment) -> bool {
-    deployment.hosts >= deployment.watchers * MIN_HOSTS_PER_WATCHER && fits(deployment, 1)
+    deployment.hosts >= deployment.watchers * MIN_HOSTS_PER_WATCHER && fits(deployment, 100)
 }
 
 /// Returns whether an owner that is connected to the other hosts is to stay connected.
 pub fn should_keep_informing(deployment: Deployment) -> bool {
-    fits(deployment, KEPT_FACTOR)
+    fits(deployment, KEPT_PERCENT)
 }
 
-/// Returns whether connections take no more than a multiple of what they may.
-fn fits(deployment: Deployment, factor: u64) -> bool {
+/// Returns whether connections take no more than a percentage of what they may.
+fn fits(deployment: Deployment, percent: u64) -> bool {
     let Deployment {
         hosts,
         workers,
@@ -64,6 +64,6 @@
     } = deployment;
     let bytes_per_s = hosts as u64 * HOST_BYTES_PER_S;
     let connections = (hosts + workers) as u64;
-    bytes_per_s * 100 <= link_bytes_per_s * MAX_LINK_PERCENT * factor
-        && connections * 100 <= descriptors * MAX_DESCRIPTORS_PERCENT * factor
+    bytes_per_s * 10_000 <= link_bytes_per_s * MAX_LINK_PERCENT * percent
+        && connections * 10_000 <= descriptors * MAX_DESCRIPTORS_PERCENT * percent
 }
--- a/tests/dispatch_owner_answers.rs
+++ b/tests/dispatch_owner_answers.rs
@@ -437,7 +437,7 @@
     }
     fleet.run(10_000);
     // The number of workers, and whether the owner is connected to the other hosts.
-    for (workers, is_connected) in [(12, true), (44, true), (45, false)] {
+    for (workers, is_connected) in [(12, true), (28, true), (29, false)] {
         for number in fleet.workers.len()..workers {
             fleet.add_worker(&format!("10.0.1.{number}:80"), &format!("w{number}-1"));
         }
--- a/tests/policy_informing.rs
+++ b/tests/policy_informing.rs
@@ -64,7 +64,7 @@
             ..STRONG
         },
         is_expected: false,
-        is_kept: true,
+        is_kept: false,
     },
     // Callers and the store need descriptors as well.
     Case {
@@ -96,18 +96,18 @@
         is_kept: true,
     },
     Case {
-        name: "a fifth of the link",
+        name: "half more of the link than for new connections",
         deployment: Deployment {
-            link_bytes_per_s: 110_000,
+            link_bytes_per_s: 146_667,
             ..STRONG
         },
         is_expected: false,
         is_kept: true,
     },
     Case {
-        name: "more than a fifth of the link",
+        name: "more of the link than that",
         deployment: Deployment {
-            link_bytes_per_s: 109_999,
+            link_bytes_per_s: 146_666,
             ..STRONG
         },
         is_expected: false,
@@ -142,18 +142,18 @@
         is_kept: true,
     },
     Case {
-        name: "as many connections as descriptors",
+        name: "three quarters of the descriptors",
         deployment: Deployment {
-            descriptors: 394,
+            descriptors: 526,
             ..STRONG
         },
         is_expected: false,
         is_kept: true,
     },
     Case {
-        name: "more connections than descriptors",
+        name: "more than three quarters of the descriptors",
         deployment: Deployment {
-            descriptors: 393,
+            descriptors: 525,
             ..STRONG
         },
         is_expected: false,
