--- a/crates/dispatch/src/entry/mod.rs
+++ b/crates/dispatch/src/entry/mod.rs
@@ -5,6 +5,7 @@
 mod callers;
 mod contact;
 mod following;
+mod forwarding;
 mod job_tails;
 mod loading;
 mod ownership;
@@ -42,6 +43,7 @@
 use crate::owner::Owner;
 use crate::owner::OwnerStats;
 use crate::owner::records_bytes;
+use crate::policy::fair_shares::QueueShare;
 use crate::policy::link::MAX_LIST_PAUSE_MS;
 use crate::record::OwnerRecord;
 use crate::relay::Relay;
@@ -217,6 +219,11 @@
         }
     }
 
+    /// Returns the shares of all queues if this host is the owner.
+    pub fn queue_shares(&self) -> Vec<QueueShare> {
+        self.owner.as_ref().map_or(Vec::new(), Owner::queue_shares)
+    }
+
     /// Returns whether this host has read what it needs to accept jobs.
     fn is_caught_up(&self) -> bool {
         let has_jobs = self.reading.asks_owner() || self.jobs.is_usable();
@@ -447,9 +454,9 @@
         for record in &progress.records {
             self.job_table.apply(record);
         }
-        if !progress.records.is_empty() {
+        if let Some(newest) = progress.records.iter().map(|record| record.offset).max() {
             self.election
-                .record_heartbeat(now.steady_ms, &self.job_table.owner);
+                .record_heartbeat(newest, now.steady_ms, &self.job_table.owner);
         }
         if self.states.is_loaded() {
             self.election.record_loaded(now.steady_ms);
@@ -469,6 +476,9 @@
         self.run_owner(now, actions);
         self.answer_callers(now, actions);
         self.relay.flush(actions);
+        if let Some(owner) = &mut self.owner {
+            owner.flush_frames(now.steady_ms, actions);
+        }
         self.purge(now, actions);
     }
 }
--- a/crates/dispatch/src/entry/scope.rs
+++ b/crates/dispatch/src/entry/scope.rs
@@ -7,6 +7,10 @@
 //! and the owner's record, and query the owner for what callers ask. Hosts that monitor the owner
 //! read everything, as one of them is the next owner. So does, after a while, a host to which the
 //! owner does not connect.
+//!
+//! An owner without relays may keep connections as well, only to answer queries. The other hosts
+//! then read everything as before, but rarely: often enough to continue by themselves at once when
+//! the owner does not answer.
 
 use crate::election::HostSurvey;
 use crate::entry::Entry;
@@ -54,6 +58,10 @@
     connection_changed_ms: u64,
     /// Time since which an owner is alive and does not connect.
     unconnected_since_ms: Option<u64>,
+    /// Time of the newest query that the owner left unanswered.
+    unanswered_ms: Option<u64>,
+    /// Everything is read, but rarely.
+    is_relying: bool,
 }
 
 impl Reading {
@@ -63,6 +71,8 @@
             owner_connection: None,
             connection_changed_ms: 0,
             unconnected_since_ms: None,
+            unanswered_ms: None,
+            is_relying: false,
         }
     }
 
@@ -76,6 +86,11 @@
         self.asks_owner() && self.owner_connection.is_some()
     }
 
+    /// Records that the owner has not answered a query in time.
+    pub(super) fn record_unanswered_query(&mut self, now_ms: u64) {
+        self.unanswered_ms = Some(now_ms);
+    }
+
     fn has_been_unconnected_for(&self, ms: u64, now_ms: u64) -> bool {
         self.unconnected_since_ms
             .is_some_and(|since_ms| now_ms >= since_ms + ms)
@@ -107,6 +122,11 @@
             Scope::All => self.stop_reading_jobs(now_ms),
             Scope::Undecided => {}
         }
+        let is_relying = self.can_rely_on_owner(now_ms);
+        let was_relying = std::mem::replace(&mut self.reading.is_relying, is_relying);
+        if was_relying && !is_relying {
+            self.election.end_reliance(now_ms);
+        }
     }
 
     /// Chooses the scope by the newest owner's record.
@@ -158,6 +178,45 @@
         }
     }
 
+    /// Returns whether this host reads everything, but rarely, as the owner answers its queries.
+    pub(super) fn relies_on_owner(&self) -> bool {
+        self.reading.is_relying && !self.is_owner_or_claiming()
+    }
+
+    /// Returns whether the owner's connection is enough for this host: over it, the host must hear
+    /// of the owner's heartbeats in the store. An owner without them may have been replaced.
+    fn can_rely_on_owner(&mut self, now_ms: u64) -> bool {
+        if !self.bounds.policy.owner_answers {
+            return false;
+        }
+        let Some(conn) = self.reading.owner_connection else {
+            return false;
+        };
+        let Some((heard_ms, heartbeat)) = self.relay.heartbeat(conn) else {
+            return false;
+        };
+        self.election.record_heard(heard_ms, heartbeat.stored_end);
+        self.reading.scope == Scope::All && self.election.hears_owner(now_ms)
+    }
+
+    /// Returns the connection over which to query the owner instead of reading. An owner that has
+    /// left a query unanswered gets the next one after it has sent a frame.
+    pub(super) fn responsive_owner(&self) -> Option<ConnectionId> {
+        if !self.bounds.policy.owner_answers {
+            return None;
+        }
+        let conn = self.reading.owner_connection?;
+        let may_hang = self
+            .reading
+            .unanswered_ms
+            .is_some_and(|unanswered_ms| self.relay.last_received_ms(conn) <= unanswered_ms);
+        (!may_hang && !self.is_owner_or_claiming()).then_some(conn)
+    }
+
+    pub(super) fn is_owner_or_claiming(&self) -> bool {
+        self.owner.is_some() || self.claim.is_some()
+    }
+
     /// Records since when an owner is alive that does not connect to this host.
     fn record_unconnected_owner(&mut self, now_ms: u64) {
         let is_alive = self
@@ -191,8 +250,11 @@
         let is_connected = self.reading.owner_connection.is_some();
         let is_connection_stable =
             now_ms >= self.reading.connection_changed_ms + STABLE_CONNECTION_MS;
-        let is_owner_or_claiming = self.owner.is_some() || self.claim.is_some();
-        if !is_connected || !is_connection_stable || is_owner_or_claiming {
+        if !is_connected || !is_connection_stable || self.is_owner_or_claiming() {
+            return;
+        }
+        // An owner that only answers queries leaves it to the other hosts to read.
+        if !self.job_table.owner.informs_hosts {
             return;
         }
         // A host that has not read which hosts exist uses the owner's survey.
--- a/crates/dispatch/src/owner/exits.rs
+++ b/crates/dispatch/src/owner/exits.rs
@@ -4,6 +4,7 @@
 use crate::event::ExitReason;
 use crate::event::Now;
 use crate::ids::TaskId;
+use crate::job_times::Phase;
 use crate::owner::Owner;
 use crate::owner::job::JobKey;
 use crate::owner::task::Placement;
@@ -68,20 +69,18 @@
         let Some(job) = self.job_keys.get(&task.job).copied() else {
             return;
         };
-        if exit_reason == ExitReason::Done && run.first_percent == 0 {
-            let took_ms = now.steady_ms.saturating_sub(run.started_ms);
-            let job = &mut self.jobs[job];
-            self.durations
-                .add(&job.submission.queue, run.is_best_effort, took_ms);
-            if let Some(step) = job.step_mut(task) {
-                step.ended += 1;
-                step.ended_ms += took_ms;
-                let speed = Speed {
-                    projected_ms: took_ms,
-                    sibling_ms: step.ended_ms / u64::from(step.ended),
-                };
-                self.workers[key].record_speed(speed, now.steady_ms);
-            }
+        let is_done = exit_reason == ExitReason::Done;
+        // A worker that fails whatever it starts says nothing of how long its tasks would run.
+        let is_own_failure = exit_reason == ExitReason::Failed
+            && self.workers[key].consecutive_failures < MAX_CONSECUTIVE_FAILURES;
+        if (is_done || is_own_failure)
+            && let Some(sibling_ms) = self.measure_run(job, task, &run, is_done, now)
+        {
+            let speed = Speed {
+                projected_ms: now.steady_ms.saturating_sub(run.started_ms),
+                sibling_ms,
+            };
+            self.workers[key].record_speed(speed, now.steady_ms);
         }
         self.end_run(
             job,
@@ -110,6 +109,7 @@
         if job.task_mut(id).is_none_or(|task| task.is_done) {
             return;
         }
+        self.timeline.end_task(id, 0, "", now.steady_ms);
         self.complete_task(key, id);
         if self.jobs[key].is_finished() {
             self.finish(key, JobPhase::Completed, now, actions);
@@ -138,6 +138,7 @@
         step.recount();
         job.is_dirty = true;
         job.has_waiting = true;
+        self.learn_step(key, id);
         for (task, duplicate) in duplicates {
             self.stop_duplicate(task, duplicate);
         }
@@ -203,6 +204,8 @@
         }
         if exit_reason == ExitReason::Done && !is_long_running {
             task.release_run(ended);
+            let worker = &self.workers[worker].entry.id;
+            self.timeline.end_task(id, number, worker, now.steady_ms);
             self.complete_task(key, id);
             if self.jobs[key].is_finished() {
                 self.finish(key, JobPhase::Completed, now, actions);
@@ -219,6 +222,10 @@
             task.failures += u32::from(!is_long_running);
         }
         let failures = task.failures;
+        if task.is_waiting() {
+            let worker = &self.workers[worker].entry.id;
+            self.timeline.end_run(id, number, worker, now.steady_ms);
+        }
         job.has_waiting = true;
         job.is_dirty = true;
         let is_gang = job.step(id).is_some_and(|step| step.is_gang);
@@ -280,6 +287,9 @@
             task.checkpoint = run.checkpoint;
         }
         task.not_before_ms = now_ms;
+        if task.is_waiting() {
+            self.timeline.enter(id, Phase::WaitPause, now_ms);
+        }
         job.has_waiting = true;
         job.is_dirty = true;
         let is_gang = job.step(id).is_some_and(|step| step.is_gang);
--- a/crates/dispatch/src/owner/mod.rs
+++ b/crates/dispatch/src/owner/mod.rs
@@ -15,20 +15,27 @@
 mod crashes;
 mod evacuating;
 mod exits;
+mod fair_shares;
 mod gangs;
 mod incarnations;
 mod job;
+mod kept_room;
 mod link;
 mod orders;
 mod orphans;
 mod permits;
+mod phases;
 mod placing;
 mod polls;
 mod progress;
+mod projections;
+mod protection;
 mod relaying;
 mod shares;
 mod stragglers;
 mod task;
+mod timeline;
+mod track;
 mod waits;
 mod worker;
 mod worker_removal;
@@ -51,20 +58,25 @@
 use crate::owner::incarnations::DoubtfulStarts;
 use crate::owner::job::Job;
 use crate::owner::job::JobKey;
+use crate::owner::kept_room::KeptRooms;
 pub(crate) use crate::owner::link::records_bytes;
 use crate::owner::permits::Permits;
-use crate::owner::stragglers::Durations;
+use crate::owner::phases::Ranking;
+use crate::owner::timeline::Timeline;
 pub use crate::owner::waits::WaitReason;
 use crate::owner::worker::RunPhase;
 use crate::owner::worker::WorkerKey;
 use crate::owner::workers::Workers;
 use crate::owner::writing::Writer;
 use crate::policy::answer_timeouts::AnswerLatencies;
+use crate::policy::fair_shares::FairShares;
 use crate::policy::images::Images;
 use crate::policy::interference::InterferenceModel;
 use crate::policy::link::CallPriority;
 use crate::policy::link::LinkBudget;
 use crate::policy::placing::placing_gap_ms;
+use crate::policy::protection::OverTargetCause;
+use crate::policy::run_times::RunTimes;
 use crate::record::JobPhase;
 use crate::record::Progress;
 use crate::record::Submission;
@@ -72,6 +84,7 @@
 use goldcrestway_core::Code;
 use goldcrestway_core::Note;
 use slotmap::SlotMap;
+use std::cell::Cell;
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::collections::HashMap;
@@ -139,6 +152,28 @@
     pub relay_selections: u64,
     /// Steps that have waited for a long time, by the reason.
     pub waits: [u64; WaitReason::ALL.len()],
+    /// Hosts that are connected and whose queries this owner answers.
+    pub informed_hosts: u64,
+    /// Queries of other hosts.
+    pub host_queries: u64,
+    /// Time in milliseconds that latency-critical tasks were over their target, by cause.
+    pub over_target_ms: [u64; OverTargetCause::ALL.len()],
+    /// Number of times that a best-effort task was suspended.
+    pub suspensions: u64,
+    /// Number of times that one resumed.
+    pub resumptions: u64,
+    /// Steps whose durations this owner has learned.
+    pub steps_learned: u64,
+    /// Classes of tasks whose durations are expected by what was learned.
+    pub classes_learned: u64,
+    /// Waiting jobs that were expected to end after their objective when tasks were last placed.
+    pub jobs_expected_late: u64,
+    /// Number of times that room was kept for a wide task or a gang.
+    pub rooms_kept: u64,
+    /// Number of those times after which the task still waited.
+    pub rooms_kept_in_vain: u64,
+    /// Jain's index of the usage of queues that compete, in thousandths.
+    pub fairness_permille: u64,
 }
 
 /// Reason for which an owner stops.
@@ -179,12 +214,17 @@
     relays: Sessions,
     /// Orders are sent over relays where there are any.
     uses_relays: bool,
+    /// There are connections to the other hosts, over which their queries are answered.
+    answers_hosts: bool,
+    /// Number of hosts that have announced themselves.
+    host_count: usize,
     survey: HostSurvey,
     /// Time from which on orders no longer wait for the relays to be connected.
     relays_due_ms: u64,
     images: Images,
     interference: InterferenceModel,
-    durations: Durations,
+    run_times: RunTimes,
+    next_straggler_search_ms: u64,
     permits: Permits,
     evacuations: Rc<Evacuations>,
     /// The rules are too old to start tasks.
@@ -209,7 +249,14 @@
     wake_ms: u64,
     /// When steps that have waited for a long time are reported next.
     next_waits_report_ms: u64,
+    fair_shares: FairShares,
+    /// When the resources of the services are summed next.
+    next_sum_ms: u64,
+    kept_rooms: KeptRooms,
     stepdown: Option<Stepdown>,
+    timeline: Timeline,
+    /// Result of the latest ranking for the step that is being placed.
+    ranking: Cell<Option<Ranking>>,
     pub(crate) stats: OwnerStats,
 }
 
@@ -251,11 +298,14 @@
             answers: AnswerLatencies::default(),
             relays: Sessions::new(bounds.descriptors),
             uses_relays: false,
+            answers_hosts: false,
+            host_count: 0,
             survey: HostSurvey::default(),
             relays_due_ms: 0,
             images: Images::default(),
             interference: InterferenceModel::default(),
-            durations: Durations::default(),
+            run_times: RunTimes::default(),
+            next_straggler_search_ms: 0,
             permits: Permits::default(),
             evacuations: Rc::default(),
             are_starts_paused: false,
@@ -272,7 +322,12 @@
             next_place_ms: 0,
             wake_ms: u64::MAX,
             next_waits_report_ms: 0,
+            fair_shares: FairShares::default(),
+            next_sum_ms: 0,
+            kept_rooms: KeptRooms::default(),
             stepdown: None,
+            timeline: Timeline::default(),
+            ranking: Cell::default(),
             stats: OwnerStats::default(),
         };
         // The time since that record was written is unknown, so it is not subtracted.
@@ -287,7 +342,9 @@
             owner
                 .interference
                 .resume(&recovered.learned, &mut owner.images);
+            owner.run_times.resume(&recovered.learned.run_times);
         }
+        owner.fair_shares.resume(&recovered.learned.queues);
         let mut ids: Vec<JobId> = job_table.jobs.keys().copied().collect();
         ids.sort_unstable();
         owner.update_hosts(&job_table.hosts);
@@ -308,15 +365,19 @@
 
     /// Ends a job and stops all of its runs.
     fn finish(&mut self, key: JobKey, phase: JobPhase, now: Now, actions: &mut Vec<Action>) {
-        let job = &mut self.jobs[key];
-        if job.phase.is_final() {
+        if self.jobs[key].phase.is_final() {
             return;
         }
+        let expectation = match phase {
+            JobPhase::Completed => self.describe_expectation(key, now),
+            _ => String::new(),
+        };
+        let job = &mut self.jobs[key];
         actions.push(Action::Note(Note::new(
             Code::JobFinished,
             job.id.to_string(),
             format!(
-                "how={phase:?} queue={} spare_ms={}",
+                "how={phase:?} queue={} spare_ms={}{expectation}",
                 job.submission.queue,
                 job.due_ms as i64 - now.steady_ms as i64
             ),
@@ -326,6 +387,7 @@
         job.has_waiting = false;
         job.is_dirty = true;
         let id = job.id;
+        self.finish_times(key, now.steady_ms);
         self.permits.remove_job(id);
         self.crashes.forget(id);
         self.orphans.retain(|task, _| task.job != id);
@@ -391,7 +453,7 @@
     /// Carries out all work that is due.
     pub(crate) fn advance(&mut self, now: Now, tickets: &mut u64, actions: &mut Vec<Action>) {
         self.link.refill(now.steady_ms);
-        self.maintain_relays(now, tickets, actions);
+        self.maintain_connections(now, tickets, actions);
         self.open_due_occurrences(now);
         self.check_confirmed(now.steady_ms);
         if !self.awaits_relays(now.steady_ms) {
@@ -414,15 +476,16 @@
         self.request_permits(now, tickets, actions);
         self.send_share_changes(now.steady_ms, tickets, actions);
         self.write(now, tickets, actions);
-        self.relays.flush(self.token, now.steady_ms, actions);
-        self.update_link_stats();
+        self.update_stats();
         self.report_waits(now, actions);
     }
 
-    /// Updates the statistics of the link, of answers and of evaluated workers.
-    fn update_link_stats(&mut self) {
+    /// Updates the statistics of the link, of answers, of evaluated workers and of run times.
+    fn update_stats(&mut self) {
         self.stats.evaluated = self.workers.evaluated();
         self.stats.workers_refreshed = self.workers.workers_refreshed();
+        self.stats.steps_learned = self.run_times.steps_learned();
+        self.stats.classes_learned = self.run_times.classes_learned();
         self.stats.answer_ms = self.answers.typical_delay_ms();
         self.stats.link_out_ms = self.link.outbound_ms();
         self.stats.link_in_ms = self.link.inbound_ms();
@@ -472,7 +535,7 @@
     }
 
     /// Returns whether this owner may extend leases and start tasks.
-    fn is_confirmed(&self, now_ms: u64) -> bool {
+    pub(crate) fn is_confirmed(&self, now_ms: u64) -> bool {
         now_ms < self.confirmed_ms + MAX_UNCONFIRMED_MS
     }
 
--- a/crates/dispatch/src/owner/placing.rs
+++ b/crates/dispatch/src/owner/placing.rs
@@ -4,13 +4,18 @@
 use crate::event::Now;
 use crate::ids::StepId;
 use crate::ids::TaskId;
+use crate::job_times::Phase;
 use crate::owner::Owner;
 use crate::owner::costs::TaskRequirements;
 use crate::owner::job::JobKey;
+use crate::owner::kept_room::BlockedStep;
+use crate::owner::projections::Expectation;
 use crate::owner::task::Placement;
 use crate::owner::worker::RunPhase;
 use crate::owner::worker::WorkerKey;
+use crate::policy::fair_shares::NEUTRAL_RANK;
 use crate::policy::images::ImageKey;
+use crate::policy::kept_room::Precedence;
 use crate::policy::link::CallPriority;
 use crate::policy::ordering::Urgency;
 use crate::record::JobPhase;
@@ -37,6 +42,8 @@
     /// Best-effort tasks for which no worker was found: service, image and requested CPU in
     /// thousandths of a core.
     unplaceable: Vec<(Box<str>, ImageKey, u64)>,
+    /// Steps that wait for longer than their jobs can bear.
+    blocked: Vec<BlockedStep>,
 }
 
 impl PlacementPass {
@@ -69,6 +76,7 @@
 impl Owner {
     /// Places waiting tasks, the most urgent jobs first.
     pub(crate) fn place(&mut self, now: Now, actions: &mut Vec<Action>) {
+        self.account_holds(now.steady_ms);
         if self.are_starts_paused {
             return self.record_waits(now.steady_ms);
         }
@@ -76,20 +84,27 @@
             self.must_place = true;
             return;
         }
+        self.release_rooms(now.steady_ms);
+        self.rank_queues(now.steady_ms);
         let mut order = Vec::new();
-        for key in &self.live_jobs {
-            let job = &self.jobs[*key];
-            if job.has_waiting {
-                order.push((
-                    Urgency::new(&job.waiting(now), &self.bounds.policy, now.steady_ms),
-                    *key,
-                ));
+        self.stats.jobs_expected_late = 0;
+        for index in 0..self.live_jobs.len() {
+            let key = self.live_jobs[index];
+            if !self.jobs[key].has_waiting {
+                continue;
             }
+            self.refresh_times(key, now);
+            let rank = self.queue_rank(&self.jobs[key]);
+            let waiting = self.jobs[key].waiting(rank, now);
+            let urgency = Urgency::new(&waiting, &self.bounds.policy, now.steady_ms);
+            self.stats.jobs_expected_late += u64::from(waiting.is_late(now.steady_ms));
+            order.push((urgency, key));
         }
         order.sort_unstable();
         let mut pass = PlacementPass {
             remaining: MAX_PLACED_PER_PASS,
             unplaceable: Vec::new(),
+            blocked: Vec::new(),
         };
         for (_, key) in order {
             self.place_job(key, now, &mut pass, actions);
@@ -98,6 +113,7 @@
                 return;
             }
         }
+        self.keep_rooms(&pass.blocked, now, actions);
         self.schedule_retry(now.steady_ms);
     }
 
@@ -139,7 +155,9 @@
                     index: 0,
                 };
                 let waiting_before = occurrence.steps[number].waiting;
+                self.ranking.set(None);
                 let step_waits = self.place_step(key, first, step, now, pass, actions);
+                self.account_wait(key, first, step, now.steady_ms);
                 if step_waits && submission.needs_permits() {
                     self.permits.request(StepId::of(first));
                 }
@@ -147,6 +165,8 @@
                 if let Some(state) = self.jobs[key].step_mut(first) {
                     state.record_wait(step_waits, waiting_before, now.steady_ms);
                 }
+                pass.blocked
+                    .extend(self.blocked_step(key, first, step, now.steady_ms));
             }
         }
         self.jobs[key].has_waiting = job_waits;
@@ -168,6 +188,7 @@
             service: &submission.service,
             image: self.images.key(&step.image),
             task: first,
+            precedence: Precedence::of(&submission),
             needs_permits: submission.needs_permits(),
             suspected_at: match step.is_gang {
                 true => self.suspected_at(first),
@@ -340,6 +361,7 @@
             service: &submission.service,
             image: self.images.key(&step.image),
             task: id,
+            precedence: Precedence::of(&submission),
             needs_permits: submission.needs_permits(),
             suspected_at: self.suspected_at(id),
             waits_for_isolation: false,
@@ -369,10 +391,21 @@
         job.is_dirty = true;
         if job.phase == JobPhase::Queued {
             job.phase = JobPhase::Running;
+            let waiting = job.waiting(NEUTRAL_RANK, now);
+            let expected = Expectation {
+                begun_ms: now.steady_ms,
+                times: job.known.times,
+                is_late: waiting.is_late(now.steady_ms),
+            };
+            job.expected = Some(expected);
             actions.push(Action::Note(Note::new(
                 Code::JobBegun,
                 id.job.to_string(),
-                format!("due_in_ms={}", job.due_ms as i64 - now.steady_ms as i64),
+                format!(
+                    "due_in_ms={} projected_ms={}",
+                    waiting.due_ms as i64 - now.steady_ms as i64,
+                    waiting.remaining_ms
+                ),
             )));
         }
         let Some(task) = job.task_mut(id) else {
@@ -395,7 +428,13 @@
         }
         let text_bytes = checkpoint_bytes + job.specification.len();
         self.charge_start(text_bytes);
+        self.timeline.enter(id, Phase::Recording, now.steady_ms);
+        let is_best_effort = run.is_best_effort;
+        self.workers[worker].use_kept_room(StepId::of(id), run.resources);
         self.workers[worker].add(id, number, run);
+        if !is_best_effort {
+            self.set_target_shares(worker, actions);
+        }
         self.writer.start_once_stored(worker, id, number);
     }
 }
--- a/crates/dispatch/src/owner/polls.rs
+++ b/crates/dispatch/src/owner/polls.rs
@@ -25,8 +25,8 @@
 /// Time for which a worker delays the answer to a poll until a run ends. It bounds how late a
 /// silent worker is noticed, and how old the tail latencies of latency-critical tasks are.
 const LONG_POLL_MS: u64 = 700;
-/// The same where best-effort tasks run beside a latency-critical task that is over its target: the
-/// next answer decides whether they are suspended in time.
+/// The same where best-effort tasks run beside a latency-critical task that is over its target, or
+/// close to it: the next answer decides whether they are suspended or throttled in time.
 const OVER_TARGET_LONG_POLL_MS: u64 = 250;
 /// Maximum number of polls in one turn, and in one millisecond where turns are shorter.
 const MAX_POLLS: usize = 100;
@@ -45,6 +45,9 @@
 /// a worker is removed even though the link of the owner's own host is suspected. The platform
 /// lists such a worker, so it is likely alive and may hold exits of tasks that would run again.
 const MAX_MISSED_WHILE_SUSPECT: u32 = 3;
+/// Part of the requested CPU that a best-effort run uses at least at full share, in percent. If it
+/// uses less, a previous owner may have throttled it.
+const FULL_SHARE_USE_PERCENT: u64 = 90;
 /// Maximum number of orders to start a run. If the last one has timed out and the run is not there,
 /// it is stopped.
 const MAX_START_ATTEMPTS: u32 = 2;
@@ -109,6 +112,7 @@
         let span_ms = self.lease_span_ms();
         let lease_ms = self.lease_ms();
         let is_own_link_suspect = self.answers.is_link_suspect();
+        let is_near_target = self.is_near_target(&self.workers[key]);
         let worker = &mut self.workers[key];
         // The leases of a silent worker must expire at some time, as its tasks are started
         // elsewhere only then; a poll whose answer is lost would extend them. While the answers of
@@ -131,7 +135,7 @@
             && !has_unrecorded
             && worker.clock.is_some();
         let wait_ms = match waits {
-            true if worker.is_over_target => OVER_TARGET_LONG_POLL_MS,
+            true if worker.is_over_target || is_near_target => OVER_TARGET_LONG_POLL_MS,
             true => LONG_POLL_MS,
             false => 0,
         };
@@ -227,6 +231,7 @@
         if !was_known {
             self.resolve_lost_workers(key, now, actions);
         }
+        self.timeline.exit_delay_ms = (now_ms - sent_ms).min(self.answers.typical_delay_ms());
         self.apply_run_exits(key, &report, now, actions);
         self.apply_run_reports(key, sent_ms, &report, now_ms, actions);
         if !was_known {
@@ -450,6 +455,12 @@
         run.first_ms = now_ms;
         run.first_percent = row.percent;
         run.progressed_ms = now_ms;
+        // A throttled run uses less than it requests.
+        if run.is_best_effort
+            && row.gauge.saturating_mul(100) < run.cpu_milli.saturating_mul(FULL_SHARE_USE_PERCENT)
+        {
+            run.applied_share_percent = None;
+        }
     }
     // A resumed run starts with the progress that its checkpoint contains.
     if run.percent == 0 && !run.checkpoint.is_empty() && run.first_percent == 0 {
--- a/crates/dispatch/src/owner/shares.rs
+++ b/crates/dispatch/src/owner/shares.rs
@@ -6,6 +6,8 @@
 //! interference coefficients require, and regain their share step by step as far as the
 //! coefficients permit. If a serving task stays over its target nevertheless, all best-effort tasks
 //! beside it are suspended, whatever was learned.
+//!
+//! These are the shares by headroom. See [`crate::owner::protection`] for those by processors.
 
 use crate::event::Action;
 use crate::event::OrderOutcome;
@@ -25,14 +27,13 @@
 use crate::policy::shares::HEALTHY_HEADROOM;
 use crate::policy::shares::SuspendDelays;
 use crate::policy::shares::choose_share;
+use crate::policy::shares::needs_order;
 use goldcrestway_core::Code;
 use goldcrestway_core::Note;
 
 /// Minimum time between two changes of shares on the same worker: the tail latency covers the last
 /// half second, and an order takes a tenth of a second to take effect.
 const MIN_CHANGE_INTERVAL_MS: u64 = 700;
-/// Minimum change of a share for which an order is sent.
-const MIN_CHANGE_PERCENT: u32 = 5;
 
 /// Number of best-effort tasks on a worker whose target share was changed, by kind of change.
 #[derive(Debug, Default)]
@@ -76,6 +77,8 @@
                 run.over_since_ms = None;
             }
         }
+        self.update_processors(key, &usage, now_ms);
+        let worker = &mut self.workers[key];
         if worker.best_effort_milli == 0 {
             worker.is_over_target = false;
             return;
@@ -100,6 +103,7 @@
                 ),
             )));
         }
+        self.set_target_shares(key, actions);
     }
 
     /// Sends the orders to change shares that are due.
@@ -118,8 +122,7 @@
             let mut has_more = false;
             for ((task, number), run) in &mut worker.runs {
                 let is_stopping = matches!(run.phase, RunPhase::Stopping { .. });
-                let differs = run.applied_share_percent.abs_diff(run.target_share_percent)
-                    >= MIN_CHANGE_PERCENT;
+                let differs = needs_order(run.applied_share_percent, run.target_share_percent);
                 has_more |= is_stopping || differs;
                 let is_present = matches!(run.phase, RunPhase::Present { .. });
                 if !differs
@@ -151,19 +154,30 @@
         outcome: &OrderOutcome,
         now_ms: u64,
     ) {
-        let Some(run) = self.workers[key].runs.get_mut(&(task, number)) else {
+        let worker = &mut self.workers[key];
+        let Some(run) = worker.runs.get_mut(&(task, number)) else {
             return;
         };
         run.is_share_change_pending = false;
         match outcome {
-            OrderOutcome::Done { .. } => run.applied_share_percent = percent,
-            _ => run.share_retry_ms = now_ms + MIN_CHANGE_INTERVAL_MS,
+            OrderOutcome::Done { .. } => {
+                run.applied_share_percent = Some(percent);
+                run.was_throttled |= percent < 100;
+            }
+            outcome => {
+                if *outcome == OrderOutcome::Unknown {
+                    run.applied_share_percent = None;
+                }
+                run.share_retry_ms = now_ms + MIN_CHANGE_INTERVAL_MS;
+            }
         }
+        // The target share may have changed while the order was on its way.
+        worker.has_orders = true;
     }
 }
 
 /// Returns whether a run is a serving task whose tail latency is known.
-fn is_serving(run: &Run) -> bool {
+pub(super) fn is_serving(run: &Run) -> bool {
     run.is_long_running && run.tail_latency_target_ms > 0 && run.percent >= 100 && run.gauge > 0
 }
 
@@ -212,7 +226,7 @@
     worst.map_or("served=0".into(), |(_, text)| text)
 }
 
-/// Chooses the target share of each best-effort task on a worker. Returns what has changed, or
+/// Chooses the share by headroom of each best-effort task on a worker. Returns what has changed, or
 /// `None` if nothing has. Between two changes, tasks are given time to show their effect. Only a
 /// suspension is immediate, as time over the target that counts as harm keeps accumulating.
 fn choose_shares(
@@ -236,7 +250,7 @@
         if !run.is_best_effort {
             continue;
         }
-        let before = run.target_share_percent;
+        let before = run.headroom_share_percent;
         let cores = run.cpu_milli as f64 / 1_000.0;
         let colocated = serving_tasks
             .iter()
@@ -246,22 +260,21 @@
                 headroom_loss: interference.coefficient(*serving_image, run.image) * cores,
             });
         let colocated: Vec<ColocatedTask> = colocated.collect();
-        run.target_share_percent = choose_share(
+        run.headroom_share_percent = choose_share(
             before,
             &colocated,
             suspend_delays,
             may_change,
             throttles_best_effort,
         );
-        changes.suspended += u32::from(run.target_share_percent == 0 && before > 0);
+        changes.suspended += u32::from(run.headroom_share_percent == 0 && before > 0);
         changes.throttled +=
-            u32::from(run.target_share_percent > 0 && before > run.target_share_percent);
-        changes.raised += u32::from(before < run.target_share_percent);
+            u32::from(run.headroom_share_percent > 0 && before > run.headroom_share_percent);
+        changes.raised += u32::from(before < run.headroom_share_percent);
     }
     if changes.suspended + changes.throttled + changes.raised == 0 {
         return None;
     }
-    worker.has_orders = true;
     worker.next_share_change_ms = now_ms + MIN_CHANGE_INTERVAL_MS;
     Some(changes)
 }
--- a/crates/dispatch/src/owner/writing.rs
+++ b/crates/dispatch/src/owner/writing.rs
@@ -163,10 +163,7 @@
         if self.must_record_learned(now_ms) {
             self.writer.learned_ms = now_ms;
             let mut learned = self.learned(now_ms, &mut no_longer_silent);
-            // The images come from callers, who may name a great many.
-            if learned.encoded_len() as u64 > self.bounds.max_record_bytes {
-                learned.images.clear();
-            }
+            learned.shorten(self.bounds.max_record_bytes);
             records.push((Key::Learned.text(), learned.encode_to_vec().into()));
         }
         if !records.is_empty() {
@@ -239,6 +236,8 @@
         Learned {
             images: self.interference.learned(&self.images),
             silent,
+            run_times: self.run_times.learned(),
+            queues: self.fair_shares.learned(),
         }
     }
 
@@ -299,6 +298,9 @@
             records.push((Key::State(job).text(), Box::default()));
         }
         for (job, state) in self.writer.unpublished.drain(..) {
+            if state.phase().is_final() {
+                self.timeline.begin_publishing(job);
+            }
             records.push((Key::State(job).text(), state.encode_to_vec().into()));
         }
         if records.is_empty() || self.writer.must_announce {
@@ -308,6 +310,12 @@
         self.writer.states.begin(records, now_ms);
     }
 
+    /// Returns the offset after the newest record that this owner has stored in the stream of
+    /// states; 0 if there is none.
+    pub(super) fn stored_states_end(&self) -> u64 {
+        self.writer.states.stored_end
+    }
+
     fn owner_record(&mut self) -> (Box<str>, Box<[u8]>) {
         self.writer.heartbeat += 1;
         let record = OwnerRecord {
@@ -338,10 +346,14 @@
             None => {
                 let is_stored = self.writer.states.handle_outcome(ticket, outcome, now_ms)?;
                 self.apply_append_outcome(outcome, is_stored, self.writer.states.sent_ms);
+                if is_stored {
+                    self.report_published(now_ms, actions);
+                }
                 return Some(Vec::new());
             }
         };
         self.apply_append_outcome(outcome, is_progress, self.writer.progress.sent_ms);
+        self.account_append(outcome, self.writer.progress.sent_ms, now_ms);
         if !is_progress {
             return Some(Vec::new());
         }
--- a/crates/dispatch/src/policy/switches.rs
+++ b/crates/dispatch/src/policy/switches.rs
@@ -22,6 +22,19 @@
     pub feasible_first: bool,
     /// Jobs that have started go before others.
     pub begun_first: bool,
+    /// Where there are many hosts, the owner answers their queries even if it uses no relays.
+    pub owner_answers: bool,
+    /// The time of each job is accounted for by phases.
+    pub accounts_times: bool,
+    /// Best-effort tasks get the processor time that the latency-critical tasks beside them leave
+    /// now, by their present load.
+    pub protects_serving: bool,
+    /// Objectives and ends of jobs follow from learned durations instead of the estimates of their
+    /// callers.
+    pub learns_run_times: bool,
+    /// Queues of the same priority get equal shares, and room is kept for wide tasks that have waited
+    /// for long.
+    pub fair_shares: bool,
 }
 
 impl Default for Policy {
@@ -35,6 +48,11 @@
             avoids_failing_workers: true,
             feasible_first: true,
             begun_first: true,
+            owner_answers: true,
+            accounts_times: true,
+            protects_serving: true,
+            learns_run_times: true,
+            fair_shares: true,
         }
     }
 }
--- a/crates/dispatch/src/record.rs
+++ b/crates/dispatch/src/record.rs
@@ -75,6 +75,15 @@
 }
 
 impl Step {
+    /// Returns the resources that a task requests, even if it reserves no processor time.
+    pub(crate) fn requested(&self) -> Resources {
+        Resources {
+            cpu_milli: self.cpu_milli,
+            memory_mb: self.memory_mb,
+            accelerators: self.accelerators,
+        }
+    }
+
     /// Returns the resources that a task reserves on a worker.
     pub fn resources(&self) -> Resources {
         Resources {
@@ -141,6 +150,11 @@
 }
 
 impl Submission {
+    /// Returns whether some of its tasks run until the job is cancelled.
+    pub(crate) fn is_long_running(&self) -> bool {
+        self.steps.iter().any(|step| step.is_long_running)
+    }
+
     /// Returns the number of tasks of one occurrence.
     pub(crate) fn tasks(&self) -> u64 {
         self.steps.iter().map(|step| u64::from(step.count)).sum()
@@ -311,7 +325,7 @@
 }
 
 /// Learned data that an owner hands to the next one: how best-effort images interfere with
-/// latency-critical tasks, and which workers are silent.
+/// latency-critical tasks, which workers are silent, and what each queue has held.
 #[derive(Clone, PartialEq, Message)]
 pub(crate) struct Learned {
     #[prost(message, repeated, tag = "1")]
@@ -319,6 +333,68 @@
     /// Workers that do not answer and whose leases are not extended.
     #[prost(message, repeated, tag = "2")]
     pub(crate) silent: Vec<SilentWorker>,
+    #[prost(message, repeated, tag = "3")]
+    pub(crate) run_times: Vec<LearnedRunTimes>,
+    /// Usage of queues that compete.
+    #[prost(message, repeated, tag = "4")]
+    pub(crate) queues: Vec<LearnedQueue>,
+}
+
+impl Learned {
+    /// Shortens a record that would be larger than `max_bytes`. Images and queues are named by
+    /// callers, who may name a great many. What is learned again soonest is left out first.
+    pub(crate) fn shorten(&mut self, max_bytes: u64) {
+        let clears: [fn(&mut Self); 3] = [
+            |learned| learned.run_times.clear(),
+            |learned| learned.queues.clear(),
+            |learned| learned.images.clear(),
+        ];
+        for clear in clears {
+            if self.encoded_len() as u64 <= max_bytes {
+                return;
+            }
+            clear(self);
+        }
+    }
+}
+
+/// Durations learned for one class of tasks of a queue.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub(crate) struct LearnedRunTimes {
+    #[prost(string, tag = "1")]
+    pub(crate) queue: String,
+    /// Index of the class.
+    #[prost(uint32, tag = "2")]
+    pub(crate) class: u32,
+    /// Ratio of the mean duration of the tasks of a step to their estimate.
+    #[prost(message, repeated, tag = "3")]
+    pub(crate) steps: Vec<LearnedRatio>,
+    /// Ratio of the duration of a task to the mean of its step.
+    #[prost(message, repeated, tag = "4")]
+    pub(crate) tasks: Vec<LearnedRatio>,
+}
+
+/// One bucket of the histogram of a ratio.
+#[derive(Clone, Copy, PartialEq, Eq, Message)]
+pub(crate) struct LearnedRatio {
+    #[prost(uint64, tag = "1")]
+    pub(crate) permille: u64,
+    #[prost(uint32, tag = "2")]
+    pub(crate) samples: u32,
+}
+
+/// What jobs of one kind of a queue have held of late.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub(crate) struct LearnedQueue {
+    #[prost(string, tag = "1")]
+    pub(crate) queue: String,
+    #[prost(bool, tag = "2")]
+    pub(crate) is_long_running: bool,
+    #[prost(bool, tag = "3")]
+    pub(crate) is_best_effort: bool,
+    /// Part of the service's resources, in millionths.
+    #[prost(uint32, tag = "4")]
+    pub(crate) usage_ppm: u32,
 }
 
 /// A worker that does not answer.
--- a/crates/dispatch/src/relay/sessions.rs
+++ b/crates/dispatch/src/relay/sessions.rs
@@ -39,6 +39,8 @@
 const MAX_DOUBLINGS: u32 = 5;
 /// Time without a frame to a host after which it gets a heartbeat.
 pub(super) const HEARTBEAT_INTERVAL_MS: u64 = 1_000;
+/// The same for hosts that monitor the owner, if its heartbeats in the store have continued.
+pub(super) const WATCHER_INTERVAL_MS: u64 = 200;
 /// Divisor for the part of an owner's descriptors that its connections to other hosts may take. The
 /// rest is for workers that it calls directly, for callers and for the store.
 const DESCRIPTORS_DIVISOR: u64 = 2;
@@ -56,6 +58,15 @@
     pub(crate) relay_index: usize,
 }
 
+/// What each frame says of the owner.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub(crate) struct OwnerHeartbeat {
+    /// Offset after its newest stored record in the stream of states.
+    pub(crate) stored_end: u64,
+    /// It is shutting down.
+    pub(crate) is_leaving: bool,
+}
+
 /// Outcome of a relayed order.
 #[derive(Debug)]
 pub(crate) struct RelayedOutcome {
@@ -79,6 +90,8 @@
     peers: SlotMap<RelayKey, Peer>,
     keys: HashMap<Box<str>, RelayKey>,
     conns: HashMap<ConnectionId, RelayKey>,
+    /// Connections to former addresses of hosts.
+    replaced: Vec<ConnectionId>,
     flights: BTreeMap<u64, Flight>,
     /// Deadlines of pending orders, with their tickets.
     deadlines: BTreeSet<(u64, u64)>,
@@ -100,6 +113,7 @@
             peers: SlotMap::with_key(),
             keys: HashMap::new(),
             conns: HashMap::new(),
+            replaced: Vec::new(),
             flights: BTreeMap::new(),
             deadlines: BTreeSet::new(),
             selections: HashMap::new(),
@@ -121,9 +135,13 @@
                 continue;
             };
             let peer = &mut self.peers[*key];
-            // A host that was replaced has another address. Its old connection closes by itself.
-            if *peer.address != *host.relay_address {
-                peer.address = host.relay_address.as_str().into();
+            if *peer.address == *host.relay_address {
+                continue;
+            }
+            peer.address = host.relay_address.as_str().into();
+            // The host was replaced. If it lost power, its old connection never closes by itself.
+            if let Phase::Open { conn } = peer.phase {
+                self.replaced.push(conn);
             }
         }
         // The order is the same in each run, so that tests in virtual time are reproducible.
@@ -136,6 +154,13 @@
         }
     }
 
+    /// Updates which hosts monitor the owner.
+    pub(crate) fn update_watchers(&mut self, watchers: &HashSet<&str>) {
+        for peer in self.peers.values_mut() {
+            peer.is_watcher = watchers.contains(&*peer.name);
+        }
+    }
+
     /// Opens connections to relays that have none.
     pub(crate) fn connect(&mut self, now_ms: u64, tickets: &mut u64, actions: &mut Vec<Action>) {
         for (key, peer) in &mut self.peers {
@@ -263,17 +288,25 @@
     }
 
     /// Sends the frames of this turn, and heartbeats to hosts that got no frame for a while.
-    pub(crate) fn flush(&mut self, token: u64, now_ms: u64, actions: &mut Vec<Action>) {
+    pub(crate) fn flush(
+        &mut self,
+        token: u64,
+        heartbeat: OwnerHeartbeat,
+        now_ms: u64,
+        actions: &mut Vec<Action>,
+    ) {
         for peer in self.peers.values_mut() {
             let Phase::Open { conn } = peer.phase else {
                 continue;
             };
-            let is_quiet = !peer.is_connected || now_ms < peer.last_sent_ms + HEARTBEAT_INTERVAL_MS;
-            if peer.frame.is_empty() && is_quiet {
+            if peer.frame.is_empty() && !peer.is_heartbeat_due(heartbeat, now_ms) {
                 continue;
             }
             peer.last_sent_ms = now_ms;
+            peer.sent_heartbeat = heartbeat;
             peer.frame.token = token;
+            peer.frame.stored_end = heartbeat.stored_end;
+            peer.frame.is_leaving = heartbeat.is_leaving;
             let frame = std::mem::take(&mut peer.frame);
             actions.push(Action::SendFrame {
                 conn,
@@ -340,10 +373,13 @@
 
     /// Times out orders that are overdue. A relay that has sent nothing since one of them was sent
     /// hangs or is partitioned: all its other orders time out as well, so that their workers are
-    /// called over other relays at once.
+    /// called over other relays at once. The same holds for a relay whose address has changed.
     pub(crate) fn expire(&mut self, now_ms: u64, actions: &mut Vec<Action>) -> Vec<RelayedOutcome> {
         let mut outcomes = Vec::new();
         let mut silent = BTreeSet::new();
+        for conn in std::mem::take(&mut self.replaced) {
+            silent.extend(self.conns.get(&conn).copied());
+        }
         while let Some((due_ms, ticket)) = self.deadlines.first().copied()
             && due_ms <= now_ms
         {
@@ -422,6 +458,7 @@
             }
         }
         self.conns.clear();
+        self.replaced.clear();
         self.flights.clear();
         self.deadlines.clear();
         self.selections.clear();
--- a/tests/fleet/callers.rs
+++ b/tests/fleet/callers.rs
@@ -2,11 +2,14 @@
 
 use crate::fleet::Fleet;
 use crate::fleet::WALL_MS;
+use goldcrestway_dispatch::Ages;
+use goldcrestway_dispatch::Entry;
 use goldcrestway_dispatch::Event;
 use goldcrestway_dispatch::JobId;
 use goldcrestway_dispatch::JobState;
 use goldcrestway_dispatch::Reply;
 use goldcrestway_dispatch::Submission;
+use goldcrestway_dispatch::policy::fair_shares::QueueShare;
 
 impl Fleet {
     /// Submits a job to a host, and returns the number of the request.
@@ -52,15 +55,36 @@
     }
 
     pub(crate) fn count(&mut self, number: usize) -> u64 {
+        self.count_in(number, "batch")
+    }
+
+    pub(crate) fn count_in(&mut self, number: usize, queue: &str) -> u64 {
         self.requests += 1;
         let event = Event::Count {
             request: self.requests,
-            queue: "batch".into(),
+            queue: queue.into(),
         };
         self.handle(number, event);
         self.requests
     }
 
+    /// Returns the number of hosts, with those that are down.
+    pub(crate) fn host_count(&self) -> usize {
+        self.hosts.len()
+    }
+
+    /// Returns the ages of the data of a host.
+    pub(crate) fn ages(&self, number: usize) -> Ages {
+        let entry = self.hosts[number].entry.as_ref();
+        entry.map_or(Ages::default(), |entry| entry.ages(self.now()))
+    }
+
+    /// Returns the shares of all queues, as a host knows them.
+    pub(crate) fn queue_shares(&self, number: usize) -> Vec<QueueShare> {
+        let entry = self.hosts[number].entry.as_ref();
+        entry.map_or(Vec::new(), Entry::queue_shares)
+    }
+
     /// Queries a host for the state of a job, and waits for the answer.
     pub(crate) fn state(&mut self, number: usize, id: u64) -> Option<JobState> {
         let request = self.query(number, id);
--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -44,12 +44,14 @@
 use goldcrestway_dispatch::ExitReason;
 use goldcrestway_dispatch::JobId;
 use goldcrestway_dispatch::JobState;
+use goldcrestway_dispatch::JobTimes;
 use goldcrestway_dispatch::Now;
 use goldcrestway_dispatch::OwnerStats;
 use goldcrestway_dispatch::Reply;
 use goldcrestway_dispatch::Stream;
 use goldcrestway_dispatch::TaskId;
 use goldcrestway_dispatch::WorkerCall;
+use goldcrestway_dispatch::policy::Policy;
 use std::collections::BTreeMap;
 
 /// Step of virtual time.
@@ -107,6 +109,8 @@
     mbit_per_s: u64,
     /// Number of its starts and stops, which tells its instances apart.
     generation: u64,
+    /// Number of times that it has got another address.
+    moves: u64,
     is_paused: bool,
     is_cut_from_store: bool,
     is_cut_from_workers: bool,
@@ -175,15 +179,21 @@
     /// Loaded pages, by stream.
     pub(crate) loads: BTreeMap<Stream, usize>,
     worker_faults: WorkerFaults,
+    /// Switches of hosts that are started from now on.
+    pub(crate) policy: Policy,
     /// Runs that were lost with their worker.
     lost: Vec<(TaskId, u32, ExitReason)>,
     /// Connections between hosts, and the bytes that they have transferred.
     peers: Peers,
     pub(crate) frame_bytes: u64,
+    /// File descriptors of hosts that start from now on.
+    pub(crate) descriptors: u64,
     /// Logged events of all hosts, counted by code.
     pub(crate) note_counts: BTreeMap<Code, u32>,
     /// Logged events about the results of jobs and workers, as text.
     pub(crate) log_lines: Vec<String>,
+    /// Accounts of the time of jobs that have ended, and when they were given.
+    pub(crate) job_times: Vec<(u64, JobTimes)>,
 }
 
 impl Fleet {
@@ -231,11 +241,14 @@
             short_reads: BTreeMap::new(),
             loads: BTreeMap::new(),
             worker_faults: WorkerFaults::default(),
+            policy: Policy::default(),
             lost: Vec::new(),
             peers: Peers::default(),
             frame_bytes: 0,
+            descriptors: Bounds::default().descriptors,
             note_counts: BTreeMap::new(),
             log_lines: Vec::new(),
+            job_times: Vec::new(),
         };
         fleet.store.put(Stream::Rules, "config", &[1]);
         for number in 0..workers {
@@ -248,6 +261,7 @@
                 cpu_permille: *cpu_permille,
                 mbit_per_s: mbit_per_s.unwrap_or(WIDE_MBIT_PER_S),
                 generation: 0,
+                moves: 0,
                 is_paused: false,
                 is_cut_from_store: false,
                 is_cut_from_workers: false,
@@ -318,8 +332,10 @@
             Bounds {
                 cpu_permille: host.cpu_permille,
                 link_bytes_per_s: host.mbit_per_s * 125_000,
-                relay_address: relay_address(number),
+                relay_address: relay_address(number, host.moves),
+                descriptors: self.descriptors,
                 max_record_bytes: self.store.max_record_bytes as u64,
+                policy: self.policy,
                 ..Bounds::default()
             },
             decoders,
@@ -333,6 +349,14 @@
         self.hosts[number].generation += 1;
     }
 
+    /// Ends a host that closes none of its connections, and starts it at another address.
+    pub(crate) fn replace(&mut self, number: usize) {
+        self.silence_connections(number);
+        self.kill(number);
+        self.hosts[number].moves += 1;
+        self.start(number);
+    }
+
     pub(crate) fn pause(&mut self, number: usize) {
         self.hosts[number].is_paused = true;
     }
