--- a/crates/dispatch/src/policy/run_times.rs
+++ b/crates/dispatch/src/policy/run_times.rs
@@ -2,8 +2,8 @@
 //!
 //! **Load pattern:** callers estimate the mean duration of the tasks of a step, and are often wrong
 //! by a large factor in either direction. All tasks of a step are wrong together, while they differ
-//! little among themselves. Under overload many jobs wait, and the order among them depends on when each could
-//! end and on its objective, which grows with what its tasks really need.
+//! little among themselves. Under overload many jobs wait, and the order among them depends on when
+//! each could end and on its objective, which grows with what its tasks really need.
 //!
 //! **Without it** both follow from the estimates alone. A step ends with its longest task, which
 //! takes a multiple of the estimate, so the objective is believed to be too early. Jobs count as
