TaskWaits says why interference excludes workers, and by which figures

Disturbed counted workers for four different reasons, which neither logs nor metrics told apart. The line now counts each by itself, with the lowest headroom and the range of losses that decided. No decision changes.

--- a/crates/dispatch/src/owner/costs.rs
+++ b/crates/dispatch/src/owner/costs.rs
@@ -72,6 +72,30 @@
     pub(crate) waits_for_isolation: bool,
 }
 
+/// Why a best-effort task would disturb a serving task too much. Logs print the variants by their
+/// names.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum DisturbanceCause {
+    /// The serving task is over its target.
+    OverTarget,
+    /// The serving task is at the peak of its load.
+    AtPeak,
+    /// Its image has too little headroom on average.
+    Headroom,
+    /// Its image would lose too much headroom to best-effort tasks.
+    Loss,
+}
+
+/// A serving task that excludes a best-effort task from its worker, and the figures behind that.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(super) struct Disturbance {
+    pub(super) cause: DisturbanceCause,
+    /// Headroom without best-effort tasks: that of the task now, or the average of its image.
+    pub(super) solo_headroom: f64,
+    /// Headroom that best-effort tasks would take from it.
+    pub(super) headroom_loss: f64,
+}
+
 impl Owner {
     /// Returns the workers on which a task of a step can be placed, ordered by cost.
     pub(crate) fn rank_workers(
@@ -131,7 +155,7 @@
         check_fit(worker, requirements)?;
         let interference_cost = self
             .interference_cost(worker, requirements, now_ms)
-            .ok_or(Exclusion::Disturbed)?;
+            .map_err(|_| Exclusion::Disturbed)?;
         let processors = self.protected_processors(worker);
         let available_milli = match processors {
             Some(processors) => processors.unused_milli(worker.best_effort_milli),
@@ -153,27 +177,31 @@
 
     /// Returns the cost of the interference between a task and the tasks on a worker: what a
     /// best-effort task would do to serving tasks there, or what best-effort tasks there would do
-    /// to a serving task. Returns `None` if the interference would be too strong.
-    fn interference_cost(
+    /// to a serving task.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the interference would be too strong.
+    pub(super) fn interference_cost(
         &self,
         worker: &Worker,
         requirements: &TaskRequirements<'_>,
         now_ms: u64,
-    ) -> Option<i64> {
+    ) -> Result<i64, Disturbance> {
         let step = requirements.step;
         if step.is_best_effort {
             let own_usage = (requirements.image, step.cpu_milli as f64 / 1_000.0);
             return self.headroom_loss_cost(worker, own_usage, now_ms);
         }
         if step.tail_latency_target_ms == 0 {
-            return Some(0);
+            return Ok(0);
         }
         let headroom_loss = self
             .interference
             .headroom_loss(requirements.image, &best_effort_demands(worker));
         let mut cost = (headroom_loss * HEADROOM_LOSS_COST) as i64;
         if !self.bounds.policy.keeps_images_together {
-            return Some(cost);
+            return Ok(cost);
         }
         for run in worker.runs.values() {
             if run.tail_latency_target_ms > 0 {
@@ -184,17 +212,21 @@
                 };
             }
         }
-        Some(cost)
+        Ok(cost)
     }
 
-    /// Returns the cost of a best-effort task to the serving tasks on a worker. Returns `None` if
-    /// it would take more headroom from one of them than that task can spare.
+    /// Returns the cost of a best-effort task to the serving tasks on a worker.
+    ///
+    /// # Errors
+    ///
+    /// Returns the first reason why it would take more headroom from one of them than that task can
+    /// spare.
     fn headroom_loss_cost(
         &self,
         worker: &Worker,
         own_usage: ImageUsage,
         now_ms: u64,
-    ) -> Option<i64> {
+    ) -> Result<i64, Disturbance> {
         let is_protecting = self.protected_processors(worker).is_some();
         let mut others = None;
         let mut max_loss: f64 = 0.0;
@@ -209,7 +241,11 @@
                 let is_long =
                     now_ms >= since_ms + SuspendDelays::new(self.bounds.harm_ms).suspects_ms;
                 if is_long || headroom_loss >= SLIGHT_HEADROOM_LOSS {
-                    return None;
+                    return Err(Disturbance {
+                        cause: DisturbanceCause::OverTarget,
+                        solo_headroom: run.solo_headroom,
+                        headroom_loss,
+                    });
                 }
             }
             let is_slight = headroom_loss < MIN_HEADROOM_LOSS;
@@ -220,18 +256,31 @@
             let others = others.get_or_insert_with(|| best_effort_demands(worker));
             let total_loss = headroom_loss + self.interference.headroom_loss(run.image, others);
             if is_at_peak && !bears_loss(run.solo_headroom, total_loss) {
-                return None;
+                return Err(Disturbance {
+                    cause: DisturbanceCause::AtPeak,
+                    solo_headroom: run.solo_headroom,
+                    headroom_loss: total_loss,
+                });
             }
             if is_slight {
                 continue;
             }
-            let is_tight = self.interference.solo_headroom(run.image) - total_loss < MIN_HEADROOM;
+            let solo_headroom = self.interference.solo_headroom(run.image);
+            let is_tight = solo_headroom - total_loss < MIN_HEADROOM;
             if is_tight || total_loss > MAX_HEADROOM_LOSS {
-                return None;
+                let cause = match is_tight {
+                    true => DisturbanceCause::Headroom,
+                    false => DisturbanceCause::Loss,
+                };
+                return Err(Disturbance {
+                    cause,
+                    solo_headroom,
+                    headroom_loss: total_loss,
+                });
             }
             max_loss = max_loss.max(total_loss);
         }
-        Some((max_loss * HEADROOM_LOSS_COST) as i64)
+        Ok((max_loss * HEADROOM_LOSS_COST) as i64)
     }
 }
 
--- a/crates/dispatch/src/owner/waits.rs
+++ b/crates/dispatch/src/owner/waits.rs
@@ -7,6 +7,8 @@
 use crate::event::Now;
 use crate::ids::TaskId;
 use crate::owner::Owner;
+use crate::owner::costs::Disturbance;
+use crate::owner::costs::DisturbanceCause;
 use crate::owner::costs::TaskRequirements;
 use crate::owner::job::JobKey;
 use crate::owner::kept_room::BlockedStep;
@@ -277,7 +279,16 @@
                     counts.capacity += worker.capacity_for(step);
                 }
                 Err(Exclusion::Service) => {}
-                Err(exclusion) => *counts.excluded.entry(exclusion).or_default() += 1,
+                Err(exclusion) => {
+                    *counts.excluded.entry(exclusion).or_default() += 1;
+                    if exclusion == Exclusion::Disturbed
+                        && let Err(disturbance) =
+                            self.interference_cost(worker, &requirements, now_ms)
+                    {
+                        let figures = counts.disturbances.entry(disturbance.cause).or_default();
+                        figures.add(disturbance);
+                    }
+                }
             }
         }
         counts
@@ -293,6 +304,37 @@
     /// Number of tasks of the step that fit on these workers.
     capacity: u32,
     excluded: BTreeMap<Exclusion, u32>,
+    /// Workers that interference excludes, by its cause.
+    disturbances: BTreeMap<DisturbanceCause, DisturbanceFigures>,
+}
+
+/// Figures of the workers that interference excludes for one cause.
+#[derive(Debug)]
+struct DisturbanceFigures {
+    workers: u32,
+    min_solo_headroom: f64,
+    min_headroom_loss: f64,
+    max_headroom_loss: f64,
+}
+
+impl Default for DisturbanceFigures {
+    fn default() -> Self {
+        Self {
+            workers: 0,
+            min_solo_headroom: f64::INFINITY,
+            min_headroom_loss: f64::INFINITY,
+            max_headroom_loss: 0.0,
+        }
+    }
+}
+
+impl DisturbanceFigures {
+    fn add(&mut self, disturbance: Disturbance) {
+        self.workers += 1;
+        self.min_solo_headroom = self.min_solo_headroom.min(disturbance.solo_headroom);
+        self.min_headroom_loss = self.min_headroom_loss.min(disturbance.headroom_loss);
+        self.max_headroom_loss = self.max_headroom_loss.max(disturbance.headroom_loss);
+    }
 }
 
 impl Display for WorkerCounts {
@@ -306,6 +348,16 @@
         for (exclusion, count) in &self.excluded {
             write!(formatter, " {exclusion:?}={count}")?;
         }
+        for (cause, figures) in &self.disturbances {
+            write!(
+                formatter,
+                " disturbed_by_{cause:?}={} min_solo_headroom={:.2} headroom_loss={:.2}..{:.2}",
+                figures.workers,
+                figures.min_solo_headroom,
+                figures.min_headroom_loss,
+                figures.max_headroom_loss
+            )?;
+        }
         Ok(())
     }
 }
