Test: a best-effort job that interferes everywhere never starts

All three cases fail: beside serving tasks on both workers nothing of the job has started after 6 s, and it is still queued after 60 s, alone, beside best-effort jobs that interfere with none, and after a change of owner.

--- a/tests/dispatch_best_effort.rs
+++ b/tests/dispatch_best_effort.rs
@@ -4,6 +4,8 @@
 use crate::fleet::Fleet;
 use crate::fleet::job;
 use crate::fleet::step;
+use goldcrestway_dispatch::JobId;
+use goldcrestway_dispatch::JobState;
 use goldcrestway_dispatch::Step;
 use googletest::prelude::*;
 
@@ -73,3 +75,117 @@
         }
     }
 }
+
+/// A reason for which no worker takes a best-effort job at its full share.
+struct IdleCase {
+    name: &'static str,
+    /// Number of best-effort jobs of an image that interferes with none, which take all processors
+    /// that are left.
+    harmless_jobs: u64,
+    /// Whether the owner is replaced while the job waits.
+    replaces_owner: bool,
+}
+
+/// Time within which something of a job must run that has its turn and fits.
+const MAX_IDLE_MS: u64 = 6_000;
+
+/// Guards against a best-effort job of which nothing ever runs, although most of the room is free:
+/// its image interferes with the serving tasks of all workers, and was placed at its full share or
+/// not at all.
+#[gtest]
+fn a_best_effort_job_that_interferes_everywhere_starts_and_completes() {
+    const CASES: [IdleCase; 3] = [
+        IdleCase {
+            name: "calm",
+            harmless_jobs: 0,
+            replaces_owner: false,
+        },
+        IdleCase {
+            name: "beside harmless best-effort jobs",
+            harmless_jobs: 2,
+            replaces_owner: false,
+        },
+        IdleCase {
+            name: "its owner is replaced",
+            harmless_jobs: 0,
+            replaces_owner: true,
+        },
+    ];
+    for case in CASES {
+        let mut fleet = fleet_that_knows_an_interfering_image();
+        for number in 0..case.harmless_jobs {
+            let harmless = Step {
+                is_best_effort: true,
+                image: "harmless".into(),
+                ..step(4, 30_000, &[])
+            };
+            fleet.submit(0, 0x100 + number, &job(vec![harmless]));
+        }
+        fleet.submit(0, 0x3, &job(vec![interfering_step(2)]));
+        if case.replaces_owner {
+            fleet.run(1_000);
+            let owner = fleet.owner().unwrap_or(0);
+            fleet.kill(owner);
+            fleet.run(3_000);
+            fleet.start(owner);
+        }
+        fleet.run(MAX_IDLE_MS);
+        let starts = fleet.promises.starts.iter();
+        let starts = starts.filter(|(_, task, _)| task.job.0 == 0x3).count();
+        expect_that!(starts, gt(0), "{}", case.name);
+        let mut longest_ms = 0;
+        let mut over_ms = 0;
+        for _ in 0..1_200 {
+            fleet.run(50);
+            over_ms = match fleet
+                .workers
+                .values()
+                .any(|worker| worker.tail_now_ms() > 20)
+            {
+                true => over_ms + 50,
+                false => 0,
+            };
+            longest_ms = longest_ms.max(over_ms);
+        }
+        expect_that!(
+            fleet.state(0, 0x3),
+            some(eq(JobState::Completed)),
+            "{}",
+            case.name
+        );
+        expect_that!(longest_ms, lt(4_000), "{}: time over target", case.name);
+    }
+}
+
+fn interfering_step(count: u32) -> Step {
+    Step {
+        is_best_effort: true,
+        image: "interfering".into(),
+        cpu_milli: 4_000,
+        ..step(count, 3_000, &[])
+    }
+}
+
+const INTERFERING_JOBS: [JobId; 2] = [JobId(0x2), JobId(0x3)];
+
+/// Returns a fleet whose workers all have a serving task, and whose owner has learned that an image
+/// takes more of its headroom than it can spare.
+fn fleet_that_knows_an_interfering_image() -> Fleet {
+    let mut fleet = Fleet::new(3, 2);
+    let serving = Step {
+        is_long_running: true,
+        image: "served".into(),
+        tail_latency_target_ms: 20,
+        max_per_worker: 1,
+        ..step(2, 1_000, &[])
+    };
+    for worker in fleet.workers.values_mut() {
+        worker.tail_ms = 9;
+        worker.job_interference_ms = INTERFERING_JOBS.map(|job| (job, 4)).into();
+    }
+    fleet.submit(0, 0x1, &job(vec![serving]));
+    fleet.run(3_000);
+    fleet.submit(0, 0x2, &job(vec![interfering_step(2)]));
+    fleet.run(8_000);
+    fleet
+}
--- a/tests/fleet/worker.rs
+++ b/tests/fleet/worker.rs
@@ -3,6 +3,7 @@
 use crate::fleet::promises::Promises;
 use goldcrestway_dispatch::ExitReason;
 use goldcrestway_dispatch::Incarnation;
+use goldcrestway_dispatch::JobId;
 use goldcrestway_dispatch::OrderOutcome;
 use goldcrestway_dispatch::Refusal;
 use goldcrestway_dispatch::Resources;
@@ -69,6 +70,8 @@
     /// best-effort task at full share adds.
     pub(crate) tail_ms: u64,
     pub(crate) interference_ms: u64,
+    /// The same for jobs whose tasks add another latency.
+    pub(crate) job_interference_ms: BTreeMap<JobId, u64>,
     /// Time that a stop takes; a task that is being stopped still uses its resources.
     pub(crate) stop_ms: u64,
 }
@@ -102,6 +105,7 @@
             recent_exits: Vec::new(),
             tail_ms: 5,
             interference_ms: 0,
+            job_interference_ms: BTreeMap::new(),
             stop_ms: 0,
         }
     }
@@ -400,19 +404,25 @@
         None
     }
 
-    fn build_report(&self) -> WorkerReport {
+    /// Returns the tail latency of its latency-critical tasks.
+    pub(crate) fn tail_now_ms(&self) -> u64 {
         let mut interference_sum_ms = 0;
-        for running in self
-            .running
-            .values()
-            .filter(|running| !running.is_long_running)
-        {
-            interference_sum_ms += self.interference_ms * u64::from(running.share_percent) / 100;
+        for (task, running) in &self.running {
+            if running.is_long_running {
+                continue;
+            }
+            let own_ms = self.job_interference_ms.get(&task.job);
+            let added_ms = own_ms.copied().unwrap_or(self.interference_ms);
+            interference_sum_ms += added_ms * u64::from(running.share_percent) / 100;
         }
+        self.tail_ms + interference_sum_ms
+    }
+
+    fn build_report(&self) -> WorkerReport {
         let mut runs = Vec::new();
         for (task, running) in &self.running {
             let (percent, gauge) = match running.is_long_running {
-                true => (100, self.tail_ms + interference_sum_ms),
+                true => (100, self.tail_now_ms()),
                 false => {
                     let done_ms = running.work_ms - running.remaining_ms.min(running.work_ms);
                     let use_milli = 10 * u64::from(running.share_percent);
