Best-effort jobs of which nothing runs start a task at a reduced share

A task was placed at its full share or not at all; the few workers without latency-critical tasks went to jobs of these images that came later and could still meet their objective. No time ended the wait. The class: a reason to wait that no time limits.

Change: a job of which nothing has run for two seconds starts one task, and the next as soon as that has ended, at the greatest share that the latency-critical tasks of a worker bear, at least 20% and only where they bear that now; beside best-effort tasks alone only if no such worker is left. The share stays the greatest one that it gets there; a new owner takes it from what the task uses. Why it holds: every term of the exclusion scales with the share, and peaks of load pass within seconds.

--- a/crates/core/src/notes.rs
+++ b/crates/core/src/notes.rs
@@ -114,6 +114,7 @@
     TaskWaits = 2409, "A task has waited for long though the steps before it have ended; the detail gives what it waits for, and what excludes how many workers.";
     QueueHeldBack = 2412, "Jobs of a queue wait behind those of others of its priority, as it holds more than an equal part; the detail gives what it holds, what it has held of late and the equal part, in millionths of the service.";
     RoomKept = 2413, "Room is kept on workers for a step whose tasks have waited for long and are too wide for what others leave free; the detail gives the workers, when the tasks should fit, and for how long it is kept at most.";
+    IdleStart = 2414, "A best-effort task was assigned at a reduced CPU share, as nothing of its job ran and no worker takes it at its full share; the detail gives the worker, the share and how long the job has waited.";
     WorkerSilent = 2501, "A worker does not answer; its lease is no longer extended.";
     WorkerBack = 2502, "A worker answers again.";
     WorkerLeaving = 2503, "A worker is about to leave and gets no new tasks.";
--- a/crates/dispatch/src/owner/costs.rs
+++ b/crates/dispatch/src/owner/costs.rs
@@ -10,33 +10,19 @@
 use crate::owner::worker::Exclusion;
 use crate::owner::worker::Worker;
 use crate::owner::worker::WorkerKey;
+use crate::policy::idle_starts::bears_crowd;
 use crate::policy::images::ImageKey;
-use crate::policy::interference::ImageUsage;
 use crate::policy::kept_room::Precedence;
 use crate::policy::protection::AVERAGE_USE_PERCENT;
-use crate::policy::protection::bears_loss;
-use crate::policy::protection::is_at_peak;
-use crate::policy::shares::SuspendDelays;
 use crate::record::Step;
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 
-/// Headroom that best-effort tasks must leave to a serving task. Below 1, the task misses its
-/// target, and the task's own load reduces the headroom by a third at its peak.
-const MIN_HEADROOM: f64 = 1.9;
-/// Maximum total headroom loss that best-effort tasks may cause to a serving task.
-const MAX_HEADROOM_LOSS: f64 = 0.40;
-/// Cost, in thousandths of a core, of a headroom loss of 1.
-const HEADROOM_LOSS_COST: f64 = 40_000.0;
-/// Headroom loss from which on a best-effort task is kept away from a serving task that is already
-/// over its target.
-const SLIGHT_HEADROOM_LOSS: f64 = 0.01;
-/// Headroom loss below which the effect on a serving task is ignored.
-const MIN_HEADROOM_LOSS: f64 = 0.04;
-/// Cost reduction, in thousandths of a core, of a serving task for each serving task of the same
-/// image on a worker, and cost increase for each one of another image. A best-effort task that is
-/// compatible with one serving task of an image is compatible with all of them.
-const SAME_IMAGE_GAIN: i64 = 14_000;
+/// Cost, in thousandths of a core, of slowing down the best-effort tasks on a worker whose unused
+/// processors they use up. Exceeds that of the smallest share, which slows down one task.
+const CROWD_COST: i64 = 40_000;
+/// Cost, in thousandths of a core, of each percent of its share that a task does without.
+const MISSING_SHARE_COST: i64 = 300;
 /// Cost, in thousandths of a core, of a worker that is not on the rack of a task's data.
 const REMOTE_DATA_COST: i64 = 1_000_000;
 /// Cost, in thousandths of a core, of a worker whose last run failed.
@@ -70,30 +56,16 @@
     pub(crate) suspected_at: Option<Box<str>>,
     /// The task waits for a worker that runs no other suspect.
     pub(crate) waits_for_isolation: bool,
+    /// The task may start at a reduced share, as nothing of its job runs.
+    pub(crate) accepts_reduced_share: bool,
 }
 
-/// Why a best-effort task would disturb a serving task too much. Logs print the variants by their
-/// names.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub(super) enum DisturbanceCause {
-    /// The serving task is over its target.
-    OverTarget,
-    /// The serving task is at the peak of its load.
-    AtPeak,
-    /// Its image has too little headroom on average.
-    Headroom,
-    /// Its image would lose too much headroom to best-effort tasks.
-    Loss,
-}
-
-/// A serving task that excludes a best-effort task from its worker, and the figures behind that.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub(super) struct Disturbance {
-    pub(super) cause: DisturbanceCause,
-    /// Headroom without best-effort tasks: that of the task now, or the average of its image.
-    pub(super) solo_headroom: f64,
-    /// Headroom that best-effort tasks would take from it.
-    pub(super) headroom_loss: f64,
+/// Terms on which a worker takes a task.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct Offer {
+    pub(super) cost: i64,
+    /// Share of its CPU at which the task starts.
+    pub(super) share_percent: u32,
 }
 
 impl Owner {
@@ -128,11 +100,27 @@
         requirements: &TaskRequirements<'_>,
         now_ms: u64,
     ) -> Result<i64, Exclusion> {
+        self.permitted_offer(key, worker, requirements, now_ms)
+            .map(|offer| offer.cost)
+    }
+
+    /// Returns the terms on which a worker takes a task.
+    ///
+    /// # Errors
+    ///
+    /// Returns the reason why the task can't be placed there, which may be a missing permit.
+    pub(super) fn permitted_offer(
+        &self,
+        key: WorkerKey,
+        worker: &Worker,
+        requirements: &TaskRequirements<'_>,
+        now_ms: u64,
+    ) -> Result<Offer, Exclusion> {
         let step = StepId::of(requirements.task);
         if requirements.needs_permits && self.permits.permit(step, key, now_ms).is_none() {
             return Err(Exclusion::Permit);
         }
-        self.placement_cost(worker, requirements, now_ms)
+        self.offer(worker, requirements, now_ms)
     }
 
     /// Returns the cost of placing a task on a worker, without regard to permits.
@@ -146,6 +134,21 @@
         requirements: &TaskRequirements<'_>,
         now_ms: u64,
     ) -> Result<i64, Exclusion> {
+        self.offer(worker, requirements, now_ms)
+            .map(|offer| offer.cost)
+    }
+
+    /// Returns the terms on which a worker takes a task, without regard to permits.
+    ///
+    /// # Errors
+    ///
+    /// Returns the reason why the task can't be placed there.
+    fn offer(
+        &self,
+        worker: &Worker,
+        requirements: &TaskRequirements<'_>,
+        now_ms: u64,
+    ) -> Result<Offer, Exclusion> {
         if *worker.entry.service != *requirements.service {
             return Err(Exclusion::Service);
         }
@@ -153,16 +156,25 @@
             return Err(exclusion);
         }
         check_fit(worker, requirements)?;
-        let interference_cost = self
-            .interference_cost(worker, requirements, now_ms)
-            .map_err(|_| Exclusion::Disturbed)?;
+        let (interference_cost, share_percent) =
+            match self.interference_cost(worker, requirements, now_ms) {
+                Ok(cost) => (cost, 100),
+                Err(disturbance) => {
+                    let share_percent = self
+                        .reduced_share(worker, requirements, disturbance.cause)
+                        .ok_or(Exclusion::Disturbed)?;
+                    let missing_percent = i64::from(100 - share_percent);
+                    (missing_percent * MISSING_SHARE_COST, share_percent)
+                }
+            };
         let processors = self.protected_processors(worker);
         let available_milli = match processors {
             Some(processors) => processors.unused_milli(worker.best_effort_milli),
             None => unused_milli(worker),
         };
-        let cost =
-            resource_cost(worker, requirements, available_milli).ok_or(Exclusion::Crowded)?;
+        let requested_milli = requirements.step.cpu_milli * u64::from(share_percent) / 100;
+        let cost = resource_cost(worker, requirements, requested_milli, available_milli)
+            .ok_or(Exclusion::Crowded)?;
         let contention_cost = match processors {
             Some(_) => contention_cost(requirements.step, available_milli),
             None => 0,
@@ -172,115 +184,10 @@
         if self.is_evacuated(worker) {
             return Err(Exclusion::Evacuated);
         }
-        Ok(cost + interference_cost + contention_cost + crash_risk_cost)
-    }
-
-    /// Returns the cost of the interference between a task and the tasks on a worker: what a
-    /// best-effort task would do to serving tasks there, or what best-effort tasks there would do
-    /// to a serving task.
-    ///
-    /// # Errors
-    ///
-    /// Returns why the interference would be too strong.
-    pub(super) fn interference_cost(
-        &self,
-        worker: &Worker,
-        requirements: &TaskRequirements<'_>,
-        now_ms: u64,
-    ) -> Result<i64, Disturbance> {
-        let step = requirements.step;
-        if step.is_best_effort {
-            let own_usage = (requirements.image, step.cpu_milli as f64 / 1_000.0);
-            return self.headroom_loss_cost(worker, own_usage, now_ms);
-        }
-        if step.tail_latency_target_ms == 0 {
-            return Ok(0);
-        }
-        let headroom_loss = self
-            .interference
-            .headroom_loss(requirements.image, &best_effort_demands(worker));
-        let mut cost = (headroom_loss * HEADROOM_LOSS_COST) as i64;
-        if !self.bounds.policy.keeps_images_together {
-            return Ok(cost);
-        }
-        for run in worker.runs.values() {
-            if run.tail_latency_target_ms > 0 {
-                cost += if run.image == requirements.image {
-                    -SAME_IMAGE_GAIN
-                } else {
-                    SAME_IMAGE_GAIN
-                };
-            }
-        }
-        Ok(cost)
-    }
-
-    /// Returns the cost of a best-effort task to the serving tasks on a worker.
-    ///
-    /// # Errors
-    ///
-    /// Returns the first reason why it would take more headroom from one of them than that task can
-    /// spare.
-    fn headroom_loss_cost(
-        &self,
-        worker: &Worker,
-        own_usage: ImageUsage,
-        now_ms: u64,
-    ) -> Result<i64, Disturbance> {
-        let is_protecting = self.protected_processors(worker).is_some();
-        let mut others = None;
-        let mut max_loss: f64 = 0.0;
-        for run in worker.runs.values() {
-            if run.tail_latency_target_ms == 0 {
-                continue;
-            }
-            let headroom_loss = self.interference.headroom_loss(run.image, &[own_usage]);
-            // A serving task over its target gets no further best-effort task that may contribute
-            // to that, and none at all once it has been over its target for long.
-            if let Some(since_ms) = run.over_since_ms {
-                let is_long =
-                    now_ms >= since_ms + SuspendDelays::new(self.bounds.harm_ms).suspects_ms;
-                if is_long || headroom_loss >= SLIGHT_HEADROOM_LOSS {
-                    return Err(Disturbance {
-                        cause: DisturbanceCause::OverTarget,
-                        solo_headroom: run.solo_headroom,
-                        headroom_loss,
-                    });
-                }
-            }
-            let is_slight = headroom_loss < MIN_HEADROOM_LOSS;
-            let is_at_peak = is_protecting && is_at_peak(run.solo_headroom);
-            if is_slight && !(is_at_peak && headroom_loss >= SLIGHT_HEADROOM_LOSS) {
-                continue;
-            }
-            let others = others.get_or_insert_with(|| best_effort_demands(worker));
-            let total_loss = headroom_loss + self.interference.headroom_loss(run.image, others);
-            if is_at_peak && !bears_loss(run.solo_headroom, total_loss) {
-                return Err(Disturbance {
-                    cause: DisturbanceCause::AtPeak,
-                    solo_headroom: run.solo_headroom,
-                    headroom_loss: total_loss,
-                });
-            }
-            if is_slight {
-                continue;
-            }
-            let solo_headroom = self.interference.solo_headroom(run.image);
-            let is_tight = solo_headroom - total_loss < MIN_HEADROOM;
-            if is_tight || total_loss > MAX_HEADROOM_LOSS {
-                let cause = match is_tight {
-                    true => DisturbanceCause::Headroom,
-                    false => DisturbanceCause::Loss,
-                };
-                return Err(Disturbance {
-                    cause,
-                    solo_headroom,
-                    headroom_loss: total_loss,
-                });
-            }
-            max_loss = max_loss.max(total_loss);
-        }
-        Ok((max_loss * HEADROOM_LOSS_COST) as i64)
+        Ok(Offer {
+            cost: cost + interference_cost + contention_cost + crash_risk_cost,
+            share_percent,
+        })
     }
 }
 
@@ -333,22 +240,13 @@
     Some(suspects as i64 * AMBIGUOUS_COST + same_host_cost + at_stake_milli as i64 * AT_STAKE_COST)
 }
 
-/// Returns the cores that the best-effort tasks on a worker request, with their images.
-fn best_effort_demands(worker: &Worker) -> Vec<ImageUsage> {
-    let mut best_effort_demands = Vec::new();
-    for run in worker.runs.values() {
-        if run.is_best_effort {
-            best_effort_demands.push((run.image, run.cpu_milli as f64 / 1_000.0));
-        }
-    }
-    best_effort_demands
-}
-
-/// Returns the cost of a task by the resources, health and location of a worker. Returns `None` if
-/// a best-effort task would only slow down those that are already there.
+/// Returns the cost of a task that gets `requested_milli` of a worker's CPU, by the resources,
+/// health and location of the worker. Returns `None` if a best-effort task would only slow down
+/// those that are already there.
 fn resource_cost(
     worker: &Worker,
     requirements: &TaskRequirements<'_>,
+    requested_milli: u64,
     available_milli: i64,
 ) -> Option<i64> {
     let step = requirements.step;
@@ -359,9 +257,11 @@
     }
     if step.is_best_effort {
         // Best-effort tasks share unused CPU. One too many slows all of them.
-        if available_milli < step.cpu_milli as i64 && worker.best_effort_milli > 0 {
+        let is_crowded = available_milli < requested_milli as i64 && worker.best_effort_milli > 0;
+        if is_crowded && !bears_crowd_of(worker, requirements) {
             return None;
         }
+        cost += i64::from(is_crowded) * CROWD_COST;
     }
     if worker.consecutive_failures > 0 {
         cost += FAILED_RUN_COST;
@@ -381,6 +281,19 @@
     Some(cost)
 }
 
+/// Returns whether a best-effort task that accepts a reduced share may start on a worker whose
+/// unused processors other best-effort tasks use up.
+fn bears_crowd_of(worker: &Worker, requirements: &TaskRequirements<'_>) -> bool {
+    if !requirements.accepts_reduced_share {
+        return false;
+    }
+    let mut runs = worker.runs.values();
+    let demand_milli =
+        worker.used.cpu_milli + worker.best_effort_milli + requirements.step.cpu_milli;
+    runs.all(|run| run.tail_latency_target_ms == 0)
+        && bears_crowd(demand_milli, worker.entry.resources.cpu_milli)
+}
+
 /// Returns the cost of a task that reserves its processors where best-effort tasks use them now.
 /// Until these are throttled, all of them slow down the latency-critical tasks.
 fn contention_cost(step: &Step, available_milli: i64) -> i64 {
--- /dev/null
+++ b/crates/dispatch/src/owner/idle_starts.rs
@@ -0,0 +1,226 @@
+//! Starts a task of each best-effort job of which nothing runs, at a reduced share where no worker
+//! takes it at its full share.
+
+use crate::event::Action;
+use crate::event::Now;
+use crate::ids::TaskId;
+use crate::owner::Owner;
+use crate::owner::costs::Offer;
+use crate::owner::costs::TaskRequirements;
+use crate::owner::job::JobKey;
+use crate::owner::job::Occurrence;
+use crate::owner::worker::WorkerKey;
+use crate::policy::idle_starts::MAX_IDLE_MS;
+use crate::policy::kept_room::Precedence;
+use crate::policy::link::CallPriority;
+use crate::record::Step;
+use goldcrestway_core::Code;
+use goldcrestway_core::Note;
+
+/// Interval between two searches for jobs of which nothing runs.
+const SEARCH_INTERVAL_MS: u64 = 250;
+/// Maximum number of workers that one search evaluates for all jobs together, unless one job takes
+/// more.
+const MAX_EVALUATED: usize = 4_000;
+/// Time for which a job is not considered again if no worker takes its task, so that others have
+/// their turn.
+const RETRY_MS: u64 = 1_000;
+
+/// Time for which nothing of an occurrence has run that has its turn, but for tasks that were
+/// started for that reason.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Idleness {
+    since_ms: u64,
+    /// It is considered at this time at the earliest.
+    due_ms: u64,
+    /// A task was started for that reason. The next one follows as soon as that has ended.
+    has_started: bool,
+}
+
+/// A step that has its turn, of an occurrence of which nothing runs.
+#[derive(Debug, Clone, Copy)]
+struct IdleStep {
+    idle: Idleness,
+    job: JobKey,
+    /// Position of the occurrence in the job.
+    position: usize,
+    /// The first task of the step.
+    first: TaskId,
+}
+
+impl Owner {
+    /// Starts a task of each best-effort job of which nothing has run for too long, those that have
+    /// waited for longest first.
+    pub(super) fn start_idle_jobs(&mut self, now: Now, actions: &mut Vec<Action>) {
+        if !self.bounds.policy.starts_idle_jobs || now.steady_ms < self.next_idle_search_ms {
+            return;
+        }
+        self.next_idle_search_ms = now.steady_ms + SEARCH_INTERVAL_MS;
+        let mut idle = self.list_idle_steps(now.steady_ms);
+        idle.sort_by_key(|step| (step.idle.has_started, step.idle.since_ms));
+        let max_steps = MAX_EVALUATED.div_ceil(self.workers.len().max(1));
+        for step in idle.iter().take(max_steps) {
+            if !self.link.admits(CallPriority::Start) {
+                return;
+            }
+            let has_started = self.start_idle(step, now, actions);
+            let occurrence = &mut self.jobs[step.job].occurrences[step.position];
+            occurrence.idle = Some(match has_started {
+                true => Idleness {
+                    has_started,
+                    ..step.idle
+                },
+                false => Idleness {
+                    due_ms: now.steady_ms + RETRY_MS,
+                    ..step.idle
+                },
+            });
+        }
+    }
+
+    /// Updates since when nothing of the occurrences of best-effort jobs runs, and returns the steps
+    /// for which that is too long.
+    fn list_idle_steps(&mut self, now_ms: u64) -> Vec<IdleStep> {
+        let mut list = Vec::new();
+        for key in &self.live_jobs {
+            let job = &mut self.jobs[*key];
+            let steps = &job.submission.steps;
+            for (position, occurrence) in job.occurrences.iter_mut().enumerate() {
+                let Some(number) = find_idle_step(occurrence, steps) else {
+                    occurrence.idle = occurrence.idle.filter(|_| occurrence.running() == 1);
+                    continue;
+                };
+                let idle = *occurrence.idle.get_or_insert(Idleness {
+                    since_ms: now_ms,
+                    due_ms: now_ms + MAX_IDLE_MS,
+                    has_started: false,
+                });
+                if now_ms < idle.due_ms {
+                    continue;
+                }
+                list.push(IdleStep {
+                    idle,
+                    job: *key,
+                    position,
+                    first: TaskId {
+                        job: job.id,
+                        occurrence: occurrence.number,
+                        step: number,
+                        index: 0,
+                    },
+                });
+            }
+        }
+        list
+    }
+
+    /// Starts a task of a step at a reduced share, if a worker takes it. Returns whether it was
+    /// assigned.
+    fn start_idle(&mut self, idle: &IdleStep, now: Now, actions: &mut Vec<Action>) -> bool {
+        let now_ms = now.steady_ms;
+        let submission = self.jobs[idle.job].submission.clone();
+        let Some(step) = submission.steps.get(usize::from(idle.first.step)) else {
+            return false;
+        };
+        let Some(task) = self.find_startable(idle, step, now_ms) else {
+            return false;
+        };
+        let requirements = TaskRequirements {
+            step,
+            service: &submission.service,
+            image: self.images.key(&step.image),
+            task,
+            precedence: Precedence::of(&submission),
+            needs_permits: submission.needs_permits(),
+            suspected_at: self.suspected_at(task),
+            waits_for_isolation: false,
+            accepts_reduced_share: true,
+        };
+        let Some((worker, offer)) = self.best_offer(&requirements, now_ms) else {
+            return false;
+        };
+        self.stats.idle_starts += 1;
+        actions.push(Action::Note(Note::new(
+            Code::IdleStart,
+            task.to_string(),
+            format!(
+                "worker={} share_percent={} since_ms={}",
+                self.workers[worker].entry.id,
+                offer.share_percent,
+                now_ms - idle.idle.since_ms
+            ),
+        )));
+        self.assign(idle.job, task, worker, now, actions);
+        self.limit_share(worker, task, offer.share_percent, actions);
+        true
+    }
+
+    /// Returns the first waiting task of a step that nothing but the choice of a worker delays.
+    fn find_startable(&self, idle: &IdleStep, step: &Step, now_ms: u64) -> Option<TaskId> {
+        for index in 0..step.count as u16 {
+            let id = TaskId {
+                index,
+                ..idle.first
+            };
+            let Some(task) = self.task(id) else {
+                continue;
+            };
+            let is_delayed =
+                task.not_before_ms > now_ms || task.undecided_until_ms(now_ms).is_some();
+            if task.is_waiting() && !is_delayed && !self.orphans.contains_key(&id) {
+                return Some(id);
+            }
+        }
+        None
+    }
+
+    fn best_offer(
+        &self,
+        requirements: &TaskRequirements<'_>,
+        now_ms: u64,
+    ) -> Option<(WorkerKey, Offer)> {
+        let mut best: Option<(WorkerKey, Offer)> = None;
+        for (key, worker) in self.workers.eligible() {
+            let Ok(offer) = self.permitted_offer(key, worker, requirements, now_ms) else {
+                continue;
+            };
+            if best.is_none_or(|(_, other)| offer.cost < other.cost) {
+                best = Some((key, offer));
+            }
+        }
+        best
+    }
+
+    /// Limits the share of a run that was just assigned. The order follows once the run is present.
+    fn limit_share(
+        &mut self,
+        worker: WorkerKey,
+        task: TaskId,
+        share_percent: u32,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(number) = self.task(task).map(|task| task.run) else {
+            return;
+        };
+        if let Some(run) = self.workers[worker].runs.get_mut(&(task, number)) {
+            run.max_share_percent = Some(share_percent);
+            run.headroom_share_percent = share_percent;
+        }
+        self.set_target_shares(worker, actions);
+    }
+}
+
+/// Returns the number of the first best-effort step of an occurrence that has its turn and whose
+/// tasks wait, if nothing of the occurrence runs.
+fn find_idle_step(occurrence: &Occurrence, steps: &[Step]) -> Option<u16> {
+    if occurrence.running() > 0 {
+        return None;
+    }
+    for (number, (state, step)) in occurrence.steps.iter().zip(steps).enumerate() {
+        let is_candidate = step.is_best_effort && !step.is_gang && state.waiting > 0;
+        if is_candidate && occurrence.is_open(step) {
+            return Some(number as u16);
+        }
+    }
+    None
+}
--- a/crates/dispatch/src/owner/job.rs
+++ b/crates/dispatch/src/owner/job.rs
@@ -6,6 +6,7 @@
 use crate::ids::JobId;
 use crate::ids::TaskId;
 use crate::job_table::JobRecord;
+use crate::owner::idle_starts::Idleness;
 use crate::owner::permits::MAX_ASKED;
 use crate::owner::progress::resume_step;
 use crate::owner::progress::step_progress;
@@ -95,6 +96,8 @@
 pub(crate) struct Occurrence {
     pub(crate) number: u32,
     pub(crate) steps: Vec<StepState>,
+    /// Since when nothing of it runs, although a best-effort step has its turn.
+    pub(crate) idle: Option<Idleness>,
 }
 
 impl Occurrence {
@@ -103,13 +106,22 @@
         for step in &submission.steps {
             steps.push(StepState::new(step));
         }
-        Self { number, steps }
+        Self {
+            number,
+            steps,
+            idle: None,
+        }
     }
 
     pub(crate) fn is_done(&self) -> bool {
         self.steps.iter().all(StepState::is_done)
     }
 
+    /// Returns the number of its tasks that run.
+    pub(crate) fn running(&self) -> u64 {
+        self.steps.iter().map(StepState::running).sum()
+    }
+
     /// Returns whether the tasks of a step may start, as all steps before it are done.
     pub(crate) fn is_open(&self, step: &Step) -> bool {
         step.after.iter().all(|predecessor| {
--- a/crates/dispatch/src/owner/mod.rs
+++ b/crates/dispatch/src/owner/mod.rs
@@ -13,10 +13,12 @@
 mod calls;
 mod costs;
 mod crashes;
+mod disturbance;
 mod evacuating;
 mod exits;
 mod fair_shares;
 mod gangs;
+mod idle_starts;
 mod incarnations;
 mod job;
 mod kept_room;
@@ -162,6 +164,8 @@
     pub suspensions: u64,
     /// Number of times that one resumed.
     pub resumptions: u64,
+    /// Number of tasks that were started at a reduced share as nothing of their job ran.
+    pub idle_starts: u64,
     /// Steps whose durations this owner has learned.
     pub steps_learned: u64,
     /// Classes of tasks whose durations are expected by what was learned.
@@ -253,6 +257,8 @@
     /// When the resources of the services are summed next.
     next_sum_ms: u64,
     kept_rooms: KeptRooms,
+    /// When jobs of which nothing runs are searched for next.
+    next_idle_search_ms: u64,
     stepdown: Option<Stepdown>,
     timeline: Timeline,
     /// Result of the latest ranking for the step that is being placed.
@@ -325,6 +331,7 @@
             fair_shares: FairShares::default(),
             next_sum_ms: 0,
             kept_rooms: KeptRooms::default(),
+            next_idle_search_ms: 0,
             stepdown: None,
             timeline: Timeline::default(),
             ranking: Cell::default(),
--- a/crates/dispatch/src/owner/permits.rs
+++ b/crates/dispatch/src/owner/permits.rs
@@ -169,6 +169,7 @@
             needs_permits: false,
             suspected_at: None,
             waits_for_isolation: false,
+            accepts_reduced_share: false,
         };
         let mut ranked = self.rank_workers(&requirements, now_ms);
         let mut asked = Vec::new();
--- a/crates/dispatch/src/owner/placing.rs
+++ b/crates/dispatch/src/owner/placing.rs
@@ -113,6 +113,7 @@
                 return;
             }
         }
+        self.start_idle_jobs(now, actions);
         self.keep_rooms(&pass.blocked, now, actions);
         self.schedule_retry(now.steady_ms);
     }
@@ -195,6 +196,7 @@
                 false => None,
             },
             waits_for_isolation: false,
+            accepts_reduced_share: false,
         };
         if step.is_gang {
             return self.place_gang(key, &requirements, now, actions);
@@ -365,6 +367,7 @@
             needs_permits: submission.needs_permits(),
             suspected_at: self.suspected_at(id),
             waits_for_isolation: false,
+            accepts_reduced_share: false,
         };
         let failed_on = self.jobs[key].task_mut(id).and_then(|task| task.failed_on);
         let mut ranked = self.rank_workers(&requirements, now.steady_ms);
--- a/crates/dispatch/src/owner/waits.rs
+++ b/crates/dispatch/src/owner/waits.rs
@@ -7,9 +7,9 @@
 use crate::event::Now;
 use crate::ids::TaskId;
 use crate::owner::Owner;
-use crate::owner::costs::Disturbance;
-use crate::owner::costs::DisturbanceCause;
 use crate::owner::costs::TaskRequirements;
+use crate::owner::disturbance::Disturbance;
+use crate::owner::disturbance::DisturbanceCause;
 use crate::owner::job::JobKey;
 use crate::owner::kept_room::BlockedStep;
 use crate::owner::worker::Exclusion;
@@ -270,6 +270,7 @@
             needs_permits: submission.needs_permits(),
             suspected_at: None,
             waits_for_isolation: false,
+            accepts_reduced_share: false,
         };
         let mut counts = WorkerCounts::default();
         for (key, worker) in &self.workers {
--- a/crates/dispatch/src/owner/worker.rs
+++ b/crates/dispatch/src/owner/worker.rs
@@ -150,6 +150,9 @@
     /// it takes from them. The lower one applies.
     pub(crate) processor_share_percent: u32,
     pub(crate) headroom_share_percent: u32,
+    /// Greatest share that it gets beside latency-critical tasks; `None` if a previous owner has
+    /// started it and the limit is not chosen yet.
+    pub(crate) max_share_percent: Option<u32>,
     /// CPU share that the worker has last accepted; `None` if it may have another one, as a previous
     /// owner may have set it or the answer to an order was lost.
     pub(crate) applied_share_percent: Option<u32>,
@@ -196,6 +199,7 @@
             solo_headroom: f64::INFINITY,
             processor_share_percent: 100,
             headroom_share_percent: 100,
+            max_share_percent: (phase != RunPhase::Inherited).then_some(100),
             applied_share_percent: Some(100),
             was_throttled: false,
             target_share_percent: 100,
--- a/crates/dispatch/src/policy/mod.rs
+++ b/crates/dispatch/src/policy/mod.rs
@@ -20,10 +20,12 @@
 //! | [`suspicion`] | which task is the cause when a worker has crashed |
 //! | [`fair_shares`] | which queue goes first among queues of the same priority |
 //! | [`shown_queues`] | which queues metrics show by name |
+//! | [`idle_starts`] | at which share a best-effort task starts that no worker takes at its full share |
 //! | [`kept_room`] | on which workers room is kept for a wide task, and for how long |
 
 pub mod answer_timeouts;
 pub mod fair_shares;
+pub mod idle_starts;
 pub mod images;
 pub mod informing;
 pub mod interference;
--- a/crates/dispatch/src/policy/switches.rs
+++ b/crates/dispatch/src/policy/switches.rs
@@ -35,6 +35,9 @@
     /// Queues of the same priority get equal shares, and room is kept for wide tasks that have waited
     /// for long.
     pub fair_shares: bool,
+    /// A best-effort job of which nothing runs starts a task at a reduced share where no worker
+    /// takes one at its full share.
+    pub starts_idle_jobs: bool,
 }
 
 impl Default for Policy {
@@ -53,6 +56,7 @@
             protects_serving: true,
             learns_run_times: true,
             fair_shares: true,
+            starts_idle_jobs: true,
         }
     }
 }
--- a/tests/lib.rs
+++ b/tests/lib.rs
@@ -44,6 +44,7 @@
 mod inventories;
 mod policy_answer_timeouts;
 mod policy_fair_shares;
+mod policy_idle_starts;
 mod policy_informing;
 mod policy_interference;
 mod policy_kept_room;
