Kept room: a long-running task that has lost its worker may start there, and none is kept for a share that is full

Room had been kept at 33.04 s for two other long-running steps of the same priority, for 8.7 s and for 20 s, in the second after five crashed workers' runs had been counted as lost: long-running tasks then used less than their part of the service, so both steps waited for a worker. A third of a second later lost tasks and first runs had filled that part, so both steps waited for their share (`why=Share`) and could not use the room. Nothing released it before its time, and nothing else of the same precedence might start there.

Ruled out: the limit itself (tasks that have run are exempt, and the reason says Worker); crash suspicion, an orphan or a pause (the reasons would be Fate, Alone, Stray, Pause); a worker that is believed bad (Shunned is 0 to 2 of 48 and passes, Kept stays).

Change: a long-running task that has run before goes before kept room, whatever the room is kept for, since it must run again within seconds and room is kept for up to 20 s. Room is released once all waiting tasks of its step wait for their share. Tasks of such a step that have run are placed before those that have not, with a ranking of their own. What decides on long-running tasks stands in a file of its own.

Why it holds: restarts pass over kept room for both kinds of steps that room is kept for, so no wait for Kept is left for them; the other way for it to be idle, a step that can't use it, ends with the next placement pass.

Both tests failed before: the lost task ran nowhere 6 s after the crash; the narrow tasks waited for the room until its time was over.

--- a/crates/dispatch/src/owner/kept_room.rs
+++ b/crates/dispatch/src/owner/kept_room.rs
@@ -68,7 +68,7 @@
 enum KeepProgress {
     /// Its step waits for it.
     Waits,
-    /// Its step needs it no more, or can't use all of it.
+    /// Its step needs it no more, or can't use it at present.
     Ended,
     /// Its step has waited for too long.
     InVain,
@@ -97,9 +97,10 @@
 }
 
 impl Precedence {
-    /// Returns the precedence of a job.
+    /// Returns the precedence of the first runs of a job.
     pub(crate) fn of(submission: &Submission) -> Self {
         Self {
+            is_restart: false,
             priority: submission.priority,
             is_finite: !submission.is_long_running(),
         }
@@ -111,7 +112,7 @@
     /// another one.
     pub(crate) fn free_for(&self, step: StepId, precedence: Precedence) -> Resources {
         match &self.kept {
-            Some(kept) if kept.step != step && precedence >= kept.precedence => {
+            Some(kept) if kept.step != step && !precedence.goes_before(kept.precedence) => {
                 self.free().minus(kept.resources)
             }
             _ => self.free(),
@@ -188,12 +189,27 @@
         match () {
             () if self.waiting_tasks(keep.job, keep.step) == 0 => KeepProgress::Ended,
             () if !is_usable => KeepProgress::Unusable,
-            () if is_used_up => KeepProgress::Ended,
+            () if is_used_up || self.has_no_use(keep) => KeepProgress::Ended,
             () if is_idle || now_ms >= keep.until_ms => KeepProgress::InVain,
             () => KeepProgress::Waits,
         }
     }
 
+    /// Returns whether all waiting tasks of a step wait for their share of the service, so that they
+    /// would not start in its kept room either. Room that is kept for it could be idle until the
+    /// end of its time while nothing may start there.
+    fn has_no_use(&self, keep: &Keep) -> bool {
+        let Some(job) = self.jobs.get(keep.job) else {
+            return true;
+        };
+        let first = keep.step.first_task();
+        let (Some(step), Some(state)) = (job.step(first), job.step_state(first)) else {
+            return true;
+        };
+        let mut waiting = state.tasks.iter().filter(|task| task.is_waiting());
+        waiting.all(|task| task.run == 0) && self.is_long_running_share_full(keep.job, step)
+    }
+
     /// Returns the services of whose processors runs reserve less than half.
     fn half_empty_services(&self) -> BTreeSet<Box<str>> {
         let mut used_milli: BTreeMap<&str, u64> = BTreeMap::new();
--- a/crates/dispatch/src/owner/mod.rs
+++ b/crates/dispatch/src/owner/mod.rs
@@ -21,6 +21,7 @@
 mod job;
 mod kept_room;
 mod link;
+mod long_running;
 mod orders;
 mod orphans;
 mod permits;
--- a/crates/dispatch/src/owner/placing.rs
+++ b/crates/dispatch/src/owner/placing.rs
@@ -30,11 +30,6 @@
 const MAX_PLACED_PER_PASS: usize = 400;
 /// Time after which waiting tasks are evaluated again even if no event occurred.
 const RETRY_INTERVAL_MS: u64 = 500;
-/// Part of a service's CPU, in percent, that new long-running tasks may fill. On the same
-/// resources, a long-running task yields a quarter of the value of short tasks, and it never
-/// releases them.
-const MAX_LONG_RUNNING_PERCENT: u64 = 85;
-
 /// State of one placement pass.
 struct PlacementPass {
     /// Number of tasks that may still be placed in this pass.
@@ -196,17 +191,42 @@
             },
             waits_for_isolation: false,
         };
+        let restarting = TaskRequirements {
+            precedence: self.jobs[key].precedence(first, step),
+            ..requirements.clone()
+        };
         if step.is_gang {
-            return self.place_gang(key, &requirements, now, actions);
+            return self.place_gang(key, &restarting, now, actions);
         }
         if pass.is_known_unplaceable(&requirements) {
             return true;
         }
-        // All tasks of a step have the same requirements. Workers are therefore ranked once, and
+        if restarting.precedence.is_restart {
+            self.place_tasks(key, &restarting, now, pass, actions);
+            if pass.remaining == 0 || self.jobs[key].phase.is_final() {
+                return true;
+            }
+        }
+        self.place_tasks(key, &requirements, now, pass, actions)
+    }
+
+    /// Places the waiting tasks of a step that is no gang, or only those that have run before if the
+    /// precedence is theirs. Returns whether some of them still wait.
+    fn place_tasks(
+        &mut self,
+        key: JobKey,
+        requirements: &TaskRequirements<'_>,
+        now: Now,
+        pass: &mut PlacementPass,
+        actions: &mut Vec<Action>,
+    ) -> bool {
+        let step = requirements.step;
+        let first = requirements.task;
+        // All of these tasks have the same requirements. Workers are therefore ranked once, and
         // only the worker that was just assigned a task is evaluated again.
-        let mut ranked = self.rank_workers(&requirements, now.steady_ms);
+        let mut ranked = self.rank_workers(requirements, now.steady_ms);
         let (resources_milli, mut long_running_milli) =
-            self.long_running_usage(&submission.service, step);
+            self.long_running_usage(requirements.service, step);
         for index in 0..step.count as u16 {
             let id = TaskId { index, ..first };
             if self.has_orphan(id) {
@@ -215,7 +235,7 @@
             let Some(task) = self.jobs[key].task_mut(id) else {
                 return false;
             };
-            if !task.is_waiting() {
+            if !task.is_waiting() || requirements.precedence.is_restart && task.run == 0 {
                 continue;
             }
             if task.not_before_ms > now.steady_ms {
@@ -237,7 +257,7 @@
                 return true;
             }
             let worker = match is_suspect {
-                true => self.find_worker_for_suspect(key, &requirements, id, now.steady_ms),
+                true => self.find_worker_for_suspect(key, requirements, id, now.steady_ms),
                 false => Self::pop_best(&mut ranked, failed_on),
             };
             let Some(worker) = worker else {
@@ -245,15 +265,15 @@
                     // Other tasks of the step that are not suspected may still find a worker.
                     continue;
                 }
-                pass.record_unplaceable(&requirements);
+                pass.record_unplaceable(requirements);
                 return true;
             };
             self.assign(key, id, worker, now, actions);
             long_running_milli += step.cpu_milli;
             if is_suspect {
-                ranked = self.rank_workers(&requirements, now.steady_ms);
+                ranked = self.rank_workers(requirements, now.steady_ms);
             } else if let Ok(cost) =
-                self.placement_cost(&self.workers[worker], &requirements, now.steady_ms)
+                self.placement_cost(&self.workers[worker], requirements, now.steady_ms)
             {
                 ranked.push(Reverse((cost, worker)));
             }
@@ -270,34 +290,6 @@
             .is_some_and(|state| state.waiting > 0)
     }
 
-    /// Returns whether long-running tasks already use the part of a service's CPU that new ones may
-    /// fill.
-    pub(super) fn is_long_running_limit_reached(
-        resources_milli: u64,
-        long_running_milli: u64,
-    ) -> bool {
-        long_running_milli * 100 >= resources_milli * MAX_LONG_RUNNING_PERCENT
-    }
-
-    /// Returns the CPU of the workers of a service and the part of it that long-running tasks
-    /// request, both in thousandths of a core. Returns zeros unless the step is long-running, as
-    /// only such steps are limited.
-    pub(super) fn long_running_usage(&self, service: &str, step: &Step) -> (u64, u64) {
-        let mut resources = 0;
-        let mut long_running = 0;
-        if !step.is_long_running {
-            return (resources, long_running);
-        }
-        for worker in self.workers.values() {
-            let is_eligible = worker.is_listed && !self.is_evacuated(worker);
-            if is_eligible && *worker.entry.service == *service {
-                resources += worker.entry.resources.cpu_milli;
-                long_running += worker.long_running_milli;
-            }
-        }
-        (resources, long_running)
-    }
-
     /// Finds the worker for a suspected task: the one where a crash would destroy the least work
     /// and would be the clearest evidence. If all suitable workers run another suspect, the task
     /// waits for a limited time.
--- a/crates/dispatch/src/owner/waits.rs
+++ b/crates/dispatch/src/owner/waits.rs
@@ -11,7 +11,6 @@
 use crate::owner::job::JobKey;
 use crate::owner::kept_room::BlockedStep;
 use crate::owner::worker::Exclusion;
-use crate::policy::kept_room::Precedence;
 use crate::policy::link::CallPriority;
 use crate::record::Step;
 use goldcrestway_core::Code;
@@ -240,12 +239,6 @@
         (id, reason)
     }
 
-    fn is_long_running_share_full(&self, job: JobKey, step: &Step) -> bool {
-        let (resources_milli, long_running_milli) =
-            self.long_running_usage(&self.jobs[job].submission.service, step);
-        Self::is_long_running_limit_reached(resources_milli, long_running_milli)
-    }
-
     /// Returns whether only evacuated failure domains have workers that could run a step.
     fn is_blocked_by_evacuation(&self, waiting: &WaitingStep, step: &Step, now_ms: u64) -> bool {
         if self.evacuations.is_empty() {
@@ -264,7 +257,7 @@
             service: &submission.service,
             image: self.images.find(&step.image),
             task: waiting.first,
-            precedence: Precedence::of(submission),
+            precedence: self.jobs[waiting.job].precedence(waiting.first, step),
             needs_permits: submission.needs_permits(),
             suspected_at: None,
             waits_for_isolation: false,
--- a/crates/dispatch/src/policy/kept_room.rs
+++ b/crates/dispatch/src/policy/kept_room.rs
@@ -8,14 +8,15 @@
 //!
 //! **What is decided:** when room is kept, on which workers, and for how long. The workers are those
 //! where the task fits soonest as runs there end by themselves; no run is stopped. Until then only
-//! tasks of higher priority may start in the kept room.
+//! tasks of higher priority, and long-running tasks that have run before, may start in the kept
+//! room.
 //!
 //! **Limits:** they follow from the time that the caller allows for its job. After a quarter of it
 //! the task has waited for too long. Room is then kept for twice the time in which the runs there
 //! should have ended, since estimates are rough, but at least for as long as the task had to wait
 //! and at most for 20 s. If that was not enough, no room is kept for the step for as long, so that
 //! the room is idle for at most half of the time. It is released early if less than half of the
-//! service is reserved for [`MAX_HALF_EMPTY_MS`]. A step that waits for kept room holds nothing
+//! service is reserved for [`MAX_HALF_EMPTY_MS`], or if its step waits for something else. A step that waits for kept room holds nothing
 //! that others wait for, and a worker keeps room for one step at a time, so no two steps can wait
 //! for each other.
 
@@ -62,16 +63,27 @@
     pub ends: Vec<(u64, Resources)>,
 }
 
-/// Order of jobs that kept room does not change: room is kept only from tasks of the same or a
-/// higher value.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+/// Order of tasks that kept room does not change: a task that goes before those for which room is
+/// kept may start there.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Precedence {
+    /// A long-running task that has run before. What it serves is away until it runs again, which
+    /// must be within seconds, while room is kept for up to [`MAX_KEEP_MS`] for tasks that have not
+    /// run yet.
+    pub is_restart: bool,
     /// Priority of the queue; 0 goes first.
     pub priority: u32,
     /// No task of the job runs until it is cancelled.
     pub is_finite: bool,
 }
 
+impl Precedence {
+    /// Returns whether a task may start in room that is kept for tasks of the other precedence.
+    pub fn goes_before(self, kept: Self) -> bool {
+        self.is_restart || (self.priority, self.is_finite) < (kept.priority, kept.is_finite)
+    }
+}
+
 /// What a step needs.
 #[derive(Debug, Clone, Copy)]
 pub struct Need {
--- a/tests/lib.rs
+++ b/tests/lib.rs
@@ -22,6 +22,7 @@
 mod dispatch_late_starts;
 mod dispatch_links;
 mod dispatch_loading;
+mod dispatch_long_running;
 mod dispatch_outages;
 mod dispatch_owner_answers;
 mod dispatch_protection;
