--- a/crates/dispatch/src/owner/placing.rs
+++ b/crates/dispatch/src/owner/placing.rs
@@ -30,6 +30,7 @@
 const MAX_PLACED_PER_PASS: usize = 400;
 /// Time after which waiting tasks are evaluated again even if no event occurred.
 const RETRY_INTERVAL_MS: u64 = 500;
+
 /// State of one placement pass.
 struct PlacementPass {
     /// Number of tasks that may still be placed in this pass.
--- a/crates/dispatch/src/policy/kept_room.rs
+++ b/crates/dispatch/src/policy/kept_room.rs
@@ -16,9 +16,9 @@
 //! should have ended, since estimates are rough, but at least for as long as the task had to wait
 //! and at most for 20 s. If that was not enough, no room is kept for the step for as long, so that
 //! the room is idle for at most half of the time. It is released early if less than half of the
-//! service is reserved for [`MAX_HALF_EMPTY_MS`], or if its step waits for something else. A step that waits for kept room holds nothing
-//! that others wait for, and a worker keeps room for one step at a time, so no two steps can wait
-//! for each other.
+//! service is reserved for [`MAX_HALF_EMPTY_MS`], or if its step waits for something else. A step
+//! that waits for kept room holds nothing that others wait for, and a worker keeps room for one step
+//! at a time, so no two steps can wait for each other.
 
 use crate::config::Resources;
 use std::cmp::Reverse;
