Log: an order to start says which order it is, and how old the list of workers is

That the second is a repeat had to be guessed, and whether the list of workers was behind couldn't be told at all. Both are in the line now.

--- a/crates/core/src/notes.rs
+++ b/crates/core/src/notes.rs
@@ -102,7 +102,7 @@
     JobFailed = 2305, "A task of the job has failed too often, or crashes the workers that start it.";
     JobFinished = 2306, "A job has reached its final state.";
     JobTimes = 2307, "A job has ended, and its end is published: the detail gives the milliseconds of each phase, their total, by how much it missed its objective, what its caller has estimated, and the task that each step ended with, as step.task:run@worker:milliseconds.";
-    RunOrdered = 2400, "A worker was ordered to start a run of a task.";
+    RunOrdered = 2400, "A worker was ordered to start a run of a task; the detail gives the age of its last answer, the number of the order, as one without an answer is repeated, and the age of the list of workers.";
     RunBroken = 2401, "A run of a task ended without success.";
     StartRefused = 2402, "A worker refused to start a run.";
     RunLagging = 2403, "A run makes no progress or is far slower than its siblings; it is started elsewhere, or gets a copy.";
--- a/crates/dispatch/src/entry/ownership.rs
+++ b/crates/dispatch/src/entry/ownership.rs
@@ -354,6 +354,7 @@
                 owner.mark_caught_up();
             }
             owner.pause_starts(may_miss_evacuations);
+            owner.set_list_known(self.workers.known_ms());
             owner.advance(now, &mut self.tickets, actions);
             return;
         }
--- a/crates/dispatch/src/owner/adopting.rs
+++ b/crates/dispatch/src/owner/adopting.rs
@@ -217,6 +217,19 @@
         }
     }
 
+    /// Records up to which time the platform's list of workers was read.
+    pub(crate) fn set_list_known(&mut self, known_ms: Option<u64>) {
+        self.list_known_ms = known_ms;
+    }
+
+    /// Returns the age of the platform's list of workers for logs.
+    pub(super) fn describe_list_age(&self, now_ms: u64) -> Box<str> {
+        match self.list_known_ms {
+            Some(known_ms) => now_ms.saturating_sub(known_ms).to_string().into(),
+            None => "never_read".into(),
+        }
+    }
+
     /// Forgets orders that are too old to be carried out.
     pub(crate) fn expire_doubtful_starts(&mut self, now: Now) {
         self.doubtful_starts.expire(now.steady_ms);
--- a/crates/dispatch/src/owner/mod.rs
+++ b/crates/dispatch/src/owner/mod.rs
@@ -208,6 +208,8 @@
     finished_jobs: HashMap<JobId, Rc<Submission>>,
     workers: Workers,
     worker_keys: HashMap<Box<str>, WorkerKey>,
+    /// Time up to which the platform's list of workers was read; `None` if this host has not read it.
+    list_known_ms: Option<u64>,
     orders: HashMap<u64, Order>,
     link: LinkBudget,
     answers: AnswerLatencies,
@@ -293,6 +295,7 @@
             finished_jobs: HashMap::new(),
             workers: Workers::new(),
             worker_keys: HashMap::new(),
+            list_known_ms: None,
             orders: HashMap::new(),
             link: LinkBudget::new(bounds.link_bytes_per_s),
             answers: AnswerLatencies::default(),
--- a/crates/dispatch/src/owner/orders.rs
+++ b/crates/dispatch/src/owner/orders.rs
@@ -76,11 +76,14 @@
         let checkpoint = job
             .task_mut(task)
             .map_or("".into(), |task| task.checkpoint.clone());
+        let list_age_ms = self.describe_list_age(now_ms);
         let worker = &mut self.workers[key];
         worker.leases_expired_ms = worker.leases_expired_ms.max(now_ms + span_ms);
+        let mut attempt = 0;
         if let Some(run) = worker.runs.get_mut(&(task, number)) {
             run.phase = RunPhase::Sent;
             run.start_attempts += 1;
+            attempt = run.start_attempts;
             run.checkpoint.clone_from(&checkpoint);
             run.progressed_ms = now_ms;
             run.started_ms = now_ms;
@@ -92,7 +95,7 @@
             Code::RunOrdered,
             task.to_string(),
             format!(
-                "run={number} worker={} look_age_ms={}",
+                "run={number} worker={} look_age_ms={} attempt={attempt} list_age_ms={list_age_ms}",
                 worker.entry.id,
                 now_ms.saturating_sub(worker.answered_ms)
             ),
