Draining: an order without an answer isn't repeated at a worker that drains

The worker was asked about once, when it was chosen. What was asked again when an order is sent (silent workers, evacuations, permits, orphans) stood in send_start and did not know of workers that drain or are no longer listed. owner/starting.rs now decides this for every order at the moment of sending. A repeat that it bars becomes an order to stop, as with evacuations: the worker promises not to start the run later, and only then its task starts elsewhere. StartWithheld (2420) tells of it.

The new test is the table of evacuations for workers that drain. Before the change three of its 24 rows broke, direct and relayed: unanswered orders of plain, long-running and gang tasks that are sent again (starts 2,050 to 3,745 ms after the acknowledgement); with it none does.

--- a/crates/core/src/notes.rs
+++ b/crates/core/src/notes.rs
@@ -114,6 +114,7 @@
     TaskWaits = 2409, "A task has waited for long though the steps before it have ended; the detail gives what it waits for, and what excludes how many workers.";
     QueueHeldBack = 2412, "Jobs of a queue wait behind those of others of its priority, as it holds more than an equal part; the detail gives what it holds, what it has held of late and the equal part, in millionths of the service.";
     RoomKept = 2413, "Room is kept on workers for a step whose tasks have waited for long and are too wide for what others leave free; the detail gives the workers, when the tasks should fit, and for how long it is kept at most.";
+    StartWithheld = 2420, "An order to start a run that was decided earlier was not sent; the detail gives why, and how many earlier orders to start the run had no answer: if any, the run is stopped at its worker before its task starts elsewhere.";
     WorkerSilent = 2501, "A worker does not answer; its lease is no longer extended.";
     WorkerBack = 2502, "A worker answers again.";
     WorkerLeaving = 2503, "A worker is about to leave and gets no new tasks.";
--- a/crates/dispatch/src/owner/mod.rs
+++ b/crates/dispatch/src/owner/mod.rs
@@ -32,6 +32,7 @@
 mod protection;
 mod relaying;
 mod shares;
+mod starting;
 mod stragglers;
 mod task;
 mod timeline;
--- a/crates/dispatch/src/owner/orders.rs
+++ b/crates/dispatch/src/owner/orders.rs
@@ -10,6 +10,8 @@
 use crate::job_times::Phase;
 use crate::owner::Owner;
 use crate::owner::calls::Purpose;
+use crate::owner::starting::StartBar;
+use crate::owner::starting::StartTerms;
 use crate::owner::worker::Run;
 use crate::owner::worker::RunPhase;
 use crate::owner::worker::WorkerKey;
@@ -46,31 +48,14 @@
         let now_ms = now.steady_ms;
         let span_ms = self.lease_span_ms();
         let lease_ms = self.lease_ms();
-        let job = self.job_keys.get(&task.job).copied();
-        let Some(clock_ms) = self.workers[key].clock_ms(now_ms) else {
-            return self.drop_start(key, task, number, now_ms);
-        };
-        // A previous run of the task was reported while this one was being recorded.
-        if self.has_orphan(task) {
-            return self.drop_start(key, task, number, now_ms);
-        }
-        // An order to start would extend the leases of a worker that is recorded as silent.
-        // Successors rely on the expiry of these leases.
-        if self.workers[key].is_recorded_silent {
-            return self.drop_start(key, task, number, now_ms);
-        }
-        let Some(job) = job.filter(|_| self.is_confirmed(now_ms)) else {
-            return self.drop_start(key, task, number, now_ms);
+        let StartTerms {
+            job,
+            clock_ms,
+            permit,
+        } = match self.start_terms(key, task, now_ms) {
+            Ok(terms) => terms,
+            Err(bar) => return self.drop_start(key, task, number, bar, now_ms, actions),
         };
-        if self.are_starts_paused || self.is_evacuated(&self.workers[key]) {
-            return self.drop_start(key, task, number, now_ms);
-        }
-        let needs_permits = self.jobs[job].submission.needs_permits();
-        let permit = self.permits.permit(StepId::of(task), key, now_ms);
-        let permit: Box<str> = permit.unwrap_or_default().into();
-        if needs_permits && permit.is_empty() {
-            return self.drop_start(key, task, number, now_ms);
-        }
         let job = &mut self.jobs[job];
         let specification = job.specification.clone();
         let checkpoint = job
@@ -114,9 +99,27 @@
 
     /// Drops a run whose order to start must not be sent any more. If an earlier order to start it
     /// was not answered, the run is stopped at the worker first.
-    fn drop_start(&mut self, key: WorkerKey, task: TaskId, number: u32, now_ms: u64) {
-        self.workers[key].has_orders = true;
-        let run = self.workers[key].runs.get_mut(&(task, number));
+    fn drop_start(
+        &mut self,
+        key: WorkerKey,
+        task: TaskId,
+        number: u32,
+        bar: StartBar,
+        now_ms: u64,
+        actions: &mut Vec<Action>,
+    ) {
+        let worker = &mut self.workers[key];
+        worker.has_orders = true;
+        let run = worker.runs.get_mut(&(task, number));
+        let attempts = run.as_ref().map_or(0, |run| run.start_attempts);
+        actions.push(Action::Note(Note::new(
+            Code::StartWithheld,
+            task.to_string(),
+            format!(
+                "run={number} worker={} why={bar:?} earlier_orders={attempts}",
+                worker.entry.id
+            ),
+        )));
         if run.is_some_and(Run::request_stop) {
             self.lose_run(key, task, number, now_ms);
         }
--- a/crates/dispatch/src/policy/log_budget.rs
+++ b/crates/dispatch/src/policy/log_budget.rs
@@ -71,6 +71,7 @@
                 | Code::RunOrdered
                 | Code::RunBroken
                 | Code::StartRefused
+                | Code::StartWithheld
                 | Code::RunLagging
                 | Code::RunLost
                 | Code::TaskSuspected
--- a/tests/fleet/actions.rs
+++ b/tests/fleet/actions.rs
@@ -149,6 +149,7 @@
             Code::WorkerGone
                 | Code::RunLost
                 | Code::RunOrdered
+                | Code::StartWithheld
                 | Code::RunVanished
                 | Code::TaskWaits
                 | Code::WorkerBack
--- a/tests/fleet/deliveries.rs
+++ b/tests/fleet/deliveries.rs
@@ -49,6 +49,7 @@
                 let outcome = self.execute(&order);
                 if self.promises.starts.len() > starts {
                     self.check_start(number, &order.address);
+                    self.check_draining(number, &order.address);
                 }
                 self.reply_order(number, generation, order.ticket, outcome);
             }
--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -5,6 +5,7 @@
 mod callers;
 mod connections;
 mod deliveries;
+mod draining;
 mod evacuations;
 mod fixtures;
 mod link;
@@ -17,6 +18,8 @@
 
 use crate::fleet::connections::Peers;
 use crate::fleet::connections::relay_address;
+pub(crate) use crate::fleet::draining::DRAIN_MS;
+use crate::fleet::draining::Draining;
 pub(crate) use crate::fleet::evacuations::EVACUATED_MS;
 use crate::fleet::evacuations::Evacuations;
 pub(crate) use crate::fleet::fixtures::WORKER_RESOURCES;
@@ -149,6 +152,7 @@
     pub(crate) workers: BTreeMap<Box<str>, Worker>,
     pub(crate) promises: Promises,
     evacuations: Evacuations,
+    draining: Draining,
     deliveries: Vec<(u64, Delivery)>,
     requests: u64,
     /// Replies by request.
@@ -225,6 +229,7 @@
             workers: BTreeMap::new(),
             promises: Promises::default(),
             evacuations: Evacuations::default(),
+            draining: Draining::default(),
             deliveries: Vec::new(),
             requests: 0,
             replies: BTreeMap::new(),
--- a/tests/lib.rs
+++ b/tests/lib.rs
@@ -12,6 +12,7 @@
 mod dispatch_best_effort;
 mod dispatch_crashes;
 mod dispatch_disturbances;
+mod dispatch_draining;
 mod dispatch_evacuations;
 mod dispatch_exits;
 mod dispatch_fair_shares;
