Draining: an order to start that waits for a connection is dropped after half a second

Cause, by the log: nine orders for worker i-d8454a236a at 31.102, its draining acknowledged at 30.906 and known to the owner at 31.264 (list 250 ms old, as usual), starts at 32.974 and 32.975. The worker gets orders without answering them; its four connections were taken by calls that waited for an answer, and the other orders stood in the host's own queue until one timed out. That queue let a call wait for the whole time in which its answer is awaited, up to 4 s.

A call may now say how long it waits for a connection; an order to start waits 500 ms, and is then reported as not sent, which it is: the task goes elsewhere at once. Other orders wait as before: a stop that is dropped would only be sent again.

The test of the pool shows both: without a limit the call is sent once a connection is free, 900 ms later; with one it is reported as not sent and never arrives.

--- a/crates/dispatch/src/event.rs
+++ b/crates/dispatch/src/event.rs
@@ -272,6 +272,18 @@
     },
 }
 
+/// Time for which an order to start may wait for a connection to its worker. It was decided by what
+/// was known of the worker, which may begin to drain meanwhile.
+const MAX_START_QUEUE_MS: u64 = 500;
+
+impl WorkerCall {
+    /// Returns how long the call may wait for a connection; `None` for no limit but its timeout. A
+    /// call that waits for longer must not be sent.
+    pub fn max_queue_ms(&self) -> Option<u64> {
+        matches!(self, Self::Start { .. }).then_some(MAX_START_QUEUE_MS)
+    }
+}
+
 /// A connection to another entry host. The [`Entry`](crate::Entry) numbers outgoing connections,
 /// the listener numbers incoming ones.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
--- a/crates/net/src/calls.rs
+++ b/crates/net/src/calls.rs
@@ -18,6 +18,9 @@
     /// If set, an answer that has begun within the timeout is awaited as long as no gap
     /// between its bytes exceeds this time in milliseconds.
     pub stall_ms: Option<u64>,
+    /// Time in milliseconds after which a call that still waits for a connection is not sent any
+    /// more. Without it, such a call is sent until the timeout.
+    pub max_queue_ms: Option<u64>,
 }
 
 /// Content of a call, before it is encoded.
@@ -79,6 +82,7 @@
             bytes: bytes.into(),
             timeout_ms,
             stall_ms: None,
+            max_queue_ms: None,
         }
     }
 
@@ -90,6 +94,14 @@
             ..self
         }
     }
+
+    /// Limits how long the call may wait for a connection; `None` for no limit but the timeout.
+    pub fn with_max_queue_ms(self, max_queue_ms: Option<u64>) -> Self {
+        Self {
+            max_queue_ms,
+            ..self
+        }
+    }
 }
 
 quick_error! {
--- a/crates/net/src/pool.rs
+++ b/crates/net/src/pool.rs
@@ -42,6 +42,8 @@
 struct QueuedCall {
     call: Call,
     deadline_ms: u64,
+    /// Time until which it may be sent.
+    send_by_ms: u64,
 }
 
 /// One connection to a peer, with at most one call in flight.
@@ -106,9 +108,15 @@
     /// Sends a call as soon as a connection is available.
     pub(crate) fn call(&mut self, call: Call, clock: Clock, registrar: &Registrar) {
         let deadline_ms = clock.now_ms + call.timeout_ms;
+        let max_queue_ms = call.max_queue_ms.unwrap_or(call.timeout_ms);
+        let send_by_ms = deadline_ms.min(clock.now_ms + max_queue_ms);
         let peer = call.peer;
         let entry = self.peers.entry(peer).or_default();
-        entry.queue.push_back(QueuedCall { call, deadline_ms });
+        entry.queue.push_back(QueuedCall {
+            call,
+            deadline_ms,
+            send_by_ms,
+        });
         self.send_queued(peer, clock, registrar);
     }
 
@@ -120,9 +128,11 @@
             let Some(entry) = self.peers.get_mut(&peer) else {
                 return;
             };
-            if entry.queue.is_empty() {
+            let mut queue = entry.queue.iter();
+            let Some(index) = queue.position(|queued| clock.now_ms < queued.send_by_ms) else {
+                // What is left is reported as not sent when it expires.
                 return;
-            }
+            };
             let key = match entry.idle.pop() {
                 Some(key) => key,
                 None if entry.open_count < max_conns => match self.open(peer, clock, registrar) {
@@ -134,7 +144,7 @@
             let Some(entry) = self.peers.get_mut(&peer) else {
                 return;
             };
-            let Some(queued) = entry.queue.pop_front() else {
+            let Some(queued) = entry.queue.remove(index) else {
                 return;
             };
             let conn = &mut self.conns[key];
@@ -301,7 +311,7 @@
         }
     }
 
-    /// Closes overdue and idle connections, drops queued calls past their deadline, and sends
+    /// Closes overdue and idle connections, drops queued calls that may no longer be sent, and sends
     /// queued calls for which a connection is available.
     pub(crate) fn expire(
         &mut self,
@@ -332,14 +342,14 @@
         let mut peers_with_queue = Vec::new();
         for (peer, entry) in &mut self.peers {
             entry.queue.retain(|queued| {
-                let is_within_deadline = clock.now_ms < queued.deadline_ms;
-                if !is_within_deadline {
+                let may_be_sent = clock.now_ms < queued.send_by_ms;
+                if !may_be_sent {
                     arrivals.push(Arrival::Answer {
                         number: queued.call.number,
                         answer: Err(CallFault::NotSent(*peer)),
                     });
                 }
-                is_within_deadline
+                may_be_sent
             });
             if !entry.queue.is_empty() {
                 peers_with_queue.push(*peer);
--- a/crates/net/tests/pool.rs
+++ b/crates/net/tests/pool.rs
@@ -2,6 +2,7 @@
 
 use goldcrestway_net::Arrival;
 use goldcrestway_net::Call;
+use goldcrestway_net::CallFault;
 use goldcrestway_net::Message;
 use goldcrestway_net::Net;
 use googletest::prelude::*;
@@ -160,3 +161,59 @@
     expect_that!(call(&mut net, &[4]), eq(&(vec![false], 3)));
     expect_that!(call(&mut net, &[5]), eq(&(vec![true], 4)));
 }
+
+/// Connections to one peer by default.
+const CONNECTIONS: usize = 4;
+/// Time for which a call may wait for a connection, and the timeout of the calls that occupy all
+/// of them.
+const MAX_QUEUE_MS: u64 = 300;
+const OCCUPIED_MS: u64 = 900;
+
+/// Guards against a call that is sent long after it was decided. Orders to start waited for two
+/// seconds behind calls that got no answer, and reached a worker that was known to drain.
+#[gtest]
+fn a_call_that_waits_too_long_for_a_connection_is_not_sent() {
+    let cases = [(Some(MAX_QUEUE_MS), false), (None, true)];
+    for (max_queue_ms, is_sent) in cases {
+        let listener = TcpListener::bind(("127.0.0.1", 0)).unwrap();
+        listener.set_nonblocking(true).unwrap();
+        let peer = listener.local_addr().unwrap();
+        let mut net = Net::new().unwrap();
+        for number in 1..=CONNECTIONS as u64 {
+            net.call(Call::new(
+                number,
+                peer,
+                OCCUPIED_MS,
+                &Message::get("/occupies".into()),
+            ));
+        }
+        let waiting = Call::new(10, peer, TIMEOUT_MS, &Message::get("/waits".into()));
+        net.call(waiting.with_max_queue_ms(max_queue_ms));
+        let mut streams = Vec::new();
+        let mut received = String::new();
+        let mut is_reported = false;
+        for _ in 0..2 * MAX_WAITS {
+            for arrival in net.wait(WAIT) {
+                let Arrival::Answer { number, answer } = arrival else {
+                    continue;
+                };
+                let is_not_sent = answer.is_err_and(CallFault::had_no_effect);
+                is_reported |= number == 10 && is_not_sent;
+            }
+            if let Ok((stream, _)) = listener.accept() {
+                stream.set_nonblocking(true).unwrap();
+                streams.push(stream);
+            }
+            for stream in &mut streams {
+                let mut request = [0; 1_024];
+                let length = stream.read(&mut request).unwrap_or(0);
+                received.push_str(&String::from_utf8_lossy(&request[..length]));
+            }
+            if is_reported && streams.len() == CONNECTIONS || received.contains("/waits") {
+                break;
+            }
+        }
+        expect_that!(received.contains("/waits"), eq(is_sent));
+        expect_that!(is_reported, eq(!is_sent));
+    }
+}
--- a/tests/dispatch_draining.rs
+++ b/tests/dispatch_draining.rs
@@ -13,6 +13,8 @@
 use goldcrestway_dispatch::Step;
 use goldcrestway_dispatch::Stream;
 use goldcrestway_dispatch::Submission;
+use goldcrestway_dispatch::TaskId;
+use goldcrestway_dispatch::WorkerCall;
 use googletest::prelude::*;
 
 const HOSTS: usize = 3;
@@ -408,3 +410,25 @@
         }
     }
 }
+
+/// Guards against orders to start that wait in a host for a connection until their worker drains.
+/// Orders to stop must not be dropped as early: the task could not start elsewhere.
+#[gtest]
+fn only_orders_to_start_are_dropped_after_a_short_wait_for_a_connection() {
+    let task = TaskId {
+        job: JobId(1),
+        occurrence: 0,
+        step: 0,
+        index: 0,
+    };
+    let start = WorkerCall::Start {
+        task,
+        run: 1,
+        specification: "text".into(),
+        lease_until_ms: 0,
+        checkpoint: "".into(),
+        permit: "".into(),
+    };
+    expect_that!(start.max_queue_ms(), some(lt(DRAIN_MS / 2)));
+    expect_that!(WorkerCall::Stop { task, run: 1 }.max_queue_ms(), none());
+}
