Draining: a new owner starts nothing until the list of workers is loaded

An owner that dies leaves a gap of seconds; a worker that begins to drain in it is ready by the recorded list. Callers would see tasks start there more than 2 s after the acknowledgement, and be lost with the worker.

An owner now places and orders nothing while it loads the list. It begins to own as before, so leases are extended at once.

--- a/crates/dispatch/src/entry/ownership.rs
+++ b/crates/dispatch/src/entry/ownership.rs
@@ -355,6 +355,7 @@
             }
             owner.pause_starts(may_miss_evacuations);
             owner.set_list_known(self.workers.known_ms());
+            owner.set_loading_list(self.workers.is_loading_on_time());
             owner.advance(now, &mut self.tickets, actions);
             return;
         }
--- a/crates/dispatch/src/owner/mod.rs
+++ b/crates/dispatch/src/owner/mod.rs
@@ -211,6 +211,8 @@
     worker_keys: HashMap<Box<str>, WorkerKey>,
     /// Time up to which the platform's list of workers was read; `None` if this host has not read it.
     list_known_ms: Option<u64>,
+    /// This host is still loading that list. The list that it knows may be older than it is aware of.
+    is_loading_list: bool,
     orders: HashMap<u64, Order>,
     link: LinkBudget,
     answers: AnswerLatencies,
@@ -297,6 +299,7 @@
             workers: Workers::new(),
             worker_keys: HashMap::new(),
             list_known_ms: None,
+            is_loading_list: true,
             orders: HashMap::new(),
             link: LinkBudget::new(bounds.link_bytes_per_s),
             answers: AnswerLatencies::default(),
--- a/crates/dispatch/src/owner/placing.rs
+++ b/crates/dispatch/src/owner/placing.rs
@@ -77,7 +77,7 @@
     /// Places waiting tasks, the most urgent jobs first.
     pub(crate) fn place(&mut self, now: Now, actions: &mut Vec<Action>) {
         self.account_holds(now.steady_ms);
-        if self.are_starts_paused {
+        if self.is_placing_paused() {
             return self.record_waits(now.steady_ms);
         }
         if !self.link.admits(CallPriority::Start) {
--- a/crates/dispatch/src/owner/starting.rs
+++ b/crates/dispatch/src/owner/starting.rs
@@ -35,6 +35,8 @@
     Unconfirmed,
     /// The rules are too old.
     Rules,
+    /// The platform's list of workers is being loaded.
+    List,
     /// It has no valid permit.
     Permit,
 }
@@ -50,6 +52,21 @@
 }
 
 impl Owner {
+    /// Records whether the platform's list of workers is being loaded, with no load late or failed.
+    /// Nothing starts until it is: a new owner has the list as its predecessor recorded it, and
+    /// workers may have begun to drain while there was no owner. A list that can't be loaded is not
+    /// waited for, as that may last for minutes, and a task that is lost with its worker starts
+    /// again.
+    pub(crate) fn set_loading_list(&mut self, is_loading: bool) {
+        self.must_place |= self.is_loading_list && !is_loading;
+        self.is_loading_list = is_loading;
+    }
+
+    /// Returns whether no task may be placed at present, whatever the worker.
+    pub(super) fn is_placing_paused(&self) -> bool {
+        self.are_starts_paused || self.is_loading_list
+    }
+
     /// Returns why a worker gets no orders to start anything until its entry in the platform's list
     /// or the evacuation of its failure domain changes, if so.
     pub(super) fn lasting_bar(&self, worker: &Worker) -> Option<StartBar> {
@@ -96,6 +113,9 @@
         if self.are_starts_paused {
             return Err(StartBar::Rules);
         }
+        if self.is_loading_list {
+            return Err(StartBar::List);
+        }
         let permit = self.permits.permit(StepId::of(task), key, now_ms);
         let permit = permit.unwrap_or_default();
         if self.jobs[job].submission.needs_permits() && permit.is_empty() {
--- a/crates/dispatch/src/owner/stragglers.rs
+++ b/crates/dispatch/src/owner/stragglers.rs
@@ -111,7 +111,7 @@
 impl Owner {
     /// Searches for stragglers and replaces them.
     pub(crate) fn replace_stragglers(&mut self, now: Now, actions: &mut Vec<Action>) {
-        let is_due = now.steady_ms >= self.next_straggler_search_ms && !self.are_starts_paused;
+        let is_due = now.steady_ms >= self.next_straggler_search_ms && !self.is_placing_paused();
         if !is_due || !self.bounds.policy.replaces_stragglers {
             return;
         }
--- a/tests/dispatch_draining.rs
+++ b/tests/dispatch_draining.rs
@@ -264,6 +264,21 @@
         after: kill_owner,
         recover: start_all,
     },
+    Case {
+        name: "a new owner that takes a while to read the list",
+        submission: two_steps,
+        before: |fleet| {
+            for number in 0..600 {
+                let id = format!("x{number}-1");
+                let text = format!("10.9.{}.{}:80 leaving", number / 200, number % 200);
+                fleet.store.put(Stream::Workers, &id, text.as_bytes());
+            }
+            fleet.run(1_000);
+            fleet.store.limits.page_keys = 10;
+        },
+        after: kill_owner,
+        recover: start_all,
+    },
     Case {
         name: "a new owner that begins with a recorded list",
         submission: two_steps,
