--- a/tests/dispatch_faults.rs
+++ b/tests/dispatch_faults.rs
@@ -81,6 +81,8 @@
     Open,
     /// One, the other or both are evacuated, and the evacuations are revoked.
     Evacuated,
+    /// They stay open, and workers there drain, leave and are replaced while orders are late.
+    Drained,
 }
 
 /// Evacuates failure domains or revokes evacuations, up to three times in a row. Does nothing
@@ -347,12 +349,19 @@
         if domains == Domains::Evacuated {
             change_evacuations(&mut fleet, &mut random_domains);
         }
+        if domains == Domains::Drained {
+            let worker = random_domains.random_range(0..WORKERS);
+            fleet.change_draining(&format!("10.0.0.{worker}:80"), &mut random_domains);
+        }
         if orders != Orders::Direct && random.random_range(0..4) == 0 {
             fleet.silence_connections(random.random_range(0..fleet.host_count()));
         }
         fleet.run(random.random_range(50..1_500));
     }
     end_faults(&mut fleet);
+    if domains == Domains::Drained {
+        fleet.end_draining();
+    }
     if domains == Domains::Evacuated {
         // Unless tasks crash their workers, all jobs run in one domain for a while.
         fleet.cancel_evacuation("hall-1");
@@ -577,6 +586,23 @@
     }
 }
 
+/// Guards against starts at workers that drain, and against lost or repeated work, while orders are
+/// carried out late and workers leave.
+#[gtest]
+fn guarantees_hold_while_workers_drain_and_orders_are_late() {
+    for seed in 0..sequence_count().div_ceil(2) {
+        for callers in [Callers::Plain, Callers::Restless, Callers::Insistent] {
+            for orders in [Orders::Direct, Orders::Relayed] {
+                expect_that!(
+                    run_sequence(seed, callers, orders, Ids::New, Domains::Drained),
+                    is_empty(),
+                    "seed {seed}, {callers:?}, {orders:?}"
+                );
+            }
+        }
+    }
+}
+
 /// Guards against a gang that fails because each of its members on one crashed worker was counted
 /// as a crash of its own.
 #[gtest]
