--- a/crates/core/src/notes.rs
+++ b/crates/core/src/notes.rs
@@ -102,7 +102,7 @@
     JobFailed = 2305, "A task of the job has failed too often, or crashes the workers that start it.";
     JobFinished = 2306, "A job has reached its final state.";
     JobTimes = 2307, "A job has ended, and its end is published: the detail gives the milliseconds of each phase, their total, by how much it missed its objective, what its caller has estimated, and the task that each step ended with, as step.task:run@worker:milliseconds.";
-    RunOrdered = 2400, "A worker was ordered to start a run of a task.";
+    RunOrdered = 2400, "A worker was ordered to start a run of a task; the detail gives the age of its last answer, the number of the order, as one without an answer is repeated, and the age of the list of workers.";
     RunBroken = 2401, "A run of a task ended without success.";
     StartRefused = 2402, "A worker refused to start a run.";
     RunLagging = 2403, "A run makes no progress or is far slower than its siblings; it is started elsewhere, or gets a copy.";
@@ -115,6 +115,7 @@
     QueueHeldBack = 2412, "Jobs of a queue wait behind those of others of its priority, as it holds more than an equal part; the detail gives what it holds, what it has held of late and the equal part, in millionths of the service.";
     RoomKept = 2413, "Room is kept on workers for a step whose tasks have waited for long and are too wide for what others leave free; the detail gives the workers, when the tasks should fit, and for how long it is kept at most.";
     IdleStart = 2414, "A best-effort task was assigned at a reduced CPU share, as nothing of its job ran and no worker takes it at its full share; the detail gives the worker, the share and how long the job has waited.";
+    StartWithheld = 2420, "An order to start a run that was decided earlier was not sent; the detail gives why, and how many earlier orders to start the run had no answer: if any, the run is stopped at its worker before its task starts elsewhere.";
     WorkerSilent = 2501, "A worker does not answer; its lease is no longer extended.";
     WorkerBack = 2502, "A worker answers again.";
     WorkerLeaving = 2503, "A worker is about to leave and gets no new tasks.";
