Log which finished jobs a host forgets, and how old it takes them to be

The log could not tell whether the host had never read the job or had dropped it: dropping left no line. It now leaves one (2308), with the ages that decided.

--- a/crates/core/src/notes.rs
+++ b/crates/core/src/notes.rs
@@ -102,6 +102,7 @@
     JobFailed = 2305, "A task of the job has failed too often, or crashes the workers that start it.";
     JobFinished = 2306, "A job has reached its final state.";
     JobTimes = 2307, "A job has ended, and its end is published: the detail gives the milliseconds of each phase, their total, by how much it missed its objective, what its caller has estimated, and the task that each step ended with, as step.task:run@worker:milliseconds.";
+    JobsForgotten = 2308, "This host has forgotten finished jobs whose state need not be available any more; the detail gives how many, the shortest and longest time for which they were finished, and whether the host, as the owner, deletes them from the store.";
     RunOrdered = 2400, "A worker was ordered to start a run of a task.";
     RunBroken = 2401, "A run of a task ended without success.";
     StartRefused = 2402, "A worker refused to start a run.";
--- a/crates/dispatch/src/entry/following.rs
+++ b/crates/dispatch/src/entry/following.rs
@@ -200,14 +200,29 @@
         self.next_purge_ms = now.steady_ms + PURGE_MS;
         let retention_ms = self.bounds.status_ms + STATUS_SLACK_MS;
         let mut expired = Vec::new();
+        let mut ages_ms = Vec::new();
         for (id, job) in &self.job_table.jobs {
-            if job
-                .final_wall_ms()
-                .is_some_and(|final_wall_ms| now.wall_ms >= final_wall_ms + retention_ms)
-            {
+            let Some(final_wall_ms) = job.final_wall_ms() else {
+                continue;
+            };
+            if now.wall_ms >= final_wall_ms + retention_ms {
                 expired.push(*id);
+                ages_ms.push(now.wall_ms - final_wall_ms);
             }
         }
+        if let (Some(min_ms), Some(max_ms)) = (ages_ms.iter().min(), ages_ms.iter().max()) {
+            let detail = format!(
+                "jobs={} finished_ms={min_ms}..{max_ms} deletes={} uptime_ms={}",
+                expired.len(),
+                self.owner.is_some(),
+                now.steady_ms
+            );
+            actions.push(Action::Note(Note::new(
+                Code::JobsForgotten,
+                &*self.host,
+                detail,
+            )));
+        }
         for id in &expired {
             self.job_table.jobs.remove(id);
         }
