Finished jobs are forgotten by elapsed time, not by the time of day

Cause, from the lines that a host now leaves when it forgets jobs (JobsForgotten jobs=21 finished_ms=186854..193020 uptime_ms=20000, by all seven hosts; deletes=true at the owner): the age of a finished job was this host's time of day less the one that the owner had recorded at its end. Jumps of a minute that overlap add up to more than the retention of 120 s and its slack of 60 s, so hosts forgot jobs seconds after their end, and the owner deleted their keys for good. A caller that then submitted such a job again started it anew (JobStored of the same id, 0.02 s before the second start).

Ruled out: records that stood half. Jobs that started twice had been forgotten whole and were submitted again; the new owner had read their final states.

Each host now measures on its steady clock for how long it has known that a job is final. No wall time decides, so no jump of any clock, alone or of all hosts, shortens or prolongs the retention. A new process counts from its start. What a host keeps is bounded by the jobs that end within one retention, and by what the store held at its start; the store keeps more only while every owner lives shorter than that.

--- a/crates/dispatch/src/entry/following.rs
+++ b/crates/dispatch/src/entry/following.rs
@@ -193,6 +193,11 @@
 
     /// Removes jobs whose state need not be available any more. The owner also deletes their keys
     /// from the store, which otherwise retains them forever.
+    ///
+    /// Only time that has passed on this host's steady clock counts. A host that has just started
+    /// keeps what it reads for the whole retention, so a job is kept for too long while owners
+    /// restart within that time, and never for too short a time. What a host keeps is bounded by
+    /// the jobs that end within one retention, and by what the store held when it started.
     pub(super) fn purge(&mut self, now: Now, actions: &mut Vec<Action>) {
         if now.steady_ms < self.next_purge_ms {
             return;
@@ -201,14 +206,13 @@
         let retention_ms = self.bounds.status_ms + STATUS_SLACK_MS;
         let mut expired = Vec::new();
         let mut ages_ms = Vec::new();
-        for (id, job) in &self.job_table.jobs {
-            let Some(final_wall_ms) = job.final_wall_ms() else {
+        for (id, job) in &mut self.job_table.jobs {
+            let known_final_ms = job.known_final_ms(now.steady_ms);
+            let Some(age_ms) = known_final_ms.filter(|age_ms| *age_ms >= retention_ms) else {
                 continue;
             };
-            if now.wall_ms >= final_wall_ms + retention_ms {
-                expired.push(*id);
-                ages_ms.push(now.wall_ms - final_wall_ms);
-            }
+            expired.push(*id);
+            ages_ms.push(age_ms);
         }
         if let (Some(min_ms), Some(max_ms)) = (ages_ms.iter().min(), ages_ms.iter().max()) {
             let detail = format!(
--- a/crates/dispatch/src/job_table.rs
+++ b/crates/dispatch/src/job_table.rs
@@ -47,6 +47,9 @@
     /// Whether its cancellation was read.
     pub(crate) is_cancelled: bool,
     state: StateRecord,
+    /// Time on the steady clock since which this host knows that it is final, set by the search
+    /// that finds it first.
+    final_since_ms: Option<u64>,
 }
 
 impl JobRecord {
@@ -54,9 +57,14 @@
         self.state.phase()
     }
 
-    /// Returns when it became final, in milliseconds since 1970; `None` if it is not final.
-    pub(crate) fn final_wall_ms(&self) -> Option<u64> {
-        self.phase().is_final().then_some(self.state.final_wall_ms)
+    /// Returns for how long this host has known that it is final; `None` if it is not final. The
+    /// time of day at its end, which is on record, shows nothing: it is from the clock of another
+    /// host, and either clock may have jumped since.
+    pub(crate) fn known_final_ms(&mut self, now_ms: u64) -> Option<u64> {
+        if !self.phase().is_final() {
+            return None;
+        }
+        Some(now_ms - *self.final_since_ms.get_or_insert(now_ms))
     }
 
     pub(crate) fn state(&self) -> JobState {
--- a/tests/fleet/callers.rs
+++ b/tests/fleet/callers.rs
@@ -1,7 +1,6 @@
 //! Callers of the fleet, which submit, cancel and query jobs.
 
 use crate::fleet::Fleet;
-use crate::fleet::WALL_MS;
 use goldcrestway_dispatch::Ages;
 use goldcrestway_dispatch::Entry;
 use goldcrestway_dispatch::Event;
@@ -23,7 +22,7 @@
             request,
             job,
             submission: Submission {
-                accepted_wall_ms: WALL_MS + self.now_ms,
+                accepted_wall_ms: self.now(number).wall_ms,
                 ..submission.clone()
             },
             answer_timeout_ms: 3_000,
@@ -76,7 +75,7 @@
     /// Returns the ages of the data of a host.
     pub(crate) fn ages(&self, number: usize) -> Ages {
         let entry = self.hosts[number].entry.as_ref();
-        entry.map_or(Ages::default(), |entry| entry.ages(self.now()))
+        entry.map_or(Ages::default(), |entry| entry.ages(self.now(number)))
     }
 
     /// Returns the shares of all queues, as a host knows them.
--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -123,6 +123,8 @@
     store_calls: usize,
     /// Its link, unless the link is never a bottleneck.
     link: Option<Link>,
+    /// Time by which its time of day is ahead of the true one.
+    clock_ahead_ms: i64,
 }
 
 impl Host {
@@ -270,6 +272,7 @@
                 disturbed_ms: 0,
                 store_calls: 0,
                 link: mbit_per_s.map(Link::new),
+                clock_ahead_ms: 0,
             });
             fleet.start(number);
         }
@@ -287,7 +290,7 @@
         self.run(5_000);
     }
 
-    /// Returns the wall-clock time.
+    /// Returns the true time of day.
     pub(crate) fn wall_ms(&self) -> u64 {
         WALL_MS + self.now_ms
     }
@@ -500,15 +503,27 @@
         }
     }
 
-    fn now(&self) -> Now {
+    /// Sets by how much the time of day of a host is ahead of the true one.
+    pub(crate) fn set_clock(&mut self, number: usize, ahead_ms: i64) {
+        self.hosts[number].clock_ahead_ms = ahead_ms;
+    }
+
+    /// Returns by how much the time of day of a host is ahead of the true one.
+    pub(crate) fn clock_ahead_ms(&self, number: usize) -> i64 {
+        self.hosts[number].clock_ahead_ms
+    }
+
+    /// Returns the time by the clocks of a host.
+    fn now(&self, number: usize) -> Now {
+        let ahead_ms = self.hosts[number].clock_ahead_ms;
         Now {
             steady_ms: self.now_ms,
-            wall_ms: WALL_MS + self.now_ms,
+            wall_ms: self.wall_ms().saturating_add_signed(ahead_ms),
         }
     }
 
     fn handle(&mut self, number: usize, event: Event) {
-        let now = self.now();
+        let now = self.now(number);
         let Some(entry) = &mut self.hosts[number].entry else {
             return;
         };
--- a/tests/fleet/rules.rs
+++ b/tests/fleet/rules.rs
@@ -187,7 +187,7 @@
     fn ask_queue(&mut self, number: usize, name: &str) -> Option<u64> {
         let host = &self.hosts[number];
         let entry = host.entry.as_ref().filter(|_| !host.is_paused)?;
-        let found = entry.find_queue(QUEUES_HOST, &format!("/{name}/"), self.now());
+        let found = entry.find_queue(QUEUES_HOST, &format!("/{name}/"), self.now(number));
         self.requests += 1;
         let request = self.requests;
         let reply = match found {
