Timed jobs and ages of jobs don't follow the clock of one host

Callers of timed jobs would have seen them start an hour early, or not at all, as soon as the owner's clock was set ahead or back, by its jump and for as long as it lasted. A job accepted by a host whose clock was behind was taken for an hour late from the start: past its value, behind all others, and its account began with a phase of an hour.

The change: a host uses a time of day of its own (policy/time_of_day.rs). A jump against the steady clock counts only once the clock has shown it for 30 s, or for as long as the time before it; and the offset in use is the median of this host's and of those that at least two others have shown with jobs that they accepted, whose records now name the host (a field that the former build skips, as this one does without it). The age of a job read live is bounded by the time since the stream was read last; a time of day that contradicts it shows nothing. The due time of an occurrence no longer uses the time of acceptance.

A host whose clock differs by 2 s or more says so (events 2007, 2008, metric goldcrestway_clock_offset_ms).

Tests: 36 sequences of jumps against timed jobs and leases, 8 hosts that have always been wrong against timed jobs and accounts. What it can't tell: most clocks wrong for longer than 30 s, and a clock that has always been wrong by less than about 4 s.

--- a/crates/core/src/notes.rs
+++ b/crates/core/src/notes.rs
@@ -82,6 +82,8 @@
     StreamsLoaded = 2004, "A host that has started has read what it needs: all jobs and their states, or who the owner is.";
     ReadFailed = 2005, "A read of a stream of the store returned nothing; the detail gives the cause, when the read was sent, and the age of what is known from that stream.";
     ClockJumped = 2006, "The time of day ran ahead of the monotonic clock: the host was suspended, or its clock was set. All that it has read counts as that much older.";
+    ClockDoubted = 2007, "This host's clock differs from the time of day in use by 2 s or more: it has just jumped, or other hosts show another time; the detail gives by how much it is ahead, and the number of other hosts whose times count.";
+    ClockTrusted = 2008, "This host's clock agrees with the time of day in use again.";
     OwnerClaimed = 2101, "This host has claimed ownership of the progress of all jobs.";
     OwnerBegun = 2102, "This host has read all available streams and acts as the owner.";
     OwnerEnded = 2103, "This host no longer owns the progress of jobs.";
--- a/crates/dispatch/src/entry/ages.rs
+++ b/crates/dispatch/src/entry/ages.rs
@@ -23,6 +23,9 @@
     pub jobs_ms: Option<u64>,
     /// Age of the list of workers, which only the owner follows.
     pub workers_ms: Option<u64>,
+    /// Time by which the host's clock is ahead of the time of day that the host uses; negative if
+    /// it is behind.
+    pub clock_offset_ms: i64,
 }
 
 impl Ages {
@@ -47,6 +50,7 @@
             states_ms: self.states.age_ms(now_ms),
             jobs_ms: jobs.max().flatten(),
             workers_ms: self.workers.age_ms(now_ms),
+            clock_offset_ms: self.clock_offset_ms,
         }
     }
 
--- a/crates/dispatch/src/entry/callers.rs
+++ b/crates/dispatch/src/entry/callers.rs
@@ -175,11 +175,12 @@
         &mut self,
         request: u64,
         job: JobId,
-        submission: Submission,
+        mut submission: Submission,
         answer_timeout_ms: u64,
         now: Now,
         actions: &mut Vec<Action>,
     ) {
+        self.stamp(&mut submission);
         let is_known = self
             .job_table
             .jobs
--- a/crates/dispatch/src/entry/mod.rs
+++ b/crates/dispatch/src/entry/mod.rs
@@ -3,6 +3,7 @@
 
 mod ages;
 mod callers;
+mod clock;
 mod contact;
 mod following;
 mod forwarding;
@@ -45,6 +46,7 @@
 use crate::owner::records_bytes;
 use crate::policy::fair_shares::QueueShare;
 use crate::policy::link::MAX_LIST_PAUSE_MS;
+use crate::policy::time_of_day::TimeOfDay;
 use crate::record::OwnerRecord;
 use crate::relay::Relay;
 use crate::tail::Tail;
@@ -136,7 +138,11 @@
     contact: StoreContact,
     are_rules_outdated: bool,
     /// Offset of the wall clock from the steady clock.
-    clock_offset_ms: Option<u64>,
+    shown_offset_ms: Option<u64>,
+    time_of_day: TimeOfDay,
+    /// Time by which this host's clock is ahead of the time of day in use.
+    clock_offset_ms: i64,
+    is_clock_doubted: bool,
 }
 
 impl Entry {
@@ -180,7 +186,10 @@
             is_store_unavailable: false,
             contact: StoreContact::default(),
             are_rules_outdated: false,
-            clock_offset_ms: None,
+            shown_offset_ms: None,
+            time_of_day: TimeOfDay::default(),
+            clock_offset_ms: 0,
+            is_clock_doubted: false,
         }
     }
 
@@ -240,6 +249,7 @@
     pub fn handle_all(&mut self, now: Now, events: Vec<Event>) -> Vec<Action> {
         let mut actions = Vec::new();
         self.detect_suspension(now, &mut actions);
+        let now = self.correct_time_of_day(now, &mut actions);
         for event in events {
             self.handle_event(now, event, &mut actions);
         }
@@ -424,6 +434,9 @@
         for record in &progress.records {
             let change = self.job_table.apply(record);
             has_hosts |= change == Change::Host;
+            if let Change::Submitted(id) = change {
+                self.record_read_submission(id, progress.previous_age_ms, now);
+            }
             self.apply_change(change, now, actions);
         }
         // This is a pass over all hosts, of which there may be thousands.
--- a/crates/dispatch/src/entry/suspension.rs
+++ b/crates/dispatch/src/entry/suspension.rs
@@ -16,7 +16,7 @@
     /// read of each stream.
     pub(super) fn detect_suspension(&mut self, now: Now, actions: &mut Vec<Action>) {
         let offset_ms = now.wall_ms.saturating_sub(now.steady_ms);
-        let Some(previous_ms) = self.clock_offset_ms.replace(offset_ms) else {
+        let Some(previous_ms) = self.shown_offset_ms.replace(offset_ms) else {
             return;
         };
         let jump_ms = offset_ms.saturating_sub(previous_ms);
--- a/crates/dispatch/src/job_table.rs
+++ b/crates/dispatch/src/job_table.rs
@@ -1,6 +1,7 @@
 //! The jobs, the owner and the entry hosts, as this host has read them from the streams.
 
 use crate::config::WorkerEntry;
+use crate::event::Now;
 use crate::event::StoredRecord;
 use crate::ids::JobId;
 use crate::record::HostRecord;
@@ -50,6 +51,8 @@
     /// Time on the steady clock since which this host knows that it is final, set by the search
     /// that finds it first.
     final_since_ms: Option<u64>,
+    /// Time on the steady clock before which it was not accepted; `None` if unknown.
+    pub(crate) not_before_ms: Option<u64>,
 }
 
 impl JobRecord {
@@ -57,6 +60,23 @@
         self.state.phase()
     }
 
+    /// Returns the time since its acceptance, by the time of day that another host has recorded. A
+    /// time that can't be true shows nothing: records are mostly read just after they were stored.
+    pub(crate) fn age_ms(&self, now: Now) -> u64 {
+        let accepted_wall_ms = self
+            .submission
+            .as_ref()
+            .map_or(now.wall_ms, |submission| submission.accepted_wall_ms);
+        let age_ms = now.wall_ms.saturating_sub(accepted_wall_ms);
+        let max_age_ms = self
+            .not_before_ms
+            .map_or(u64::MAX, |not_before_ms| now.steady_ms - not_before_ms);
+        match age_ms > max_age_ms {
+            true => 0,
+            false => age_ms,
+        }
+    }
+
     /// Returns for how long this host has known that it is final; `None` if it is not final. The
     /// time of day at its end, which is on record, shows nothing: it is from the clock of another
     /// host, and either clock may have jumped since.
--- a/crates/dispatch/src/owner/job.rs
+++ b/crates/dispatch/src/owner/job.rs
@@ -162,8 +162,7 @@
         worker: impl FnMut(&str) -> WorkerKey,
     ) -> Option<Self> {
         let submission = record.submission.clone()?;
-        let age_ms = now.wall_ms.saturating_sub(submission.accepted_wall_ms);
-        let arrived_ms = now.steady_ms.saturating_sub(age_ms);
+        let arrived_ms = now.steady_ms.saturating_sub(record.age_ms(now));
         let mut job = Self {
             id,
             specification: submission.specification.as_str().into(),
@@ -298,7 +297,8 @@
     }
 
     /// Returns the time in milliseconds from the acceptance of the job until its first unfinished
-    /// occurrence is due, at most until now. Returns 0 for jobs without repetitions.
+    /// occurrence is due, at most until now. Returns 0 for jobs without repetitions. The time of day
+    /// of its acceptance is from another host's clock and is not used.
     pub(crate) fn due_offset_ms(&self, now: Now) -> u64 {
         let open = self
             .occurrences
@@ -307,10 +307,15 @@
         let Some(occurrence) = open.filter(|_| self.submission.repetitions > 0) else {
             return 0;
         };
-        let due_wall_ms = self
-            .occurrence_due_wall_ms(occurrence.number)
-            .min(now.wall_ms);
-        due_wall_ms.saturating_sub(self.submission.accepted_wall_ms)
+        let due_wall_ms = self.occurrence_due_wall_ms(occurrence.number);
+        let overdue_ms = now.wall_ms.saturating_sub(due_wall_ms);
+        let arrived_age_ms = now.steady_ms - self.arrived_ms;
+        arrived_age_ms.saturating_sub(overdue_ms)
+    }
+
+    /// Returns the time since its acceptance, as this owner took it to be when it read the job.
+    pub(crate) fn age_ms(&self, now_ms: u64) -> u64 {
+        now_ms - self.arrived_ms
     }
 
     /// Returns the remaining time in milliseconds of the longest chain of steps that have waiting
--- a/crates/dispatch/src/policy/mod.rs
+++ b/crates/dispatch/src/policy/mod.rs
@@ -20,6 +20,7 @@
 //! | [`suspicion`] | which task is the cause when a worker has crashed |
 //! | [`fair_shares`] | which queue goes first among queues of the same priority |
 //! | [`shown_queues`] | which queues metrics show by name |
+//! | [`time_of_day`] | which time of day a host uses, when clocks jump |
 //! | [`kept_room`] | on which workers room is kept for a wide task, and for how long |
 
 pub mod answer_timeouts;
@@ -43,5 +44,6 @@
 pub mod stragglers;
 pub mod suspicion;
 mod switches;
+pub mod time_of_day;
 
 pub use switches::Policy;
--- a/crates/dispatch/src/record.rs
+++ b/crates/dispatch/src/record.rs
@@ -147,6 +147,9 @@
     /// Time for which a permit is valid; 0 if its tasks may start on any worker.
     #[prost(uint64, tag = "15")]
     pub permit_validity_ms: u64,
+    /// Host whose clock shows when it was accepted; empty if a former release has recorded it.
+    #[prost(string, tag = "16")]
+    pub accepted_by: String,
 }
 
 impl Submission {
--- a/tests/dispatch_clocks.rs
+++ b/tests/dispatch_clocks.rs
@@ -8,7 +8,11 @@
 use crate::fleet::step;
 use goldcrestway_dispatch::JobId;
 use goldcrestway_dispatch::JobState;
+use goldcrestway_dispatch::Step;
 use goldcrestway_dispatch::Stream;
+use goldcrestway_dispatch::Submission;
+use goldcrestway_dispatch::TaskId;
+use goldcrestway_dispatch::policy::time_of_day::MAX_TRIAL_MS;
 use googletest::prelude::*;
 
 const HOSTS: usize = 3;
@@ -134,6 +138,8 @@
     for jumps in &JUMPS {
         for who in Who::ALL {
             let mut fleet = Fleet::new(HOSTS, 2);
+            // A clock is believed as long as it has been right before.
+            fleet.run(MAX_TRIAL_MS);
             let hosts = who.hosts(&fleet);
             let name = format!("{}, {who:?}", jumps.name);
             visit(&mut fleet, &hosts, jumps, &name);
@@ -198,3 +204,177 @@
         expect_that!(job_keys(fleet), eq(keys), "{name}");
     });
 }
+
+/// Guards against timed jobs that start early, or not at all, as the clock of the owner has jumped.
+/// Each occurrence starts by the time of day that the clocks showed before.
+#[gtest]
+fn timed_jobs_start_by_the_time_of_day_while_clocks_jump() {
+    const TIMES: u32 = 5;
+    const INTERVAL_MS: u64 = 4_000;
+    const FIRST_MS: u64 = 3_000;
+    const EARLY_MS: u64 = 250;
+    const LATE_MS: u64 = 500;
+    for_each_case(|fleet, hosts, jumps, name| {
+        let first_due_ms = fleet.now_ms + FIRST_MS;
+        let repeated = Submission {
+            repetitions: TIMES,
+            first_due_wall_ms: fleet.wall_ms() + FIRST_MS,
+            interval_ms: INTERVAL_MS,
+            ..job(vec![step(1, 300, &[])])
+        };
+        fleet.submit(0, JOB, &repeated);
+        fleet.run(1_000);
+        jump(fleet, hosts, jumps);
+        let end_ms = first_due_ms + u64::from(TIMES) * INTERVAL_MS;
+        fleet.run(end_ms - fleet.now_ms);
+        for occurrence in 0..TIMES {
+            let task = TaskId {
+                job: JobId(JOB),
+                occurrence,
+                step: 0,
+                index: 0,
+            };
+            let due_ms = first_due_ms + u64::from(occurrence) * INTERVAL_MS;
+            let started_ms = fleet.promises.first_starts_ms.get(&task).copied();
+            let range = all![ge(due_ms - EARLY_MS), le(due_ms + LATE_MS)];
+            expect_that!(started_ms, some(range), "{name}, occurrence {occurrence}");
+        }
+    });
+}
+
+/// A host that starts with a wrong clock and has never known a right one.
+struct WrongStart {
+    name: &'static str,
+    is_owner: bool,
+    ahead_ms: i64,
+}
+
+const WRONG_STARTS: [WrongStart; 8] = [
+    WrongStart {
+        name: "the owner, an hour ahead",
+        is_owner: true,
+        ahead_ms: HOUR_MS,
+    },
+    WrongStart {
+        name: "the owner, an hour back",
+        is_owner: true,
+        ahead_ms: -HOUR_MS,
+    },
+    WrongStart {
+        name: "the owner, a year ahead",
+        is_owner: true,
+        ahead_ms: YEAR_MS,
+    },
+    WrongStart {
+        name: "the owner, a year back",
+        is_owner: true,
+        ahead_ms: -YEAR_MS,
+    },
+    WrongStart {
+        name: "another host, an hour ahead",
+        is_owner: false,
+        ahead_ms: HOUR_MS,
+    },
+    WrongStart {
+        name: "another host, an hour back",
+        is_owner: false,
+        ahead_ms: -HOUR_MS,
+    },
+    WrongStart {
+        name: "another host, a year ahead",
+        is_owner: false,
+        ahead_ms: YEAR_MS,
+    },
+    WrongStart {
+        name: "another host, a year back",
+        is_owner: false,
+        ahead_ms: -YEAR_MS,
+    },
+];
+
+/// Starts a fleet with such a host, and returns the host. Only a host that is to be the owner has
+/// enough of a core to be the first to claim.
+fn start_wrong(case: &WrongStart) -> (Fleet, usize) {
+    let mut fleet = Fleet::with_shares(&[200, 100, 100], 2);
+    let host = if case.is_owner { 0 } else { 1 };
+    for number in 0..HOSTS {
+        fleet.kill(number);
+    }
+    fleet.set_clock(host, case.ahead_ms);
+    for number in 0..HOSTS {
+        fleet.start(number);
+    }
+    fleet.run(6_000);
+    expect_that!(fleet.owner(), some(eq(0)), "{}", case.name);
+    (fleet, host)
+}
+
+/// Guards against timed jobs that start early or late by the clock of the owner, which has always
+/// been wrong, while the other hosts show another time.
+#[gtest]
+fn timed_jobs_start_by_the_time_of_most_hosts() {
+    const FIRST_MS: u64 = 5_000;
+    for case in &WRONG_STARTS {
+        let (mut fleet, _) = start_wrong(case);
+        for host in 0..HOSTS {
+            let id = 0x100 + host as u64;
+            fleet.submit(host, id, &job(vec![step(1, 300, &[])]));
+            fleet.run(500);
+        }
+        let due_ms = fleet.now_ms + FIRST_MS;
+        let timed = Submission {
+            repetitions: 1,
+            first_due_wall_ms: fleet.wall_ms() + FIRST_MS,
+            interval_ms: 1_000,
+            ..job(vec![step(1, 300, &[])])
+        };
+        fleet.submit(2, JOB, &timed);
+        fleet.run(FIRST_MS + 2_000);
+        let task = TaskId {
+            job: JobId(JOB),
+            occurrence: 0,
+            step: 0,
+            index: 0,
+        };
+        let started_ms = fleet.promises.first_starts_ms.get(&task).copied();
+        let range = all![ge(due_ms - 250), le(due_ms + 1_000)];
+        expect_that!(started_ms, some(range), "{}", case.name);
+    }
+}
+
+/// Guards against jobs that are taken for hours late, and accounts of their time that contain the
+/// error of a clock, where the clock of the host that accepted them or that of the owner is wrong.
+#[gtest]
+fn accounts_of_time_do_not_contain_errors_of_clocks() {
+    for case in &WRONG_STARTS {
+        let (mut fleet, host) = start_wrong(case);
+        for (id, number) in [(1, host), (2, 2), (3, host)] {
+            let before = fleet.job_times.len();
+            fleet.submit(number, id, &job(vec![step(2, 300, &[])]));
+            fleet.run(2_000);
+            expect_that!(fleet.job_times.len(), eq(before + 1), "{}", case.name);
+            for (_, times) in &fleet.job_times[before..] {
+                expect_that!(times.times.total_ms(), le(4_500), "{}", case.name);
+                expect_that!(times.is_missed(), eq(false), "{}", case.name);
+            }
+        }
+    }
+}
+
+/// Guards against leases that end, and runs that are started again, as the clock of a host jumps.
+#[gtest]
+fn leases_do_not_depend_on_the_time_of_day() {
+    for_each_case(|fleet, hosts, jumps, name| {
+        let long_running = Step {
+            is_long_running: true,
+            ..step(2, 1_000, &[])
+        };
+        fleet.submit(0, JOB, &job(vec![long_running]));
+        fleet.run(2_000);
+        jump(fleet, hosts, jumps);
+        fleet.run(12_000);
+        expect_that!(starts(fleet), eq(2), "{name}");
+        expect_that!(fleet.owners(), eq(1), "{name}");
+        expect_that!(fleet.claims, eq(1), "{name}");
+    });
+}
--- a/tests/dispatch_freshness.rs
+++ b/tests/dispatch_freshness.rs
@@ -122,6 +122,7 @@
         states_ms: Some(390),
         jobs_ms: Some(390),
         workers_ms: None,
+        clock_offset_ms: 0,
     };
     expect_that!(entry.ages(at(400)), eq(ages));
     let outcome = ReadOutcome::Records {
