--- a/crates/core/src/notes.rs
+++ b/crates/core/src/notes.rs
@@ -82,6 +82,8 @@
     StreamsLoaded = 2004, "A host that has started has read what it needs: all jobs and their states, or who the owner is.";
     ReadFailed = 2005, "A read of a stream of the store returned nothing; the detail gives the cause, when the read was sent, and the age of what is known from that stream.";
     ClockJumped = 2006, "The time of day ran ahead of the monotonic clock: the host was suspended, or its clock was set. All that it has read counts as that much older.";
+    ClockDoubted = 2007, "This host's clock differs from the time of day in use by 2 s or more: it has just jumped, or other hosts show another time; the detail gives by how much it is ahead, and the number of other hosts whose times count.";
+    ClockTrusted = 2008, "This host's clock agrees with the time of day in use again.";
     OwnerClaimed = 2101, "This host has claimed ownership of the progress of all jobs.";
     OwnerBegun = 2102, "This host has read all available streams and acts as the owner.";
     OwnerEnded = 2103, "This host no longer owns the progress of jobs.";
@@ -102,6 +104,7 @@
     JobFailed = 2305, "A task of the job has failed too often, or crashes the workers that start it.";
     JobFinished = 2306, "A job has reached its final state.";
     JobTimes = 2307, "A job has ended, and its end is published: the detail gives the milliseconds of each phase, their total, by how much it missed its objective, what its caller has estimated, and the task that each step ended with, as step.task:run@worker:milliseconds.";
+    JobsForgotten = 2308, "This host has forgotten finished jobs whose state need not be available any more; the detail gives how many, the shortest and longest time for which they were finished, and whether the host, as the owner, deletes them from the store.";
     RunOrdered = 2400, "A worker was ordered to start a run of a task; the detail gives the age of its last answer, the number of the order, as one without an answer is repeated, and the age of the list of workers.";
     RunBroken = 2401, "A run of a task ended without success.";
     StartRefused = 2402, "A worker refused to start a run.";
--- a/crates/dispatch/src/policy/mod.rs
+++ b/crates/dispatch/src/policy/mod.rs
@@ -21,6 +21,7 @@
 //! | [`fair_shares`] | which queue goes first among queues of the same priority |
 //! | [`shown_queues`] | which queues metrics show by name |
 //! | [`idle_starts`] | at which share a best-effort task starts that no worker takes at its full share |
+//! | [`time_of_day`] | which time of day a host uses, when clocks jump |
 //! | [`kept_room`] | on which workers room is kept for a wide task, and for how long |
 
 pub mod answer_timeouts;
@@ -45,5 +46,6 @@
 pub mod stragglers;
 pub mod suspicion;
 mod switches;
+pub mod time_of_day;
 
 pub use switches::Policy;
