--- a/crates/dispatch/src/owner/mod.rs
+++ b/crates/dispatch/src/owner/mod.rs
@@ -111,6 +111,8 @@
 pub struct OwnerStats {
     /// Orders to start that were sent.
     pub starts: u64,
+    /// Orders to start that were decided and not sent.
+    pub starts_withheld: u64,
     /// Orders to start that were refused for lack of resources.
     pub refused_for_resources: u64,
     /// Runs that succeeded.
--- a/crates/dispatch/src/owner/orders.rs
+++ b/crates/dispatch/src/owner/orders.rs
@@ -108,6 +108,7 @@
         now_ms: u64,
         actions: &mut Vec<Action>,
     ) {
+        self.stats.starts_withheld += 1;
         let worker = &mut self.workers[key];
         worker.has_orders = true;
         let run = worker.runs.get_mut(&(task, number));
