--- a/crates/dispatch/src/owner/polls.rs
+++ b/crates/dispatch/src/owner/polls.rs
@@ -423,14 +423,11 @@
     }
 
     fn retry_start(&mut self, key: WorkerKey, task: TaskId, number: u32, now_ms: u64) {
-        // The repeated order would be withheld once it is recorded.
-        let is_barred = self.lasting_bar(&self.workers[key]).is_some();
         self.workers[key].has_orders = true;
         let Some(run) = self.workers[key].runs.get_mut(&(task, number)) else {
             return;
         };
-        let may_repeat = run.start_attempts < MAX_START_ATTEMPTS && !run.is_orphan && !is_barred;
-        run.phase = match may_repeat {
+        run.phase = match run.start_attempts < MAX_START_ATTEMPTS && !run.is_orphan {
             // A repeated order has the same run number, which makes it idempotent.
             true => RunPhase::Recording,
             false => RunPhase::Stopping { again_ms: now_ms },
--- a/crates/dispatch/src/owner/starting.rs
+++ b/crates/dispatch/src/owner/starting.rs
@@ -69,7 +69,7 @@
 
     /// Returns why a worker gets no orders to start anything until its entry in the platform's list
     /// or the evacuation of its failure domain changes, if so.
-    pub(super) fn lasting_bar(&self, worker: &Worker) -> Option<StartBar> {
+    fn lasting_bar(&self, worker: &Worker) -> Option<StartBar> {
         if !worker.is_listed {
             return Some(StartBar::Unlisted);
         }
