A job whose deletion stops halfway is not run again

Callers would have seen tasks run again minutes after they had ended: the owner deleted a finished job's submission without waiting for the store, and its progress and state beside it. If the store refused the first and stored the others, the next owner read a submission without an end and began it anew. The comment said that the next owner would find the keys and delete them; it could not tell them from a new job. It was found by looking for other places that remove something durable on one host's word; no clock need be wrong.

The test takes away streams while a job is deleted and then ends all hosts.

Now the submissions go first, in all partitions, repeated until stored; then the progress; last the state. Whatever is left, the state shows the end, and whoever finds it deletes the rest. A published end counts even without progress.

--- a/crates/dispatch/src/entry/callers.rs
+++ b/crates/dispatch/src/entry/callers.rs
@@ -326,6 +326,7 @@
         }
         if self.handle_announcement(ticket, outcome, now)
             || self.handle_claim(ticket, outcome, now, actions)
+            || self.handle_deletion(ticket, outcome, now)
         {
             return;
         }
--- a/crates/dispatch/src/entry/following.rs
+++ b/crates/dispatch/src/entry/following.rs
@@ -1,12 +1,9 @@
-//! Follows the streams of the store, tracks whether the store is available, and removes finished
-//! jobs.
+//! Follows the streams of the store, and tracks whether the store is available.
 
 use crate::entry::Entry;
 use crate::entry::scope::Scope;
 use crate::event::Action;
 use crate::event::Now;
-use crate::event::Stream;
-use crate::record::Key;
 use goldcrestway_core::Code;
 use goldcrestway_core::Note;
 
@@ -33,10 +30,6 @@
 /// Time without an answer, since a late or failed call, after which a host that otherwise sends no
 /// calls to the store is no longer ready.
 const MAX_DOUBT_MS: u64 = 600;
-/// Time for which the state of a final job is available to callers beyond what the bounds require.
-const STATUS_SLACK_MS: u64 = 60_000;
-/// Interval between searches for jobs whose state need not be available any more.
-const PURGE_MS: u64 = 10_000;
 
 impl Entry {
     /// Continues to read the streams.
@@ -190,69 +183,4 @@
             }
         }
     }
-
-    /// Removes jobs whose state need not be available any more. The owner also deletes their keys
-    /// from the store, which otherwise retains them forever.
-    ///
-    /// Only time that has passed on this host's steady clock counts. A host that has just started
-    /// keeps what it reads for the whole retention, so a job is kept for too long while owners
-    /// restart within that time, and never for too short a time. What a host keeps is bounded by
-    /// the jobs that end within one retention, and by what the store held when it started.
-    pub(super) fn purge(&mut self, now: Now, actions: &mut Vec<Action>) {
-        if now.steady_ms < self.next_purge_ms {
-            return;
-        }
-        self.next_purge_ms = now.steady_ms + PURGE_MS;
-        let retention_ms = self.bounds.status_ms + STATUS_SLACK_MS;
-        let mut expired = Vec::new();
-        let mut ages_ms = Vec::new();
-        for (id, job) in &mut self.job_table.jobs {
-            let known_final_ms = job.known_final_ms(now.steady_ms);
-            let Some(age_ms) = known_final_ms.filter(|age_ms| *age_ms >= retention_ms) else {
-                continue;
-            };
-            expired.push(*id);
-            ages_ms.push(age_ms);
-        }
-        if let (Some(min_ms), Some(max_ms)) = (ages_ms.iter().min(), ages_ms.iter().max()) {
-            let detail = format!(
-                "jobs={} finished_ms={min_ms}..{max_ms} deletes={} uptime_ms={}",
-                expired.len(),
-                self.owner.is_some(),
-                now.steady_ms
-            );
-            actions.push(Action::Note(Note::new(
-                Code::JobsForgotten,
-                &*self.host,
-                detail,
-            )));
-        }
-        for id in &expired {
-            self.job_table.jobs.remove(id);
-        }
-        // Jobs are of no use for long on a host that does not read them to the end of their stream.
-        if self.reading.asks_owner() {
-            self.job_table.jobs.clear();
-        }
-        let Some(owner) = self.owner.as_mut().filter(|_| !expired.is_empty()) else {
-            return;
-        };
-        let mut records = Vec::with_capacity(2 * expired.len());
-        for id in expired {
-            owner.retire(id);
-            records.push((Key::Submitted(id).text(), Box::default()));
-            records.push((Key::Cancelled(id).text(), Box::default()));
-        }
-        // If an append is lost, the next owner finds the keys and deletes them.
-        for partition in 0..self.jobs.partitions() {
-            self.tickets += 1;
-            actions.push(Action::Append {
-                ticket: self.tickets,
-                stream: Stream::Jobs(partition),
-                fence: None,
-                records: records.clone(),
-                timeout_ms: PURGE_MS,
-            });
-        }
-    }
 }
--- a/crates/dispatch/src/entry/mod.rs
+++ b/crates/dispatch/src/entry/mod.rs
@@ -11,6 +11,7 @@
 mod loading;
 mod ownership;
 mod queries;
+mod retirement;
 mod rules;
 mod scope;
 mod suspension;
@@ -27,6 +28,7 @@
 use crate::entry::contact::StoreContact;
 use crate::entry::job_tails::JobTails;
 use crate::entry::loading::LoadingReport;
+use crate::entry::retirement::Retirement;
 pub use crate::entry::rules::Found;
 use crate::entry::scope::Reading;
 use crate::entry::scope::owner_tail;
@@ -115,7 +117,8 @@
     last_workers_read_ms: u64,
     /// Interval between reads of the list of workers.
     workers_interval_ms: u64,
-    next_purge_ms: u64,
+    next_search_ms: u64,
+    retirement: Option<Retirement>,
     job_table: JobTable,
     config: Option<Rc<Config>>,
     evacuations: Rc<Evacuations>,
@@ -170,7 +173,8 @@
             last_states_read_ms: 0,
             last_workers_read_ms: 0,
             workers_interval_ms: MAX_LIST_PAUSE_MS,
-            next_purge_ms: 0,
+            next_search_ms: 0,
+            retirement: None,
             job_table: JobTable::default(),
             config: None,
             evacuations: Rc::default(),
@@ -492,6 +496,6 @@
         if let Some(owner) = &mut self.owner {
             owner.flush_frames(now.steady_ms, actions);
         }
-        self.purge(now, actions);
+        self.forget_finished_jobs(now, actions);
     }
 }
--- a/crates/dispatch/src/job_table.rs
+++ b/crates/dispatch/src/job_table.rs
@@ -181,7 +181,7 @@
 
     fn apply_submission(&mut self, id: JobId, value: &[u8]) -> Change {
         if value.is_empty() {
-            self.jobs.remove(&id);
+            self.forget_submission(id);
             return Change::Nothing;
         }
         let Ok(submission) = Submission::decode(value) else {
@@ -196,6 +196,15 @@
         Change::Submitted(id)
     }
 
+    /// Forgets a submission that the owner has deleted. That the job has ended stays known until the
+    /// owner deletes its state as well: it may die before that, and the next owner continues.
+    fn forget_submission(&mut self, id: JobId) {
+        match self.jobs.get_mut(&id) {
+            Some(job) if job.phase().is_final() => job.submission = None,
+            _ => drop(self.jobs.remove(&id)),
+        }
+    }
+
     fn apply_cancellation(&mut self, id: JobId, value: &[u8]) -> Change {
         if value.is_empty() {
             return Change::Nothing;
@@ -209,9 +218,12 @@
     }
 
     fn apply_state(&mut self, id: JobId, value: &[u8]) -> Change {
-        if let Ok(state) = StateRecord::decode(value)
-            && !value.is_empty()
-        {
+        if value.is_empty() {
+            let is_final = |job: &JobRecord| job.phase().is_final();
+            if self.jobs.get(&id).is_some_and(is_final) {
+                self.jobs.remove(&id);
+            }
+        } else if let Ok(state) = StateRecord::decode(value) {
             self.set_state(id, state);
         }
         Change::Nothing
--- a/crates/dispatch/src/owner/writing.rs
+++ b/crates/dispatch/src/owner/writing.rs
@@ -50,6 +50,8 @@
     starts: Vec<(WorkerKey, TaskId, u32)>,
     acknowledged_exit: Vec<(WorkerKey, u64)>,
     states: Vec<(JobId, StateRecord)>,
+    /// Jobs whose progress the append deletes.
+    retired: Vec<JobId>,
     /// Workers that the append no longer records as silent.
     no_longer_silent: Vec<Box<str>>,
 }
@@ -65,7 +67,7 @@
     learned_ms: u64,
     /// Runs whose records are in no append yet.
     starts: Vec<(WorkerKey, TaskId, u32)>,
-    /// Jobs whose keys are to be removed, for each of the two streams.
+    /// Jobs whose progress is to be deleted, and those whose states are, once their progress is.
     retired: Vec<JobId>,
     retired_states: Vec<JobId>,
     /// States that follow from the stored progress and are not published yet.
@@ -155,8 +157,9 @@
         if records.is_empty() {
             self.acknowledge_exits_without_effect();
         }
-        for job in self.writer.retired.drain(..) {
-            records.push((Key::Progress(job).text(), Box::default()));
+        let retired = std::mem::take(&mut self.writer.retired);
+        for job in &retired {
+            records.push((Key::Progress(*job).text(), Box::default()));
         }
         self.record_workers(&mut records);
         let mut no_longer_silent = Vec::new();
@@ -169,6 +172,7 @@
         if !records.is_empty() {
             self.writer.effects = self.collect_effects(&written);
             self.writer.effects.no_longer_silent = no_longer_silent;
+            self.writer.effects.retired = retired;
             self.writer.progress.begin(records, now_ms);
         }
     }
@@ -372,6 +376,7 @@
             self.send_start(worker, task, run, now, tickets, actions);
         }
         self.writer.unpublished.extend_from_slice(&effects.states);
+        self.writer.retired_states.extend(effects.retired);
         self.remove_finished_jobs();
         Some(effects.states)
     }
@@ -408,11 +413,10 @@
         });
     }
 
-    /// Removes all records of a job that nobody needs to be informed about any more.
+    /// Deletes the progress of a job, and then its state, once its submission is deleted.
     pub(crate) fn retire(&mut self, job: JobId) {
         self.finished_jobs.remove(&job);
         self.writer.retired.push(job);
-        self.writer.retired_states.push(job);
     }
 
     /// Lists the states that follow from the stored progress and are not published yet, such as
--- a/tests/dispatch_clocks.rs
+++ b/tests/dispatch_clocks.rs
@@ -378,3 +378,72 @@
         expect_that!(fleet.claims, eq(1), "{name}");
     });
 }
+
+/// Streams that are unavailable while a finished job is deleted.
+struct HalfDeletion {
+    name: &'static str,
+    unavailable: &'static [Stream],
+}
+
+const HALF_DELETIONS: [HalfDeletion; 4] = [
+    HalfDeletion {
+        name: "submissions stay",
+        unavailable: &[
+            Stream::Jobs(0),
+            Stream::Jobs(1),
+            Stream::Jobs(2),
+            Stream::Jobs(3),
+        ],
+    },
+    HalfDeletion {
+        name: "submissions and states stay",
+        unavailable: &[
+            Stream::Jobs(0),
+            Stream::Jobs(1),
+            Stream::Jobs(2),
+            Stream::Jobs(3),
+            Stream::States,
+        ],
+    },
+    HalfDeletion {
+        name: "progress stays",
+        unavailable: &[Stream::Progress],
+    },
+    HalfDeletion {
+        name: "states stay",
+        unavailable: &[Stream::States],
+    },
+];
+
+/// Guards against finished jobs that start again: the records of their ends were deleted while the
+/// store refused to delete their submissions, and the next owner read jobs without any progress.
+#[gtest]
+fn a_job_that_is_half_deleted_does_not_start_again() {
+    for case in &HALF_DELETIONS {
+        let mut fleet = Fleet::new(HOSTS, 2);
+        let keys = job_keys(&fleet);
+        fleet.submit(0, JOB, &job(vec![step(2, 300, &[])]));
+        fleet.run(178_000);
+        fleet.store.unavailable = case.unavailable.to_vec();
+        fleet.run(25_000);
+        for host in 0..HOSTS {
+            fleet.kill(host);
+        }
+        fleet.run(100);
+        fleet.store.unavailable.clear();
+        for host in 0..HOSTS {
+            fleet.start(host);
+        }
+        fleet.run(8_000);
+        expect_that!(starts(&fleet), eq(2), "{}", case.name);
+        expect_that!(fleet.promises.broken, is_empty(), "{}", case.name);
+        fleet.run(FORGOTTEN_MS);
+        expect_that!(job_keys(&fleet), eq(keys), "{}", case.name);
+        for stream in [Stream::Progress, Stream::States] {
+            let record_keys = fleet.store.key_names(stream);
+            let name = JobId(JOB).to_string();
+            let left = record_keys.iter().filter(|key| key.contains(&name));
+            expect_that!(left.count(), eq(0), "{}, {stream:?}", case.name);
+        }
+    }
+}
--- a/tests/fleet/store.rs
+++ b/tests/fleet/store.rs
@@ -298,6 +298,12 @@
             .map_or(0, |topic| topic.newest.len())
     }
 
+    /// Returns the keys of a stream.
+    pub(crate) fn key_names(&self, stream: Stream) -> Vec<Box<str>> {
+        let topic = self.topics.get(&stream);
+        topic.map_or(Vec::new(), |topic| topic.newest.keys().cloned().collect())
+    }
+
     /// Trims all streams; the newest record of each key stays.
     pub(crate) fn drop_history(&mut self) {
         for topic in self.topics.values_mut() {
