--- a/crates/dispatch/src/owner/job.rs
+++ b/crates/dispatch/src/owner/job.rs
@@ -168,7 +168,7 @@
             specification: submission.specification.as_str().into(),
             occurrences: Vec::new(),
             next_occurrence: 0,
-            phase: recorded_phase(record, progress),
+            phase: record.recorded_phase(progress),
             published: record.phase(),
             is_dirty: false,
             arrived_ms,
@@ -415,15 +415,6 @@
     }
 }
 
-/// Returns the phase that a previous owner has recorded. A published end counts also if the progress
-/// is deleted already.
-fn recorded_phase(record: &JobRecord, progress: Option<&Progress>) -> JobPhase {
-    match record.phase() {
-        published if published.is_final() => published,
-        _ => progress.map_or(JobPhase::Queued, Progress::phase),
-    }
-}
-
 /// Returns the duration in milliseconds of the call for permits before each step of a job.
 pub(crate) fn permit_call_ms(submission: &Submission) -> u64 {
     match submission.needs_permits() {
--- a/tests/dispatch_clocks.rs
+++ b/tests/dispatch_clocks.rs
@@ -14,6 +14,8 @@
 use goldcrestway_dispatch::TaskId;
 use goldcrestway_dispatch::policy::time_of_day::MAX_TRIAL_MS;
 use googletest::prelude::*;
+use rand::RngExt;
+use rand_pcg::Pcg64;
 
 const HOSTS: usize = 3;
 const SECOND_MS: i64 = 1_000;
@@ -133,6 +135,25 @@
     }
 }
 
+/// Sets the clocks of some hosts, or of all, ahead or back by up to some minutes, or right.
+pub(crate) fn jump_clocks(fleet: &mut Fleet, random: &mut Pcg64) {
+    const SIZES_MS: [i64; 4] = [2 * SECOND_MS, 9 * SECOND_MS, MINUTE_MS, 3 * MINUTE_MS];
+    let by_ms = SIZES_MS[random.random_range(0..SIZES_MS.len())];
+    let all_jump = random.random_range(0..3) == 0;
+    let direction = random.random_range(0..3);
+    for host in 0..fleet.host_count() {
+        if !all_jump && random.random_range(0..3) > 0 {
+            continue;
+        }
+        let ahead_ms = match direction {
+            0 => fleet.clock_ahead_ms(host) + by_ms,
+            1 => fleet.clock_ahead_ms(host) - by_ms,
+            _ => 0,
+        };
+        fleet.set_clock(host, ahead_ms);
+    }
+}
+
 /// Calls `visit` for each sequence of jumps and each choice of hosts, with a new fleet.
 fn for_each_case(mut visit: impl FnMut(&mut Fleet, &[usize], &Jumps, &str)) {
     for jumps in &JUMPS {
--- a/tests/dispatch_faults.rs
+++ b/tests/dispatch_faults.rs
@@ -3,6 +3,7 @@
 //! Each sequence is generated from a seed, which is printed with a failure and reproduces it. The
 //! environment variable `DISPATCH_SEQUENCES` sets the number of seeds; CI runs the default.
 
+use crate::dispatch_clocks::jump_clocks;
 use crate::dispatch_regression_seeds::OPEN_SEEDS_RESTARTING;
 use crate::dispatch_regression_seeds::REGRESSION_SEEDS;
 use crate::dispatch_regression_seeds::REGRESSION_SEEDS_CRASHING;
@@ -83,6 +84,14 @@
     Evacuated,
 }
 
+/// Whether the clocks of hosts jump in a sequence.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Clocks {
+    Right,
+    /// By seconds or minutes, alone or together, again before the last jump is undone, or for good.
+    Jumping,
+}
+
 /// Evacuates failure domains or revokes evacuations, up to three times in a row. Does nothing
 /// unless the store is available, since it could not accept them.
 fn change_evacuations(fleet: &mut Fleet, random: &mut Pcg64) {
@@ -309,15 +318,28 @@
     }
 }
 
-/// Runs a sequence and returns the guarantees that were violated.
+/// Runs a sequence without jumps of clocks and returns the guarantees that were violated.
 fn run_sequence(
     seed: u64,
     callers: Callers,
     orders: Orders,
     ids: Ids,
     domains: Domains,
+) -> Vec<String> {
+    run_sequence_with_clocks(seed, callers, orders, ids, domains, Clocks::Right)
+}
+
+/// Runs a sequence and returns the guarantees that were violated.
+fn run_sequence_with_clocks(
+    seed: u64,
+    callers: Callers,
+    orders: Orders,
+    ids: Ids,
+    domains: Domains,
+    clocks: Clocks,
 ) -> Vec<String> {
     let mut random = Pcg64::seed_from_u64(seed);
+    let mut random_clocks = Pcg64::seed_from_u64(seed.rotate_left(32));
     // A separate generator, so that a seed has the same faults with and without evacuations.
     let mut random_domains = Pcg64::seed_from_u64(!seed);
     let mut fleet = match orders {
@@ -347,6 +369,9 @@
         if domains == Domains::Evacuated {
             change_evacuations(&mut fleet, &mut random_domains);
         }
+        if clocks == Clocks::Jumping {
+            jump_clocks(&mut fleet, &mut random_clocks);
+        }
         if orders != Orders::Direct && random.random_range(0..4) == 0 {
             fleet.silence_connections(random.random_range(0..fleet.host_count()));
         }
@@ -577,6 +602,25 @@
     }
 }
 
+/// Guards against the same failures, and against jobs that are not known any more, while clocks of
+/// hosts jump by minutes.
+#[gtest]
+fn guarantees_hold_while_clocks_jump() {
+    for seed in 0..sequence_count().div_ceil(2) {
+        for callers in [Callers::Plain, Callers::Restless, Callers::Insistent] {
+            for orders in [Orders::Direct, Orders::Relayed] {
+                let (ids, domains) = (Ids::New, Domains::Open);
+                let clocks = Clocks::Jumping;
+                expect_that!(
+                    run_sequence_with_clocks(seed, callers, orders, ids, domains, clocks),
+                    is_empty(),
+                    "seed {seed}, {callers:?}, {orders:?}"
+                );
+            }
+        }
+    }
+}
+
 /// Guards against a gang that fails because each of its members on one crashed worker was counted
 /// as a crash of its own.
 #[gtest]
