Accounts of inherited jobs begin with their acceptance again

The age of a job was taken back from the time of its arrival on the steady clock, which can't lie before the start of the process: an owner that has just started would have cut the accounts of older jobs to its own uptime. The age is kept as it was read.

--- a/crates/dispatch/src/owner/job.rs
+++ b/crates/dispatch/src/owner/job.rs
@@ -135,6 +135,8 @@
     pub(crate) published: JobPhase,
     /// Its progress has changed since it was last recorded.
     pub(crate) is_dirty: bool,
+    /// Time since its acceptance when this owner read it. This process may be younger.
+    pub(crate) read_age_ms: u64,
     arrived_ms: u64,
     /// Time by which its caller wants it to be completed.
     pub(crate) due_ms: u64,
@@ -162,7 +164,8 @@
         worker: impl FnMut(&str) -> WorkerKey,
     ) -> Option<Self> {
         let submission = record.submission.clone()?;
-        let arrived_ms = now.steady_ms.saturating_sub(record.age_ms(now));
+        let read_age_ms = record.age_ms(now);
+        let arrived_ms = now.steady_ms.saturating_sub(read_age_ms);
         let mut job = Self {
             id,
             specification: submission.specification.as_str().into(),
@@ -171,6 +174,7 @@
             phase: record.recorded_phase(progress),
             published: record.phase(),
             is_dirty: false,
+            read_age_ms,
             arrived_ms,
             due_ms: 0,
             no_value_after_ms: 0,
@@ -313,11 +317,6 @@
         arrived_age_ms.saturating_sub(overdue_ms)
     }
 
-    /// Returns the time since its acceptance, as this owner took it to be when it read the job.
-    pub(crate) fn age_ms(&self, now_ms: u64) -> u64 {
-        now_ms - self.arrived_ms
-    }
-
     /// Returns the remaining time in milliseconds of the longest chain of steps that have waiting
     /// tasks.
     fn remaining_ms(&self) -> u64 {
--- a/crates/dispatch/src/owner/phases.rs
+++ b/crates/dispatch/src/owner/phases.rs
@@ -78,7 +78,7 @@
             }
             progress.push((state.done, running));
         }
-        let age_ms = job.age_ms(now.steady_ms);
+        let age_ms = job.read_age_ms;
         let before = match self.is_caught_up {
             true => Phase::Accepting,
             false => Phase::Inherited,
@@ -99,7 +99,7 @@
             return;
         }
         let submission = job.submission.clone();
-        let age_ms = job.age_ms(now.steady_ms);
+        let age_ms = job.read_age_ms;
         let mut progress = Vec::new();
         for step in &submission.steps {
             progress.push((step.count, Vec::new()));
--- a/tests/dispatch_clocks.rs
+++ b/tests/dispatch_clocks.rs
@@ -382,6 +382,30 @@
     }
 }
 
+/// Guards against accounts that begin with the process of the owner, where that is younger than the
+/// job.
+#[gtest]
+fn accounts_of_inherited_jobs_begin_with_their_acceptance() {
+    let mut fleet = Fleet::new(HOSTS, 2);
+    let submitted_ms = fleet.now_ms;
+    fleet.submit(0, JOB, &job(vec![step(2, 12_000, &[])]));
+    fleet.run(9_000);
+    for host in 0..HOSTS {
+        fleet.kill(host);
+    }
+    for host in 0..HOSTS {
+        fleet.start(host);
+    }
+    fleet.run(6_000);
+    let accounts: Vec<_> = fleet.job_times.iter().collect();
+    expect_that!(accounts.len(), eq(1));
+    for (ended_ms, times) in accounts {
+        let elapsed_ms = ended_ms - submitted_ms;
+        let range = all![ge(elapsed_ms - 100), le(elapsed_ms + 100)];
+        expect_that!(times.times.total_ms(), range);
+    }
+}
+
 /// Guards against leases that end, and runs that are started again, as the clock of a host jumps.
 #[gtest]
 fn leases_do_not_depend_on_the_time_of_day() {
