--- a/crates/dispatch/src/job_table.rs
+++ b/crates/dispatch/src/job_table.rs
@@ -60,6 +60,15 @@
         self.state.phase()
     }
 
+    /// Returns the phase that a previous owner has recorded. A published end counts also if the
+    /// progress is deleted already.
+    pub(crate) fn recorded_phase(&self, progress: Option<&Progress>) -> JobPhase {
+        match self.phase() {
+            published if published.is_final() => published,
+            _ => progress.map_or(JobPhase::Queued, Progress::phase),
+        }
+    }
+
     /// Returns the time since its acceptance, by the time of day that another host has recorded. A
     /// time that can't be true shows nothing: records are mostly read just after they were stored.
     pub(crate) fn age_ms(&self, now: Now) -> u64 {
@@ -181,7 +190,7 @@
 
     fn apply_submission(&mut self, id: JobId, value: &[u8]) -> Change {
         if value.is_empty() {
-            self.jobs.remove(&id);
+            self.forget_submission(id);
             return Change::Nothing;
         }
         let Ok(submission) = Submission::decode(value) else {
@@ -196,6 +205,15 @@
         Change::Submitted(id)
     }
 
+    /// Forgets a submission that the owner has deleted. That the job has ended stays known until the
+    /// owner deletes its state as well: it may die before that, and the next owner continues.
+    fn forget_submission(&mut self, id: JobId) {
+        match self.jobs.get_mut(&id) {
+            Some(job) if job.phase().is_final() => job.submission = None,
+            _ => drop(self.jobs.remove(&id)),
+        }
+    }
+
     fn apply_cancellation(&mut self, id: JobId, value: &[u8]) -> Change {
         if value.is_empty() {
             return Change::Nothing;
@@ -209,9 +227,12 @@
     }
 
     fn apply_state(&mut self, id: JobId, value: &[u8]) -> Change {
-        if let Ok(state) = StateRecord::decode(value)
-            && !value.is_empty()
-        {
+        if value.is_empty() {
+            let is_final = |job: &JobRecord| job.phase().is_final();
+            if self.jobs.get(&id).is_some_and(is_final) {
+                self.jobs.remove(&id);
+            }
+        } else if let Ok(state) = StateRecord::decode(value) {
             self.set_state(id, state);
         }
         Change::Nothing
--- a/tests/dispatch_clocks.rs
+++ b/tests/dispatch_clocks.rs
@@ -14,6 +14,8 @@
 use goldcrestway_dispatch::TaskId;
 use goldcrestway_dispatch::policy::time_of_day::MAX_TRIAL_MS;
 use googletest::prelude::*;
+use rand::RngExt;
+use rand_pcg::Pcg64;
 
 const HOSTS: usize = 3;
 const SECOND_MS: i64 = 1_000;
@@ -133,6 +135,25 @@
     }
 }
 
+/// Sets the clocks of some hosts, or of all, ahead or back by up to some minutes, or right.
+pub(crate) fn jump_clocks(fleet: &mut Fleet, random: &mut Pcg64) {
+    const SIZES_MS: [i64; 4] = [2 * SECOND_MS, 9 * SECOND_MS, MINUTE_MS, 3 * MINUTE_MS];
+    let by_ms = SIZES_MS[random.random_range(0..SIZES_MS.len())];
+    let all_jump = random.random_range(0..3) == 0;
+    let direction = random.random_range(0..3);
+    for host in 0..fleet.host_count() {
+        if !all_jump && random.random_range(0..3) > 0 {
+            continue;
+        }
+        let ahead_ms = match direction {
+            0 => fleet.clock_ahead_ms(host) + by_ms,
+            1 => fleet.clock_ahead_ms(host) - by_ms,
+            _ => 0,
+        };
+        fleet.set_clock(host, ahead_ms);
+    }
+}
+
 /// Calls `visit` for each sequence of jumps and each choice of hosts, with a new fleet.
 fn for_each_case(mut visit: impl FnMut(&mut Fleet, &[usize], &Jumps, &str)) {
     for jumps in &JUMPS {
@@ -361,6 +382,30 @@
     }
 }
 
+/// Guards against accounts that begin with the process of the owner, where that is younger than the
+/// job.
+#[gtest]
+fn accounts_of_inherited_jobs_begin_with_their_acceptance() {
+    let mut fleet = Fleet::new(HOSTS, 2);
+    let submitted_ms = fleet.now_ms;
+    fleet.submit(0, JOB, &job(vec![step(2, 12_000, &[])]));
+    fleet.run(9_000);
+    for host in 0..HOSTS {
+        fleet.kill(host);
+    }
+    for host in 0..HOSTS {
+        fleet.start(host);
+    }
+    fleet.run(6_000);
+    let accounts: Vec<_> = fleet.job_times.iter().collect();
+    expect_that!(accounts.len(), eq(1));
+    for (ended_ms, times) in accounts {
+        let elapsed_ms = ended_ms - submitted_ms;
+        let range = all![ge(elapsed_ms - 100), le(elapsed_ms + 100)];
+        expect_that!(times.times.total_ms(), range);
+    }
+}
+
 /// Guards against leases that end, and runs that are started again, as the clock of a host jumps.
 #[gtest]
 fn leases_do_not_depend_on_the_time_of_day() {
@@ -378,3 +423,72 @@
         expect_that!(fleet.claims, eq(1), "{name}");
     });
 }
+
+/// Streams that are unavailable while a finished job is deleted.
+struct HalfDeletion {
+    name: &'static str,
+    unavailable: &'static [Stream],
+}
+
+const HALF_DELETIONS: [HalfDeletion; 4] = [
+    HalfDeletion {
+        name: "submissions stay",
+        unavailable: &[
+            Stream::Jobs(0),
+            Stream::Jobs(1),
+            Stream::Jobs(2),
+            Stream::Jobs(3),
+        ],
+    },
+    HalfDeletion {
+        name: "submissions and states stay",
+        unavailable: &[
+            Stream::Jobs(0),
+            Stream::Jobs(1),
+            Stream::Jobs(2),
+            Stream::Jobs(3),
+            Stream::States,
+        ],
+    },
+    HalfDeletion {
+        name: "progress stays",
+        unavailable: &[Stream::Progress],
+    },
+    HalfDeletion {
+        name: "states stay",
+        unavailable: &[Stream::States],
+    },
+];
+
+/// Guards against finished jobs that start again: the records of their ends were deleted while the
+/// store refused to delete their submissions, and the next owner read jobs without any progress.
+#[gtest]
+fn a_job_that_is_half_deleted_does_not_start_again() {
+    for case in &HALF_DELETIONS {
+        let mut fleet = Fleet::new(HOSTS, 2);
+        let keys = job_keys(&fleet);
+        fleet.submit(0, JOB, &job(vec![step(2, 300, &[])]));
+        fleet.run(178_000);
+        fleet.store.unavailable = case.unavailable.to_vec();
+        fleet.run(25_000);
+        for host in 0..HOSTS {
+            fleet.kill(host);
+        }
+        fleet.run(100);
+        fleet.store.unavailable.clear();
+        for host in 0..HOSTS {
+            fleet.start(host);
+        }
+        fleet.run(8_000);
+        expect_that!(starts(&fleet), eq(2), "{}", case.name);
+        expect_that!(fleet.promises.broken, is_empty(), "{}", case.name);
+        fleet.run(FORGOTTEN_MS);
+        expect_that!(job_keys(&fleet), eq(keys), "{}", case.name);
+        for stream in [Stream::Progress, Stream::States] {
+            let record_keys = fleet.store.key_names(stream);
+            let name = JobId(JOB).to_string();
+            let left = record_keys.iter().filter(|key| key.contains(&name));
+            expect_that!(left.count(), eq(0), "{}, {stream:?}", case.name);
+        }
+    }
+}
