Waits: the oldest one by reason, for whom room is kept, and long-running tasks that are away come first

And a wait behind kept room didn't say for which step the room was kept, which had to be found from the time at which one of three rooms was released.

Names and details of before stay.

--- a/crates/dispatch/src/owner/mod.rs
+++ b/crates/dispatch/src/owner/mod.rs
@@ -153,6 +153,9 @@
     pub relay_selections: u64,
     /// Steps that have waited for a long time, by the reason.
     pub waits: [u64; WaitReason::ALL.len()],
+    /// Time in milliseconds for which the first of them has waited, by the reason; 0 if there is
+    /// none.
+    pub oldest_waits_ms: [u64; WaitReason::ALL.len()],
     /// Hosts that are connected and whose queries this owner answers.
     pub informed_hosts: u64,
     /// Queries of other hosts.
--- a/crates/dispatch/src/owner/waits.rs
+++ b/crates/dispatch/src/owner/waits.rs
@@ -5,6 +5,7 @@
 
 use crate::event::Action;
 use crate::event::Now;
+use crate::ids::StepId;
 use crate::ids::TaskId;
 use crate::owner::Owner;
 use crate::owner::costs::TaskRequirements;
@@ -88,6 +89,8 @@
     job: JobKey,
     first: TaskId,
     since_ms: u64,
+    /// Its waiting tasks are long-running, and one of them has run before.
+    is_restart: bool,
 }
 
 impl Owner {
@@ -99,22 +102,27 @@
         self.next_waits_report_ms = now.steady_ms + SEARCH_INTERVAL_MS;
         self.report_shares(now, actions);
         self.stats.waits = [0; WaitReason::ALL.len()];
+        self.stats.oldest_waits_ms = [0; WaitReason::ALL.len()];
         let mut waiting = self.list_waiting(now.steady_ms);
-        waiting.sort_by_key(|step| step.since_ms);
+        // Long-running tasks that are away come first: many others may have waited for longer.
+        waiting.sort_by_key(|step| (!step.is_restart, step.since_ms));
         for (position, step) in waiting.iter().enumerate() {
             let submission = self.jobs[step.job].submission.clone();
             let Some(definition) = submission.steps.get(usize::from(step.first.step)) else {
                 continue;
             };
             let (task, reason) = self.find_wait_reason(step, definition, now.steady_ms);
+            let waited_ms = now.steady_ms - step.since_ms;
             self.stats.waits[reason as usize] += 1;
+            let oldest_ms = &mut self.stats.oldest_waits_ms[reason as usize];
+            *oldest_ms = waited_ms.max(*oldest_ms);
             if position >= MAX_REPORTED {
                 continue;
             }
             let mut detail = format!(
-                "why={reason:?} since_ms={} tasks={}",
-                now.steady_ms - step.since_ms,
-                definition.count
+                "why={reason:?} since_ms={waited_ms} tasks={} runs={}",
+                definition.count,
+                self.task(task).map_or(0, |task| task.run)
             );
             if matches!(
                 reason,
@@ -170,6 +178,9 @@
                         job: *key,
                         first,
                         since_ms,
+                        is_restart: job
+                            .precedence(first, &job.submission.steps[number])
+                            .is_restart,
                     });
                 }
             }
@@ -188,6 +199,7 @@
             job: blocked.job,
             first: blocked.step.first_task(),
             since_ms: blocked.waiting_since_ms,
+            is_restart: false,
         };
         self.find_wait_reason(&waiting, step, now_ms).1
     }
@@ -270,7 +282,12 @@
                     counts.capacity += worker.capacity_for(step);
                 }
                 Err(Exclusion::Service) => {}
-                Err(exclusion) => *counts.excluded.entry(exclusion).or_default() += 1,
+                Err(exclusion) => {
+                    *counts.excluded.entry(exclusion).or_default() += 1;
+                    if exclusion == Exclusion::Kept {
+                        counts.kept_for = worker.kept.map(|kept| kept.step);
+                    }
+                }
             }
         }
         counts
@@ -286,6 +303,8 @@
     /// Number of tasks of the step that fit on these workers.
     capacity: u32,
     excluded: BTreeMap<Exclusion, u32>,
+    /// A step for which room is kept on workers where there is enough of it.
+    kept_for: Option<StepId>,
 }
 
 impl Display for WorkerCounts {
@@ -299,6 +318,9 @@
         for (exclusion, count) in &self.excluded {
             write!(formatter, " {exclusion:?}={count}")?;
         }
-        Ok(())
+        match self.kept_for {
+            Some(step) => write!(formatter, " kept_for={step}"),
+            None => Ok(()),
+        }
     }
 }
--- a/tests/dispatch_waits.rs
+++ b/tests/dispatch_waits.rs
@@ -11,6 +11,7 @@
 use goldcrestway_dispatch::Resources;
 use goldcrestway_dispatch::Step;
 use goldcrestway_dispatch::TaskId;
+use goldcrestway_dispatch::WaitReason;
 use googletest::prelude::*;
 use rand::RngExt;
 use rand::SeedableRng;
@@ -253,6 +254,59 @@
     }
 }
 
+/// Guards against a task that waits for minutes unseen: the oldest wait of each reason is shown, and
+/// is none once the task runs.
+#[gtest]
+fn the_oldest_wait_is_shown_by_its_reason() {
+    let mut fleet = Fleet::new(3, 2);
+    fleet.cut_workers = addresses(&fleet);
+    fleet.run(2_000);
+    fleet.submit(0, JOB, &job(vec![wide(2)]));
+    fleet.run(WATCHED_MS);
+    let owner = fleet.owner().expect("there is an owner");
+    let reason = WaitReason::Worker as usize;
+    expect_that!(
+        fleet.stats(owner).oldest_waits_ms[reason],
+        all!(ge(WATCHED_MS - 1_500), le(WATCHED_MS))
+    );
+    fleet.cut_workers.clear();
+    fleet.run(MAX_START_MS + 1_000);
+    expect_that!(
+        fleet.stats(owner).oldest_waits_ms.iter().sum::<u64>(),
+        eq(0),
+        "{:#?}",
+        fleet.log_lines
+    );
+}
+
+/// Guards against a long-running task that is away and is not told of, because ten others have
+/// waited for longer.
+#[gtest]
+fn a_long_running_task_that_is_away_is_told_of_first() {
+    let long_running = Step {
+        is_long_running: true,
+        ..wide(1)
+    };
+    let mut fleet = Fleet::new(3, 1);
+    fleet.submit(0, JOB, &job(vec![long_running]));
+    fleet.run(1_000);
+    for other in 1..=20 {
+        fleet.submit(0, JOB + other, &job(vec![wide(1)]));
+    }
+    fleet.run(4_000);
+    fleet.set_restart_delay_ms(60_000);
+    let address = addresses(&fleet).remove(0);
+    fleet.crash(&address);
+    fleet.run(10_000);
+    let expected = format!("TaskWaits {JOB:016x}.0.0.0 why=Worker");
+    let mut lines = fleet.log_lines.iter();
+    expect_true!(
+        lines.any(|line| line.contains(&expected) && line.contains("runs=1")),
+        "{:#?}",
+        fleet.log_lines
+    );
+}
+
 /// Number of workers of the larger fleet, and members of a gang in which each needs most of a
 /// worker.
 const WORKERS: usize = 14;
