Placing: a best-effort task is not passed over for one that needs more memory

What callers saw: none reported. Found while looking for waits that nothing ends: a best-effort task waits with `TaskWaits why=Worker open=2 room_for=2`, so two workers could take it, for as long as one of the same image that fits nowhere goes before it: until that one's result has no value any more, three times what its caller allows, or for good behind a stream of such tasks.

Cause: within a pass, a best-effort task is not evaluated if no worker was found for another of its service and image that requests no more CPU. Memory, accelerators and precedence in kept room were not compared.

Change: all that is requested is compared, and the precedence.

--- a/crates/dispatch/src/owner/placing.rs
+++ b/crates/dispatch/src/owner/placing.rs
@@ -1,5 +1,6 @@
 //! Placement of waiting tasks: which task starts next, and on which worker.
 
+use crate::config::Resources;
 use crate::event::Action;
 use crate::event::Now;
 use crate::ids::StepId;
@@ -30,26 +31,35 @@
 const MAX_PLACED_PER_PASS: usize = 400;
 /// Time after which waiting tasks are evaluated again even if no event occurred.
 const RETRY_INTERVAL_MS: u64 = 500;
+/// A best-effort task for which no worker was found.
+struct Unplaceable {
+    service: Box<str>,
+    image: ImageKey,
+    precedence: Precedence,
+    requested: Resources,
+}
+
 /// State of one placement pass.
 struct PlacementPass {
     /// Number of tasks that may still be placed in this pass.
     remaining: usize,
-    /// Best-effort tasks for which no worker was found: service, image and requested CPU in
-    /// thousandths of a core.
-    unplaceable: Vec<(Box<str>, ImageKey, u64)>,
+    /// Best-effort tasks for which no worker was found.
+    unplaceable: Vec<Unplaceable>,
     /// Steps that wait for longer than their jobs can bear.
     blocked: Vec<BlockedStep>,
 }
 
 impl PlacementPass {
     /// Returns whether no worker was found in this pass for a best-effort task of the same service
-    /// and image that requests the same CPU or less.
+    /// and image that requests the same resources or less of each, and that may start wherever this
+    /// one may.
     fn is_known_unplaceable(&self, requirements: &TaskRequirements<'_>) -> bool {
         requirements.step.is_best_effort
-            && self.unplaceable.iter().any(|(service, image, cpu_milli)| {
-                **service == *requirements.service
-                    && *image == requirements.image
-                    && *cpu_milli <= requirements.step.cpu_milli
+            && self.unplaceable.iter().any(|other| {
+                *other.service == *requirements.service
+                    && other.image == requirements.image
+                    && !requirements.precedence.goes_before(other.precedence)
+                    && requirements.step.requested().can_fit(other.requested)
             })
     }
 
@@ -58,12 +68,12 @@
         let is_plain =
             step.label.is_empty() && step.max_per_worker == 0 && !requirements.needs_permits;
         if step.is_best_effort && is_plain {
-            let entry = (
-                requirements.service.into(),
-                requirements.image,
-                step.cpu_milli,
-            );
-            self.unplaceable.push(entry);
+            self.unplaceable.push(Unplaceable {
+                service: requirements.service.into(),
+                image: requirements.image,
+                precedence: requirements.precedence,
+                requested: step.requested(),
+            });
         }
     }
 }
--- a/tests/dispatch_waits.rs
+++ b/tests/dispatch_waits.rs
@@ -279,6 +279,37 @@
     );
 }
 
+/// Guards against a best-effort task that never starts, because one of the same image that needs
+/// more memory than any worker has goes before it and was taken to show that neither fits.
+#[gtest]
+fn a_best_effort_task_that_fits_starts_behind_one_that_never_fits() {
+    let best_effort = Step {
+        cpu_milli: 1_000,
+        image: "image".into(),
+        is_best_effort: true,
+        ..wide(1)
+    };
+    let never_fits = Step {
+        memory_mb: WORKER_RESOURCES.memory_mb + 1,
+        estimated_ms: 10_000,
+        ..best_effort.clone()
+    };
+    let mut fleet = Fleet::new(3, 2);
+    fleet.submit(0, JOB, &job(vec![never_fits]));
+    fleet.run(500);
+    let mut later = job(vec![best_effort]);
+    later.priority = 1;
+    fleet.submit(0, JOB + 1, &later);
+    fleet.run(MAX_START_MS);
+    let state = fleet.state(0, JOB + 1);
+    expect_that!(
+        state,
+        some(eq(JobState::Completed)),
+        "{:#?}",
+        fleet.log_lines
+    );
+}
+
 /// Guards against a long-running task that is away and is not told of, because ten others have
 /// waited for longer.
 #[gtest]
