Tests: in each quiet spell of random sequences, each task that could run must run

The sequences so far ask 30 s after the last fault whether long-running jobs are shown as running, which they are while one of their tasks is. The new ones have quiet spells between overlapping faults of workers, failure domains, hosts and the store, with a generator of their own, so the seeds of the others keep their sequences. After 6 s without a fault or a change, and for 3 s, the room on the workers decides, not the owner's view: a long-running task with room for it twice over must run, and so must the first one of any other job while less than half of the service is used. In the end all jobs must have ended as they should. The fleet can lose the answers of workers that carry orders out.

Two findings of earlier forms of the check were its own: it took room on workers that already ran as many tasks of the step as they may, and on one that had not reported itself since its start.

--- a/tests/fleet/evacuations.rs
+++ b/tests/fleet/evacuations.rs
@@ -36,6 +36,11 @@
         self.evacuations.since_ms.remove(domain);
     }
 
+    /// Returns whether a failure domain is evacuated.
+    pub(super) fn is_domain_evacuated(&self, domain: &str) -> bool {
+        self.evacuations.since_ms.contains_key(domain)
+    }
+
     /// Returns the addresses of the workers of a failure domain.
     pub(crate) fn workers_in(&self, domain: &str) -> Vec<Box<str>> {
         let addresses = self.workers.keys();
--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -7,6 +7,7 @@
 mod deliveries;
 mod evacuations;
 mod fixtures;
+mod idle_room;
 mod link;
 mod promises;
 mod reads;
@@ -166,6 +167,8 @@
     pub(crate) claims: u32,
     /// Addresses of workers that no entry host can reach.
     pub(crate) cut_workers: Vec<Box<str>>,
+    /// Addresses of workers that carry out orders and whose answers are lost.
+    pub(crate) mute_workers: Vec<Box<str>>,
     /// Workers that may run steps of queues that require permits, and the number of requests for
     /// permits so far.
     pub(crate) permitted: Vec<Box<str>>,
@@ -234,6 +237,7 @@
             answer_delays: None,
             claims: 0,
             cut_workers: Vec::new(),
+            mute_workers: Vec::new(),
             permitted: Vec::new(),
             permit_calls: 0,
             max_store_calls: 0,
--- a/tests/fleet/worker_faults.rs
+++ b/tests/fleet/worker_faults.rs
@@ -82,6 +82,18 @@
         self.worker_faults.clock_setback_ms = ms;
     }
 
+    /// Returns whether a worker will be restarted, reported or unlisted within the given time.
+    pub(super) fn has_pending_changes(&self, within_ms: u64) -> bool {
+        let faults = &self.worker_faults;
+        let lists = [
+            &faults.pending_restarts,
+            &faults.pending_reports,
+            &faults.pending_unlistings,
+        ];
+        let mut changes = lists.into_iter().flatten();
+        changes.any(|(at_ms, _)| *at_ms <= self.now_ms + within_ms)
+    }
+
     /// Makes a worker report that it is about to leave.
     pub(crate) fn announce_leave(&mut self, address: &str) {
         self.report_as(address, "leaving");
--- a/tests/lib.rs
+++ b/tests/lib.rs
@@ -27,6 +27,7 @@
 mod dispatch_owner_answers;
 mod dispatch_protection;
 mod dispatch_questions;
+mod dispatch_quiet_spells;
 mod dispatch_regression_seeds;
 mod dispatch_relays;
 mod dispatch_repeats;
