Workers released after they had crashed count towards a task's last starts

Cause: two of the six workers of either task fell silent 10 ms after its start, and the release that was under way announced their leave 50 to 280 ms later (WorkerSilent at 21.605, WorkerLeaving at 21.885, WorkerGone why=GivenUp leaving=true). A worker that was announced to leave has left as planned, whenever that was learned, so that both losses were dropped: counted neither as crashes nor towards the starts that the task has left. With them its starts would have ended with the fifth run.

Change: a worker whose leave became known only after it had fallen silent, and in whose place nobody answers, may have crashed. Its runs are kept as lost ones of unknown fate, as those of any other silent worker, and count towards the last starts. If another incarnation answers there, they are dropped as before.

DISPATCH_LOG prints an owner's log with a failing random sequence.

--- a/crates/dispatch/src/owner/crashes.rs
+++ b/crates/dispatch/src/owner/crashes.rs
@@ -44,6 +44,9 @@
     crash_window: Option<CrashWindow>,
     /// Tasks that lost a run there; a gang is represented by its first member.
     tasks: BTreeSet<TaskId>,
+    /// It was draining, and had fallen silent before that was known. If another incarnation answers
+    /// at its address, it has most likely left as planned.
+    left_while_silent: bool,
 }
 
 impl LostWorker {
@@ -53,6 +56,7 @@
             incarnation: lost_run.incarnation,
             crash_window,
             tasks: BTreeSet::new(),
+            left_while_silent: false,
         }
     }
 }
@@ -62,6 +66,8 @@
     worker: Box<str>,
     /// It was draining, so it may have exited as planned.
     is_expected_exit: bool,
+    /// The same, but it had fallen silent before that was known, and nobody answers in its place.
+    left_while_silent: bool,
     /// Another incarnation answers at its address.
     is_replaced: bool,
     /// It is replaced or silent, and no run there can have been the cause.
@@ -198,6 +204,7 @@
         RemovedWorker {
             worker: worker.entry.id.clone(),
             is_expected_exit: worker.was_leaving,
+            left_while_silent: worker.left_while_silent && !is_replaced,
             is_replaced,
             is_unexplained: (is_replaced || worker.is_silent()) && suspects.is_empty(),
             crash_window: worker.is_known.then(|| worker.crash_window(now_ms)),
@@ -212,7 +219,7 @@
         now: Now,
         actions: &mut Vec<Action>,
     ) {
-        if removed.is_expected_exit {
+        if removed.is_expected_exit && !removed.left_while_silent {
             return;
         }
         if let Some(crash_window) = removed.crash_window.filter(|_| removed.is_unexplained) {
@@ -222,6 +229,9 @@
         for (task, lost_run) in removed.lost_runs {
             self.record_lost_run(task, lost_run, removed.crash_window, now.steady_ms);
         }
+        if let Some(lost) = self.crashes.lost_workers.get_mut(&removed.worker) {
+            lost.left_while_silent = removed.left_while_silent;
+        }
         if removed.is_replaced {
             self.resolve_crash(&removed.worker, true, now, actions);
         }
@@ -334,7 +344,7 @@
                 );
             }
         }
-        if !has_crashed {
+        if !has_crashed || lost.left_while_silent {
             return;
         }
         // Tasks with the most confirmed crashes come first: a crash that one of them has certainly
--- a/crates/dispatch/src/owner/polls.rs
+++ b/crates/dispatch/src/owner/polls.rs
@@ -223,6 +223,7 @@
         }
         worker.missed_answers = 0;
         worker.first_missed_ms = None;
+        worker.left_while_silent = false;
         worker.misses_after_expiry = 0;
         worker.answered_ms = now_ms;
         let was_known = worker.is_known;
--- a/crates/dispatch/src/owner/worker.rs
+++ b/crates/dispatch/src/owner/worker.rs
@@ -230,6 +230,8 @@
     pub(crate) incarnation: Incarnation,
     /// This incarnation has announced that it is draining.
     pub(crate) was_leaving: bool,
+    /// That became known only after it had fallen silent, so it may have crashed before.
+    pub(crate) left_while_silent: bool,
     /// The platform's list contains it.
     pub(crate) is_listed: bool,
     /// It has answered this owner, so its runs are known.
@@ -300,6 +302,7 @@
         Self {
             incarnation: entry.incarnation,
             was_leaving: entry.is_leaving,
+            left_while_silent: false,
             entry,
             is_listed: true,
             is_known: false,
@@ -450,6 +453,8 @@
             self.next_poll_ms = 0;
             return;
         }
+        let is_new = self.entry.is_leaving && !self.was_leaving;
+        self.left_while_silent |= is_new && self.first_missed_ms.is_some();
         self.was_leaving |= self.entry.is_leaving;
     }
 
--- a/tests/dispatch_faults.rs
+++ b/tests/dispatch_faults.rs
@@ -1,7 +1,8 @@
 //! Random sequences of faults against jobs of many tasks, in virtual time.
 //!
 //! Each sequence is generated from a seed, which is printed with a failure and reproduces it. The
-//! environment variable `DISPATCH_SEQUENCES` sets the number of seeds; CI runs the default.
+//! environment variable `DISPATCH_SEQUENCES` sets the number of seeds; CI runs the default. With
+//! `DISPATCH_LOG` set, a failure prints what the owners have logged.
 
 use crate::dispatch_regression_seeds::OPEN_SEEDS_RESTARTING;
 use crate::dispatch_regression_seeds::REGRESSION_SEEDS;
@@ -395,6 +396,11 @@
         ));
     }
     violations.extend(fleet.list_cancelled_runs());
+    if !violations.is_empty() && std::env::var("DISPATCH_LOG").is_ok() {
+        let poisoned = &fleet.promises.poisoned;
+        println!("{violations:#?}\npoisoned: {poisoned:#?}");
+        println!("{}", fleet.log_lines.join("\n"));
+    }
     violations
 }
 
