Crashes that several tasks may have caused are settled by what the others do later

Cause, from the owners' logs: a task is blamed when it was the only suspect of a crash, or for five crashes of any kind. On few full workers it never is the only one: each worker that comes back gets several suspects and tasks of the backlog in one pass, and all that had begun there count as suspects of the crash for good, also after they have worked elsewhere. Two tasks of one job kept each other from being alone as well. So each such task took five crashes of 4 s, each with ten others.

Change: the suspects of each lost worker are kept (policy/crash_evidence.rs). A run that becomes stable, or ends well, takes its task off the suspects of all crashes before; a task that is left as the only suspect of certain crashes of two hosts (three of one) is blamed at once, wherever it is then. Whoever is blamed for certain explains the crashes of which it was a suspect, so that they no longer count against the others. Tasks of one job need not be told apart. Being given up after five crashes explains nothing, as it is no proof. The number of starts after the third crash stays as it was.

Tried and reverted: suspects that wait for isolation only while there is room beside another suspect.

--- a/crates/dispatch/src/owner/crashes.rs
+++ b/crates/dispatch/src/owner/crashes.rs
@@ -19,12 +19,15 @@
 use crate::owner::worker::RunPhase;
 use crate::owner::worker::Worker;
 use crate::owner::worker::WorkerKey;
+use crate::policy::crash_evidence::CrashEvidence;
+use crate::policy::crash_evidence::Loss;
+use crate::policy::crash_evidence::Suspect;
 use crate::policy::suspicion::Crash;
 use crate::policy::suspicion::Suspicion;
-use crate::record::JobPhase;
 use goldcrestway_core::Code;
 use goldcrestway_core::Note;
 use std::cmp::Reverse;
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::collections::HashMap;
 
@@ -76,6 +79,8 @@
     crash_window: Option<CrashWindow>,
     /// The lost runs, by task or gang.
     lost_runs: Vec<(TaskId, LostRun)>,
+    /// All runs there that may be the cause if it has crashed, by task or gang.
+    loss: Loss,
 }
 
 /// Crashes of workers, as far as they are known.
@@ -84,6 +89,10 @@
     lost_workers: HashMap<Box<str>, LostWorker>,
     /// Workers whose crash no recently started run there can have caused, and when they crashed.
     outages: Vec<(Box<str>, CrashWindow)>,
+    /// Which tasks may have caused the crashes that several may have caused.
+    pub(super) evidence: CrashEvidence,
+    /// Tasks that are to blame for crashes, whose jobs are still to be failed.
+    pub(super) convicted: Vec<TaskId>,
 }
 
 impl Crashes {
@@ -136,6 +145,10 @@
         }
     }
 
+    fn is_present(&self) -> bool {
+        matches!(self.phase, RunPhase::Present { .. })
+    }
+
     /// Returns whether it may be the cause if its worker crashes.
     pub(crate) fn is_suspect(&self) -> bool {
         !self.is_stable && self.may_have_started()
@@ -158,7 +171,7 @@
 
     /// Returns the task that holds the suspicion of a task: a gang crashes as one, so its first
     /// member holds it for all.
-    fn suspicion_unit(&self, task: TaskId) -> TaskId {
+    pub(super) fn suspicion_unit(&self, task: TaskId) -> TaskId {
         let key = self.job_keys.get(&task.job);
         let step = key.and_then(|key| self.jobs[*key].step(task));
         match step.is_some_and(|step| step.is_gang) {
@@ -176,11 +189,10 @@
     ) -> RemovedWorker {
         let worker = &self.workers[key];
         let started = worker.runs.iter().filter(|(_, run)| run.may_have_started());
-        let suspects: BTreeSet<TaskId> = started
-            .clone()
-            .filter(|(_, run)| run.is_suspect())
-            .map(|((task, _), _)| self.suspicion_unit(*task))
-            .collect();
+        let mut suspects: BTreeMap<TaskId, bool> = BTreeMap::new();
+        for ((task, _), run) in started.clone().filter(|(_, run)| run.is_suspect()) {
+            *suspects.entry(self.suspicion_unit(*task)).or_default() |= run.is_present();
+        }
         let mut lost_runs = Vec::new();
         for ((task, number), run) in started {
             // A stable run is no explanation as long as there is another one.
@@ -195,8 +207,9 @@
                 incarnation: worker.incarnation,
                 run: *number,
                 is_suspect: run.is_suspect(),
-                is_sole_suspect: suspects.len() == 1,
-                is_confirmed: matches!(run.phase, RunPhase::Present { .. }),
+                // Tasks of one job need not be told apart.
+                is_sole_suspect: suspects.keys().all(|suspect| suspect.job == task.job),
+                is_confirmed: run.is_present(),
             };
             add_lost_run(&mut lost_runs, self.suspicion_unit(*task), lost_run);
         }
@@ -209,6 +222,16 @@
             is_unexplained: (is_replaced || worker.is_silent()) && suspects.is_empty(),
             crash_window: worker.is_known.then(|| worker.crash_window(now_ms)),
             lost_runs,
+            loss: Loss {
+                worker: worker.entry.id.clone(),
+                address: worker.entry.address.clone(),
+                suspects: suspects
+                    .into_iter()
+                    .map(|(task, is_confirmed)| Suspect { task, is_confirmed })
+                    .collect(),
+                is_crash: false,
+                is_explained: false,
+            },
         }
     }
 
@@ -226,6 +249,7 @@
             self.crashes
                 .record_outage(removed.worker.clone(), crash_window, now.steady_ms);
         }
+        self.crashes.evidence.add(removed.loss);
         for (task, lost_run) in removed.lost_runs {
             self.record_lost_run(task, lost_run, removed.crash_window, now.steady_ms);
         }
@@ -325,7 +349,8 @@
         let Some(lost) = self.crashes.lost_workers.remove(id) else {
             return;
         };
-        let mut is_excused = lost
+        let loss = self.crashes.evidence.take(id);
+        let is_excused = lost
             .crash_window
             .is_some_and(|crash_window| self.is_outage(id, crash_window));
         let mut lost_runs = Vec::new();
@@ -353,8 +378,22 @@
             let state = self.jobs[*key].task(*task);
             Reverse(state.map_or(0, |state| state.suspicion.confirmed))
         });
-        for (key, task, lost_run) in lost_runs {
-            is_excused |= self.count_crash(key, task, &lost_run, is_excused, now, actions);
+        let mut is_explained = loss.as_ref().is_some_and(|loss| loss.is_explained);
+        for (key, task, mut lost_run) in lost_runs {
+            lost_run.is_sole_suspect |=
+                loss.as_ref().is_some_and(|loss| loss.is_sole_suspect(task));
+            let is_excused = is_excused || is_explained;
+            let is_cause = self.count_crash(key, task, &lost_run, is_excused, now, actions);
+            if is_explained && let Some(state) = self.jobs[key].task_mut(task) {
+                state.suspicion.explained += 1;
+            }
+            is_explained |= is_cause;
+        }
+        if let Some(loss) = loss.filter(|_| !is_excused && !is_explained) {
+            self.crashes.evidence.add(Loss {
+                is_crash: true,
+                ..loss
+            });
         }
     }
 
@@ -404,36 +443,15 @@
             ),
         )));
         if is_to_blame {
+            let is_certain = lost_run.may_be_cause() && lost_run.is_sole_suspect && !is_excused;
+            if is_certain {
+                self.explain_crashes_by(task.job);
+            }
             self.fail_crashing_job(key, task, now, actions);
         }
         is_to_blame
     }
 
-    /// Fails a job because one of its tasks crashes its workers.
-    pub(super) fn fail_crashing_job(
-        &mut self,
-        key: JobKey,
-        task: TaskId,
-        now: Now,
-        actions: &mut Vec<Action>,
-    ) {
-        let job = &self.jobs[key];
-        if job.phase.is_final() {
-            return;
-        }
-        let suspicion = job
-            .task(self.suspicion_unit(task))
-            .map(|state| &state.suspicion);
-        let (confirmed, crashes) = suspicion.map_or((0, 0), |it| (it.confirmed, it.crashes));
-        actions.push(Action::Note(Note::new(
-            Code::JobFailed,
-            task.job.to_string(),
-            format!("task={task} why=crashes confirmed={confirmed} crashes={crashes}"),
-        )));
-        self.stats.crashing_jobs_failed += 1;
-        self.finish(key, JobPhase::Failed, now, actions);
-    }
-
     /// Counts a start of a task that may have crashed workers before.
     pub(super) fn record_start(&mut self, key: JobKey, task: TaskId) {
         // The first member counts for its gang.
@@ -469,48 +487,6 @@
             .undecided_until_ms(now_ms)
     }
 
-    /// Clears the suspicion of a task, as one of its runs is stable. For a gang, the runs of all
-    /// members must be stable, as those of the other members still run when one has just crashed
-    /// its worker.
-    pub(super) fn clear_suspicion(&mut self, task: TaskId) {
-        let suspicion_unit = self.suspicion_unit(task);
-        let Some(key) = self.job_keys.get(&task.job).copied() else {
-            return;
-        };
-        if let Some(state) = self.jobs[key].task_mut(task) {
-            state.failed_starts = 0;
-        }
-        let job = &self.jobs[key];
-        let (Some(step), Some(state)) = (job.step(task), job.task(suspicion_unit)) else {
-            return;
-        };
-        let is_long_running = step.is_long_running;
-        let is_open = state.is_suspect() || is_long_running && state.suspicion.crashes > 0;
-        if !is_open || step.is_gang && !self.is_gang_stable(key, task) {
-            return;
-        }
-        let job = &mut self.jobs[key];
-        if let Some(state) = job.task_mut(suspicion_unit) {
-            state.suspicion.clear(is_long_running);
-            state.lost_runs.retain(|lost_run| !lost_run.is_suspect);
-            job.is_dirty = true;
-        }
-    }
-
-    fn is_gang_stable(&self, key: JobKey, member: TaskId) -> bool {
-        let job = &self.jobs[key];
-        let count = job.step(member).map_or(0, |step| step.count) as u16;
-        (0..count).all(|index| {
-            let id = TaskId { index, ..member };
-            let placement = job.task(id).and_then(|task| task.placement);
-            let run = placement.and_then(|placement| {
-                let worker = self.workers.get(placement.worker)?;
-                worker.runs.get(&(id, placement.run))
-            });
-            run.is_some_and(|run| run.is_stable)
-        })
-    }
-
     /// Returns the address of the worker that a task is suspected to have crashed last; `None` if it
     /// is not suspected.
     pub(super) fn suspected_at(&self, task: TaskId) -> Option<Box<str>> {
--- a/crates/dispatch/src/owner/exits.rs
+++ b/crates/dispatch/src/owner/exits.rs
@@ -47,7 +47,10 @@
             return;
         };
         match exit_reason {
-            ExitReason::Done => self.stats.done += 1,
+            ExitReason::Done => {
+                self.stats.done += 1;
+                self.clear_evidence(task);
+            }
             ExitReason::Failed => self.stats.failed += 1,
             _ => self.stats.broken += 1,
         }
--- a/crates/dispatch/src/owner/mod.rs
+++ b/crates/dispatch/src/owner/mod.rs
@@ -33,6 +33,7 @@
 mod relaying;
 mod shares;
 mod stragglers;
+mod suspects;
 mod task;
 mod timeline;
 mod track;
--- a/crates/dispatch/src/owner/progress.rs
+++ b/crates/dispatch/src/owner/progress.rs
@@ -25,6 +25,7 @@
         task.suspicion = Suspicion {
             crashes: recorded.crashes,
             confirmed: recorded.confirmed,
+            explained: recorded.explained_crashes,
             starts: recorded.suspect_starts,
             run: recorded.crashed_run,
             address: recorded.crashed_address.as_str().into(),
@@ -80,6 +81,7 @@
             crashes: task.suspicion.crashes,
             confirmed: task.suspicion.confirmed,
             suspect_starts: task.suspicion.starts,
+            explained_crashes: task.suspicion.explained,
             crashed_run: task.suspicion.run,
             crashed_address: task.suspicion.address.to_string(),
             lost_runs: task.lost_runs.iter().map(LostRun::record).collect(),
--- a/crates/dispatch/src/policy/mod.rs
+++ b/crates/dispatch/src/policy/mod.rs
@@ -18,11 +18,13 @@
 //! | [`stragglers`] | which workers slow down the tasks that run there |
 //! | [`protection`] | how much best-effort work the latency-critical tasks on a worker bear now |
 //! | [`suspicion`] | which task is the cause when a worker has crashed |
+//! | [`crash_evidence`] | which of several suspects it was, as the others prove harmless |
 //! | [`fair_shares`] | which queue goes first among queues of the same priority |
 //! | [`shown_queues`] | which queues metrics show by name |
 //! | [`kept_room`] | on which workers room is kept for a wide task, and for how long |
 
 pub mod answer_timeouts;
+pub mod crash_evidence;
 pub mod fair_shares;
 pub mod images;
 pub mod informing;
--- a/crates/dispatch/src/policy/suspicion.rs
+++ b/crates/dispatch/src/policy/suspicion.rs
@@ -66,6 +66,8 @@
     pub crashes: u32,
     /// Crashes during confirmed runs that it may have caused, since its last stable run.
     pub confirmed: u32,
+    /// Crashes that another task has been blamed for since.
+    pub explained: u32,
     /// Starts since the number of crashes from which on starts are counted.
     pub starts: u32,
     /// Its newest run that was counted. Members of a gang may crash several workers in one run,
@@ -103,14 +105,24 @@
     /// Returns whether the task must not be started any more: it has used its last starts, and none
     /// of its runs became stable.
     pub fn is_exhausted(&self) -> bool {
-        self.starts >= PROBATION_STARTS && self.crashes >= PROBATION_CRASHES
+        self.starts >= PROBATION_STARTS && self.unexplained() >= PROBATION_CRASHES
+    }
+
+    fn unexplained(&self) -> u32 {
+        self.crashes.saturating_sub(self.explained)
+    }
+
+    /// Records that another task has been blamed for one of its crashes.
+    pub fn explain_crash(&mut self) {
+        self.confirmed = self.confirmed.saturating_sub(1);
+        self.explained += 1;
     }
 
     /// Returns whether the task must not be started until it is known what happened to the workers
     /// of its lost runs: if they have crashed, it has used its last starts.
     pub fn must_await_resolution(&self, unresolved_crashes: u32) -> bool {
         let may_be_exhausted = self.starts >= PROBATION_STARTS
-            && self.crashes + unresolved_crashes >= PROBATION_CRASHES;
+            && self.unexplained() + unresolved_crashes >= PROBATION_CRASHES;
         may_be_exhausted && !self.is_exhausted()
     }
 
@@ -147,6 +159,7 @@
         self.address = Box::default();
         if is_long_running {
             self.crashes = 0;
+            self.explained = 0;
         }
     }
 }
--- a/crates/dispatch/src/record.rs
+++ b/crates/dispatch/src/record.rs
@@ -215,6 +215,9 @@
     /// Runs lost with removed workers that may or may not have crashed.
     #[prost(message, repeated, tag = "12")]
     pub(crate) lost_runs: Vec<LostRunRecord>,
+    /// Crashes that another task has been blamed for.
+    #[prost(uint32, tag = "14")]
+    pub(crate) explained_crashes: u32,
 }
 
 /// A run that was lost with its worker.
--- a/tests/dispatch_crash_evidence.rs
+++ b/tests/dispatch_crash_evidence.rs
@@ -47,7 +47,7 @@
     for _ in 0..500 {
         // Other tasks begin on all workers all the time, so that it is never alone.
         jobs += 1;
-        fleet.submit(0, jobs, &job(vec![step(6, 900, &[])]));
+        fleet.submit(0, jobs, &job(vec![step(30, 300, &[])]));
         let crashes = fleet.promises.crashes.get(&crashing).copied();
         fleet.set_restart_delay_ms(match crashes {
             Some(1 | 2) => NEVER_MS,
--- a/tests/lib.rs
+++ b/tests/lib.rs
@@ -44,6 +44,7 @@
 mod fleet;
 mod inventories;
 mod policy_answer_timeouts;
+mod policy_crash_evidence;
 mod policy_fair_shares;
 mod policy_informing;
 mod policy_interference;
