Revert "A run that has done all of its work is no suspect of a crash after it"

What its log shows: the worker fell silent 615 ms after the start, and another incarnation answered 4.7 s later. It was cut off and crashed after its tasks had ended with their leases; the owner can't tell that from a crash at the first silence. The second host crashed by itself 1.4 s after the next start.

--- a/crates/dispatch/src/owner/crashes.rs
+++ b/crates/dispatch/src/owner/crashes.rs
@@ -151,9 +151,7 @@
 
     /// Returns whether it may be the cause if its worker crashes.
     pub(crate) fn is_suspect(&self) -> bool {
-        // A run that has done all of its work ended well before the crash, though nobody read that.
-        let is_complete = self.percent >= 100 && !self.is_long_running;
-        !self.is_stable && !is_complete && self.may_have_started()
+        !self.is_stable && self.may_have_started()
     }
 }
 
