Workers that leave with a run that had just begun count towards its task's last starts

Cause: the loss of a worker that has announced to leave was counted nowhere, whatever ran there.

Change: a departure with a run that was not stable yet counts towards the last two starts, as losses of unknown fate do, and towards the five losses that chance does not explain, the latter only beside a certain crash. Departures alone give up nothing. They are cleared by a stable run, and recorded (a field that former builds pass over).

--- a/crates/dispatch/src/owner/crashes.rs
+++ b/crates/dispatch/src/owner/crashes.rs
@@ -243,6 +243,7 @@
         actions: &mut Vec<Action>,
     ) {
         if removed.is_expected_exit && !removed.left_while_silent {
+            self.record_departure(&removed.lost_runs);
             return;
         }
         if let Some(crash_window) = removed.crash_window.filter(|_| removed.is_unexplained) {
@@ -261,6 +262,20 @@
         }
     }
 
+    /// Records that a worker has left, most likely as planned.
+    fn record_departure(&mut self, lost_runs: &[(TaskId, LostRun)]) {
+        for (task, lost_run) in lost_runs {
+            let Some(key) = self.job_keys.get(&task.job).copied() else {
+                continue;
+            };
+            let job = &mut self.jobs[key];
+            if let Some(state) = job.task_mut(*task).filter(|_| lost_run.is_suspect) {
+                state.suspicion.record_departure();
+                job.is_dirty = true;
+            }
+        }
+    }
+
     fn record_lost_run(
         &mut self,
         task: TaskId,
--- a/crates/dispatch/src/policy/suspicion.rs
+++ b/crates/dispatch/src/policy/suspicion.rs
@@ -20,7 +20,10 @@
 //! before these can answer, only after a while, always beside other suspects, or while other
 //! workers crash as well. Such a task has two starts left after the third crash, known or likely,
 //! unless it works for a while, and is given up after so many crashes that chance no longer
-//! explains them. Of long-running tasks only those crashes count after which they have not worked
+//! explains them. A worker that goes after it has announced to leave has mostly left as planned,
+//! and mostly not within the first second of a run. Such departures count towards the last starts,
+//! and together with crashes towards those that chance does not explain, but not without a certain
+//! crash. Of long-running tasks only those crashes count after which they have not worked
 //! for a while, as hosts crash by themselves in the days for which these tasks run.
 
 /// Time for which a run must have worked before a crash of its worker no longer counts against it.
@@ -68,6 +71,9 @@
     pub confirmed: u32,
     /// Crashes that another task has been blamed for since.
     pub explained: u32,
+    /// Workers that had announced to leave, and went with a run of it that was not stable. They may
+    /// have left as planned, or crashed before that.
+    pub possible: u32,
     /// Starts since the number of crashes from which on starts are counted.
     pub starts: u32,
     /// Its newest run that was counted. Members of a gang may crash several workers in one run,
@@ -94,7 +100,8 @@
     /// workers may have crashed. They count as crashes here, because a crashed worker may be back
     /// only long after its tasks were started on other workers.
     pub fn record_start(&mut self, unresolved_crashes: u32) {
-        self.starts += u32::from(self.crashes + unresolved_crashes >= PROBATION_CRASHES);
+        let crashes = self.crashes + self.possible + unresolved_crashes;
+        self.starts += u32::from(crashes >= PROBATION_CRASHES);
     }
 
     /// Reverts [`Self::record_start`] for a start that the worker refused.
@@ -105,7 +112,16 @@
     /// Returns whether the task must not be started any more: it has used its last starts, and none
     /// of its runs became stable.
     pub fn is_exhausted(&self) -> bool {
-        self.starts >= PROBATION_STARTS && self.unexplained() >= PROBATION_CRASHES
+        let is_beyond_chance =
+            self.confirmed > 0 && self.unexplained() + self.possible >= MAX_CRASHES;
+        self.starts >= PROBATION_STARTS
+            && (self.unexplained() >= PROBATION_CRASHES || is_beyond_chance)
+    }
+
+    /// Records that a worker has left as announced, or has crashed before, while a run of the task
+    /// was not stable.
+    pub fn record_departure(&mut self) {
+        self.possible += 1;
     }
 
     fn unexplained(&self) -> u32 {
@@ -155,6 +171,7 @@
     /// Clears the suspicion after a stable run: the task does not crash workers by starting.
     pub fn clear(&mut self, is_long_running: bool) {
         self.confirmed = 0;
+        self.possible = 0;
         self.starts = 0;
         self.address = Box::default();
         if is_long_running {
--- a/crates/dispatch/src/record.rs
+++ b/crates/dispatch/src/record.rs
@@ -218,6 +218,9 @@
     /// Crashes that another task has been blamed for.
     #[prost(uint32, tag = "14")]
     pub(crate) explained_crashes: u32,
+    /// Workers that had announced to leave and went with a run that was not stable.
+    #[prost(uint32, tag = "15")]
+    pub(crate) departures: u32,
 }
 
 /// A run that was lost with its worker.
--- a/tests/policy_suspicion.rs
+++ b/tests/policy_suspicion.rs
@@ -332,3 +332,20 @@
         eq(true)
     );
 }
+
+/// Guards against a task that crashes its workers and is tried again for ever as they are released
+/// at the same time, and against the loss of a task for planned exits alone.
+#[gtest]
+fn departures_count_towards_the_last_starts_beside_a_certain_crash() {
+    let mut suspicion = Suspicion::default();
+    for _ in 0..8 {
+        suspicion.record_start(0);
+        suspicion.record_departure();
+        expect_that!(suspicion.is_exhausted(), eq(false));
+    }
+    expect_that!(suspicion.record_crash(&ONE_OF_SUSPECTS), eq(false));
+    expect_that!(suspicion.is_exhausted(), eq(true));
+    let mut stable = suspicion.clone();
+    stable.clear(false);
+    expect_that!(stable.is_exhausted(), eq(false));
+}
