TaskSuspected names explained crashes and departures

Both decide when a task is given up, and a blame may now follow without a crash of its own; an operator could not read either. Only the line's text changes, at its end.

--- a/crates/dispatch/src/owner/crashes.rs
+++ b/crates/dispatch/src/owner/crashes.rs
@@ -442,13 +442,17 @@
         };
         let is_to_blame = state.suspicion.record_crash(&crash) && !state.is_done;
         let Suspicion {
-            crashes, confirmed, ..
+            crashes,
+            confirmed,
+            explained,
+            possible,
+            ..
         } = state.suspicion;
         actions.push(Action::Note(Note::new(
             Code::TaskSuspected,
             task.to_string(),
             format!(
-                "run={} worker={} address={} suspect={} there={} alone={} excused={is_excused} confirmed={confirmed} crashes={crashes}",
+                "run={} worker={} address={} suspect={} there={} alone={} excused={is_excused} confirmed={confirmed} crashes={crashes} explained={explained} departures={possible}",
                 lost_run.run,
                 lost_run.worker,
                 lost_run.address,
