Losses of unknown fate count towards the five that chance does not explain

Cause: of its five workers two crashed for certain, both excused (others went at the same moment), two were given up and never heard of again, one had just announced to leave. The last two starts were used, but three certain crashes are needed to give the task up, and the wait for the fate of its workers is limited to 6 s.

Change: two certain crashes beside three losses of unknown fate or departures, all within the first second of a run, are as many as chance does not explain (five), once the last starts are used and the wait is over. Before, departures counted beside one confirmed crash.

--- a/crates/dispatch/src/owner/crashes.rs
+++ b/crates/dispatch/src/owner/crashes.rs
@@ -495,9 +495,9 @@
     }
 
     /// Returns whether a task has used up its starts.
-    pub(super) fn is_used_up(&self, task: TaskId) -> bool {
+    pub(super) fn is_used_up(&self, task: TaskId, now_ms: u64) -> bool {
         let state = self.task(self.suspicion_unit(task));
-        state.is_some_and(|state| state.suspicion.is_exhausted())
+        state.is_some_and(|state| state.is_used_up(now_ms))
     }
 
     /// Returns until when a task waits to know whether its workers crashed, if it does.
--- a/crates/dispatch/src/owner/gangs.rs
+++ b/crates/dispatch/src/owner/gangs.rs
@@ -42,7 +42,7 @@
             return true;
         }
         align_members(state);
-        if self.is_used_up(first) {
+        if self.is_used_up(first, now.steady_ms) {
             self.fail_crashing_job(key, first, now, actions);
             return false;
         }
--- a/crates/dispatch/src/owner/placing.rs
+++ b/crates/dispatch/src/owner/placing.rs
@@ -223,7 +223,7 @@
                 continue;
             }
             let failed_on = task.failed_on;
-            if task.suspicion.is_exhausted() {
+            if task.is_used_up(now.steady_ms) {
                 self.fail_crashing_job(key, id, now, actions);
                 return false;
             }
--- a/crates/dispatch/src/owner/task.rs
+++ b/crates/dispatch/src/owner/task.rs
@@ -176,6 +176,14 @@
             .then_some(until_ms)
     }
 
+    /// Returns whether it must not be started any more, as it has used up its starts.
+    pub(crate) fn is_used_up(&self, now_ms: u64) -> bool {
+        let is_resolved = self.undecided_until_ms(now_ms).is_none();
+        let unresolved_crashes = self.unresolved_crashes();
+        self.suspicion.is_exhausted()
+            || is_resolved && self.suspicion.is_beyond_chance(unresolved_crashes)
+    }
+
     /// Removes and gives the runs that were lost with a worker.
     pub(crate) fn take_lost_runs(&mut self, worker: &str) -> Vec<LostRun> {
         self.lost_runs
--- a/crates/dispatch/src/policy/suspicion.rs
+++ b/crates/dispatch/src/policy/suspicion.rs
@@ -21,9 +21,9 @@
 //! workers crash as well. Such a task has two starts left after the third crash, known or likely,
 //! unless it works for a while, and is given up after so many crashes that chance no longer
 //! explains them. A worker that goes after it has announced to leave has mostly left as planned,
-//! and mostly not within the first second of a run. Such departures count towards the last starts,
-//! and together with crashes towards those that chance does not explain, but not without a certain
-//! crash. Of long-running tasks only those crashes count after which they have not worked
+//! and mostly not within the first second of a run. Such departures, and losses of workers that are
+//! never heard of again, count towards the last starts, and beside two certain crashes towards those
+//! that chance does not explain. Of long-running tasks only those crashes count after which they have not worked
 //! for a while, as hosts crash by themselves in the days for which these tasks run.
 
 /// Time for which a run must have worked before a crash of its worker no longer counts against it.
@@ -39,6 +39,8 @@
 const PROBATION_STARTS: u32 = 2;
 /// Crashes of any cause at which a task is given up.
 const MAX_CRASHES: u32 = 5;
+/// Certain crashes beside which losses of unknown fate and departures count towards that number.
+const MIN_CERTAIN_CRASHES: u32 = 2;
 /// Crashes of any cause from which on a task is placed apart from other suspects.
 const ISOLATION_CRASHES: u32 = 2;
 
@@ -112,10 +114,17 @@
     /// Returns whether the task must not be started any more: it has used its last starts, and none
     /// of its runs became stable.
     pub fn is_exhausted(&self) -> bool {
-        let is_beyond_chance =
-            self.confirmed > 0 && self.unexplained() + self.possible >= MAX_CRASHES;
+        self.starts >= PROBATION_STARTS && self.unexplained() >= PROBATION_CRASHES
+    }
+
+    /// Returns whether the task must not be started any more, although it is not known what happened
+    /// to some workers of its lost runs: it has used its last starts, and chance explains neither
+    /// its certain crashes nor all losses together.
+    pub fn is_beyond_chance(&self, unresolved_crashes: u32) -> bool {
+        let losses = self.unexplained() + self.possible + unresolved_crashes;
         self.starts >= PROBATION_STARTS
-            && (self.unexplained() >= PROBATION_CRASHES || is_beyond_chance)
+            && self.unexplained() >= MIN_CERTAIN_CRASHES
+            && losses >= MAX_CRASHES
     }
 
     /// Records that a worker has left as announced, or has crashed before, while a run of the task
--- a/tests/policy_suspicion.rs
+++ b/tests/policy_suspicion.rs
@@ -334,18 +334,31 @@
 }
 
 /// Guards against a task that crashes its workers and is tried again for ever as they are released
-/// at the same time, and against the loss of a task for planned exits alone.
+/// at the same time, or never heard of again, and against the loss of a task for these alone.
 #[gtest]
-fn departures_count_towards_the_last_starts_beside_a_certain_crash() {
-    let mut suspicion = Suspicion::default();
-    for _ in 0..8 {
-        suspicion.record_start(0);
-        suspicion.record_departure();
-        expect_that!(suspicion.is_exhausted(), eq(false));
+fn departures_and_unknown_losses_count_beside_two_certain_crashes() {
+    for (departures, unresolved_crashes) in [(3, 0), (0, 3), (1, 2), (8, 4)] {
+        let mut suspicion = Suspicion::default();
+        for _ in 0..departures {
+            suspicion.record_start(unresolved_crashes);
+            suspicion.record_departure();
+        }
+        for run in 1..=2 {
+            expect_that!(suspicion.is_beyond_chance(unresolved_crashes), eq(false));
+            suspicion.record_start(unresolved_crashes);
+            let crash = Crash {
+                run,
+                ..ONE_OF_SUSPECTS
+            };
+            expect_that!(suspicion.record_crash(&crash), eq(false));
+        }
+        suspicion.starts = suspicion.starts.max(2);
+        expect_that!(
+            suspicion.is_beyond_chance(unresolved_crashes),
+            eq(true),
+            "{departures} departures, {unresolved_crashes} of unknown fate"
+        );
+        suspicion.clear(false);
+        expect_that!(suspicion.is_beyond_chance(unresolved_crashes), eq(false));
     }
-    expect_that!(suspicion.record_crash(&ONE_OF_SUSPECTS), eq(false));
-    expect_that!(suspicion.is_exhausted(), eq(true));
-    let mut stable = suspicion.clone();
-    stable.clear(false);
-    expect_that!(stable.is_exhausted(), eq(false));
 }
