Random sequences with releases beside tasks that crash their workers; seeds moved

Callers::Released is a variant of its own, so that all seeds keep their sequences: as Poisonous, and workers are announced to leave, some only after they have crashed.

Seeds 21, 23, 152, 248, 267 and 280 with restarts pass and are regression seeds now, as are 9, 29 and 219, which passed before as well since the order of jobs had changed. Those with evacuations pass; their test has another name, as it is not open any more. 120, 128 (found now, in 300 sequences) and 240 (fails again) are the open ones with restarts.

--- a/tests/dispatch_faults.rs
+++ b/tests/dispatch_faults.rs
@@ -4,6 +4,7 @@
 //! environment variable `DISPATCH_SEQUENCES` sets the number of seeds; CI runs the default. With
 //! `DISPATCH_LOG` set, a failure prints what the owners have logged.
 
+use crate::dispatch_regression_seeds::OPEN_SEEDS_RELEASING;
 use crate::dispatch_regression_seeds::OPEN_SEEDS_RESTARTING;
 use crate::dispatch_regression_seeds::REGRESSION_SEEDS;
 use crate::dispatch_regression_seeds::REGRESSION_SEEDS_CRASHING;
@@ -52,7 +53,7 @@
 
 /// Under which ids workers restart. Failures print the variants by their names.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Ids {
+pub(crate) enum Ids {
     /// Under a new id each time.
     New,
     /// Under the old id or a new one. Workers crash often, and may have restarted before any host
@@ -62,7 +63,7 @@
 
 /// What callers do in a sequence. Failures print the variants by their names.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Callers {
+pub(crate) enum Callers {
     /// They submit jobs of parallel tasks and of long-running tasks.
     Plain,
     /// They also submit gangs and steps with speculative copies, and cancel jobs; hosts shut down
@@ -74,6 +75,15 @@
     /// As [`Callers::Restless`], and they submit jobs with tasks that crash their workers. Workers
     /// also crash by themselves, and their resources shrink and grow.
     Poisonous,
+    /// As [`Callers::Poisonous`], while the operator releases workers: they are announced to leave,
+    /// some only after they have crashed, and others start in their place.
+    Released,
+}
+
+impl Callers {
+    fn submit_crashing_tasks(self) -> bool {
+        matches!(self, Callers::Poisonous | Callers::Released)
+    }
 }
 
 /// Whether the operator evacuates failure domains in a sequence.
@@ -153,12 +163,15 @@
         Callers::Plain => {}
         Callers::Restless => vary_jobs(fleet, random, jobs),
         Callers::Insistent => repeat_submissions(fleet, random, *jobs),
-        Callers::Poisonous => {
+        Callers::Poisonous | Callers::Released => {
             fleet.promises.disturbed_ms = fleet.now_ms;
             disturb_workers(fleet, random, jobs, &address);
             vary_jobs(fleet, random, jobs);
         }
     }
+    if callers == Callers::Released {
+        release_workers(fleet, random);
+    }
 }
 
 /// Crashes workers that restart after a random time, under the same or another id, with a correct
@@ -176,6 +189,26 @@
     }
 }
 
+/// Releases some workers. Those that have crashed are announced to leave as well.
+fn release_workers(fleet: &mut Fleet, random: &mut Pcg64) {
+    for number in 0..WORKERS {
+        let address: Box<str> = format!("10.0.0.{number}:80").into();
+        if random.random_range(0..3) > 0 {
+            continue;
+        }
+        let worker = &fleet.workers[&address];
+        let (id, is_alive) = (worker.id.clone(), worker.is_alive);
+        let text = format!("{address} leaving");
+        fleet.store.put(Stream::Workers, &id, text.as_bytes());
+        if is_alive {
+            fleet.run(random.random_range(50..800));
+            if fleet.workers[&address].is_alive {
+                fleet.shut_down(&address);
+            }
+        }
+    }
+}
+
 /// Makes partitions of the store unavailable or available, breaks connections or crashes hosts, and
 /// repeats submissions.
 fn repeat_submissions(fleet: &mut Fleet, random: &mut Pcg64, jobs: u64) {
@@ -326,12 +359,12 @@
         Orders::Relayed => Fleet::with_relays(HOSTS, WORKERS),
         Orders::DirectWithQueries => Fleet::new(MANY_HOSTS, WORKERS),
     };
-    if matches!(callers, Callers::Restless | Callers::Poisonous) {
+    if callers == Callers::Restless || callers.submit_crashing_tasks() {
         for worker in fleet.workers.values_mut() {
             worker.stop_ms = 300;
         }
     }
-    if callers == Callers::Poisonous {
+    if callers.submit_crashing_tasks() {
         // Half of the workers start every task that they are ordered to, even beyond their
         // resources.
         for worker in fleet.workers.values_mut().step_by(2) {
@@ -357,7 +390,7 @@
     if domains == Domains::Evacuated {
         // Unless tasks crash their workers, all jobs run in one domain for a while.
         fleet.cancel_evacuation("hall-1");
-        if callers != Callers::Poisonous {
+        if !callers.submit_crashing_tasks() {
             fleet.evacuate("hall-0");
             fleet.run(EVACUATED_MS);
         }
@@ -366,7 +399,7 @@
     if ids == Ids::OldToo {
         fleet.set_restart_delay_ms(RESTART_MS);
     }
-    if callers == Callers::Poisonous {
+    if callers.submit_crashing_tasks() {
         resize_without_faults(&mut fleet, &mut random, &mut jobs);
         for worker in 0..WORKERS {
             fleet.resize(&format!("10.0.0.{worker}:80"), WORKER_RESOURCES);
@@ -513,6 +546,27 @@
     }
 }
 
+/// Guards against the same failures while workers are released, some of them after they have
+/// crashed, so that a crash may look like a planned exit.
+#[gtest]
+fn guarantees_hold_with_releases_beside_tasks_that_crash_workers() {
+    // Each seed runs in 4 variants.
+    for seed in 0..sequence_count().div_ceil(2) {
+        for orders in [Orders::Direct, Orders::Relayed] {
+            for ids in [Ids::New, Ids::OldToo] {
+                if OPEN_SEEDS_RELEASING.contains(&(seed, orders, ids)) {
+                    continue;
+                }
+                expect_that!(
+                    run_sequence(seed, Callers::Released, orders, ids, Domains::Open),
+                    is_empty(),
+                    "seed {seed}, {orders:?}, {ids:?}"
+                );
+            }
+        }
+    }
+}
+
 /// Guards against a task that runs twice or makes no progress after its worker has restarted under
 /// the same id.
 #[gtest]
@@ -527,8 +581,7 @@
     for seed in (0..sequence_count()).chain(previous) {
         for callers in CALLERS {
             for orders in [Orders::Direct, Orders::Relayed] {
-                let is_unfixed = OPEN_SEEDS_RESTARTING.contains(&(seed, orders));
-                if is_unfixed && callers == Callers::Poisonous {
+                if OPEN_SEEDS_RESTARTING.contains(&(seed, callers, orders)) {
                     continue;
                 }
                 expect_that!(
@@ -600,15 +653,14 @@
 }
 
 /// Guards against jobs that still run or wait half a minute after all faults, including
-/// evacuations, have ended. The seeds were found in runs of many sequences, and the fault is not
-/// fixed.
+/// evacuations, have ended, as tasks that crash their workers were never alone on one.
 #[gtest]
-fn guarantees_hold_for_unfixed_seeds_with_evacuations() {
-    const UNFIXED: [(u64, Callers, Orders); 2] = [
+fn guarantees_hold_for_seeds_that_failed_with_evacuations() {
+    const SEEDS: [(u64, Callers, Orders); 2] = [
         (21, Callers::Poisonous, Orders::Relayed),
         (23, Callers::Poisonous, Orders::Direct),
     ];
-    for (seed, callers, orders) in UNFIXED {
+    for (seed, callers, orders) in SEEDS {
         expect_that!(
             run_sequence(seed, callers, orders, Ids::OldToo, Domains::Evacuated),
             is_empty(),
@@ -622,17 +674,24 @@
 /// seeds were found in runs of many sequences, and the fault is not fixed.
 #[gtest]
 fn guarantees_hold_for_unfixed_seeds_with_restarts() {
-    for (seed, orders) in OPEN_SEEDS_RESTARTING {
+    for (seed, callers, orders) in OPEN_SEEDS_RESTARTING {
         expect_that!(
-            run_sequence(
-                *seed,
-                Callers::Poisonous,
-                *orders,
-                Ids::OldToo,
-                Domains::Open
-            ),
+            run_sequence(*seed, *callers, *orders, Ids::OldToo, Domains::Open),
+            is_empty(),
+            "seed {seed}, {callers:?}, {orders:?}"
+        );
+    }
+}
+
+/// Guards against the same failures and against a task that crashes its workers and is tried too
+/// often, where workers are released beside it. The seeds are not fixed.
+#[gtest]
+fn guarantees_hold_for_unfixed_seeds_with_releases() {
+    for (seed, orders, ids) in OPEN_SEEDS_RELEASING {
+        expect_that!(
+            run_sequence(*seed, Callers::Released, *orders, *ids, Domains::Open),
             is_empty(),
-            "seed {seed}, {orders:?}"
+            "seed {seed}, {orders:?}, {ids:?}"
         );
     }
 }
--- a/tests/dispatch_regression_seeds.rs
+++ b/tests/dispatch_regression_seeds.rs
@@ -1,6 +1,8 @@
 //! Seeds of random sequences that have failed once, each with its cause, as regression tests. They
 //! are never removed.
 
+use crate::dispatch_faults::Callers;
+use crate::dispatch_faults::Ids;
 use crate::dispatch_faults::Orders;
 
 /// Seeds that have failed once, with the cause.
@@ -79,17 +81,44 @@
 ];
 
 /// The same, with workers that restart under their ids.
-pub(crate) const REGRESSION_SEEDS_RESTARTING: &[(u64, &str)] = &[(
-    251,
-    "a new incarnation could accept tasks, but the waiting tasks were not evaluated",
-)];
+pub(crate) const REGRESSION_SEEDS_RESTARTING: &[(u64, &str)] = &[
+    (
+        251,
+        "a new incarnation could accept tasks, but the waiting tasks were not evaluated",
+    ),
+    (
+        9,
+        "a gang beside several crashing tasks was given up with them",
+    ),
+    (29, "the same"),
+    (219, "the same, with a task"),
+    (
+        21,
+        "tasks that crash their workers were never alone on one, and took five crashes each",
+    ),
+    (23, "the same"),
+    (152, "the same"),
+    (248, "the same"),
+    (267, "the same"),
+    (280, "the same"),
+];
 
 /// Seeds that still fail, with workers that restart under their ids.
-pub(crate) const OPEN_SEEDS_RESTARTING: &[(u64, Orders)] = &[
-    (21, Orders::Relayed),
-    (219, Orders::Relayed),
-    (23, Orders::Direct),
-    (240, Orders::Relayed),
-    (29, Orders::Direct),
-    (9, Orders::Relayed),
+pub(crate) const OPEN_SEEDS_RESTARTING: &[(u64, Callers, Orders)] = &[
+    (120, Callers::Poisonous, Orders::Direct),
+    (128, Callers::Plain, Orders::Relayed),
+    (240, Callers::Poisonous, Orders::Relayed),
+];
+
+/// Seeds that still fail, with workers that are released beside tasks that crash them.
+pub(crate) const OPEN_SEEDS_RELEASING: &[(u64, Orders, Ids)] = &[
+    (10, Orders::Direct, Ids::OldToo),
+    (12, Orders::Direct, Ids::OldToo),
+    (13, Orders::Relayed, Ids::New),
+    (34, Orders::Direct, Ids::OldToo),
+    (39, Orders::Direct, Ids::OldToo),
+    (52, Orders::Relayed, Ids::New),
+    (61, Orders::Direct, Ids::OldToo),
+    (84, Orders::Relayed, Ids::OldToo),
+    (92, Orders::Relayed, Ids::New),
 ];
--- a/tests/fleet/worker_faults.rs
+++ b/tests/fleet/worker_faults.rs
@@ -102,6 +102,14 @@
         for task in worker.tasks() {
             self.promises.record_crash(task, is_unrelated);
         }
+        self.shut_down(address);
+    }
+
+    /// Ends a worker that leaves as planned: its runs end, and it is restarted later.
+    pub(crate) fn shut_down(&mut self, address: &str) {
+        let Some(worker) = self.workers.get_mut(address) else {
+            return;
+        };
         worker.die();
         let id = worker.id.clone();
         let now_ms = self.now_ms;
