--- a/crates/dispatch/src/owner/mod.rs
+++ b/crates/dispatch/src/owner/mod.rs
@@ -37,6 +37,7 @@
 mod shares;
 mod starting;
 mod stragglers;
+mod suspects;
 mod task;
 mod timeline;
 mod track;
--- a/crates/dispatch/src/owner/polls.rs
+++ b/crates/dispatch/src/owner/polls.rs
@@ -223,6 +223,7 @@
         }
         worker.missed_answers = 0;
         worker.first_missed_ms = None;
+        worker.left_while_silent = false;
         worker.misses_after_expiry = 0;
         worker.answered_ms = now_ms;
         let was_known = worker.is_known;
@@ -234,6 +235,7 @@
         self.timeline.exit_delay_ms = (now_ms - sent_ms).min(self.answers.typical_delay_ms());
         self.apply_run_exits(key, &report, now, actions);
         self.apply_run_reports(key, sent_ms, &report, now_ms, actions);
+        self.fail_convicted(now, actions);
         if !was_known {
             self.block_late_starts(key, &report, now_ms);
         }
--- a/crates/dispatch/src/policy/suspicion.rs
+++ b/crates/dispatch/src/policy/suspicion.rs
@@ -20,7 +20,10 @@
 //! before these can answer, only after a while, always beside other suspects, or while other
 //! workers crash as well. Such a task has two starts left after the third crash, known or likely,
 //! unless it works for a while, and is given up after so many crashes that chance no longer
-//! explains them. Of long-running tasks only those crashes count after which they have not worked
+//! explains them. A worker that goes after it has announced to leave has mostly left as planned,
+//! and mostly not within the first second of a run. Such departures, and losses of workers that are
+//! never heard of again, count towards the last starts, and beside two certain crashes towards those
+//! that chance does not explain. Of long-running tasks only those crashes count after which they have not worked
 //! for a while, as hosts crash by themselves in the days for which these tasks run.
 
 /// Time for which a run must have worked before a crash of its worker no longer counts against it.
@@ -36,6 +39,8 @@
 const PROBATION_STARTS: u32 = 2;
 /// Crashes of any cause at which a task is given up.
 const MAX_CRASHES: u32 = 5;
+/// Certain crashes beside which losses of unknown fate and departures count towards that number.
+const MIN_CERTAIN_CRASHES: u32 = 2;
 /// Crashes of any cause from which on a task is placed apart from other suspects.
 const ISOLATION_CRASHES: u32 = 2;
 
@@ -66,6 +71,11 @@
     pub crashes: u32,
     /// Crashes during confirmed runs that it may have caused, since its last stable run.
     pub confirmed: u32,
+    /// Crashes that another task has been blamed for since.
+    pub explained: u32,
+    /// Workers that had announced to leave, and went with a run of it that was not stable. They may
+    /// have left as planned, or crashed before that.
+    pub possible: u32,
     /// Starts since the number of crashes from which on starts are counted.
     pub starts: u32,
     /// Its newest run that was counted. Members of a gang may crash several workers in one run,
@@ -92,7 +102,8 @@
     /// workers may have crashed. They count as crashes here, because a crashed worker may be back
     /// only long after its tasks were started on other workers.
     pub fn record_start(&mut self, unresolved_crashes: u32) {
-        self.starts += u32::from(self.crashes + unresolved_crashes >= PROBATION_CRASHES);
+        let crashes = self.crashes + self.possible + unresolved_crashes;
+        self.starts += u32::from(crashes >= PROBATION_CRASHES);
     }
 
     /// Reverts [`Self::record_start`] for a start that the worker refused.
@@ -103,14 +114,40 @@
     /// Returns whether the task must not be started any more: it has used its last starts, and none
     /// of its runs became stable.
     pub fn is_exhausted(&self) -> bool {
-        self.starts >= PROBATION_STARTS && self.crashes >= PROBATION_CRASHES
+        self.starts >= PROBATION_STARTS && self.unexplained() >= PROBATION_CRASHES
+    }
+
+    /// Returns whether the task must not be started any more, although it is not known what happened
+    /// to some workers of its lost runs: it has used its last starts, and chance explains neither
+    /// its certain crashes nor all losses together.
+    pub fn is_beyond_chance(&self, unresolved_crashes: u32) -> bool {
+        let losses = self.unexplained() + self.possible + unresolved_crashes;
+        self.starts >= PROBATION_STARTS
+            && self.unexplained() >= MIN_CERTAIN_CRASHES
+            && losses >= MAX_CRASHES
+    }
+
+    /// Records that a worker has left as announced, or has crashed before, while a run of the task
+    /// was not stable.
+    pub fn record_departure(&mut self) {
+        self.possible += 1;
+    }
+
+    fn unexplained(&self) -> u32 {
+        self.crashes.saturating_sub(self.explained)
+    }
+
+    /// Records that another task has been blamed for one of its crashes.
+    pub fn explain_crash(&mut self) {
+        self.confirmed = self.confirmed.saturating_sub(1);
+        self.explained += 1;
     }
 
     /// Returns whether the task must not be started until it is known what happened to the workers
     /// of its lost runs: if they have crashed, it has used its last starts.
     pub fn must_await_resolution(&self, unresolved_crashes: u32) -> bool {
         let may_be_exhausted = self.starts >= PROBATION_STARTS
-            && self.crashes + unresolved_crashes >= PROBATION_CRASHES;
+            && self.unexplained() + unresolved_crashes >= PROBATION_CRASHES;
         may_be_exhausted && !self.is_exhausted()
     }
 
@@ -143,10 +180,12 @@
     /// Clears the suspicion after a stable run: the task does not crash workers by starting.
     pub fn clear(&mut self, is_long_running: bool) {
         self.confirmed = 0;
+        self.possible = 0;
         self.starts = 0;
         self.address = Box::default();
         if is_long_running {
             self.crashes = 0;
+            self.explained = 0;
         }
     }
 }
--- a/tests/policy_suspicion.rs
+++ b/tests/policy_suspicion.rs
@@ -332,3 +332,33 @@
         eq(true)
     );
 }
+
+/// Guards against a task that crashes its workers and is tried again for ever as they are released
+/// at the same time, or never heard of again, and against the loss of a task for these alone.
+#[gtest]
+fn departures_and_unknown_losses_count_beside_two_certain_crashes() {
+    for (departures, unresolved_crashes) in [(3, 0), (0, 3), (1, 2), (8, 4)] {
+        let mut suspicion = Suspicion::default();
+        for _ in 0..departures {
+            suspicion.record_start(unresolved_crashes);
+            suspicion.record_departure();
+        }
+        for run in 1..=2 {
+            expect_that!(suspicion.is_beyond_chance(unresolved_crashes), eq(false));
+            suspicion.record_start(unresolved_crashes);
+            let crash = Crash {
+                run,
+                ..ONE_OF_SUSPECTS
+            };
+            expect_that!(suspicion.record_crash(&crash), eq(false));
+        }
+        suspicion.starts = suspicion.starts.max(2);
+        expect_that!(
+            suspicion.is_beyond_chance(unresolved_crashes),
+            eq(true),
+            "{departures} departures, {unresolved_crashes} of unknown fate"
+        );
+        suspicion.clear(false);
+        expect_that!(suspicion.is_beyond_chance(unresolved_crashes), eq(false));
+    }
+}
