--- a/tests/fleet/callers.rs
+++ b/tests/fleet/callers.rs
@@ -85,6 +85,29 @@
         entry.map_or(Vec::new(), Entry::queue_shares)
     }
 
+    /// Queries a host for the states of jobs, several at a time, and waits for the answers.
+    pub(crate) fn states(
+        &mut self,
+        number: usize,
+        ids: &[JobId],
+    ) -> Vec<(JobId, Option<JobState>)> {
+        const AT_A_TIME: usize = 20;
+        let mut states = Vec::with_capacity(ids.len());
+        for chunk in ids.chunks(AT_A_TIME) {
+            let query = |id: &JobId| (*id, self.query(number, id.0));
+            let requests: Vec<(JobId, u64)> = chunk.iter().map(query).collect();
+            self.run(1_200);
+            for (id, request) in requests {
+                let state = match self.replies.get(&request) {
+                    Some(Reply::State(state)) => Some(*state),
+                    _ => None,
+                };
+                states.push((id, state));
+            }
+        }
+        states
+    }
+
     /// Queries a host for the state of a job, and waits for the answer.
     pub(crate) fn state(&mut self, number: usize, id: u64) -> Option<JobState> {
         let request = self.query(number, id);
