Idle starts: also gangs, and steps beside long-running tasks of their job

What callers would see: a best-effort gang, or a best-effort step of a job of which a long-running task runs, that interferes with the serving tasks of all workers and never starts; of a long-running best-effort step one task only.

The search for idle jobs left out gangs, and took a job for busy as long as anything of it ran, which for a long-running task is without end.

Change: only tasks that end count as running for that. All members of a gang start together, each on another worker at the share that is borne there; a gang of more members than there are such workers still waits.

The test's cases "a gang" (0 starts of 2), "beside a long-running step of its job" (0 of 1) and "all tasks of a long-running step" (1 of 2) failed before; "one task per worker" did not.

--- a/crates/dispatch/src/owner/gangs.rs
+++ b/crates/dispatch/src/owner/gangs.rs
@@ -166,7 +166,7 @@
 
 /// Sets all members to the same run number and checkpoint. A checkpoint of a gang is valid for all
 /// members. The lexicographically greatest one is the furthest.
-fn align_members(state: &mut StepState) {
+pub(super) fn align_members(state: &mut StepState) {
     let run = state.tasks.iter().map(|task| task.run).max().unwrap_or(0);
     let checkpoint = state
         .tasks
--- a/crates/dispatch/src/owner/idle_starts.rs
+++ b/crates/dispatch/src/owner/idle_starts.rs
@@ -7,6 +7,7 @@
 use crate::owner::Owner;
 use crate::owner::costs::Offer;
 use crate::owner::costs::TaskRequirements;
+use crate::owner::gangs::align_members;
 use crate::owner::job::JobKey;
 use crate::owner::job::Occurrence;
 use crate::owner::worker::WorkerKey;
@@ -26,8 +27,8 @@
 /// their turn.
 const RETRY_MS: u64 = 1_000;
 
-/// Time for which nothing of an occurrence has run that has its turn, but for tasks that were
-/// started for that reason.
+/// Time for which nothing of an occurrence has run that has its turn, but for long-running tasks and
+/// those that were started for that reason.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Idleness {
     since_ms: u64,
@@ -37,6 +38,16 @@
     has_started: bool,
 }
 
+impl Idleness {
+    fn new(now_ms: u64) -> Self {
+        Self {
+            since_ms: now_ms,
+            due_ms: now_ms + MAX_IDLE_MS,
+            has_started: false,
+        }
+    }
+}
+
 /// A step that has its turn, of an occurrence of which nothing runs.
 #[derive(Debug, Clone, Copy)]
 struct IdleStep {
@@ -87,14 +98,11 @@
             let steps = &job.submission.steps;
             for (position, occurrence) in job.occurrences.iter_mut().enumerate() {
                 let Some(number) = find_idle_step(occurrence, steps) else {
-                    occurrence.idle = occurrence.idle.filter(|_| occurrence.running() == 1);
+                    let running = occurrence.running_until_done(steps);
+                    occurrence.idle = occurrence.idle.filter(|_| running == 1);
                     continue;
                 };
-                let idle = *occurrence.idle.get_or_insert(Idleness {
-                    since_ms: now_ms,
-                    due_ms: now_ms + MAX_IDLE_MS,
-                    has_started: false,
-                });
+                let idle = *occurrence.idle.get_or_insert(Idleness::new(now_ms));
                 if now_ms < idle.due_ms {
                     continue;
                 }
@@ -114,15 +122,16 @@
         list
     }
 
-    /// Starts a task of a step at a reduced share, if a worker takes it. Returns whether it was
-    /// assigned.
+    /// Starts a task of a step at a reduced share, or all members of a gang, if workers take them.
+    /// Returns whether they were assigned.
     fn start_idle(&mut self, idle: &IdleStep, now: Now, actions: &mut Vec<Action>) -> bool {
         let now_ms = now.steady_ms;
         let submission = self.jobs[idle.job].submission.clone();
         let Some(step) = submission.steps.get(usize::from(idle.first.step)) else {
             return false;
         };
-        let Some(task) = self.find_startable(idle, step, now_ms) else {
+        let tasks = self.list_startable(idle, step, now_ms);
+        let Some(task) = tasks.first().copied() else {
             return false;
         };
         let requirements = TaskRequirements {
@@ -136,59 +145,75 @@
             waits_for_isolation: false,
             accepts_reduced_share: true,
         };
-        let Some((worker, offer)) = self.best_offer(&requirements, now_ms) else {
+        let offers = self.best_offers(&requirements, tasks.len(), now_ms);
+        if offers.len() < tasks.len() {
             return false;
-        };
-        self.stats.idle_starts += 1;
-        actions.push(Action::Note(Note::new(
-            Code::IdleStart,
-            task.to_string(),
-            format!(
-                "worker={} share_percent={} since_ms={}",
-                self.workers[worker].entry.id,
-                offer.share_percent,
-                now_ms - idle.idle.since_ms
-            ),
-        )));
-        self.assign(idle.job, task, worker, now, actions);
-        self.limit_share(worker, task, offer.share_percent, actions);
+        }
+        if step.is_gang
+            && let Some(state) = self.jobs[idle.job].step_mut(task)
+        {
+            align_members(state);
+        }
+        for (task, (worker, offer)) in tasks.into_iter().zip(offers) {
+            self.stats.idle_starts += 1;
+            actions.push(Action::Note(Note::new(
+                Code::IdleStart,
+                task.to_string(),
+                format!(
+                    "worker={} share_percent={} since_ms={}",
+                    self.workers[worker].entry.id,
+                    offer.share_percent,
+                    now_ms - idle.idle.since_ms
+                ),
+            )));
+            self.assign(idle.job, task, worker, now, actions);
+            self.limit_share(worker, task, offer.share_percent, actions);
+        }
         true
     }
 
-    /// Returns the first waiting task of a step that nothing but the choice of a worker delays.
-    fn find_startable(&self, idle: &IdleStep, step: &Step, now_ms: u64) -> Option<TaskId> {
-        for index in 0..step.count as u16 {
-            let id = TaskId {
-                index,
-                ..idle.first
-            };
-            let Some(task) = self.task(id) else {
-                continue;
-            };
-            let is_delayed =
-                task.not_before_ms > now_ms || task.undecided_until_ms(now_ms).is_some();
-            if task.is_waiting() && !is_delayed && !self.orphans.contains_key(&id) {
-                return Some(id);
-            }
+    /// Returns the first waiting task of a step that nothing but the choice of a worker delays, or
+    /// all members of a gang if that is so for each of them.
+    fn list_startable(&self, idle: &IdleStep, step: &Step, now_ms: u64) -> Vec<TaskId> {
+        let ids = (0..step.count as u16).map(|index| TaskId {
+            index,
+            ..idle.first
+        });
+        let mut startable = ids.filter(|id| self.is_startable(*id, now_ms));
+        if !step.is_gang {
+            return startable.next().into_iter().collect();
         }
-        None
+        let members: Vec<TaskId> = startable.collect();
+        match members.len() == step.count as usize {
+            true => members,
+            false => Vec::new(),
+        }
+    }
+
+    fn is_startable(&self, id: TaskId, now_ms: u64) -> bool {
+        let Some(task) = self.task(id) else {
+            return false;
+        };
+        let is_delayed = task.not_before_ms > now_ms || task.undecided_until_ms(now_ms).is_some();
+        task.is_waiting() && !is_delayed && !self.orphans.contains_key(&id)
     }
 
-    fn best_offer(
+    /// Returns the best offers of up to `count` workers, the best first.
+    fn best_offers(
         &self,
         requirements: &TaskRequirements<'_>,
+        count: usize,
         now_ms: u64,
-    ) -> Option<(WorkerKey, Offer)> {
-        let mut best: Option<(WorkerKey, Offer)> = None;
+    ) -> Vec<(WorkerKey, Offer)> {
+        let mut offers = Vec::new();
         for (key, worker) in self.workers.eligible() {
-            let Ok(offer) = self.permitted_offer(key, worker, requirements, now_ms) else {
-                continue;
-            };
-            if best.is_none_or(|(_, other)| offer.cost < other.cost) {
-                best = Some((key, offer));
+            if let Ok(offer) = self.permitted_offer(key, worker, requirements, now_ms) {
+                offers.push((key, offer));
             }
         }
-        best
+        offers.sort_by_key(|(_, offer)| offer.cost);
+        offers.truncate(count);
+        offers
     }
 
     /// Limits the share of a run that was just assigned. The order follows once the run is present.
@@ -211,13 +236,13 @@
 }
 
 /// Returns the number of the first best-effort step of an occurrence that has its turn and whose
-/// tasks wait, if nothing of the occurrence runs.
+/// tasks wait, if nothing but long-running tasks of the occurrence runs.
 fn find_idle_step(occurrence: &Occurrence, steps: &[Step]) -> Option<u16> {
-    if occurrence.running() > 0 {
+    if occurrence.running_until_done(steps) > 0 {
         return None;
     }
     for (number, (state, step)) in occurrence.steps.iter().zip(steps).enumerate() {
-        let is_candidate = step.is_best_effort && !step.is_gang && state.waiting > 0;
+        let is_candidate = step.is_best_effort && state.waiting > 0;
         if is_candidate && occurrence.is_open(step) {
             return Some(number as u16);
         }
--- a/crates/dispatch/src/owner/job.rs
+++ b/crates/dispatch/src/owner/job.rs
@@ -96,7 +96,8 @@
 pub(crate) struct Occurrence {
     pub(crate) number: u32,
     pub(crate) steps: Vec<StepState>,
-    /// Since when nothing of it runs, although a best-effort step has its turn.
+    /// Since when nothing of it but long-running tasks runs, although a best-effort step has its
+    /// turn.
     pub(crate) idle: Option<Idleness>,
 }
 
@@ -117,9 +118,11 @@
         self.steps.iter().all(StepState::is_done)
     }
 
-    /// Returns the number of its tasks that run.
-    pub(crate) fn running(&self) -> u64 {
-        self.steps.iter().map(StepState::running).sum()
+    /// Returns the number of its tasks that run and are not long-running.
+    pub(crate) fn running_until_done(&self, steps: &[Step]) -> u64 {
+        let steps = self.steps.iter().zip(steps);
+        let until_done = steps.filter(|(_, step)| !step.is_long_running);
+        until_done.map(|(state, _)| state.running()).sum()
     }
 
     /// Returns whether the tasks of a step may start, as all steps before it are done.
--- a/crates/dispatch/src/policy/idle_starts.rs
+++ b/crates/dispatch/src/policy/idle_starts.rs
@@ -9,10 +9,10 @@
 //! there. It shows as `TaskWaits` of best-effort steps whose `since_ms` grows from line to line,
 //! with nearly all workers `Disturbed`.
 //!
-//! A task takes headroom in proportion to its share. A job of which nothing has run for
-//! [`MAX_IDLE_MS`] therefore starts a task at the greatest share that the latency-critical tasks of
+//! A task takes headroom in proportion to its share. A job of which nothing but long-running tasks
+//! has run for [`MAX_IDLE_MS`] therefore starts a task at the greatest share that the latency-critical tasks of
 //! a worker bear on average or, if that is too small to make progress, at the smallest one if they
-//! bear that now. One task is enough to end the wait, so that a queue of such jobs takes little from
+//! bear that now. One task, or one gang, is enough to end the wait, so that a queue of such jobs takes little from
 //! the latency-critical tasks. Where a worker has none of these, best-effort tasks only slow down
 //! each other.
 //!
--- a/tests/dispatch_best_effort.rs
+++ b/tests/dispatch_best_effort.rs
@@ -7,6 +7,7 @@
 use goldcrestway_dispatch::JobId;
 use goldcrestway_dispatch::JobState;
 use goldcrestway_dispatch::Step;
+use goldcrestway_dispatch::Submission;
 use googletest::prelude::*;
 
 /// Guards against a serving task that is over its target for four seconds while best-effort tasks
@@ -189,3 +190,75 @@
     fleet.run(8_000);
     fleet
 }
+
+/// A job that interferes everywhere and could be left out by the search for idle jobs.
+struct ShapeCase {
+    name: &'static str,
+    submission: fn() -> Submission,
+    /// The step that must start, and how many of its tasks.
+    step: u16,
+    starts: usize,
+}
+
+/// Guards against best-effort steps that wait without end, as only jobs of which nothing at all
+/// runs got a task at a reduced share, and no gang did.
+#[gtest]
+fn best_effort_steps_of_all_shapes_start_although_they_interfere_everywhere() {
+    let cases = [
+        ShapeCase {
+            name: "a gang",
+            submission: || {
+                job(vec![Step {
+                    is_gang: true,
+                    ..interfering_step(2)
+                }])
+            },
+            step: 0,
+            starts: 2,
+        },
+        ShapeCase {
+            name: "beside a long-running step of its job",
+            submission: || {
+                let long_running = Step {
+                    is_long_running: true,
+                    ..step(1, 1_000, &[])
+                };
+                job(vec![long_running, interfering_step(1)])
+            },
+            step: 1,
+            starts: 1,
+        },
+        ShapeCase {
+            name: "all tasks of a long-running step",
+            submission: || {
+                job(vec![Step {
+                    is_long_running: true,
+                    ..interfering_step(2)
+                }])
+            },
+            step: 0,
+            starts: 2,
+        },
+        ShapeCase {
+            name: "one task per worker",
+            submission: || {
+                job(vec![Step {
+                    max_per_worker: 1,
+                    ..interfering_step(1)
+                }])
+            },
+            step: 0,
+            starts: 1,
+        },
+    ];
+    for case in cases {
+        let mut fleet = fleet_that_knows_an_interfering_image();
+        let ids = fleet.workers.values().map(|worker| worker.id.clone());
+        fleet.permitted = ids.collect();
+        fleet.submit(0, 0x3, &(case.submission)());
+        fleet.run(MAX_IDLE_MS);
+        let starts = fleet.promises.starts.iter();
+        let starts = starts.filter(|(_, task, _)| task.job.0 == 0x3 && task.step == case.step);
+        expect_that!(starts.count(), ge(case.starts), "{}", case.name);
+    }
+}
