Idle starts: permits are requested for workers that take a reduced share

What callers would see: a best-effort job of a queue with permits that interferes with the serving tasks of all workers and never starts.

Cause: permits were requested only for workers that take a task at its full share, so that the start at a reduced share found no worker with a permit.

--- a/crates/dispatch/src/owner/idle_starts.rs
+++ b/crates/dispatch/src/owner/idle_starts.rs
@@ -3,6 +3,7 @@
 
 use crate::event::Action;
 use crate::event::Now;
+use crate::ids::StepId;
 use crate::ids::TaskId;
 use crate::owner::Owner;
 use crate::owner::costs::Offer;
@@ -75,20 +76,41 @@
                 return;
             }
             let has_started = self.start_idle(step, now, actions);
-            let occurrence = &mut self.jobs[step.job].occurrences[step.position];
+            let job = &mut self.jobs[step.job];
+            // A permit may expire within the longer time.
+            let retry_ms = match job.submission.needs_permits() {
+                true => SEARCH_INTERVAL_MS,
+                false => RETRY_MS,
+            };
+            let occurrence = &mut job.occurrences[step.position];
             occurrence.idle = Some(match has_started {
                 true => Idleness {
                     has_started,
                     ..step.idle
                 },
                 false => Idleness {
-                    due_ms: now.steady_ms + RETRY_MS,
+                    due_ms: now.steady_ms + retry_ms,
                     ..step.idle
                 },
             });
         }
     }
 
+    /// Returns whether a best-effort step may start a task at a reduced share, so that permits are of
+    /// use for workers that take none at its full share.
+    pub(super) fn accepts_reduced_share(&self, id: StepId, step: &Step, now_ms: u64) -> bool {
+        if !self.bounds.policy.starts_idle_jobs || !step.is_best_effort {
+            return false;
+        }
+        let Some(key) = self.job_keys.get(&id.job) else {
+            return false;
+        };
+        let mut occurrences = self.jobs[*key].occurrences.iter();
+        let occurrence = occurrences.find(|occurrence| occurrence.number == id.occurrence);
+        let idle = occurrence.and_then(|occurrence| occurrence.idle);
+        idle.is_some_and(|idle| now_ms >= idle.since_ms + MAX_IDLE_MS)
+    }
+
     /// Updates since when nothing of the occurrences of best-effort jobs runs, and returns the steps
     /// for which that is too long.
     fn list_idle_steps(&mut self, now_ms: u64) -> Vec<IdleStep> {
--- a/crates/dispatch/src/owner/permits.rs
+++ b/crates/dispatch/src/owner/permits.rs
@@ -169,7 +169,7 @@
             needs_permits: false,
             suspected_at: None,
             waits_for_isolation: false,
-            accepts_reduced_share: false,
+            accepts_reduced_share: self.accepts_reduced_share(step_id, step, now_ms),
         };
         let mut ranked = self.rank_workers(&requirements, now_ms);
         let mut asked = Vec::new();
--- a/tests/dispatch_best_effort.rs
+++ b/tests/dispatch_best_effort.rs
@@ -201,7 +201,8 @@
 }
 
 /// Guards against best-effort steps that wait without end, as only jobs of which nothing at all
-/// runs got a task at a reduced share, and no gang did.
+/// runs got a task at a reduced share, no gang did, and permits were requested only for workers
+/// that take a task at its full share.
 #[gtest]
 fn best_effort_steps_of_all_shapes_start_although_they_interfere_everywhere() {
     let cases = [
@@ -239,6 +240,17 @@
             step: 0,
             starts: 2,
         },
+        ShapeCase {
+            name: "a step with permits",
+            submission: || Submission {
+                permit_decision_ms: 20,
+                permit_worker_us: 1_000,
+                permit_validity_ms: 1_000,
+                ..job(vec![interfering_step(1)])
+            },
+            step: 0,
+            starts: 1,
+        },
         ShapeCase {
             name: "one task per worker",
             submission: || {
