Permits: a step for which no worker can be named leaves its turn to the next

What callers would see: jobs of queues with permits that stay queued behind a more urgent one whose task fits no worker, with all workers free.

Cause: each placement pass kept the most urgent waiting step alone, and no call was made if no worker could be named for it (none fits, all denied, all excluded by interference). The next pass chose the same step again: a reason to wait that no time limits.

Change: a pass keeps all waiting steps by urgency; the first one with a worker to name is called for. At most 32 are considered at once, the others when the owner advances next.

The test failed before (Queued after 3 s with two idle workers).

--- a/crates/dispatch/src/owner/permits.rs
+++ b/crates/dispatch/src/owner/permits.rs
@@ -17,6 +17,7 @@
 use crate::record::Submission;
 use std::cmp::Reverse;
 use std::collections::HashMap;
+use std::collections::VecDeque;
 
 /// Maximum number of workers named in one call. The objectives of jobs allow for one call about
 /// this many workers per step.
@@ -26,6 +27,8 @@
 const EXPIRY_MARGIN_MS: u64 = 250;
 /// Time beyond the expected duration of a call after which it times out.
 const CALL_SLACK_MS: u64 = 1_500;
+/// Maximum number of steps for which one search looks for workers to name in a call.
+const MAX_CONSIDERED: usize = 32;
 /// Delay before the next call after one that failed.
 const RETRY_MS: u64 = 300;
 
@@ -48,8 +51,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct Permits {
     decisions: HashMap<StepId, HashMap<WorkerKey, Decision>>,
-    /// The most urgent step that lacked permitted workers in the latest placement pass.
-    requested_step: Option<StepId>,
+    /// Steps that lacked permitted workers in the latest placement pass, the most urgent one first.
+    requested_steps: VecDeque<StepId>,
     flight: Option<Flight>,
     retry_ms: u64,
 }
@@ -76,15 +79,15 @@
         }
     }
 
-    /// Records that a step waits for permitted workers. The first step of a placement pass is the
-    /// most urgent one, and later ones are ignored.
+    /// Records that a step waits for permitted workers. The steps of a placement pass follow each
+    /// other by urgency.
     pub(crate) fn request(&mut self, step: StepId) {
-        self.requested_step.get_or_insert(step);
+        self.requested_steps.push_back(step);
     }
 
-    /// Discards the request of the previous placement pass.
+    /// Discards the requests of the previous placement pass.
     pub(crate) fn begin_pass(&mut self) {
-        self.requested_step = None;
+        self.requested_steps.clear();
     }
 
     /// Drops a permit that a worker has refused.
@@ -139,7 +142,8 @@
 }
 
 impl Owner {
-    /// Requests permits for the most urgent step that lacks permitted workers.
+    /// Requests permits for the most urgent step that lacks permitted workers. A step for which no
+    /// worker can be named leaves its turn to the next one.
     pub(crate) fn request_permits(
         &mut self,
         now: Now,
@@ -150,15 +154,30 @@
         if self.permits.flight.is_some() || now_ms < self.permits.retry_ms {
             return;
         }
-        let Some(step_id) = self.permits.requested_step.take() else {
-            return;
-        };
+        for _ in 0..MAX_CONSIDERED {
+            let Some(step) = self.permits.requested_steps.pop_front() else {
+                return;
+            };
+            if self.request_permits_of(step, now_ms, tickets, actions) {
+                return;
+            }
+        }
+    }
+
+    /// Requests permits for a step. Returns whether there is a worker to name.
+    fn request_permits_of(
+        &mut self,
+        step_id: StepId,
+        now_ms: u64,
+        tickets: &mut u64,
+        actions: &mut Vec<Action>,
+    ) -> bool {
         let Some(key) = self.job_keys.get(&step_id.job).copied() else {
-            return;
+            return false;
         };
         let submission = self.jobs[key].submission.clone();
         let Some(step) = submission.steps.get(usize::from(step_id.step)) else {
-            return;
+            return false;
         };
         let requirements = TaskRequirements {
             step,
@@ -181,7 +200,7 @@
             }
         }
         if asked.is_empty() {
-            return;
+            return false;
         }
         *tickets += 1;
         actions.push(Action::RequestPermits {
@@ -198,6 +217,7 @@
             step: step_id,
             asked,
         });
+        true
     }
 
     /// Handles the outcome of a call for permits, if this owner has made the call.
--- a/tests/dispatch_shapes.rs
+++ b/tests/dispatch_shapes.rs
@@ -150,6 +150,32 @@
     expect_that!(fleet.permit_calls, le(12));
 }
 
+/// Guards against steps that never get permits, as the most urgent step asked for none: no worker
+/// fits its task.
+#[gtest]
+fn a_step_that_fits_nowhere_does_not_keep_permits_from_others() {
+    let permitted = |cpu_milli: u32| Submission {
+        permit_decision_ms: 20,
+        permit_worker_us: 1_000,
+        permit_validity_ms: 1_000,
+        ..job(vec![Step {
+            cpu_milli: cpu_milli.into(),
+            ..step(1, 300, &[])
+        }])
+    };
+    let mut fleet = Fleet::new(3, 2);
+    fleet.permitted = fleet
+        .workers
+        .values()
+        .map(|worker| worker.id.clone())
+        .collect();
+    fleet.submit(0, JOB, &permitted(9_000));
+    fleet.run(300);
+    fleet.submit(0, JOB + 1, &permitted(1_000));
+    fleet.run(3_000);
+    expect_that!(fleet.state(0, JOB + 1), some(eq(JobState::Completed)));
+}
+
 /// Guards against later occurrences of a repeated job that wait behind all other jobs under
 /// overload. A job is due every two seconds while the fleet is offered twice its capacity. Each
 /// occurrence was assumed to be due when the first one was, so it was long past its objective and
