--- a/tests/dispatch_best_effort.rs
+++ b/tests/dispatch_best_effort.rs
@@ -274,3 +274,26 @@
         expect_that!(starts.count(), ge(case.starts), "{}", case.name);
     }
 }
+
+/// Guards against a best-effort job that waits for as long as harmless ones arrive, which can still
+/// meet their objective and use the processors that the serving tasks leave.
+#[gtest]
+fn a_best_effort_job_starts_beside_a_stream_of_harmless_ones() {
+    let mut fleet = fleet_that_knows_an_interfering_image();
+    let harmless = || Step {
+        is_best_effort: true,
+        image: "harmless".into(),
+        cpu_milli: 4_000,
+        ..step(2, 1_500, &[])
+    };
+    for number in 0..40 {
+        if number == 8 {
+            fleet.submit(0, 0x3, &job(vec![interfering_step(1)]));
+        }
+        fleet.submit(0, 0x100 + number, &job(vec![harmless()]));
+        fleet.run(500);
+    }
+    let starts = fleet.promises.starts.iter();
+    let starts = starts.filter(|(_, task, _)| task.job.0 == 0x3).count();
+    expect_that!(starts, gt(0));
+}
