Test: a new owner gives a suspended task its full share in place of its reduced one (red)

What callers would see: latency-critical tasks beside a best-effort task that was started at a reduced share as they bear no more, and that runs at its full one after a change of owners, until they are over their target and the task is throttled.

Cause: limit_inherited_shares waits for a use above 0. A suspended run uses nothing, so that the new owner orders 100%; the answer sets applied_share_percent, and from then on the run is taken for one that had its full share when it was inherited.

Tried and reverted: to choose the limit at the first report whatever the use is. Then a run that had started at its full share and was suspended stays at 20% for good (shares 20, 20, 20 in place of 100 in a_new_owner_resumes_tasks_that_the_previous_one_has_suspended), as nothing tells the two apart. The greatest share belongs in the run's record.

--- a/tests/dispatch_best_effort.rs
+++ b/tests/dispatch_best_effort.rs
@@ -297,3 +297,38 @@
     let starts = starts.filter(|(_, task, _)| task.job.0 == 0x3).count();
     expect_that!(starts, gt(0));
 }
+
+/// Guards against a task at a reduced share that gets its full one from a new owner. It was
+/// suspended when the owner changed, so that nothing showed at which share it had started.
+#[gtest]
+fn a_new_owner_keeps_a_suspended_task_at_its_reduced_share() {
+    let mut fleet = fleet_that_knows_an_interfering_image();
+    let long = Step {
+        estimated_ms: 120_000,
+        ..interfering_step(1)
+    };
+    fleet.submit(0, 0x3, &job(vec![long]));
+    fleet.run(MAX_IDLE_MS);
+    let shares = |fleet: &Fleet| -> Vec<u32> {
+        let workers = fleet.workers.values();
+        workers.flat_map(|worker| worker.shares()).collect()
+    };
+    expect_that!(shares(&fleet), elements_are![all![gt(&0), lt(&100)]]);
+    for worker in fleet.workers.values_mut() {
+        worker.tail_ms = 21;
+    }
+    fleet.run(3_000);
+    expect_that!(shares(&fleet), eq(&vec![0]));
+    let owner = fleet.owner().unwrap_or(0);
+    fleet.kill(owner);
+    for worker in fleet.workers.values_mut() {
+        worker.tail_ms = 9;
+    }
+    let mut max_percent = 0;
+    for _ in 0..600 {
+        fleet.run(20);
+        max_percent = shares(&fleet).into_iter().fold(max_percent, u32::max);
+    }
+    expect_that!(max_percent, lt(100));
+    expect_that!(shares(&fleet), each(gt(&0)));
+}
