--- a/tests/dispatch_best_effort.rs
+++ b/tests/dispatch_best_effort.rs
@@ -7,6 +7,7 @@
 use goldcrestway_dispatch::JobId;
 use goldcrestway_dispatch::JobState;
 use goldcrestway_dispatch::Step;
+use goldcrestway_dispatch::Submission;
 use googletest::prelude::*;
 
 /// Guards against a serving task that is over its target for four seconds while best-effort tasks
@@ -189,3 +190,145 @@
     fleet.run(8_000);
     fleet
 }
+
+/// A job that interferes everywhere and could be left out by the search for idle jobs.
+struct ShapeCase {
+    name: &'static str,
+    submission: fn() -> Submission,
+    /// The step that must start, and how many of its tasks.
+    step: u16,
+    starts: usize,
+}
+
+/// Guards against best-effort steps that wait without end, as only jobs of which nothing at all
+/// runs got a task at a reduced share, no gang did, and permits were requested only for workers
+/// that take a task at its full share.
+#[gtest]
+fn best_effort_steps_of_all_shapes_start_although_they_interfere_everywhere() {
+    let cases = [
+        ShapeCase {
+            name: "a gang",
+            submission: || {
+                job(vec![Step {
+                    is_gang: true,
+                    ..interfering_step(2)
+                }])
+            },
+            step: 0,
+            starts: 2,
+        },
+        ShapeCase {
+            name: "beside a long-running step of its job",
+            submission: || {
+                let long_running = Step {
+                    is_long_running: true,
+                    ..step(1, 1_000, &[])
+                };
+                job(vec![long_running, interfering_step(1)])
+            },
+            step: 1,
+            starts: 1,
+        },
+        ShapeCase {
+            name: "all tasks of a long-running step",
+            submission: || {
+                job(vec![Step {
+                    is_long_running: true,
+                    ..interfering_step(2)
+                }])
+            },
+            step: 0,
+            starts: 2,
+        },
+        ShapeCase {
+            name: "a step with permits",
+            submission: || Submission {
+                permit_decision_ms: 20,
+                permit_worker_us: 1_000,
+                permit_validity_ms: 1_000,
+                ..job(vec![interfering_step(1)])
+            },
+            step: 0,
+            starts: 1,
+        },
+        ShapeCase {
+            name: "one task per worker",
+            submission: || {
+                job(vec![Step {
+                    max_per_worker: 1,
+                    ..interfering_step(1)
+                }])
+            },
+            step: 0,
+            starts: 1,
+        },
+    ];
+    for case in cases {
+        let mut fleet = fleet_that_knows_an_interfering_image();
+        let ids = fleet.workers.values().map(|worker| worker.id.clone());
+        fleet.permitted = ids.collect();
+        fleet.submit(0, 0x3, &(case.submission)());
+        fleet.run(MAX_IDLE_MS);
+        let starts = fleet.promises.starts.iter();
+        let starts = starts.filter(|(_, task, _)| task.job.0 == 0x3 && task.step == case.step);
+        expect_that!(starts.count(), ge(case.starts), "{}", case.name);
+    }
+}
+
+/// Guards against a best-effort job that waits for as long as harmless ones arrive, which can still
+/// meet their objective and use the processors that the serving tasks leave.
+#[gtest]
+fn a_best_effort_job_starts_beside_a_stream_of_harmless_ones() {
+    let mut fleet = fleet_that_knows_an_interfering_image();
+    let harmless = || Step {
+        is_best_effort: true,
+        image: "harmless".into(),
+        cpu_milli: 4_000,
+        ..step(2, 1_500, &[])
+    };
+    for number in 0..40 {
+        if number == 8 {
+            fleet.submit(0, 0x3, &job(vec![interfering_step(1)]));
+        }
+        fleet.submit(0, 0x100 + number, &job(vec![harmless()]));
+        fleet.run(500);
+    }
+    let starts = fleet.promises.starts.iter();
+    let starts = starts.filter(|(_, task, _)| task.job.0 == 0x3).count();
+    expect_that!(starts, gt(0));
+}
+
+/// Guards against a task at a reduced share that gets its full one from a new owner. It was
+/// suspended when the owner changed, so that nothing showed at which share it had started.
+#[gtest]
+fn a_new_owner_keeps_a_suspended_task_at_its_reduced_share() {
+    let mut fleet = fleet_that_knows_an_interfering_image();
+    let long = Step {
+        estimated_ms: 120_000,
+        ..interfering_step(1)
+    };
+    fleet.submit(0, 0x3, &job(vec![long]));
+    fleet.run(MAX_IDLE_MS);
+    let shares = |fleet: &Fleet| -> Vec<u32> {
+        let workers = fleet.workers.values();
+        workers.flat_map(|worker| worker.shares()).collect()
+    };
+    expect_that!(shares(&fleet), elements_are![all![gt(&0), lt(&100)]]);
+    for worker in fleet.workers.values_mut() {
+        worker.tail_ms = 21;
+    }
+    fleet.run(3_000);
+    expect_that!(shares(&fleet), eq(&vec![0]));
+    let owner = fleet.owner().unwrap_or(0);
+    fleet.kill(owner);
+    for worker in fleet.workers.values_mut() {
+        worker.tail_ms = 9;
+    }
+    let mut max_percent = 0;
+    for _ in 0..600 {
+        fleet.run(20);
+        max_percent = shares(&fleet).into_iter().fold(max_percent, u32::max);
+    }
+    expect_that!(max_percent, lt(100));
+    expect_that!(shares(&fleet), each(gt(&0)));
+}
