Idle starts: the smallest share comes after crowding

A start at the smallest share may take more headroom from latency-critical tasks than they bear on average; beside best-effort tasks alone it slows down only these.

--- a/crates/dispatch/src/owner/costs.rs
+++ b/crates/dispatch/src/owner/costs.rs
@@ -10,6 +10,7 @@
 use crate::owner::worker::Exclusion;
 use crate::owner::worker::Worker;
 use crate::owner::worker::WorkerKey;
+use crate::policy::idle_starts::MIN_SHARE_PERCENT;
 use crate::policy::idle_starts::bears_crowd;
 use crate::policy::images::ImageKey;
 use crate::policy::kept_room::Precedence;
@@ -19,10 +20,13 @@
 use std::collections::BinaryHeap;
 
 /// Cost, in thousandths of a core, of slowing down the best-effort tasks on a worker whose unused
-/// processors they use up. Exceeds that of the smallest share, which slows down one task.
+/// processors they use up. Exceeds that of any share that latency-critical tasks bear on average.
 const CROWD_COST: i64 = 40_000;
 /// Cost, in thousandths of a core, of each percent of its share that a task does without.
 const MISSING_SHARE_COST: i64 = 300;
+/// Cost, in thousandths of a core, of the smallest share, which may take more from latency-critical
+/// tasks than they bear on average. Exceeds that of slowing down best-effort tasks.
+const SMALLEST_SHARE_COST: i64 = 80_000;
 /// Cost, in thousandths of a core, of a worker that is not on the rack of a task's data.
 const REMOTE_DATA_COST: i64 = 1_000_000;
 /// Cost, in thousandths of a core, of a worker whose last run failed.
@@ -163,8 +167,7 @@
                     let share_percent = self
                         .reduced_share(worker, requirements, disturbance.cause)
                         .ok_or(Exclusion::Disturbed)?;
-                    let missing_percent = i64::from(100 - share_percent);
-                    (missing_percent * MISSING_SHARE_COST, share_percent)
+                    (reduced_share_cost(share_percent), share_percent)
                 }
             };
         let processors = self.protected_processors(worker);
@@ -281,6 +284,14 @@
     Some(cost)
 }
 
+/// Returns the cost of a task that starts at a reduced share.
+fn reduced_share_cost(share_percent: u32) -> i64 {
+    match share_percent > MIN_SHARE_PERCENT {
+        true => i64::from(100_u32.saturating_sub(share_percent)) * MISSING_SHARE_COST,
+        false => SMALLEST_SHARE_COST,
+    }
+}
+
 /// Returns whether a best-effort task that accepts a reduced share may start on a worker whose
 /// unused processors other best-effort tasks use up.
 fn bears_crowd_of(worker: &Worker, requirements: &TaskRequirements<'_>) -> bool {
