Idle starts: the greatest share of a run is on record

A run that had started at a reduced share and was suspended when its owner changed got its full share from the new owner, beside latency-critical tasks that its full share disturbs: a run that uses nothing shows nothing of the share that it started with, and the order of the full share itself then counted as proof of one. The share is now recorded with the task's progress, in an optional field that former builds pass over, and applies from the first report on, also while no tail latency is known yet. What guessed it from the use of an inherited run is gone.

--- a/crates/dispatch/src/owner/adopting.rs
+++ b/crates/dispatch/src/owner/adopting.rs
@@ -114,11 +114,16 @@
         let job = &self.jobs[key];
         let mut placement = Vec::new();
         job.for_each_task(|id, task| {
-            placement.extend(task.placement.map(|placement| (id, placement)));
-            placement.extend(task.copy.map(|copy| (id, copy)));
+            let max_share_percent = task.max_share_percent.unwrap_or(100);
+            placement.extend(
+                task.placement
+                    .map(|placement| (id, placement, max_share_percent)),
+            );
+            placement.extend(task.copy.map(|copy| (id, copy, 100)));
         });
-        for (id, at) in placement {
+        for (id, at, max_share_percent) in placement {
             let mut run = self.make_run(key, id, RunPhase::Inherited, now_ms);
+            run.limit_share(max_share_percent);
             run.is_probe = self.suspected_at(id).is_some();
             if let Some(worker) = self.workers.get_mut(at.worker) {
                 // Its exit may have been listed and skipped before the job was read. A run that
--- a/crates/dispatch/src/owner/disturbance.rs
+++ b/crates/dispatch/src/owner/disturbance.rs
@@ -207,7 +207,7 @@
     let mut best_effort_demands = Vec::new();
     for run in worker.runs.values() {
         if run.is_best_effort {
-            let cpu_milli = run.cpu_milli * u64::from(run.max_share_percent.unwrap_or(100)) / 100;
+            let cpu_milli = run.cpu_milli * u64::from(run.max_share_percent) / 100;
             best_effort_demands.push((run.image, cpu_milli as f64 / 1_000.0));
         }
     }
--- a/crates/dispatch/src/owner/idle_starts.rs
+++ b/crates/dispatch/src/owner/idle_starts.rs
@@ -246,12 +246,16 @@
         share_percent: u32,
         actions: &mut Vec<Action>,
     ) {
-        let Some(number) = self.task(task).map(|task| task.run) else {
+        let Some(key) = self.job_keys.get(&task.job).copied() else {
             return;
         };
+        let Some(state) = self.jobs[key].task_mut(task) else {
+            return;
+        };
+        state.max_share_percent = Some(share_percent);
+        let number = state.run;
         if let Some(run) = self.workers[worker].runs.get_mut(&(task, number)) {
-            run.max_share_percent = Some(share_percent);
-            run.headroom_share_percent = share_percent;
+            run.limit_share(share_percent);
         }
         self.set_target_shares(worker, actions);
     }
--- a/crates/dispatch/src/owner/placing.rs
+++ b/crates/dispatch/src/owner/placing.rs
@@ -426,7 +426,10 @@
             worker,
         });
         match task.placement {
-            None => task.placement = placement,
+            None => {
+                task.placement = placement;
+                task.max_share_percent = None;
+            }
             Some(_) => task.copy = placement,
         }
         if let Some(step) = job.step_mut(id) {
--- a/crates/dispatch/src/owner/progress.rs
+++ b/crates/dispatch/src/owner/progress.rs
@@ -21,6 +21,8 @@
         task.run = recorded.run.max(recorded.copy_run);
         task.failures = recorded.failures;
         task.checkpoint = recorded.checkpoint.as_str().into();
+        let max_share_percent = recorded.max_share_percent;
+        task.max_share_percent = (max_share_percent > 0).then_some(max_share_percent);
         task.is_done = recorded.phase() == TaskPhase::Done;
         task.suspicion = Suspicion {
             crashes: recorded.crashes,
@@ -84,6 +86,7 @@
             suspect_starts: task.suspicion.starts,
             explained_crashes: task.suspicion.explained,
             departures: task.suspicion.possible,
+            max_share_percent: task.max_share_percent.unwrap_or(0),
             crashed_run: task.suspicion.run,
             crashed_address: task.suspicion.address.to_string(),
             lost_runs: task.lost_runs.iter().map(LostRun::record).collect(),
--- a/crates/dispatch/src/owner/shares.rs
+++ b/crates/dispatch/src/owner/shares.rs
@@ -15,12 +15,10 @@
 use crate::ids::TaskId;
 use crate::owner::Owner;
 use crate::owner::calls::Purpose;
-use crate::owner::disturbance::best_effort_demands;
 use crate::owner::worker::Run;
 use crate::owner::worker::RunPhase;
 use crate::owner::worker::Worker;
 use crate::owner::worker::WorkerKey;
-use crate::policy::idle_starts::MIN_SHARE_PERCENT;
 use crate::policy::interference::ImageUsage;
 use crate::policy::interference::InterferenceModel;
 use crate::policy::interference::add_usage;
@@ -80,7 +78,6 @@
             }
         }
         self.update_processors(key, &usage, now_ms);
-        self.limit_inherited_shares(key);
         let worker = &mut self.workers[key];
         if worker.best_effort_milli == 0 {
             worker.is_over_target = false;
@@ -109,34 +106,6 @@
         self.set_target_shares(key, actions);
     }
 
-    /// Chooses the greatest shares of the best-effort tasks on a worker that a previous owner has
-    /// started. Only one that uses less than it requests may have been started at a reduced share.
-    fn limit_inherited_shares(&mut self, key: WorkerKey) {
-        let mut limits = Vec::new();
-        let worker = &self.workers[key];
-        for (id, run) in &worker.runs {
-            if !run.is_best_effort || run.max_share_percent.is_some() || run.gauge == 0 {
-                continue;
-            }
-            let mut others = best_effort_demands(worker);
-            let cores = run.cpu_milli as f64 / 1_000.0;
-            add_usage(&mut others, run.image, -cores);
-            let limit_percent = match run.applied_share_percent {
-                Some(_) => 100,
-                None => self
-                    .share_beside(worker, (run.image, cores), &others)
-                    .unwrap_or(MIN_SHARE_PERCENT),
-            };
-            limits.push((*id, limit_percent));
-        }
-        let worker = &mut self.workers[key];
-        for (id, limit_percent) in limits {
-            if let Some(run) = worker.runs.get_mut(&id) {
-                run.max_share_percent = Some(limit_percent);
-            }
-        }
-    }
-
     /// Sends the orders to change shares that are due.
     pub(crate) fn send_share_changes(
         &mut self,
@@ -269,7 +238,9 @@
 ) -> Option<ShareChanges> {
     let may_change = now_ms >= worker.next_share_change_ms;
     let mut serving_tasks = Vec::new();
+    let mut has_latency_critical = false;
     for run in worker.runs.values() {
+        has_latency_critical |= run.tail_latency_target_ms > 0;
         if is_serving(run) {
             let over_ms = run.over_since_ms.map_or(0, |since_ms| now_ms - since_ms);
             let headroom = headroom(run.tail_latency_target_ms, run.gauge);
@@ -291,9 +262,9 @@
                 headroom_loss: interference.coefficient(*serving_image, run.image) * cores,
             });
         let colocated: Vec<ColocatedTask> = colocated.collect();
-        let max_percent = match colocated.is_empty() {
-            true => 100,
-            false => run.max_share_percent.unwrap_or(100),
+        let max_percent = match has_latency_critical {
+            true => run.max_share_percent,
+            false => 100,
         };
         run.headroom_share_percent = choose_share(
             before,
--- a/crates/dispatch/src/owner/task.rs
+++ b/crates/dispatch/src/owner/task.rs
@@ -91,6 +91,9 @@
     /// A speculative second run, if its step allows copies.
     pub(crate) copy: Option<Placement>,
     pub(crate) checkpoint: Box<str>,
+    /// Greatest CPU share, in percent, that its run gets beside latency-critical tasks; `None` if it
+    /// may have its full share.
+    pub(crate) max_share_percent: Option<u32>,
     /// Earliest time of the next run.
     pub(crate) not_before_ms: u64,
     /// Consecutive runs that failed or were refused before they had run for a while.
--- a/crates/dispatch/src/owner/worker.rs
+++ b/crates/dispatch/src/owner/worker.rs
@@ -150,9 +150,8 @@
     /// it takes from them. The lower one applies.
     pub(crate) processor_share_percent: u32,
     pub(crate) headroom_share_percent: u32,
-    /// Greatest share that it gets beside latency-critical tasks; `None` if a previous owner has
-    /// started it and the limit is not chosen yet.
-    pub(crate) max_share_percent: Option<u32>,
+    /// Greatest share that it gets beside latency-critical tasks.
+    pub(crate) max_share_percent: u32,
     /// CPU share that the worker has last accepted; `None` if it may have another one, as a previous
     /// owner may have set it or the answer to an order was lost.
     pub(crate) applied_share_percent: Option<u32>,
@@ -199,7 +198,7 @@
             solo_headroom: f64::INFINITY,
             processor_share_percent: 100,
             headroom_share_percent: 100,
-            max_share_percent: (phase != RunPhase::Inherited).then_some(100),
+            max_share_percent: 100,
             applied_share_percent: Some(100),
             was_throttled: false,
             target_share_percent: 100,
@@ -210,6 +209,12 @@
 }
 
 impl Run {
+    /// Limits the share that it gets beside latency-critical tasks.
+    pub(crate) fn limit_share(&mut self, max_share_percent: u32) {
+        self.max_share_percent = max_share_percent;
+        self.headroom_share_percent = self.headroom_share_percent.min(max_share_percent);
+    }
+
     /// Requests that a run stops, because nothing waits for its exit any more, or because its task
     /// restarts after it. Tells whether no order to start it was ever sent, so that it can simply
     /// be dropped. A run that waits for its second order can't be dropped: the first one timed out
--- a/crates/dispatch/src/record.rs
+++ b/crates/dispatch/src/record.rs
@@ -224,6 +224,10 @@
     /// Workers that had announced to leave and went with a run that was not stable.
     #[prost(uint32, tag = "15")]
     pub(crate) departures: u32,
+    /// Greatest CPU share, in percent, that its run gets beside latency-critical tasks; 0 if it may
+    /// have its full share.
+    #[prost(uint32, tag = "16")]
+    pub(crate) max_share_percent: u32,
 }
 
 /// A run that was lost with its worker.
--- a/tests/dispatch_regression_seeds.rs
+++ b/tests/dispatch_regression_seeds.rs
@@ -115,6 +115,7 @@
     (10, Orders::Direct, Ids::OldToo),
     (12, Orders::Direct, Ids::OldToo),
     (13, Orders::Relayed, Ids::New),
+    (14, Orders::Direct, Ids::OldToo),
     (34, Orders::Direct, Ids::OldToo),
     (39, Orders::Direct, Ids::OldToo),
     (52, Orders::Relayed, Ids::New),
