An owner that is about to stop records for how long the leases on silent workers last

Cause: a successor can't tell how old the record of the leases is, so it takes the time that was left when it was written as the time that is left now. It is written every 400 ms, so each short-lived owner adds up to half a second. Ruled out: a worker that answers in between (no WorkerBack), and waits after the lease (the tasks are ordered 26 ms after WorkerGone).

Change: an owner that is told to stop writes that record at once. More frequent records are no mend, as they contain all that was learned; the leases need a record of their own.

--- a/crates/dispatch/src/owner/mod.rs
+++ b/crates/dispatch/src/owner/mod.rs
@@ -467,6 +467,9 @@
 
     /// Announces that the host is about to stop, so that another one claims the jobs.
     pub(crate) fn leave(&mut self) {
+        if !self.is_leaving {
+            self.writer.record_leases();
+        }
         self.is_leaving = true;
         self.writer.announce();
     }
--- a/crates/dispatch/src/owner/writing.rs
+++ b/crates/dispatch/src/owner/writing.rs
@@ -65,6 +65,9 @@
     heartbeat: u64,
     must_announce: bool,
     learned_ms: u64,
+    /// The remaining time of the leases on silent workers is to be recorded at once, as this owner is
+    /// about to stop. Its successor can't subtract the time that has passed since the last record.
+    must_record_leases: bool,
     /// Runs whose records are in no append yet.
     starts: Vec<(WorkerKey, TaskId, u32)>,
     /// Jobs whose progress is to be deleted, and those whose states are, once their progress is.
@@ -85,6 +88,7 @@
             heartbeat: 0,
             must_announce: false,
             learned_ms: now_ms,
+            must_record_leases: false,
             starts: Vec::new(),
             retired: Vec::new(),
             retired_states: Vec::new(),
@@ -92,6 +96,12 @@
         }
     }
 
+    /// Requests that the next append of progress contains for how long the leases on silent workers
+    /// last.
+    pub(crate) fn record_leases(&mut self) {
+        self.must_record_leases = true;
+    }
+
     /// Requests that the next append of states contains the record of the owner.
     pub(crate) fn announce(&mut self) {
         self.must_announce = true;
@@ -218,7 +228,11 @@
                 return true;
             }
         }
+        let must_record_leases = std::mem::take(&mut self.writer.must_record_leases);
         if !self.workers.in_doubt().is_empty() {
+            if must_record_leases {
+                return true;
+            }
             learned_gap_ms = LEARNED_SILENT_GAP_MS;
         }
         now_ms >= self.writer.learned_ms + learned_gap_ms
--- a/tests/dispatch_long_running.rs
+++ b/tests/dispatch_long_running.rs
@@ -131,3 +131,47 @@
     let mut waits = waits.filter(|line| line.contains(&blocked));
     expect_true!(waits.any(|line| line.contains("why=Share")));
 }
+
+/// Guards against a long-running task that waits for ten seconds and more after its worker has left,
+/// as all hosts are shut down in turn: no owner lives for long enough to record for how long the
+/// leases on that worker last, and each one that follows waits for the full time again.
+#[gtest]
+fn owners_that_are_shut_down_in_turn_do_not_prolong_the_wait_for_a_lost_worker() {
+    const OWNER_LIFE_MS: u64 = 800;
+    /// Time that a change of owner may add to the wait: the next owner knows nothing of it.
+    const MAX_CHANGE_MS: u64 = 100;
+    const MAX_AWAY_MS: u64 = MAX_GAP_MS + MAX_GAP_MS / OWNER_LIFE_MS * MAX_CHANGE_MS;
+    for phase_ms in (0..OWNER_LIFE_MS).step_by(100) {
+        let mut fleet = Fleet::new(5, 3);
+        fleet.set_restart_delay_ms(OVERRUN_MS);
+        submit(&mut fleet, JOB, 1, long_running(2, 2_000));
+        fleet.run(2_000);
+        let task = first_task(JOB);
+        let mut workers = fleet.workers.iter();
+        let found = workers.find(|(_, worker)| worker.runs(task));
+        let crashed = found.map(|(address, _)| address.clone()).expect("it runs");
+        fleet.run(phase_ms);
+        fleet.crash(&crashed);
+        let crashed_ms = fleet.now_ms;
+        let mut owner_since_ms = fleet.now_ms - phase_ms;
+        while fleet.running(task) == 0 && fleet.now_ms < crashed_ms + 2 * MAX_AWAY_MS {
+            fleet.run(20);
+            if fleet.now_ms < owner_since_ms + OWNER_LIFE_MS {
+                continue;
+            }
+            owner_since_ms = fleet.now_ms;
+            if let Some(owner) = fleet.owner() {
+                fleet.stop(owner);
+                fleet.run(300);
+                fleet.kill(owner);
+                fleet.start(owner);
+            }
+        }
+        expect_that!(
+            fleet.now_ms - crashed_ms,
+            lt(MAX_AWAY_MS),
+            "the worker crashes {phase_ms} ms after a change of owner"
+        );
+        expect_that!(fleet.promises.broken, is_empty());
+    }
+}
