Idle starts pass over jobs that are over and not yet published as such

A job that is over stays among the live ones until that is published, which takes as long as the store does; placing passes over it as none of its tasks waits to be placed any more (has_waiting), and the search for idle jobs looked at the steps alone. It is a start of another path than the others take: the search now asks whether the job is over.

The test fails in all of its cases before (an IdleStart after the job was cancelled).

--- a/crates/dispatch/src/owner/idle_starts.rs
+++ b/crates/dispatch/src/owner/idle_starts.rs
@@ -117,6 +117,10 @@
         let mut list = Vec::new();
         for key in &self.live_jobs {
             let job = &mut self.jobs[*key];
+            // A job that was cancelled or has failed stays among these until that is published.
+            if job.phase.is_final() {
+                continue;
+            }
             let steps = &job.submission.steps;
             for (position, occurrence) in job.occurrences.iter_mut().enumerate() {
                 let Some(number) = find_idle_step(occurrence, steps) else {
--- a/tests/dispatch_best_effort.rs
+++ b/tests/dispatch_best_effort.rs
@@ -4,6 +4,7 @@
 use crate::fleet::Fleet;
 use crate::fleet::job;
 use crate::fleet::step;
+use goldcrestway_core::Code;
 use goldcrestway_dispatch::JobId;
 use goldcrestway_dispatch::JobState;
 use goldcrestway_dispatch::Step;
@@ -332,3 +333,28 @@
     expect_that!(max_percent, lt(100));
     expect_that!(shares(&fleet), each(gt(&0)));
 }
+
+/// Guards against a cancelled job whose task starts and runs on. The job was taken for one of which
+/// nothing runs until its cancellation was published, for which a slow store takes long.
+#[gtest]
+fn a_cancelled_job_of_which_nothing_runs_starts_nothing() {
+    for cancelled_after_ms in (0..900).step_by(100) {
+        let mut fleet = fleet_that_knows_an_interfering_image();
+        fleet.submit(0, 0x3, &job(vec![interfering_step(2)]));
+        // A job that fits nowhere, so that the owner keeps trying to place tasks.
+        let wide = Step {
+            cpu_milli: 100_000,
+            ..step(1, 1_000, &[])
+        };
+        fleet.submit(0, 0x4, &job(vec![wide]));
+        fleet.run(cancelled_after_ms);
+        fleet.store.append_ms = 900;
+        fleet.cancel(0, 0x3);
+        fleet.run(MAX_IDLE_MS);
+        expect_that!(
+            fleet.note_counts.get(&Code::IdleStart),
+            none(),
+            "cancelled after {cancelled_after_ms} ms"
+        );
+    }
+}
