Idle starts wait for longer in a busy service

Cause: late jobs started one task each after two seconds, whatever the load, and took what was left from jobs that could still meet their objective. A wait in a service whose room is in use is a matter of load and of the order of jobs.

Change: where half of a service's processors or more is reserved, a job waits for fifteen seconds. The test fails without the change by construction: it asserts that none starts within ten seconds, and that one has within eighteen. It was not run on the code before.

--- a/crates/dispatch/src/owner/idle_starts.rs
+++ b/crates/dispatch/src/owner/idle_starts.rs
@@ -12,6 +12,7 @@
 use crate::owner::job::JobKey;
 use crate::owner::job::Occurrence;
 use crate::owner::worker::WorkerKey;
+use crate::policy::idle_starts::MAX_IDLE_BUSY_MS;
 use crate::policy::idle_starts::MAX_IDLE_MS;
 use crate::policy::kept_room::Precedence;
 use crate::policy::link::CallPriority;
@@ -115,6 +116,7 @@
     /// for which that is too long.
     fn list_idle_steps(&mut self, now_ms: u64) -> Vec<IdleStep> {
         let mut list = Vec::new();
+        let half_empty = self.half_empty_services();
         for key in &self.live_jobs {
             let job = &mut self.jobs[*key];
             // A job that was cancelled or has failed stays among these until that is published.
@@ -129,7 +131,8 @@
                     continue;
                 };
                 let idle = *occurrence.idle.get_or_insert(Idleness::new(now_ms));
-                if now_ms < idle.due_ms {
+                let is_busy = !half_empty.contains(&*job.submission.service);
+                if now_ms < idle.due_ms || is_busy && now_ms < idle.since_ms + MAX_IDLE_BUSY_MS {
                     continue;
                 }
                 list.push(IdleStep {
--- a/crates/dispatch/src/owner/kept_room.rs
+++ b/crates/dispatch/src/owner/kept_room.rs
@@ -211,7 +211,7 @@
     }
 
     /// Returns the services of whose processors runs reserve less than half.
-    fn half_empty_services(&self) -> BTreeSet<Box<str>> {
+    pub(super) fn half_empty_services(&self) -> BTreeSet<Box<str>> {
         let mut used_milli: BTreeMap<&str, u64> = BTreeMap::new();
         for worker in self.workers.values() {
             if worker.is_listed && !self.is_evacuated(worker) {
--- a/crates/dispatch/src/policy/idle_starts.rs
+++ b/crates/dispatch/src/policy/idle_starts.rs
@@ -23,6 +23,9 @@
 /// Time without any running task, in milliseconds, after which a best-effort job may start one at
 /// a reduced share.
 pub const MAX_IDLE_MS: u64 = 2_000;
+/// The same in a service whose workers have reserved half of their processors or more. There, jobs
+/// wait for load, and those that can still meet their objective need what is left.
+pub const MAX_IDLE_BUSY_MS: u64 = 15_000;
 /// Smallest share, in percent, at which a task starts. At a smaller one it would hardly progress.
 pub const MIN_SHARE_PERCENT: u32 = 20;
 /// Headroom that a latency-critical task must keep now beside a task at the smallest share. Below
--- a/tests/dispatch_best_effort.rs
+++ b/tests/dispatch_best_effort.rs
@@ -358,3 +358,22 @@
         );
     }
 }
+
+/// Guards against late best-effort jobs that take what a busy service has left from jobs that can
+/// still meet their objective. They wait for longer there, but not without end.
+#[gtest]
+fn idle_jobs_wait_for_longer_in_a_busy_service() {
+    let mut fleet = fleet_that_knows_an_interfering_image();
+    let busy = Step {
+        cpu_milli: 4_500,
+        max_per_worker: 1,
+        ..step(2, 60_000, &[])
+    };
+    fleet.submit(0, 0x4, &job(vec![busy]));
+    fleet.run(500);
+    fleet.submit(0, 0x3, &job(vec![interfering_step(1)]));
+    fleet.run(10_000);
+    expect_that!(fleet.note_counts.get(&Code::IdleStart), none());
+    fleet.run(8_000);
+    expect_that!(fleet.note_counts.get(&Code::IdleStart), some(gt(&0)));
+}
