--- a/crates/dispatch/src/policy/idle_starts.rs
+++ b/crates/dispatch/src/policy/idle_starts.rs
@@ -10,11 +10,11 @@
 //! with nearly all workers `Disturbed`.
 //!
 //! A task takes headroom in proportion to its share. A job of which nothing but long-running tasks
-//! has run for [`MAX_IDLE_MS`] therefore starts a task at the greatest share that the latency-critical tasks of
-//! a worker bear on average or, if that is too small to make progress, at the smallest one if they
-//! bear that now. One task, or one gang, is enough to end the wait, so that a queue of such jobs takes little from
-//! the latency-critical tasks. Where a worker has none of these, best-effort tasks only slow down
-//! each other.
+//! has run for [`MAX_IDLE_MS`], or [`MAX_IDLE_BUSY_MS`] in a busy service, therefore starts a task
+//! at the greatest share that the latency-critical tasks of a worker bear on average or, if that is
+//! too small to make progress, at the smallest one if they bear that now. One task, or one gang, is
+//! enough to end the wait, so that a queue of such jobs takes little from the latency-critical
+//! tasks. Where a worker has none of these, best-effort tasks only slow down each other.
 //!
 //! **Limits:** users and callers take a job for lost that could run and of which nothing runs for
 //! three seconds. The share that a task starts with is also the greatest one that it gets beside
