Tests: sequences log crashes and exits of workers, and can begin at any seed

A sequence that fails printed what the owners had logged, but not what had happened: whether a worker had crashed or left as planned, and which tasks ran there. Both are what the owner has to tell apart.

--- a/tests/dispatch_faults.rs
+++ b/tests/dispatch_faults.rs
@@ -1,8 +1,8 @@
 //! Random sequences of faults against jobs of many tasks, in virtual time.
 //!
 //! Each sequence is generated from a seed, which is printed with a failure and reproduces it. The
-//! environment variable `DISPATCH_SEQUENCES` sets the number of seeds; CI runs the default. With
-//! `DISPATCH_LOG` set, a failure prints what the owners have logged.
+//! environment variable `DISPATCH_SEQUENCES` sets the number of seeds, and `DISPATCH_FIRST` the first
+//! one; CI runs the default. With `DISPATCH_LOG` set, a failure prints what the owners have logged.
 
 use crate::dispatch_clocks::jump_clocks;
 use crate::dispatch_regression_seeds::OPEN_SEEDS_RELEASING;
@@ -27,6 +27,7 @@
 use rand::RngExt;
 use rand::SeedableRng;
 use rand_pcg::Pcg64;
+use std::ops::Range;
 
 /// Number of sequences that CI runs.
 const SEQUENCES: u64 = 40;
@@ -471,19 +472,19 @@
     violations
 }
 
-/// Returns the number of sequences to run.
-fn sequence_count() -> u64 {
-    let setting = std::env::var("DISPATCH_SEQUENCES").ok();
-    setting
-        .and_then(|text| text.parse().ok())
-        .unwrap_or(SEQUENCES)
+/// Returns the seeds of the sequences to run, where each of them stands for several variants.
+fn seeds(variants: u64) -> Range<u64> {
+    let read = |name: &str| std::env::var(name).ok().and_then(|text| text.parse().ok());
+    let first: u64 = read("DISPATCH_FIRST").unwrap_or(0);
+    let count: u64 = read("DISPATCH_SEQUENCES").unwrap_or(SEQUENCES);
+    first..first + count.div_ceil(variants)
 }
 
 /// Guards against a task that runs twice at the same time or again after its success, a worker that
 /// runs more than its resources allow, and an accepted job that is lost, under a mix of faults.
 #[gtest]
 fn guarantees_hold_under_random_faults() {
-    for seed in 0..sequence_count() {
+    for seed in seeds(1) {
         expect_that!(
             run_sequence(
                 seed,
@@ -515,7 +516,7 @@
 /// callers submit gangs and steps with speculative copies and cancel jobs at any time.
 #[gtest]
 fn guarantees_hold_with_gangs_copies_and_cancellations() {
-    for seed in 0..sequence_count() {
+    for seed in seeds(1) {
         expect_that!(
             run_sequence(
                 seed,
@@ -534,7 +535,7 @@
 /// are unavailable at times.
 #[gtest]
 fn guarantees_hold_with_repeated_submissions() {
-    for seed in 0..sequence_count() {
+    for seed in seeds(1) {
         expect_that!(
             run_sequence(
                 seed,
@@ -553,7 +554,7 @@
 /// or lose their connections while they have orders to deliver, and may deliver them seconds later.
 #[gtest]
 fn guarantees_hold_while_relays_fail() {
-    for seed in 0..sequence_count() {
+    for seed in seeds(1) {
         for callers in [Callers::Plain, Callers::Restless, Callers::Insistent] {
             expect_that!(
                 run_sequence(seed, callers, Orders::Relayed, Ids::New, Domains::Open),
@@ -569,7 +570,7 @@
 #[gtest]
 fn guarantees_hold_with_tasks_that_crash_workers_and_shrinking_resources() {
     let previous = REGRESSION_SEEDS_CRASHING.iter().map(|(seed, _)| *seed);
-    for seed in (0..sequence_count()).chain(previous) {
+    for seed in seeds(1).chain(previous) {
         for orders in [Orders::Direct, Orders::Relayed] {
             expect_that!(
                 run_sequence(seed, Callers::Poisonous, orders, Ids::New, Domains::Open),
@@ -585,7 +586,7 @@
 #[gtest]
 fn guarantees_hold_with_releases_beside_tasks_that_crash_workers() {
     // Each seed runs in 4 variants.
-    for seed in 0..sequence_count().div_ceil(2) {
+    for seed in seeds(2) {
         for orders in [Orders::Direct, Orders::Relayed] {
             for ids in [Ids::New, Ids::OldToo] {
                 if OPEN_SEEDS_RELEASING.contains(&(seed, orders, ids)) {
@@ -612,7 +613,7 @@
         Callers::Poisonous,
     ];
     let previous = REGRESSION_SEEDS_RESTARTING.iter().map(|(seed, _)| *seed);
-    for seed in (0..sequence_count()).chain(previous) {
+    for seed in seeds(1).chain(previous) {
         for callers in CALLERS {
             for orders in [Orders::Direct, Orders::Relayed] {
                 if OPEN_SEEDS_RESTARTING.contains(&(seed, callers, orders)) {
@@ -632,7 +633,7 @@
 /// hardly read the store.
 #[gtest]
 fn guarantees_hold_with_many_hosts_that_query_the_owner() {
-    for seed in 0..sequence_count().div_ceil(4) {
+    for seed in seeds(4) {
         for callers in [Callers::Plain, Callers::Restless, Callers::Insistent] {
             let orders = Orders::DirectWithQueries;
             expect_that!(
@@ -655,7 +656,7 @@
         Callers::Poisonous,
     ];
     // Each seed runs in 16 variants.
-    for seed in 0..sequence_count().div_ceil(5) {
+    for seed in seeds(5) {
         for callers in CALLERS {
             for orders in [Orders::Direct, Orders::Relayed] {
                 for ids in [Ids::New, Ids::OldToo] {
@@ -674,7 +675,7 @@
 /// carried out late and workers leave.
 #[gtest]
 fn guarantees_hold_while_workers_drain_and_orders_are_late() {
-    for seed in 0..sequence_count().div_ceil(2) {
+    for seed in seeds(2) {
         for callers in [Callers::Plain, Callers::Restless, Callers::Insistent] {
             for orders in [Orders::Direct, Orders::Relayed] {
                 expect_that!(
@@ -691,7 +692,7 @@
 /// hosts jump by minutes.
 #[gtest]
 fn guarantees_hold_while_clocks_jump() {
-    for seed in 0..sequence_count().div_ceil(2) {
+    for seed in seeds(2) {
         for callers in [Callers::Plain, Callers::Restless, Callers::Insistent] {
             for orders in [Orders::Direct, Orders::Relayed] {
                 let (ids, domains) = (Ids::New, Domains::Open);
--- a/tests/fleet/actions.rs
+++ b/tests/fleet/actions.rs
@@ -136,13 +136,13 @@
             Action::OpenConnection { conn, address } => self.connect(number, conn, &address),
             Action::SendFrame { conn, bytes } => self.send_frame(number, conn, bytes),
             Action::CloseConnection { conn } => self.disconnect(number, conn),
-            Action::Note(note) => self.record_note(&note),
+            Action::Note(note) => self.record_note(number, &note),
             Action::JobTimed(times) => self.job_times.push((self.now_ms, *times)),
             Action::Disconnect { .. } | Action::Configured => {}
         }
     }
 
-    fn record_note(&mut self, note: &Note) {
+    fn record_note(&mut self, number: usize, note: &Note) {
         *self.note_counts.entry(note.code).or_default() += 1;
         let is_logged = matches!(
             note.code,
@@ -159,7 +159,10 @@
         );
         if is_logged {
             let name = note.code.name();
-            let line = format!("{} {name} {} {}", self.now_ms, note.subject, note.detail);
+            let line = format!(
+                "{} {name} {} {} host={number}",
+                self.now_ms, note.subject, note.detail
+            );
             self.log_lines.push(line);
         }
     }
--- a/tests/fleet/worker_faults.rs
+++ b/tests/fleet/worker_faults.rs
@@ -114,6 +114,13 @@
         for task in worker.tasks() {
             self.promises.record_crash(task, is_unrelated);
         }
+        let tasks: Vec<String> = worker.tasks().map(|task| task.to_string()).collect();
+        self.log_lines.push(format!(
+            "{} worker {} crashes unrelated={is_unrelated} tasks={}",
+            self.now_ms,
+            worker.id,
+            tasks.join(",")
+        ));
         self.shut_down(address);
     }
 
@@ -125,6 +132,7 @@
         worker.die();
         let id = worker.id.clone();
         let now_ms = self.now_ms;
+        self.log_lines.push(format!("{now_ms} worker {id} exits"));
         self.worker_faults
             .pending_unlistings
             .push((now_ms + UNLISTED_MS, id));
