A planned exit no longer counts as a crash before the list of workers was read

Cause: a worker was judged the moment another incarnation answered in its place. Whether it had announced to leave stands in the platform's list, and that is up to 400 ms old at such a moment. Ruled out: that the announcement never reached the store, and that the list of a later time lacks it (an announcement that the entry of the next incarnation replaces in the same read is in the stream).

Change: the verdict on a replaced worker waits until the list was read after the replacement. A task that is suspected already, or has lost a second worker, waits for it, for 6 s at most; the owner reads the list at once then. An announcement counts unless the list was read between the worker's silence and its arrival.

Why it holds: the stream of workers is ordered, so a list that was read after the replacement holds every announcement that was made before it.

--- a/crates/dispatch/src/entry/following.rs
+++ b/crates/dispatch/src/entry/following.rs
@@ -4,6 +4,7 @@
 use crate::entry::scope::Scope;
 use crate::event::Action;
 use crate::event::Now;
+use crate::policy::link::MIN_LIST_PAUSE_MS;
 use goldcrestway_core::Code;
 use goldcrestway_core::Note;
 
@@ -60,10 +61,17 @@
             }
             self.jobs.long_poll(long_poll_ms, now_ms, tickets, actions);
             self.jobs.confirm(long_poll_ms, now_ms, tickets, actions);
-            if now_ms >= self.last_workers_read_ms + self.workers_interval_ms {
+            let wanted_ms = self.owner.as_ref().and_then(|owner| owner.list_wanted_ms());
+            let interval_ms = match wanted_ms {
+                Some(_) => MIN_LIST_PAUSE_MS,
+                None => self.workers_interval_ms,
+            };
+            if now_ms >= self.last_workers_read_ms + interval_ms {
                 self.last_workers_read_ms = now_ms;
-                // Concurrent reads would return the same reports twice.
-                self.workers.read_now(0, now_ms, tickets, actions);
+                // Concurrent reads would return the same reports twice, so a read under way is
+                // enough unless it is too old.
+                let since_ms = wanted_ms.unwrap_or(0);
+                self.workers.read_now(since_ms, now_ms, tickets, actions);
             }
             return;
         }
--- a/crates/dispatch/src/entry/worker_list.rs
+++ b/crates/dispatch/src/entry/worker_list.rs
@@ -30,7 +30,15 @@
                 continue;
             }
             match (self.decoders.worker)(&record.key, &record.value) {
-                Ok(entry) => drop(self.worker_entries.insert(record.key, entry)),
+                Ok(entry) => {
+                    // A later entry of the same worker may replace this one at once.
+                    if entry.is_leaving
+                        && let Some(owner) = &mut self.owner
+                    {
+                        owner.record_announcement(&record.key, entry.incarnation);
+                    }
+                    self.worker_entries.insert(record.key, entry);
+                }
                 Err(fault) => {
                     // The previous entry no longer applies. Runs at the worker continue.
                     self.worker_entries.remove(&record.key);
--- a/crates/dispatch/src/owner/crashes.rs
+++ b/crates/dispatch/src/owner/crashes.rs
@@ -29,24 +29,30 @@
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
-use std::collections::HashMap;
+use std::collections::VecDeque;
 
 /// Time for which a crash that no task can have caused is remembered. Workers that crashed at the
 /// same time answer again by then.
 const OUTAGE_RETENTION_MS: u64 = 30_000;
 
 /// Time window in which a worker has crashed: from its last answer to the first missed one.
-type CrashWindow = (u64, u64);
+pub(super) type CrashWindow = (u64, u64);
 
 /// A removed worker of which it is not known whether it has crashed.
 #[derive(Debug)]
-struct LostWorker {
+pub(super) struct LostWorker {
     address: Box<str>,
-    incarnation: Incarnation,
+    pub(super) incarnation: Incarnation,
     /// Unknown if a previous owner has removed it.
-    crash_window: Option<CrashWindow>,
+    pub(super) crash_window: Option<CrashWindow>,
     /// Tasks that lost a run there; a gang is represented by its first member.
-    tasks: BTreeSet<TaskId>,
+    pub(super) tasks: BTreeSet<TaskId>,
+    /// When another incarnation answered in its place, if one did.
+    pub(super) replaced_ms: Option<u64>,
+    /// Other workers crashed at the same time, as far as was known then.
+    pub(super) is_excused: bool,
+    /// The platform's list showed, later than that it was lost, that it had announced to leave.
+    pub(super) was_announced: bool,
     /// It was draining, and had fallen silent before that was known. If another incarnation answers
     /// at its address, it has most likely left as planned.
     left_while_silent: bool,
@@ -59,6 +65,9 @@
             incarnation: lost_run.incarnation,
             crash_window,
             tasks: BTreeSet::new(),
+            replaced_ms: None,
+            is_excused: false,
+            was_announced: false,
             left_while_silent: false,
         }
     }
@@ -86,7 +95,9 @@
 /// Crashes of workers, as far as they are known.
 #[derive(Debug, Default)]
 pub(super) struct Crashes {
-    lost_workers: HashMap<Box<str>, LostWorker>,
+    pub(super) lost_workers: BTreeMap<Box<str>, LostWorker>,
+    /// Workers that were replaced and await the verdict, with the time at which that was known.
+    pub(super) replaced: VecDeque<(u64, Box<str>)>,
     /// Workers whose crash no recently started run there can have caused, and when they crashed.
     outages: Vec<(Box<str>, CrashWindow)>,
     /// Which tasks may have caused the crashes that several may have caused.
@@ -242,6 +253,8 @@
         now: Now,
         actions: &mut Vec<Action>,
     ) {
+        // Another life of this worker may await its verdict; both have one id.
+        self.judge(&removed.worker, now, actions);
         if removed.is_expected_exit && !removed.left_while_silent {
             self.record_departure(&removed.lost_runs);
             return;
@@ -258,7 +271,7 @@
             lost.left_while_silent = removed.left_while_silent;
         }
         if removed.is_replaced {
-            self.resolve_crash(&removed.worker, true, now, actions);
+            self.await_verdict(&removed.worker, now);
         }
     }
 
@@ -331,21 +344,24 @@
         let mut resolved = Vec::new();
         for (id, lost) in &self.crashes.lost_workers {
             if *id == worker.entry.id {
-                let has_crashed = lost.incarnation.differs_from(worker.incarnation);
-                resolved.push((id.clone(), has_crashed));
+                let is_replaced = lost.incarnation.differs_from(worker.incarnation);
+                resolved.push((id.clone(), is_replaced));
             } else if lost.address == worker.entry.address {
                 resolved.push((id.clone(), true));
             }
         }
-        for (id, has_crashed) in resolved {
-            self.resolve_crash(&id, has_crashed, now, actions);
+        for (id, is_replaced) in resolved {
+            match is_replaced {
+                true => self.await_verdict(&id, now),
+                false => self.resolve_crash(&id, false, now, actions),
+            }
         }
     }
 
     /// Returns whether another worker, which no task can have crashed, fell silent at the same time.
     /// Then an outage of a whole rack or failure domain, or of the link of the owner's own host, is
     /// the likelier cause.
-    fn is_outage(&self, id: &str, window: CrashWindow) -> bool {
+    pub(super) fn is_outage(&self, id: &str, window: CrashWindow) -> bool {
         let unexplained = |worker: &Worker| {
             let has_suspects = worker.runs.values().any(Run::is_suspect);
             let is_other = *worker.entry.id != *id;
@@ -360,14 +376,21 @@
 
     /// Counts the crash of a worker against the runs that were lost there, or drops these if it has
     /// not crashed.
-    fn resolve_crash(&mut self, id: &str, has_crashed: bool, now: Now, actions: &mut Vec<Action>) {
+    pub(super) fn resolve_crash(
+        &mut self,
+        id: &str,
+        has_crashed: bool,
+        now: Now,
+        actions: &mut Vec<Action>,
+    ) {
         let Some(lost) = self.crashes.lost_workers.remove(id) else {
             return;
         };
         let loss = self.crashes.evidence.take(id);
-        let is_excused = lost
-            .crash_window
-            .is_some_and(|crash_window| self.is_outage(id, crash_window));
+        let is_excused = lost.is_excused
+            || lost
+                .crash_window
+                .is_some_and(|crash_window| self.is_outage(id, crash_window));
         let mut lost_runs = Vec::new();
         for task in lost.tasks {
             let Some(key) = self.job_keys.get(&task.job).copied() else {
--- a/crates/dispatch/src/owner/mod.rs
+++ b/crates/dispatch/src/owner/mod.rs
@@ -41,6 +41,7 @@
 mod task;
 mod timeline;
 mod track;
+mod verdicts;
 mod waits;
 mod worker;
 mod worker_removal;
@@ -222,6 +223,8 @@
     worker_keys: HashMap<Box<str>, WorkerKey>,
     /// Time up to which the platform's list of workers was read; `None` if this host has not read it.
     list_known_ms: Option<u64>,
+    /// Newest time since when a task waits for the list to be read.
+    list_wanted_ms: Option<u64>,
     /// This host is still loading that list. The list that it knows may be older than it is aware of.
     is_loading_list: bool,
     orders: HashMap<u64, Order>,
@@ -312,6 +315,7 @@
             workers: Workers::new(),
             worker_keys: HashMap::new(),
             list_known_ms: None,
+            list_wanted_ms: None,
             is_loading_list: true,
             orders: HashMap::new(),
             link: LinkBudget::new(bounds.link_bytes_per_s),
@@ -477,6 +481,7 @@
     /// Carries out all work that is due.
     pub(crate) fn advance(&mut self, now: Now, tickets: &mut u64, actions: &mut Vec<Action>) {
         self.link.refill(now.steady_ms);
+        self.judge_replaced_workers(now, actions);
         self.maintain_connections(now, tickets, actions);
         self.open_due_occurrences(now);
         self.check_confirmed(now.steady_ms);
--- a/crates/dispatch/src/owner/task.rs
+++ b/crates/dispatch/src/owner/task.rs
@@ -24,7 +24,7 @@
 const MAX_LOST_RUNS: usize = 4;
 /// Time for which a task that may have used up its starts waits until it is known whether its
 /// workers have crashed. Crashed workers mostly answer again within twice the length of a lease.
-const MAX_UNDECIDED_MS: u64 = 6_000;
+pub(super) const MAX_UNDECIDED_MS: u64 = 6_000;
 
 /// A run that was lost with a removed worker.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -108,6 +108,8 @@
     pub(crate) lost_runs: Vec<LostRun>,
     /// When the newest of them was lost.
     pub(crate) lost_ms: u64,
+    /// Until when it waits to know whether its last worker crashed or left as planned, if it does.
+    pub(crate) verdict_until_ms: Option<u64>,
 }
 
 impl Task {
@@ -169,8 +171,21 @@
         runs.len() as u32
     }
 
+    /// Starts to wait for the verdict on its last worker, unless that is the first one that it may
+    /// have crashed. Tells whether it waits.
+    pub(crate) fn await_verdict(&mut self, until_ms: u64) -> bool {
+        let waits = self.suspicion.needs_isolation() || self.unresolved_crashes() > 1;
+        if waits {
+            self.verdict_until_ms = Some(until_ms);
+        }
+        waits
+    }
+
     /// Returns until when it waits to know whether its workers crashed, if it does.
     pub(crate) fn undecided_until_ms(&self, now_ms: u64) -> Option<u64> {
+        if let Some(until_ms) = self.verdict_until_ms.filter(|until_ms| now_ms < *until_ms) {
+            return Some(until_ms);
+        }
         let until_ms = self.lost_ms + MAX_UNDECIDED_MS;
         (self
             .suspicion
--- a/crates/dispatch/src/policy/link.rs
+++ b/crates/dispatch/src/policy/link.rs
@@ -70,7 +70,7 @@
 
 /// Largest and smallest interval between two reads of the list of workers.
 pub(crate) const MAX_LIST_PAUSE_MS: u64 = 400;
-const MIN_LIST_PAUSE_MS: u64 = 100;
+pub(crate) const MIN_LIST_PAUSE_MS: u64 = 100;
 /// Transfer time that the answer to one such read may take, as all other messages wait behind it.
 const LIST_BURST_MS: u64 = 20;
 
