A worker that has restarted is no longer taken for one that leaves

Cause: an announcement to leave that names no incarnation was applied to the next incarnation of the same id, and was kept when that one reported itself ready.

Change: an announcement without an incarnation that was known before a restart is of the incarnation before, and the first entry that names the new one replaces it.

Why it holds: the entry that names the running incarnation is newer than the announcement, as the stream is ordered.

--- a/crates/dispatch/src/incarnation.rs
+++ b/crates/dispatch/src/incarnation.rs
@@ -27,6 +27,11 @@
         self.0
     }
 
+    /// Returns whether both incarnations are known and are the same.
+    pub fn is_same_as(self, other: Self) -> bool {
+        self.0.is_some() && self.0 == other.0
+    }
+
     /// Returns whether both incarnations are known and they differ.
     pub fn differs_from(self, other: Self) -> bool {
         matches!((self.0, other.0), (Some(one), Some(two)) if one != two)
--- a/crates/dispatch/src/owner/incarnations.rs
+++ b/crates/dispatch/src/owner/incarnations.rs
@@ -156,7 +156,9 @@
         // The clock came with the answer of this incarnation.
         worker.clock = clock;
         worker.incarnation = report.incarnation;
-        worker.was_leaving = worker.entry.is_leaving && worker.is_reported();
+        // An entry that names no incarnation was read before, so it is of the previous one.
+        worker.was_leaving =
+            worker.entry.is_leaving && worker.entry.incarnation.is_same_as(report.incarnation);
         // A lease that was given by the clock of the previous incarnation may be granted for the
         // maximum time.
         worker.leases_expired_ms = now_ms + self.max_lease_span_ms();
--- a/crates/dispatch/src/owner/worker.rs
+++ b/crates/dispatch/src/owner/worker.rs
@@ -456,12 +456,17 @@
     /// Updates its entry from the platform's list.
     pub(crate) fn update_entry(&mut self, entry: WorkerEntry) {
         self.is_listed = true;
+        let names_other = !self.entry.incarnation.is_same_as(self.incarnation);
         self.entry = entry;
         if !self.is_reported() {
             // Only an answer shows which incarnation is alive.
             self.next_poll_ms = 0;
             return;
         }
+        // The previous entry named no incarnation, so it may have been of the one before.
+        if names_other && self.entry.incarnation.is_same_as(self.incarnation) {
+            self.was_leaving = false;
+        }
         let is_new = self.entry.is_leaving && !self.was_leaving;
         self.left_while_silent |= is_new && self.first_missed_ms.is_some();
         self.was_leaving |= self.entry.is_leaving;
