An order that reached no worker counts as no crash of its task

Cause: a lost run counted as a crash even where the worker had never answered the order.

Change: an order that was sent when the next incarnation already ran counts nothing; its clock counts from its start. One that was never answered, beside other suspects or while other workers were lost, counts only towards the last starts. A member of a gang that is being stopped when its worker crashes counts as confirmed, if it was.

Why it holds: the next incarnation can't have begun before the previous one had ended.

--- a/crates/dispatch/src/owner/crashes.rs
+++ b/crates/dispatch/src/owner/crashes.rs
@@ -41,7 +41,7 @@
 /// A removed worker of which it is not known whether it has crashed.
 #[derive(Debug)]
 pub(super) struct LostWorker {
-    address: Box<str>,
+    pub(super) address: Box<str>,
     pub(super) incarnation: Incarnation,
     /// Unknown if a previous owner has removed it.
     pub(super) crash_window: Option<CrashWindow>,
@@ -156,8 +156,20 @@
         }
     }
 
-    fn is_present(&self) -> bool {
-        matches!(self.phase, RunPhase::Present { .. })
+    /// Returns when the only order to start it was sent, if the worker has not confirmed it.
+    fn only_order_ms(&self) -> Option<u64> {
+        let is_only = self.start_attempts == 1 && !self.was_confirmed;
+        is_only.then_some(self.started_ms)
+    }
+
+    /// Returns whether its worker has confirmed it. One that is being stopped may still be there,
+    /// and the next incarnation of its worker accepts the order to stop it.
+    fn is_confirmed(&self) -> bool {
+        match self.phase {
+            RunPhase::Present { .. } => true,
+            RunPhase::Stopping { .. } | RunPhase::Stopped { .. } => self.was_confirmed,
+            _ => false,
+        }
     }
 
     /// Returns whether it may be the cause if its worker crashes.
@@ -202,7 +214,7 @@
         let started = worker.runs.iter().filter(|(_, run)| run.may_have_started());
         let mut suspects: BTreeMap<TaskId, bool> = BTreeMap::new();
         for ((task, _), run) in started.clone().filter(|(_, run)| run.is_suspect()) {
-            *suspects.entry(self.suspicion_unit(*task)).or_default() |= run.is_present();
+            *suspects.entry(self.suspicion_unit(*task)).or_default() |= run.is_confirmed();
         }
         let mut lost_runs = Vec::new();
         for ((task, number), run) in started {
@@ -220,7 +232,8 @@
                 is_suspect: run.is_suspect(),
                 // Tasks of one job need not be told apart.
                 is_sole_suspect: suspects.keys().all(|suspect| suspect.job == task.job),
-                is_confirmed: run.is_present(),
+                is_confirmed: run.is_confirmed(),
+                ordered_ms: run.only_order_ms(),
             };
             add_lost_run(&mut lost_runs, self.suspicion_unit(*task), lost_run);
         }
@@ -386,6 +399,7 @@
         let Some(lost) = self.crashes.lost_workers.remove(id) else {
             return;
         };
+        let successor_ms = self.successor_started_ms(id, &lost);
         let loss = self.crashes.evidence.take(id);
         let is_excused = lost.is_excused
             || lost
@@ -400,11 +414,14 @@
             if let Some(state) = job.task_mut(task) {
                 let removed_runs = state.take_lost_runs(id);
                 job.is_dirty = true;
-                lost_runs.extend(
-                    removed_runs
-                        .into_iter()
-                        .map(|lost_run| (key, task, lost_run)),
-                );
+                for lost_run in removed_runs {
+                    // An order that was sent when the next incarnation already ran has started
+                    // nothing at this one.
+                    let ordered_ms = lost_run.ordered_ms;
+                    if ordered_ms.is_none() || ordered_ms < successor_ms || successor_ms.is_none() {
+                        lost_runs.push((key, task, lost_run));
+                    }
+                }
             }
         }
         if !has_crashed || lost.left_while_silent {
--- a/crates/dispatch/src/owner/task.rs
+++ b/crates/dispatch/src/owner/task.rs
@@ -39,6 +39,9 @@
     pub(crate) is_sole_suspect: bool,
     /// The worker had confirmed the run.
     pub(crate) is_confirmed: bool,
+    /// When the only order to start it was sent, by the clock of this owner; `None` if that is not
+    /// known or the worker had confirmed the run.
+    pub(crate) ordered_ms: Option<u64>,
 }
 
 impl LostRun {
@@ -58,6 +61,7 @@
             is_suspect: record.is_suspect,
             is_sole_suspect: record.is_sole_suspect,
             is_confirmed: record.is_confirmed,
+            ordered_ms: None,
         }
     }
 
@@ -202,6 +206,12 @@
             || is_resolved && self.suspicion.is_beyond_chance(unresolved_crashes)
     }
 
+    /// Returns whether a run was lost with a worker that had not answered the order to start it.
+    pub(crate) fn has_unanswered_order(&self, worker: &str) -> bool {
+        let mut lost_runs = self.lost_runs.iter();
+        lost_runs.any(|lost_run| *lost_run.worker == *worker && lost_run.ordered_ms.is_some())
+    }
+
     /// Removes and gives the runs that were lost with a worker.
     pub(crate) fn take_lost_runs(&mut self, worker: &str) -> Vec<LostRun> {
         self.lost_runs
--- a/crates/dispatch/src/owner/verdicts.rs
+++ b/crates/dispatch/src/owner/verdicts.rs
@@ -9,9 +9,14 @@
 use crate::ids::TaskId;
 use crate::incarnation::Incarnation;
 use crate::owner::Owner;
+use crate::owner::crashes::LostWorker;
 use crate::owner::task::MAX_UNDECIDED_MS;
+use crate::owner::worker::Worker;
 use std::collections::BTreeSet;
 
+/// Time for which the verdict waits for the clock of the next incarnation.
+const MAX_SUCCESSOR_WAIT_MS: u64 = 1_000;
+
 impl Owner {
     /// Records that another incarnation answers in the place of a lost worker. The verdict follows
     /// once the platform's list was read after that.
@@ -64,8 +69,11 @@
         let Some(known_ms) = self.list_known_ms else {
             return;
         };
-        let is_due = |(replaced_ms, _): &mut (u64, Box<str>)| *replaced_ms <= known_ms;
-        while let Some((replaced_ms, id)) = self.crashes.replaced.pop_front_if(is_due) {
+        while let Some((replaced_ms, id)) = self.crashes.replaced.front().cloned() {
+            if replaced_ms > known_ms || self.awaits_successor(&id, now.steady_ms) {
+                break;
+            }
+            self.crashes.replaced.pop_front();
             let lost = self.crashes.lost_workers.get(&id);
             if lost.is_some_and(|lost| lost.replaced_ms == Some(replaced_ms)) {
                 self.judge(&id, now, actions);
@@ -73,6 +81,40 @@
         }
     }
 
+    /// Returns whether an order had no answer and the worker's successor will soon show whether the
+    /// order came too late for it.
+    fn awaits_successor(&self, id: &str, now_ms: u64) -> bool {
+        let Some(lost) = self.crashes.lost_workers.get(id) else {
+            return false;
+        };
+        let is_open = |replaced_ms: u64| now_ms < replaced_ms + MAX_SUCCESSOR_WAIT_MS;
+        lost.replaced_ms.is_some_and(is_open)
+            && self.has_unanswered_order(id, lost)
+            && self.successor_started_ms(id, lost).is_none()
+    }
+
+    fn has_unanswered_order(&self, id: &str, lost: &LostWorker) -> bool {
+        let mut tasks = lost.tasks.iter().filter_map(|task| self.task(*task));
+        tasks.any(|task| task.has_unanswered_order(id))
+    }
+
+    /// Returns when the incarnation that now answers in the place of a lost worker had started, or
+    /// a little later. The clocks of workers count from their start. Returns `None` also if no
+    /// order to the lost worker is without an answer.
+    pub(super) fn successor_started_ms(&self, id: &str, lost: &LostWorker) -> Option<u64> {
+        if !self.has_unanswered_order(id, lost) {
+            return None;
+        }
+        let is_successor = |worker: &&Worker| {
+            *worker.entry.address == *lost.address
+                && (*worker.entry.id != *id || worker.incarnation.differs_from(lost.incarnation))
+        };
+        let successors = self.workers.values().filter(is_successor);
+        let clocks = successors.filter_map(|worker| worker.clock);
+        let started = clocks.map(|(clock_ms, at_ms)| at_ms.saturating_sub(clock_ms));
+        started.min()
+    }
+
     /// Decides on a lost worker that was replaced, by what is known now.
     pub(super) fn judge(&mut self, id: &str, now: Now, actions: &mut Vec<Action>) {
         let lost = self.crashes.lost_workers.get(id);
--- a/crates/dispatch/src/policy/suspicion.rs
+++ b/crates/dispatch/src/policy/suspicion.rs
@@ -157,6 +157,10 @@
             return false;
         }
         self.run = self.run.max(crash.run);
+        if !crash.is_confirmed && (!crash.is_sole_suspect || crash.is_excused) {
+            self.possible += u32::from(crash.is_suspect);
+            return false;
+        }
         self.crashes += u32::from(crash.is_suspect || !crash.is_long_running);
         let is_beyond_chance = self.crashes >= MAX_CRASHES || self.is_exhausted();
         is_beyond_chance || self.record_confirmed(crash)
--- a/tests/policy_suspicion.rs
+++ b/tests/policy_suspicion.rs
@@ -27,6 +27,12 @@
     ..SOLE_SUSPECT
 };
 
+/// The same beside other tasks that may be the cause.
+const UNANSWERED: Crash<'_> = Crash {
+    is_sole_suspect: false,
+    ..UNCONFIRMED
+};
+
 /// The same while other workers crash as well.
 const EXCUSED: Crash<'_> = Crash {
     is_excused: true,
