A task that has lost two workers starts alone

Cause: two starts remain after three losses, and nothing made them tell. A suspect waited 2 s for a worker without other suspects, but tasks of other jobs that had just begun ran there as well, and others began beside it.

Change: from the second loss on (known crashes, departures, losses of unknown fate) a task starts only where nothing of another job may still crash the worker, and nothing of another job starts there until its run is stable. If there is no such worker, one is kept free for it for 2 s; runs are stable after a second. A task that must be alone is no idle start.

Why it holds: a harmless run is stable after a second alone, which clears it; a guilty one crashes a worker on which nothing else can be the cause.

--- a/crates/dispatch/src/owner/costs.rs
+++ b/crates/dispatch/src/owner/costs.rs
@@ -58,12 +58,22 @@
     /// Address of the worker that the task is suspected to have crashed; `None` if the task is not
     /// suspected.
     pub(crate) suspected_at: Option<Box<str>>,
-    /// The task waits for a worker that runs no other suspect.
-    pub(crate) waits_for_isolation: bool,
+    /// Which other tasks may run on its worker.
+    pub(crate) isolation: Isolation,
     /// The task may start at a reduced share, as nothing of its job runs.
     pub(crate) accepts_reduced_share: bool,
 }
 
+/// From which other tasks a suspected task is kept apart.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Isolation {
+    None,
+    /// From other suspected tasks.
+    FromSuspects,
+    /// From all tasks of other jobs that may still crash their worker.
+    Alone,
+}
+
 /// Terms on which a worker takes a task.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) struct Offer {
@@ -182,7 +192,8 @@
             Some(_) => contention_cost(requirements.step, available_milli),
             None => 0,
         };
-        let crash_risk_cost = crash_risk_cost(worker, requirements).ok_or(Exclusion::Suspects)?;
+        let crash_risk_cost =
+            crash_risk_cost(worker, requirements, now_ms).ok_or(Exclusion::Suspects)?;
         // Checked last, so that an evacuation is only reported if nothing else excludes the worker.
         if self.is_evacuated(worker) {
             return Err(Exclusion::Evacuated);
@@ -225,12 +236,24 @@
 /// the one that it may have crashed, and where the least work would be lost. All other tasks avoid
 /// the worker until the suspect has proved stable. No task waits for long: a suspect waits for
 /// isolation for at most two seconds, and everything else only adds costs.
-fn crash_risk_cost(worker: &Worker, requirements: &TaskRequirements<'_>) -> Option<i64> {
+fn crash_risk_cost(
+    worker: &Worker,
+    requirements: &TaskRequirements<'_>,
+    now_ms: u64,
+) -> Option<i64> {
+    if worker.is_closed_to(requirements.task.job, now_ms) {
+        return None;
+    }
     let probes_cost = i64::from(worker.probes) * AMBIGUOUS_COST;
     let Some(suspected_at) = &requirements.suspected_at else {
         return Some(probes_cost);
     };
-    if worker.probes > 0 && requirements.waits_for_isolation {
+    let is_apart = match requirements.isolation {
+        Isolation::None => true,
+        Isolation::FromSuspects => worker.probes == 0,
+        Isolation::Alone => worker.is_quiet_for(requirements.task.job),
+    };
+    if !is_apart {
         return None;
     }
     let suspects = worker.runs.values().filter(|run| run.is_suspect()).count();
--- a/crates/dispatch/src/owner/crashes.rs
+++ b/crates/dispatch/src/owner/crashes.rs
@@ -11,6 +11,7 @@
 use crate::ids::TaskId;
 use crate::incarnation::Incarnation;
 use crate::owner::Owner;
+use crate::owner::costs::Isolation;
 use crate::owner::job::JobKey;
 use crate::owner::task::LostRun;
 use crate::owner::task::Task;
@@ -546,11 +547,28 @@
             .undecided_until_ms(now_ms)
     }
 
+    /// Returns whether the next run of a task must be alone on its worker.
+    pub(super) fn must_be_alone(&self, task: TaskId) -> bool {
+        let state = self.task(self.suspicion_unit(task));
+        state.is_some_and(Task::must_be_alone)
+    }
+
+    /// Returns from which other tasks a suspected task must be kept apart at present.
+    pub(super) fn needed_isolation(&self, task: TaskId, now_ms: u64) -> Isolation {
+        let state = self.task(task);
+        let may_wait = state.is_some_and(|state| state.may_wait_for_isolation(now_ms));
+        match may_wait {
+            true if self.must_be_alone(task) => Isolation::Alone,
+            true => Isolation::FromSuspects,
+            false => Isolation::None,
+        }
+    }
+
     /// Returns the address of the worker that a task is suspected to have crashed last; `None` if it
     /// is not suspected.
     pub(super) fn suspected_at(&self, task: TaskId) -> Option<Box<str>> {
         let state = self.task(self.suspicion_unit(task))?;
-        if !state.is_suspect() {
+        if !state.is_suspect() && !state.must_be_alone() {
             return None;
         }
         let unresolved_crashes = state
--- a/crates/dispatch/src/owner/gangs.rs
+++ b/crates/dispatch/src/owner/gangs.rs
@@ -10,6 +10,7 @@
 use crate::ids::StepId;
 use crate::ids::TaskId;
 use crate::owner::Owner;
+use crate::owner::costs::Isolation;
 use crate::owner::costs::TaskRequirements;
 use crate::owner::job::JobKey;
 use crate::owner::job::StepState;
@@ -55,7 +56,8 @@
         if members.any(|member| self.has_orphan(member)) {
             return true;
         }
-        let Some(workers) = self.find_gang_workers(requirements, count, now.steady_ms) else {
+        let Some(workers) = self.find_isolated_gang_workers(key, requirements, now.steady_ms)
+        else {
             return true;
         };
         for (index, worker) in workers.into_iter().enumerate() {
@@ -107,6 +109,34 @@
         job.is_dirty = true;
     }
 
+    /// Finds workers for all members. A suspected gang waits for a limited time until it can be
+    /// alone.
+    fn find_isolated_gang_workers(
+        &mut self,
+        key: JobKey,
+        requirements: &TaskRequirements<'_>,
+        now_ms: u64,
+    ) -> Option<Vec<WorkerKey>> {
+        let count = requirements.step.count as usize;
+        let first = requirements.task;
+        if self.needed_isolation(first, now_ms) != Isolation::Alone {
+            return self.find_gang_workers(requirements, count, now_ms);
+        }
+        let alone = TaskRequirements {
+            isolation: Isolation::Alone,
+            ..requirements.clone()
+        };
+        if let Some(workers) = self.find_gang_workers(&alone, count, now_ms) {
+            return Some(workers);
+        }
+        for worker in self.find_gang_workers(requirements, count, now_ms)? {
+            self.workers[worker].reserve(first.job, now_ms);
+        }
+        let until_ms = self.jobs[key].task_mut(first)?.wait_for_isolation(now_ms);
+        self.wake_ms = self.wake_ms.min(until_ms);
+        None
+    }
+
     /// Finds workers for all members, within one rack if the step is rack-sensitive and a rack has
     /// sufficient resources.
     fn find_gang_workers(
--- a/crates/dispatch/src/owner/idle_starts.rs
+++ b/crates/dispatch/src/owner/idle_starts.rs
@@ -6,6 +6,7 @@
 use crate::ids::StepId;
 use crate::ids::TaskId;
 use crate::owner::Owner;
+use crate::owner::costs::Isolation;
 use crate::owner::costs::Offer;
 use crate::owner::costs::TaskRequirements;
 use crate::owner::gangs::align_members;
@@ -171,7 +172,7 @@
             precedence: Precedence::of(&submission),
             needs_permits: submission.needs_permits(),
             suspected_at: self.suspected_at(task),
-            waits_for_isolation: false,
+            isolation: Isolation::None,
             accepts_reduced_share: true,
         };
         let offers = self.best_offers(&requirements, tasks.len(), now_ms);
@@ -223,7 +224,9 @@
         let Some(task) = self.task(id) else {
             return false;
         };
-        let is_delayed = task.not_before_ms > now_ms || task.undecided_until_ms(now_ms).is_some();
+        let is_delayed = task.not_before_ms > now_ms
+            || task.undecided_until_ms(now_ms).is_some()
+            || self.must_be_alone(id);
         task.is_waiting() && !is_delayed && !self.orphans.contains_key(&id)
     }
 
--- a/crates/dispatch/src/owner/permits.rs
+++ b/crates/dispatch/src/owner/permits.rs
@@ -11,6 +11,7 @@
 use crate::ids::JobId;
 use crate::ids::StepId;
 use crate::owner::Owner;
+use crate::owner::costs::Isolation;
 use crate::owner::costs::TaskRequirements;
 use crate::owner::worker::WorkerKey;
 use crate::policy::kept_room::Precedence;
@@ -187,7 +188,7 @@
             precedence: Precedence::of(&submission),
             needs_permits: false,
             suspected_at: None,
-            waits_for_isolation: false,
+            isolation: Isolation::None,
             accepts_reduced_share: self.accepts_reduced_share(step_id, step, now_ms),
         };
         let mut ranked = self.rank_workers(&requirements, now_ms);
--- a/crates/dispatch/src/owner/placing.rs
+++ b/crates/dispatch/src/owner/placing.rs
@@ -7,6 +7,7 @@
 use crate::ids::TaskId;
 use crate::job_times::Phase;
 use crate::owner::Owner;
+use crate::owner::costs::Isolation;
 use crate::owner::costs::TaskRequirements;
 use crate::owner::job::JobKey;
 use crate::owner::kept_room::BlockedStep;
@@ -201,7 +202,7 @@
                 true => self.suspected_at(first),
                 false => None,
             },
-            waits_for_isolation: false,
+            isolation: Isolation::None,
             accepts_reduced_share: false,
         };
         let restarting = TaskRequirements {
@@ -264,7 +265,7 @@
                 self.wake_ms = self.wake_ms.min(until_ms);
                 continue;
             }
-            let is_suspect = task.is_suspect();
+            let is_suspect = task.is_suspect() || task.must_be_alone();
             let is_new = step.is_long_running && task.run == 0;
             if is_new && Self::is_long_running_limit_reached(resources_milli, long_running_milli) {
                 return true;
@@ -304,8 +305,8 @@
     }
 
     /// Finds the worker for a suspected task: the one where a crash would destroy the least work
-    /// and would be the clearest evidence. If all suitable workers run another suspect, the task
-    /// waits for a limited time.
+    /// and would be the clearest evidence. If all suitable workers run another suspect, or tasks
+    /// that have just begun if the task must be alone, it waits for a limited time.
     fn find_worker_for_suspect(
         &mut self,
         key: JobKey,
@@ -313,20 +314,29 @@
         id: TaskId,
         now_ms: u64,
     ) -> Option<WorkerKey> {
-        let waits_for_isolation = self.task(id)?.may_wait_for_isolation(now_ms);
+        let isolation = self.needed_isolation(id, now_ms);
         let mut probe = TaskRequirements {
             suspected_at: self.suspected_at(id),
-            waits_for_isolation,
+            isolation,
             ..requirements.clone()
         };
         if let Some(Reverse((_, worker))) = self.rank_workers(&probe, now_ms).pop() {
             return Some(worker);
         }
-        probe.waits_for_isolation = false;
-        if waits_for_isolation && !self.rank_workers(&probe, now_ms).is_empty() {
-            let until_ms = self.jobs[key].task_mut(id)?.wait_for_isolation(now_ms);
-            self.wake_ms = self.wake_ms.min(until_ms);
+        if isolation == Isolation::None {
+            return None;
         }
+        probe.isolation = Isolation::None;
+        let ranked = self.rank_workers(&probe, now_ms);
+        let Reverse((_, worker)) = *ranked.peek()?;
+        let mut others = ranked.iter();
+        let has_reserved =
+            others.any(|Reverse((_, other))| self.workers[*other].is_reserved_for(id.job, now_ms));
+        if isolation == Isolation::Alone && !has_reserved {
+            self.workers[worker].reserve(id.job, now_ms);
+        }
+        let until_ms = self.jobs[key].task_mut(id)?.wait_for_isolation(now_ms);
+        self.wake_ms = self.wake_ms.min(until_ms);
         None
     }
 
@@ -369,7 +379,7 @@
             precedence: Precedence::of(&submission),
             needs_permits: submission.needs_permits(),
             suspected_at: self.suspected_at(id),
-            waits_for_isolation: false,
+            isolation: Isolation::None,
             accepts_reduced_share: false,
         };
         let failed_on = self.jobs[key].task_mut(id).and_then(|task| task.failed_on);
@@ -392,6 +402,7 @@
     ) {
         let mut run = self.make_run(key, id, RunPhase::Recording, now.steady_ms);
         run.is_probe = self.suspected_at(id).is_some();
+        run.is_test = self.must_be_alone(id);
         self.record_start(key, id);
         let job = &mut self.jobs[key];
         job.is_dirty = true;
@@ -440,7 +451,9 @@
         self.timeline.enter(id, Phase::Recording, now.steady_ms);
         let is_best_effort = run.is_best_effort;
         self.workers[worker].use_kept_room(StepId::of(id), run.resources);
-        self.workers[worker].add(id, number, run);
+        let worker_state = &mut self.workers[worker];
+        worker_state.add(id, number, run);
+        worker_state.reserved_for = None;
         if !is_best_effort {
             self.set_target_shares(worker, actions);
         }
--- a/crates/dispatch/src/owner/task.rs
+++ b/crates/dispatch/src/owner/task.rs
@@ -144,6 +144,12 @@
         self.suspicion.needs_isolation() || self.lost_runs.iter().any(LostRun::may_be_cause)
     }
 
+    /// Returns whether it must run alone until it is stable, so that the next crash shows whether it
+    /// is the cause.
+    pub(crate) fn must_be_alone(&self) -> bool {
+        self.suspicion.must_be_alone(self.unresolved_crashes())
+    }
+
     /// Starts or continues to wait for a worker without other suspects, as there is none at
     /// present. Gives until when it waits.
     pub(crate) fn wait_for_isolation(&mut self, now_ms: u64) -> u64 {
--- a/crates/dispatch/src/owner/waits.rs
+++ b/crates/dispatch/src/owner/waits.rs
@@ -8,6 +8,7 @@
 use crate::ids::StepId;
 use crate::ids::TaskId;
 use crate::owner::Owner;
+use crate::owner::costs::Isolation;
 use crate::owner::costs::TaskRequirements;
 use crate::owner::disturbance::Disturbance;
 use crate::owner::disturbance::DisturbanceCause;
@@ -274,7 +275,7 @@
             precedence: self.jobs[waiting.job].precedence(waiting.first, step),
             needs_permits: submission.needs_permits(),
             suspected_at: None,
-            waits_for_isolation: false,
+            isolation: Isolation::None,
             accepts_reduced_share: false,
         };
         let mut counts = WorkerCounts::default();
--- a/crates/dispatch/src/owner/worker.rs
+++ b/crates/dispatch/src/owner/worker.rs
@@ -28,6 +28,10 @@
 /// Consecutive polls without an answer after which a worker counts as silent.
 const MAX_MISSED_ANSWERS: u32 = 2;
 
+/// Time for which a worker is kept free from new tasks for one that must be alone there. Runs are
+/// stable after a second and one poll.
+const RESERVATION_MS: u64 = 2_000;
+
 /// Why a worker is removed. Logs print the variants by their names.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum RemovalReason {
@@ -121,6 +125,8 @@
     pub(crate) is_stable: bool,
     /// Its task is suspected to have crashed a worker, and this run is the test.
     pub(crate) is_probe: bool,
+    /// Its task has lost several workers, and must be alone until this run is stable.
+    pub(crate) is_test: bool,
     /// Number of orders to start it that were sent.
     pub(crate) start_attempts: u32,
     /// Its worker has confirmed it at least once.
@@ -179,6 +185,7 @@
             is_orphan: false,
             is_stable: false,
             is_probe: false,
+            is_test: false,
             start_attempts: 0,
             was_confirmed: false,
             checkpoint: "".into(),
@@ -251,6 +258,8 @@
     pub(crate) first_missed_ms: Option<u64>,
     /// Number of runs there of tasks that are suspected to crash workers and are not stable yet.
     pub(crate) probes: u32,
+    /// Job that waits for the runs there to become stable, and until when.
+    pub(crate) reserved_for: Option<(JobId, u64)>,
     /// Missed answers to polls that were sent after its leases had expired.
     pub(crate) misses_after_expiry: u32,
     /// Index of the relay that carries its orders, and until when that is not the first one.
@@ -318,6 +327,7 @@
             missed_answers: 0,
             first_missed_ms: None,
             probes: 0,
+            reserved_for: None,
             misses_after_expiry: 0,
             relay_index: 0,
             relay_index_until_ms: 0,
@@ -385,6 +395,33 @@
         }
     }
 
+    /// Keeps it free from new tasks of other jobs until a task of this job can be alone there.
+    pub(crate) fn reserve(&mut self, job: JobId, now_ms: u64) {
+        self.reserved_for = Some((job, now_ms + RESERVATION_MS));
+    }
+
+    /// Returns whether it is kept free for a task of a job.
+    pub(crate) fn is_reserved_for(&self, job: JobId, now_ms: u64) -> bool {
+        self.reserved_for
+            .is_some_and(|(other, until_ms)| other == job && now_ms < until_ms)
+    }
+
+    /// Returns whether new tasks of a job must not start there, so that a crash shows whether a
+    /// task of another job is the cause.
+    pub(crate) fn is_closed_to(&self, job: JobId, now_ms: u64) -> bool {
+        let is_other =
+            |(id, run): (&(TaskId, u32), &Run)| run.is_test && !run.is_stable && id.0.job != job;
+        self.reserved_for
+            .is_some_and(|(other, until_ms)| other != job && now_ms < until_ms)
+            || self.probes > 0 && self.runs.iter().any(is_other)
+    }
+
+    /// Returns whether no task of another job may be the cause if it crashes.
+    pub(crate) fn is_quiet_for(&self, job: JobId) -> bool {
+        let mut runs = self.runs.iter();
+        runs.all(|((task, _), run)| run.is_stable || task.job == job)
+    }
+
     /// Returns whether it counts as unreachable or dead. One missed answer says little.
     pub(crate) fn is_silent(&self) -> bool {
         self.missed_answers >= MAX_MISSED_ANSWERS
--- a/crates/dispatch/src/policy/suspicion.rs
+++ b/crates/dispatch/src/policy/suspicion.rs
@@ -92,6 +92,13 @@
         self.confirmed > 0 || self.crashes >= ISOLATION_CRASHES
     }
 
+    /// Returns whether its next run must be alone on its worker until it is stable. Beside others,
+    /// the run would show nothing, and the task has few starts left.
+    pub fn must_be_alone(&self, unresolved_crashes: u32) -> bool {
+        let suspicious = self.confirmed + self.possible + unresolved_crashes;
+        self.starts > 0 || suspicious >= ISOLATION_CRASHES
+    }
+
     /// Returns whether a crash during this run is counted already. A crash during an older run may
     /// still be counted, as the outcome of its worker may become known later.
     pub fn is_counted(&self, run: u32) -> bool {
