A task is blamed for crashes that tell, and all its crashes count towards its last starts

Cause: of the two crashes at which a task is blamed only the last had to leave no other explanation. And a crash that another task explained no longer counted towards the last starts of the first, which may have crashed that worker just as well.

Change: if an earlier crash left another explanation, one crash more is needed; three of the same host are enough as before. The number is on record (a new field; former builds ignore it, and a missing one counts as none). All crashes count towards the last starts, and departures beside two certain crashes, as those starts are alone.

--- a/crates/dispatch/src/policy/suspicion.rs
+++ b/crates/dispatch/src/policy/suspicion.rs
@@ -81,6 +81,8 @@
     /// Its newest run that was counted. Members of a gang may crash several workers in one run,
     /// which counts once.
     pub run: u32,
+    /// Confirmed crashes for which no other task may have been the cause.
+    pub sole: u32,
     /// Address of the last worker that it is suspected of having crashed; empty for none.
     pub address: Box<str>,
 }
@@ -121,17 +123,17 @@
     /// Returns whether the task must not be started any more: it has used its last starts, and none
     /// of its runs became stable.
     pub fn is_exhausted(&self) -> bool {
-        self.starts >= PROBATION_STARTS && self.unexplained() >= PROBATION_CRASHES
+        self.starts >= PROBATION_STARTS && self.crashes >= PROBATION_CRASHES
     }
 
     /// Returns whether the task must not be started any more, although it is not known what happened
     /// to some workers of its lost runs: it has used its last starts, and chance explains neither
     /// its certain crashes nor all losses together.
     pub fn is_beyond_chance(&self, unresolved_crashes: u32) -> bool {
-        let losses = self.unexplained() + self.possible + unresolved_crashes;
+        let known = self.crashes + self.possible;
         self.starts >= PROBATION_STARTS
-            && self.unexplained() >= MIN_CERTAIN_CRASHES
-            && losses >= MAX_CRASHES
+            && self.crashes >= MIN_CERTAIN_CRASHES
+            && (known >= PROBATION_CRASHES || known + unresolved_crashes >= MAX_CRASHES)
     }
 
     /// Records that a worker has left as announced, or has crashed before, while a run of the task
@@ -140,10 +142,6 @@
         self.possible += 1;
     }
 
-    fn unexplained(&self) -> u32 {
-        self.crashes.saturating_sub(self.explained)
-    }
-
     /// Records that another task has been blamed for one of its crashes.
     pub fn explain_crash(&mut self) {
         self.confirmed = self.confirmed.saturating_sub(1);
@@ -154,7 +152,7 @@
     /// of its lost runs: if they have crashed, it has used its last starts.
     pub fn must_await_resolution(&self, unresolved_crashes: u32) -> bool {
         let may_be_exhausted = self.starts >= PROBATION_STARTS
-            && self.unexplained() + unresolved_crashes >= PROBATION_CRASHES;
+            && self.crashes + unresolved_crashes >= PROBATION_CRASHES;
         may_be_exhausted && !self.is_exhausted()
     }
 
@@ -185,12 +183,16 @@
             false => MAX_CRASHES_ALONE,
         };
         self.address = crash.address.into();
+        let is_doubtful = self.confirmed > self.sole + 1;
+        self.sole += u32::from(crash.is_sole_suspect);
+        let max_confirmed = max_confirmed.max(MAX_CRASHES_ALONE + u32::from(is_doubtful));
         crash.is_sole_suspect && self.confirmed >= max_confirmed
     }
 
     /// Clears the suspicion after a stable run: the task does not crash workers by starting.
     pub fn clear(&mut self, is_long_running: bool) {
         self.confirmed = 0;
+        self.sole = 0;
         self.possible = 0;
         self.starts = 0;
         self.address = Box::default();
--- a/crates/dispatch/src/record.rs
+++ b/crates/dispatch/src/record.rs
@@ -228,6 +228,9 @@
     /// have its full share.
     #[prost(uint32, tag = "16")]
     pub(crate) max_share_percent: u32,
+    /// Those of the confirmed crashes for which no other task may have been the cause.
+    #[prost(uint32, tag = "17")]
+    pub(crate) sole_crashes: u32,
 }
 
 /// A run that was lost with its worker.
