A new owner keeps a task alone that must be

Found by reading: the run of a task that must be alone was closed to others by the owner that had started it. A new owner, or one that takes up a run it did not know, placed others beside it, and the start told nothing. The head of the module states the limits as they are now.

--- a/crates/dispatch/src/owner/adopting.rs
+++ b/crates/dispatch/src/owner/adopting.rs
@@ -125,6 +125,7 @@
             let mut run = self.make_run(key, id, RunPhase::Inherited, now_ms);
             run.limit_share(max_share_percent);
             run.is_probe = self.suspected_at(id).is_some();
+            run.is_test = self.must_be_alone(id);
             if let Some(worker) = self.workers.get_mut(at.worker) {
                 // Its exit may have been listed and skipped before the job was read. A run that
                 // neither is there nor is known to have ended counts as lost, and its task would
--- a/crates/dispatch/src/owner/orphans.rs
+++ b/crates/dispatch/src/owner/orphans.rs
@@ -45,6 +45,7 @@
         let phase = RunPhase::Present { since_ms: now_ms };
         let mut run = self.make_run(job_key, row.task, phase, now_ms);
         run.is_probe = self.suspected_at(row.task).is_some();
+        run.is_test = self.must_be_alone(row.task);
         self.workers[key].add(row.task, row.run, run);
         true
     }
--- a/crates/dispatch/src/policy/suspicion.rs
+++ b/crates/dispatch/src/policy/suspicion.rs
@@ -9,12 +9,13 @@
 //!
 //! **Limits:** a crash counts only against tasks that had not yet run for a while, since the worker
 //! had run the others without a crash. One crash proves little, as hosts also crash by themselves.
-//! Therefore a task is blamed at the second crash if nothing else may have caused that one and if
-//! it was on another host than the first, and at the third crash on the same host. For this only
-//! runs count that the worker has confirmed: the order to start may have reached a worker that was
-//! down already. Suspected tasks are placed apart from each other, so that the next crash tells
-//! them apart. A run that works for a while clears its task. Crashes that coincide with unexplained
-//! crashes of other workers (of a rack or a failure domain) raise no suspicion.
+//! Therefore a task is blamed at the second crash on another host than the first if nothing else
+//! may have caused either of them, and otherwise at the third crash if nothing else may have caused
+//! that one. For this only runs count that the worker has confirmed: the order to start may have
+//! reached a worker that was down already. Suspected tasks are placed apart from each other, and
+//! from the second loss on a task is alone on its worker, so that the next crash shows the cause. A
+//! run that works for a while clears its task. Crashes that coincide with unexplained crashes of
+//! other workers (of a rack or a failure domain) raise no suspicion.
 //!
 //! Some tasks that crash workers cannot be told from tasks with bad luck: those that crash workers
 //! before these can answer, only after a while, always beside other suspects, or while other
@@ -39,7 +40,8 @@
 const PROBATION_STARTS: u32 = 2;
 /// Crashes of any cause at which a task is given up.
 const MAX_CRASHES: u32 = 5;
-/// Certain crashes beside which losses of unknown fate and departures count towards that number.
+/// Certain crashes beside which departures count as crashes towards the last starts, and losses of
+/// unknown fate towards the number that chance does not explain.
 const MIN_CERTAIN_CRASHES: u32 = 2;
 /// Crashes of any cause from which on a task is placed apart from other suspects.
 const ISOLATION_CRASHES: u32 = 2;
