--- a/crates/dispatch/src/owner/costs.rs
+++ b/crates/dispatch/src/owner/costs.rs
@@ -234,8 +234,9 @@
 ///
 /// A suspected task is placed where no other run may be the cause of a crash, on another host than
 /// the one that it may have crashed, and where the least work would be lost. All other tasks avoid
-/// the worker until the suspect has proved stable. No task waits for long: a suspect waits for
-/// isolation for at most two seconds, and everything else only adds costs.
+/// the worker until the suspect has proved stable. A suspect waits for isolation for at most two
+/// seconds. A worker is closed to other jobs only while a task that must be alone runs there and is
+/// not stable, or while it is reserved for one; everything else only adds costs.
 fn crash_risk_cost(
     worker: &Worker,
     requirements: &TaskRequirements<'_>,
--- a/crates/dispatch/src/owner/crashes.rs
+++ b/crates/dispatch/src/owner/crashes.rs
@@ -97,7 +97,8 @@
 #[derive(Debug, Default)]
 pub(super) struct Crashes {
     pub(super) lost_workers: BTreeMap<Box<str>, LostWorker>,
-    /// Workers that were replaced and await the verdict, with the time at which that was known.
+    /// Replaced workers that are to be resolved, with the time at which it was known that they are
+    /// replaced.
     pub(super) replaced: VecDeque<(u64, Box<str>)>,
     /// Workers whose crash no recently started run there can have caused, and when they crashed.
     outages: Vec<(Box<str>, CrashWindow)>,
@@ -267,8 +268,8 @@
         now: Now,
         actions: &mut Vec<Action>,
     ) {
-        // Another life of this worker may await its verdict; both have one id.
-        self.judge(&removed.worker, now, actions);
+        // A previous incarnation with this id may still have to be resolved.
+        self.resolve_replaced(&removed.worker, now, actions);
         if removed.is_expected_exit && !removed.left_while_silent {
             self.record_departure(&removed.lost_runs);
             return;
@@ -285,7 +286,7 @@
             lost.left_while_silent = removed.left_while_silent;
         }
         if removed.is_replaced {
-            self.await_verdict(&removed.worker, now);
+            self.await_resolution(&removed.worker, now);
         }
     }
 
@@ -366,7 +367,7 @@
         }
         for (id, is_replaced) in resolved {
             match is_replaced {
-                true => self.await_verdict(&id, now),
+                true => self.await_resolution(&id, now),
                 false => self.resolve_crash(&id, false, now, actions),
             }
         }
--- a/crates/dispatch/src/owner/mod.rs
+++ b/crates/dispatch/src/owner/mod.rs
@@ -34,6 +34,7 @@
 mod projections;
 mod protection;
 mod relaying;
+mod replacements;
 mod shares;
 mod starting;
 mod stragglers;
@@ -41,7 +42,6 @@
 mod task;
 mod timeline;
 mod track;
-mod verdicts;
 mod waits;
 mod worker;
 mod worker_removal;
@@ -481,7 +481,7 @@
     /// Carries out all work that is due.
     pub(crate) fn advance(&mut self, now: Now, tickets: &mut u64, actions: &mut Vec<Action>) {
         self.link.refill(now.steady_ms);
-        self.judge_replaced_workers(now, actions);
+        self.resolve_replaced_workers(now, actions);
         self.maintain_connections(now, tickets, actions);
         self.open_due_occurrences(now);
         self.check_confirmed(now.steady_ms);
--- a/crates/dispatch/src/owner/verdicts.rs
+++ b/crates/dispatch/src/owner/replacements.rs
@@ -1,4 +1,4 @@
-//! Decides whether a worker that was replaced had crashed or left as planned.
+//! Decides whether a replaced worker had crashed or left as planned.
 //!
 //! Another incarnation that answers in a worker's place shows that the worker is gone. Whether it
 //! had announced to leave stands in the platform's list, and the list may be older than the answer.
@@ -14,13 +14,13 @@
 use crate::owner::worker::Worker;
 use std::collections::BTreeSet;
 
-/// Time for which the verdict waits for the clock of the next incarnation.
+/// Time for which this waits for the clock of the next incarnation.
 const MAX_SUCCESSOR_WAIT_MS: u64 = 1_000;
 
 impl Owner {
-    /// Records that another incarnation answers in the place of a lost worker. The verdict follows
-    /// once the platform's list was read after that.
-    pub(super) fn await_verdict(&mut self, id: &str, now: Now) {
+    /// Records that another incarnation answers in the place of a lost worker. What happened to that
+    /// one is decided once the platform's list was read after that.
+    pub(super) fn await_resolution(&mut self, id: &str, now: Now) {
         let Some(lost) = self.crashes.lost_workers.get_mut(id) else {
             return;
         };
@@ -40,7 +40,7 @@
             if let Some(key) = self.job_keys.get(&task.job).copied()
                 && let Some(state) = self.jobs[key].task_mut(task)
             {
-                let is_awaited = state.await_verdict(now.steady_ms + MAX_UNDECIDED_MS);
+                let is_awaited = state.await_resolution(now.steady_ms + MAX_UNDECIDED_MS);
                 self.list_wanted_ms = self.list_wanted_ms.max(is_awaited.then_some(now.steady_ms));
             }
         }
@@ -65,7 +65,7 @@
     }
 
     /// Decides on the lost workers that were replaced before the platform's list was last read.
-    pub(super) fn judge_replaced_workers(&mut self, now: Now, actions: &mut Vec<Action>) {
+    pub(super) fn resolve_replaced_workers(&mut self, now: Now, actions: &mut Vec<Action>) {
         let Some(known_ms) = self.list_known_ms else {
             return;
         };
@@ -76,7 +76,7 @@
             self.crashes.replaced.pop_front();
             let lost = self.crashes.lost_workers.get(&id);
             if lost.is_some_and(|lost| lost.replaced_ms == Some(replaced_ms)) {
-                self.judge(&id, now, actions);
+                self.resolve_replaced(&id, now, actions);
             }
         }
     }
@@ -116,7 +116,7 @@
     }
 
     /// Decides on a lost worker that was replaced, by what is known now.
-    pub(super) fn judge(&mut self, id: &str, now: Now, actions: &mut Vec<Action>) {
+    pub(super) fn resolve_replaced(&mut self, id: &str, now: Now, actions: &mut Vec<Action>) {
         let lost = self.crashes.lost_workers.get(id);
         let Some(lost) = lost.filter(|lost| lost.replaced_ms.is_some()) else {
             return;
@@ -130,7 +130,7 @@
             if let Some(key) = self.job_keys.get(&task.job).copied()
                 && let Some(state) = self.jobs[key].task_mut(task)
             {
-                state.verdict_until_ms = None;
+                state.resolution_until_ms = None;
             }
         }
         self.must_place = true;
--- a/crates/dispatch/src/owner/task.rs
+++ b/crates/dispatch/src/owner/task.rs
@@ -113,7 +113,7 @@
     /// When the newest of them was lost.
     pub(crate) lost_ms: u64,
     /// Until when it waits to know whether its last worker crashed or left as planned, if it does.
-    pub(crate) verdict_until_ms: Option<u64>,
+    pub(crate) resolution_until_ms: Option<u64>,
 }
 
 impl Task {
@@ -181,19 +181,22 @@
         runs.len() as u32
     }
 
-    /// Starts to wait for the verdict on its last worker, unless that is the first one that it may
+    /// Starts to wait to know what happened to its last worker, unless that is the first one that it may
     /// have crashed. Tells whether it waits.
-    pub(crate) fn await_verdict(&mut self, until_ms: u64) -> bool {
+    pub(crate) fn await_resolution(&mut self, until_ms: u64) -> bool {
         let waits = self.suspicion.needs_isolation() || self.unresolved_crashes() > 1;
         if waits {
-            self.verdict_until_ms = Some(until_ms);
+            self.resolution_until_ms = Some(until_ms);
         }
         waits
     }
 
     /// Returns until when it waits to know whether its workers crashed, if it does.
     pub(crate) fn undecided_until_ms(&self, now_ms: u64) -> Option<u64> {
-        if let Some(until_ms) = self.verdict_until_ms.filter(|until_ms| now_ms < *until_ms) {
+        if let Some(until_ms) = self
+            .resolution_until_ms
+            .filter(|until_ms| now_ms < *until_ms)
+        {
             return Some(until_ms);
         }
         let until_ms = self.lost_ms + MAX_UNDECIDED_MS;
--- a/crates/dispatch/src/policy/suspicion.rs
+++ b/crates/dispatch/src/policy/suspicion.rs
@@ -75,8 +75,8 @@
     pub confirmed: u32,
     /// Crashes that another task has been blamed for since.
     pub explained: u32,
-    /// Workers that had announced to leave, and went with a run of it that was not stable. They may
-    /// have left as planned, or crashed before that.
+    /// Workers that had announced to leave, and went with a run of it that was not stable, so that
+    /// they may have left as planned, and crashed workers that may not have received the order.
     pub possible: u32,
     /// Starts since the number of crashes from which on starts are counted.
     pub starts: u32,
@@ -185,9 +185,9 @@
             false => MAX_CRASHES_ALONE,
         };
         self.address = crash.address.into();
-        let is_doubtful = self.confirmed > self.sole + 1;
+        let is_ambiguous = self.confirmed > self.sole + 1;
         self.sole += u32::from(crash.is_sole_suspect);
-        let max_confirmed = max_confirmed.max(MAX_CRASHES_ALONE + u32::from(is_doubtful));
+        let max_confirmed = max_confirmed.max(MAX_CRASHES_ALONE + u32::from(is_ambiguous));
         crash.is_sole_suspect && self.confirmed >= max_confirmed
     }
 
