An order counts as late only by a clock that counts from the worker's start

Cause: an order without an answer counted nothing if the next incarnation had started before it, by that one's clock. The platform's clocks need not count from the start: one that begins higher makes its worker look older than any order. The log shows RunOrdered run=3, RunLost phase=Doubtful why=Replaced and no TaskSuspected for it.

Change: a start that lies before the last answer of the previous incarnation can't be one, and the clock then says nothing. Ruled out: a late announcement, which would show in departures.

A test of a clock with an offset in the fleet of the tests is still missing.

--- a/crates/dispatch/src/owner/replacements.rs
+++ b/crates/dispatch/src/owner/replacements.rs
@@ -99,12 +99,13 @@
     }
 
     /// Returns when the incarnation that now answers in the place of a lost worker had started, or
-    /// a little later. The clocks of workers count from their start. Returns `None` also if no
-    /// order to the lost worker is without an answer.
+    /// a little later, if its clock counts from its start: it can't have started before the last
+    /// answer of the lost one. Returns `None` also if no order to that one is without an answer.
     pub(super) fn successor_started_ms(&self, id: &str, lost: &LostWorker) -> Option<u64> {
         if !self.has_unanswered_order(id, lost) {
             return None;
         }
+        let (answered_ms, _) = lost.crash_window?;
         let is_successor = |worker: &&Worker| {
             *worker.entry.address == *lost.address
                 && (*worker.entry.id != *id || worker.incarnation.differs_from(lost.incarnation))
@@ -112,7 +113,9 @@
         let successors = self.workers.values().filter(is_successor);
         let clocks = successors.filter_map(|worker| worker.clock);
         let started = clocks.map(|(clock_ms, at_ms)| at_ms.saturating_sub(clock_ms));
-        started.min()
+        started
+            .filter(|started_ms| *started_ms >= answered_ms)
+            .min()
     }
 
     /// Decides on a lost worker that was replaced, by what is known now.
