--- /dev/null
+++ b/review/standin/src/cases.rs
@@ -0,0 +1,172 @@
+//! The cases.
+
+use crate::minion::Work;
+use crate::record::{Event, Record};
+use crate::world::World;
+use std::sync::Arc;
+use std::thread;
+use std::time::{Duration, Instant};
+
+type Outcome = Result<Vec<String>, String>;
+
+fn sleep_ms(ms: u64) {
+    thread::sleep(Duration::from_millis(ms));
+}
+
+/// A job of many small tasks runs on two minions; the process that last wrote to the store under a
+/// condition is killed as the tasks begin to end. Rule TWICE.
+pub fn ends(record: &Arc<Record>, trouble: bool) -> Outcome {
+    let world = World::start(7, &["a", "a"], record)?;
+    let work = Work {
+        cpu: 10,
+        mem_mb: 16,
+        ms: 2_500,
+    };
+    for job in 1..=3 {
+        world.submit(&format!("5c0e7a21d94b36f{job}"), 800, work, "")?;
+    }
+    // The first tasks end.
+    let begun = Instant::now();
+    let is_first_end = |events: &[(u64, Event)]| {
+        events
+            .iter()
+            .any(|(_, event)| matches!(event, Event::End { how: "done", .. }))
+    };
+    while !is_first_end(&record.events()) {
+        if begun.elapsed() > Duration::from_secs(20) {
+            return Err("no task has ended".into());
+        }
+        sleep_ms(5);
+    }
+    let running: Vec<usize> = world
+        .minions
+        .iter()
+        .map(|minion| minion.running())
+        .collect();
+    record.note(&format!("running: {running:?}"));
+    if trouble {
+        let leader = world.store.last_fenced().ok_or("no host has written")?;
+        world.kill(leader);
+        sleep_ms(3_500);
+        world.launch(leader)?;
+    }
+    for job in 1..=3 {
+        world.await_state(&format!("5c0e7a21d94b36f{job}"), Duration::from_secs(20));
+    }
+    sleep_ms(1_000);
+    Ok(record.twice())
+}
+
+/// A minion goes down and up by turns, and a job that needs its label is shown as failed although
+/// no run of it has ended `failed`. Rule LOST.
+pub fn flap(record: &Arc<Record>, trouble: bool) -> Outcome {
+    let kinds = ["a", "a", "a", "a", "a", "a", "a", "a", "a", "b"];
+    let world = World::start(7, &kinds, record)?;
+    let flapping = world.minions[9].clone();
+    let id = "5c0e7a21d94b36f8";
+    let flaps = trouble.then(|| {
+        let store = world.store.clone();
+        thread::spawn(move || {
+            let begun = Instant::now();
+            while begun.elapsed() < Duration::from_millis(6_500 - 700) {
+                let former = flapping.id();
+                flapping.crash();
+                let store = store.clone();
+                let listed = store.clone();
+                thread::spawn(move || {
+                    // Three heartbeat intervals of silence.
+                    sleep_ms(4_500);
+                    listed.put("keyed.servers", &former, "");
+                });
+                sleep_ms(700);
+                flapping.restart();
+                store.put("keyed.servers", &flapping.id(), &flapping.entry(1));
+                sleep_ms(700);
+            }
+        })
+    });
+    sleep_ms(200);
+    let work = Work {
+        cpu: 1_000,
+        mem_mb: 512,
+        ms: 3_000,
+    };
+    world.submit(id, 1, work, ",\"required-label\":\"b\"")?;
+    if let Some(flaps) = flaps {
+        let _ = flaps.join();
+    }
+    let state = world.await_state(id, Duration::from_secs(30));
+    for line in world.log_lines(id) {
+        record.note(&line);
+    }
+    let events = record.events();
+    let failed = events
+        .iter()
+        .filter(|(_, event)| matches!(event, Event::End { how: "failed", .. }));
+    let failed = failed.count();
+    Ok(match (&*state, failed) {
+        ("failed", 0) => vec![format!(
+            "LOST: {id} is shown as failed, and no run has ended failed"
+        )],
+        ("completed", _) => Vec::new(),
+        _ => return Err(format!("{id} is {state:?}")),
+    })
+}
+
+/// The only minion with a label is unhealthy and refuses starts; the queue's `waiting` leaves out
+/// the jobs that need it. Rule MIXED.
+pub fn waiting(record: &Arc<Record>, trouble: bool) -> Outcome {
+    let kinds = ["a", "a", "a", "a", "a", "a", "a", "a", "a", "b"];
+    let world = World::start(7, &kinds, record)?;
+    let unwell = &world.minions[9];
+    if trouble {
+        unwell.set_unhealthy(true);
+    }
+    let since = Instant::now();
+    let work = Work {
+        cpu: 1_000,
+        mem_mb: 512,
+        ms: 10_000,
+    };
+    let mut accepted = Vec::new();
+    for job in 0..8 {
+        let id = format!("5c0e7a21d94b36f{job}");
+        let at_ms = world.submit(&id, 1, work, ",\"required-label\":\"b\"")?;
+        accepted.push((id, at_ms));
+    }
+    let mut broken = Vec::new();
+    while since.elapsed() < Duration::from_millis(6_300) {
+        sleep_ms(100);
+        // Accepted over `visible_ms` + 2 s before, and not begun.
+        let asked_ms = record.now_ms();
+        let due: Vec<_> = accepted
+            .iter()
+            .filter(|(_, at_ms)| at_ms + 5_000 < asked_ms)
+            .collect();
+        if due.len() < accepted.len() {
+            continue;
+        }
+        for host in 0..world.hosts.len() {
+            let Some((200, body)) = world.call(host, "GET", "", "") else {
+                continue;
+            };
+            let unbegun = due.iter().filter(|(id, _)| !record.has_begun(id)).count() as u64;
+            let parsed = crate::json::Json::parse(body.as_bytes());
+            let shown = parsed.number("waiting").ok_or("no count")?;
+            if shown * 2 < unbegun {
+                broken.push(format!(
+                    "MIXED: host {host} gives waiting as {shown}; {unbegun} jobs were accepted \
+                     over 5 s before and have not begun"
+                ));
+            }
+        }
+    }
+    unwell.set_unhealthy(false);
+    for (id, _) in &accepted {
+        let state = world.await_state(id, Duration::from_secs(20));
+        if state != "completed" {
+            return Err(format!("{id} is {state:?}"));
+        }
+    }
+    Ok(broken)
+}
