--- a/review/standin/src/world.rs
+++ b/review/standin/src/world.rs
@@ -210,7 +210,8 @@
             .lock()
             .unwrap()
             .insert(id.into(), (specification.clone(), vec![work]));
-        let Work { cpu, mem_mb, ms } = work;
+        let Work { cpu, mem_mb, .. } = work;
+        let ms = work.ms + work.uneven_ms / 2;
         let body = format!(
             "{{\"specification\":\"{specification}\",\"steps\":[{{\"count\":{count},\"cpu\":{cpu},\
              \"mem-mb\":{mem_mb},\"estimated-ms\":{ms}{more}}}]}}"
