--- a/review/standin/src/cases.rs
+++ b/review/standin/src/cases.rs
@@ -53,35 +53,13 @@
     Ok(record.twice())
 }
 
-/// A minion goes down and up by turns, and a job that needs its label is shown as failed although
-/// no run of it has ended `failed`. Rule LOST.
-pub fn flap(record: &Arc<Record>, trouble: bool) -> Outcome {
+/// A minion crashes three times, and a job that needs its label is shown as failed although no run
+/// of it has ended `failed`. Rule LOST.
+pub fn crash(record: &Arc<Record>, trouble: bool) -> Outcome {
     let kinds = ["a", "a", "a", "a", "a", "a", "a", "a", "a", "b"];
     let world = World::start(7, &kinds, record)?;
-    let flapping = world.minions[9].clone();
+    let minion = world.minions[9].clone();
     let id = "5c0e7a21d94b36f8";
-    let flaps = trouble.then(|| {
-        let store = world.store.clone();
-        thread::spawn(move || {
-            let begun = Instant::now();
-            while begun.elapsed() < Duration::from_millis(6_500 - 700) {
-                let former = flapping.id();
-                flapping.crash();
-                let store = store.clone();
-                let listed = store.clone();
-                thread::spawn(move || {
-                    // Three heartbeat intervals of silence.
-                    sleep_ms(4_500);
-                    listed.put("keyed.servers", &former, "");
-                });
-                sleep_ms(700);
-                flapping.restart();
-                store.put("keyed.servers", &flapping.id(), &flapping.entry(1));
-                sleep_ms(700);
-            }
-        })
-    });
-    sleep_ms(200);
     let work = Work {
         cpu: 1_000,
         mem_mb: 512,
@@ -89,8 +67,22 @@
         uneven_ms: 0,
     };
     world.submit(id, 1, work, ",\"required-label\":\"b\"")?;
-    if let Some(flaps) = flaps {
-        let _ = flaps.join();
+    sleep_ms(500);
+    for _ in 0..if trouble { 3 } else { 0 } {
+        let former = minion.id();
+        minion.crash();
+        let store = world.store.clone();
+        thread::spawn(move || {
+            // Three heartbeat intervals of silence.
+            sleep_ms(4_500);
+            store.put("keyed.servers", &former, "");
+        });
+        sleep_ms(1_000);
+        minion.restart();
+        world
+            .store
+            .put("keyed.servers", &minion.id(), &minion.entry(1));
+        sleep_ms(900);
     }
     let state = world.await_state(id, Duration::from_secs(30));
     for line in world.log_lines(id) {
--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -24,7 +24,7 @@
     let record = Arc::new(Record::new(path));
     let outcome = match &**case {
         "ends" => cases::ends(&record, trouble),
-        "flap" => cases::flap(&record, trouble),
+        "crash" => cases::crash(&record, trouble),
         _ => Err("no such case".into()),
     };
     let (code, text) = match outcome {
