A report that lacks runs is logged with how much it lists

The logs could not tell a worker that has lost runs from an answer that does not list all of its exits: runs that a previous owner had recorded were counted as lost without any line. RunsUnreported (2410) gives how many runs are missing, one of them with its phase, and how many runs and exits the answer listed.

The case with this line: RunsUnreported missing=460 phase=Inherited runs=392 exits=500 handled=748 recorded=0, while the worker had 960 exits that nobody had acknowledged (392 running). 960 less the 500 of that answer are the 460 that ran again. Ruled out: a worker that restarted or lapsed (there is no WorkerGone, and no run of the 460 had another exit), and exits that were acknowledged before they were recorded (recorded=0).

--- a/crates/dispatch/src/owner/polls.rs
+++ b/crates/dispatch/src/owner/polls.rs
@@ -355,11 +355,50 @@
                 absent.push((*id, run.phase));
             }
         }
+        self.report_absent(key, &absent, report, actions);
         for ((task, number), phase) in absent {
             self.handle_absent(key, task, number, phase, sent_ms, now_ms, actions);
         }
     }
 
+    /// Reports how many runs that should be at a worker its report lists neither as running nor as
+    /// ended. Orders that are under way may not have reached it, so their runs are left out.
+    fn report_absent(
+        &self,
+        key: WorkerKey,
+        absent: &[((TaskId, u32), RunPhase)],
+        report: &WorkerReport,
+        actions: &mut Vec<Action>,
+    ) {
+        let mut missing = 0;
+        let mut example = None;
+        for (id, phase) in absent {
+            if matches!(
+                phase,
+                RunPhase::Recording | RunPhase::Sent | RunPhase::Stopping { .. }
+            ) {
+                continue;
+            }
+            missing += 1;
+            example = Some((id, phase));
+        }
+        let Some(((task, run), phase)) = example else {
+            return;
+        };
+        let worker = &self.workers[key];
+        actions.push(Action::Note(Note::new(
+            Code::RunsUnreported,
+            &*worker.entry.id,
+            format!(
+                "missing={missing} task={task} run={run} phase={phase:?} runs={} exits={} handled={} recorded={}",
+                report.runs.len(),
+                report.exits.len(),
+                worker.handled_exit,
+                worker.recorded_exit
+            ),
+        )));
+    }
+
     #[expect(
         clippy::too_many_arguments,
         reason = "These are what is known of one run."
--- a/tests/fleet/actions.rs
+++ b/tests/fleet/actions.rs
@@ -151,6 +151,7 @@
                 | Code::RunOrdered
                 | Code::StartWithheld
                 | Code::RunVanished
+                | Code::RunsUnreported
                 | Code::TaskWaits
                 | Code::WorkerBack
                 | Code::TaskSuspected
