A run counts as lost only by an answer that lists all exits

Cause: a bounded answer was read as the whole one. A worker lists 500 exits at a time; a run that was neither running nor among the listed exits counted as lost at once. Evidence: RunsUnreported missing=460 phase=Inherited runs=392 exits=500 recorded=0 at a worker with 960 exits; 960 less 500 are the 460 that ran again.

Change: an answer says whether more exits may follow (has_more_exits, decoded in the adapter, passed on by relays). Absence is concluded from a whole answer only, in all phases; a page that may have a next one is not followed by a long poll. Ruled out: to take any answer that lists exits for a partial one, as a busy worker nearly always lists some, so that lost runs would wait for a quiet moment. This rule serves for relays of former builds, which do not say it.

Why it holds: a page is shorter than its maximum only if it is the last one, and what ran at that moment is listed in the same answer. Pages advance as soon as exits are recorded.

--- a/crates/bench/src/dispatching.rs
+++ b/crates/bench/src/dispatching.rs
@@ -169,6 +169,7 @@
                 incarnation: Incarnation::UNKNOWN,
                 runs,
                 exits: Vec::new(),
+                has_more_exits: false,
             };
             let outcome = OrderOutcome::Done {
                 clock_ms: self.now_ms,
--- a/crates/dispatch/src/event.rs
+++ b/crates/dispatch/src/event.rs
@@ -179,8 +179,12 @@
     pub incarnation: Incarnation,
     /// Present runs.
     pub runs: Vec<RunReport>,
-    /// Exits that the owner has not acknowledged yet.
+    /// Exits that the owner has not acknowledged yet, by their numbers.
     pub exits: Vec<RunExit>,
+    /// Further exits may follow the listed ones: a worker lists a limited number at a time, and the
+    /// next ones once these are acknowledged. Until then, a run that is neither present nor listed
+    /// as exited may have exited.
+    pub has_more_exits: bool,
 }
 
 /// Why a worker refused an order. A refused order has no effect. Logs print the variants by their
--- a/crates/dispatch/src/owner/polls.rs
+++ b/crates/dispatch/src/owner/polls.rs
@@ -133,6 +133,7 @@
         let waits = worker.is_known
             && worker.missed_answers == 0
             && !has_unrecorded
+            && !worker.has_more_exits
             && worker.clock.is_some();
         let wait_ms = match waits {
             true if worker.is_over_target || is_near_target => OVER_TARGET_LONG_POLL_MS,
@@ -225,6 +226,7 @@
         worker.first_missed_ms = None;
         worker.left_while_silent = false;
         worker.misses_after_expiry = 0;
+        worker.has_more_exits = report.has_more_exits;
         worker.answered_ms = now_ms;
         let was_known = worker.is_known;
         worker.is_known = true;
@@ -356,6 +358,11 @@
             }
         }
         self.report_absent(key, &absent, report, actions);
+        // The exit of an absent run may be among those that the worker lists later. If the run
+        // counted as lost until then, its task would run again after it has succeeded.
+        if report.has_more_exits {
+            return;
+        }
         for ((task, number), phase) in absent {
             self.handle_absent(key, task, number, phase, sent_ms, now_ms, actions);
         }
@@ -390,9 +397,10 @@
             Code::RunsUnreported,
             &*worker.entry.id,
             format!(
-                "missing={missing} task={task} run={run} phase={phase:?} runs={} exits={} handled={} recorded={}",
+                "missing={missing} task={task} run={run} phase={phase:?} runs={} exits={} more_exits={} handled={} recorded={}",
                 report.runs.len(),
                 report.exits.len(),
+                report.has_more_exits,
                 worker.handled_exit,
                 worker.recorded_exit
             ),
--- a/crates/dispatch/src/owner/worker.rs
+++ b/crates/dispatch/src/owner/worker.rs
@@ -280,6 +280,8 @@
     pub(crate) recorded_exit: u64,
     /// Number of the newest exit that was acknowledged and that the worker has forgotten.
     pub(crate) forgotten_exit: u64,
+    /// Its newest report may not list all of its exits.
+    pub(crate) has_more_exits: bool,
     pub(crate) runs: BTreeMap<(TaskId, u32), Run>,
     /// Resources that its runs reserve.
     pub(crate) used: Resources,
@@ -340,6 +342,7 @@
             handled_exit: 0,
             recorded_exit: 0,
             forgotten_exit: 0,
+            has_more_exits: false,
             runs: BTreeMap::new(),
             used: Resources::default(),
             best_effort_milli: 0,
--- a/crates/dispatch/src/relay/frames.rs
+++ b/crates/dispatch/src/relay/frames.rs
@@ -216,6 +216,9 @@
     /// Start time of the worker, by its clock.
     #[prost(uint64, optional, tag = "3")]
     pub(super) started_wall_ms: Option<u64>,
+    /// Further exits may follow. Earlier releases leave it out.
+    #[prost(bool, optional, tag = "4")]
+    pub(super) has_more_exits: Option<bool>,
 }
 
 /// A run that is present.
--- a/crates/dispatch/src/relay/rows.rs
+++ b/crates/dispatch/src/relay/rows.rs
@@ -182,6 +182,7 @@
 fn to_row(report: &WorkerReport) -> WorkerReportRow {
     let mut rows = WorkerReportRow {
         started_wall_ms: report.incarnation.started_wall_ms(),
+        has_more_exits: Some(report.has_more_exits),
         ..WorkerReportRow::default()
     };
     for run in &report.runs {
@@ -206,8 +207,11 @@
 }
 
 fn report(rows: WorkerReportRow) -> WorkerReport {
+    // A relay of an earlier release does not say so. If no exit is listed, none can follow.
+    let has_more_exits = rows.has_more_exits.unwrap_or(!rows.exits.is_empty());
     let mut report = WorkerReport {
         incarnation: rows.started_wall_ms.into(),
+        has_more_exits,
         runs: Vec::with_capacity(rows.runs.len()),
         exits: Vec::with_capacity(rows.exits.len()),
     };
--- a/tests/fleet/worker.rs
+++ b/tests/fleet/worker.rs
@@ -61,6 +61,8 @@
     running: BTreeMap<TaskId, Running>,
     fenced_runs: BTreeMap<TaskId, u32>,
     exits: Vec<RunExit>,
+    /// Maximum number of exits in a report.
+    pub(crate) exits_per_report: usize,
     next_exit: u64,
     /// First exit since the lease expired; `None` while the lease is expired.
     unexpired_from_exit: Option<u64>,
@@ -81,6 +83,8 @@
 const RESOURCES_REPORTED_MS: u64 = 4_500;
 /// Factor by which tasks take longer on a slow worker.
 const SLOW_FACTOR: u64 = 6;
+/// Exits that a worker lists at a time.
+const EXITS_PER_REPORT: usize = 500;
 /// Longest lease that a worker grants.
 const MAX_LEASE_MS: u64 = 6_000;
 
@@ -100,6 +104,7 @@
             running: BTreeMap::new(),
             fenced_runs: BTreeMap::new(),
             exits: Vec::new(),
+            exits_per_report: EXITS_PER_REPORT,
             next_exit: 1,
             unexpired_from_exit: None,
             recent_exits: Vec::new(),
@@ -119,6 +124,7 @@
             resized_ms: 0,
             enforces_resources: self.enforces_resources,
             stop_ms: self.stop_ms,
+            exits_per_report: self.exits_per_report,
             ..Self::new(&self.id, self.resources)
         };
     }
@@ -328,7 +334,7 @@
                     promises.record_acknowledged_exit(exit, has_expired);
                 }
                 self.exits.retain(|exit| exit.number > *acknowledged_exit);
-                for exit in &self.exits {
+                for exit in self.exits.iter().take(self.exits_per_report) {
                     if self
                         .unexpired_from_exit
                         .is_some_and(|from| exit.number >= from)
@@ -440,7 +446,13 @@
         WorkerReport {
             incarnation: Incarnation::new(self.started_wall_ms),
             runs,
-            exits: self.exits.clone(),
+            exits: self
+                .exits
+                .iter()
+                .take(self.exits_per_report)
+                .cloned()
+                .collect(),
+            has_more_exits: self.exits.len() >= self.exits_per_report,
         }
     }
 }
