A restarted worker's exits that are not listed yet are waited for

They ran on a worker that had restarted under its id, by orders of a previous owner that were meant for the incarnation before; when the next owner replaces that incarnation, it took runs that the new one's first page does not list for lost.

Evidence (virtual time, pages of five): RunLost why=Restarted phase=Inherited for seven of twelve runs at 5765, RunOrdered run=2 for each at 5780, their exits on the next page.

Change: if more exits may follow, runs that a previous owner has recorded move to the new incarnation as what they are, inherited, and the rule for absent runs decides on them. Runs that this owner has ordered are not concerned: what the previous incarnation has confirmed can't be at the new one, and orders without an answer move already.

--- a/crates/dispatch/src/owner/incarnations.rs
+++ b/crates/dispatch/src/owner/incarnations.rs
@@ -3,9 +3,10 @@
 //! The previous incarnation took everything that it held with it: its runs, the exits that it had
 //! listed and which of them were acknowledged, its clock, its reserved resources, and each promise
 //! not to start a stopped run later. So the owner treats the new incarnation as another worker,
-//! under a key of its own. Two kinds of runs move to it: those that it lists itself, as it may have
-//! received an order that was meant for the previous incarnation, and those whose order may still
-//! reach it. The owner stops the latter there before it counts them as lost.
+//! under a key of its own. Three kinds of runs move to it: those that it lists itself, as it may have
+//! received an order that was meant for the previous incarnation, those that it may list as exited
+//! later, and those whose order may still reach it. The owner stops the latter there before it
+//! counts them as lost.
 
 use crate::event::Action;
 use crate::event::Now;
@@ -108,13 +109,14 @@
         actions: &mut Vec<Action>,
     ) -> WorkerKey {
         let now_ms = now.steady_ms;
-        let listed = self.split_listed_runs(previous, report);
+        let own_runs = self.split_own_runs(previous, report);
         self.record_removal(previous, RemovalReason::Restarted, now_ms, actions);
         let removed = self.describe_removal(previous, RemovalReason::Restarted, now_ms);
         let doubtful = self.take_doubtful_runs(previous, now_ms);
         let key = self.begin_incarnation(previous, report, now_ms);
-        for (task, number, mut run) in listed {
+        for (task, number, mut run) in own_runs {
             run.phase = match run.phase {
+                RunPhase::Inherited => RunPhase::Inherited,
                 // Only the previous incarnation had promised not to start it later.
                 RunPhase::Stopping { .. } | RunPhase::Stopped { .. } => {
                     RunPhase::Stopping { again_ms: 0 }
@@ -170,16 +172,18 @@
     }
 
     /// Removes and gives the runs of a worker that its new incarnation lists itself, as running or
-    /// as ended.
-    fn split_listed_runs(
-        &mut self,
-        key: WorkerKey,
-        report: &WorkerReport,
-    ) -> Vec<(TaskId, u32, Run)> {
+    /// as ended. If it does not list all of its exits, those that a previous owner has recorded are
+    /// among them, as their orders may have reached the new incarnation.
+    fn split_own_runs(&mut self, key: WorkerKey, report: &WorkerReport) -> Vec<(TaskId, u32, Run)> {
         let mut ids: BTreeSet<(TaskId, u32)> = BTreeSet::new();
         ids.extend(report.runs.iter().map(|row| (row.task, row.run)));
         ids.extend(report.exits.iter().map(|exit| (exit.task, exit.run)));
         let worker = &mut self.workers[key];
+        if report.has_more_exits {
+            let runs = worker.runs.iter();
+            let inherited = runs.filter(|(_, run)| run.phase == RunPhase::Inherited);
+            ids.extend(inherited.map(|(id, _)| *id));
+        }
         let mut removed_runs = Vec::new();
         for (task, number) in ids {
             if let Some(run) = worker.remove(task, number) {
--- a/tests/dispatch_full_pages.rs
+++ b/tests/dispatch_full_pages.rs
@@ -222,3 +222,37 @@
     expect_that!(starts, eq(EARLIER_TASKS as usize + 1));
     expect_that!(fleet.promises.broken, is_empty());
 }
+
+/// Completed tasks ran again: they had run on a worker that had restarted under its id, by orders of
+/// a previous owner that were meant for the incarnation before, and their exits were not on the
+/// first page that the next owner read.
+#[gtest]
+fn runs_at_a_restarted_worker_whose_exits_are_not_listed_yet_do_not_start_again() {
+    let mut fleet = Fleet::new(3, 1);
+    set_page(&mut fleet);
+    fleet.keep_ids(true);
+    fleet.set_restart_delay_ms(5);
+    fleet.late_orders_outlive_restarts = true;
+    let host = owner(&fleet);
+    fleet.order_delay_ms = Some(60);
+    fleet.submit(
+        host,
+        JOB,
+        &job(vec![small(step(EARLIER_TASKS, EARLIER_MS, &[]))]),
+    );
+    fleet.run(50);
+    fleet.crash(ADDRESS);
+    fleet.run(30);
+    fleet.kill(host);
+    fleet.order_delay_ms = None;
+    fleet.run(TAKEOVER_MS + 2_000);
+    let log = fleet.log_lines.join("\n");
+    expect_that!(fleet.promises.broken, is_empty(), "{log}");
+    let host = fleet.owner().expect("there is an owner");
+    expect_that!(fleet.state(host, JOB), some(eq(JobState::Completed)));
+    expect_that!(
+        fleet.promises.starts.len(),
+        eq(EARLIER_TASKS as usize),
+        "{log}"
+    );
+}
