The log of a silent worker tells how long its leases may last

The logs told when a worker fell silent and when it was given up, not how long the owner meant to wait.

--- a/crates/core/src/notes.rs
+++ b/crates/core/src/notes.rs
@@ -120,7 +120,7 @@
     RoomKept = 2413, "Room is kept on workers for a step whose tasks have waited for long and are too wide for what others leave free; the detail gives the workers, when the tasks should fit, and for how long it is kept at most.";
     IdleStart = 2414, "A best-effort task was assigned at a reduced CPU share, as nothing of its job ran and no worker takes it at its full share; the detail gives the worker, the share and how long the job has waited.";
     StartWithheld = 2420, "An order to start a run that was decided earlier was not sent; the detail gives why, and how many earlier orders to start the run had no answer: if any, the run is stopped at its worker before its task starts elsewhere.";
-    WorkerSilent = 2501, "A worker does not answer; its lease is no longer extended.";
+    WorkerSilent = 2501, "A worker does not answer; its lease is no longer extended. The detail gives for how long its leases may last, and whether a record for the next owner says so.";
     WorkerBack = 2502, "A worker answers again.";
     WorkerLeaving = 2503, "A worker is about to leave and gets no new tasks.";
     WorkerGone = 2504, "A worker is removed; no run on it can be alive.";
--- a/crates/dispatch/src/owner/polls.rs
+++ b/crates/dispatch/src/owner/polls.rs
@@ -196,9 +196,11 @@
                     Code::WorkerSilent,
                     &*worker.entry.id,
                     format!(
-                        "answer_age_ms={} runs={}",
+                        "answer_age_ms={} runs={} leases_left_ms={} recorded_silent={}",
                         now_ms - worker.answered_ms,
-                        worker.runs.len()
+                        worker.runs.len(),
+                        worker.leases_expired_ms.saturating_sub(now_ms),
+                        worker.is_recorded_silent
                     ),
                 )));
             }
