The log tells that a task waits until it can be alone, and whether a lost run was stable

IsolationAwaited (2411) says that a suspected task waits for a worker without other suspects, for how long, and by which evidence; RunLost says whether the run was stable.

--- a/crates/core/src/notes.rs
+++ b/crates/core/src/notes.rs
@@ -116,6 +116,7 @@
     RunVanished = 2408, "A confirmed run is missing from its worker's report, and no exit of it was reported; the detail gives the newest exit handled there, and the newest that the worker was told to forget.";
     TaskWaits = 2409, "A task has waited for long though the steps before it have ended; the detail gives what it waits for, and what excludes how many workers.";
     RunsUnreported = 2410, "Runs that should be at a worker are missing from its report, and so are their exits; the detail gives how many, one of them and its phase, and how many runs and exits the report lists.";
+    IsolationAwaited = 2411, "A task that may have crashed workers waits for one without other suspects, or for one to itself; the detail gives for how long at most, and the evidence: confirmed and possible crashes, and lost runs whose fate is not known.";
     QueueHeldBack = 2412, "Jobs of a queue wait behind those of others of its priority, as it holds more than an equal part; the detail gives what it holds, what it has held of late and the equal part, in millionths of the service.";
     RoomKept = 2413, "Room is kept on workers for a step whose tasks have waited for long and are too wide for what others leave free; the detail gives the workers, when the tasks should fit, and for how long it is kept at most.";
     IdleStart = 2414, "A best-effort task was assigned at a reduced CPU share, as nothing of its job ran and no worker takes it at its full share; the detail gives the worker, the share and how long the job has waited.";
--- a/crates/dispatch/src/owner/gangs.rs
+++ b/crates/dispatch/src/owner/gangs.rs
@@ -56,7 +56,8 @@
         if members.any(|member| self.has_orphan(member)) {
             return true;
         }
-        let Some(workers) = self.find_isolated_gang_workers(key, requirements, now.steady_ms)
+        let Some(workers) =
+            self.find_isolated_gang_workers(key, requirements, now.steady_ms, actions)
         else {
             return true;
         };
@@ -116,6 +117,7 @@
         key: JobKey,
         requirements: &TaskRequirements<'_>,
         now_ms: u64,
+        actions: &mut Vec<Action>,
     ) -> Option<Vec<WorkerKey>> {
         let count = requirements.step.count as usize;
         let first = requirements.task;
@@ -132,8 +134,7 @@
         for worker in self.find_gang_workers(requirements, count, now_ms)? {
             self.workers[worker].reserve(first.job, now_ms);
         }
-        let until_ms = self.jobs[key].task_mut(first)?.wait_for_isolation(now_ms);
-        self.wake_ms = self.wake_ms.min(until_ms);
+        self.await_isolation(key, first, now_ms, actions);
         None
     }
 
--- a/crates/dispatch/src/owner/placing.rs
+++ b/crates/dispatch/src/owner/placing.rs
@@ -271,7 +271,7 @@
                 return true;
             }
             let worker = match is_suspect {
-                true => self.find_worker_for_suspect(key, requirements, id, now.steady_ms),
+                true => self.find_worker_for_suspect(key, requirements, id, now.steady_ms, actions),
                 false => Self::pop_best(&mut ranked, failed_on),
             };
             let Some(worker) = worker else {
@@ -313,6 +313,7 @@
         requirements: &TaskRequirements<'_>,
         id: TaskId,
         now_ms: u64,
+        actions: &mut Vec<Action>,
     ) -> Option<WorkerKey> {
         let isolation = self.needed_isolation(id, now_ms);
         let mut probe = TaskRequirements {
@@ -335,8 +336,7 @@
         if isolation == Isolation::Alone && !has_reserved {
             self.workers[worker].reserve(id.job, now_ms);
         }
-        let until_ms = self.jobs[key].task_mut(id)?.wait_for_isolation(now_ms);
-        self.wake_ms = self.wake_ms.min(until_ms);
+        self.await_isolation(key, id, now_ms, actions);
         None
     }
 
--- a/crates/dispatch/src/owner/suspects.rs
+++ b/crates/dispatch/src/owner/suspects.rs
@@ -11,6 +11,37 @@
 use goldcrestway_core::Note;
 
 impl Owner {
+    /// Starts or continues to wait until a suspected task can be placed apart from other suspects.
+    pub(super) fn await_isolation(
+        &mut self,
+        key: JobKey,
+        id: TaskId,
+        now_ms: u64,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(task) = self.jobs[key].task_mut(id) else {
+            return;
+        };
+        let is_new = task.isolation_until_ms.is_none();
+        let until_ms = task.wait_for_isolation(now_ms);
+        if is_new {
+            let suspicion = &task.suspicion;
+            actions.push(Action::Note(Note::new(
+                Code::IsolationAwaited,
+                id.to_string(),
+                format!(
+                    "at_most_ms={} confirmed={} possible={} unresolved={} starts={}",
+                    until_ms.saturating_sub(now_ms),
+                    suspicion.confirmed,
+                    suspicion.possible,
+                    task.unresolved_crashes(),
+                    suspicion.starts
+                ),
+            )));
+        }
+        self.wake_ms = self.wake_ms.min(until_ms);
+    }
+
     /// Fails a job because one of its tasks crashes its workers.
     pub(super) fn fail_crashing_job(
         &mut self,
--- a/crates/dispatch/src/owner/worker_removal.rs
+++ b/crates/dispatch/src/owner/worker_removal.rs
@@ -85,13 +85,14 @@
                 Code::RunLost,
                 task.to_string(),
                 format!(
-                    "run={number} worker={} why={removal_reason:?} age_ms={} order_to_answer_ms={} phase={:?} percent={} stray={}",
+                    "run={number} worker={} why={removal_reason:?} age_ms={} order_to_answer_ms={} phase={:?} percent={} stray={} stable={}",
                     worker.entry.id,
                     now_ms.saturating_sub(run.started_ms),
                     worker.answered_ms as i64 - run.started_ms as i64,
                     run.phase,
                     run.percent,
-                    run.is_orphan
+                    run.is_orphan,
+                    run.is_stable
                 ),
             )));
         }
--- a/crates/dispatch/src/policy/log_budget.rs
+++ b/crates/dispatch/src/policy/log_budget.rs
@@ -78,6 +78,7 @@
                 | Code::RunVanished
                 | Code::TaskWaits
                 | Code::RoomKept
+                | Code::IsolationAwaited
         );
         let is_other = matches!(
             note.code,
