A host that stops before it owns withdraws its claim

Cause: a host that was told to stop dropped its claim without telling anyone. The claim was stored, so the previous owner was fenced, and the others waited for heartbeats that never came: 0.85 s and more, and twice in a row where the next claimant was stopped as well. Ruled out: a store that was away (StreamsLoaded of four hosts meanwhile).

Change: the host appends an owner's record that it leaves, after which the others claim at once; if the append of its claim had no answer, it repeats it first to learn whether it is stored. To let it own first and leave then was not chosen: it would read all progress for nothing.

--- a/crates/dispatch/src/appender.rs
+++ b/crates/dispatch/src/appender.rs
@@ -56,6 +56,11 @@
         self.records.is_none() && now_ms >= self.last_begin_ms + interval_ms
     }
 
+    /// Returns whether no append is under way.
+    pub(crate) fn is_idle(&self) -> bool {
+        self.records.is_none()
+    }
+
     pub(crate) fn begin(&mut self, records: Records, now_ms: u64) {
         let rows = records.iter().map(|(key, value)| (&**key, &**value));
         self.last_bytes = records_bytes(rows);
--- a/crates/dispatch/src/entry/mod.rs
+++ b/crates/dispatch/src/entry/mod.rs
@@ -76,6 +76,20 @@
     /// Appends heartbeats from then on, until this host owns.
     heartbeats: Appender,
     heartbeat: u64,
+    /// An append of the claim had no answer, so the claim may be stored.
+    is_doubtful: bool,
+    withdrawal: Withdrawal,
+}
+
+/// Whether a claim is withdrawn, as its host stops before it owns.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Withdrawal {
+    /// It is not.
+    None,
+    /// The other hosts are to be told, if the claim is stored.
+    Due,
+    /// The record that tells them was appended.
+    Sent,
 }
 
 impl Claim {
@@ -85,7 +99,7 @@
         OwnerRecord {
             token: self.fence.epoch,
             host: host.into(),
-            is_leaving: false,
+            is_leaving: self.withdrawal != Withdrawal::None,
             heartbeat: self.heartbeat,
             ..previous.clone()
         }
@@ -335,7 +349,9 @@
     fn stop(&mut self) {
         self.is_stopping = true;
         self.relay.begin_shutdown();
-        self.claim = None;
+        if let Some(claim) = &mut self.claim {
+            claim.withdrawal = Withdrawal::Due;
+        }
         if let Some(owner) = &mut self.owner {
             owner.leave();
         }
--- a/crates/dispatch/src/entry/ownership.rs
+++ b/crates/dispatch/src/entry/ownership.rs
@@ -8,6 +8,7 @@
 use crate::appender::HEARTBEAT_MS;
 use crate::entry::Claim;
 use crate::entry::Entry;
+use crate::entry::Withdrawal;
 use crate::event::Action;
 use crate::event::AppendOutcome;
 use crate::event::Fence;
@@ -100,8 +101,10 @@
 
     /// Claims ownership if no owner shows heartbeats, and starts to own once everything is read.
     pub(crate) fn maybe_claim(&mut self, now: Now, actions: &mut Vec<Action>) {
-        if self.owner.is_some() || self.is_stopping || self.config.is_none() || !self.is_caught_up()
-        {
+        if self.is_stopping {
+            return self.withdraw_claim(now, actions);
+        }
+        if self.owner.is_some() || self.config.is_none() || !self.is_caught_up() {
             return;
         }
         // The owner is alive, and a heartbeat that this host has not read is no evidence.
@@ -137,6 +140,8 @@
                 // The claim itself has sequence number 0.
                 heartbeats: Appender::new(Stream::States, 1, now.steady_ms),
                 heartbeat: 0,
+                is_doubtful: false,
+                withdrawal: Withdrawal::None,
             });
         }
         self.send_claim(now, actions);
@@ -165,6 +170,35 @@
         false
     }
 
+    /// Tells the other hosts that this one stops before it has begun to own, if its claim is or may be
+    /// stored. Otherwise they would wait for its heartbeats, and nobody would own for seconds.
+    fn withdraw_claim(&mut self, now: Now, actions: &mut Vec<Action>) {
+        let Some(claim) = &mut self.claim else {
+            return;
+        };
+        if claim.confirmed_ms.is_none() {
+            if claim.is_doubtful {
+                return self.send_claim(now, actions);
+            }
+            // Without a pending append, the claim is not stored and never will be.
+            self.claim.take_if(|claim| claim.ticket.is_none());
+            return;
+        }
+        if claim.heartbeats.is_idle() {
+            if claim.withdrawal == Withdrawal::Sent {
+                self.claim = None;
+                return;
+            }
+            claim.withdrawal = Withdrawal::Sent;
+            let records = vec![claim.record(&self.host, &self.job_table.owner).row()];
+            claim.heartbeats.begin(records, now.steady_ms);
+        }
+        let epoch = claim.fence.epoch;
+        claim
+            .heartbeats
+            .send(epoch, 0, now.steady_ms, &mut self.tickets, actions);
+    }
+
     /// Sends heartbeats while the progress of jobs is read, which takes a second or more over a
     /// slow link. Without them the other hosts would take this one for dead, claim, and read the
     /// same, so that none would ever own: 22 owners in a minute. A host that receives nothing from
@@ -313,6 +347,7 @@
             }
             AppendOutcome::Fenced => self.abandon_claim(now),
             AppendOutcome::Refused | AppendOutcome::Unknown => {
+                claim.is_doubtful |= outcome == AppendOutcome::Unknown;
                 claim.retry_ms = now.steady_ms + RETRY_MS
             }
         }
--- a/tests/fleet/actions.rs
+++ b/tests/fleet/actions.rs
@@ -49,7 +49,10 @@
                     false => self.store.append(stream, fence, records),
                 };
                 let is_claim = fence.is_some_and(|fence| fence.sequence == 0);
-                self.claims += u32::from(is_claim && stream == Stream::Progress);
+                if is_claim && stream == Stream::Progress {
+                    self.claims += 1;
+                    self.last_claimant = Some(number);
+                }
                 let answer_ms = self.store.answer_ms + CALL_MS;
                 let link_ms = self.hosts[number].sending_ms(self.now_ms, bytes);
                 let done_ms = self.store.done_ms(stream, self.now_ms) + answer_ms + link_ms;
--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -171,6 +171,8 @@
     pub(crate) answer_delays: Option<(u64, u64, u64)>,
     /// Number of claims of ownership that were appended.
     pub(crate) claims: u32,
+    /// The host that has claimed last.
+    pub(crate) last_claimant: Option<usize>,
     /// Addresses of workers that no entry host can reach.
     pub(crate) cut_workers: Vec<Box<str>>,
     /// Addresses of workers that carry out orders and whose answers are lost.
@@ -243,6 +245,7 @@
             late_orders_outlive_restarts: false,
             answer_delays: None,
             claims: 0,
+            last_claimant: None,
             cut_workers: Vec::new(),
             mute_workers: Vec::new(),
             permitted: Vec::new(),
