Recorded leases are counted from the claim of the owner that recorded them

Cause: a successor counted the recorded time left from its own beginning, as if no time had passed since the record was written; ten short-lived owners in a row made 11.1 s of 6.4 s. Evidence: WorkerSilent leases_left_ms=6442 at 13.030, WorkerGone at 24.113, twelve OwnerBegun between.

Change: times are recorded as (owner's token, time since it sent its claim). Each host keeps when at the latest the claims that it has seen were sent, and so knows the latest time of writing; a later claim bounds it as well, as the store fences what comes after. Records and heartbeats get new fields, which former builds pass over; a record without them counts as just written.

Why it is safe: every bound is late, never early. A claim is seen after it was sent, a claim is fenced before its successor's is seen, and a suspended writer's shorter claim age is offset by its longer time left. A lease whose worker is recorded as silent is not extended before that record is replaced.

Ruled out: wall clocks, which jump; giving up a worker at once that had announced to leave and is no longer listed, as the list also drops workers that are merely cut off from the store.

--- a/crates/core/src/notes.rs
+++ b/crates/core/src/notes.rs
@@ -88,6 +88,7 @@
     OwnerBegun = 2102, "This host has read all available streams and acts as the owner.";
     OwnerEnded = 2103, "This host no longer owns the progress of jobs.";
     OwnerSuspected = 2104, "The owner has sent no heartbeat for too long, or is leaving.";
+    LeasesInherited = 2105, "A new owner has read for how long the leases of silent workers last; the detail gives how many workers, the longest time left, the token of the owner that recorded it, and the age of that record as far as this host knows it.";
     RulesInForce = 2201, "Rules of the operator are in force in this process.";
     RulesUnreadable = 2202, "Rules or a worker's report can't be decoded and are skipped.";
     QueueUnknown = 2203, "A caller asked for something that the rules in force assign to no queue; the detail gives the status of the answer, and the version and age of the rules.";
--- a/crates/dispatch/src/entry/mod.rs
+++ b/crates/dispatch/src/entry/mod.rs
@@ -19,6 +19,7 @@
 
 use crate::appender::Appender;
 use crate::bounds::Bounds;
+use crate::claim_sightings::ClaimSightings;
 use crate::config::Config;
 use crate::config::Decoders;
 use crate::config::WorkerEntry;
@@ -68,6 +69,8 @@
 #[derive(Debug)]
 struct Claim {
     fence: Fence,
+    /// When the claim was first sent.
+    sent_ms: Option<u64>,
     /// Ticket of the pending append of the claim.
     ticket: Option<u64>,
     retry_ms: u64,
@@ -95,9 +98,10 @@
 impl Claim {
     /// Returns the record that announces this claim to the other hosts. What the previous owner
     /// recorded about all hosts remains valid and is copied.
-    fn record(&self, host: &str, previous: &OwnerRecord) -> OwnerRecord {
+    fn record(&self, host: &str, previous: &OwnerRecord, now_ms: u64) -> OwnerRecord {
         OwnerRecord {
             token: self.fence.epoch,
+            claim_age_ms: self.sent_ms.map_or(0, |sent_ms| now_ms - sent_ms),
             host: host.into(),
             is_leaving: self.withdrawal != Withdrawal::None,
             heartbeat: self.heartbeat,
@@ -139,6 +143,7 @@
     worker_entries: BTreeMap<Box<str>, WorkerEntry>,
     callers: Callers,
     election: Election,
+    claim_sightings: ClaimSightings,
     claim: Option<Claim>,
     /// Ticket of the pending append that announces this host, and the earliest time of the next
     /// one.
@@ -193,6 +198,7 @@
             config: None,
             evacuations: Rc::default(),
             worker_entries: BTreeMap::new(),
+            claim_sightings: ClaimSightings::default(),
             claim: None,
             announcement: None,
             next_announce_ms: 0,
@@ -339,6 +345,8 @@
             let tickets = &mut self.tickets;
             self.relay
                 .handle_frame(conn, bytes, evacuations, now.steady_ms, tickets, actions);
+            self.claim_sightings
+                .record(self.relay.owner_token(conn), now.steady_ms);
             self.apply_owner_answers();
         } else if let Some(owner) = &mut self.owner {
             owner.handle_relay_frame(conn, bytes, now, actions);
@@ -487,6 +495,9 @@
         for record in &progress.records {
             self.job_table.apply(record);
         }
+        let owner = &self.job_table.owner;
+        let claim_sent_ms = now.steady_ms.saturating_sub(owner.claim_age_ms);
+        self.claim_sightings.record(owner.token, claim_sent_ms);
         if let Some(newest) = progress.records.iter().map(|record| record.offset).max() {
             self.election
                 .record_heartbeat(newest, now.steady_ms, &self.job_table.owner);
--- a/crates/dispatch/src/entry/ownership.rs
+++ b/crates/dispatch/src/entry/ownership.rs
@@ -134,6 +134,7 @@
             self.worker_entries.clear();
             self.claim = Some(Claim {
                 fence,
+                sent_ms: None,
                 ticket: None,
                 retry_ms: 0,
                 confirmed_ms: None,
@@ -190,7 +191,11 @@
                 return;
             }
             claim.withdrawal = Withdrawal::Sent;
-            let records = vec![claim.record(&self.host, &self.job_table.owner).row()];
+            let records = vec![
+                claim
+                    .record(&self.host, &self.job_table.owner, now.steady_ms)
+                    .row(),
+            ];
             claim.heartbeats.begin(records, now.steady_ms);
         }
         let epoch = claim.fence.epoch;
@@ -214,7 +219,11 @@
         };
         if is_reading && claim.heartbeats.may_begin(now.steady_ms, HEARTBEAT_MS) {
             claim.heartbeat += 1;
-            let records = vec![claim.record(&self.host, &self.job_table.owner).row()];
+            let records = vec![
+                claim
+                    .record(&self.host, &self.job_table.owner, now.steady_ms)
+                    .row(),
+            ];
             claim.heartbeats.begin(records, now.steady_ms);
         }
         let epoch = claim.fence.epoch;
@@ -233,7 +242,12 @@
         }
         self.tickets += 1;
         claim.ticket = Some(self.tickets);
-        let records = vec![claim.record(&self.host, &self.job_table.owner).row()];
+        claim.sent_ms.get_or_insert(now.steady_ms);
+        let records = vec![
+            claim
+                .record(&self.host, &self.job_table.owner, now.steady_ms)
+                .row(),
+        ];
         actions.push(Action::Append {
             ticket: self.tickets,
             stream: Stream::Progress,
@@ -271,7 +285,9 @@
             return;
         };
         self.claimed_ms = stored_ms;
-        let recovered = std::mem::take(&mut self.recovered);
+        let mut recovered = std::mem::take(&mut self.recovered);
+        recovered.claim_sightings = self.claim_sightings.clone();
+        recovered.claim_sent_ms = claim.sent_ms.unwrap_or(stored_ms);
         if !self.workers.is_loaded() {
             self.worker_entries = recovered.workers.clone();
         }
@@ -337,7 +353,8 @@
                 self.progress = Tail::new(Stream::Progress, self.salt);
                 self.recovered = RecoveredState::default();
                 let epoch = claim.fence.epoch;
-                let record = claim.record(&self.host, &self.job_table.owner);
+                self.claim_sightings.record(epoch, now.steady_ms);
+                let record = claim.record(&self.host, &self.job_table.owner, now.steady_ms);
                 self.announce_claim(&record, actions);
                 actions.push(Action::Note(Note::new(
                     Code::OwnerClaimed,
--- a/crates/dispatch/src/job_table.rs
+++ b/crates/dispatch/src/job_table.rs
@@ -1,5 +1,6 @@
 //! The jobs, the owner and the entry hosts, as this host has read them from the streams.
 
+use crate::claim_sightings::ClaimSightings;
 use crate::config::WorkerEntry;
 use crate::event::Now;
 use crate::event::StoredRecord;
@@ -131,6 +132,10 @@
     pub(crate) learned: Learned,
     /// The last entry of each worker that the previous owner has read.
     pub(crate) workers: BTreeMap<Box<str>, WorkerEntry>,
+    /// Claims that this host knows of, by which it understands recorded times.
+    pub(crate) claim_sightings: ClaimSightings,
+    /// When the claim of the host itself was sent.
+    pub(crate) claim_sent_ms: u64,
 }
 
 impl RecoveredState {
--- a/crates/dispatch/src/owner/mod.rs
+++ b/crates/dispatch/src/owner/mod.rs
@@ -50,6 +50,7 @@
 
 use crate::appender::Appender;
 use crate::bounds::Bounds;
+use crate::claim_sightings::ClaimSightings;
 use crate::config::WorkerEntry;
 use crate::election::HostSurvey;
 use crate::evacuations::Evacuations;
@@ -84,6 +85,8 @@
 use crate::policy::protection::OverTargetCause;
 use crate::policy::run_times::RunTimes;
 use crate::record::JobPhase;
+use crate::record::Learned;
+use crate::record::OwnerTime;
 use crate::record::Progress;
 use crate::record::Submission;
 use crate::relay::Sessions;
@@ -200,6 +203,10 @@
 #[derive(Debug)]
 pub(crate) struct Owner {
     token: u64,
+    /// When the claim of this owner was sent.
+    claim_sent_ms: u64,
+    /// Claims that this host knows of, by which it understands recorded times.
+    claim_sightings: ClaimSightings,
     host: Box<str>,
     bounds: Bounds,
     /// Times at which the leases of workers expire that a previous owner recorded as silent.
@@ -300,6 +307,8 @@
     ) -> Self {
         let mut owner = Self {
             token,
+            claim_sent_ms: recovered.claim_sent_ms,
+            claim_sightings: recovered.claim_sightings,
             host: host.into(),
             bounds: bounds.clone(),
             inherited_expiry_ms: HashMap::new(),
@@ -355,14 +364,7 @@
             ranking: Cell::default(),
             stats: OwnerStats::default(),
         };
-        // The time since that record was written is unknown, so it is not subtracted.
-        for silent in &recovered.learned.silent {
-            let leases_expired_ms = now.steady_ms + silent.remaining_ms;
-            owner
-                .inherited_expiry_ms
-                .insert(silent.worker.as_str().into(), leases_expired_ms);
-            owner.recorded_silent.insert(silent.worker.as_str().into());
-        }
+        owner.inherit_leases(&recovered.learned, now.steady_ms, actions);
         if bounds.policy.inherits_interference {
             owner
                 .interference
@@ -381,6 +383,52 @@
         owner
     }
 
+    /// Takes over for how long the leases of silent workers last. No owner extends leases that are
+    /// recorded as silent before that record is replaced, so they expire at the recorded time.
+    fn inherit_leases(&mut self, learned: &Learned, now_ms: u64, actions: &mut Vec<Action>) {
+        let written = learned.written.unwrap_or_default();
+        // If the age of the record is unknown, it counts as just written.
+        let written_ms = self.latest_ms(&written).unwrap_or(now_ms).min(now_ms);
+        let mut longest_ms = 0;
+        for silent in &learned.silent {
+            let leases_expired_ms = written_ms + silent.remaining_ms;
+            longest_ms = longest_ms.max(leases_expired_ms.saturating_sub(now_ms));
+            self.inherited_expiry_ms
+                .insert(silent.worker.as_str().into(), leases_expired_ms);
+            self.recorded_silent.insert(silent.worker.as_str().into());
+        }
+        if learned.silent.is_empty() {
+            return;
+        }
+        actions.push(Action::Note(Note::new(
+            Code::LeasesInherited,
+            &*self.host,
+            format!(
+                "workers={} longest_ms={longest_ms} recorded_by={} record_age_ms={}",
+                learned.silent.len(),
+                written.token,
+                now_ms - written_ms
+            ),
+        )));
+    }
+
+    /// Returns a time of this host's steady clock as a record gives it.
+    pub(crate) fn owner_time(&self, at_ms: u64) -> OwnerTime {
+        OwnerTime {
+            token: self.token,
+            claim_age_ms: at_ms.saturating_sub(self.claim_sent_ms),
+        }
+    }
+
+    /// Returns the latest time of this host's steady clock that a recorded time can mean; `None` if
+    /// that is unknown.
+    pub(crate) fn latest_ms(&self, time: &OwnerTime) -> Option<u64> {
+        match time.token == self.token {
+            true => Some(self.claim_sent_ms + time.claim_age_ms),
+            false => self.claim_sightings.latest_ms(time),
+        }
+    }
+
     /// Cancels a job.
     pub(crate) fn cancel(&mut self, id: JobId, now: Now, actions: &mut Vec<Action>) {
         if let Some(key) = self.job_keys.get(&id) {
--- a/crates/dispatch/src/owner/polls.rs
+++ b/crates/dispatch/src/owner/polls.rs
@@ -70,8 +70,12 @@
             let has_missed_enough = !is_own_link_suspect
                 || !worker.is_listed
                 || worker.misses_after_expiry >= MAX_MISSED_WHILE_SUSPECT;
-            let has_expired =
-                worker.may_be_dead() && now_ms > worker.leases_expired_ms && has_missed_enough;
+            // Leases that a previous owner has recorded may have expired before this one began. The
+            // worker may be back, and may have the exits of tasks that would run again.
+            let has_expired = worker.may_be_dead()
+                && now_ms > worker.leases_expired_ms
+                && has_missed_enough
+                && worker.was_asked(now_ms);
             if worker.is_obsolete() || has_expired && worker.is_removal_awaited() {
                 dead.push(key);
             } else if worker.can_be_polled() && now_ms >= worker.next_poll_ms {
@@ -165,7 +169,9 @@
             tickets,
             actions,
         );
-        self.workers[key].is_poll_pending = true;
+        let worker = &mut self.workers[key];
+        worker.is_poll_pending = true;
+        worker.first_polled_ms.get_or_insert(now_ms);
     }
 
     pub(crate) fn on_poll(
--- a/crates/dispatch/src/owner/worker.rs
+++ b/crates/dispatch/src/owner/worker.rs
@@ -28,6 +28,9 @@
 /// Consecutive polls without an answer after which a worker counts as silent.
 const MAX_MISSED_ANSWERS: u32 = 2;
 
+/// Time in which a worker that is alive answers the first poll of a new owner.
+const FIRST_ANSWER_MS: u64 = 150;
+
 /// Time for which a worker is kept free from new tasks for one that must be alone there. Runs are
 /// stable after a second and one poll.
 const RESERVATION_MS: u64 = 2_000;
@@ -273,6 +276,8 @@
     pub(crate) leases_expired_ms: u64,
     /// A poll was sent and has no answer yet.
     pub(crate) is_poll_pending: bool,
+    /// When this owner polled it first.
+    pub(crate) first_polled_ms: Option<u64>,
     pub(crate) next_poll_ms: u64,
     pub(crate) answered_ms: u64,
     /// Number of the newest exit that was handled, and of the newest that is recorded.
@@ -337,6 +342,7 @@
             clock: None,
             leases_expired_ms,
             is_poll_pending: false,
+            first_polled_ms: None,
             next_poll_ms: 0,
             answered_ms: 0,
             handled_exit: 0,
@@ -466,6 +472,14 @@
         self.is_silent() || !self.is_known || self.entry.address.is_empty()
     }
 
+    /// Returns whether it had time to answer this owner at least once, or can't be asked.
+    pub(crate) fn was_asked(&self, now_ms: u64) -> bool {
+        let is_asked = |polled_ms: u64| now_ms >= polled_ms + FIRST_ANSWER_MS;
+        self.entry.address.is_empty()
+            || self.missed_answers > 0
+            || self.first_polled_ms.is_some_and(is_asked)
+    }
+
     /// Returns whether it is no longer listed, has no runs, and no answer is pending.
     pub(crate) fn is_obsolete(&self) -> bool {
         !self.is_listed && self.runs.is_empty() && !self.is_poll_pending
--- a/crates/dispatch/src/owner/writing.rs
+++ b/crates/dispatch/src/owner/writing.rs
@@ -256,6 +256,7 @@
             silent,
             run_times: self.run_times.learned(),
             queues: self.fair_shares.learned(),
+            written: Some(self.owner_time(now_ms)),
         }
     }
 
@@ -322,7 +323,7 @@
             records.push((Key::State(job).text(), state.encode_to_vec().into()));
         }
         if records.is_empty() || self.writer.must_announce {
-            records.push(self.owner_record());
+            records.push(self.owner_record(now_ms));
             self.writer.must_announce = false;
         }
         self.writer.states.begin(records, now_ms);
@@ -334,7 +335,7 @@
         self.writer.states.stored_end
     }
 
-    fn owner_record(&mut self) -> (Box<str>, Box<[u8]>) {
+    fn owner_record(&mut self, now_ms: u64) -> (Box<str>, Box<[u8]>) {
         self.writer.heartbeat += 1;
         let record = OwnerRecord {
             token: self.token,
@@ -344,6 +345,7 @@
             informs_hosts: self.uses_relays,
             strongest_permille: self.survey.strongest_permille,
             strong_hosts: self.survey.strong_hosts,
+            claim_age_ms: self.owner_time(now_ms).claim_age_ms,
         };
         record.row()
     }
--- a/crates/dispatch/src/record.rs
+++ b/crates/dispatch/src/record.rs
@@ -354,6 +354,9 @@
     /// Usage of queues that compete.
     #[prost(message, repeated, tag = "4")]
     pub(crate) queues: Vec<LearnedQueue>,
+    /// When this was written; `None` if a former release has written it.
+    #[prost(message, optional, tag = "5")]
+    pub(crate) written: Option<OwnerTime>,
 }
 
 impl Learned {
@@ -413,6 +416,17 @@
     pub(crate) usage_ppm: u32,
 }
 
+/// A time that an owner has recorded, counted from its claim, as hosts share no clock.
+#[derive(Clone, Copy, PartialEq, Eq, Message)]
+pub(crate) struct OwnerTime {
+    /// Token of the owner.
+    #[prost(uint64, tag = "1")]
+    pub(crate) token: u64,
+    /// Time from sending its claim.
+    #[prost(uint64, tag = "2")]
+    pub(crate) claim_age_ms: u64,
+}
+
 /// A worker that does not answer.
 #[derive(Clone, PartialEq, Eq, Message)]
 pub(crate) struct SilentWorker {
@@ -479,6 +493,9 @@
     pub(crate) strongest_permille: u64,
     #[prost(uint64, tag = "7")]
     pub(crate) strong_hosts: u64,
+    /// Time from sending its claim to writing this; 0 if a former release has written it.
+    #[prost(uint64, tag = "8")]
+    pub(crate) claim_age_ms: u64,
 }
 
 impl OwnerRecord {
--- a/crates/dispatch/src/relay/serving.rs
+++ b/crates/dispatch/src/relay/serving.rs
@@ -186,6 +186,12 @@
         found.map(|(_, conn)| conn)
     }
 
+    /// Returns the token of the owner behind a connection; 0 if it has sent no frame.
+    pub(crate) fn owner_token(&self, conn: ConnectionId) -> u64 {
+        let session = self.sessions.get(&conn);
+        session.map_or(0, |session| session.token)
+    }
+
     /// Returns when the newest frame of an owner arrived over this connection; 0 if there is none.
     pub(crate) fn last_received_ms(&self, conn: ConnectionId) -> u64 {
         let session = self.sessions.get(&conn);
--- a/tests/dispatch_owner_rows.rs
+++ b/tests/dispatch_owner_rows.rs
@@ -1,13 +1,203 @@
-//! Rows of owners that live for about a second each.
+//! Rows of owners that live for about a second each: a wait that one owner has begun must end about
+//! as soon as if that owner had lived on.
 
+use crate::dispatch::JOB;
 use crate::dispatch::owner;
 use crate::fleet::Fleet;
+use crate::fleet::job;
+use crate::fleet::step;
+use goldcrestway_dispatch::JobId;
+use goldcrestway_dispatch::Step;
+use goldcrestway_dispatch::Stream;
+use goldcrestway_dispatch::TaskId;
 use googletest::prelude::*;
 
 const HOSTS: usize = 7;
+/// Time for which a host that was told to stop continues, and after which it starts again.
+const GRACE_MS: u64 = 2_000;
+const DOWN_MS: u64 = 600;
+/// Time within which a long-running task must run again, whatever happens to owners meanwhile.
+const MAX_AWAY_MS: u64 = 9_000;
+/// Time for which one owner waits for the leases of a silent worker, at most.
+const MAX_WAIT_MS: u64 = 7_000;
+/// Time that each change of owner may add to a wait.
+const MAX_CHANGE_MS: u64 = 60;
 /// Time in which another host owns after the owner has begun to stop.
 const TAKEOVER_MS: u64 = 900;
 
+const TASK: TaskId = TaskId {
+    job: JobId(JOB),
+    occurrence: 0,
+    step: 0,
+    index: 0,
+};
+
+/// Hosts that are stopped as planned or killed, one owner after the other.
+struct Row {
+    name: &'static str,
+    /// Time for which each owner lives.
+    life_ms: u64,
+    /// Owners are killed in place of stopped.
+    kills: bool,
+}
+
+const ROWS: &[Row] = &[
+    Row {
+        name: "stopped after 300 ms",
+        life_ms: 300,
+        kills: false,
+    },
+    Row {
+        name: "stopped after 700 ms",
+        life_ms: 700,
+        kills: false,
+    },
+    Row {
+        name: "stopped after 1,100 ms",
+        life_ms: 1_100,
+        kills: false,
+    },
+    Row {
+        name: "killed after 900 ms",
+        life_ms: 900,
+        kills: true,
+    },
+];
+
+/// Hosts on their way down and up.
+#[derive(Default)]
+struct Rounds {
+    owned_since: Option<(usize, u64)>,
+    /// Hosts that will be killed, and those that will be started, with the time.
+    dying: Vec<(u64, usize)>,
+    starting: Vec<(u64, usize)>,
+    changes: u64,
+}
+
+impl Rounds {
+    /// Stops or kills the owner if it has lived for long enough, and restarts earlier ones.
+    fn advance(&mut self, fleet: &mut Fleet, row: &Row) {
+        let now_ms = fleet.now_ms;
+        for (_, host) in self.dying.extract_if(.., |(at_ms, _)| *at_ms <= now_ms) {
+            fleet.kill(host);
+            self.starting.push((now_ms + DOWN_MS, host));
+        }
+        for (_, host) in self.starting.extract_if(.., |(at_ms, _)| *at_ms <= now_ms) {
+            fleet.start(host);
+        }
+        let Some(host) = fleet.owner() else {
+            return;
+        };
+        if self.owned_since.is_none_or(|(known, _)| known != host) {
+            self.owned_since = Some((host, now_ms));
+            self.changes += 1;
+        }
+        let is_old = self
+            .owned_since
+            .is_some_and(|(_, ms)| now_ms >= ms + row.life_ms);
+        if is_old && self.dying.iter().all(|(_, other)| *other != host) {
+            let grace_ms = match row.kills {
+                true => 0,
+                false => {
+                    fleet.stop(host);
+                    GRACE_MS
+                }
+            };
+            self.dying.push((now_ms + grace_ms, host));
+        }
+    }
+
+    fn run(&mut self, fleet: &mut Fleet, row: &Row, ms: u64) {
+        let until_ms = fleet.now_ms + ms;
+        while fleet.now_ms < until_ms {
+            fleet.run(5);
+            self.advance(fleet, row);
+        }
+    }
+
+    /// Runs until a task runs, and returns how long that took.
+    fn run_until_running(&mut self, fleet: &mut Fleet, row: &Row) -> u64 {
+        let begun_ms = fleet.now_ms;
+        while fleet.running(TASK) == 0 && fleet.now_ms < begun_ms + 3 * MAX_AWAY_MS {
+            self.run(fleet, row, 5);
+        }
+        fleet.now_ms - begun_ms
+    }
+}
+
+fn long_running() -> Step {
+    Step {
+        is_long_running: true,
+        max_per_worker: 1,
+        ..step(4, 1_000, &[])
+    }
+}
+
+/// Returns a fleet on which a long-running job runs.
+fn fleet_with_long_running_tasks() -> Fleet {
+    let mut fleet = Fleet::new(HOSTS, 6);
+    fleet.set_restart_delay_ms(600_000);
+    let host = owner(&fleet);
+    fleet.submit(host, JOB, &job(vec![long_running()]));
+    fleet.run(3_000);
+    fleet
+}
+
+/// Returns the address of the worker on which the task runs.
+fn address(fleet: &Fleet) -> Box<str> {
+    let mut workers = fleet.workers.iter();
+    let found = workers.find(|(_, worker)| worker.runs(TASK));
+    found.map_or("".into(), |(address, _)| address.clone())
+}
+
+/// Long-running tasks ran nowhere for over nine seconds after their worker had left: each owner in a
+/// row took the time that the leases there may last from the record of the one before, as if no
+/// time had passed since it was written.
+#[gtest]
+fn a_row_of_owners_gives_up_a_dead_worker_about_as_soon_as_one_owner() {
+    for row in ROWS {
+        for phase_ms in (0..row.life_ms).step_by(200) {
+            let mut fleet = fleet_with_long_running_tasks();
+            let mut rounds = Rounds::default();
+            rounds.run(&mut fleet, row, 2_000 + phase_ms);
+            let crashed = address(&fleet);
+            let id = fleet.workers[&crashed].id.clone();
+            fleet.shut_down(&crashed);
+            fleet.store.put(Stream::Workers, &id, &[]);
+            let changes = rounds.changes;
+            let away_ms = rounds.run_until_running(&mut fleet, row);
+            let added_ms = (rounds.changes - changes) * MAX_CHANGE_MS;
+            let case = format!("{}, phase {phase_ms}: {away_ms} ms", row.name);
+            if !row.kills {
+                expect_that!(away_ms, le(MAX_WAIT_MS + added_ms), "{case}");
+            }
+            expect_that!(away_ms, le(MAX_AWAY_MS), "{case}");
+            expect_that!(fleet.promises.broken, is_empty(), "{case}");
+        }
+    }
+}
+
+/// The opposite: a worker that is cut off for less than its leases last is not given up, however
+/// many owners come and go meanwhile.
+#[gtest]
+fn a_row_of_owners_does_not_give_up_a_worker_that_is_cut_off_for_a_while() {
+    /// Leases last for 4.8 s, and after a kill nobody extends them for a second, twice.
+    const CUT_MS: u64 = 1_500;
+    for row in ROWS {
+        let mut fleet = fleet_with_long_running_tasks();
+        let mut rounds = Rounds::default();
+        rounds.run(&mut fleet, row, 2_000);
+        let starts = fleet.promises.starts.len();
+        fleet.cut_workers = vec![address(&fleet)];
+        rounds.run(&mut fleet, row, CUT_MS);
+        fleet.cut_workers.clear();
+        rounds.run(&mut fleet, row, 6_000);
+        expect_that!(fleet.promises.starts.len(), eq(starts), "{}", row.name);
+        expect_that!(fleet.running(TASK), eq(1), "{}", row.name);
+        expect_that!(fleet.promises.broken, is_empty(), "{}", row.name);
+    }
+}
+
 /// Nobody owned for up to 4.3 s: a host was stopped as planned after it had claimed and before it
 /// owned. It told nobody, so the others waited for its heartbeats.
 #[gtest]
