A worker's first answer bounds the leases that a previous owner gave it

At its begin it assumes that the previous owner extends leases for 1.5 s more, and kept that for workers that had answered it since: from their answer on they refuse the previous owner. Evidence: WorkerSilent leases_left_ms=6442 for a worker whose last answer was 177 ms old; a lease lasts 5.2 s by the owner's clock.

A worker that answers as another incarnation than the recorded one is left out: it may respect a lease by another clock.

--- a/crates/dispatch/src/owner/polls.rs
+++ b/crates/dispatch/src/owner/polls.rs
@@ -213,6 +213,7 @@
             return;
         };
         worker.forgotten_exit = worker.forgotten_exit.max(acknowledged_exit);
+        self.bound_earlier_leases(key, &report, now_ms);
         let key = self.match_incarnation(key, &report, now, actions);
         let worker = &mut self.workers[key];
         if worker.is_silent() {
@@ -260,6 +261,17 @@
         worker.next_poll_ms = now_ms + gap_ms;
     }
 
+    /// Shortens the time for which the leases of a worker may last by its first answer: from then on,
+    /// it refuses to extend them for a previous owner. Another incarnation than the recorded one may
+    /// respect longer leases, as they were given by another clock.
+    fn bound_earlier_leases(&mut self, key: WorkerKey, report: &WorkerReport, now_ms: u64) {
+        let latest_ms = now_ms + self.lease_span_ms();
+        let worker = &mut self.workers[key];
+        if !worker.is_known && report.incarnation == worker.incarnation {
+            worker.leases_expired_ms = worker.leases_expired_ms.min(latest_ms);
+        }
+    }
+
     /// Returns the interval until the next poll of a worker.
     fn poll_gap_ms(&mut self, key: WorkerKey) -> u64 {
         let ending = self.workers.ending();
--- a/tests/dispatch_owner_rows.rs
+++ b/tests/dispatch_owner_rows.rs
@@ -226,3 +226,40 @@
         expect_that!(took_ms, le(TAKEOVER_MS), "{delay_ms} ms after the claim");
     }
 }
+
+/// Time for which a worker is waited for that answered an owner and then died: one lease, a poll and
+/// a change of owner.
+const MAX_LEASE_WAIT_MS: u64 = 5_800;
+
+/// Crashes the worker of the task, and returns how long the task then runs nowhere.
+fn crash_and_wait(fleet: &mut Fleet) -> u64 {
+    let crashed = address(fleet);
+    fleet.shut_down(&crashed);
+    let crashed_ms = fleet.now_ms;
+    while fleet.running(TASK) == 0 && fleet.now_ms < crashed_ms + 2 * MAX_AWAY_MS {
+        fleet.run(5);
+    }
+    fleet.now_ms - crashed_ms
+}
+
+/// A new owner waited for 1.5 s longer than a lease lasts for a worker that had answered it, as the
+/// previous owner might have extended the lease since. A worker that has answered refuses that.
+#[gtest]
+fn a_new_owner_waits_one_lease_for_a_worker_that_has_answered_it() {
+    for after_ms in [200, 500, 1_000] {
+        let mut fleet = fleet_with_long_running_tasks();
+        let previous = owner(&fleet);
+        fleet.stop(previous);
+        while fleet.owner().is_none_or(|host| host == previous) {
+            fleet.run(5);
+        }
+        fleet.run(after_ms);
+        let away_ms = crash_and_wait(&mut fleet);
+        expect_that!(
+            away_ms,
+            le(MAX_LEASE_WAIT_MS),
+            "{after_ms} ms after its begin"
+        );
+        expect_that!(fleet.promises.broken, is_empty());
+    }
+}
