--- a/tests/dispatch_owner_rows.rs
+++ b/tests/dispatch_owner_rows.rs
@@ -263,3 +263,34 @@
         expect_that!(fleet.promises.broken, is_empty());
     }
 }
+
+/// A worker that died while its owner left was waited for anew, as the owner records a worker for its
+/// successor only some time after it has missed two answers.
+#[gtest]
+fn a_worker_that_dies_while_its_owner_leaves_is_not_waited_for_anew() {
+    /// Time in which the owner misses an answer and records that, and then the next one claims and
+    /// reads the record.
+    const NOTICE_MS: u64 = 90;
+    let mut fleet = fleet_with_long_running_tasks();
+    let previous = owner(&fleet);
+    fleet.stop(previous);
+    let stopped_ms = fleet.now_ms;
+    while fleet.owner() == Some(previous) {
+        fleet.run(5);
+    }
+    let takeover_ms = fleet.now_ms - stopped_ms;
+    expect_that!(takeover_ms, gt(NOTICE_MS));
+    for after_ms in (0..=takeover_ms - NOTICE_MS).step_by(10) {
+        let mut fleet = fleet_with_long_running_tasks();
+        let previous = owner(&fleet);
+        fleet.stop(previous);
+        fleet.run(after_ms);
+        let away_ms = crash_and_wait(&mut fleet);
+        expect_that!(
+            away_ms,
+            le(MAX_LEASE_WAIT_MS),
+            "{after_ms} ms after it was told"
+        );
+        expect_that!(fleet.promises.broken, is_empty());
+    }
+}
