How long a long-running task has worked outlasts its owner

Cause: a run is stable once one owner has seen it for a second. In a row of owners that live for less, none is, so each planned departure counted as a possible crash; from the second on, the task has to be alone at its next start. Evidence: RunLost stable=false for runs that had worked for 8 s and 17 s, then IsolationAwaited possible=2.

Change: the record of a long-running task says when its run was first confirmed, counted from the owner's claim, and whether it is stable; one more record for each start of such a task. Other tasks are left out, as that would double their records. Not chosen: to leave departures out where the owner has never seen the run, which would change how crashing tasks are found.

Test: long_running_tasks_are_not_suspected_for_the_short_lives_of_owners fails in all three rows before.

--- a/crates/dispatch/src/owner/polls.rs
+++ b/crates/dispatch/src/owner/polls.rs
@@ -370,6 +370,7 @@
                 self.clear_suspicion(row.task);
                 self.must_place |= was_probe;
             }
+            self.record_work(key, row.task, row.run, now_ms);
         }
         let mut absent = Vec::new();
         for (id, run) in &self.workers[key].runs {
@@ -545,11 +546,11 @@
     if !row.checkpoint.is_empty() {
         run.checkpoint.clone_from(&row.checkpoint);
     }
-    match run.phase {
-        RunPhase::Present { since_ms } => run.is_stable |= now_ms >= since_ms + STABLE_MS,
-        RunPhase::Inherited | RunPhase::Doubtful { .. } => {
-            run.phase = RunPhase::Present { since_ms: now_ms };
-        }
-        _ => {}
+    if matches!(run.phase, RunPhase::Inherited | RunPhase::Doubtful { .. }) {
+        let since_ms = run.working_since_ms.unwrap_or(now_ms).min(now_ms);
+        run.phase = RunPhase::Present { since_ms };
+    }
+    if let RunPhase::Present { since_ms } = run.phase {
+        run.is_stable |= now_ms >= since_ms + STABLE_MS;
     }
 }
--- a/crates/dispatch/src/owner/progress.rs
+++ b/crates/dispatch/src/owner/progress.rs
@@ -35,6 +35,8 @@
             address: recorded.crashed_address.as_str().into(),
         };
         task.lost_runs = recorded.lost_runs.iter().map(LostRun::new).collect();
+        task.working_since = recorded.working_since;
+        task.is_stable = recorded.is_stable;
         if recorded.phase() == TaskPhase::Assigned {
             task.placement = Some(Placement {
                 run: recorded.run,
@@ -92,6 +94,8 @@
             crashed_run: task.suspicion.run,
             crashed_address: task.suspicion.address.to_string(),
             lost_runs: task.lost_runs.iter().map(LostRun::record).collect(),
+            working_since: task.working_since,
+            is_stable: task.is_stable,
         });
     }
     StepProgress {
--- a/crates/dispatch/src/owner/task.rs
+++ b/crates/dispatch/src/owner/task.rs
@@ -4,6 +4,7 @@
 use crate::owner::worker::WorkerKey;
 use crate::policy::suspicion::Suspicion;
 use crate::record::LostRunRecord;
+use crate::record::OwnerTime;
 use std::collections::BTreeSet;
 
 /// A recorded run of a task.
@@ -92,6 +93,10 @@
     pub(crate) took_ms: Option<u64>,
     /// Its current run, if one may be on a worker.
     pub(crate) placement: Option<Placement>,
+    /// When the worker first confirmed its current run, and whether that run is stable; only for
+    /// long-running tasks. Owners may change faster than a run becomes stable under one of them.
+    pub(crate) working_since: Option<OwnerTime>,
+    pub(crate) is_stable: bool,
     /// A speculative second run, if its step allows copies.
     pub(crate) copy: Option<Placement>,
     pub(crate) checkpoint: Box<str>,
@@ -122,6 +127,8 @@
     pub(crate) fn release_run(&mut self, run: Placement) -> bool {
         if self.placement == Some(run) {
             self.placement = self.copy.take();
+            self.working_since = None;
+            self.is_stable = false;
             return true;
         }
         self.copy.take_if(|copy| *copy == run).is_some()
@@ -151,11 +158,11 @@
     }
 
     /// Starts or continues to wait for a worker without other suspects, as there is none at
-    /// present. Gives until when it waits.
-    pub(crate) fn wait_for_isolation(&mut self, now_ms: u64) -> u64 {
+    /// present. `since_ms` is when it began to wait. Gives until when it waits.
+    pub(crate) fn wait_for_isolation(&mut self, since_ms: u64) -> u64 {
         *self
             .isolation_until_ms
-            .get_or_insert(now_ms + ISOLATION_WAIT_MS)
+            .get_or_insert(since_ms + ISOLATION_WAIT_MS)
     }
 
     /// Returns whether it may still wait for such a worker.
--- a/crates/dispatch/src/owner/worker.rs
+++ b/crates/dispatch/src/owner/worker.rs
@@ -126,6 +126,10 @@
     pub(crate) is_orphan: bool,
     /// It has run for long enough that it is not suspected if its worker crashes.
     pub(crate) is_stable: bool,
+    /// Latest time at which a previous owner had it confirmed; `None` if that is unknown.
+    pub(crate) working_since_ms: Option<u64>,
+    /// That it is stable is recorded for the next owner.
+    pub(crate) is_work_recorded: bool,
     /// Its task is suspected to have crashed a worker, and this run is the test.
     pub(crate) is_probe: bool,
     /// Its task has lost several workers, and must be alone until this run is stable.
@@ -187,6 +191,8 @@
             tail_latency_target_ms: step.tail_latency_target_ms,
             is_orphan: false,
             is_stable: false,
+            working_since_ms: None,
+            is_work_recorded: false,
             is_probe: false,
             is_test: false,
             start_attempts: 0,
--- a/crates/dispatch/src/record.rs
+++ b/crates/dispatch/src/record.rs
@@ -231,6 +231,12 @@
     /// Those of the confirmed crashes for which no other task may have been the cause.
     #[prost(uint32, tag = "17")]
     pub(crate) sole_crashes: u32,
+    /// When its worker first confirmed the latest run; only for long-running tasks.
+    #[prost(message, optional, tag = "18")]
+    pub(crate) working_since: Option<OwnerTime>,
+    /// The latest run has worked for a while; only for long-running tasks.
+    #[prost(bool, tag = "19")]
+    pub(crate) is_stable: bool,
 }
 
 /// A run that was lost with its worker.
--- a/tests/dispatch_owner_rows.rs
+++ b/tests/dispatch_owner_rows.rs
@@ -6,13 +6,14 @@
 use crate::fleet::Fleet;
 use crate::fleet::job;
 use crate::fleet::step;
+use goldcrestway_core::Code;
 use goldcrestway_dispatch::JobId;
 use goldcrestway_dispatch::Step;
 use goldcrestway_dispatch::Stream;
 use goldcrestway_dispatch::TaskId;
 use googletest::prelude::*;
 
-const HOSTS: usize = 7;
+const HOSTS: usize = 12;
 /// Time for which a host that was told to stop continues, and after which it starts again.
 const GRACE_MS: u64 = 2_000;
 const DOWN_MS: u64 = 600;
@@ -135,7 +136,7 @@
 
 /// Returns a fleet on which a long-running job runs.
 fn fleet_with_long_running_tasks() -> Fleet {
-    let mut fleet = Fleet::new(HOSTS, 6);
+    let mut fleet = Fleet::new(HOSTS, 8);
     fleet.set_restart_delay_ms(600_000);
     let host = owner(&fleet);
     fleet.submit(host, JOB, &job(vec![long_running()]));
@@ -294,3 +295,67 @@
         expect_that!(fleet.promises.broken, is_empty());
     }
 }
+
+/// Lets the worker of the task leave as announced.
+fn leave(fleet: &mut Fleet, rounds: &mut Rounds, row: &Row) {
+    let leaving = address(fleet);
+    fleet.announce_leave(&leaving);
+    rounds.run(fleet, row, 700);
+    let id = fleet.workers[&leaving].id.clone();
+    fleet.shut_down(&leaving);
+    fleet.store.put(Stream::Workers, &id, &[]);
+}
+
+/// Runs until the condition holds, and keeps all workers busy with tasks that have just begun, so that
+/// no task can be alone there.
+fn run_among_short_tasks(
+    fleet: &mut Fleet,
+    rounds: &mut Rounds,
+    row: &Row,
+    holds: fn(&Fleet) -> bool,
+) {
+    const SUBMISSION_GAP_MS: u64 = 250;
+    let short = Step {
+        cpu_milli: 20,
+        memory_mb: 10,
+        max_per_worker: 1,
+        ..step(8, 2_500, &[])
+    };
+    let until_ms = fleet.now_ms + 3 * MAX_AWAY_MS;
+    while !holds(fleet) && fleet.now_ms < until_ms {
+        if fleet.now_ms.is_multiple_of(SUBMISSION_GAP_MS)
+            && let Some(host) = fleet.owner()
+        {
+            fleet.submit(host, fleet.now_ms, &job(vec![short.clone()]));
+        }
+        rounds.run(fleet, row, 5);
+    }
+}
+
+fn runs(fleet: &Fleet) -> bool {
+    fleet.running(TASK) > 0
+}
+
+/// Returns whether a task has waited until it can be alone.
+fn has_waited_alone(fleet: &Fleet) -> bool {
+    fleet.note_counts.contains_key(&Code::IsolationAwaited)
+}
+
+/// Long-running tasks that had worked for seconds waited, under each owner anew, until they could be
+/// alone: no owner of a row lived for long enough to see that their runs are stable, so the workers
+/// that left with them counted against them.
+#[gtest]
+fn long_running_tasks_are_not_suspected_for_the_short_lives_of_owners() {
+    for row in ROWS.iter().filter(|row| !row.kills) {
+        let mut fleet = fleet_with_long_running_tasks();
+        let mut rounds = Rounds::default();
+        for _ in 0..3 {
+            rounds.run(&mut fleet, row, 5_000);
+            leave(&mut fleet, &mut rounds, row);
+            run_among_short_tasks(&mut fleet, &mut rounds, row, runs);
+            expect_that!(fleet.running(TASK), eq(1), "{}", row.name);
+            expect_false!(has_waited_alone(&fleet), "{}", row.name);
+        }
+        expect_that!(fleet.promises.broken, is_empty(), "{}", row.name);
+    }
+}
