The wait of a suspected task until it can be alone outlasts its owner

Cause: each owner began the wait anew. Change: since when the task waits is recorded, counted from the owner's claim.

--- a/crates/dispatch/src/owner/adopting.rs
+++ b/crates/dispatch/src/owner/adopting.rs
@@ -81,7 +81,7 @@
         self.live_jobs.push(key);
         self.begin_times(key, now);
         self.recover_runs(key, now.steady_ms);
-        self.recover_times(key);
+        self.recover_times(key, now.steady_ms);
         self.recover_lost_runs(key);
         self.must_place |= is_new;
         if record.is_cancelled {
--- a/crates/dispatch/src/owner/placing.rs
+++ b/crates/dispatch/src/owner/placing.rs
@@ -430,6 +430,7 @@
         };
         task.run += 1;
         task.isolation_until_ms = None;
+        task.isolation_since = None;
         let number = task.run;
         let checkpoint_bytes = task.checkpoint.len();
         let placement = Some(Placement {
--- a/crates/dispatch/src/owner/progress.rs
+++ b/crates/dispatch/src/owner/progress.rs
@@ -37,6 +37,7 @@
         task.lost_runs = recorded.lost_runs.iter().map(LostRun::new).collect();
         task.working_since = recorded.working_since;
         task.is_stable = recorded.is_stable;
+        task.isolation_since = recorded.isolation_since;
         if recorded.phase() == TaskPhase::Assigned {
             task.placement = Some(Placement {
                 run: recorded.run,
@@ -96,6 +97,7 @@
             lost_runs: task.lost_runs.iter().map(LostRun::record).collect(),
             working_since: task.working_since,
             is_stable: task.is_stable,
+            isolation_since: task.isolation_since,
         });
     }
     StepProgress {
--- a/crates/dispatch/src/owner/suspects.rs
+++ b/crates/dispatch/src/owner/suspects.rs
@@ -21,12 +21,15 @@
         now_ms: u64,
         actions: &mut Vec<Action>,
     ) {
-        let Some(task) = self.jobs[key].task_mut(id) else {
+        let since = self.owner_time(now_ms);
+        let job = &mut self.jobs[key];
+        let Some(task) = job.task_mut(id) else {
             return;
         };
         let is_new = task.isolation_until_ms.is_none();
         let until_ms = task.wait_for_isolation(now_ms);
         if is_new {
+            task.isolation_since = Some(since);
             let suspicion = &task.suspicion;
             actions.push(Action::Note(Note::new(
                 Code::IsolationAwaited,
@@ -40,6 +43,7 @@
                     suspicion.starts
                 ),
             )));
+            job.is_dirty = true;
         }
         self.wake_ms = self.wake_ms.min(until_ms);
     }
@@ -73,12 +77,14 @@
         job.is_dirty |= is_news;
     }
 
-    /// Takes over since when the runs of a job have lasted under previous owners.
-    pub(super) fn recover_times(&mut self, key: JobKey) {
+    /// Takes over since when the runs and waits of a job have lasted under previous owners.
+    pub(super) fn recover_times(&mut self, key: JobKey, now_ms: u64) {
         let mut working = Vec::new();
+        let mut isolated = Vec::new();
         self.jobs[key].for_each_task(|id, task| {
             let since = task.working_since.unwrap_or_default();
             working.extend(task.placement.map(|at| (id, at, since, task.is_stable)));
+            isolated.extend(task.isolation_since.map(|since| (id, since)));
         });
         for (id, at, since, is_stable) in working {
             let since_ms = self.latest_ms(&since);
@@ -90,6 +96,12 @@
                 worker.mark_stable(id, at.run);
             }
         }
+        for (id, since) in isolated {
+            let since_ms = self.latest_ms(&since).unwrap_or(now_ms).min(now_ms);
+            if let Some(task) = self.jobs[key].task_mut(id) {
+                task.wait_for_isolation(since_ms);
+            }
+        }
     }
 
     /// Fails a job because one of its tasks crashes its workers.
--- a/crates/dispatch/src/owner/task.rs
+++ b/crates/dispatch/src/owner/task.rs
@@ -111,6 +111,8 @@
     pub(crate) failed_on: Option<WorkerKey>,
     /// Until when its next run waits for a worker without other suspects, if it does.
     pub(crate) isolation_until_ms: Option<u64>,
+    /// Since when it does, for the next owner.
+    pub(crate) isolation_since: Option<OwnerTime>,
     /// Evidence that it crashes its workers.
     pub(crate) suspicion: Suspicion,
     /// Runs lost with removed workers that may or may not have crashed.
--- a/crates/dispatch/src/record.rs
+++ b/crates/dispatch/src/record.rs
@@ -237,6 +237,9 @@
     /// The latest run has worked for a while; only for long-running tasks.
     #[prost(bool, tag = "19")]
     pub(crate) is_stable: bool,
+    /// Since when its next run waits until it can be apart from other suspects, if it does.
+    #[prost(message, optional, tag = "20")]
+    pub(crate) isolation_since: Option<OwnerTime>,
 }
 
 /// A run that was lost with its worker.
--- a/tests/dispatch_owner_rows.rs
+++ b/tests/dispatch_owner_rows.rs
@@ -296,6 +296,11 @@
     }
 }
 
+/// Time that a suspected task waits under one owner until it can be alone, and the time that each
+/// change of owner adds, as the next one polls the workers first.
+const ISOLATION_MS: u64 = 2_000;
+const FIRST_POLLS_MS: u64 = 100;
+
 /// Lets the worker of the task leave as announced.
 fn leave(fleet: &mut Fleet, rounds: &mut Rounds, row: &Row) {
     let leaving = address(fleet);
@@ -359,3 +364,31 @@
         expect_that!(fleet.promises.broken, is_empty(), "{}", row.name);
     }
 }
+
+/// A suspected task waited until it could be alone for as long as owners came and went: each of them
+/// began that wait anew.
+#[gtest]
+fn a_row_of_owners_does_not_prolong_the_wait_until_a_task_can_be_alone() {
+    for row in ROWS.iter().filter(|row| !row.kills) {
+        let mut fleet = fleet_with_long_running_tasks();
+        let mut rounds = Rounds::default();
+        // One owner sees two workers leave within the first second of a run.
+        let calm = Row {
+            life_ms: u64::MAX / 2,
+            ..*row
+        };
+        leave(&mut fleet, &mut rounds, &calm);
+        for _ in 0..2 {
+            rounds.run_until_running(&mut fleet, &calm);
+            leave(&mut fleet, &mut rounds, &calm);
+        }
+        run_among_short_tasks(&mut fleet, &mut rounds, &calm, has_waited_alone);
+        expect_true!(has_waited_alone(&fleet), "{}", row.name);
+        let (since_ms, changes) = (fleet.now_ms, rounds.changes);
+        run_among_short_tasks(&mut fleet, &mut rounds, row, runs);
+        let waited_ms = fleet.now_ms - since_ms;
+        let added_ms = (rounds.changes - changes) * FIRST_POLLS_MS;
+        expect_that!(waited_ms, le(ISOLATION_MS + added_ms), "{}", row.name);
+        expect_that!(fleet.promises.broken, is_empty(), "{}", row.name);
+    }
+}
