The owner replaces loads that stay without an answer

Cause: three loads of a page at most are under way, each for 9.6 s, as a late one is mostly not lost. All hosts had started while two partitions dropped what they received, so all three were lost, and the new owner, which acts without these partitions after 0.6 s, read the cancellation only at their timeout. Ruled out: relayed or late orders (the start follows no RunOrdered of an earlier owner), and cancels that were read and not applied.

Change: a host that owns or is about to own replaces one of its loads, not the first one, once the newest is 2.4 s old. Other hosts do not: a recovery in which all repeat their loads would keep itself from ending. Test: an_owner_loads_partitions_soon_after_they_answer_again fails without it.

--- a/crates/dispatch/src/entry/following.rs
+++ b/crates/dispatch/src/entry/following.rs
@@ -42,7 +42,9 @@
         for tail in [&mut self.rules, &mut self.states] {
             tail.load(now_ms, tickets, actions);
         }
-        if self.reading.scope == Scope::All {
+        if is_owner_or_claiming {
+            self.jobs.load_as_owner(now_ms, tickets, actions);
+        } else if self.reading.scope == Scope::All {
             self.jobs.load(now_ms, tickets, actions);
         }
         self.rules.long_poll(long_poll_ms, now_ms, tickets, actions);
@@ -57,7 +59,7 @@
             // would take as long again.
             let has_list = !self.progress.is_loaded() || !self.recovered.workers.is_empty();
             if self.owner.is_some() || !has_list {
-                self.workers.load(now_ms, tickets, actions);
+                self.workers.load_as_owner(now_ms, tickets, actions);
             }
             self.jobs.long_poll(long_poll_ms, now_ms, tickets, actions);
             self.jobs.confirm(long_poll_ms, now_ms, tickets, actions);
--- a/crates/dispatch/src/entry/job_tails.rs
+++ b/crates/dispatch/src/entry/job_tails.rs
@@ -96,6 +96,18 @@
         }
     }
 
+    /// Continues to load them as [`Tail::load_as_owner`] does.
+    pub(crate) fn load_as_owner(
+        &mut self,
+        now_ms: u64,
+        tickets: &mut u64,
+        actions: &mut Vec<Action>,
+    ) {
+        for tail in &mut self.tails {
+            tail.load_as_owner(now_ms, tickets, actions);
+        }
+    }
+
     /// Reads all partitions that no read sent at `since_ms` or later has read to the end.
     pub(crate) fn read_now(
         &mut self,
--- a/crates/dispatch/src/tail/mod.rs
+++ b/crates/dispatch/src/tail/mod.rs
@@ -21,6 +21,7 @@
 use crate::tail::backoff::Backoff;
 use crate::tail::backoff::load_timeouts;
 use crate::tail::backoff::may_load;
+use crate::tail::backoff::may_replace_load;
 pub(crate) use crate::tail::failures::Failure;
 use crate::tail::failures::Failures;
 use crate::tail::flight::Flight;
@@ -226,6 +227,20 @@
         });
     }
 
+    /// Sends a load of the next page if one is due, for a host that is the owner or about to own: it
+    /// replaces loads that stay without an answer.
+    pub(crate) fn load_as_owner(
+        &mut self,
+        now_ms: u64,
+        tickets: &mut u64,
+        actions: &mut Vec<Action>,
+    ) {
+        if may_replace_load(&self.loads, now_ms) {
+            self.loads.remove(1);
+        }
+        self.load(now_ms, tickets, actions);
+    }
+
     /// Sends a read that is answered immediately, unless one sent at `since_ms` or later is under
     /// way.
     pub(crate) fn read_now(
--- a/tests/dispatch_outages.rs
+++ b/tests/dispatch_outages.rs
@@ -6,6 +6,7 @@
 use crate::fleet::Mode;
 use crate::fleet::job;
 use crate::fleet::step;
+use goldcrestway_dispatch::JobId;
 use goldcrestway_dispatch::JobState;
 use goldcrestway_dispatch::MAX_STORE_CALLS;
 use goldcrestway_dispatch::Reply;
@@ -319,3 +320,40 @@
         expect_true!(fleet.is_ready(host));
     }
 }
+
+/// Tasks of cancelled jobs started seconds after the cancellation was acknowledged. All hosts had
+/// started while some partitions did not answer, all loads of these were lost, and the new owner
+/// waited for their timeout although the partitions answered again.
+#[gtest]
+fn an_owner_loads_partitions_soon_after_they_answer_again() {
+    /// Time after which the owner's next load is sent, and is answered.
+    const LOADED_MS: u64 = 2_500;
+    const JOBS: u64 = 8;
+    for silent_ms in [4_000, 4_500, 5_500, 7_500] {
+        let mut fleet = Fleet::new(3, 4);
+        let ids: Vec<JobId> = (1..=JOBS).map(JobId).collect();
+        // Appends use the partitions in turn, so some of these are in the silent ones.
+        for id in &ids {
+            let host = id.0 as usize % 3;
+            fleet.submit(host, id.0, &job(vec![step(4, 20_000, &[])]));
+        }
+        fleet.run(300);
+        fleet.store.silent = vec![Stream::Jobs(2), Stream::Jobs(3)];
+        for host in 0..3 {
+            fleet.kill(host);
+            fleet.start(host);
+        }
+        fleet.run(silent_ms);
+        fleet.store.silent.clear();
+        fleet.run(LOADED_MS);
+        let host = owner(&fleet);
+        for (id, state) in fleet.states(host, &ids) {
+            expect_that!(state, some(anything()), "{id:?}, silent for {silent_ms} ms");
+        }
+        expect_that!(
+            fleet.promises.broken,
+            is_empty(),
+            "silent for {silent_ms} ms"
+        );
+    }
+}
--- a/tests/fleet/store.rs
+++ b/tests/fleet/store.rs
@@ -102,6 +102,8 @@
     pub(crate) max_record_bytes: usize,
     /// Streams that are unavailable while the others work.
     pub(crate) unavailable: Vec<Stream>,
+    /// Streams that answer no call while the others work.
+    pub(crate) silent: Vec<Stream>,
     pub(crate) limits: Limits,
     served: ServedReads,
 }
@@ -115,6 +117,7 @@
             answer_ms: 0,
             max_record_bytes: 262_144,
             unavailable: Vec::new(),
+            silent: Vec::new(),
             limits: Limits::default(),
             served: ServedReads::default(),
         }
@@ -191,6 +194,7 @@
         };
         match self.mode {
             _ if self.unavailable.contains(&stream) => return AppendOutcome::Refused,
+            _ if self.silent.contains(&stream) => return AppendOutcome::Unknown,
             _ if records.iter().any(is_too_large) => return AppendOutcome::Refused,
             Mode::Refuses => return AppendOutcome::Refused,
             Mode::Silent => return AppendOutcome::Unknown,
@@ -232,6 +236,7 @@
     fn read_fault(&self, stream: Stream) -> Option<ReadFault> {
         match self.mode {
             _ if self.unavailable.contains(&stream) => Some(ReadFault::Refused),
+            _ if self.silent.contains(&stream) => Some(ReadFault::NoAnswer),
             Mode::Up => None,
             Mode::Refuses => Some(ReadFault::Refused),
             Mode::LosesAnswers | Mode::Silent => Some(ReadFault::NoAnswer),
