The owner replaces loads only as fast as its link could carry the answers

On a thin link, three answers of 1 MB take longer than 2.4 s, and replacing loads meanwhile would keep any of them from ending: at 2 Mbit/s the pause is now 12.6 s, beyond the timeout, so nothing is replaced there. Found by reading; the tests of hosts on slow links passed before and pass.

--- a/crates/dispatch/src/entry/following.rs
+++ b/crates/dispatch/src/entry/following.rs
@@ -38,12 +38,14 @@
         let now_ms = now.steady_ms;
         let long_poll_ms = self.long_poll_ms();
         let is_owner_or_claiming = self.is_owner_or_claiming();
+        let link_bytes_per_s = self.bounds.link_bytes_per_s;
         let tickets = &mut self.tickets;
         for tail in [&mut self.rules, &mut self.states] {
             tail.load(now_ms, tickets, actions);
         }
         if is_owner_or_claiming {
-            self.jobs.load_as_owner(now_ms, tickets, actions);
+            self.jobs
+                .load_as_owner(link_bytes_per_s, now_ms, tickets, actions);
         } else if self.reading.scope == Scope::All {
             self.jobs.load(now_ms, tickets, actions);
         }
@@ -59,7 +61,8 @@
             // would take as long again.
             let has_list = !self.progress.is_loaded() || !self.recovered.workers.is_empty();
             if self.owner.is_some() || !has_list {
-                self.workers.load_as_owner(now_ms, tickets, actions);
+                self.workers
+                    .load_as_owner(link_bytes_per_s, now_ms, tickets, actions);
             }
             self.jobs.long_poll(long_poll_ms, now_ms, tickets, actions);
             self.jobs.confirm(long_poll_ms, now_ms, tickets, actions);
--- a/crates/dispatch/src/entry/job_tails.rs
+++ b/crates/dispatch/src/entry/job_tails.rs
@@ -99,12 +99,13 @@
     /// Continues to load them as [`Tail::load_as_owner`] does.
     pub(crate) fn load_as_owner(
         &mut self,
+        link_bytes_per_s: u64,
         now_ms: u64,
         tickets: &mut u64,
         actions: &mut Vec<Action>,
     ) {
         for tail in &mut self.tails {
-            tail.load_as_owner(now_ms, tickets, actions);
+            tail.load_as_owner(link_bytes_per_s, now_ms, tickets, actions);
         }
     }
 
--- a/crates/dispatch/src/entry/ownership.rs
+++ b/crates/dispatch/src/entry/ownership.rs
@@ -271,7 +271,8 @@
         let now_ms = now.steady_ms;
         let tickets = &mut self.tickets;
         // Everything that previous owners could write precedes the claim in the stream.
-        self.progress.load_as_owner(now_ms, tickets, actions);
+        self.progress
+            .load_as_owner(self.bounds.link_bytes_per_s, now_ms, tickets, actions);
         if !self.jobs.is_fresh_since(stored_ms) {
             self.jobs.read_now(stored_ms, now_ms, tickets, actions);
         }
--- a/crates/dispatch/src/tail/backoff.rs
+++ b/crates/dispatch/src/tail/backoff.rs
@@ -16,8 +16,10 @@
 const MAX_LOADS: usize = 3;
 /// Time after which a second load is sent. The third is sent after twice this time from the second.
 const LATE_LOAD_MS: u64 = 1_200;
-/// Time after which the owner replaces its newest load if all of them stay without an answer.
+/// Time after which the owner replaces a load if all of them stay without an answer.
 const REPLACE_LOAD_MS: u64 = 2_400;
+/// Largest page that the store returns.
+const MAX_PAGE_BYTES: u64 = 1 << 20;
 /// Timeout until the first byte of a load as a multiple of that of a read: the store may have to
 /// answer the loads of all hosts.
 const LOAD_TIMEOUT_FACTOR: u64 = 8;
@@ -38,11 +40,14 @@
 /// Returns whether the owner may replace one of its loads under way. The store may drop calls that it
 /// receives during an outage, and without this, the owner would wait for their timeout long after the
 /// outage has ended, and start tasks of jobs whose cancellation it could have read. Only one host
-/// does so, and it keeps its first load, whose answer may take long on a slow link.
-pub(super) fn may_replace_load(loads: &[Flight], now_ms: u64) -> bool {
-    let newest = loads.last();
-    let is_late = newest.is_some_and(|newest| now_ms >= newest.sent_ms + REPLACE_LOAD_MS);
-    loads.len() == MAX_LOADS && is_late
+/// does so, and not before its link could have carried the answers to all of them.
+pub(super) fn may_replace_load(loads: &[Flight], link_bytes_per_s: u64, now_ms: u64) -> bool {
+    let Some(newest) = loads.last().filter(|_| loads.len() == MAX_LOADS) else {
+        return false;
+    };
+    let pages_bytes = MAX_PAGE_BYTES * MAX_LOADS as u64;
+    let link_ms = pages_bytes * 1_000 / link_bytes_per_s.max(1);
+    now_ms >= newest.sent_ms + REPLACE_LOAD_MS.max(link_ms)
 }
 
 /// Returns the timeouts of a load.
--- a/crates/dispatch/src/tail/mod.rs
+++ b/crates/dispatch/src/tail/mod.rs
@@ -231,11 +231,12 @@
     /// replaces loads that stay without an answer.
     pub(crate) fn load_as_owner(
         &mut self,
+        link_bytes_per_s: u64,
         now_ms: u64,
         tickets: &mut u64,
         actions: &mut Vec<Action>,
     ) {
-        if may_replace_load(&self.loads, now_ms) {
+        if may_replace_load(&self.loads, link_bytes_per_s, now_ms) {
             self.loads.remove(1);
         }
         self.load(now_ms, tickets, actions);
