--- a/tests/lib.rs
+++ b/tests/lib.rs
@@ -44,6 +44,7 @@
 mod dispatch_store_calls;
 mod dispatch_stragglers;
 mod dispatch_turns;
+mod dispatch_waiting_counts;
 mod dispatch_waits;
 mod edge;
 mod faults;
