A later claim bounds a recorded time only from when it was stored

The store fences the earlier owner only once the claim is stored, which may be seconds later while the store is slow; a record written in between would have counted as older than it is, a lease on a silent worker as expired too soon, and its tasks would have run in two places. The time at which a claim was first seen bounds it now: claims are announced once they are stored.

--- a/crates/dispatch/src/entry/mod.rs
+++ b/crates/dispatch/src/entry/mod.rs
@@ -19,7 +19,6 @@
 
 use crate::appender::Appender;
 use crate::bounds::Bounds;
-use crate::claim_sightings::ClaimSightings;
 use crate::config::Config;
 use crate::config::Decoders;
 use crate::config::WorkerEntry;
@@ -47,6 +46,7 @@
 use crate::owner::Owner;
 use crate::owner::OwnerStats;
 use crate::owner::records_bytes;
+use crate::policy::claim_sightings::ClaimSightings;
 use crate::policy::fair_shares::QueueShare;
 use crate::policy::link::MAX_LIST_PAUSE_MS;
 use crate::policy::time_of_day::TimeOfDay;
@@ -346,7 +346,7 @@
             self.relay
                 .handle_frame(conn, bytes, evacuations, now.steady_ms, tickets, actions);
             self.claim_sightings
-                .record(self.relay.owner_token(conn), now.steady_ms);
+                .record(self.relay.owner_token(conn), 0, now.steady_ms);
             self.apply_owner_answers();
         } else if let Some(owner) = &mut self.owner {
             owner.handle_relay_frame(conn, bytes, now, actions);
@@ -496,8 +496,8 @@
             self.job_table.apply(record);
         }
         let owner = &self.job_table.owner;
-        let claim_sent_ms = now.steady_ms.saturating_sub(owner.claim_age_ms);
-        self.claim_sightings.record(owner.token, claim_sent_ms);
+        self.claim_sightings
+            .record(owner.token, owner.claim_age_ms, now.steady_ms);
         if let Some(newest) = progress.records.iter().map(|record| record.offset).max() {
             self.election
                 .record_heartbeat(newest, now.steady_ms, &self.job_table.owner);
--- a/crates/dispatch/src/entry/ownership.rs
+++ b/crates/dispatch/src/entry/ownership.rs
@@ -354,7 +354,7 @@
                 self.progress = Tail::new(Stream::Progress, self.salt);
                 self.recovered = RecoveredState::default();
                 let epoch = claim.fence.epoch;
-                self.claim_sightings.record(epoch, now.steady_ms);
+                self.claim_sightings.record(epoch, 0, now.steady_ms);
                 let record = claim.record(&self.host, &self.job_table.owner, now.steady_ms);
                 self.announce_claim(&record, actions);
                 actions.push(Action::Note(Note::new(
--- a/crates/dispatch/src/job_table.rs
+++ b/crates/dispatch/src/job_table.rs
@@ -1,10 +1,10 @@
 //! The jobs, the owner and the entry hosts, as this host has read them from the streams.
 
-use crate::claim_sightings::ClaimSightings;
 use crate::config::WorkerEntry;
 use crate::event::Now;
 use crate::event::StoredRecord;
 use crate::ids::JobId;
+use crate::policy::claim_sightings::ClaimSightings;
 use crate::record::HostRecord;
 use crate::record::JobPhase;
 use crate::record::Key;
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -30,7 +30,6 @@
 
 mod appender;
 mod bounds;
-mod claim_sightings;
 mod config;
 mod election;
 mod entry;
--- a/crates/dispatch/src/owner/mod.rs
+++ b/crates/dispatch/src/owner/mod.rs
@@ -52,7 +52,6 @@
 
 use crate::appender::Appender;
 use crate::bounds::Bounds;
-use crate::claim_sightings::ClaimSightings;
 use crate::config::WorkerEntry;
 use crate::election::HostSurvey;
 use crate::evacuations::Evacuations;
@@ -78,6 +77,7 @@
 use crate::owner::workers::Workers;
 use crate::owner::writing::Writer;
 use crate::policy::answer_timeouts::AnswerLatencies;
+use crate::policy::claim_sightings::ClaimSightings;
 use crate::policy::fair_shares::FairShares;
 use crate::policy::images::Images;
 use crate::policy::interference::InterferenceModel;
--- a/crates/dispatch/src/owner/recorded_times.rs
+++ b/crates/dispatch/src/owner/recorded_times.rs
@@ -62,7 +62,9 @@
     pub(crate) fn latest_ms(&self, time: &OwnerTime) -> Option<u64> {
         match time.token == self.token {
             true => Some(self.claim_sent_ms + time.claim_age_ms),
-            false => self.claim_sightings.latest_ms(time),
+            false => self
+                .claim_sightings
+                .latest_ms(time.token, time.claim_age_ms),
         }
     }
 
--- a/crates/dispatch/src/policy/mod.rs
+++ b/crates/dispatch/src/policy/mod.rs
@@ -26,6 +26,7 @@
 //! | [`kept_room`] | on which workers room is kept for a wide task, and for how long |
 
 pub mod answer_timeouts;
+pub mod claim_sightings;
 pub mod crash_evidence;
 pub mod fair_shares;
 pub mod idle_starts;
--- a/tests/lib.rs
+++ b/tests/lib.rs
@@ -51,6 +51,7 @@
 mod fleet;
 mod inventories;
 mod policy_answer_timeouts;
+mod policy_claim_sightings;
 mod policy_crash_evidence;
 mod policy_fair_shares;
 mod policy_idle_starts;
