The test of a worker that dies while its owner leaves fails without the mend again

With twelve hosts the next one claims so soon that no moment was left at which the owner could notice the death, so the test passed on, too.

--- a/tests/dispatch_owner_rows.rs
+++ b/tests/dispatch_owner_rows.rs
@@ -136,7 +136,12 @@
 
 /// Returns a fleet on which a long-running job runs.
 fn fleet_with_long_running_tasks() -> Fleet {
-    let mut fleet = Fleet::new(HOSTS, 8);
+    fleet_of(HOSTS)
+}
+
+/// The same with another number of entry hosts.
+fn fleet_of(hosts: usize) -> Fleet {
+    let mut fleet = Fleet::new(hosts, 8);
     fleet.set_restart_delay_ms(600_000);
     let host = owner(&fleet);
     fleet.submit(host, JOB, &job(vec![long_running()]));
@@ -269,10 +274,12 @@
 /// successor only some time after it has missed two answers.
 #[gtest]
 fn a_worker_that_dies_while_its_owner_leaves_is_not_waited_for_anew() {
+    /// Few enough that the next one claims some time after the owner has begun to leave.
+    const FEW_HOSTS: usize = 7;
     /// Time in which the owner misses an answer and records that, and then the next one claims and
     /// reads the record.
-    const NOTICE_MS: u64 = 90;
-    let mut fleet = fleet_with_long_running_tasks();
+    const NOTICE_MS: u64 = 75;
+    let mut fleet = fleet_of(FEW_HOSTS);
     let previous = owner(&fleet);
     fleet.stop(previous);
     let stopped_ms = fleet.now_ms;
@@ -282,7 +289,7 @@
     let takeover_ms = fleet.now_ms - stopped_ms;
     expect_that!(takeover_ms, gt(NOTICE_MS));
     for after_ms in (0..=takeover_ms - NOTICE_MS).step_by(10) {
-        let mut fleet = fleet_with_long_running_tasks();
+        let mut fleet = fleet_of(FEW_HOSTS);
         let previous = owner(&fleet);
         fleet.stop(previous);
         fleet.run(after_ms);
