--- a/review/standin-2/src/cases.rs
+++ b/review/standin-2/src/cases.rs
@@ -109,6 +109,9 @@
             if step.gang {
                 row.push_str(",\"gang\":true");
             }
+            if !step.label.is_empty() {
+                row.push_str(&format!(",\"required-label\":\"{}\"", step.label));
+            }
             if number > 0 {
                 row.push_str(&format!(",\"after\":[{}]", number - 1));
             }
@@ -217,6 +220,7 @@
         lasts: false,
         gang: false,
         spread: 0,
+        label: "",
     }
 }
 
@@ -226,6 +230,7 @@
         "cancel" => cancel(&mut stage),
         "gang" => gang(&mut stage),
         "shown" => shown(&mut stage),
+        "waiting" => waiting(&mut stage),
         "fuzz" => crate::fuzz::fuzz(&mut stage),
         _ => Verdict::NotRun,
     };
@@ -552,3 +557,71 @@
         () => Verdict::Held,
     }
 }
+
+/// The only minion of a kind answers the orders to start with 503 for some seconds.
+fn waiting(stage: &mut Stage) -> Verdict {
+    const VISIBLE_MS: u64 = 3_000;
+    stage.publish(3, 3);
+    for number in 0..9 {
+        stage
+            .world
+            .add_minion(ZONES[number % 3], &format!("r{}", number % 3));
+    }
+    let only = stage.world.add_minion(ZONES[0], "r-b");
+    let address = stage.store_server.address;
+    stage.hosts = Hosts::start(stage.world.clone(), &ZONES, |_| address);
+    if stage.hosts.is_none() {
+        return Verdict::NotRun;
+    }
+    thread::sleep(ms(4_000));
+    let grey = Instant::now();
+    if stage.has_trouble {
+        stage.world.note(format!(
+            "minion {} answers orders to start with 503",
+            stage.world.id_of(only)
+        ));
+        stage.world.set_busy(only, true);
+    }
+    let ids: Vec<String> = (0..8)
+        .map(|number| format!("5c0e7a21d94b36{number:02x}"))
+        .collect();
+    for id in &ids {
+        let step = StepWork {
+            label: "b",
+            ..task(1, 1_000, 3_000)
+        };
+        if !stage.submit(id, &[step]) {
+            return Verdict::NotRun;
+        }
+    }
+    let accepted = Instant::now();
+    let mut is_broken = false;
+    for asked_ms in [VISIBLE_MS + 2_300, VISIBLE_MS + 2_800] {
+        thread::sleep((accepted + ms(asked_ms)).saturating_duration_since(Instant::now()));
+        for front in 0..3 {
+            let answer = stage.call(front, "GET", "", "", DEADLINE);
+            let begun = ids.iter().filter(|id| !stage.starts(id).is_empty()).count();
+            if let Outcome::Answer(200, body) = answer {
+                let digits: String = body.chars().filter(char::is_ascii_digit).collect();
+                let shown: usize = digits.parse().unwrap_or(0);
+                let unbegun = ids.len() - begun;
+                stage.world.note(format!(
+                    "{unbegun} jobs haven't begun, {shown} are said to wait"
+                ));
+                is_broken |= shown * 2 < unbegun;
+            }
+        }
+    }
+    thread::sleep((grey + ms(6_300)).saturating_duration_since(Instant::now()));
+    stage.world.set_busy(only, false);
+    stage.world.note("the minion is well again");
+    thread::sleep(ms(8_000));
+    let done = ids.iter().filter(|id| stage.ends(id, "done") > 0).count();
+    stage
+        .world
+        .note(format!("{done} of 8 jobs are done at the end"));
+    match is_broken {
+        true => Verdict::Broken,
+        false => Verdict::Held,
+    }
+}
--- a/review/standin-2/src/fleet.rs
+++ b/review/standin-2/src/fleet.rs
@@ -36,6 +36,8 @@
     pub gang: bool,
     /// `anti-affinity`; 0 for none.
     pub spread: u64,
+    /// `required-label`; empty for none.
+    pub label: &'static str,
 }
 
 struct Run {
@@ -64,6 +66,8 @@
     is_grey: bool,
     /// It is cut off: calls reach nothing and get no answer.
     is_cut: bool,
+    /// It answers each order to start with 503.
+    is_busy: bool,
     /// Orders are carried out after this time and not answered.
     late: Option<Duration>,
     heartbeat_ms: u64,
@@ -90,6 +94,7 @@
     address: SocketAddr,
     zone: String,
     rack: String,
+    kind: &'static str,
     life: Option<Life>,
     server: Option<Server>,
     /// Id of a life that ended without a word, and when its entry is removed.
@@ -196,6 +201,7 @@
             address: SocketAddr::from(([127, 0, 0, 1], 0)),
             zone: zone.into(),
             rack: rack.into(),
+            kind: if rack == "r-b" { "b" } else { "a" },
             life: None,
             server: None,
             removal: None,
@@ -228,6 +234,7 @@
             is_draining: false,
             is_grey: false,
             is_cut: false,
+            is_busy: false,
             late: None,
             heartbeat_ms: 0,
             sequence: 0,
@@ -249,10 +256,11 @@
             "ready"
         };
         let entry = format!(
-            "{{\"service\":\"core\",\"address\":\"{}\",\"zone\":{},\"version\":1,\"slots\":8,\"state\":\"{state}\",\"sequence\":{},\"capacity\":{{\"cpu\":{CPU_MILLI},\"mem-mb\":{MEM_MB}}},\"labels\":[\"a\",{}]}}",
+            "{{\"service\":\"core\",\"address\":\"{}\",\"zone\":{},\"version\":1,\"slots\":8,\"state\":\"{state}\",\"sequence\":{},\"capacity\":{{\"cpu\":{CPU_MILLI},\"mem-mb\":{MEM_MB}}},\"labels\":[{},{}]}}",
             minion.address,
             quote(&minion.zone),
             life.sequence,
+            quote(minion.kind),
             quote(&minion.rack)
         );
         self.store.put("keyed.servers", &life.id, &entry);
@@ -322,6 +330,13 @@
         }
     }
 
+    pub fn set_busy(&self, number: usize, is_busy: bool) {
+        let mut fleet = self.fleet.lock().unwrap();
+        if let Some(life) = &mut fleet.minions[number].life {
+            life.is_busy = is_busy;
+        }
+    }
+
     pub fn set_late(&self, number: usize, late: Option<Duration>) {
         let mut fleet = self.fleet.lock().unwrap();
         if let Some(life) = &mut fleet.minions[number].life {
@@ -570,16 +585,19 @@
 
     fn answer(&self, number: usize, request: &Request) -> Reply {
         thread::sleep(Duration::from_millis(1));
-        let (is_cut, late) = {
+        let (is_cut, is_busy, late) = {
             let fleet = self.fleet.lock().unwrap();
             match &fleet.minions[number].life {
-                Some(life) => (life.is_cut, life.late),
+                Some(life) => (life.is_cut, life.is_busy, life.late),
                 None => return Reply::Close,
             }
         };
         if is_cut {
             return Reply::Silence;
         }
+        if is_busy && request.path == "/goldcrestway/run-start" {
+            return Reply::Answer(503, b"{}".to_vec());
+        }
         if let Some(late) = late.filter(|_| request.path != "/goldcrestway/hold") {
             thread::sleep(late);
             let _ = self.execute(number, request);
--- a/review/standin-2/src/fuzz.rs
+++ b/review/standin-2/src/fuzz.rs
@@ -160,7 +160,7 @@
                 let lasts = random.below(45) == 0;
                 for _ in 0..1 + random.below(3) {
                     let gang = !lasts && random.below(6) == 0;
-                    steps.push(StepWork { count: 1 + random.below(5), cpu: 500 + random.below(2_000), work_ms: 60 + random.below(1_800), lasts, gang, spread: if random.below(5) == 0 { 1 + random.below(2) } else { 0 } });
+                    steps.push(StepWork { count: 1 + random.below(5), cpu: 500 + random.below(2_000), work_ms: 60 + random.below(1_800), lasts, gang, spread: if random.below(5) == 0 { 1 + random.below(2) } else { 0 }, label: "" });
                     if lasts {
                         break;
                     }
