--- a/review/standin-2/src/cases.rs
+++ b/review/standin-2/src/cases.rs
@@ -100,8 +100,11 @@
         let mut rows = Vec::new();
         for (number, step) in steps.iter().enumerate() {
             let mut row = format!(
-                "{{\"count\":{},\"cpu\":{},\"mem-mb\":512,\"estimated-ms\":{}",
-                step.count, step.cpu, step.work_ms
+                "{{\"count\":{},\"cpu\":{},\"mem-mb\":{},\"estimated-ms\":{}",
+                step.count,
+                step.cpu,
+                if step.cpu < 100 { 8 } else { 512 },
+                step.work_ms
             );
             if step.lasts {
                 row.push_str(",\"long-running\":true");
@@ -231,6 +234,7 @@
         "gang" => gang(&mut stage),
         "shown" => shown(&mut stage),
         "waiting" => waiting(&mut stage),
+        "large" => large(&mut stage),
         "fuzz" => crate::fuzz::fuzz(&mut stage),
         _ => Verdict::NotRun,
     };
@@ -625,3 +629,41 @@
         false => Verdict::Held,
     }
 }
+
+/// A job of many tasks that last comes, and a small one after it.
+fn large(stage: &mut Stage) -> Verdict {
+    stage.world.fleet.lock().unwrap().id_suffix = ".relief-dispatch.tosu.kyushu.example";
+    if !stage.start(8, 3) {
+        return Verdict::NotRun;
+    }
+    if stage.has_trouble {
+        let watch = StepWork {
+            lasts: true,
+            ..task(4_000, 10, 500)
+        };
+        if !stage.submit("00000000000000a1", &[watch]) {
+            return Verdict::NotRun;
+        }
+    }
+    thread::sleep(ms(15_000));
+    let id = "5c0e7a21d94b36f8";
+    if !stage.submit(id, &[task(1, 1_100, 800)]) {
+        return Verdict::NotRun;
+    }
+    thread::sleep(ms(25_000));
+    let state = stage.state(1, id);
+    let starts = stage.starts(id).len();
+    let large = stage.starts("00000000000000a1").len();
+    let (refused, largest) = (
+        stage.store.too_large.load(Ordering::Relaxed),
+        stage.store.largest.load(Ordering::Relaxed),
+    );
+    stage.world.note(format!("the store refused {refused} appends as too large; the largest record had {largest} bytes, 262144 may be"));
+    stage.world.note(format!(
+        "25 s after it was accepted the small job is shown as {state}, with {starts} starts; the large one has had {large}"
+    ));
+    match starts == 0 {
+        true => Verdict::Broken,
+        false => Verdict::Held,
+    }
+}
--- a/review/standin-2/src/fleet.rs
+++ b/review/standin-2/src/fleet.rs
@@ -145,6 +145,8 @@
     /// Tickets, by step and id of the minion, with their expiry.
     tickets: HashMap<(String, String), (String, Instant)>,
     pub fail_permille: u64,
+    /// End of the ids of all minions.
+    pub id_suffix: &'static str,
     /// Times of day of scheduled jobs: `first-run-ms`, `interval-ms`.
     pub timed: HashMap<String, (u64, u64)>,
     /// Tasks that have ended `done`, noted or not.
@@ -213,7 +215,11 @@
 
     fn begin_life(self: &Arc<Self>, fleet: &mut Fleet, number: usize) {
         fleet.lives += 1;
-        let id = format!("i-{:08x}", 0x7f3a_9100_u64 + fleet.lives * 37);
+        let id = format!(
+            "i-{:08x}{}",
+            0x7f3a_9100_u64 + fleet.lives * 37,
+            fleet.id_suffix
+        );
         let world = self.clone();
         let handler: Handler = Arc::new(move |request: &Request| world.answer(number, request));
         let minion = &mut fleet.minions[number];
--- a/review/standin-2/src/store.rs
+++ b/review/standin-2/src/store.rs
@@ -51,6 +51,9 @@
     /// Decides on the fate of each append, by the topic and the body.
     pub judge: Mutex<Option<Judge>>,
     pub is_busy: std::sync::atomic::AtomicBool,
+    /// Appends that were refused as a record or the call was too large, and the largest such record.
+    pub too_large: std::sync::atomic::AtomicU64,
+    pub largest: std::sync::atomic::AtomicU64,
 }
 
 fn number(request: &Request, key: &str) -> Option<u64> {
@@ -91,6 +94,8 @@
             changed: Condvar::new(),
             judge: Mutex::default(),
             is_busy: Default::default(),
+            too_large: Default::default(),
+            largest: Default::default(),
         }
     }
 
@@ -148,7 +153,12 @@
         let Some(records) = split_records(&request.body) else {
             return Reply::Answer(400, b"{}".to_vec());
         };
-        if request.body.len() > 2_097_152 || records.iter().any(|record| record.len() > 262_144) {
+        let largest = records.iter().map(Vec::len).max().unwrap_or(0);
+        if request.body.len() > 2_097_152 || largest > 262_144 {
+            self.too_large
+                .fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+            self.largest
+                .fetch_max(largest as u64, std::sync::atomic::Ordering::Relaxed);
             return Reply::Answer(400, b"{}".to_vec());
         }
         let is_keyed = topic.starts_with("keyed.");
