--- a/review/standin-2/src/cases.rs
+++ b/review/standin-2/src/cases.rs
@@ -421,7 +421,6 @@
 struct Watch {
     /// Host of the newest epoch, and that epoch.
     leader: Option<(usize, u64)>,
-    is_armed: bool,
     /// The host that the store turns away, and since when.
     refused: Option<(usize, Duration)>,
     killed: Option<usize>,
@@ -485,7 +484,7 @@
                 .body
                 .windows(16)
                 .any(|window| window == id.as_bytes());
-            if has_trouble && watch.is_armed && watch.refused.is_none() && names_job {
+            if has_trouble && watch.refused.is_none() && names_job && has_ended(&world, id) {
                 watch.refused = Some((number, world.now()));
                 world.note(format!("from now on, the store answers host {number}, the leader, with 503; it serves the others"));
             } else if let Some((refused, since)) = watch.refused
@@ -525,16 +524,12 @@
         pids.lock().unwrap()[number] = stage.hosts().pid(number);
     }
     thread::sleep(ms(4_000));
-    if !stage.submit(id, &[task(2, 1_100, 800)]) {
+    if !stage.submit(id, &[task(1, 1_100, 800)]) {
         return Verdict::NotRun;
     }
-    // The leader's next write that names the job is the one after its last task has ended.
-    let until = Instant::now() + Duration::from_secs(10);
-    while stage.ends(id, "done") < 2 && Instant::now() < until {
-        thread::sleep(ms(1));
-    }
-    watch.lock().unwrap().is_armed = true;
+    // The disruption begins with the leader's first write that names the job after its task has ended.
     thread::sleep(ms(4_000));
+    thread::sleep(ms(1_000));
     let killed = watch.lock().unwrap().killed;
     if let Some(host) = killed {
         stage.hosts().kill(host);
@@ -667,3 +662,11 @@
         false => Verdict::Held,
     }
 }
+
+/// Returns whether a task of a job has ended `done`.
+fn has_ended(world: &World, id: &str) -> bool {
+    let fleet = world.fleet.lock().unwrap();
+    fleet.seen.iter().any(
+        |seen| matches!(seen, Seen::End { task, how, .. } if task.starts_with(id) && how == "done"),
+    )
+}
