A cancellation outlasts its answer, also that of a job nobody knows yet

Cause: the answer came from a read of the store and left nothing there, while the submission could still be stored. That is not a matter of what the answering host still holds: with DELETE at another host, and with a write that its host has given up and the store carries out late, the same test fails (ruled out by cases of their own in dispatch_cancels).

Change: an unknown job's cancellation is stored before the caller gets 410; the job is cancelled when its submission is read, in whatever partition and order, by whichever owner. While the store is away the answer says to retry. A cancellation without a job counts as ended, so the owner deletes it after the retention of finished jobs; a deletion is followed by the next search within a second, so that any number of such cancellations goes. Deleting the submission or the state of a finished job no longer drops a newer cancellation.

--- a/crates/dispatch/src/entry/callers.rs
+++ b/crates/dispatch/src/entry/callers.rs
@@ -63,6 +63,8 @@
     job: JobId,
     key: Key,
     value: Box<[u8]>,
+    /// Answer once it is stored.
+    reply: Reply,
     deadline_ms: u64,
     received_ms: u64,
     retry_ms: u64,
@@ -181,12 +183,7 @@
         actions: &mut Vec<Action>,
     ) {
         self.stamp(&mut submission);
-        let is_known = self
-            .job_table
-            .jobs
-            .get(&job)
-            .is_some_and(|record| record.submission.is_some());
-        if is_known {
+        if self.job_table.is_submitted(job) {
             actions.push(Action::Answer {
                 request,
                 reply: Reply::Stored,
@@ -208,13 +205,16 @@
             job,
             Key::Submitted(job),
             value,
+            Reply::Stored,
             answer_timeout_ms,
             now,
             actions,
         );
     }
 
-    /// Accepts the cancellation of a job.
+    /// Accepts the cancellation of a job. One that is not known may be stored any time later: its
+    /// submission may be on its way from another host, or be carried out late by the store. It is
+    /// therefore cancelled like any other before its caller is told that it does not exist.
     pub(crate) fn cancel(
         &mut self,
         request: u64,
@@ -224,14 +224,14 @@
         actions: &mut Vec<Action>,
     ) {
         match self.job_table.jobs.get(&job) {
-            Some(record) if record.is_cancelled || record.phase().is_final() => {
+            Some(record) if record.state().is_final() && !record.is_only_cancelled() => {
                 actions.push(Action::Answer {
                     request,
                     reply: Reply::Stored,
                 });
             }
             Some(record) if record.submission.is_some() => {
-                self.write_cancel(request, job, answer_timeout_ms, now, actions);
+                self.write_cancel(request, job, Reply::Stored, answer_timeout_ms, now, actions);
             }
             _ => self.add_query(
                 Requester::Caller(request),
@@ -241,10 +241,12 @@
         }
     }
 
+    /// Writes a cancellation, and gives its caller this reply once it is stored.
     pub(crate) fn write_cancel(
         &mut self,
         request: u64,
         job: JobId,
+        reply: Reply,
         answer_timeout_ms: u64,
         now: Now,
         actions: &mut Vec<Action>,
@@ -255,6 +257,7 @@
             job,
             Key::Cancelled(job),
             value,
+            reply,
             answer_timeout_ms,
             now,
             actions,
@@ -271,6 +274,7 @@
         job: JobId,
         key: Key,
         value: Box<[u8]>,
+        reply: Reply,
         answer_timeout_ms: u64,
         now: Now,
         actions: &mut Vec<Action>,
@@ -298,6 +302,7 @@
             job,
             key,
             value,
+            reply,
             deadline_ms: now.steady_ms + answer_timeout_ms,
             received_ms: now.steady_ms,
             retry_ms: 0,
@@ -390,19 +395,33 @@
             Code::JobStored,
             write.job.to_string(),
             format!(
-                "what={} offset={offset} took_ms={}",
+                "what={} offset={offset} was_known={} took_ms={}",
                 if matches!(write.key, Key::Cancelled(_)) {
                     "cancel"
                 } else {
                     "submit"
                 },
+                write.reply != Reply::NoSuchJob,
                 now.steady_ms - write.received_ms
             ),
         )));
-        actions.push(Action::Answer {
-            request: write.request,
-            reply: Reply::Stored,
-        });
+        self.answer_stored_write(write.request, write.job, write.reply, actions);
+    }
+
+    /// Answers the caller of a write that is stored. A job that was cancelled before it was known
+    /// may be known by now.
+    fn answer_stored_write(
+        &self,
+        request: u64,
+        job: JobId,
+        reply: Reply,
+        actions: &mut Vec<Action>,
+    ) {
+        let reply = match reply {
+            Reply::NoSuchJob if self.job_table.is_submitted(job) => Reply::Stored,
+            reply => reply,
+        };
+        actions.push(Action::Answer { request, reply });
     }
 
     /// Sends pending writes, answers what can be answered, and abandons writes that are overdue.
--- a/crates/dispatch/src/entry/callers/read_back.rs
+++ b/crates/dispatch/src/entry/callers/read_back.rs
@@ -29,21 +29,23 @@
                     _ => record.is_some_and(|record| record.submission.is_some()),
                 };
             if is_stored {
-                stored_writes.push((write.request, write.job, write.received_ms));
+                stored_writes.push((
+                    write.request,
+                    write.job,
+                    write.reply.clone(),
+                    write.received_ms,
+                ));
             }
             !is_stored
         });
-        for (request, job, received_ms) in stored_writes {
+        for (request, job, reply, received_ms) in stored_writes {
             let took_ms = now.steady_ms - received_ms;
             actions.push(Action::Note(Note::new(
                 Code::JobStored,
                 job.to_string(),
                 format!("what=read_back took_ms={took_ms}"),
             )));
-            actions.push(Action::Answer {
-                request,
-                reply: Reply::Stored,
-            });
+            self.answer_stored_write(request, job, reply, actions);
         }
     }
 
--- a/crates/dispatch/src/entry/queries.rs
+++ b/crates/dispatch/src/entry/queries.rs
@@ -81,11 +81,21 @@
 pub(crate) enum QueryKind {
     State(JobId),
     /// The cancellation of a job that this host does not know yet, with the caller's timeout in
-    /// milliseconds. The job must be known before the cancellation is written.
+    /// milliseconds. What is known of the job decides how its caller is answered.
     Cancel(JobId, u64),
     Waiting(Box<str>),
 }
 
+/// Returns the reply to a cancellation that must be written first, if it must, by what is known of
+/// its job.
+fn reply_to_cancel(known: &Reply) -> Option<Reply> {
+    match known {
+        Reply::State(state) if !state.is_final() => Some(Reply::Stored),
+        Reply::NoSuchJob => Some(Reply::NoSuchJob),
+        _ => None,
+    }
+}
+
 impl Display for QueryKind {
     fn fmt(&self, formatter: &mut Formatter<'_>) -> fmt::Result {
         match self {
@@ -184,10 +194,9 @@
         };
         if let QueryKind::Cancel(job, answer_timeout_ms) = query.kind
             && let Requester::Caller(request) = query.requester
-            && let Reply::State(state) = reply
-            && !state.is_final()
+            && let Some(reply) = reply_to_cancel(&reply)
         {
-            self.write_cancel(request, job, answer_timeout_ms, now, actions);
+            self.write_cancel(request, job, reply, answer_timeout_ms, now, actions);
             return None;
         }
         let reply = match (&query.kind, reply) {
--- a/crates/dispatch/src/entry/retirement.rs
+++ b/crates/dispatch/src/entry/retirement.rs
@@ -1,4 +1,5 @@
-//! Forgets finished jobs whose state need not be available any more.
+//! Forgets finished jobs whose state need not be available any more, and cancellations of jobs that
+//! were never stored.
 //!
 //! Only time that has passed on this host's steady clock counts, never the time of day. A host that
 //! has just started keeps what it reads for the whole retention, so a job is kept for too long while
@@ -30,6 +31,9 @@
 const SEARCH_MS: u64 = 10_000;
 /// Maximum number of jobs that are deleted at a time, which bounds the size of the appends.
 const MAX_JOBS: usize = 500;
+/// Delay after a deletion before the next search. Callers may cancel any number of jobs that do not
+/// exist.
+const PAUSE_MS: u64 = 1_000;
 /// Time after which an append without an answer is repeated, and delay before a refused one is.
 const TIMEOUT_MS: u64 = 3_000;
 const RETRY_MS: u64 = 1_000;
@@ -66,8 +70,8 @@
         let retention_ms = factor * (self.bounds.status_ms + STATUS_SLACK_MS);
         let mut expired = Vec::new();
         for (id, job) in &mut self.job_table.jobs {
-            let known_final_ms = job.known_final_ms(now.steady_ms);
-            if let Some(age_ms) = known_final_ms.filter(|age_ms| *age_ms >= retention_ms) {
+            let known_ended_ms = job.known_ended_ms(now.steady_ms);
+            if let Some(age_ms) = known_ended_ms.filter(|age_ms| *age_ms >= retention_ms) {
                 expired.push((*id, age_ms));
             }
         }
@@ -123,6 +127,7 @@
                 owner.retire(*id);
             }
             self.retirement = None;
+            self.next_search_ms = self.next_search_ms.min(now.steady_ms + PAUSE_MS);
             return;
         }
         if now.steady_ms < retirement.retry_ms {
--- a/crates/dispatch/src/job_table.rs
+++ b/crates/dispatch/src/job_table.rs
@@ -49,9 +49,9 @@
     /// Whether its cancellation was read.
     pub(crate) is_cancelled: bool,
     state: StateRecord,
-    /// Time on the steady clock since which this host knows that it is final, set by the search
+    /// Time on the steady clock since which this host knows that it has ended, set by the search
     /// that finds it first.
-    final_since_ms: Option<u64>,
+    ended_since_ms: Option<u64>,
     /// Time on the steady clock before which it was not accepted; `None` if unknown.
     pub(crate) not_before_ms: Option<u64>,
 }
@@ -87,14 +87,24 @@
         }
     }
 
-    /// Returns for how long this host has known that it is final; `None` if it is not final. The
-    /// time of day at its end, which is on record, shows nothing: it is from the clock of another
-    /// host, and either clock may have jumped since.
-    pub(crate) fn known_final_ms(&mut self, now_ms: u64) -> Option<u64> {
-        if !self.phase().is_final() {
+    /// Returns for how long this host has known that it has ended; `None` if it has not. The time
+    /// of day at its end, which is on record, shows nothing: it is from the clock of another host,
+    /// and either clock may have jumped since.
+    pub(crate) fn known_ended_ms(&mut self, now_ms: u64) -> Option<u64> {
+        if !self.has_ended() {
             return None;
         }
-        Some(now_ms - *self.final_since_ms.get_or_insert(now_ms))
+        Some(now_ms - *self.ended_since_ms.get_or_insert(now_ms))
+    }
+
+    /// Returns whether nothing of it will run.
+    fn has_ended(&self) -> bool {
+        self.phase().is_final() || self.is_only_cancelled()
+    }
+
+    /// Returns whether nothing is known of it but its cancellation.
+    pub(crate) fn is_only_cancelled(&self) -> bool {
+        self.is_cancelled && self.submission.is_none() && !self.phase().is_final()
     }
 
     pub(crate) fn state(&self) -> JobState {
@@ -207,23 +217,31 @@
             return Change::Nothing;
         }
         job.submission = Some(Rc::new(submission));
+        job.ended_since_ms = None;
         Change::Submitted(id)
     }
 
     /// Forgets a submission that the owner has deleted. That the job has ended stays known until the
-    /// owner deletes its state as well: it may die before that, and the next owner continues.
+    /// owner deletes its state as well: it may die before that, and the next owner continues. A
+    /// cancellation stays known, as it may be newer than the deletion.
     fn forget_submission(&mut self, id: JobId) {
         match self.jobs.get_mut(&id) {
-            Some(job) if job.phase().is_final() => job.submission = None,
+            Some(job) if job.phase().is_final() || job.is_cancelled => job.submission = None,
             _ => drop(self.jobs.remove(&id)),
         }
     }
 
+    /// Applies a cancellation, also of a job that is not known: its submission may still be stored.
+    /// That a cancellation was deleted has no effect, as partitions are read in any order and
+    /// another one may hold a newer cancellation. Time ends it.
     fn apply_cancellation(&mut self, id: JobId, value: &[u8]) -> Change {
         if value.is_empty() {
             return Change::Nothing;
         }
         let job = self.jobs.entry(id).or_default();
+        if job.submission.is_none() {
+            job.ended_since_ms = None;
+        }
         if job.is_cancelled {
             return Change::Nothing;
         }
@@ -233,16 +251,30 @@
 
     fn apply_state(&mut self, id: JobId, value: &[u8]) -> Change {
         if value.is_empty() {
-            let is_final = |job: &JobRecord| job.phase().is_final();
-            if self.jobs.get(&id).is_some_and(is_final) {
-                self.jobs.remove(&id);
-            }
+            self.forget_state(id);
         } else if let Ok(state) = StateRecord::decode(value) {
             self.set_state(id, state);
         }
         Change::Nothing
     }
 
+    /// Forgets the state of a finished job that the owner has deleted, but not a cancellation.
+    fn forget_state(&mut self, id: JobId) {
+        match self.jobs.get_mut(&id) {
+            Some(job) if job.phase().is_final() && job.is_cancelled => {
+                job.state = StateRecord::default();
+            }
+            Some(job) if job.phase().is_final() => drop(self.jobs.remove(&id)),
+            _ => {}
+        }
+    }
+
+    /// Returns whether the submission of a job was read.
+    pub(crate) fn is_submitted(&self, id: JobId) -> bool {
+        let job = self.jobs.get(&id);
+        job.is_some_and(|job| job.submission.is_some())
+    }
+
     /// Applies the state of a job. States never go back, so older ones that are read again have no
     /// effect.
     pub(crate) fn set_state(&mut self, id: JobId, state: StateRecord) {
--- a/tests/fleet/actions.rs
+++ b/tests/fleet/actions.rs
@@ -44,9 +44,15 @@
                 timeout_ms,
             } => {
                 let bytes = append_bytes(&records);
-                let outcome = match is_cut {
-                    true => AppendOutcome::Unknown,
-                    false => self.store.append(stream, fence, records),
+                let is_callers = matches!(stream, Stream::Jobs(_));
+                let outcome = match self.append_delay_ms.filter(|_| is_callers) {
+                    _ if is_cut => AppendOutcome::Unknown,
+                    Some(delay_ms) => {
+                        let late = Delivery::LateAppend(stream, records);
+                        self.deliveries.push((self.now_ms + delay_ms, late));
+                        AppendOutcome::Unknown
+                    }
+                    None => self.store.append(stream, fence, records),
                 };
                 let is_claim = fence.is_some_and(|fence| fence.sequence == 0);
                 if is_claim && stream == Stream::Progress {
--- a/tests/fleet/deliveries.rs
+++ b/tests/fleet/deliveries.rs
@@ -53,6 +53,9 @@
                 }
                 self.reply_order(number, generation, order.ticket, outcome);
             }
+            Delivery::LateAppend(stream, records) => {
+                let _ = self.store.append(stream, None, records);
+            }
             Delivery::Late(order, target_incarnation) => {
                 let current_incarnation = self.incarnation_at(&order.address);
                 if target_incarnation == current_incarnation || self.late_orders_outlive_restarts {
--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -80,8 +80,13 @@
     Load(Loader),
     /// An order that gets no answer and is executed late, by the incarnation to which it was sent.
     Late(Order, Option<u64>),
+    /// Records that callers have sent and that the store appends late.
+    LateAppend(Stream, Records),
 }
 
+/// Keys and values of an append.
+type Records = Vec<(Box<str>, Box<[u8]>)>;
+
 #[derive(Clone)]
 struct Order {
     ticket: u64,
@@ -164,6 +169,8 @@
     submission_jobs: BTreeMap<u64, JobId>,
     /// If set, orders to workers are executed after this delay and not answered.
     pub(crate) order_delay_ms: Option<u64>,
+    /// If set, the store appends what callers send after this delay, and does not answer.
+    pub(crate) append_delay_ms: Option<u64>,
     /// Delayed orders are also executed if their worker was restarted under its id meanwhile.
     pub(crate) late_orders_outlive_restarts: bool,
     /// Range of the additional delay of answers of workers in milliseconds, and the seed of the
@@ -242,6 +249,7 @@
             replies: BTreeMap::new(),
             submission_jobs: BTreeMap::new(),
             order_delay_ms: None,
+            append_delay_ms: None,
             late_orders_outlive_restarts: false,
             answer_delays: None,
             claims: 0,
--- a/tests/lib.rs
+++ b/tests/lib.rs
@@ -10,6 +10,7 @@
 mod dispatch;
 mod dispatch_all_lost;
 mod dispatch_best_effort;
+mod dispatch_cancels;
 mod dispatch_clocks;
 mod dispatch_crash_evidence;
 mod dispatch_crashes;
