A job has begun once a worker has confirmed a run of it

Cause: a job became running when a worker was chosen for one of its tasks. That was recorded, published and logged (JobBegun), and a phase never goes back when the order is refused or gets no answer. Each next owner read it from the progress.

Change: the phase changes when a worker answers the order, reports the run or lists its exit. It is published without a record of the progress before, as the next owner learns it from the same worker. Readers of the phase: order and projections ask whether runs are placed (no longer after all were refused); idle starts and the metric of the oldest wait do not read it.

Ruled out: publishing each confirmed start at once.

--- a/crates/core/src/notes.rs
+++ b/crates/core/src/notes.rs
@@ -101,7 +101,7 @@
     JobStored = 2301, "A submission or a cancellation is stored, and the caller was informed; the detail tells whether the job was known.";
     JobRefused = 2302, "A submission or a cancellation was refused, and is not stored.";
     JobUnknown = 2303, "A submission or a cancellation got no answer from the store in time.";
-    JobBegun = 2304, "The first task of a job was assigned to a worker.";
+    JobBegun = 2304, "A worker has confirmed the first run of a job.";
     JobFailed = 2305, "A task of the job has failed too often, or crashes the workers that start it.";
     JobFinished = 2306, "A job has reached its final state.";
     JobTimes = 2307, "A job has ended, and its end is published: the detail gives the milliseconds of each phase, their total, by how much it missed its objective, what its caller has estimated, and the task that each step ended with, as step.task:run@worker:milliseconds.";
--- a/crates/dispatch/src/entry/ownership.rs
+++ b/crates/dispatch/src/entry/ownership.rs
@@ -410,6 +410,9 @@
             owner.set_list_known(self.workers.known_ms());
             owner.set_loading_list(self.workers.is_loading_on_time());
             owner.advance(now, &mut self.tickets, actions);
+            for (job, state) in owner.drain_begun_jobs() {
+                self.job_table.set_state(job, state);
+            }
             return;
         }
         actions.push(Action::Note(Note::new(
--- a/crates/dispatch/src/job_table.rs
+++ b/crates/dispatch/src/job_table.rs
@@ -61,15 +61,6 @@
         self.state.phase()
     }
 
-    /// Returns the phase that a previous owner has recorded. A published end counts also if the
-    /// progress is deleted already.
-    pub(crate) fn recorded_phase(&self, progress: Option<&Progress>) -> JobPhase {
-        match self.phase() {
-            published if published.is_final() => published,
-            _ => progress.map_or(JobPhase::Queued, Progress::phase),
-        }
-    }
-
     /// Returns the time since its acceptance, by the time of day that another host has recorded. A
     /// time that can't be true shows nothing: records are mostly read just after they were stored.
     pub(crate) fn age_ms(&self, now: Now) -> u64 {
--- a/crates/dispatch/src/owner/exits.rs
+++ b/crates/dispatch/src/owner/exits.rs
@@ -46,6 +46,7 @@
             }
             return;
         };
+        self.begin_job(task.job, now, actions);
         match exit_reason {
             ExitReason::Done => {
                 self.stats.done += 1;
@@ -115,6 +116,7 @@
         if job.task_mut(id).is_none_or(|task| task.is_done) {
             return;
         }
+        self.begin_job(id.job, now, actions);
         self.timeline.end_task(id, 0, "", now.steady_ms);
         self.complete_task(key, id);
         if self.jobs[key].is_finished() {
@@ -298,6 +300,7 @@
         if task.is_waiting() {
             self.timeline.enter(id, Phase::WaitPause, now_ms);
         }
+        job.recount_placements();
         job.has_waiting = true;
         job.is_dirty = true;
         let is_gang = job.step(id).is_some_and(|step| step.is_gang);
--- a/crates/dispatch/src/owner/job.rs
+++ b/crates/dispatch/src/owner/job.rs
@@ -151,6 +151,8 @@
     pub(crate) occurrences: Vec<Occurrence>,
     pub(crate) next_occurrence: u32,
     pub(crate) phase: JobPhase,
+    /// Runs of it are placed, as long as it has not begun.
+    pub(crate) has_placements: bool,
     /// The phase that callers can see, or will see after an append in flight.
     pub(crate) published: JobPhase,
     /// Its progress has changed since it was last recorded.
@@ -192,6 +194,7 @@
             occurrences: Vec::new(),
             next_occurrence: 0,
             phase: record.recorded_phase(progress),
+            has_placements: false,
             published: record.phase(),
             is_dirty: false,
             read_age_ms,
@@ -208,6 +211,7 @@
         if let Some(progress) = progress {
             job.resume(progress, worker);
         }
+        job.recount_placements();
         job.estimate_times();
         Some(job)
     }
@@ -266,7 +270,7 @@
             priority: self.submission.priority,
             is_long_running: self.is_long_running(),
             rank,
-            has_started: self.phase != JobPhase::Queued,
+            has_started: self.is_under_way(),
             due_ms: self.due_ms + due_offset_ms,
             allowed_ms: self.allowed_ms(),
             no_value_after_ms: self.no_value_after_ms + due_offset_ms,
--- a/crates/dispatch/src/owner/mod.rs
+++ b/crates/dispatch/src/owner/mod.rs
@@ -10,6 +10,7 @@
 //!   on, they refuse whatever a previous owner still sends.
 
 mod adopting;
+mod begun;
 mod calls;
 mod costs;
 mod crashes;
@@ -88,6 +89,7 @@
 use crate::policy::run_times::RunTimes;
 use crate::record::JobPhase;
 use crate::record::Progress;
+use crate::record::StateRecord;
 use crate::record::Submission;
 use crate::relay::Sessions;
 use goldcrestway_core::Code;
@@ -261,6 +263,8 @@
     orphans: HashMap<TaskId, (WorkerKey, u32)>,
     doubtful_starts: DoubtfulStarts,
     writer: Writer,
+    /// States of jobs that have begun, for this host's own table of jobs.
+    begun_jobs: Vec<(JobId, StateRecord)>,
     /// When the store or most workers last confirmed this owner.
     confirmed_ms: u64,
     /// The store does not confirm the owner at present, so the workers have to.
@@ -346,6 +350,7 @@
             orphans: HashMap::new(),
             doubtful_starts: DoubtfulStarts::default(),
             writer: Writer::new(heartbeats, now.steady_ms),
+            begun_jobs: Vec::new(),
             confirmed_ms: now.steady_ms,
             needs_worker_confirmation: false,
             is_leaving: false,
--- a/crates/dispatch/src/owner/orders.rs
+++ b/crates/dispatch/src/owner/orders.rs
@@ -141,7 +141,15 @@
             return;
         };
         // The run may already be stopping and still be present at the worker.
-        run.was_confirmed |= matches!(outcome, OrderOutcome::Done { .. });
+        let is_confirmed = matches!(outcome, OrderOutcome::Done { .. });
+        run.was_confirmed |= is_confirmed;
+        if is_confirmed {
+            self.begin_job(task.job, now, actions);
+        }
+        let worker = &mut self.workers[key];
+        let Some(run) = worker.runs.get_mut(&(task, number)) else {
+            return;
+        };
         if run.phase != RunPhase::Sent {
             return;
         }
--- a/crates/dispatch/src/owner/placing.rs
+++ b/crates/dispatch/src/owner/placing.rs
@@ -20,10 +20,7 @@
 use crate::policy::kept_room::Precedence;
 use crate::policy::link::CallPriority;
 use crate::policy::ordering::Urgency;
-use crate::record::JobPhase;
 use crate::record::Step;
-use goldcrestway_core::Code;
-use goldcrestway_core::Note;
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 
@@ -406,25 +403,15 @@
         self.record_start(key, id);
         let job = &mut self.jobs[key];
         job.is_dirty = true;
-        if job.phase == JobPhase::Queued {
-            job.phase = JobPhase::Running;
+        if !job.is_under_way() {
             let waiting = job.waiting(NEUTRAL_RANK, now);
-            let expected = Expectation {
+            job.expected = Some(Expectation {
                 begun_ms: now.steady_ms,
                 times: job.known.times,
                 is_late: waiting.is_late(now.steady_ms),
-            };
-            job.expected = Some(expected);
-            actions.push(Action::Note(Note::new(
-                Code::JobBegun,
-                id.job.to_string(),
-                format!(
-                    "due_in_ms={} projected_ms={}",
-                    waiting.due_ms as i64 - now.steady_ms as i64,
-                    waiting.remaining_ms
-                ),
-            )));
+            });
         }
+        job.has_placements = true;
         let Some(task) = job.task_mut(id) else {
             return;
         };
--- a/crates/dispatch/src/owner/polls.rs
+++ b/crates/dispatch/src/owner/polls.rs
@@ -235,7 +235,7 @@
         }
         self.timeline.exit_delay_ms = (now_ms - sent_ms).min(self.answers.typical_delay_ms());
         self.apply_run_exits(key, &report, now, actions);
-        self.apply_run_reports(key, sent_ms, &report, now_ms, actions);
+        self.apply_run_reports(key, sent_ms, &report, now, actions);
         self.fail_convicted(now, actions);
         if !was_known {
             self.block_late_starts(key, &report, now_ms);
--- a/crates/dispatch/src/owner/projections.rs
+++ b/crates/dispatch/src/owner/projections.rs
@@ -16,7 +16,6 @@
 use crate::policy::run_times::RunningTask;
 use crate::policy::run_times::StepView;
 use crate::policy::run_times::TaskClass;
-use crate::record::JobPhase;
 use crate::record::Step;
 use crate::record::Submission;
 
@@ -73,7 +72,7 @@
         if !self.bounds.policy.learns_run_times || job.is_long_running() {
             return self.jobs[key].estimate_times();
         }
-        let has_started = job.phase != JobPhase::Queued;
+        let has_started = job.is_under_way();
         let steps_learned = self.run_times.steps_learned();
         if job
             .known
--- a/crates/dispatch/src/owner/run_reports.rs
+++ b/crates/dispatch/src/owner/run_reports.rs
@@ -5,6 +5,7 @@
 //! run again after it has succeeded.
 
 use crate::event::Action;
+use crate::event::Now;
 use crate::event::RunReport;
 use crate::event::WorkerReport;
 use crate::ids::TaskId;
@@ -31,9 +32,10 @@
         key: WorkerKey,
         sent_ms: u64,
         report: &WorkerReport,
-        now_ms: u64,
+        now: Now,
         actions: &mut Vec<Action>,
     ) {
+        let now_ms = now.steady_ms;
         let mut present = HashSet::with_capacity(report.runs.len());
         for row in &report.runs {
             present.insert((row.task, row.run));
@@ -45,12 +47,16 @@
                 continue;
             };
             let (was_stable, was_probe) = (run.is_stable, run.is_probe);
+            let was_confirmed = run.was_confirmed;
             apply_run_report(run, row, now_ms);
             if run.is_stable && !was_stable {
                 self.workers[key].mark_stable(row.task, row.run);
                 self.clear_suspicion(row.task);
                 self.must_place |= was_probe;
             }
+            if !was_confirmed {
+                self.begin_job(row.task.job, now, actions);
+            }
             self.record_work(key, row.task, row.run, now_ms);
         }
         let mut absent = Vec::new();
--- a/crates/dispatch/src/owner/writing.rs
+++ b/crates/dispatch/src/owner/writing.rs
@@ -115,7 +115,16 @@
         self.starts.push((worker, task, run));
     }
 
-    /// Publishes the state of a job whose progress is stored.
+    /// Returns whether states are to be published before the next heartbeat is due. That a job has
+    /// begun is appended in place of that heartbeat: workers confirm starts one at a time, and an
+    /// append for each would take as much of a full link as the starts themselves.
+    fn has_urgent_states(&self) -> bool {
+        let mut unpublished = self.unpublished.iter();
+        let has_ended = unpublished.any(|(_, state)| state.phase().is_final());
+        has_ended || !self.retired_states.is_empty()
+    }
+
+    /// Publishes the state of a job that workers have confirmed, or whose progress is stored.
     pub(crate) fn publish(&mut self, job: JobId, state: StateRecord) {
         self.unpublished.push((job, state));
     }
@@ -331,9 +340,7 @@
     fn begin_states_append(&mut self, now_ms: u64) {
         let may_wait =
             now_ms < self.writer.states.last_begin_ms + HEARTBEAT_MS && !self.writer.must_announce;
-        let has_changes =
-            !self.writer.unpublished.is_empty() || !self.writer.retired_states.is_empty();
-        if !has_changes && may_wait {
+        if !self.writer.has_urgent_states() && may_wait {
             return;
         }
         let mut records = Vec::new();
--- a/tests/dispatch_repeats.rs
+++ b/tests/dispatch_repeats.rs
@@ -25,7 +25,13 @@
         let done = done.filter(|task| task.job == JobId(number)).count();
         expect_that!(done, eq(4), "job {number}");
     }
-    expect_that!(fleet.state(0, JOB), some(eq(JobState::Running)));
+    expect_that!(fleet.state(0, JOB), some(eq(JobState::Queued)));
+    let has_begun = fleet
+        .promises
+        .starts
+        .iter()
+        .any(|(_, task, _)| task.job == JobId(JOB));
+    expect_that!(has_begun, eq(false));
 }
 
 /// Guards against one job that keeps the store and all workers busy. A long-running task that
