Sequences with callers that leave, gangs that fail and starts that are refused

They do now, with the checks that tell it: a job that was told not to exist has not run, nothing of a cancelled job starts, an accepted job fails only after its attempts, and half of the jobs that have not begun are said to wait.

The check counts listed failed runs now, those of a gang once for each run.

--- a/tests/dispatch_faults.rs
+++ b/tests/dispatch_faults.rs
@@ -34,15 +34,15 @@
 const SEQUENCES: u64 = 40;
 /// Time after which a crashed worker restarts, unless a fault changes it.
 const RESTART_MS: u64 = 3_400;
-const HOSTS: usize = 3;
+pub(crate) const HOSTS: usize = 3;
 /// Number of hosts of which most rely on the owner.
 const MANY_HOSTS: usize = 18;
-const WORKERS: usize = 4;
+pub(crate) const WORKERS: usize = 4;
 /// Number of faults in a sequence.
-const FAULTS: usize = 14;
+pub(crate) const FAULTS: usize = 14;
 /// Time for which a fleet runs after its faults have ended, to finish all jobs: leases must expire
 /// first.
-const RECOVERY_MS: u64 = 30_000;
+pub(crate) const RECOVERY_MS: u64 = 30_000;
 
 /// How the owner's orders reach workers in a sequence. Failures print the variants by their names.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -122,7 +122,12 @@
     }
 }
 
-fn inject_faults(fleet: &mut Fleet, random: &mut Pcg64, jobs: &mut u64, callers: Callers) {
+pub(crate) fn inject_faults(
+    fleet: &mut Fleet,
+    random: &mut Pcg64,
+    jobs: &mut u64,
+    callers: Callers,
+) {
     let host = random.random_range(0..fleet.host_count());
     let worker = random.random_range(0..WORKERS);
     let address: Box<str> = format!("10.0.0.{worker}:80").into();
@@ -340,7 +345,7 @@
     }
 }
 
-fn end_faults(fleet: &mut Fleet) {
+pub(crate) fn end_faults(fleet: &mut Fleet) {
     fleet.store.mode = Mode::Up;
     fleet.store.unavailable.clear();
     fleet.order_delay_ms = None;
@@ -443,6 +448,25 @@
     }
     fleet.run(RECOVERY_MS);
     let mut violations = fleet.promises.broken.clone();
+    violations.extend(list_unexpected_states(&mut fleet));
+    if fleet.promises.refused_room > 0 {
+        violations.push(format!(
+            "{} starts lacked resources",
+            fleet.promises.refused_room
+        ));
+    }
+    violations.extend(fleet.list_cancelled_runs());
+    if !violations.is_empty() && std::env::var("DISPATCH_LOG").is_ok() {
+        let poisoned = &fleet.promises.poisoned;
+        println!("{violations:#?}\npoisoned: {poisoned:#?}");
+        println!("{}", fleet.log_lines.join("\n"));
+    }
+    violations
+}
+
+/// Returns the accepted jobs that are in a state in which they must not be after all faults.
+pub(crate) fn list_unexpected_states(fleet: &mut Fleet) -> Vec<String> {
+    let mut list = Vec::new();
     let accepted: Vec<_> = fleet.promises.accepted.iter().copied().collect();
     for id in accepted {
         let state = fleet.state(0, id.0);
@@ -455,26 +479,14 @@
             _ => false,
         };
         if !is_expected {
-            violations.push(format!("job {id} is {state:?}"));
+            list.push(format!("job {id} is {state:?}"));
         }
     }
-    if fleet.promises.refused_room > 0 {
-        violations.push(format!(
-            "{} starts lacked resources",
-            fleet.promises.refused_room
-        ));
-    }
-    violations.extend(fleet.list_cancelled_runs());
-    if !violations.is_empty() && std::env::var("DISPATCH_LOG").is_ok() {
-        let poisoned = &fleet.promises.poisoned;
-        println!("{violations:#?}\npoisoned: {poisoned:#?}");
-        println!("{}", fleet.log_lines.join("\n"));
-    }
-    violations
+    list
 }
 
 /// Returns the seeds of the sequences to run, where each of them stands for several variants.
-fn seeds(variants: u64) -> Range<u64> {
+pub(crate) fn seeds(variants: u64) -> Range<u64> {
     let read = |name: &str| std::env::var(name).ok().and_then(|text| text.parse().ok());
     let first: u64 = read("DISPATCH_FIRST").unwrap_or(0);
     let count: u64 = read("DISPATCH_SEQUENCES").unwrap_or(SEQUENCES);
--- a/tests/fleet/promises.rs
+++ b/tests/fleet/promises.rs
@@ -41,6 +41,9 @@
     /// Tasks that started again after a successful exit, with the number of the first such run.
     restarted: BTreeMap<TaskId, u32>,
     failures: BTreeMap<TaskId, u32>,
+    /// Failed runs that workers have listed, by task; those of a gang by its first member, as its
+    /// members may fail in different runs. A worker may be lost before they are acknowledged.
+    failed_runs: BTreeMap<TaskId, BTreeSet<u32>>,
     /// Durations of tasks that differ from the estimate of their step.
     pub(crate) lengths: BTreeMap<TaskId, u64>,
     /// Tasks that crash each worker that starts them.
@@ -174,9 +177,9 @@
     pub(crate) fn may_fail(&self, id: JobId) -> bool {
         let is_of = |task: &TaskId| task.job == id;
         let max_attempts = self.submitted[&id].max_attempts;
-        let mut failures = self.failures.iter().filter(|(task, _)| is_of(task));
+        let mut failures = self.failed_runs.iter().filter(|(task, _)| is_of(task));
         let mut crashes = self.crashes.iter().filter(|(task, _)| is_of(task));
-        failures.any(|(_, count)| *count >= max_attempts)
+        failures.any(|(_, runs)| runs.len() as u32 >= max_attempts)
             || crashes.any(|(task, count)| {
                 let may_be_blamed =
                     self.poisoned.contains(task) || self.unrelated_victims.contains(task);
@@ -184,6 +187,20 @@
             })
     }
 
+    /// Records that a worker lists a failed run.
+    pub(crate) fn record_listed_failure(&mut self, exit: &RunExit) {
+        let job = self.submitted.get(&exit.task.job);
+        let is_gang = job.is_some_and(|job| job.steps[usize::from(exit.task.step)].is_gang);
+        let unit = match is_gang {
+            true => TaskId {
+                index: 0,
+                ..exit.task
+            },
+            false => exit.task,
+        };
+        self.failed_runs.entry(unit).or_default().insert(exit.run);
+    }
+
     /// Returns how many workers all poisoned tasks together have crashed.
     pub(crate) fn crashes_of_poisoned(&self) -> u32 {
         let crashes = self.crashes.iter();
--- a/tests/fleet/worker.rs
+++ b/tests/fleet/worker.rs
@@ -335,6 +335,9 @@
                 }
                 self.exits.retain(|exit| exit.number > *acknowledged_exit);
                 for exit in self.exits.iter().take(self.exits_per_report) {
+                    if exit.exit_reason == ExitReason::Failed {
+                        promises.record_listed_failure(exit);
+                    }
                     if self
                         .unexpired_from_exit
                         .is_some_and(|from| exit.number >= from)
--- a/tests/lib.rs
+++ b/tests/lib.rs
@@ -26,6 +26,7 @@
 mod dispatch_incarnations;
 mod dispatch_job_times;
 mod dispatch_late_starts;
+mod dispatch_leaving_callers;
 mod dispatch_links;
 mod dispatch_loading;
 mod dispatch_long_running;
