The log tells cancellations of unknown jobs apart by one word

`was_known` stood in the lines of submissions as well, where it says nothing; such a cancellation is `what=cancel_unknown` now. What a previous owner has recorded of a job's phase stands with the other facts of a job's record again, and an order's outcome looks up its run once.

--- a/crates/core/src/notes.rs
+++ b/crates/core/src/notes.rs
@@ -98,7 +98,7 @@
     DomainEvacuated = 2207, "The operator has evacuated a failure domain: its workers get no new tasks; the detail gives the version of the rules.";
     DomainTakenBack = 2208, "The evacuation of a failure domain has ended: its workers get new tasks again.";
     QuestionPutOff = 2209, "A caller's query could not be answered in time, and the caller was told when to ask again; the detail gives the query, how long it took, and whether the owner was asked.";
-    JobStored = 2301, "A submission or a cancellation is stored, and the caller was informed; the detail tells whether the job was known.";
+    JobStored = 2301, "A submission or a cancellation is stored, and the caller was informed; `cancel_unknown` in the detail is the cancellation of a job that was not known.";
     JobRefused = 2302, "A submission or a cancellation was refused, and is not stored.";
     JobUnknown = 2303, "A submission or a cancellation got no answer from the store in time.";
     JobBegun = 2304, "A worker has confirmed the first run of a job.";
--- a/crates/dispatch/src/entry/callers.rs
+++ b/crates/dispatch/src/entry/callers.rs
@@ -395,13 +395,12 @@
             Code::JobStored,
             write.job.to_string(),
             format!(
-                "what={} offset={offset} was_known={} took_ms={}",
-                if matches!(write.key, Key::Cancelled(_)) {
-                    "cancel"
-                } else {
-                    "submit"
+                "what={} offset={offset} took_ms={}",
+                match (&write.key, &write.reply) {
+                    (Key::Cancelled(_), Reply::NoSuchJob) => "cancel_unknown",
+                    (Key::Cancelled(_), _) => "cancel",
+                    _ => "submit",
                 },
-                write.reply != Reply::NoSuchJob,
                 now.steady_ms - write.received_ms
             ),
         )));
--- a/crates/dispatch/src/job_table.rs
+++ b/crates/dispatch/src/job_table.rs
@@ -61,6 +61,16 @@
         self.state.phase()
     }
 
+    /// Returns the phase that a previous owner has recorded. What it has published counts also if
+    /// the progress is older, or deleted already.
+    pub(crate) fn recorded_phase(&self, progress: Option<&Progress>) -> JobPhase {
+        let recorded = progress.map_or(JobPhase::Queued, Progress::phase);
+        match recorded.stage() > self.phase().stage() {
+            true => recorded,
+            false => self.phase(),
+        }
+    }
+
     /// Returns the time since its acceptance, by the time of day that another host has recorded. A
     /// time that can't be true shows nothing: records are mostly read just after they were stored.
     pub(crate) fn age_ms(&self, now: Now) -> u64 {
--- a/crates/dispatch/src/owner/begun.rs
+++ b/crates/dispatch/src/owner/begun.rs
@@ -8,12 +8,10 @@
 use crate::event::Action;
 use crate::event::Now;
 use crate::ids::JobId;
-use crate::job_table::JobRecord;
 use crate::owner::Owner;
 use crate::owner::job::Job;
 use crate::policy::fair_shares::NEUTRAL_RANK;
 use crate::record::JobPhase;
-use crate::record::Progress;
 use crate::record::StateRecord;
 use goldcrestway_core::Code;
 use goldcrestway_core::Note;
@@ -70,15 +68,3 @@
         self.has_placements = has_placements;
     }
 }
-
-impl JobRecord {
-    /// Returns the phase that a previous owner has recorded. What it has published counts also if
-    /// the progress is older, or deleted already.
-    pub(crate) fn recorded_phase(&self, progress: Option<&Progress>) -> JobPhase {
-        let recorded = progress.map_or(JobPhase::Queued, Progress::phase);
-        match recorded.stage() > self.phase().stage() {
-            true => recorded,
-            false => self.phase(),
-        }
-    }
-}
--- a/crates/dispatch/src/owner/job.rs
+++ b/crates/dispatch/src/owner/job.rs
@@ -151,7 +151,7 @@
     pub(crate) occurrences: Vec<Occurrence>,
     pub(crate) next_occurrence: u32,
     pub(crate) phase: JobPhase,
-    /// Runs of it are placed, as long as it has not begun.
+    /// Whether runs of it are placed; kept up to date until it has begun.
     pub(crate) has_placements: bool,
     /// The phase that callers can see, or will see after an append in flight.
     pub(crate) published: JobPhase,
--- a/crates/dispatch/src/owner/orders.rs
+++ b/crates/dispatch/src/owner/orders.rs
@@ -136,13 +136,7 @@
         actions: &mut Vec<Action>,
     ) {
         let now_ms = now.steady_ms;
-        let worker = &mut self.workers[key];
-        let Some(run) = worker.runs.get_mut(&(task, number)) else {
-            return;
-        };
-        // The run may already be stopping and still be present at the worker.
         let is_confirmed = matches!(outcome, OrderOutcome::Done { .. });
-        run.was_confirmed |= is_confirmed;
         if is_confirmed {
             self.begin_job(task.job, now, actions);
         }
@@ -150,6 +144,8 @@
         let Some(run) = worker.runs.get_mut(&(task, number)) else {
             return;
         };
+        // The run may already be stopping and still be present at the worker.
+        run.was_confirmed |= is_confirmed;
         if run.phase != RunPhase::Sent {
             return;
         }
