A test for cancellations that are newer than the deletion of a job's records

What it guards: deletions of a finished job's submission and state are read in any order after a newer cancellation of the same ID; a late copy of the submission must not run then. The pairs of partitions are all 16 now, not four. The comment on news of begun jobs says what it delays in place of a size that was not measured. No product behaviour is changed.

--- a/crates/dispatch/src/owner/writing.rs
+++ b/crates/dispatch/src/owner/writing.rs
@@ -117,7 +117,7 @@
 
     /// Returns whether states are to be published before the next heartbeat is due. That a job has
     /// begun is appended in place of that heartbeat: workers confirm starts one at a time, and an
-    /// append for each would take as much of a full link as the starts themselves.
+    /// append for each would delay further starts on a full link.
     fn has_urgent_states(&self) -> bool {
         let mut unpublished = self.unpublished.iter();
         let has_ended = unpublished.any(|(_, state)| state.phase().is_final());
--- a/tests/dispatch_cancels.rs
+++ b/tests/dispatch_cancels.rs
@@ -6,6 +6,7 @@
 use crate::fleet::Mode;
 use crate::fleet::job;
 use crate::fleet::step;
+use goldcrestway_dispatch::JobId;
 use goldcrestway_dispatch::JobState;
 use goldcrestway_dispatch::Reply;
 use goldcrestway_dispatch::Stream;
@@ -251,10 +252,11 @@
 /// The same for each pair of partitions that hold the submission and the cancellation.
 #[gtest]
 fn a_cancellation_counts_in_whichever_partition_it_is() {
-    for by in 0..PARTITIONS {
+    for pair in 0..PARTITIONS * PARTITIONS {
         for is_late in [false, true] {
             let mut fleet = few_hosts();
-            rotate_partition(&mut fleet, 1, by);
+            rotate_partition(&mut fleet, 0, pair / PARTITIONS);
+            rotate_partition(&mut fleet, 1, pair % PARTITIONS);
             if is_late {
                 submit_late(&mut fleet, 0, 1_000);
             }
@@ -267,11 +269,50 @@
             let owner = owner(&fleet);
             fleet.kill(owner);
             fleet.start(owner);
-            expect_cancelled(
-                &mut fleet,
-                request,
-                &format!("partition {by}, late {is_late}"),
-            );
+            expect_cancelled(&mut fleet, request, &format!("pair {pair}, late {is_late}"));
+        }
+    }
+}
+
+/// Guards against a cancellation that is dropped with the records of the same job, which had ended
+/// long before: the deletions are read after the newer cancellation, as they are in other partitions.
+#[gtest]
+fn a_cancellation_outlasts_the_deletion_of_older_records() {
+    for had_ended in [false, true] {
+        for state_goes_first in [false, true] {
+            let mut fleet = few_hosts();
+            let id = JobId(JOB);
+            if had_ended {
+                fleet.submit(0, JOB, &job(vec![step(1, 100, &[])]));
+                fleet.run(3_000);
+            }
+            fleet.store.put(Stream::Jobs(0), &format!("c{id}"), b"1");
+            fleet.run(8_000);
+            let deletions = [
+                (Stream::States, format!("p{id}")),
+                (Stream::Jobs(1), format!("j{id}")),
+                (Stream::Jobs(2), format!("j{id}")),
+                (Stream::Jobs(3), format!("j{id}")),
+                (Stream::Progress, format!("s{id}")),
+            ];
+            let skipped = usize::from(!state_goes_first);
+            for (stream, key) in deletions.iter().skip(skipped).chain(&deletions[..skipped]) {
+                fleet.store.put(*stream, key, b"");
+                fleet.run(8_000);
+            }
+            // The worker does not know any more that the task has ended.
+            for number in 0..WORKERS {
+                fleet.add_worker(&format!("10.0.0.{number}:80"), &format!("w{number}-2"));
+            }
+            let owner = owner(&fleet);
+            fleet.kill(owner);
+            fleet.run(5_000);
+            fleet.start(owner);
+            let starts = starts_of_job(&fleet);
+            fleet.submit((owner + 1) % HOSTS, JOB, &two_steps());
+            fleet.run(COMPLETED_MS);
+            let name = format!("{had_ended} {state_goes_first}");
+            expect_that!(starts_of_job(&fleet), eq(starts), "{name}");
         }
     }
 }
