A host keeps a limited number of cancellations without a job

Since a cancellation of an unknown job is stored, callers could fill the store and every host by naming jobs that do not exist: each is kept for three minutes, and 500 a second are deleted. A host that knows of 20,000 (3 MB) now answers further ones with a time to retry, which is true: nothing was stored. Jobs that exist are cancelled as before. The owner counts them in the search that it makes every ten seconds anyway, and adds new ones in between, so the number is never too low.

a_host_keeps_a_limited_number_of_cancellations_without_a_job failed before: all of 20,500 were confirmed. A case of dispatch_gangs has one failing worker of two, so that members end `failed` beside `broken`; it passes.

--- a/crates/dispatch/src/entry/callers.rs
+++ b/crates/dispatch/src/entry/callers.rs
@@ -3,12 +3,11 @@
 //! A caller is answered once its write is stored. A write whose append failed is retried in another
 //! partition. An append without an answer may still be carried out, so its write is read back.
 
+mod cancellation;
 mod read_back;
 
 use crate::entry::Entry;
 use crate::entry::queries::PendingQuery;
-use crate::entry::queries::QueryKind;
-use crate::entry::queries::Requester;
 use crate::event::Action;
 use crate::event::AppendOutcome;
 use crate::event::Now;
@@ -212,58 +211,6 @@
         );
     }
 
-    /// Accepts the cancellation of a job. One that is not known may be stored any time later: its
-    /// submission may be on its way from another host, or be carried out late by the store. It is
-    /// therefore cancelled like any other before its caller is told that it does not exist.
-    pub(crate) fn cancel(
-        &mut self,
-        request: u64,
-        job: JobId,
-        answer_timeout_ms: u64,
-        now: Now,
-        actions: &mut Vec<Action>,
-    ) {
-        match self.job_table.jobs.get(&job) {
-            Some(record) if record.state().is_final() && !record.is_only_cancelled() => {
-                actions.push(Action::Answer {
-                    request,
-                    reply: Reply::Stored,
-                });
-            }
-            Some(record) if record.submission.is_some() => {
-                self.write_cancel(request, job, Reply::Stored, answer_timeout_ms, now, actions);
-            }
-            _ => self.add_query(
-                Requester::Caller(request),
-                QueryKind::Cancel(job, answer_timeout_ms),
-                now,
-            ),
-        }
-    }
-
-    /// Writes a cancellation, and gives its caller this reply once it is stored.
-    pub(crate) fn write_cancel(
-        &mut self,
-        request: u64,
-        job: JobId,
-        reply: Reply,
-        answer_timeout_ms: u64,
-        now: Now,
-        actions: &mut Vec<Action>,
-    ) {
-        let value = Box::from(*b"1");
-        self.write(
-            request,
-            job,
-            Key::Cancelled(job),
-            value,
-            reply,
-            answer_timeout_ms,
-            now,
-            actions,
-        );
-    }
-
     #[expect(
         clippy::too_many_arguments,
         reason = "These are the fields of one write."
@@ -407,22 +354,6 @@
         self.answer_stored_write(write.request, write.job, write.reply, actions);
     }
 
-    /// Answers the caller of a write that is stored. A job that was cancelled before it was known
-    /// may be known by now.
-    fn answer_stored_write(
-        &self,
-        request: u64,
-        job: JobId,
-        reply: Reply,
-        actions: &mut Vec<Action>,
-    ) {
-        let reply = match reply {
-            Reply::NoSuchJob if self.job_table.is_submitted(job) => Reply::Stored,
-            reply => reply,
-        };
-        actions.push(Action::Answer { request, reply });
-    }
-
     /// Sends pending writes, answers what can be answered, and abandons writes that are overdue.
     pub(crate) fn answer_callers(&mut self, now: Now, actions: &mut Vec<Action>) {
         self.query_owner_for_writes(now);
--- a/crates/dispatch/src/entry/queries.rs
+++ b/crates/dispatch/src/entry/queries.rs
@@ -86,16 +86,6 @@
     Waiting(Box<str>),
 }
 
-/// Returns the reply to a cancellation that must be written first, if it must, by what is known of
-/// its job.
-fn reply_to_cancel(known: &Reply) -> Option<Reply> {
-    match known {
-        Reply::State(state) if !state.is_final() => Some(Reply::Stored),
-        Reply::NoSuchJob => Some(Reply::NoSuchJob),
-        _ => None,
-    }
-}
-
 impl Display for QueryKind {
     fn fmt(&self, formatter: &mut Formatter<'_>) -> fmt::Result {
         match self {
@@ -194,9 +184,8 @@
         };
         if let QueryKind::Cancel(job, answer_timeout_ms) = query.kind
             && let Requester::Caller(request) = query.requester
-            && let Some(reply) = reply_to_cancel(&reply)
+            && self.cancel_by(&reply, request, job, answer_timeout_ms, now, actions)
         {
-            self.write_cancel(request, job, reply, answer_timeout_ms, now, actions);
             return None;
         }
         let reply = match (&query.kind, reply) {
--- a/crates/dispatch/src/entry/retirement.rs
+++ b/crates/dispatch/src/entry/retirement.rs
@@ -65,6 +65,7 @@
         if self.reading.asks_owner() {
             self.job_table.jobs.clear();
         }
+        self.job_table.count_only_cancelled();
         let is_owner = self.owner.is_some();
         let factor = if is_owner { 1 } else { FOLLOWER_FACTOR };
         let retention_ms = factor * (self.bounds.status_ms + STATUS_SLACK_MS);
--- a/crates/dispatch/src/job_table.rs
+++ b/crates/dispatch/src/job_table.rs
@@ -182,6 +182,9 @@
     pub(crate) jobs: HashMap<JobId, JobRecord>,
     pub(crate) owner: OwnerRecord,
     owner_offset: u64,
+    /// Number of jobs of which only a cancellation is known, as far as it has changed since the last
+    /// count by [`JobTable::count_only_cancelled`].
+    only_cancelled: usize,
     /// Entry hosts that have announced themselves; some may be down for good.
     pub(crate) hosts: HashMap<Box<str>, HostRecord>,
 }
@@ -247,6 +250,7 @@
             return Change::Nothing;
         }
         job.is_cancelled = true;
+        self.only_cancelled += usize::from(job.is_only_cancelled());
         Change::Cancelled(id)
     }
 
@@ -270,6 +274,18 @@
         }
     }
 
+    /// Returns the number of jobs of which only a cancellation is known, and not less: jobs that have
+    /// been submitted or forgotten since the last count are included.
+    pub(crate) fn only_cancelled(&self) -> usize {
+        self.only_cancelled
+    }
+
+    /// Counts the jobs of which only a cancellation is known, which is a pass over all jobs.
+    pub(crate) fn count_only_cancelled(&mut self) {
+        let jobs = self.jobs.values();
+        self.only_cancelled = jobs.filter(|job| job.is_only_cancelled()).count();
+    }
+
     /// Returns whether the submission of a job was read.
     pub(crate) fn is_submitted(&self, id: JobId) -> bool {
         let job = self.jobs.get(&id);
--- a/tests/dispatch_cancels.rs
+++ b/tests/dispatch_cancels.rs
@@ -25,6 +25,9 @@
 /// searches.
 const FORGOTTEN_MS: u64 = 120_000 + 60_000 + 2 * 10_000;
 
+/// Jobs with higher numbers are cancelled and never submitted.
+const NEVER_SUBMITTED: u64 = 1_000_000;
+
 /// Returns a job whose second step starts seconds after the first.
 fn two_steps() -> Submission {
     job(vec![step(2, 4_000, &[]), step(2, 2_000, &[0])])
@@ -378,3 +381,38 @@
     // The owner has recorded what it has learned meanwhile.
     expect_that!(keys(&fleet), le(before + 2));
 }
+
+/// Guards against cancellations that a host keeps without limit, as callers name any number of jobs
+/// that do not exist. Those of jobs that exist are accepted all the same.
+#[gtest]
+fn a_host_keeps_a_limited_number_of_cancellations_without_a_job() {
+    const MAX_KEPT: u64 = 20_000;
+    const AT_A_TIME: u64 = 500;
+    let mut fleet = few_hosts();
+    let host = owner(&fleet);
+    fleet.submit(host, JOB, &two_steps());
+    fleet.run(500);
+    let mut requests = Vec::new();
+    for number in 0..MAX_KEPT + AT_A_TIME {
+        requests.push(fleet.cancel(host, NEVER_SUBMITTED + number));
+        if number % AT_A_TIME == 0 {
+            fleet.run(200);
+        }
+    }
+    fleet.run(3_000);
+    let is_confirmed = |request: &&u64| fleet.replies.get(*request) == Some(&Reply::NoSuchJob);
+    let confirmed = requests.iter().filter(is_confirmed).count();
+    expect_that!(
+        confirmed as u64,
+        all![ge(MAX_KEPT), lt(MAX_KEPT + AT_A_TIME)]
+    );
+    let refused = fleet.replies.get(requests.last().unwrap());
+    expect_that!(refused, some(matches_pattern!(Reply::NotDone { .. })));
+    let request = fleet.cancel(host, JOB);
+    fleet.run(1_500);
+    expect_that!(fleet.replies.get(&request), some(eq(&Reply::Stored)));
+    fleet.run(FORGOTTEN_MS);
+    let request = fleet.cancel(host, NEVER_SUBMITTED);
+    fleet.run(1_500);
+    expect_that!(fleet.replies.get(&request), some(eq(&Reply::NoSuchJob)));
+}
--- a/tests/dispatch_gangs.rs
+++ b/tests/dispatch_gangs.rs
@@ -40,13 +40,12 @@
     of_job.map(|(worker, _, _)| worker.clone()).collect()
 }
 
-/// Makes the workers at which the gang starts first fail all that they start, until the gang has run
-/// once.
-fn fail_first_run(fleet: &mut Fleet) {
+/// Makes workers at which the gang starts first fail all that they start, at most this many.
+fn fail_first_run(fleet: &mut Fleet, max_workers: usize) {
     while runs(fleet).is_empty() {
         fleet.run(5);
     }
-    let used = workers_used(fleet);
+    let used: Vec<Box<str>> = workers_used(fleet).into_iter().take(max_workers).collect();
     for worker in fleet.workers.values_mut() {
         if used.contains(&worker.id) {
             worker.behaviour = Behaviour::Fails;
@@ -59,7 +58,9 @@
     name: &'static str,
     workers: usize,
     members: u32,
-    /// Hosts are killed in turn while the first run fails.
+    /// Number of the workers of the first run that fail what they start.
+    failing: usize,
+    /// The owner is killed while the first run fails.
     kills_owner: bool,
 }
 
@@ -68,24 +69,35 @@
         name: "all members on one worker",
         workers: 6,
         members: MEMBERS,
+        failing: 2,
         kills_owner: false,
     },
     GreyCase {
         name: "members on two workers that both fail",
         workers: 6,
         members: 12,
+        failing: 2,
+        kills_owner: false,
+    },
+    GreyCase {
+        name: "one of two workers fails, so that the other members are broken off",
+        workers: 6,
+        members: 12,
+        failing: 1,
         kills_owner: false,
     },
     GreyCase {
         name: "another owner reads the record of the failed run",
         workers: 6,
         members: MEMBERS,
+        failing: 2,
         kills_owner: true,
     },
     GreyCase {
         name: "another owner, members on two workers",
         workers: 6,
         members: 12,
+        failing: 2,
         kills_owner: true,
     },
 ];
@@ -99,7 +111,7 @@
         for delay_ms in (0..60).step_by(5) {
             let mut fleet = Fleet::new(HOSTS, case.workers);
             fleet.submit(0, JOB, &gang(case.members));
-            fail_first_run(&mut fleet);
+            fail_first_run(&mut fleet, case.failing);
             fleet.run(delay_ms);
             if case.kills_owner {
                 let owner = owner(&fleet);
@@ -127,7 +139,7 @@
             worker.exits_per_report = 1;
         }
         fleet.submit(0, JOB, &gang(MEMBERS));
-        fail_first_run(&mut fleet);
+        fail_first_run(&mut fleet, usize::MAX);
         if kills_owner {
             fleet.run(15);
             let owner = owner(&fleet);
@@ -188,7 +200,7 @@
     fleet.submit(0, JOB + 1, &job(vec![step(16, BUSY_MS, &[])]));
     fleet.run(100);
     fleet.submit(0, JOB, &gang(MEMBERS));
-    fail_first_run(&mut fleet);
+    fail_first_run(&mut fleet, usize::MAX);
     fleet.run(DONE_MS);
     expect_that!(fleet.state(0, JOB), some(eq(JobState::Completed)));
     expect_that!(runs(&fleet).len(), eq(2));
@@ -199,7 +211,7 @@
 fn one_failed_run_of_a_gang_is_one_failure_of_its_worker() {
     let mut fleet = Fleet::new(HOSTS, 1);
     fleet.submit(0, JOB, &gang(MEMBERS));
-    fail_first_run(&mut fleet);
+    fail_first_run(&mut fleet, usize::MAX);
     fleet.run(20);
     for worker in fleet.workers.values_mut() {
         worker.behaviour = Behaviour::Healthy;
