--- a/crates/dispatch/src/owner/job.rs
+++ b/crates/dispatch/src/owner/job.rs
@@ -1,5 +1,7 @@
 //! Jobs as the owner knows them, with their occurrences, steps and tasks.
 
+mod chain;
+
 use crate::bounds::Bounds;
 use crate::config::Resources;
 use crate::event::Now;
@@ -8,7 +10,8 @@
 use crate::job_table::JobRecord;
 use crate::owner::gangs::FailedRun;
 use crate::owner::idle_starts::Idleness;
-use crate::owner::permits::MAX_ASKED;
+use crate::owner::job::chain::longest_chain_ms;
+pub(crate) use crate::owner::job::chain::permit_call_ms;
 use crate::owner::progress::resume_step;
 use crate::owner::progress::step_progress;
 use crate::owner::projections::Expectation;
@@ -34,9 +37,6 @@
     pub(crate) struct JobKey;
 }
 
-/// Assumed duration of a task without an estimate by its caller.
-const UNKNOWN_WORK_MS: u64 = 1_000;
-
 /// State of one step of one occurrence.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct StepState {
@@ -437,35 +437,3 @@
         }
     }
 }
-
-/// Returns the duration in milliseconds of the call for permits before each step of a job.
-pub(crate) fn permit_call_ms(submission: &Submission) -> u64 {
-    match submission.needs_permits() {
-        true => submission.permit_call_ms(MAX_ASKED),
-        false => 0,
-    }
-}
-
-/// Returns the duration in milliseconds of the longest chain of steps, in which only those count
-/// for which `counted` returns true.
-fn longest_chain_ms(submission: &Submission, counted: impl Fn(usize) -> bool) -> u64 {
-    let call_ms = permit_call_ms(submission);
-    let mut ends_ms: Vec<u64> = Vec::with_capacity(submission.steps.len());
-    for (number, step) in submission.steps.iter().enumerate() {
-        let mut start_ms = 0;
-        for predecessor in &step.after {
-            start_ms = start_ms.max(ends_ms.get(*predecessor as usize).copied().unwrap_or(0));
-        }
-        let work_ms = match step.estimated_ms {
-            0 => UNKNOWN_WORK_MS,
-            work_ms => work_ms,
-        };
-        let took_ms = if counted(number) {
-            call_ms + work_ms
-        } else {
-            0
-        };
-        ends_ms.push(start_ms + took_ms);
-    }
-    ends_ms.into_iter().max().unwrap_or(0)
-}
