Orders to start and stop can be followed through the hosts that relay them

What was missing: no line told which host carries an order, nor when it does, so an order that is carried out late could not be told from one that is repeated. `RunOrdered` names the number of the order and the host that relays it, `StartRelayed` (2416) is logged by that host under the same number, and `StopOrdered` (2415) tells of orders to stop, with the incarnation they are for.

No behaviour is changed.

--- a/crates/core/src/notes.rs
+++ b/crates/core/src/notes.rs
@@ -106,7 +106,7 @@
     JobFinished = 2306, "A job has reached its final state.";
     JobTimes = 2307, "A job has ended, and its end is published: the detail gives the milliseconds of each phase, their total, by how much it missed its objective, what its caller has estimated, and the task that each step ended with, as step.task:run@worker:milliseconds.";
     JobsForgotten = 2308, "This host has forgotten finished jobs whose state need not be available any more; the detail gives how many, the shortest and longest time for which they were finished, and whether the host, as the owner, deletes them from the store.";
-    RunOrdered = 2400, "A worker was ordered to start a run of a task; the detail gives the age of its last answer, the number of the order, as one without an answer is repeated, and the age of the list of workers.";
+    RunOrdered = 2400, "A worker was ordered to start a run of a task; the detail gives the age of its last answer, the number of the attempt, as an order without an answer is repeated, the age of the list of workers, the number of the order, and the host that relays it.";
     RunBroken = 2401, "A run of a task ended without success.";
     StartRefused = 2402, "A worker refused to start a run.";
     RunLagging = 2403, "A run makes no progress or is far slower than its siblings; it is started elsewhere, or gets a copy.";
@@ -121,6 +121,8 @@
     QueueHeldBack = 2412, "Jobs of a queue wait behind those of others of its priority, as it holds more than an equal part; the detail gives what it holds, what it has held of late and the equal part, in millionths of the service.";
     RoomKept = 2413, "Room is kept on workers for a step whose tasks have waited for long and are too wide for what others leave free; the detail gives the workers, when the tasks should fit, and for how long it is kept at most.";
     IdleStart = 2414, "A best-effort task was assigned at a reduced CPU share, as nothing of its job ran and no worker takes it at its full share; the detail gives the worker, the share and how long the job has waited.";
+    StopOrdered = 2415, "A worker was ordered to stop a run; the detail gives the incarnation, whether the run belongs to no task any more, whether it was seen there, the number of the order, and the host that relays it.";
+    StartRelayed = 2416, "This host has received an order to start a run from the owner and passes it on to the worker; the detail gives the owner's token and its number of the order, as in `RunOrdered`.";
     StartWithheld = 2420, "An order to start a run that was decided earlier was not sent; the detail gives why, and how many earlier orders to start the run had no answer: if any, the run is stopped at its worker before its task starts elsewhere.";
     WorkerSilent = 2501, "A worker does not answer; its lease is no longer extended. The detail gives for how long its leases may last, and whether a record for the next owner says so.";
     WorkerBack = 2502, "A worker answers again.";
--- a/crates/dispatch/src/owner/orders.rs
+++ b/crates/dispatch/src/owner/orders.rs
@@ -76,15 +76,8 @@
         }
         self.stats.starts += 1;
         self.timeline.enter(task, Phase::StartCall, now_ms);
-        actions.push(Action::Note(Note::new(
-            Code::RunOrdered,
-            task.to_string(),
-            format!(
-                "run={number} worker={} look_age_ms={} attempt={attempt} list_age_ms={list_age_ms}",
-                worker.entry.id,
-                now_ms.saturating_sub(worker.answered_ms)
-            ),
-        )));
+        let worker_id = worker.entry.id.clone();
+        let look_age_ms = now_ms.saturating_sub(worker.answered_ms);
         let call = WorkerCall::Start {
             task,
             run: number,
@@ -95,6 +88,14 @@
         };
         let purpose = Purpose::Start { task, run: number };
         self.send_order(key, purpose, call, now_ms, tickets, actions);
+        let via = self.relays.carrier(*tickets).unwrap_or("direct");
+        actions.push(Action::Note(Note::new(
+            Code::RunOrdered,
+            task.to_string(),
+            format!(
+                "run={number} worker={worker_id} look_age_ms={look_age_ms} attempt={attempt} list_age_ms={list_age_ms} order={tickets} via={via}",
+            ),
+        )));
     }
 
     /// Drops a run whose order to start must not be sent any more. If an earlier order to start it
@@ -256,6 +257,20 @@
             let call = WorkerCall::Stop { task, run };
             let purpose = Purpose::Stop { task, run };
             self.send_order(key, purpose, call, now_ms, tickets, actions);
+            let via = self.relays.carrier(*tickets).unwrap_or("direct");
+            let worker = &self.workers[key];
+            let known = worker.runs.get(&(task, run));
+            actions.push(Action::Note(Note::new(
+                Code::StopOrdered,
+                task.to_string(),
+                format!(
+                    "run={run} worker={} incarnation={} stray={} seen={} order={tickets} via={via}",
+                    worker.entry.id,
+                    worker.incarnation,
+                    known.is_some_and(|known| known.is_orphan),
+                    known.is_some_and(|known| known.was_confirmed),
+                ),
+            )));
         }
     }
 
--- a/crates/dispatch/src/policy/log_budget.rs
+++ b/crates/dispatch/src/policy/log_budget.rs
@@ -72,6 +72,8 @@
                 | Code::RunBroken
                 | Code::StartRefused
                 | Code::StartWithheld
+                | Code::StopOrdered
+                | Code::StartRelayed
                 | Code::RunLagging
                 | Code::RunLost
                 | Code::TaskSuspected
--- a/crates/dispatch/src/relay/serving.rs
+++ b/crates/dispatch/src/relay/serving.rs
@@ -149,6 +149,16 @@
                 .push(outcome_row(row.ticket, &OrderOutcome::NotSent));
             return;
         }
+        if let WorkerCall::Start { task, run, .. } = &call {
+            actions.push(Action::Note(Note::new(
+                Code::StartRelayed,
+                task.to_string(),
+                format!(
+                    "run={run} worker={} token={token} order={}",
+                    identity.id, row.ticket
+                ),
+            )));
+        }
         *tickets += 1;
         self.orders.insert(*tickets, (conn, row.ticket));
         actions.push(Action::Order {
--- a/crates/dispatch/src/relay/sessions.rs
+++ b/crates/dispatch/src/relay/sessions.rs
@@ -250,6 +250,12 @@
         Some(self.peers[key].add_order(order) as u64)
     }
 
+    /// Returns the name of the relay that carries a pending order; `None` if it was sent directly.
+    pub(crate) fn carrier(&self, ticket: u64) -> Option<&str> {
+        let flight = self.flights.get(&ticket)?;
+        Some(&self.peers[flight.relay].name)
+    }
+
     /// Chooses the relay of an order: the one at its position. An order to start goes to a selected
     /// relay that has the text of the job already, unless the worker's first relay has just failed
     /// to reach the worker.
--- a/tests/fleet/actions.rs
+++ b/tests/fleet/actions.rs
@@ -159,6 +159,8 @@
                 | Code::RunLost
                 | Code::RunOrdered
                 | Code::StartWithheld
+                | Code::StopOrdered
+                | Code::StartRelayed
                 | Code::RunVanished
                 | Code::RunsUnreported
                 | Code::TaskWaits
