A relay passes on no order that its owner has given up

Cause, by the log of a broken play: the order at 29.366 went to a relay that was paused (RunOrdered order=3701 via=entry-1); 0.5 s later it counted as unanswered, attempt 2 went to the worker directly (29.900) and its run ended (29.962); the worker crashed and was back under its id; the relay went on and passed order 3701 on (StartRelayed, 30.763). The new incarnation knew neither the run nor its end. Ruled out: that the memory of unanswered orders is lost with the run (it is kept for 15 s by the worker's id, but a restarted worker is asked to refuse a run only once it has answered, and the order came before).

The class: what was given up is done later by one of our own processes. A relay could not know how old an order is, as hosts share no clock. Now its frames tell its steady clock, the owner's frames tell by that clock when they were sent, never later, and a relay drops an order once its owner has stopped waiting for it, and does not wait for a connection beyond that. This holds for polls too: one that is late would make a restarted worker forget exits that nobody has read. An owner uses a relay only after a frame of it: a connection to a paused host is established all the same.

--- a/crates/core/src/notes.rs
+++ b/crates/core/src/notes.rs
@@ -122,7 +122,8 @@
     RoomKept = 2413, "Room is kept on workers for a step whose tasks have waited for long and are too wide for what others leave free; the detail gives the workers, when the tasks should fit, and for how long it is kept at most.";
     IdleStart = 2414, "A best-effort task was assigned at a reduced CPU share, as nothing of its job ran and no worker takes it at its full share; the detail gives the worker, the share and how long the job has waited.";
     StopOrdered = 2415, "A worker was ordered to stop a run; the detail gives the incarnation, whether the run belongs to no task any more, whether it was seen there, the number of the order, and the host that relays it.";
-    StartRelayed = 2416, "This host has received an order to start a run from the owner and passes it on to the worker; the detail gives the owner's token and its number of the order, as in `RunOrdered`.";
+    StartRelayed = 2416, "This host has received an order to start a run from the owner and passes it on to the worker; the detail gives the owner's token its number of the order, as in `RunOrdered`, and how long the order was on its way.";
+    StartExpired = 2417, "An order to start a run reached this host, which relays it, after the owner had given it up, and is not passed on; the detail gives its age, and otherwise what `StartRelayed` gives.";
     StartWithheld = 2420, "An order to start a run that was decided earlier was not sent; the detail gives why, and how many earlier orders to start the run had no answer: if any, the run is stopped at its worker before its task starts elsewhere.";
     WorkerSilent = 2501, "A worker does not answer; its lease is no longer extended. The detail gives for how long its leases may last, and whether a record for the next owner says so.";
     WorkerBack = 2502, "A worker answers again.";
--- a/crates/dispatch/src/entry/mod.rs
+++ b/crates/dispatch/src/entry/mod.rs
@@ -519,7 +519,7 @@
         self.maybe_claim(now, actions);
         self.run_owner(now, actions);
         self.answer_callers(now, actions);
-        self.relay.flush(actions);
+        self.relay.flush(now.steady_ms, actions);
         if let Some(owner) = &mut self.owner {
             owner.flush_frames(now.steady_ms, actions);
         }
--- a/crates/dispatch/src/policy/log_budget.rs
+++ b/crates/dispatch/src/policy/log_budget.rs
@@ -74,6 +74,7 @@
                 | Code::StartWithheld
                 | Code::StopOrdered
                 | Code::StartRelayed
+                | Code::StartExpired
                 | Code::RunLagging
                 | Code::RunLost
                 | Code::TaskSuspected
--- a/crates/dispatch/src/relay/mod.rs
+++ b/crates/dispatch/src/relay/mod.rs
@@ -11,11 +11,17 @@
 //! lease like any other order, and an order without an outcome counts as unknown: it may be carried
 //! out later, or never. A relay may therefore crash, hang or be partitioned at any time.
 //!
+//! What the owner has given up must not be done later by one of our own processes: a relay that was
+//! paused, or that receives over a full link, would start a task that has ended meanwhile. Frames tell
+//! by the relay's clock when they were sent, and the relay passes on no order that its owner no longer
+//! waits for. An owner uses a relay only once it knows the relay's clock.
+//!
 //! Over the same connections, hosts query the owner for the states of jobs and receive its
 //! heartbeats.
 
 mod frames;
 mod peer;
+mod peer_clock;
 mod queries;
 mod rows;
 mod selection;
--- a/crates/dispatch/src/relay/peer.rs
+++ b/crates/dispatch/src/relay/peer.rs
@@ -6,6 +6,7 @@
 use crate::relay::frames::JobTextRow;
 use crate::relay::frames::OrdersFrame;
 use crate::relay::frames::WorkerRow;
+use crate::relay::peer_clock::PeerClock;
 use crate::relay::rows::order_row;
 use crate::relay::sessions::HEARTBEAT_INTERVAL_MS;
 use crate::relay::sessions::OwnerHeartbeat;
@@ -53,6 +54,8 @@
     pub(super) last_received_ms: u64,
     /// Time of the last frame to the relay.
     pub(super) last_sent_ms: u64,
+    /// Its steady clock.
+    pub(super) clock: PeerClock,
     /// Numbers of workers, by id and address: a worker may start again elsewhere under the same id.
     numbers: HashMap<WorkerIdentity, u32>,
     pub(super) texts: HashSet<JobId>,
@@ -73,14 +76,17 @@
             failures: 0,
             last_received_ms: 0,
             last_sent_ms: 0,
+            clock: PeerClock::default(),
             numbers: HashMap::new(),
             texts: HashSet::new(),
             frame: OrdersFrame::default(),
         }
     }
 
+    /// Returns whether it accepts orders. A connection is established even if the host hangs; only a
+    /// frame shows that it does not.
     pub(super) fn is_usable(&self) -> bool {
-        self.is_connected && !self.is_leaving
+        self.is_connected && !self.is_leaving && self.clock.is_known()
     }
 
     /// Returns whether the host is to get a frame even if it contains nothing else.
@@ -101,6 +107,7 @@
         self.is_connected = false;
         self.is_leaving = false;
         self.last_sent_ms = 0;
+        self.clock = PeerClock::default();
         self.sent_heartbeat = OwnerHeartbeat::default();
         self.numbers.clear();
         self.texts.clear();
--- a/crates/dispatch/src/relay/serving.rs
+++ b/crates/dispatch/src/relay/serving.rs
@@ -20,6 +20,7 @@
 use crate::relay::rows::outcome_row;
 use crate::relay::sessions::HEARTBEAT_INTERVAL_MS;
 use crate::relay::sessions::OwnerHeartbeat;
+use crate::relay::sessions::RELAY_OVERHEAD_MS;
 use goldcrestway_core::Code;
 use goldcrestway_core::Note;
 use prost::Message;
@@ -53,9 +54,20 @@
     workers: HashMap<u32, WorkerIdentity>,
     texts: HashMap<JobId, Rc<str>>,
     outcomes: Vec<OrderOutcomeRow>,
+    /// The owner has sent its first frame and is to be told this host's clock.
+    awaits_clock: bool,
     is_shutdown_sent: bool,
 }
 
+/// What applies to all orders of a frame.
+#[derive(Debug, Clone, Copy)]
+struct OrderContext {
+    conn: ConnectionId,
+    token: u64,
+    /// Time since the frame was sent; 0 if it does not tell.
+    age_ms: u64,
+}
+
 /// The relay of this host: the sessions of owners, and their pending orders.
 #[derive(Debug, Default)]
 pub(crate) struct Relay {
@@ -91,7 +103,10 @@
                 return;
             }
         };
-        let session = self.sessions.entry(conn).or_default();
+        let session = self.sessions.entry(conn).or_insert_with(|| Session {
+            awaits_clock: true,
+            ..Session::default()
+        });
         session.token = frame.token;
         session.last_received_ms = now_ms;
         if frame.stored_end > session.heartbeat.stored_end {
@@ -114,20 +129,30 @@
         for text in frame.texts {
             session.texts.insert(JobId(text.job), text.text.into());
         }
+        let sent_clock_ms = frame.sent_clock_ms.unwrap_or(now_ms);
+        let context = OrderContext {
+            conn,
+            token: frame.token,
+            age_ms: now_ms.saturating_sub(sent_clock_ms),
+        };
         for row in &frame.orders {
-            self.handle_order(conn, frame.token, row, evacuations, tickets, actions);
+            self.handle_order(context, row, evacuations, tickets, actions);
         }
     }
 
     fn handle_order(
         &mut self,
-        conn: ConnectionId,
-        token: u64,
+        context: OrderContext,
         row: &OrderRow,
         evacuations: &Evacuations,
         tickets: &mut u64,
         actions: &mut Vec<Action>,
     ) {
+        let OrderContext {
+            conn,
+            token,
+            age_ms,
+        } = context;
         let Some(session) = self.sessions.get_mut(&conn) else {
             return;
         };
@@ -149,15 +174,25 @@
                 .push(outcome_row(row.ticket, &OrderOutcome::NotSent));
             return;
         }
+        let timeout_ms = u64::from(row.timeout_ms);
+        let remaining_ms = (timeout_ms + RELAY_OVERHEAD_MS).saturating_sub(age_ms);
         if let WorkerCall::Start { task, run, .. } = &call {
-            actions.push(Action::Note(Note::new(
-                Code::StartRelayed,
-                task.to_string(),
-                format!(
-                    "run={run} worker={} token={token} order={}",
-                    identity.id, row.ticket
-                ),
-            )));
+            let code = match remaining_ms {
+                0 => Code::StartExpired,
+                _ => Code::StartRelayed,
+            };
+            let detail = format!(
+                "run={run} worker={} token={token} order={} age_ms={age_ms}",
+                identity.id, row.ticket
+            );
+            actions.push(Action::Note(Note::new(code, task.to_string(), detail)));
+        }
+        // The owner no longer waits for it and may have decided otherwise.
+        if remaining_ms == 0 {
+            session
+                .outcomes
+                .push(outcome_row(row.ticket, &OrderOutcome::NotSent));
+            return;
         }
         *tickets += 1;
         self.orders.insert(*tickets, (conn, row.ticket));
@@ -167,7 +202,7 @@
             worker: identity.id.clone(),
             token,
             call,
-            timeout_ms: u64::from(row.timeout_ms),
+            timeout_ms: timeout_ms.min(remaining_ms),
         });
     }
 
@@ -239,17 +274,23 @@
     }
 
     /// Sends outcomes of orders and queries to the owners.
-    pub(crate) fn flush(&mut self, actions: &mut Vec<Action>) {
+    pub(crate) fn flush(&mut self, now_ms: u64, actions: &mut Vec<Action>) {
         for (conn, session) in &mut self.sessions {
             let must_send_shutdown = self.is_leaving && !session.is_shutdown_sent;
-            if session.outcomes.is_empty() && session.queries.is_empty() && !must_send_shutdown {
+            if session.outcomes.is_empty()
+                && session.queries.is_empty()
+                && !must_send_shutdown
+                && !session.awaits_clock
+            {
                 continue;
             }
+            session.awaits_clock = false;
             session.is_shutdown_sent = self.is_leaving;
             let frame = OutcomesFrame {
                 outcomes: std::mem::take(&mut session.outcomes),
                 queries: std::mem::take(&mut session.queries),
                 is_leaving: self.is_leaving,
+                clock_ms: Some(now_ms),
             };
             actions.push(Action::SendFrame {
                 conn: *conn,
--- a/crates/dispatch/src/relay/sessions.rs
+++ b/crates/dispatch/src/relay/sessions.rs
@@ -31,7 +31,7 @@
 
 /// Time that an order may take over a relay beyond the timeout of the worker's answer: two hops,
 /// and one turn of a busy host.
-const RELAY_OVERHEAD_MS: u64 = 150;
+pub(super) const RELAY_OVERHEAD_MS: u64 = 150;
 /// Delay before the owner connects again to a relay that could not be reached or gave no answer.
 /// Hosts that start together are reachable within a moment. The delay doubles with each failure, up
 /// to 8 s: hosts that are gone forever stay on record.
@@ -194,7 +194,6 @@
         peer.is_connected = true;
         peer.failures = 0;
         peer.last_received_ms = now_ms;
-        self.add_usable(key);
     }
 
     /// Returns whether connections to relays are being opened and no relay accepts orders yet.
@@ -313,6 +312,7 @@
             peer.frame.token = token;
             peer.frame.stored_end = heartbeat.stored_end;
             peer.frame.is_leaving = heartbeat.is_leaving;
+            peer.frame.sent_clock_ms = peer.clock.estimate_ms(now_ms);
             let frame = std::mem::take(&mut peer.frame);
             actions.push(Action::SendFrame {
                 conn,
@@ -344,6 +344,14 @@
         };
         let peer = &mut self.peers[key];
         peer.last_received_ms = now_ms;
+        let was_usable = peer.is_usable();
+        if let Some(clock_ms) = frame.clock_ms {
+            peer.clock.record(clock_ms, now_ms);
+        }
+        if peer.is_usable() && !was_usable {
+            self.add_usable(key);
+        }
+        let peer = &mut self.peers[key];
         if frame.is_leaving && !peer.is_leaving {
             self.remove_usable(key);
             self.peers[key].is_leaving = true;
--- a/tests/fleet/actions.rs
+++ b/tests/fleet/actions.rs
@@ -161,6 +161,7 @@
                 | Code::StartWithheld
                 | Code::StopOrdered
                 | Code::StartRelayed
+                | Code::StartExpired
                 | Code::RunVanished
                 | Code::RunsUnreported
                 | Code::TaskWaits
