A call that expired while this process was paused is not written

A call whose time has passed is now given up before anything is written; an answer that has arrived meanwhile is read as before.

--- a/crates/net/src/pool.rs
+++ b/crates/net/src/pool.rs
@@ -63,12 +63,28 @@
 struct Flight {
     number: u64,
     sent_ms: u64,
+    /// Time until which it may be written if the connection is still being opened.
+    send_by_ms: u64,
     /// Time at which the call is abandoned. Moves with each received byte if `stall_ms` is set.
     deadline_ms: u64,
     stall_ms: Option<u64>,
 }
 
 impl PooledConnection {
+    /// Returns whether bytes of its call are left to be written that must not be written any more,
+    /// as nobody waits for the answer. This process may have been paused meanwhile, and the peer
+    /// would carry out what was given up.
+    fn is_write_overdue(&self, clock: Clock) -> bool {
+        let Some(call) = &self.call else {
+            return false;
+        };
+        let write_by_ms = match self.is_connected {
+            true => call.deadline_ms,
+            false => call.send_by_ms,
+        };
+        !self.outbox.is_empty() && clock.now_ms >= write_by_ms
+    }
+
     /// Records that bytes were received, and extends the deadline of a call with a stall limit.
     fn record_progress(&mut self, clock: Clock) {
         self.last_received_ms = clock.now_ms;
@@ -151,6 +167,7 @@
             conn.call = Some(Flight {
                 number: queued.call.number,
                 sent_ms: clock.now_ms,
+                send_by_ms: queued.send_by_ms,
                 deadline_ms: queued.deadline_ms,
                 stall_ms: queued.call.stall_ms,
             });
@@ -208,6 +225,9 @@
         let Some(conn) = self.conns.get_mut(key) else {
             return;
         };
+        if conn.is_write_overdue(clock) {
+            return self.close_overdue(key, arrivals);
+        }
         if !conn.is_connected {
             if conn.stream.take_error().ok().flatten().is_some() {
                 self.close(key, arrivals);
--- a/crates/net/tests/pool.rs
+++ b/crates/net/tests/pool.rs
@@ -217,3 +217,41 @@
         expect_that!(is_reported, eq(!is_sent));
     }
 }
+
+/// Time for which the event loop does not run, as in a process that is paused.
+const PAUSE: Duration = Duration::from_millis(30);
+
+/// Guards against a call that is written after nobody waits for its answer any more. A host that was
+/// paused while it connected to a worker sent it the orders that were given up meanwhile.
+#[gtest]
+fn a_call_that_expired_during_a_pause_is_not_sent() {
+    // A timeout, and the time for which the call may wait for a connection.
+    let cases = [(1, None), (TIMEOUT_MS, Some(1)), (TIMEOUT_MS, None)];
+    for (timeout_ms, max_queue_ms) in cases {
+        let is_expired = timeout_ms == 1 || max_queue_ms == Some(1);
+        let listener = TcpListener::bind(("127.0.0.1", 0)).unwrap();
+        let peer = listener.local_addr().unwrap();
+        let mut net = Net::new().unwrap();
+        let call = Call::new(1, peer, timeout_ms, &Message::get("/late".into()));
+        net.call(call.with_max_queue_ms(max_queue_ms));
+        std::thread::sleep(PAUSE);
+        let mut is_reported = false;
+        for arrival in net.wait(WAIT) {
+            let Arrival::Answer { answer, .. } = arrival else {
+                continue;
+            };
+            is_reported |= answer.is_err_and(CallFault::had_no_effect);
+        }
+        expect_that!(is_reported, eq(is_expired), "{timeout_ms} {max_queue_ms:?}");
+        drop(net);
+        let (mut stream, _) = listener.accept().unwrap();
+        let mut received = Vec::new();
+        // The peer of a closed connection may be told so by an error.
+        let _ = stream.read_to_end(&mut received);
+        expect_that!(
+            received.is_empty(),
+            eq(is_expired),
+            "{timeout_ms} {max_queue_ms:?}"
+        );
+    }
+}
