Tests: a relay that is connected to while it is paused, and polls that it holds

The table gets the case of an owner that connects to the paused host, whose system accepts the connection, and each case asks that the host calls no worker at all in the turn in which it goes on: a late poll would make a restarted worker forget exits.

--- a/tests/dispatch_paused_relays.rs
+++ b/tests/dispatch_paused_relays.rs
@@ -15,6 +15,9 @@
 /// Time after which a crashed worker runs again.
 const DOWN_MS: u64 = 100;
 
+/// Time within which a host that goes on handles what it has received.
+const FIRST_TURN_MS: u64 = 10;
+
 /// What happens between the pause of a host that relays orders and its end.
 struct Case {
     name: &'static str,
@@ -24,6 +27,8 @@
     after_restart_ms: u64,
     /// Whether another host owns by the end of the pause.
     changes_owner: bool,
+    /// Whether the owner of the job begins to own only once the other host is paused.
+    is_new_owner: bool,
 }
 
 const CASES: &[Case] = &[
@@ -32,24 +37,36 @@
         ahead_ms: 0,
         after_restart_ms: 0,
         changes_owner: false,
+        is_new_owner: false,
     },
     Case {
         name: "the host goes on before its owner has heard of the restarted workers",
         ahead_ms: 0,
         after_restart_ms: 20,
         changes_owner: false,
+        is_new_owner: false,
     },
     Case {
         name: "the clock of the host is ahead of the owner's by an hour",
         ahead_ms: 3_600_000,
         after_restart_ms: 0,
         changes_owner: false,
+        is_new_owner: false,
     },
     Case {
         name: "the owner that sent the orders is gone",
         ahead_ms: 0,
         after_restart_ms: 0,
         changes_owner: true,
+        is_new_owner: false,
+    },
+    // A connection to a paused host is established, as its system accepts it.
+    Case {
+        name: "the owner has connected to the host while it was paused",
+        ahead_ms: 0,
+        after_restart_ms: 0,
+        changes_owner: false,
+        is_new_owner: true,
     },
 ];
 
@@ -62,15 +79,22 @@
         let mut fleet = Fleet::with_relays(3, 4);
         fleet.keep_ids(true);
         fleet.set_restart_delay_ms(DOWN_MS);
-        let owner = fleet.owner().expect("there is an owner");
+        let mut owner = fleet.owner().expect("there is an owner");
         let relay = (owner + 1) % 3;
-        let other = (owner + 2) % 3;
+        let mut other = (owner + 2) % 3;
         fleet.kill(relay);
         fleet.set_steady_clock(relay, case.ahead_ms);
         fleet.start(relay);
         fleet.run(4_000);
         expect_that!(fleet.owner(), some(eq(owner)), "{}", case.name);
         fleet.pause(relay);
+        if case.is_new_owner {
+            fleet.kill(owner);
+            fleet.run(4_000);
+            fleet.start(owner);
+            (owner, other) = (other, owner);
+            expect_that!(fleet.owner(), some(eq(owner)), "{}", case.name);
+        }
         fleet.submit(owner, JOB, &job(vec![step(TASKS, 100, &[])]));
         fleet.run(COMPLETES_MS);
         let state = fleet.state(owner, JOB);
@@ -83,7 +107,11 @@
             fleet.crash(&address);
         }
         fleet.run(DOWN_MS + case.after_restart_ms);
+        let calls = fleet.worker_calls[relay];
         fleet.resume(relay);
+        fleet.run(FIRST_TURN_MS);
+        // A poll that is late would make a restarted worker forget exits that nobody has read.
+        expect_that!(fleet.worker_calls[relay], eq(calls), "{}", case.name);
         fleet.run(5_000);
         expect_that!(fleet.promises.starts.len(), eq(starts), "{}", case.name);
         expect_that!(fleet.promises.broken, is_empty(), "{}", case.name);
--- a/tests/fleet/actions.rs
+++ b/tests/fleet/actions.rs
@@ -122,6 +122,7 @@
                 call,
                 timeout_ms,
             } => {
+                self.worker_calls[number] += 1;
                 let order = Order {
                     ticket,
                     address,
--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -178,6 +178,8 @@
     /// Range of the additional delay of answers of workers in milliseconds, and the seed of the
     /// next one.
     pub(crate) answer_delays: Option<(u64, u64, u64)>,
+    /// Number of calls to workers by each host.
+    pub(crate) worker_calls: Vec<u64>,
     /// Number of claims of ownership that were appended.
     pub(crate) claims: u32,
     /// The host that has claimed last.
@@ -254,6 +256,7 @@
             append_delay_ms: None,
             late_orders_outlive_restarts: false,
             answer_delays: None,
+            worker_calls: vec![0; cpu_permille.len()],
             claims: 0,
             last_claimant: None,
             cut_workers: Vec::new(),
