--- a/crates/dispatch/src/entry/mod.rs
+++ b/crates/dispatch/src/entry/mod.rs
@@ -159,6 +159,8 @@
     is_store_unavailable: bool,
     contact: StoreContact,
     are_rules_outdated: bool,
+    /// When this host last handled anything.
+    handled_ms: u64,
     /// Offset of the wall clock from the steady clock.
     shown_offset_ms: Option<u64>,
     time_of_day: TimeOfDay,
@@ -210,6 +212,7 @@
             is_store_unavailable: false,
             contact: StoreContact::default(),
             are_rules_outdated: false,
+            handled_ms: 0,
             shown_offset_ms: None,
             time_of_day: TimeOfDay::default(),
             clock_offset_ms: 0,
@@ -272,7 +275,8 @@
     /// that follow from them are made once, after the last event.
     pub fn handle_all(&mut self, now: Now, events: Vec<Event>) -> Vec<Action> {
         let mut actions = Vec::new();
-        self.detect_suspension(now, &mut actions);
+        let suspended_ms = self.detect_suspension(now, &mut actions);
+        self.detect_pause(now, suspended_ms);
         let now = self.correct_time_of_day(now, &mut actions);
         for event in events {
             self.handle_event(now, event, &mut actions);
--- a/crates/dispatch/src/owner/mod.rs
+++ b/crates/dispatch/src/owner/mod.rs
@@ -267,6 +267,8 @@
     begun_jobs: Vec<(JobId, StateRecord)>,
     /// When the store or most workers last confirmed this owner.
     confirmed_ms: u64,
+    /// When this host last went on after a pause in which another one may have begun to own.
+    resumed_ms: u64,
     /// The store does not confirm the owner at present, so the workers have to.
     needs_worker_confirmation: bool,
     is_leaving: bool,
@@ -352,6 +354,7 @@
             writer: Writer::new(heartbeats, now.steady_ms),
             begun_jobs: Vec::new(),
             confirmed_ms: now.steady_ms,
+            resumed_ms: 0,
             needs_worker_confirmation: false,
             is_leaving: false,
             poll_budget: 0,
@@ -545,7 +548,6 @@
     /// Checks whether the workers confirm this owner: if most of them have answered under its token
     /// recently, no successor had called them before that.
     fn check_confirmed(&mut self, now_ms: u64) {
-        const ANSWERED_LATELY_MS: u64 = 2_000;
         // While the store confirms, the workers need not be counted.
         let needs_confirmation = now_ms >= self.confirmed_ms + RECONFIRM_AFTER_MS;
         if needs_confirmation && !self.needs_worker_confirmation {
@@ -555,21 +557,28 @@
         if !needs_confirmation {
             return;
         }
-        let mut count = 0;
+        let mut answered_ms = Vec::new();
         let mut listed = 0;
-        for worker in self.workers.values() {
-            listed += usize::from(worker.is_listed);
-            count += usize::from(
-                worker.is_listed
-                    && worker.is_known
-                    && worker.answered_ms + ANSWERED_LATELY_MS > now_ms,
-            );
+        for worker in self.workers.values().filter(|worker| worker.is_listed) {
+            listed += 1;
+            if worker.is_known && worker.answered_poll_ms >= self.resumed_ms {
+                answered_ms.push(worker.answered_ms);
+            }
         }
-        if listed > 0 && count * 2 > listed {
-            self.confirmed_ms = now_ms;
+        // Most of them have answered since the answer that is followed by half of all.
+        let most = listed / 2;
+        if answered_ms.len() > most {
+            answered_ms.sort_unstable_by(|one, other| other.cmp(one));
+            self.confirmed_ms = self.confirmed_ms.max(answered_ms[most]);
         }
     }
 
+    /// Records that this host did nothing for so long that another one may own meanwhile. What was
+    /// sent before that, and answered in between, no longer confirms this owner.
+    pub(crate) fn record_pause(&mut self, now_ms: u64) {
+        self.resumed_ms = now_ms;
+    }
+
     /// Returns whether this owner may extend leases and start tasks.
     pub(crate) fn is_confirmed(&self, now_ms: u64) -> bool {
         now_ms < self.confirmed_ms + MAX_UNCONFIRMED_MS
--- a/crates/dispatch/src/owner/polls.rs
+++ b/crates/dispatch/src/owner/polls.rs
@@ -227,6 +227,7 @@
         worker.misses_after_expiry = 0;
         worker.has_more_exits = report.has_more_exits;
         worker.answered_ms = now_ms;
+        worker.answered_poll_ms = sent_ms;
         let was_known = worker.is_known;
         worker.is_known = true;
         self.must_place |= !was_known;
--- a/crates/dispatch/src/owner/worker.rs
+++ b/crates/dispatch/src/owner/worker.rs
@@ -286,6 +286,8 @@
     pub(crate) first_polled_ms: Option<u64>,
     pub(crate) next_poll_ms: u64,
     pub(crate) answered_ms: u64,
+    /// When the poll was sent that it answered last.
+    pub(crate) answered_poll_ms: u64,
     /// Number of the newest exit that was handled, and of the newest that is recorded.
     pub(crate) handled_exit: u64,
     pub(crate) recorded_exit: u64,
@@ -351,6 +353,7 @@
             first_polled_ms: None,
             next_poll_ms: 0,
             answered_ms: 0,
+            answered_poll_ms: 0,
             handled_exit: 0,
             recorded_exit: 0,
             forgotten_exit: 0,
--- a/crates/dispatch/src/owner/writing.rs
+++ b/crates/dispatch/src/owner/writing.rs
@@ -349,7 +349,10 @@
             self.record_acknowledged_exit(worker, number, now_ms);
         }
         for (worker, task, run) in effects.starts {
-            self.send_start(worker, task, run, now, tickets, actions);
+            match self.writer.progress.sent_ms < self.resumed_ms {
+                true => self.record_start_again(worker, task, run),
+                false => self.send_start(worker, task, run, now, tickets, actions),
+            }
         }
         self.writer.unpublished.extend_from_slice(&effects.states);
         self.writer.retired_states.extend(effects.retired);
@@ -357,6 +360,18 @@
         Some(effects.states)
     }
 
+    /// Records a run once more before it is ordered to start. Its record was sent before this host
+    /// paused, so another one may own by now, have run the task, and have noted its end.
+    fn record_start_again(&mut self, key: WorkerKey, task: TaskId, run: u32) {
+        if !self.is_recording(key, task, run) {
+            return;
+        }
+        self.writer.start_once_stored(key, task, run);
+        if let Some(job) = self.job_keys.get(&task.job) {
+            self.jobs[*job].is_dirty = true;
+        }
+    }
+
     fn apply_append_outcome(&mut self, outcome: AppendOutcome, is_stored: bool, sent_ms: u64) {
         if outcome == AppendOutcome::Fenced {
             self.stepdown = Some(Stepdown::Fenced);
--- a/tests/lib.rs
+++ b/tests/lib.rs
@@ -20,6 +20,7 @@
 mod dispatch_exits;
 mod dispatch_fair_shares;
 mod dispatch_faults;
+mod dispatch_former_owners;
 mod dispatch_freshness;
 mod dispatch_full_pages;
 mod dispatch_gangs;
