Tests: hosts that own again, beside a worker that is silent or restarts

The operators' report has a host whose two orders for one task lie 2 s apart, after another host owned that could not read the store and a worker that had been given up before had come back. Neither the tests nor the random sequences had a host that owns, loses its ownership and owns again within seconds.

dispatch_two_spells.rs combines 16 disturbances (answers of the store lost, orders late, a worker given up that is back, a worker mute, cut off from one host only, unlisted, restarted under its id, exchanged with another one, slow answers, full pages) with 5 kinds of steps, 3 ways to lose ownership and 6 times of the first fault.

The fleet can cut single links between a host and a worker, both ways or only on the way back, and delay the orders to some workers.

--- /dev/null
+++ b/tests/dispatch_two_spells.rs
@@ -0,0 +1,379 @@
+//! Hosts that own, lose their ownership and own again within seconds, while workers are silent,
+//! come back, are removed or start again.
+
+use crate::dispatch::JOB;
+use crate::dispatch::owner;
+use crate::dispatch_faults::list_unexpected_states;
+use crate::fleet::Fleet;
+use crate::fleet::Mode;
+use crate::fleet::job;
+use crate::fleet::step;
+use goldcrestway_dispatch::Step;
+use goldcrestway_dispatch::Stream;
+use googletest::prelude::*;
+
+/// The worker that is disturbed.
+const WORKER: &str = "10.0.0.0:80";
+const WORKERS: usize = 4;
+const HOSTS: usize = 3;
+/// Time in which a host claims after the last heartbeat of an owner, and begins to own.
+const TAKEOVER_MS: u64 = 5_000;
+/// Time after which a silent worker is given up.
+const GIVEN_UP_MS: u64 = 6_500;
+/// Time for which an owner could not read the store.
+const UNREAD_MS: u64 = 10_000;
+/// Time in which all jobs complete once there are no more faults.
+const COMPLETION_MS: u64 = 25_000;
+/// Times from the submission of the last job until the first fault. A run is recorded within 30 ms
+/// and confirmed within 10 ms more.
+const OFFSETS_MS: [u64; 6] = [5, 10, 20, 30, 45, 300];
+/// Streams that an owner reads while it owns.
+const READ_STREAMS: [Stream; 6] = [
+    Stream::Jobs(0),
+    Stream::Jobs(1),
+    Stream::Jobs(2),
+    Stream::Jobs(3),
+    Stream::Workers,
+    Stream::Rules,
+];
+
+/// Runs until a host other than the given one owns, and returns it.
+fn await_other_owner(fleet: &mut Fleet, former: usize) -> usize {
+    for _ in 0..TAKEOVER_MS / 20 {
+        fleet.run(20);
+        let mut others = (0..fleet.host_count()).filter(|host| *host != former);
+        if let Some(owner) = others.find(|host| fleet.is_owner(*host)) {
+            return owner;
+        }
+    }
+    former
+}
+
+/// Runs until a host owns.
+fn await_owner(fleet: &mut Fleet, host: usize) {
+    for _ in 0..TAKEOVER_MS / 20 {
+        fleet.run(20);
+        if fleet.is_owner(host) {
+            return;
+        }
+    }
+}
+
+/// How an owner loses its ownership. It returns once the next host owns.
+#[derive(Debug, Clone, Copy)]
+enum Loss {
+    /// It alone can't reach the store, and goes on until a worker refuses its orders.
+    Store,
+    /// The same, and it can't reach the workers either, so it does not learn of the next owner.
+    Network,
+    /// It is paused, and finds all that arrived meanwhile when it goes on.
+    Pause,
+}
+
+const LOSSES: [Loss; 3] = [Loss::Store, Loss::Network, Loss::Pause];
+
+fn depose(fleet: &mut Fleet, host: usize, loss: Loss) -> usize {
+    match loss {
+        Loss::Store => fleet.cut_from_store(host, true),
+        Loss::Network => {
+            fleet.cut_from_store(host, true);
+            fleet.cut_from_workers(host, true);
+        }
+        Loss::Pause => fleet.pause(host),
+    }
+    await_other_owner(fleet, host)
+}
+
+/// Makes a host that has owned before own again, as all others lose the store.
+fn restore(fleet: &mut Fleet, host: usize) {
+    for other in 0..fleet.host_count() {
+        fleet.cut_from_store(other, other != host);
+    }
+    fleet.cut_from_workers(host, false);
+    fleet.resume(host);
+    // It may still take itself for the owner of its first spell.
+    fleet.run(200);
+    await_owner(fleet, host);
+}
+
+fn mend(fleet: &mut Fleet) {
+    fleet.store.mode = Mode::Up;
+    fleet.store.silent.clear();
+    fleet.order_delay_ms = None;
+    fleet.answer_delays = None;
+    fleet.cut_workers.clear();
+    fleet.mute_workers.clear();
+    fleet.cut_links.clear();
+    fleet.mute_links.clear();
+    for host in 0..fleet.host_count() {
+        fleet.cut_from_store(host, false);
+        fleet.cut_from_workers(host, false);
+        fleet.resume(host);
+    }
+    for worker in 0..WORKERS {
+        fleet.report(&format!("10.0.0.{worker}:80"));
+    }
+}
+
+/// What the host that owns twice meets, beside its loss of ownership.
+struct Case {
+    name: &'static str,
+    /// Before the job is submitted. Returns the host that owns twice.
+    prepare: fn(&mut Fleet) -> usize,
+    /// After it is submitted to the first spell.
+    disturb: fn(&mut Fleet),
+    /// While another host owns.
+    between: fn(&mut Fleet),
+    /// After the first host owns again.
+    after: fn(&mut Fleet),
+}
+
+const CASE: Case = Case {
+    name: "",
+    prepare: |fleet| owner(fleet),
+    disturb: |_| {},
+    between: |fleet| fleet.run(200),
+    after: |fleet| fleet.run(2_000),
+};
+
+/// An owner gives a silent worker up, and another one owns that can't read the store. Returns the
+/// latter, which owns next again.
+fn give_up_and_change(fleet: &mut Fleet) -> usize {
+    fleet.cut_workers = vec![WORKER.into()];
+    fleet.run(GIVEN_UP_MS);
+    let first = owner(fleet);
+    let second = depose(fleet, first, Loss::Store);
+    fleet.store.silent = READ_STREAMS.to_vec();
+    fleet.cut_workers.clear();
+    fleet.run(UNREAD_MS);
+    fleet.store.silent.clear();
+    fleet.cut_from_store(first, false);
+    fleet.run(500);
+    second
+}
+
+const CASES: &[Case] = &[
+    Case {
+        name: "nothing else",
+        ..CASE
+    },
+    Case {
+        name: "the store loses its answers while runs are recorded",
+        disturb: |fleet| {
+            fleet.store.mode = Mode::LosesAnswers;
+            fleet.run(400);
+            fleet.store.mode = Mode::Up;
+        },
+        ..CASE
+    },
+    Case {
+        name: "orders are carried out late",
+        prepare: |fleet| {
+            fleet.order_delay_ms = Some(2_500);
+            owner(fleet)
+        },
+        between: |fleet| {
+            fleet.order_delay_ms = None;
+            fleet.run(200);
+        },
+        ..CASE
+    },
+    Case {
+        name: "a worker was given up, came back, and an owner could not read the store",
+        prepare: give_up_and_change,
+        ..CASE
+    },
+    Case {
+        name: "the same, and the worker is mute when the first host owns again",
+        prepare: give_up_and_change,
+        between: |fleet| {
+            fleet.mute_workers = vec![WORKER.into()];
+            fleet.run(1_000);
+        },
+        after: |fleet| fleet.run(GIVEN_UP_MS),
+        ..CASE
+    },
+    Case {
+        name: "the same, and the worker falls silent once more before that",
+        prepare: give_up_and_change,
+        disturb: |fleet| {
+            fleet.cut_workers = vec![WORKER.into()];
+            fleet.run(600);
+        },
+        between: |fleet| {
+            fleet.cut_workers.clear();
+            fleet.run(1_000);
+        },
+        ..CASE
+    },
+    Case {
+        name: "a worker is silent until it is given up by the other owner",
+        disturb: |fleet| fleet.mute_workers = vec![WORKER.into()],
+        between: |fleet| {
+            fleet.run(GIVEN_UP_MS + 2_000);
+            fleet.mute_workers.clear();
+            fleet.run(20);
+        },
+        ..CASE
+    },
+    Case {
+        name: "a worker carries out orders of one host and answers only others",
+        disturb: |fleet| {
+            let host = owner(fleet);
+            fleet.mute_links = vec![(host, WORKER.into())];
+        },
+        after: |fleet| fleet.run(GIVEN_UP_MS + 1_000),
+        ..CASE
+    },
+    Case {
+        name: "a worker is reached by the first host only",
+        disturb: |fleet| {
+            let host = owner(fleet);
+            let others = (0..fleet.host_count()).filter(|other| *other != host);
+            fleet.cut_links = others.map(|other| (other, WORKER.into())).collect();
+        },
+        between: |fleet| fleet.run(2_000),
+        after: |fleet| fleet.run(GIVEN_UP_MS + 1_000),
+        ..CASE
+    },
+    Case {
+        name: "the entry of a worker lapses and is back",
+        disturb: |fleet| {
+            let id = fleet.workers[WORKER].id.clone();
+            fleet.store.put(Stream::Workers, &id, &[]);
+        },
+        between: |fleet| {
+            fleet.run(100);
+            fleet.report(WORKER);
+            fleet.run(100);
+        },
+        ..CASE
+    },
+    Case {
+        name: "a worker starts again under its id",
+        disturb: |fleet| fleet.crash(WORKER),
+        ..CASE
+    },
+    Case {
+        name: "a worker starts again under its id while nobody reaches it",
+        disturb: |fleet| {
+            fleet.cut_workers = vec![WORKER.into()];
+            fleet.crash(WORKER);
+        },
+        between: |fleet| {
+            fleet.run(1_000);
+            fleet.cut_workers.clear();
+        },
+        ..CASE
+    },
+    Case {
+        name: "two workers exchange their addresses",
+        disturb: |fleet| {
+            fleet.add_worker("10.0.0.0:80", "w1-1");
+            fleet.add_worker("10.0.0.1:80", "w0-1");
+        },
+        ..CASE
+    },
+    Case {
+        name: "answers of workers take up to half a second",
+        prepare: |fleet| {
+            fleet.answer_delays = Some((20, 500, 7));
+            owner(fleet)
+        },
+        ..CASE
+    },
+    Case {
+        name: "workers list two exits at a time",
+        prepare: |fleet| {
+            for worker in fleet.workers.values_mut() {
+                worker.exits_per_report = 2;
+            }
+            owner(fleet)
+        },
+        ..CASE
+    },
+    Case {
+        name: "the store is silent for all once the first host owns again",
+        disturb: |fleet| fleet.mute_workers = vec![WORKER.into()],
+        after: |fleet| {
+            fleet.store.mode = Mode::Silent;
+            fleet.run(1_500);
+            fleet.mute_workers.clear();
+            fleet.run(GIVEN_UP_MS);
+        },
+        ..CASE
+    },
+];
+
+const STEPS: [fn() -> Step; 5] = [
+    || step(8, 300, &[]),
+    || step(8, 4_000, &[]),
+    || Step {
+        is_gang: true,
+        ..step(6, 2_000, &[])
+    },
+    || Step {
+        is_speculative: true,
+        ..step(8, 2_000, &[])
+    },
+    || Step {
+        is_long_running: true,
+        ..step(6, 1_000, &[])
+    },
+];
+
+fn run_case(case: &Case, new_step: fn() -> Step, loss: Loss, offset_ms: u64) -> Vec<String> {
+    let relays = offset_ms == OFFSETS_MS[3];
+    let mut fleet = match relays {
+        true => Fleet::with_relays(HOSTS, WORKERS),
+        false => Fleet::new(HOSTS, WORKERS),
+    };
+    fleet.keep_ids(true);
+    fleet.set_restart_delay_ms(600);
+    fleet.promises.disturbed_ms = fleet.now_ms;
+    fleet.submit(0, JOB, &job(vec![step(8, 2_000, &[])]));
+    fleet.run(500);
+    let host = (case.prepare)(&mut fleet);
+    fleet.submit(host, JOB + 1, &job(vec![new_step()]));
+    fleet.run(offset_ms);
+    (case.disturb)(&mut fleet);
+    depose(&mut fleet, host, loss);
+    (case.between)(&mut fleet);
+    restore(&mut fleet, host);
+    (case.after)(&mut fleet);
+    mend(&mut fleet);
+    fleet.run(COMPLETION_MS);
+    let mut violations = fleet.promises.broken.clone();
+    violations.extend(list_unexpected_states(&mut fleet));
+    if !violations.is_empty() && std::env::var("DISPATCH_LOG").is_ok() {
+        println!("{violations:#?}\n{}", fleet.log_lines.join("\n"));
+    }
+    violations
+}
+
+/// Guards against a task that runs twice, or again after its success, where the host that ordered it
+/// loses its ownership and owns again within seconds. With `DISPATCH_SEQUENCES` set, each combination
+/// is played with all times of the first fault, otherwise with one of them in turn.
+#[gtest]
+fn no_task_runs_twice_when_a_host_owns_again() {
+    let plays_all = std::env::var("DISPATCH_SEQUENCES").is_ok();
+    let mut combination = 0;
+    for case in CASES {
+        for (number, new_step) in STEPS.iter().enumerate() {
+            for loss in LOSSES {
+                combination += 1;
+                for (index, offset_ms) in OFFSETS_MS.into_iter().enumerate() {
+                    if !plays_all && index != combination % OFFSETS_MS.len() {
+                        continue;
+                    }
+                    expect_that!(
+                        run_case(case, *new_step, loss, offset_ms),
+                        is_empty(),
+                        "{}, step {number}, {loss:?}, {offset_ms} ms",
+                        case.name
+                    );
+                }
+            }
+        }
+    }
+}
--- a/tests/fleet/actions.rs
+++ b/tests/fleet/actions.rs
@@ -203,7 +203,9 @@
     }
 
     fn send_order(&mut self, number: usize, generation: u64, order: Order, timeout_ms: u64) {
-        if let Some(order_delay_ms) = self.order_delay_ms {
+        let delayed = &self.delayed_workers;
+        let is_delayed = delayed.is_empty() || delayed.contains(&order.address);
+        if let Some(order_delay_ms) = self.order_delay_ms.filter(|_| is_delayed) {
             let event = Event::Ordered {
                 ticket: order.ticket,
                 outcome: OrderOutcome::Unknown,
@@ -217,7 +219,8 @@
             ));
             return;
         }
-        if self.hosts[number].is_cut_from_workers {
+        let link = (number, order.address.clone());
+        if self.hosts[number].is_cut_from_workers || self.cut_links.contains(&link) {
             let event = Event::Ordered {
                 ticket: order.ticket,
                 outcome: OrderOutcome::Unknown,
--- a/tests/fleet/deliveries.rs
+++ b/tests/fleet/deliveries.rs
@@ -46,7 +46,7 @@
             }
             Delivery::Order(number, generation, order) => {
                 let starts = self.promises.starts.len();
-                let outcome = self.execute(&order);
+                let outcome = self.execute_over_link(number, &order);
                 if self.promises.starts.len() > starts {
                     self.check_start(number, &order.address);
                     self.check_draining(number, &order.address);
@@ -73,7 +73,7 @@
                         OrderOutcome::Unknown,
                     );
                 }
-                let outcome = self.execute(&order);
+                let outcome = self.execute_over_link(number, &order);
                 let has_exit = match &outcome {
                     OrderOutcome::Done { report, .. } => report
                         .as_ref()
@@ -104,6 +104,15 @@
         worker.map(|worker| worker.started_wall_ms)
     }
 
+    /// Executes an order of a host; its answer may be lost on the way back.
+    fn execute_over_link(&mut self, number: usize, order: &Order) -> OrderOutcome {
+        let outcome = self.execute(order);
+        match self.mute_links.contains(&(number, order.address.clone())) {
+            true => OrderOutcome::Unknown,
+            false => outcome,
+        }
+    }
+
     pub(super) fn execute(&mut self, order: &Order) -> OrderOutcome {
         let is_cut = self.cut_workers.contains(&order.address);
         let Some(worker) = self.workers.get_mut(&order.address) else {
--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -171,6 +171,8 @@
     submission_jobs: BTreeMap<u64, JobId>,
     /// If set, orders to workers are executed after this delay and not answered.
     pub(crate) order_delay_ms: Option<u64>,
+    /// Addresses of the workers whose orders are delayed; all if there are none.
+    pub(crate) delayed_workers: Vec<Box<str>>,
     /// If set, the store appends what callers send after this delay, and does not answer.
     pub(crate) append_delay_ms: Option<u64>,
     /// Delayed orders are also executed if their worker was restarted under its id meanwhile.
@@ -188,6 +190,10 @@
     pub(crate) cut_workers: Vec<Box<str>>,
     /// Addresses of workers that carry out orders and whose answers are lost.
     pub(crate) mute_workers: Vec<Box<str>>,
+    /// Pairs of a host and the address of a worker between which nothing passes.
+    pub(crate) cut_links: Vec<(usize, Box<str>)>,
+    /// The same where orders pass, and their answers are lost.
+    pub(crate) mute_links: Vec<(usize, Box<str>)>,
     /// Workers that may run steps of queues that require permits, and the number of requests for
     /// permits so far.
     pub(crate) permitted: Vec<Box<str>>,
@@ -253,6 +259,7 @@
             replies: BTreeMap::new(),
             submission_jobs: BTreeMap::new(),
             order_delay_ms: None,
+            delayed_workers: Vec::new(),
             append_delay_ms: None,
             late_orders_outlive_restarts: false,
             answer_delays: None,
@@ -261,6 +268,8 @@
             last_claimant: None,
             cut_workers: Vec::new(),
             mute_workers: Vec::new(),
+            cut_links: Vec::new(),
+            mute_links: Vec::new(),
             permitted: Vec::new(),
             permit_calls: 0,
             max_store_calls: 0,
@@ -421,6 +430,12 @@
             .position(|host| !host.is_paused && host.entry.as_ref().is_some_and(Entry::is_owner))
     }
 
+    /// Returns whether a host acts as owner.
+    pub(crate) fn is_owner(&self, number: usize) -> bool {
+        let host = &self.hosts[number];
+        !host.is_paused && host.entry.as_ref().is_some_and(Entry::is_owner)
+    }
+
     /// Returns how many hosts act as owner.
     pub(crate) fn owners(&self) -> usize {
         let owners = self
--- a/tests/fleet/worker_faults.rs
+++ b/tests/fleet/worker_faults.rs
@@ -214,7 +214,8 @@
         }
     }
 
-    pub(super) fn report(&mut self, address: &str) {
+    /// Makes a worker report itself to the platform, which lists it from then on.
+    pub(crate) fn report(&mut self, address: &str) {
         self.report_as(address, "ready");
     }
 
