The success of a run that was given up counts also while it is being stopped

Callers saw a task run again after its success had been acknowledged to the worker.

A run that was given up and is heard of again is an orphan: it is stopped, and its task's next run waits for that. Where it succeeded before the order to stop it arrived, its exit was ignored like any exit of an orphan, and acknowledged with the next record; then the next run started. The exit of a run of which nothing is known was accepted all the time.

It is reached where the order to start had no answer and is carried out late by the next incarnation of the worker, while the next run waits to be recorded (the store silent).

accept_late_exit already leaves alone what must be: long-running tasks, jobs that have ended, tasks that are done. It completes all members of a gang, and stops what has replaced the run.

--- a/crates/dispatch/src/owner/exits.rs
+++ b/crates/dispatch/src/owner/exits.rs
@@ -71,6 +71,9 @@
             )));
         }
         if run.is_orphan {
+            if exit_reason == ExitReason::Done {
+                self.accept_late_exit(task, now, actions);
+            }
             return;
         }
         let Some(job) = self.job_keys.get(&task.job).copied() else {
@@ -101,9 +104,9 @@
         );
     }
 
-    /// Marks a task as done whose run succeeded before the owner removed its worker, but whose exit
-    /// is listed only now, as its worker was cut off until its leases had expired. Runs that
-    /// replaced it are stopped, and the task never starts again.
+    /// Marks a task as done whose run succeeded although it was given up: its worker was cut off until
+    /// its leases had expired, or the run was heard of again and ended before the order to stop it
+    /// arrived. Runs that replaced it are stopped, and the task never starts again.
     fn accept_late_exit(&mut self, id: TaskId, now: Now, actions: &mut Vec<Action>) {
         let Some(key) = self.job_keys.get(&id.job).copied() else {
             return;
--- a/tests/dispatch_two_spells.rs
+++ b/tests/dispatch_two_spells.rs
@@ -8,8 +8,12 @@
 use crate::fleet::Mode;
 use crate::fleet::job;
 use crate::fleet::step;
+use goldcrestway_core::Code;
+use goldcrestway_dispatch::JobId;
+use goldcrestway_dispatch::JobState;
 use goldcrestway_dispatch::Step;
 use goldcrestway_dispatch::Stream;
+use goldcrestway_dispatch::TaskId;
 use googletest::prelude::*;
 
 /// The worker that is disturbed.
@@ -27,6 +31,12 @@
 /// Times from the submission of the last job until the first fault. A run is recorded within 30 ms
 /// and confirmed within 10 ms more.
 const OFFSETS_MS: [u64; 6] = [5, 10, 20, 30, 45, 300];
+const FIRST_TASK: TaskId = TaskId {
+    job: JobId(JOB),
+    occurrence: 0,
+    step: 0,
+    index: 0,
+};
 /// Streams that an owner reads while it owns.
 const READ_STREAMS: [Stream; 6] = [
     Stream::Jobs(0),
@@ -377,3 +387,100 @@
         }
     }
 }
+
+/// Tasks whose run was given up, is heard of again and succeeds before the order to stop it arrives.
+struct OrphanCase {
+    name: &'static str,
+    step: fn() -> Step,
+}
+
+const ORPHAN_CASES: &[OrphanCase] = &[
+    OrphanCase {
+        name: "one task",
+        step: || step(1, 60, &[]),
+    },
+    OrphanCase {
+        name: "a gang, of which one member stands for all",
+        step: || Step {
+            is_gang: true,
+            ..step(3, 60, &[])
+        },
+    },
+];
+
+/// Guards against a task that starts again after its success was acknowledged. Its run was given up
+/// with its worker; the order to start it was carried out late, by the next incarnation, while the
+/// next run waited to be recorded, and it succeeded before the order to stop it arrived.
+#[gtest]
+fn a_run_that_was_given_up_and_succeeds_is_the_last_one() {
+    for case in ORPHAN_CASES {
+        let mut reached = 0;
+        for late_ms in (8_005..8_400).step_by(15) {
+            let mut fleet = Fleet::new(HOSTS, WORKERS);
+            fleet.keep_ids(true);
+            fleet.late_orders_outlive_restarts = true;
+            fleet.set_restart_delay_ms(8_000);
+            fleet.order_delay_ms = Some(late_ms);
+            fleet.submit(0, JOB, &job(vec![(case.step)(), step(1, 50, &[0])]));
+            let until_ms = fleet.now_ms + 300;
+            while !fleet.note_counts.contains_key(&Code::RunOrdered) && fleet.now_ms < until_ms {
+                fleet.run(5);
+            }
+            fleet.run(20);
+            fleet.order_delay_ms = None;
+            let busy = ordered_workers(&fleet);
+            for id in busy {
+                let address = fleet.address_of(&id);
+                fleet.crash(&address);
+            }
+            fleet.run(3_000);
+            fleet.store.mode = Mode::Silent;
+            fleet.run(4_900);
+            fleet.answer_delays = Some((200, 200, 1));
+            fleet.run(1_600);
+            fleet.store.mode = Mode::Up;
+            fleet.answer_delays = None;
+            fleet.run(COMPLETION_MS);
+            let mut starts = fleet.promises.starts.iter();
+            let has_next = starts.any(|start| start.1 == FIRST_TASK && start.2 > 1);
+            reached += usize::from(!has_next);
+            expect_that!(
+                fleet.promises.broken,
+                is_empty(),
+                "{}, {late_ms} ms: {:#?}",
+                case.name,
+                fleet.log_lines
+            );
+            expect_that!(
+                fleet.promises.completions_of(FIRST_TASK),
+                eq(1),
+                "{}, {late_ms} ms: {:#?}",
+                case.name,
+                fleet.log_lines
+            );
+            expect_that!(
+                fleet.state(0, JOB),
+                some(eq(JobState::Completed)),
+                "{}, {late_ms} ms",
+                case.name
+            );
+        }
+        // Otherwise the late run never was the first to succeed, which would prove nothing.
+        expect_that!(reached, gt(0), "{}", case.name);
+    }
+}
+
+/// Returns the ids of the workers that were ordered to start something.
+fn ordered_workers(fleet: &Fleet) -> Vec<Box<str>> {
+    let mut ids: Vec<Box<str>> = Vec::new();
+    let lines = fleet.log_lines.iter();
+    for line in lines.filter(|line| line.contains("RunOrdered")) {
+        let mut words = line.split(' ');
+        if let Some(id) = words.find_map(|word| word.strip_prefix("worker=")) {
+            ids.push(id.into());
+        }
+    }
+    ids.sort();
+    ids.dedup();
+    ids
+}
