Orders without an answer are remembered when their run was stopped or ended

Callers saw a task run again after its success was acknowledged, or after its job was cancelled: a worker crashed, came back under its id, and carried out an order to start that had had no answer seconds before.

The owner stops such runs at the next incarnation (DoubtfulStarts). It remembered an order only if its run was still `Sent` when the answer was found missing, or when the worker was removed. A run that was told to stop meanwhile, since its job was cancelled or another member of its gang was refused, is `Stopping` by then; once the worker had confirmed the stop, nothing remembered the order, though that rules it out at this incarnation only. The same for a second order whose run ended before its answer.

Each run that is over, by an exit, as lost or with its worker, is now remembered if one of its orders may still be carried out: there were two of them, or the only one was never confirmed. That it is over says nothing of these orders, so the time for which they are remembered counts from then.

The test has five sequences with three delays each. An order that reaches the next incarnation before the owner does remains open.

--- a/crates/dispatch/src/owner/exits.rs
+++ b/crates/dispatch/src/owner/exits.rs
@@ -46,6 +46,7 @@
             }
             return;
         };
+        self.record_doubtful_start(key, task, number, &run, now.steady_ms);
         self.begin_job(task.job, now, actions);
         match exit_reason {
             ExitReason::Done => {
@@ -279,6 +280,7 @@
             return;
         };
         self.must_place = true;
+        self.record_doubtful_start(key, id, number, &run, now_ms);
         let Some(job_key) = self.job_keys.get(&id.job).copied() else {
             return;
         };
--- a/crates/dispatch/src/owner/incarnations.rs
+++ b/crates/dispatch/src/owner/incarnations.rs
@@ -195,8 +195,13 @@
 
     /// Removes and gives the runs of a worker whose orders to start may still be carried out.
     fn take_doubtful_runs(&mut self, key: WorkerKey, now_ms: u64) -> Vec<(TaskId, u32, Run)> {
-        self.record_unanswered_starts(key, now_ms);
         let worker = &mut self.workers[key];
+        for ((task, number), run) in &worker.runs {
+            if run.may_start_late() {
+                let id = &worker.entry.id;
+                self.doubtful_starts.add(id, *task, *number, now_ms);
+            }
+        }
         let mut removed_runs = Vec::new();
         for (task, number) in self.doubtful_starts.open_starts(&worker.entry.id, now_ms) {
             if let Some(run) = worker.remove(task, number) {
@@ -206,14 +211,20 @@
         removed_runs
     }
 
-    /// Records the orders to start that stay unanswered, as their worker is removed.
-    pub(super) fn record_unanswered_starts(&mut self, key: WorkerKey, now_ms: u64) {
-        let worker = &self.workers[key];
-        for ((task, number), run) in &worker.runs {
-            if run.phase == RunPhase::Sent {
-                let id = &worker.entry.id;
-                self.doubtful_starts.add(id, *task, *number, now_ms);
-            }
+    /// Records a run that is over at a worker if an order to start it may still be carried out. That
+    /// it has ended or was stopped rules this out at its incarnation only: the next one would start it
+    /// again, after its success or that of the run that replaced it.
+    pub(super) fn record_doubtful_start(
+        &mut self,
+        key: WorkerKey,
+        task: TaskId,
+        number: u32,
+        run: &Run,
+        now_ms: u64,
+    ) {
+        if run.may_start_late() {
+            let id = &self.workers[key].entry.id;
+            self.doubtful_starts.add(id, task, number, now_ms);
         }
     }
 
--- a/crates/dispatch/src/owner/worker.rs
+++ b/crates/dispatch/src/owner/worker.rs
@@ -231,6 +231,12 @@
         self.headroom_share_percent = self.headroom_share_percent.min(max_share_percent);
     }
 
+    /// Returns whether an order to start it may still be carried out. Each order before the last one
+    /// had no answer, and one order that had an answer does not tell which of them it was.
+    pub(crate) fn may_start_late(&self) -> bool {
+        self.start_attempts > 1 || self.start_attempts == 1 && !self.was_confirmed
+    }
+
     /// Requests that a run stops, because nothing waits for its exit any more, or because its task
     /// restarts after it. Tells whether no order to start it was ever sent, so that it can simply
     /// be dropped. A run that waits for its second order can't be dropped: the first one timed out
--- a/crates/dispatch/src/owner/worker_removal.rs
+++ b/crates/dispatch/src/owner/worker_removal.rs
@@ -23,7 +23,6 @@
     ) {
         self.record_removal(key, removal_reason, now.steady_ms, actions);
         let removed = self.describe_removal(key, removal_reason, now.steady_ms);
-        self.record_unanswered_starts(key, now.steady_ms);
         let runs: Vec<(TaskId, u32)> = self.workers[key].runs.keys().copied().collect();
         for (task, run) in runs {
             self.lose_run(key, task, run, now.steady_ms);
--- a/tests/dispatch_two_spells.rs
+++ b/tests/dispatch_two_spells.rs
@@ -6,11 +6,13 @@
 use crate::dispatch_faults::list_unexpected_states;
 use crate::fleet::Fleet;
 use crate::fleet::Mode;
+use crate::fleet::WORKER_RESOURCES;
 use crate::fleet::job;
 use crate::fleet::step;
 use goldcrestway_core::Code;
 use goldcrestway_dispatch::JobId;
 use goldcrestway_dispatch::JobState;
+use goldcrestway_dispatch::Resources;
 use goldcrestway_dispatch::Step;
 use goldcrestway_dispatch::Stream;
 use goldcrestway_dispatch::TaskId;
@@ -484,3 +486,136 @@
     ids.dedup();
     ids
 }
+
+/// An order to start that had no answer, and is carried out by a later incarnation of its worker
+/// although its run was given up or has ended.
+struct LateCase {
+    name: &'static str,
+    step: fn() -> Step,
+    /// Before the job is submitted.
+    prepare: fn(&mut Fleet),
+    /// After the orders were sent.
+    play: fn(&mut Fleet),
+}
+
+/// The worker whose orders are carried out late in [`LATE_CASES`].
+const LATE_WORKER: &str = "10.0.0.1:80";
+const SMALL: Resources = Resources {
+    cpu_milli: 500,
+    memory_mb: 500,
+    accelerators: 0,
+};
+
+fn spread_gang() -> Step {
+    Step {
+        is_gang: true,
+        max_per_worker: 1,
+        ..step(2, 200, &[])
+    }
+}
+
+const LATE_CASES: &[LateCase] = &[
+    LateCase {
+        name: "the second order was answered, and the run succeeded",
+        step: || step(1, 200, &[]),
+        prepare: |_| {},
+        play: |_| {},
+    },
+    LateCase {
+        name: "its job was cancelled before the order could be answered",
+        step: || step(1, 200, &[]),
+        prepare: |_| {},
+        play: |fleet| {
+            fleet.cancel(0, JOB);
+        },
+    },
+    LateCase {
+        name: "the same, and its worker starts again before it has confirmed the stop",
+        step: || step(1, 200, &[]),
+        prepare: |_| {},
+        play: |fleet| {
+            fleet.mute_workers = fleet.delayed_workers.clone();
+            fleet.cancel(0, JOB);
+            fleet.run(700);
+            fleet.crash(LATE_WORKER);
+            fleet.run(10);
+            fleet.mute_workers.clear();
+        },
+    },
+    LateCase {
+        name: "another member of its gang was refused before the order could be answered",
+        step: spread_gang,
+        prepare: |fleet| fleet.resize(WORKER, SMALL),
+        play: |fleet| {
+            fleet.run(100);
+            fleet.resize(WORKER, WORKER_RESOURCES);
+        },
+    },
+    LateCase {
+        name: "the same, and its worker starts again before it has confirmed that stop",
+        step: spread_gang,
+        prepare: |fleet| fleet.resize(WORKER, SMALL),
+        play: |fleet| {
+            fleet.mute_workers = fleet.delayed_workers.clone();
+            fleet.run(700);
+            fleet.resize(WORKER, WORKER_RESOURCES);
+            fleet.crash(LATE_WORKER);
+            fleet.run(10);
+            fleet.mute_workers.clear();
+        },
+    },
+];
+
+/// Guards against a task that starts again after its success was acknowledged, or after its job was
+/// cancelled: an order to start it that had no answer is carried out by the next incarnation of its
+/// worker, after the run was stopped or has ended.
+#[gtest]
+fn orders_without_an_answer_are_ruled_out_at_the_next_incarnation() {
+    for case in LATE_CASES {
+        for late_ms in [8_000, 9_500, 14_000] {
+            let mut fleet = Fleet::new(HOSTS, WORKERS);
+            fleet.keep_ids(true);
+            fleet.late_orders_outlive_restarts = true;
+            fleet.set_restart_delay_ms(5);
+            (case.prepare)(&mut fleet);
+            // A single task goes to the first worker unless that one is full.
+            let first = (case.step)();
+            if !first.is_gang {
+                fleet.submit(0, JOB + 1, &job(vec![step(8, 9_000, &[])]));
+                fleet.run(100);
+            }
+            let ordered = fleet.note_counts.get(&Code::RunOrdered).copied();
+            fleet.delayed_workers = vec![LATE_WORKER.into()];
+            fleet.order_delay_ms = Some(late_ms);
+            fleet.submit(0, JOB, &job(vec![first, step(1, 100, &[0])]));
+            while fleet.note_counts.get(&Code::RunOrdered).copied() == ordered {
+                fleet.run(5);
+            }
+            fleet.order_delay_ms = None;
+            (case.play)(&mut fleet);
+            fleet.run(5_000);
+            let state = fleet.state(0, JOB);
+            expect_that!(
+                state,
+                some(any![eq(JobState::Completed), eq(JobState::Cancelled)]),
+                "{}",
+                case.name
+            );
+            fleet.crash(LATE_WORKER);
+            let starts = fleet.promises.starts.len();
+            fleet.run(late_ms);
+            let late: Vec<_> = fleet.promises.starts[starts..]
+                .iter()
+                .filter(|start| start.1.job == JobId(JOB))
+                .collect();
+            expect_that!(
+                late,
+                is_empty(),
+                "{}, {late_ms} ms: {:#?}",
+                case.name,
+                fleet.log_lines
+            );
+            expect_that!(fleet.promises.broken, is_empty(), "{}", case.name);
+        }
+    }
+}
