A new owner that reaches few workers gives up none that it has never reached

Tasks ran in two places for as long as a network partition lasted.

An owner that the store does not confirm goes on while most workers answer it, and extends their leases. Its successor took the leases of a worker that it never reached for expired 1.5 s and a lease after its own start, though the former owner is refused only by workers that have answered the successor. Where the store is away from the owner alone, and the next host to claim reaches few workers, both owned: eight tasks ran at w0 under the former owner and were started at w3 by its successor 8.4 s later (`WorkerGone why=GivenUp ... runs=8`), until the partition ended.

A worker that has never answered is now given up only once half of the listed workers have answered this owner, so that most can't confirm the former one, and a lease after that. Until then nothing is recorded of its leases either, as the next owner would rely on it; a record of an owner before is relied on as it was. Entries of workers that are gone lapse within seconds, so that the rest are half again; what half of the workers answer within 1.5 s, as they do, is given up no later than before. `RemovalDeferred` (2418) tells of it.

--- a/crates/core/src/notes.rs
+++ b/crates/core/src/notes.rs
@@ -124,6 +124,7 @@
     StopOrdered = 2415, "A worker was ordered to stop a run; the detail gives the incarnation, whether the run belongs to no task any more, whether it was seen there, the number of the order, and the host that relays it.";
     StartRelayed = 2416, "This host has received an order to start a run from the owner and passes it on to the worker; the detail gives the owner's token its number of the order, as in `RunOrdered`, and how long the order was on its way.";
     StartExpired = 2417, "An order to start a run reached this host, which relays it, after the owner had given it up, and is not passed on; the detail gives its age, and otherwise what `StartRelayed` gives.";
+    RemovalDeferred = 2418, "A new owner does not give up a worker that it has never reached, as most workers have not answered it and may still confirm the previous owner; the detail gives the runs there, and how many workers are listed and have answered.";
     StartWithheld = 2420, "An order to start a run that was decided earlier was not sent; the detail gives why, and how many earlier orders to start the run had no answer: if any, the run is stopped at its worker before its task starts elsewhere.";
     WorkerSilent = 2501, "A worker does not answer; its lease is no longer extended. The detail gives for how long its leases may last, and whether a record for the next owner says so.";
     WorkerBack = 2502, "A worker answers again.";
--- a/crates/dispatch/src/owner/mod.rs
+++ b/crates/dispatch/src/owner/mod.rs
@@ -31,6 +31,7 @@
 mod phases;
 mod placing;
 mod polls;
+mod predecessors;
 mod progress;
 mod projections;
 mod protection;
@@ -71,6 +72,7 @@
 pub(crate) use crate::owner::link::records_bytes;
 use crate::owner::permits::Permits;
 use crate::owner::phases::Ranking;
+use crate::owner::predecessors::Predecessor;
 use crate::owner::timeline::Timeline;
 pub use crate::owner::waits::WaitReason;
 use crate::owner::worker::RunPhase;
@@ -262,6 +264,7 @@
     /// reported them last.
     orphans: HashMap<TaskId, (WorkerKey, u32)>,
     doubtful_starts: DoubtfulStarts,
+    predecessor: Predecessor,
     writer: Writer,
     /// States of jobs that have begun, for this host's own table of jobs.
     begun_jobs: Vec<(JobId, StateRecord)>,
@@ -349,6 +352,7 @@
             crashes: Crashes::default(),
             orphans: HashMap::new(),
             doubtful_starts: DoubtfulStarts::default(),
+            predecessor: Predecessor::default(),
             writer: Writer::new(heartbeats, now.steady_ms),
             begun_jobs: Vec::new(),
             confirmed_ms: now.steady_ms,
--- a/crates/dispatch/src/owner/polls.rs
+++ b/crates/dispatch/src/owner/polls.rs
@@ -66,9 +66,14 @@
                 && now_ms > worker.leases_expired_ms
                 && has_missed_enough
                 && worker.was_asked(now_ms);
-            if worker.is_obsolete() || has_expired && worker.is_removal_awaited() {
+            let is_obsolete = worker.is_obsolete();
+            let is_given_up = has_expired && worker.is_removal_awaited();
+            if is_obsolete || is_given_up && !self.may_be_extended(key, now_ms, actions) {
                 dead.push(key);
-            } else if worker.can_be_polled() && now_ms >= worker.next_poll_ms {
+                continue;
+            }
+            let worker = &self.workers[key];
+            if worker.can_be_polled() && now_ms >= worker.next_poll_ms {
                 let priority = match now_ms + renew_ms > worker.leases_expired_ms {
                     true => CallPriority::Lease,
                     false => CallPriority::Poll,
@@ -227,6 +232,7 @@
         worker.misses_after_expiry = 0;
         worker.has_more_exits = report.has_more_exits;
         worker.answered_ms = now_ms;
+        worker.first_answered_ms.get_or_insert(now_ms);
         let was_known = worker.is_known;
         worker.is_known = true;
         self.must_place |= !was_known;
--- a/crates/dispatch/src/owner/worker.rs
+++ b/crates/dispatch/src/owner/worker.rs
@@ -292,6 +292,8 @@
     pub(crate) first_polled_ms: Option<u64>,
     pub(crate) next_poll_ms: u64,
     pub(crate) answered_ms: u64,
+    /// When it, or a previous incarnation, first answered this owner.
+    pub(crate) first_answered_ms: Option<u64>,
     /// Number of the newest exit that was handled, and of the newest that is recorded.
     pub(crate) handled_exit: u64,
     pub(crate) recorded_exit: u64,
@@ -357,6 +359,7 @@
             first_polled_ms: None,
             next_poll_ms: 0,
             answered_ms: 0,
+            first_answered_ms: None,
             handled_exit: 0,
             recorded_exit: 0,
             forgotten_exit: 0,
--- a/crates/dispatch/src/owner/writing/learned.rs
+++ b/crates/dispatch/src/owner/writing/learned.rs
@@ -23,13 +23,15 @@
     }
 
     /// Lists the workers about whose leases the next owner is to be told.
-    fn workers_with_doubtful_leases(&mut self) -> Vec<WorkerKey> {
-        if !self.is_leaving {
-            return self.workers.in_doubt();
+    fn workers_with_doubtful_leases(&mut self, now_ms: u64) -> Vec<WorkerKey> {
+        let mut doubtful = self.workers.in_doubt();
+        if self.is_leaving {
+            let workers = self.workers.into_iter();
+            let missed = workers.filter(|(_, worker)| self.has_doubtful_leases(worker));
+            doubtful = missed.map(|(key, _)| key).collect();
         }
-        let workers = self.workers.into_iter();
-        let doubtful = workers.filter(|(_, worker)| self.has_doubtful_leases(worker));
-        doubtful.map(|(key, _)| key).collect()
+        doubtful.retain(|key| !self.are_leases_unknown(*key, now_ms));
+        doubtful
     }
 
     /// Returns whether learned data are to be recorded: at intervals, more often while workers are
@@ -43,7 +45,7 @@
         }
         let must_record_leases = std::mem::take(&mut self.writer.must_record_leases);
         let mut learned_gap_ms = LEARNED_GAP_MS;
-        for key in self.workers_with_doubtful_leases() {
+        for key in self.workers_with_doubtful_leases(now_ms) {
             let worker = &self.workers[key];
             let is_news = worker.is_known && !worker.is_recorded_silent;
             let gap_ms = match is_news {
@@ -59,7 +61,7 @@
     pub(super) fn learned(&mut self, now_ms: u64, no_longer_silent: &mut Vec<Box<str>>) -> Learned {
         let mut silent = Vec::new();
         no_longer_silent.extend(self.recorded_silent.iter().cloned());
-        for key in self.workers_with_doubtful_leases() {
+        for key in self.workers_with_doubtful_leases(now_ms) {
             let worker = &mut self.workers[key];
             no_longer_silent.retain(|id| *id != worker.entry.id);
             self.recorded_silent.insert(worker.entry.id.clone());
--- a/tests/dispatch_two_spells.rs
+++ b/tests/dispatch_two_spells.rs
@@ -390,6 +390,30 @@
     }
 }
 
+/// Guards against a successor that gives up workers which it can't reach, while the previous owner
+/// still extends leases there: most workers confirm that one, and the store is cut off from it alone.
+#[gtest]
+fn no_task_runs_twice_while_the_former_owner_alone_reaches_most_workers() {
+    let mut fleet = Fleet::new(HOSTS, WORKERS);
+    let former = owner(&fleet);
+    fleet.submit(former, JOB, &job(vec![step(8, 20_000, &[])]));
+    fleet.run(500);
+    for other in (0..HOSTS).filter(|other| *other != former) {
+        for worker in 0..WORKERS - 1 {
+            let address = format!("10.0.0.{worker}:80");
+            fleet.cut_links.push((other, address.into()));
+        }
+    }
+    fleet
+        .cut_links
+        .push((former, format!("10.0.0.{}:80", WORKERS - 1).into()));
+    depose(&mut fleet, former, Loss::Store);
+    fleet.run(15_000);
+    mend(&mut fleet);
+    fleet.run(COMPLETION_MS);
+    expect_that!(fleet.promises.broken.len(), eq(0), "{:#?}", fleet.log_lines);
+}
+
 /// Tasks whose run was given up, is heard of again and succeeds before the order to stop it arrives.
 struct OrphanCase {
     name: &'static str,
