--- a/crates/dispatch/src/owner/worker_removal.rs
+++ b/crates/dispatch/src/owner/worker_removal.rs
@@ -23,7 +23,6 @@
     ) {
         self.record_removal(key, removal_reason, now.steady_ms, actions);
         let removed = self.describe_removal(key, removal_reason, now.steady_ms);
-        self.record_unanswered_starts(key, now.steady_ms);
         let runs: Vec<(TaskId, u32)> = self.workers[key].runs.keys().copied().collect();
         for (task, run) in runs {
             self.lose_run(key, task, run, now.steady_ms);
@@ -43,6 +42,7 @@
             let id = worker.entry.id.clone();
             let mut readded = self.make_worker(worker.entry, now.steady_ms);
             readded.incarnation = worker.incarnation;
+            readded.first_answered_ms = worker.first_answered_ms;
             readded.next_poll_ms = now.steady_ms + REPOLL_DELAY_MS;
             let key = self.workers.insert(readded);
             self.worker_keys.insert(id, key);
