The time that a job may take is limited

Rules may name any number as `stretch` and `target-latency-ms`, and a job is stored with those of its acceptance. With a stretch of 1e300 or a target of 2^64 - 1, the job's due time overflows as soon as an owner reads it (owner/job.rs). With overflow checks the process ends, and so does each next owner, also once later rules are in force. Without them, by reading, the due time wraps to one before the job's arrival, and the job goes to the end of the order for good.

hosts_go_on_beside_odd_rules puts 21 odd records of rules and evacuations into the store: in force or unreadable as they should be, the former rules kept, a next owner, and later rules in force after them. Unreadable rules of all kinds left the former ones in force.

The sums saturate, and a hundred years is the longest time for a job. It is limited where it is calculated, not at the border, so that jobs which are stored already are covered.

--- a/crates/dispatch/src/owner/job.rs
+++ b/crates/dispatch/src/owner/job.rs
@@ -175,6 +175,9 @@
 
 /// Factor by which the objective of a job must be exceeded before its completion has no value.
 const NO_VALUE_FACTOR: u64 = 3;
+/// Longest time that is allowed for a job, a hundred years. Rules may name any number, and a job is
+/// stored with those of its acceptance.
+const MAX_ALLOWED_MS: u64 = 100 * 366 * 24 * 3_600_000;
 
 impl Job {
     /// Restores a job from its records. Returns `None` if its submission is not on record.
@@ -300,8 +303,9 @@
 
     /// Returns when it is due if its longest chain of steps takes the given time.
     pub(crate) fn due_of_ms(&self, chain_ms: u64) -> u64 {
-        let stretched_ms = chain_ms * self.submission.stretch_permille / 1_000;
-        self.arrived_ms + self.submission.target_latency_ms + stretched_ms
+        let stretched_ms = chain_ms.saturating_mul(self.submission.stretch_permille) / 1_000;
+        let allowed_ms = stretched_ms.saturating_add(self.submission.target_latency_ms);
+        self.arrived_ms + allowed_ms.min(MAX_ALLOWED_MS)
     }
 
     /// Returns the resources that its tasks have, and whether some of them wait.
