Times of the advice service are limited

Rules may name any number for how long the service takes and for how long its permits are valid, and its answers may name any validity. 1e300 becomes 2^64 - 1 when it is decoded, and the time-out of the call and the end of a permit overflow (owner/permits.rs). With overflow checks the owner ends, and each next one that has a job of such a queue. Without them, by reading, the call times out before it is sent, and a permit has expired when it arrives.

A call is expected to take an hour at most, and the sums saturate.

--- a/crates/dispatch/src/owner/permits.rs
+++ b/crates/dispatch/src/owner/permits.rs
@@ -30,6 +30,9 @@
 const CALL_SLACK_MS: u64 = 1_500;
 /// Maximum number of steps for which one search looks for workers to name in a call.
 const MAX_CONSIDERED: usize = 32;
+/// Longest expected duration of a call. Rules may name any number, and a job is stored with those of
+/// its acceptance.
+const MAX_CALL_MS: u64 = 3_600_000;
 /// Delay before the next call after one that failed.
 const RETRY_MS: u64 = 300;
 
@@ -114,7 +117,7 @@
             self.retry_ms = now_ms + RETRY_MS;
             return;
         };
-        let until_ms = now_ms + validity_ms.saturating_sub(EXPIRY_MARGIN_MS);
+        let until_ms = now_ms.saturating_add(validity_ms.saturating_sub(EXPIRY_MARGIN_MS));
         let decisions = self.decisions.entry(flight.step).or_default();
         for (worker, name) in flight.asked.into_iter().zip(names) {
             let row = rows.iter().find(|(id, _)| id == name);
@@ -138,7 +141,9 @@
 
     /// Returns the expected duration in milliseconds of a call that names `workers` workers.
     pub(crate) fn permit_call_ms(&self, workers: usize) -> u64 {
-        self.permit_decision_ms + self.permit_worker_us * workers as u64 / 1_000
+        let workers_ms = self.permit_worker_us.saturating_mul(workers as u64) / 1_000;
+        let call_ms = self.permit_decision_ms.saturating_add(workers_ms);
+        call_ms.min(MAX_CALL_MS)
     }
 }
 
