Tests for settings with odd numbers and ports

It was suspected that a number which can't be read becomes its default without a word, and that ports are cut to 16 bits. Neither can happen: the schema checks each number and its range before it is used, and a file with a fault is refused as a whole.

--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -13,6 +13,41 @@
 }
 
 const CASES: &[Case] = &[
+    Case {
+        original: "number = 2",
+        replacement: "number = 65536",
+        expect: "can't be read. Use a whole number from",
+    },
+    Case {
+        original: "number = 2",
+        replacement: "number = -1",
+        expect: "`number = -1` can't be read. Write a whole number",
+    },
+    Case {
+        original: "[seat e1]",
+        replacement: "[limits]\nvoters = 18446744073709551616\n[seat e1]",
+        expect: "`voters = 18446744073709551616` can't be read",
+    },
+    Case {
+        original: "[seat e1]",
+        replacement: "[limits]\nkey_cells = 65536\n[seat e1]",
+        expect: "`key_cells = 65536` can't be read",
+    },
+    Case {
+        original: "[seat e1]",
+        replacement: "[limits]\nretry_permille = 4294967296\n[seat e1]",
+        expect: "`retry_permille = 4294967296` can't be read",
+    },
+    Case {
+        original: "[seat e1]",
+        replacement: "[limits]\nwaiting_per_slot = 4294967296\n[seat e1]",
+        expect: "`waiting_per_slot = 4294967296` can't be read",
+    },
+    Case {
+        original: "127.0.0.1:8080",
+        replacement: "127.0.0.1:65536",
+        expect: "is not an IP address and port",
+    },
     Case {
         original: "[daemon]",
         replacement: "[deamon]",
