Test: a host that owns again keeps what it started on a worker that came back

The operators' report, repeated with a host that owns twice: it gives a silent worker up, which comes back, starts tasks there, and owns again by the record of silent workers that it left before.

--- a/tests/dispatch_two_spells.rs
+++ b/tests/dispatch_two_spells.rs
@@ -643,3 +643,45 @@
         }
     }
 }
+
+/// Guards against an owner that gives up what it has started in its former spell: the record of
+/// silent workers that it left then names a worker that has come back since, and the worker does not
+/// answer at once. Only some milliseconds to seconds lie between its two orders.
+#[gtest]
+fn a_host_that_owns_again_keeps_what_it_started_on_a_worker_that_came_back() {
+    for after_ms in [30, 150, 300, 600, 1_000, 2_000] {
+        for stops in [false, true] {
+            let mut fleet = Fleet::new(HOSTS, WORKERS);
+            let host = owner(&fleet);
+            fleet.submit(host, JOB, &job(vec![step(8, 3_000, &[])]));
+            fleet.run(500);
+            fleet.cut_workers = vec![WORKER.into()];
+            fleet.run(GIVEN_UP_MS - 1_500);
+            fleet.cut_workers.clear();
+            fleet.run(400);
+            fleet.submit(host, JOB + 1, &job(vec![step(20, 9_000, &[])]));
+            fleet.run(after_ms);
+            for other in (0..HOSTS).filter(|other| *other != host) {
+                fleet.cut_from_store(other, true);
+            }
+            if stops {
+                fleet.stop(host);
+                fleet.run(200);
+            }
+            fleet.kill(host);
+            fleet.start(host);
+            fleet.cut_workers = vec![WORKER.into()];
+            fleet.run(3_000);
+            fleet.cut_workers.clear();
+            fleet.run(3_000);
+            mend(&mut fleet);
+            fleet.run(COMPLETION_MS);
+            expect_that!(
+                fleet.promises.broken,
+                is_empty(),
+                "after {after_ms} ms, {stops}: {:#?}",
+                fleet.log_lines
+            );
+        }
+    }
+}
