--- a/tests/dispatch_spell_sequences.rs
+++ b/tests/dispatch_spell_sequences.rs
@@ -269,3 +269,53 @@
         }
     }
 }
+
+/// Series that have failed once, each with its cause. They are never removed.
+const REGRESSION_SEEDS: &[(u64, Orders, Ids, &str)] = &[
+    (
+        1,
+        Orders::Relayed,
+        Ids::OldToo,
+        "a relay that was paused passed on orders that had been given up",
+    ),
+    (225, Orders::Relayed, Ids::OldToo, "the same"),
+    (375, Orders::Relayed, Ids::OldToo, "the same"),
+    (
+        548,
+        Orders::Direct,
+        Ids::New,
+        "the former owner extended leases while its successor reached no worker",
+    ),
+    (548, Orders::Direct, Ids::OldToo, "the same"),
+    (1_281, Orders::Direct, Ids::New, "the same"),
+    (1_281, Orders::Direct, Ids::OldToo, "the same"),
+    (1_764, Orders::Direct, Ids::New, "the same"),
+    (1_764, Orders::Direct, Ids::OldToo, "the same"),
+];
+
+/// Series that still fail.
+const OPEN_SEEDS: &[(u64, Orders, Ids)] = &[(693, Orders::Direct, Ids::OldToo)];
+
+/// Guards against the same failures, in series that have failed.
+#[gtest]
+fn guarantees_hold_for_seeds_that_failed_with_hosts_that_own_again() {
+    for (seed, orders, ids, cause) in REGRESSION_SEEDS {
+        expect_that!(
+            run_series(*seed, *orders, *ids),
+            is_empty(),
+            "seed {seed}, {orders:?}, {ids:?}: {cause}"
+        );
+    }
+}
+
+/// Guards against the same failures. These seeds are not fixed.
+#[gtest]
+fn guarantees_hold_for_unfixed_seeds_with_hosts_that_own_again() {
+    for (seed, orders, ids) in OPEN_SEEDS {
+        expect_that!(
+            run_series(*seed, *orders, *ids),
+            is_empty(),
+            "seed {seed}, {orders:?}, {ids:?}"
+        );
+    }
+}
