--- a/crates/net/src/parse.rs
+++ b/crates/net/src/parse.rs
@@ -7,6 +7,9 @@
 const MAX_HEADERS: usize = 64;
 /// Maximum size of the head of a peer's response, in bytes.
 const MAX_RESPONSE_HEAD_BYTES: usize = 16_384;
+/// Maximum size of a body, in bytes. The longest answers are pages of a list, of about a megabyte. Without
+/// a limit an endless body fills the memory, and the length of a chunk leaves the range of integers.
+const MAX_BODY_BYTES: usize = 16 << 20;
 
 /// Headers as pairs of a name in lower case and a value.
 pub(crate) type Headers = Box<[(Box<str>, Box<str>)]>;
@@ -176,7 +179,7 @@
         _ if is_eof => Some(bytes.len() - head_bytes),
         _ => None,
     };
-    match read_body(bytes, head_bytes, &headers, usize::MAX, implicit_length) {
+    match read_body(bytes, head_bytes, &headers, MAX_BODY_BYTES, implicit_length) {
         Parsed::Whole(body, used, _) => Parsed::Whole(
             Response {
                 status,
@@ -203,6 +206,7 @@
     max_bytes: usize,
     implicit_length: Option<usize>,
 ) -> Parsed<Box<[u8]>> {
+    let max_bytes = max_bytes.min(MAX_BODY_BYTES);
     if find_header(headers, "transfer-encoding").is_some_and(|value| value.contains("chunked")) {
         return read_chunks(bytes, head_bytes, max_bytes);
     }
@@ -213,6 +217,7 @@
         },
         None => match implicit_length {
             Some(length) => length,
+            None if bytes.len() - head_bytes > max_bytes => return Parsed::Invalid(413),
             None => return Parsed::Partial,
         },
     };
