After a worker's clock has jumped no exit is acknowledged until it has answered anew

The answer to the order tells the new incarnation's clock, so a clock that jumps bars acknowledgements until a poll that was sent since is answered. An order whose answer is still under way then is not covered (read).

--- a/crates/dispatch/src/owner/calls.rs
+++ b/crates/dispatch/src/owner/calls.rs
@@ -103,6 +103,7 @@
         if expected_ms.is_some_and(|expected_ms| expected_ms.abs_diff(clock_ms) > CLOCK_JUMP_MS) {
             worker.leases_expired_ms = worker.leases_expired_ms.max(expired_ms);
             worker.next_poll_ms = now_ms;
+            worker.clock_jumped_ms = Some(now_ms);
         }
         worker.clock = Some((clock_ms, now_ms));
     }
--- a/crates/dispatch/src/owner/polls.rs
+++ b/crates/dispatch/src/owner/polls.rs
@@ -141,12 +141,12 @@
         };
         // A worker that has restarted since would apply the number to its own exits, and forget
         // some that the owner has not read. So the number is sent only if there is something to
-        // forget, and not after a missed answer.
-        let acknowledged_exit =
-            match worker.missed_answers == 0 && worker.recorded_exit > worker.forgotten_exit {
-                true => worker.recorded_exit,
-                false => 0,
-            };
+        // forget, and not after a missed answer or a jump of its clock.
+        let is_same = worker.missed_answers == 0 && worker.clock_jumped_ms.is_none();
+        let acknowledged_exit = match is_same && worker.recorded_exit > worker.forgotten_exit {
+            true => worker.recorded_exit,
+            false => 0,
+        };
         let call = WorkerCall::Poll {
             acknowledged_exit,
             lease_until_ms,
@@ -233,6 +233,9 @@
         worker.has_more_exits = report.has_more_exits;
         worker.answered_ms = now_ms;
         worker.answered_poll_ms = sent_ms;
+        worker
+            .clock_jumped_ms
+            .take_if(|jumped_ms| sent_ms >= *jumped_ms);
         worker.first_answered_ms.get_or_insert(now_ms);
         let was_known = worker.is_known;
         worker.is_known = true;
--- a/crates/dispatch/src/owner/worker.rs
+++ b/crates/dispatch/src/owner/worker.rs
@@ -284,6 +284,9 @@
     pub(crate) is_recorded_silent: bool,
     /// Time of its clock, and when it was received.
     pub(crate) clock: Option<(u64, u64)>,
+    /// When its clock was last seen to jump, until a poll that was sent since is answered: it may have
+    /// restarted, and reports of the previous incarnation may still arrive.
+    pub(crate) clock_jumped_ms: Option<u64>,
     /// Time after which nothing can run there any more if the worker stays silent.
     pub(crate) leases_expired_ms: u64,
     /// A poll was sent and has no answer yet.
@@ -356,6 +359,7 @@
             relay_index_until_ms: 0,
             is_recorded_silent: false,
             clock: None,
+            clock_jumped_ms: None,
             leases_expired_ms,
             is_poll_pending: false,
             first_polled_ms: None,
--- a/tests/dispatch_incarnations.rs
+++ b/tests/dispatch_incarnations.rs
@@ -431,3 +431,30 @@
         expect_that!(fleet.promises.broken, is_empty());
     }
 }
+
+/// Guards against a task that runs again after its success: its worker had restarted under its id and
+/// had confirmed the run, then a late report of the previous incarnation arrived, and the owner
+/// acknowledged exits by the numbers of that one. The new one forgot exits that nobody had read.
+#[gtest]
+fn a_late_report_of_the_previous_incarnation_acknowledges_nothing_at_the_next_one() {
+    const REPORT_DELAY_MS: u64 = 300;
+    let mut late = 0;
+    for crash_ms in (40..340).step_by(10) {
+        let mut fleet = fleet_with_exits(1);
+        fleet.set_restart_delay_ms(10);
+        fleet.report_delay_ms = REPORT_DELAY_MS;
+        fleet.submit(0, JOB, &job(vec![step(2, 20, &[])]));
+        fleet.run(crash_ms);
+        crash_all_workers(&mut fleet);
+        fleet.run(15);
+        let starts = fleet.promises.starts.len();
+        fleet.submit(0, JOB + 1, &job(vec![step(4, 20, &[])]));
+        fleet.run(150);
+        late += usize::from(fleet.promises.starts.len() > starts);
+        fleet.run(8_000);
+        expect_that!(fleet.promises.broken, is_empty(), "{crash_ms}");
+        expect_that!(fleet.state(0, JOB + 1), some(eq(JobState::Completed)));
+    }
+    // Without runs at the next incarnation, the cases would prove nothing.
+    expect_that!(late, gt(0));
+}
--- a/tests/fleet/deliveries.rs
+++ b/tests/fleet/deliveries.rs
@@ -139,7 +139,13 @@
         outcome: OrderOutcome,
     ) {
         let bytes = answer_bytes(&outcome);
-        let link_ms = self.hosts[number].receiving_ms(self.now_ms, bytes);
+        let report_ms = match &outcome {
+            OrderOutcome::Done {
+                report: Some(_), ..
+            } => self.report_delay_ms,
+            _ => 0,
+        };
+        let link_ms = self.hosts[number].receiving_ms(self.now_ms, bytes) + report_ms;
         let delivery = Delivery::ToEntry(number, generation, Event::Ordered { ticket, outcome });
         let at_ms = self.now_ms + CALL_MS + link_ms + self.draw_answer_delay();
         self.deliveries.push((at_ms, delivery));
--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -180,6 +180,8 @@
     /// Range of the additional delay of answers of workers in milliseconds, and the seed of the
     /// next one.
     pub(crate) answer_delays: Option<(u64, u64, u64)>,
+    /// Additional delay of reports of workers, which are answers to polls.
+    pub(crate) report_delay_ms: u64,
     /// Number of calls to workers by each host, and when each last sent one that gives a lease.
     pub(crate) worker_calls: Vec<u64>,
     pub(crate) leases_given_ms: Vec<u64>,
@@ -264,6 +266,7 @@
             append_delay_ms: None,
             late_orders_outlive_restarts: false,
             answer_delays: None,
+            report_delay_ms: 0,
             worker_calls: vec![0; cpu_permille.len()],
             leases_given_ms: vec![0; cpu_permille.len()],
             claims: 0,
