--- a/crates/dispatch/src/relay/sessions.rs
+++ b/crates/dispatch/src/relay/sessions.rs
@@ -32,13 +32,6 @@
 /// Time that an order may take over a relay beyond the timeout of the worker's answer: two hops,
 /// and one turn of a busy host.
 const RELAY_OVERHEAD_MS: u64 = 150;
-
-/// Returns how long the owner waits for the outcome of a relayed order, given the timeout of the
-/// worker's answer.
-pub(super) fn patience_ms(timeout_ms: u64) -> u64 {
-    timeout_ms + RELAY_OVERHEAD_MS
-}
-
 /// Delay before the owner connects again to a relay that could not be reached or gave no answer.
 /// Hosts that start together are reachable within a moment. The delay doubles with each failure, up
 /// to 8 s: hosts that are gone forever stay on record.
@@ -52,6 +45,12 @@
 /// rest is for workers that it calls directly, for callers and for the store.
 const DESCRIPTORS_DIVISOR: u64 = 2;
 
+/// Returns how long the owner waits for the outcome of a relayed order, given the timeout of the
+/// worker's answer.
+pub(super) fn patience_ms(timeout_ms: u64) -> u64 {
+    timeout_ms + RELAY_OVERHEAD_MS
+}
+
 /// An order for a relay to carry.
 #[derive(Debug)]
 pub(crate) struct RelayedOrder<'a> {
