Logs tell what the end of a worker's leases rests on, and when it has restarted

On-call could not tell why a worker was given up at a given moment: the lines of a silent or removed worker gave the time that was left of its leases, and not whether this owner had given them, a previous one had recorded them, or the time was assumed. That a worker had restarted under its id stood in the lines of its removal only, without the time for which leases by its previous clock may last.

WorkerSilent and WorkerGone give leases_by and the incarnation as known and as listed; WorkerRestarted (2505) gives that time. A worker that has never answered this owner is said so, in place of the age of the host.

--- a/crates/core/src/notes.rs
+++ b/crates/core/src/notes.rs
@@ -126,10 +126,11 @@
     StartExpired = 2417, "An order to start a run reached this host, which relays it, after the owner had given it up, and is not passed on; the detail gives its age, and otherwise what `StartRelayed` gives.";
     RemovalDeferred = 2418, "A new owner does not give up a worker that it has never reached, as most workers have not answered it and may still confirm the previous owner; the detail gives the runs there, and how many workers are listed and have answered.";
     StartWithheld = 2420, "An order to start a run that was decided earlier was not sent; the detail gives why, and how many earlier orders to start the run had no answer: if any, the run is stopped at its worker before its task starts elsewhere.";
-    WorkerSilent = 2501, "A worker does not answer; its lease is no longer extended. The detail gives for how long its leases may last, and whether a record for the next owner says so.";
+    WorkerSilent = 2501, "A worker does not answer; its lease is no longer extended. The detail gives its incarnation, as known and as listed, for how long its leases may last and on what that rests (`leases_by`), and whether a record for the next owner says so.";
     WorkerBack = 2502, "A worker answers again.";
     WorkerLeaving = 2503, "A worker is about to leave and gets no new tasks.";
     WorkerGone = 2504, "A worker is removed; no run on it can be alive.";
+    WorkerRestarted = 2505, "A worker has restarted under its id; the detail gives the incarnation, what tells of it, the incarnation before, and for how long leases may last that were given by the clock of that one.";
     LinkCarried = 2601, "Traffic on the owner's network link since the last such event: for each kind of call its number, bytes sent and bytes received; how full the link is, and how many calls were deferred so far.";
     RelayLost = 2602, "The owner's connection to a relay was lost, or the relay did not answer; its workers are called over other relays.";
     OwnerHeard = 2603, "This host receives the owner's heartbeats over its connection and no longer reads the store for it; the detail gives what this host reads.";
--- a/crates/dispatch/src/owner/adopting.rs
+++ b/crates/dispatch/src/owner/adopting.rs
@@ -13,6 +13,7 @@
 use crate::owner::Owner;
 use crate::owner::job::Job;
 use crate::owner::job::JobKey;
+use crate::owner::worker::LeaseBasis;
 use crate::owner::worker::Run;
 use crate::owner::worker::RunPhase;
 use crate::owner::worker::Worker;
@@ -46,11 +47,12 @@
         let (workers, keys) = (&mut self.workers, &mut self.worker_keys);
         let job = Job::new(id, record, progress.as_ref(), now, |name| {
             *keys.entry(name.into()).or_insert_with(|| {
-                let leases_expired_ms = inherited_expiry_ms
-                    .get(name)
-                    .copied()
-                    .unwrap_or(default_expiry_ms);
+                let recorded_ms = inherited_expiry_ms.get(name).copied();
+                let leases_expired_ms = recorded_ms.unwrap_or(default_expiry_ms);
                 let mut worker = Worker::unlisted(name, leases_expired_ms);
+                if recorded_ms.is_some() {
+                    worker.lease_basis = LeaseBasis::Recorded;
+                }
                 // The incarnation that answers at its address shows what became of it.
                 if let Some(entry) = listed.get(name) {
                     worker.entry = entry.clone();
--- a/crates/dispatch/src/owner/calls.rs
+++ b/crates/dispatch/src/owner/calls.rs
@@ -8,6 +8,7 @@
 use crate::ids::TaskId;
 use crate::owner::Owner;
 use crate::owner::Stepdown;
+use crate::owner::worker::LeaseBasis;
 use crate::owner::worker::RemovalReason;
 use crate::owner::worker::WorkerKey;
 
@@ -101,7 +102,7 @@
         let worker = &mut self.workers[key];
         let expected_ms = worker.clock_ms(now_ms);
         if expected_ms.is_some_and(|expected_ms| expected_ms.abs_diff(clock_ms) > CLOCK_JUMP_MS) {
-            worker.leases_expired_ms = worker.leases_expired_ms.max(expired_ms);
+            worker.extend_leases(expired_ms, LeaseBasis::PreviousClock);
             worker.next_poll_ms = now_ms;
             worker.clock_jumped_ms = Some(now_ms);
         }
--- a/crates/dispatch/src/owner/incarnations.rs
+++ b/crates/dispatch/src/owner/incarnations.rs
@@ -14,10 +14,13 @@
 use crate::ids::TaskId;
 use crate::owner::Owner;
 use crate::owner::task::Placement;
+use crate::owner::worker::LeaseBasis;
 use crate::owner::worker::RemovalReason;
 use crate::owner::worker::Run;
 use crate::owner::worker::RunPhase;
 use crate::owner::worker::WorkerKey;
+use goldcrestway_core::Code;
+use goldcrestway_core::Note;
 use std::collections::BTreeSet;
 use std::collections::HashMap;
 
@@ -133,6 +136,17 @@
         for (task, run) in lost_runs {
             self.lose_run(previous, task, run, now_ms);
         }
+        let (before, worker) = (&self.workers[previous], &self.workers[key]);
+        actions.push(Action::Note(Note::new(
+            Code::WorkerRestarted,
+            &*worker.entry.id,
+            format!(
+                "incarnation={} by=Answer before={} {}",
+                worker.incarnation,
+                before.incarnation,
+                worker.describe_leases(now_ms)
+            ),
+        )));
         self.workers.remove(previous);
         // Connections to the previous incarnation may hang.
         let address = self.workers[key].entry.address.clone();
@@ -164,6 +178,7 @@
         // A lease that was given by the clock of the previous incarnation may be granted for the
         // maximum time.
         worker.leases_expired_ms = now_ms + self.max_lease_span_ms();
+        worker.lease_basis = LeaseBasis::PreviousClock;
         let id = worker.entry.id.clone();
         let key = self.workers.insert(worker);
         self.unrecorded_workers.insert(id.clone());
--- a/crates/dispatch/src/owner/orders.rs
+++ b/crates/dispatch/src/owner/orders.rs
@@ -12,6 +12,7 @@
 use crate::owner::calls::Purpose;
 use crate::owner::starting::StartBar;
 use crate::owner::starting::StartTerms;
+use crate::owner::worker::LeaseBasis;
 use crate::owner::worker::Run;
 use crate::owner::worker::RunPhase;
 use crate::owner::worker::WorkerKey;
@@ -63,7 +64,7 @@
             .map_or("".into(), |task| task.checkpoint.clone());
         let list_age_ms = self.describe_list_age(now_ms);
         let worker = &mut self.workers[key];
-        worker.leases_expired_ms = worker.leases_expired_ms.max(now_ms + span_ms);
+        worker.extend_leases(now_ms + span_ms, LeaseBasis::Given);
         let mut attempt = 0;
         if let Some(run) = worker.runs.get_mut(&(task, number)) {
             run.phase = RunPhase::Sent;
--- a/crates/dispatch/src/owner/polls.rs
+++ b/crates/dispatch/src/owner/polls.rs
@@ -8,6 +8,7 @@
 use crate::ids::TaskId;
 use crate::owner::Owner;
 use crate::owner::calls::Purpose;
+use crate::owner::worker::LeaseBasis;
 use crate::owner::worker::RemovalReason;
 use crate::owner::worker::RunPhase;
 use crate::owner::worker::WorkerKey;
@@ -126,7 +127,7 @@
             _ => None,
         };
         if lease_until_ms.is_some() {
-            worker.leases_expired_ms = worker.leases_expired_ms.max(now_ms + span_ms);
+            worker.extend_leases(now_ms + span_ms, LeaseBasis::Given);
         }
         let has_unrecorded = worker.handled_exit > worker.recorded_exit;
         let waits = worker.is_known
@@ -197,10 +198,12 @@
                     Code::WorkerSilent,
                     &*worker.entry.id,
                     format!(
-                        "answer_age_ms={} runs={} leases_left_ms={} recorded_silent={}",
-                        now_ms - worker.answered_ms,
+                        "incarnation={} listed_incarnation={} answer_age_ms={} runs={} {} recorded_silent={}",
+                        worker.incarnation,
+                        worker.entry.incarnation,
+                        worker.describe_answer_age(now_ms),
                         worker.runs.len(),
-                        worker.leases_expired_ms.saturating_sub(now_ms),
+                        worker.describe_leases(now_ms),
                         worker.is_recorded_silent
                     ),
                 )));
@@ -269,6 +272,7 @@
         let worker = &mut self.workers[key];
         if !worker.is_known && report.incarnation == worker.incarnation {
             worker.leases_expired_ms = worker.leases_expired_ms.min(latest_ms);
+            worker.lease_basis = LeaseBasis::Given;
         }
     }
 
--- a/crates/dispatch/src/owner/predecessors.rs
+++ b/crates/dispatch/src/owner/predecessors.rs
@@ -8,6 +8,7 @@
 use crate::event::Action;
 use crate::owner::MAX_UNCONFIRMED_MS;
 use crate::owner::Owner;
+use crate::owner::worker::LeaseBasis;
 use crate::owner::worker::WorkerKey;
 use goldcrestway_core::Code;
 use goldcrestway_core::Note;
@@ -53,7 +54,7 @@
         };
         let expired_ms = refused_ms + MAX_UNCONFIRMED_MS + self.lease_span_ms();
         if expired_ms > self.workers[key].leases_expired_ms {
-            self.workers[key].leases_expired_ms = expired_ms;
+            self.workers[key].extend_leases(expired_ms, LeaseBasis::Assumed);
         }
         false
     }
--- a/crates/dispatch/src/owner/worker.rs
+++ b/crates/dispatch/src/owner/worker.rs
@@ -53,6 +53,20 @@
     }
 }
 
+/// What the end of the leases of a worker rests on. Logs print the variants by their names.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum LeaseBasis {
+    /// The longest time for which a previous owner may have extended them.
+    Assumed,
+    /// The record of a previous owner.
+    Recorded,
+    /// The leases that this owner has given, or that were given before the worker answered it.
+    Given,
+    /// The longest lease that a worker grants, as the clock of a previous incarnation may have been
+    /// used.
+    PreviousClock,
+}
+
 /// Why a worker can't take a task. Logs print the variants by their names.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum Exclusion {
@@ -289,6 +303,7 @@
     pub(crate) clock_jumped_ms: Option<u64>,
     /// Time after which nothing can run there any more if the worker stays silent.
     pub(crate) leases_expired_ms: u64,
+    pub(crate) lease_basis: LeaseBasis,
     /// A poll was sent and has no answer yet.
     pub(crate) is_poll_pending: bool,
     /// When this owner polled it first.
@@ -361,6 +376,7 @@
             clock: None,
             clock_jumped_ms: None,
             leases_expired_ms,
+            lease_basis: LeaseBasis::Assumed,
             is_poll_pending: false,
             first_polled_ms: None,
             next_poll_ms: 0,
@@ -412,6 +428,31 @@
         worker
     }
 
+    /// Extends the time for which its leases may last.
+    pub(crate) fn extend_leases(&mut self, expired_ms: u64, basis: LeaseBasis) {
+        if expired_ms > self.leases_expired_ms {
+            self.leases_expired_ms = expired_ms;
+            self.lease_basis = basis;
+        }
+    }
+
+    /// Returns the age of its last answer to this owner for logs.
+    pub(crate) fn describe_answer_age(&self, now_ms: u64) -> String {
+        match self.answered_ms {
+            0 => "never".into(),
+            answered_ms => now_ms.saturating_sub(answered_ms).to_string(),
+        }
+    }
+
+    /// Returns what is known of the end of its leases for logs.
+    pub(crate) fn describe_leases(&self, now_ms: u64) -> String {
+        format!(
+            "leases_left_ms={} leases_by={:?}",
+            self.leases_expired_ms.saturating_sub(now_ms),
+            self.lease_basis
+        )
+    }
+
     /// Records a missed answer.
     pub(crate) fn record_missed_answer(&mut self, now_ms: u64) {
         self.missed_answers += 1;
--- a/crates/dispatch/src/owner/worker_removal.rs
+++ b/crates/dispatch/src/owner/worker_removal.rs
@@ -68,13 +68,15 @@
             Code::WorkerGone,
             &*worker.entry.id,
             format!(
-                "why={removal_reason:?} incarnation={} address={} leaving={} listed={} answer_age_ms={} runs={} now_ms={now_ms}",
+                "why={removal_reason:?} incarnation={} listed_incarnation={} address={} leaving={} listed={} answer_age_ms={} runs={} {} now_ms={now_ms}",
                 worker.incarnation,
+                worker.entry.incarnation,
                 worker.entry.address,
                 worker.was_leaving,
                 worker.is_listed,
-                now_ms.saturating_sub(worker.answered_ms),
-                worker.runs.len()
+                worker.describe_answer_age(now_ms),
+                worker.runs.len(),
+                worker.describe_leases(now_ms)
             ),
         )));
         self.stats.workers_removed += 1;
--- a/tests/fleet/actions.rs
+++ b/tests/fleet/actions.rs
@@ -179,6 +179,7 @@
                 | Code::RunsUnreported
                 | Code::TaskWaits
                 | Code::WorkerBack
+                | Code::WorkerRestarted
                 | Code::TaskSuspected
                 | Code::JobFailed
                 | Code::ProcessorsShort
