Random series of restarted workers that are cut off while the owner changes

The sequences with workers that keep their ids let them grant leases of 6 s at most, a second more than owners give, and draw cuts and changes of owner independently; the fault of the report can't show there. These series draw a longest lease of 10 s, workers that restart and are cut off soon after, long tasks, late reports to the platform, and owners that die, stop, pause or lose the store in between.

--- a/tests/lib.rs
+++ b/tests/lib.rs
@@ -43,6 +43,7 @@
 mod dispatch_repeats;
 mod dispatch_resizes;
 mod dispatch_restart_leases;
+mod dispatch_restart_sequences;
 mod dispatch_rules;
 mod dispatch_run_times;
 mod dispatch_shapes;
