A restart of long ago prolongs no wait

A worker's record kept its newest restart for good, and a host that has started since the owner before the last can't tell how old that is: it counted the restart as just known, and waited 10.6 s in place of 6.7 s for a worker that it never reached. Found when reading the change afresh; no caller has seen it.

An owner forgets the restart, also in the record, once leases by the previous clock have expired and the worker answers. What is recorded is compared as a whole in place of a flag, and the wait for a former owner that most workers confirm is as it was: a former owner learns of a restart by its first call. a_restart_of_long_ago_prolongs_no_wait fails without it and passes.

--- a/crates/dispatch/src/job_table.rs
+++ b/crates/dispatch/src/job_table.rs
@@ -15,6 +15,7 @@
 use crate::record::Submission;
 use crate::worker_record::RestartRecord;
 use crate::worker_record::WorkerRecord;
+use crate::worker_record::set_or_remove;
 use prost::Message;
 use std::collections::BTreeMap;
 use std::collections::HashMap;
@@ -169,10 +170,7 @@
                 // A worker whose record can't be decoded is found in the platform's list.
                 if let Ok(worker) = WorkerRecord::decode(&*record.value) {
                     self.workers.insert(id.clone(), worker.entry(&id));
-                    match worker.restart {
-                        Some(restart) => self.restarts.insert(id, restart),
-                        None => self.restarts.remove(&id),
-                    };
+                    set_or_remove(&mut self.restarts, &id, worker.restart);
                 }
             }
             // Data that can't be decoded is learned again.
--- a/crates/dispatch/src/owner/mod.rs
+++ b/crates/dispatch/src/owner/mod.rs
@@ -220,7 +220,7 @@
     inherited_expiry_ms: HashMap<Box<str>, u64>,
     /// Workers that the newest record of silent workers names, be it stored or being appended.
     recorded_silent: BTreeSet<Box<str>>,
-    /// Restarts of workers under their ids that previous owners have recorded.
+    /// Restarts of workers under their ids, as recorded for a successor.
     recorded_restarts: BTreeMap<Box<str>, RestartRecord>,
     jobs: SlotMap<JobKey, Job>,
     job_keys: HashMap<JobId, JobKey>,
--- a/crates/dispatch/src/owner/polls.rs
+++ b/crates/dispatch/src/owner/polls.rs
@@ -252,6 +252,7 @@
         let was_known = worker.is_known;
         worker.is_known = true;
         self.must_place |= !was_known;
+        self.expire_restart(key, now_ms);
         if !was_known {
             self.resolve_lost_workers(key, now, actions);
         }
--- a/crates/dispatch/src/owner/predecessors.rs
+++ b/crates/dispatch/src/owner/predecessors.rs
@@ -52,11 +52,7 @@
         let Some(refused_ms) = self.previous_owner_refused_ms(now_ms) else {
             return true;
         };
-        let span_ms = match self.workers[key].restart {
-            Some(_) => self.max_lease_span_ms(),
-            None => self.lease_span_ms(),
-        };
-        let expired_ms = refused_ms + MAX_UNCONFIRMED_MS + span_ms;
+        let expired_ms = refused_ms + MAX_UNCONFIRMED_MS + self.lease_span_ms();
         if expired_ms > self.workers[key].leases_expired_ms {
             self.workers[key].extend_leases(expired_ms, LeaseBasis::Assumed);
         }
--- a/crates/dispatch/src/owner/restarts.rs
+++ b/crates/dispatch/src/owner/restarts.rs
@@ -40,8 +40,6 @@
     settled: OwnerTime,
     /// Time by which such leases have expired.
     leases_expired_ms: u64,
-    /// A record for the next owner tells of it.
-    pub(super) is_recorded: bool,
 }
 
 impl Restart {
@@ -97,7 +95,6 @@
             incarnation,
             settled: self.owner_time(settled_ms),
             leases_expired_ms: settled_ms + self.max_lease_span_ms(),
-            is_recorded: false,
         };
         let worker = &mut self.workers[key];
         worker.set_restart(Some(restart));
@@ -113,6 +110,18 @@
         self.unrecorded_workers.insert(id);
     }
 
+    /// Forgets the restart of a worker that has answered once leases by the previous clock have
+    /// expired, also in the record: a host that has started since could not tell how old it is.
+    pub(super) fn expire_restart(&mut self, key: WorkerKey, now_ms: u64) {
+        let worker = &mut self.workers[key];
+        let is_over = |restart: &Restart| now_ms > restart.leases_expired_ms;
+        if worker.restart.is_some_and(|restart| is_over(&restart)) {
+            worker.restart = None;
+            let id = worker.entry.id.clone();
+            self.unrecorded_workers.insert(id);
+        }
+    }
+
     /// Handles that the platform's list shows another incarnation of a worker than has answered last.
     /// Until the worker answers, the time of its clock is not known.
     pub(super) fn apply_listed_restart(
@@ -150,7 +159,7 @@
         LONG_POLL_MS + self.answers.answer_timeout_ms()
     }
 
-    /// Returns the restart of a worker that a previous owner has recorded.
+    /// Returns the restart of a worker that is on record.
     pub(super) fn recorded_restart(&self, id: &str) -> Option<Restart> {
         let record = self.recorded_restarts.get(id)?;
         let settled = record.settled.unwrap_or_default();
@@ -161,7 +170,6 @@
             incarnation: record.started_wall_ms.into(),
             settled,
             leases_expired_ms: settled_ms + self.max_lease_span_ms(),
-            is_recorded: true,
         })
     }
 }
--- a/crates/dispatch/src/owner/writing.rs
+++ b/crates/dispatch/src/owner/writing.rs
@@ -25,6 +25,7 @@
 use crate::record::OwnerRecord;
 use crate::record::StateRecord;
 use crate::worker_record::WorkerRecord;
+use crate::worker_record::set_or_remove;
 use prost::Message;
 
 /// Interval between appends of progress. Each append costs a call to the store; a start that waits
@@ -194,42 +195,37 @@
     /// Records which workers are listed, where that has changed. A successor needs their addresses
     /// at once to extend leases, and the platform's list may be unavailable then.
     fn record_workers(&mut self, records: &mut Records) {
-        let mut recorded = Vec::new();
         for id in std::mem::take(&mut self.unrecorded_workers) {
-            let known = self.worker_keys.get(&id).copied();
-            match known.map(|key| &self.workers[key]) {
+            let known = self.worker_keys.get(&id);
+            match known.map(|key| &self.workers[*key]) {
                 Some(worker) if worker.is_listed => {
-                    let restart = worker.restart;
-                    let is_recorded = restart.is_none_or(|restart| restart.is_recorded);
                     let entry = WorkerEntry {
                         cold_ms: 0,
                         // Its recorded runs belong to this incarnation.
                         incarnation: worker.incarnation,
                         ..worker.entry.clone()
                     };
-                    if !is_recorded || self.recorded_workers.get(&id) != Some(&entry) {
-                        let restart = restart.map(|restart| restart.record());
+                    let restart = worker.restart.map(|restart| restart.record());
+                    let is_recorded = self.recorded_workers.get(&id) == Some(&entry)
+                        && self.recorded_restarts.get(&id) == restart.as_ref();
+                    if !is_recorded {
                         let value = WorkerRecord::new(&entry, restart).encode_to_vec();
                         records.push((Key::Worker(id.clone()).text(), value.into()));
+                        set_or_remove(&mut self.recorded_restarts, &id, restart);
                         self.recorded_workers.insert(id, entry);
-                        recorded.extend(known);
                     }
                 }
                 // A successor needs the address of a worker with recorded runs to find out what
                 // became of it.
                 Some(worker) if !worker.runs.is_empty() => drop(self.unrecorded_workers.insert(id)),
                 _ => {
+                    self.recorded_restarts.remove(&id);
                     if self.recorded_workers.remove(&id).is_some() {
                         records.push((Key::Worker(id).text(), Box::default()));
                     }
                 }
             }
         }
-        for key in recorded {
-            if let Some(restart) = &mut self.workers[key].restart {
-                restart.is_recorded = true;
-            }
-        }
     }
 
     /// Acknowledges exits that changed nothing, as they need no record before workers forget them.
--- a/crates/dispatch/src/worker_record.rs
+++ b/crates/dispatch/src/worker_record.rs
@@ -5,6 +5,7 @@
 use crate::config::WorkerEntry;
 use crate::record::OwnerTime;
 use prost::Message;
+use std::collections::BTreeMap;
 
 /// A worker as the owner last read it in the platform's list.
 #[derive(Clone, PartialEq, Eq, Message)]
@@ -87,3 +88,15 @@
         }
     }
 }
+
+/// Sets the restart of a worker, or removes it if there is none.
+pub(crate) fn set_or_remove(
+    restarts: &mut BTreeMap<Box<str>, RestartRecord>,
+    worker: &str,
+    restart: Option<RestartRecord>,
+) {
+    match restart {
+        Some(restart) => restarts.insert(worker.into(), restart),
+        None => restarts.remove(worker),
+    };
+}
--- a/tests/dispatch_restart_leases.rs
+++ b/tests/dispatch_restart_leases.rs
@@ -27,6 +27,9 @@
 const WORK_MS: u64 = 30_000;
 /// Time in which all jobs complete once there are no more faults.
 const COMPLETION_MS: u64 = 70_000;
+/// Time from the beginning of an owner by which it has given up workers that it never reaches: a second
+/// until half of the workers have answered, 1.5 s for a former owner, and a lease.
+const GIVEN_UP_MS: u64 = 1_000 + 1_500 + 5_300;
 /// Moments between two polls, so that the next one gives a lease by the previous clock.
 const OFFSETS_MS: std::ops::Range<u64> = 500..700;
 const OFFSET_STEP_MS: usize = 20;
@@ -265,3 +268,36 @@
         expect_that!(started, gt(0), "{}", case.name);
     }
 }
+
+/// Restarts all hosts, which then know nothing of the time before.
+fn restart_hosts(fleet: &mut Fleet) {
+    for host in 0..HOSTS {
+        fleet.kill(host);
+        fleet.start(host);
+    }
+    while fleet.owners() == 0 {
+        fleet.run(20);
+    }
+}
+
+/// Guards against tasks that wait for the longest lease because their worker has restarted at some time
+/// in the past: hosts that have started since can't tell how long ago that was.
+#[gtest]
+fn a_restart_of_long_ago_prolongs_no_wait() {
+    let mut fleet = Fleet::new(HOSTS, WORKERS);
+    fleet.set_max_lease_ms(MAX_LEASE_MS);
+    fleet.keep_ids(true);
+    fleet.set_restart_delay_ms(DOWN_MS);
+    for address in addresses() {
+        fleet.crash(&address);
+    }
+    fleet.submit(0, JOB, &job(vec![step(8, WORK_MS, &[])]));
+    fleet.run(MAX_LEASE_MS + 3_000);
+    restart_hosts(&mut fleet);
+    fleet.run(2_000);
+    fleet.cut_workers = addresses();
+    restart_hosts(&mut fleet);
+    let starts = fleet.promises.starts.len();
+    fleet.run(GIVEN_UP_MS);
+    expect_that!(fleet.promises.starts.len(), gt(starts));
+}
