How long leases last stands in a module of its own

What the end of a worker's leases rests on, and the lengths of leases, stood in the modules of workers and of adopting; they move to owner/leases.rs as they are.

--- a/crates/dispatch/src/owner/adopting.rs
+++ b/crates/dispatch/src/owner/adopting.rs
@@ -6,14 +6,10 @@
 use crate::ids::JobId;
 use crate::ids::TaskId;
 use crate::job_table::JobTable;
-use crate::owner::CLOCK_SKEW_PERMILLE;
-use crate::owner::LEASE_MS;
-use crate::owner::LEASE_SLACK_MS;
-use crate::owner::MAX_UNCONFIRMED_MS;
 use crate::owner::Owner;
 use crate::owner::job::Job;
 use crate::owner::job::JobKey;
-use crate::owner::worker::LeaseBasis;
+use crate::owner::leases::LeaseBasis;
 use crate::owner::worker::Run;
 use crate::owner::worker::RunPhase;
 use crate::owner::worker::Worker;
@@ -67,7 +63,7 @@
             })
         });
         for key in restarted {
-            let restart = self.recorded_restart(&self.workers[key].entry.id);
+            let restart = self.restart_on_record(&self.workers[key].entry.id);
             self.workers[key].set_restart(restart);
         }
         let Some(mut job) = job else {
@@ -98,28 +94,6 @@
         }
     }
 
-    /// Returns the time after which a worker that this owner has never reached runs nothing of a
-    /// previous owner any more, as that owner stops within `MAX_UNCONFIRMED_MS` after its last
-    /// confirmation.
-    fn previous_owner_expiry_ms(&self, now_ms: u64) -> u64 {
-        now_ms + MAX_UNCONFIRMED_MS + self.lease_span_ms()
-    }
-
-    /// Returns the length of the lease that polls and orders to start carry.
-    pub(crate) fn lease_ms(&self) -> u64 {
-        self.bounds.max_lease_ms.min(LEASE_MS)
-    }
-
-    /// Returns the maximum time from sending an order with a lease until that lease has expired.
-    pub(crate) fn lease_span_ms(&self) -> u64 {
-        self.lease_ms() * CLOCK_SKEW_PERMILLE / 1_000 + LEASE_SLACK_MS
-    }
-
-    /// Returns the maximum time for which a worker grants a lease, whatever is requested.
-    pub(crate) fn max_lease_span_ms(&self) -> u64 {
-        self.bounds.max_lease_ms * CLOCK_SKEW_PERMILLE / 1_000 + LEASE_SLACK_MS
-    }
-
     fn recover_runs(&mut self, key: JobKey, now_ms: u64) {
         let job = &self.jobs[key];
         let mut placement = Vec::new();
@@ -165,7 +139,7 @@
         let is_recorded_silent = self.recorded_silent.contains(&entry.id);
         let mut worker = Worker::new(entry, self.previous_owner_expiry_ms(now_ms));
         worker.is_recorded_silent = is_recorded_silent;
-        worker.set_restart(self.recorded_restart(&worker.entry.id));
+        worker.set_restart(self.restart_on_record(&worker.entry.id));
         worker
     }
 
--- a/crates/dispatch/src/owner/calls.rs
+++ b/crates/dispatch/src/owner/calls.rs
@@ -8,7 +8,7 @@
 use crate::ids::TaskId;
 use crate::owner::Owner;
 use crate::owner::Stepdown;
-use crate::owner::worker::LeaseBasis;
+use crate::owner::leases::LeaseBasis;
 use crate::owner::worker::RemovalReason;
 use crate::owner::worker::WorkerKey;
 
--- a/crates/dispatch/src/owner/mod.rs
+++ b/crates/dispatch/src/owner/mod.rs
@@ -23,6 +23,7 @@
 mod incarnations;
 mod job;
 mod kept_room;
+mod leases;
 mod link;
 mod long_running;
 mod orders;
--- a/crates/dispatch/src/owner/polls.rs
+++ b/crates/dispatch/src/owner/polls.rs
@@ -8,7 +8,7 @@
 use crate::ids::TaskId;
 use crate::owner::Owner;
 use crate::owner::calls::Purpose;
-use crate::owner::worker::LeaseBasis;
+use crate::owner::leases::LeaseBasis;
 use crate::owner::worker::RemovalReason;
 use crate::owner::worker::RunPhase;
 use crate::owner::worker::WorkerKey;
--- a/crates/dispatch/src/owner/predecessors.rs
+++ b/crates/dispatch/src/owner/predecessors.rs
@@ -8,7 +8,7 @@
 use crate::event::Action;
 use crate::owner::MAX_UNCONFIRMED_MS;
 use crate::owner::Owner;
-use crate::owner::worker::LeaseBasis;
+use crate::owner::leases::LeaseBasis;
 use crate::owner::worker::WorkerKey;
 use goldcrestway_core::Code;
 use goldcrestway_core::Note;
--- a/crates/dispatch/src/owner/restarts.rs
+++ b/crates/dispatch/src/owner/restarts.rs
@@ -10,8 +10,8 @@
 use crate::incarnation::Incarnation;
 use crate::owner::MAX_UNCONFIRMED_MS;
 use crate::owner::Owner;
+use crate::owner::leases::LeaseBasis;
 use crate::owner::polls::LONG_POLL_MS;
-use crate::owner::worker::LeaseBasis;
 use crate::owner::worker::Worker;
 use crate::owner::worker::WorkerKey;
 use crate::record::OwnerTime;
@@ -160,7 +160,7 @@
     }
 
     /// Returns the restart of a worker that is on record.
-    pub(super) fn recorded_restart(&self, id: &str) -> Option<Restart> {
+    pub(super) fn restart_on_record(&self, id: &str) -> Option<Restart> {
         let record = self.recorded_restarts.get(id)?;
         let settled = record.settled.unwrap_or_default();
         let settled_ms = self.latest_ms(&settled);
--- a/crates/dispatch/src/owner/worker.rs
+++ b/crates/dispatch/src/owner/worker.rs
@@ -7,6 +7,7 @@
 use crate::ids::TaskId;
 use crate::incarnation::Incarnation;
 use crate::owner::kept_room::KeptRoom;
+use crate::owner::leases::LeaseBasis;
 use crate::owner::restarts::Restart;
 use crate::policy::images::ImageKey;
 use crate::policy::interference::Baseline;
@@ -54,20 +55,6 @@
     }
 }
 
-/// What the end of the leases of a worker rests on. Logs print the variants by their names.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum LeaseBasis {
-    /// The longest time for which a previous owner may have extended them.
-    Assumed,
-    /// The record of a previous owner.
-    Recorded,
-    /// The leases that this owner has given, or that were given before the worker answered it.
-    Given,
-    /// The longest lease that a worker grants, as the clock of a previous incarnation may have been
-    /// used.
-    PreviousClock,
-}
-
 /// Why a worker can't take a task. Logs print the variants by their names.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum Exclusion {
@@ -436,14 +423,6 @@
         worker
     }
 
-    /// Extends the time for which its leases may last.
-    pub(crate) fn extend_leases(&mut self, expired_ms: u64, basis: LeaseBasis) {
-        if expired_ms > self.leases_expired_ms {
-            self.leases_expired_ms = expired_ms;
-            self.lease_basis = basis;
-        }
-    }
-
     /// Returns the age of its last answer to this owner for logs.
     pub(crate) fn describe_answer_age(&self, now_ms: u64) -> String {
         match self.answered_ms {
@@ -452,15 +431,6 @@
         }
     }
 
-    /// Returns what is known of the end of its leases for logs.
-    pub(crate) fn describe_leases(&self, now_ms: u64) -> String {
-        format!(
-            "leases_left_ms={} leases_by={:?}",
-            self.leases_expired_ms.saturating_sub(now_ms),
-            self.lease_basis
-        )
-    }
-
     /// Records a missed answer.
     pub(crate) fn record_missed_answer(&mut self, now_ms: u64) {
         self.missed_answers += 1;
