--- a/crates/dispatch/src/owner/adopting.rs
+++ b/crates/dispatch/src/owner/adopting.rs
@@ -40,7 +40,7 @@
         let (inherited_expiry_ms, silent_workers) =
             (&self.inherited_expiry_ms, &self.recorded_silent);
         let listed = &self.recorded_workers;
-        let mut restarted = Vec::new();
+        let mut added = Vec::new();
         let (workers, keys) = (&mut self.workers, &mut self.worker_keys);
         let job = Job::new(id, record, progress.as_ref(), now, |name| {
             *keys.entry(name.into()).or_insert_with(|| {
@@ -58,11 +58,11 @@
                 }
                 worker.is_recorded_silent = silent_workers.contains(name);
                 let key = workers.insert(worker);
-                restarted.push(key);
+                added.push(key);
                 key
             })
         });
-        for key in restarted {
+        for key in added {
             let restart = self.restart_on_record(&self.workers[key].entry.id);
             self.workers[key].set_restart(restart);
         }
@@ -208,8 +208,9 @@
                 let worker = self.make_worker(entry.clone(), now.steady_ms);
                 let key = self.workers.insert(worker);
                 self.worker_keys.insert(id.into(), key);
-                let recorded = self.recorded_workers.get(id);
-                if recorded.is_some_and(|it| it.incarnation.differs_from(entry.incarnation)) {
+                let is_other =
+                    |recorded: &WorkerEntry| recorded.incarnation.differs_from(entry.incarnation);
+                if self.recorded_workers.get(id).is_some_and(is_other) {
                     self.apply_listed_restart(key, now.steady_ms, actions);
                 }
             }
--- a/crates/dispatch/src/owner/incarnations.rs
+++ b/crates/dispatch/src/owner/incarnations.rs
@@ -170,6 +170,7 @@
         // An entry that names no incarnation was read before, so it is of the previous one.
         worker.was_leaving =
             worker.entry.is_leaving && worker.entry.incarnation.is_same_as(report.incarnation);
+        // Nothing was given to this incarnation but leases by the previous clock.
         worker.leases_expired_ms = 0;
         let id = worker.entry.id.clone();
         let key = self.workers.insert(worker);
