Three series that lose a job, listed as known failures

Of 1,600 fresh series of restarted workers three end with a harmless job shown as failed: two workers crash at once under one run of it, by the log a gang (JobFailed why=crashes confirmed=0 crashes=1).

--- a/tests/dispatch_restart_sequences.rs
+++ b/tests/dispatch_restart_sequences.rs
@@ -212,3 +212,22 @@
         }
     }
 }
+
+/// Series that still fail: a job is given up for two workers that crashed at once under one run of it.
+const OPEN_SEEDS: &[(u64, Orders)] = &[
+    (20_308, Orders::Relayed),
+    (20_443, Orders::Relayed),
+    (20_530, Orders::Relayed),
+];
+
+/// Guards against an accepted job that is lost. These seeds are not fixed.
+#[gtest]
+fn guarantees_hold_for_unfixed_seeds_with_restarted_workers() {
+    for (seed, orders) in OPEN_SEEDS {
+        expect_that!(
+            run_series(*seed, *orders),
+            is_empty(),
+            "seed {seed}, {orders:?}"
+        );
+    }
+}
