--- a/review/standin-3/fleet.py
+++ b/review/standin-3/fleet.py
@@ -9,6 +9,7 @@
 import os
 import pathlib
 import random
+import shutil
 import signal
 import socket
 import struct
@@ -155,11 +156,10 @@
         self.append_ms = 2
 
     def topic(self, name, part):
-        return self.topics.setdefault((name, int(part)), None) or self.make(name, part)
-
-    def make(self, name, part):
-        self.topics[(name, int(part))] = Topic()
-        return self.topics[(name, int(part))]
+        key = (name, int(part))
+        if key not in self.topics:
+            self.topics[key] = Topic()
+        return self.topics[key]
 
     def put(self, name, key, value):
         topic = self.topic(name, 0)
@@ -437,10 +437,6 @@
     def port(self):
         return self.ports[0]
 
-    def send(self, number):
-        if self.process and self.process.returncode is None:
-            self.process.send_signal(number)
-
     async def end(self):
         if self.process and self.process.returncode is None:
             self.process.kill()
@@ -560,10 +556,15 @@
             await asyncio.wait_for(play(fleet, os.environ.get("TROUBLE", "1") != "0"), limit_s)
         finally:
             await fleet.end()
+            # With KEEP=1 the settings and logs of the hosts stay.
+            if os.environ.get("KEEP") != "1":
+                shutil.rmtree(fleet.folder, ignore_errors=True)
         fleet.record(f"verdict: {len(fleet.broken)} broken")
         for text in fleet.broken[:10]:
             print(text)
         return 1 if fleet.broken else 0
+    # Also when the case is told to stop, the hosts are ended.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     try:
         code = asyncio.run(run())
     except Exception as fault:
