--- a/review/standin-3/fleet.py
+++ b/review/standin-3/fleet.py
@@ -549,11 +549,15 @@
 
 def main(folder, play, limit_s=110, **options):
     """Plays a case. Exit code 1: the rule was broken, 0: it held, 2: the case could not run."""
+    # `run.sh` passes its variable TROUBLE.
+    has_trouble = sys.argv[1:2] != ["0"]
+
     async def run():
         fleet = Fleet(folder, **options)
+        fleet.record(f"disruption: {'yes' if has_trouble else 'no'}")
         try:
             await fleet.start()
-            await asyncio.wait_for(play(fleet, os.environ.get("TROUBLE", "1") != "0"), limit_s)
+            await asyncio.wait_for(play(fleet, has_trouble), limit_s)
         finally:
             await fleet.end()
             # With KEEP=1 the settings and logs of the hosts stay.
